--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# Every target uses the local environment in .venv and installs it on first use.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup test format lint demo protos
+
+$(VENV)/.installed: requirements.txt requirements-dev.txt constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-dev.txt -c constraints.txt
+	touch $@
+
+setup: $(VENV)/.installed
+
+test: setup
+	$(BIN)/python -m pytest -n 4
+
+format: setup
+	$(BIN)/ruff check --fix --quiet .
+	$(BIN)/pyink --quiet .
+
+lint: setup
+	$(BIN)/pyink --check --quiet --diff .
+	$(BIN)/ruff check .
+
+demo: setup
+	$(BIN)/python -m tools.demo
+
+protos: setup
+	$(BIN)/python -m grpc_tools.protoc -I . --python_out=. --grpc_python_out=. \
+	  siskinmount/rpc/control.proto siskinmount/state/records.proto
--- /dev/null
+++ b/siskinmount/__init__.py
@@ -0,0 +1,1 @@
+"""Serves online and batch model inference on one fleet."""
--- /dev/null
+++ b/siskinmount/results/__init__.py
@@ -0,0 +1,5 @@
+"""Numbered result codes and the failure value that carries them."""
+
+from siskinmount.results._failure import Failure
+from siskinmount.results._result_code import ResultCode
+from siskinmount.results._run_state import RunState
--- /dev/null
+++ b/siskinmount/supervision/__init__.py
@@ -0,0 +1,5 @@
+"""Supervisor tree: restarts failed children and escalates repeated failure."""
+
+from siskinmount.supervision._supervisor import Child
+from siskinmount.supervision._supervisor import RestartLimitError
+from siskinmount.supervision._supervisor import run_supervisor
--- /dev/null
+++ b/siskinmount/supervision/_supervisor.py
@@ -0,0 +1,95 @@
+"""Runs children in a nursery and restarts those that fail."""
+
+import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
+import logging
+import random
+
+import trio
+
+from siskinmount import results
+
+_LOGGER = logging.getLogger(__name__)
+
+FIRST_BACKOFF_MS = 50
+MAX_BACKOFF_MS = 5000
+RESTART_WINDOW_S = 60.0
+MAX_RESTARTS_IN_WINDOW = 10
+
+
+class RestartLimitError(Exception):
+    """Raised when a child failed too often; the parent supervisor handles it."""
+
+
+class Child:
+    """Names one child of a supervisor.
+
+    Attributes:
+        name: Identifies the child in logs.
+        run: Coroutine function without arguments. A return ends the child for
+            good; an exception makes the supervisor run it again.
+    """
+
+    __slots__ = ('name', 'run')
+
+    def __init__(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+        self.name = name
+        self.run = run
+
+
+async def run_supervisor(name: str, children: list[Child]) -> None:
+    """Runs the children until all have returned.
+
+    Args:
+        name: Identifies the supervisor in logs.
+        children: The children, all started at once.
+
+    Raises:
+        RestartLimitError: A child failed more than
+            `MAX_RESTARTS_IN_WINDOW` times within `RESTART_WINDOW_S`.
+    """
+    async with trio.open_nursery() as nursery:
+        for child in children:
+            nursery.start_soon(_run_child, name, child)
+
+
+async def _run_child(supervisor_name: str, child: Child) -> None:
+    """Runs one child, again after each failure, until it returns."""
+    failure_times_s: collections.deque[float] = collections.deque()
+    while True:
+        try:
+            await child.run()
+            return
+        except Exception as error:
+            now_s = trio.current_time()
+            failure_times_s.append(now_s)
+            _drop_older_than(failure_times_s, now_s - RESTART_WINDOW_S)
+            _LOGGER.exception(
+                'child_failed',
+                extra={
+                    'code': int(results.ResultCode.CHILD_RESTARTED),
+                    'supervisor': supervisor_name,
+                    'child': child.name,
+                    'failures_in_window': len(failure_times_s),
+                },
+            )
+            if len(failure_times_s) > MAX_RESTARTS_IN_WINDOW:
+                raise RestartLimitError(
+                    f'{supervisor_name}/{child.name}'
+                ) from error
+        await trio.sleep(_backoff_ms(len(failure_times_s)) / 1000)
+
+
+def _drop_older_than(times_s: collections.deque[float], limit_s: float) -> None:
+    """Removes the leading times before the limit."""
+    while times_s and times_s[0] < limit_s:
+        times_s.popleft()
+
+
+def _backoff_ms(failure_count: int) -> float:
+    """Returns a jittered exponential backoff in milliseconds."""
+    ceiling_ms = min(
+        MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** (failure_count - 1)
+    )
+    return random.uniform(ceiling_ms / 2, ceiling_ms)
--- /dev/null
+++ b/siskinmount/transport/_http_client.py
@@ -0,0 +1,184 @@
+"""A bounded pool of connections to one server."""
+
+import h11
+import trio
+
+from siskinmount import results
+from siskinmount.transport import _address
+from siskinmount.transport import _client_exchange
+from siskinmount.transport import _limits
+
+
+class HttpClient:
+    """Sends requests to one server over kept-alive connections.
+
+    Attributes:
+        address: The server.
+        in_use_count: Connections that serve a request now.
+    """
+
+    __slots__ = ('address', 'in_use_count', '_limits', '_idle', '_slots')
+
+    def __init__(
+        self, address: _address.Address, limits: _limits.ClientLimits
+    ) -> None:
+        self.address = address
+        self.in_use_count = 0
+        self._limits = limits
+        self._idle: list[_client_exchange.ClientConnection] = []
+        self._slots = trio.Semaphore(limits.max_connections)
+
+    async def send(
+        self, request: _client_exchange.ClientRequest
+    ) -> _client_exchange.ClientExchange | results.Failure:
+        """Sends a request and returns once the response's head has arrived.
+
+        The caller must `close` the returned exchange. A failure's run state is
+        `NOT_RUN` only if no byte of the request was written.
+        """
+        await self._slots.acquire()
+        connection: _client_exchange.ClientConnection | None = None
+        exchange: _client_exchange.ClientExchange | None = None
+        try:
+            connected = await self._connect()
+            if isinstance(connected, results.Failure):
+                return connected
+            connection = connected
+            response = await self._exchange(connection, request)
+            if isinstance(response, results.Failure):
+                return response
+            exchange = _client_exchange.ClientExchange(
+                response.status_code,
+                list(response.headers),
+                connection,
+                self._limits,
+                self._release,
+            )
+            self.in_use_count += 1
+            return exchange
+        finally:
+            if exchange is None:
+                self._slots.release()
+                if connection is not None:
+                    _drop(connection)
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        while self._idle:
+            _drop(self._idle.pop())
+
+    async def _connect(
+        self,
+    ) -> _client_exchange.ClientConnection | results.Failure:
+        """Returns an idle connection that still works, or a new one."""
+        while self._idle:
+            connection = self._idle.pop()
+            idle_s = trio.current_time() - connection.idle_since_s
+            fresh = idle_s < self._limits.idle_timeout_ms / 1000
+            if fresh and connection.is_quiet():
+                return connection
+            _drop(connection)
+        try:
+            with trio.move_on_after(
+                self._limits.connect_timeout_ms / 1000
+            ) as scope:
+                stream = await trio.open_tcp_stream(
+                    self.address.host, self.address.port
+                )
+        except OSError as error:
+            return self._unreachable(str(error))
+        if scope.cancelled_caught:
+            return self._unreachable('the connection was not opened in time')
+        return _client_exchange.ClientConnection(stream)
+
+    def _unreachable(self, reason: str) -> results.Failure:
+        return results.Failure(
+            results.ResultCode.UPSTREAM_UNREACHABLE,
+            f'{self.address} is unreachable: {reason}',
+        )
+
+    async def _exchange(
+        self,
+        connection: _client_exchange.ClientConnection,
+        request: _client_exchange.ClientRequest,
+    ) -> h11.Response | results.Failure:
+        """Writes the request and reads the head of the response."""
+        data = self._encode(connection.parser, request)
+        try:
+            with trio.move_on_after(
+                self._limits.send_timeout_ms / 1000
+            ) as scope:
+                await connection.stream.send_all(data)
+        except trio.BrokenResourceError as error:
+            return _unknown(results.ResultCode.UPSTREAM_LOST, str(error))
+        if scope.cancelled_caught:
+            return _unknown(
+                results.ResultCode.UPSTREAM_SILENT, 'the request was not read'
+            )
+        while True:
+            try:
+                event = connection.parser.next_event()
+            except h11.RemoteProtocolError as error:
+                return _unknown(results.ResultCode.UPSTREAM_LOST, str(error))
+            if isinstance(event, h11.Response):
+                return event
+            if isinstance(event, h11.ConnectionClosed):
+                return _unknown(
+                    results.ResultCode.UPSTREAM_LOST,
+                    'closed without a response',
+                )
+            if event is not h11.NEED_DATA:
+                continue
+            failure = await _client_exchange.receive_into(
+                connection, self._limits
+            )
+            if failure is not None:
+                return failure
+
+    def _encode(
+        self, parser: h11.Connection, request: _client_exchange.ClientRequest
+    ) -> bytes:
+        """Returns the request's bytes."""
+        headers = [
+            (b'host', str(self.address).encode('ascii')),
+            *request.headers,
+            (b'content-length', b'%d' % len(request.body)),
+        ]
+        data = parser.send(
+            h11.Request(
+                method=request.method, target=request.target, headers=headers
+            )
+        )
+        data += parser.send(h11.Data(data=request.body))
+        data += parser.send(h11.EndOfMessage())
+        return data
+
+    def _release(
+        self, connection: _client_exchange.ClientConnection, reusable: bool
+    ) -> None:
+        """Takes a connection back after a request."""
+        self.in_use_count -= 1
+        self._slots.release()
+        if not reusable:
+            _drop(connection)
+            return
+        connection.parser.start_next_cycle()
+        connection.idle_since_s = trio.current_time()
+        connection.reused = True
+        self._idle.append(connection)
+
+
+def _drop(connection: _client_exchange.ClientConnection) -> None:
+    """Closes a connection's socket at once."""
+    connection.stream.socket.close()
+
+
+def _unknown(code: results.ResultCode, reason: str) -> results.Failure:
+    return results.Failure(code, reason, results.RunState.UNKNOWN)
+
+
+def create_http_client(
+    address: _address.Address, limits: _limits.ClientLimits | None = None
+) -> HttpClient:
+    """Creates a client for one server."""
+    return HttpClient(address, limits or _limits.ClientLimits())
--- /dev/null
+++ b/siskinmount/transport/_http_server.py
@@ -0,0 +1,282 @@
+"""Accepts connections and hands each request to a handler."""
+
+import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
+import errno
+import logging
+
+import h11
+import trio
+
+from siskinmount import results
+from siskinmount.transport import _address
+from siskinmount.transport import _limits
+from siskinmount.transport import _server_exchange
+
+_LOGGER = logging.getLogger(__name__)
+
+Handler = Callable[[_server_exchange.ServerExchange], Awaitable[None]]
+
+ACCEPT_RETRY_S = 0.1
+_RESOURCE_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+class HttpServer:
+    """Serves one listening address, one task per connection.
+
+    Attributes:
+        connection_count: Connections open now.
+    """
+
+    __slots__ = (
+        'connection_count',
+        '_handler',
+        '_limits',
+        '_count_by_host',
+        '_accept_scope',
+        '_idle_scopes',
+        '_draining',
+    )
+
+    def __init__(self, handler: Handler, limits: _limits.ServerLimits) -> None:
+        self.connection_count = 0
+        self._handler = handler
+        self._limits = limits
+        self._count_by_host: collections.Counter[str] = collections.Counter()
+        self._accept_scope = trio.CancelScope()
+        self._idle_scopes: set[trio.CancelScope] = set()
+        self._draining = False
+
+    async def run(
+        self,
+        address: _address.Address,
+        task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serves until `stop` was called and the last request has ended.
+
+        Args:
+            address: Where to listen. Port 0 picks a free port.
+            task_status: Receives the address that the server listens on.
+        """
+        listeners = await trio.open_tcp_listeners(
+            address.port, host=address.host
+        )
+        listener = listeners[0]
+        host, port = listener.socket.getsockname()[:2]
+        async with trio.open_nursery() as nursery:
+            task_status.started(_address.Address(host, port))
+            async with listener:
+                with self._accept_scope:
+                    await self._accept_forever(listener, nursery)
+
+    def stop(self) -> None:
+        """Closes the listener and idle connections; requests in progress go on."""
+        self._draining = True
+        self._accept_scope.cancel()
+        for scope in self._idle_scopes:
+            scope.cancel()
+
+    async def _accept_forever(
+        self, listener: trio.SocketListener, nursery: trio.Nursery
+    ) -> None:
+        """Starts a task for each connection."""
+        while True:
+            try:
+                stream = await listener.accept()
+            except OSError as error:
+                if error.errno not in _RESOURCE_ERRNOS:
+                    raise
+                await trio.sleep(ACCEPT_RETRY_S)
+                continue
+            nursery.start_soon(self._run_connection, stream)
+
+    async def _run_connection(self, stream: trio.SocketStream) -> None:
+        """Serves the requests of one connection, one after the other."""
+        try:
+            host = stream.socket.getpeername()[0]
+        except OSError:
+            await trio.aclose_forcefully(stream)
+            return
+        self.connection_count += 1
+        self._count_by_host[host] += 1
+        try:
+            await self._serve_requests(stream, host)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        except h11.LocalProtocolError:
+            _LOGGER.exception('response_invalid')
+        finally:
+            self.connection_count -= 1
+            self._count_by_host[host] -= 1
+            if not self._count_by_host[host]:
+                del self._count_by_host[host]
+            await trio.aclose_forcefully(stream)
+
+    async def _serve_requests(
+        self, stream: trio.SocketStream, host: str
+    ) -> None:
+        """Reads requests until the connection ends or must be closed."""
+        connection = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=self._limits.max_header_bytes,
+        )
+        refusal = self._check_connection_limits(host)
+        while True:
+            head = await self._receive_head(connection, stream, host)
+            if head is None:
+                return
+            if isinstance(head, results.Failure):
+                await self._refuse(connection, stream, head)
+                return
+            if refusal is not None:
+                await self._refuse(connection, stream, refusal)
+                return
+            exchange = _server_exchange.ServerExchange(
+                head, connection, stream, self._limits, self._draining
+            )
+            await self._handle(exchange)
+            if connection.our_state is not h11.DONE or self._draining:
+                return
+            if connection.their_state is not h11.DONE:
+                return
+            connection.start_next_cycle()
+
+    async def _handle(self, exchange: _server_exchange.ServerExchange) -> None:
+        """Runs the handler; a fault in it becomes an answer with a code."""
+        try:
+            await self._handler(exchange)
+        except trio.BrokenResourceError:
+            raise
+        except Exception:
+            _LOGGER.exception(
+                'handler_failed',
+                extra={
+                    'code': int(results.ResultCode.INTERNAL),
+                    'path': exchange.head.path,
+                },
+            )
+            if exchange.response_started:
+                raise trio.BrokenResourceError('handler failed') from None
+            await exchange.send_json(
+                500,
+                {
+                    'error': {
+                        'code': int(results.ResultCode.INTERNAL),
+                        'name': results.ResultCode.INTERNAL.name,
+                        'reason': 'internal fault',
+                        'run_state': results.RunState.UNKNOWN.value,
+                    }
+                },
+            )
+
+    def _check_connection_limits(self, host: str) -> results.Failure | None:
+        """Returns why a new connection is refused, or None."""
+        too_many = self.connection_count > self._limits.max_connections
+        too_many_for_host = (
+            self._count_by_host[host] > self._limits.max_connections_per_host
+        )
+        if not too_many and not too_many_for_host:
+            return None
+        return results.Failure(
+            results.ResultCode.TOO_MANY_CONNECTIONS,
+            'too many connections',
+            retry_after_ms=1000,
+        )
+
+    async def _receive_head(
+        self,
+        connection: h11.Connection,
+        stream: trio.SocketStream,
+        host: str,
+    ) -> _server_exchange.RequestHead | results.Failure | None:
+        """Returns the next request's head, or None when the client left."""
+        first_wait_s = self._limits.idle_timeout_ms / 1000
+        timeout_s = self._limits.header_timeout_ms / 1000
+        idle = not connection.trailing_data[0]
+        with trio.CancelScope() as scope:
+            scope.deadline = trio.current_time() + (
+                first_wait_s if idle else timeout_s
+            )
+            if idle:
+                self._idle_scopes.add(scope)
+            try:
+                while True:
+                    try:
+                        event = connection.next_event()
+                    except h11.RemoteProtocolError as error:
+                        return _describe_protocol_error(error)
+                    if isinstance(event, h11.Request):
+                        return _server_exchange.RequestHead(
+                            event.method.decode('ascii'),
+                            event.target.decode('ascii'),
+                            list(event.headers),
+                            host,
+                        )
+                    if event is not h11.NEED_DATA:
+                        return None
+                    data = await stream.receive_some(
+                        _server_exchange.READ_BYTES
+                    )
+                    if idle:
+                        idle = False
+                        self._idle_scopes.discard(scope)
+                        scope.deadline = trio.current_time() + timeout_s
+                    connection.receive_data(data)
+            finally:
+                self._idle_scopes.discard(scope)
+        if idle:
+            return None
+        return results.Failure(
+            results.ResultCode.REQUEST_TIMEOUT,
+            'the request headers were not sent in time',
+        )
+
+    async def _refuse(
+        self,
+        connection: h11.Connection,
+        stream: trio.SocketStream,
+        failure: results.Failure,
+    ) -> None:
+        """Answers a request that has not reached the handler."""
+        if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        head = _server_exchange.RequestHead('GET', '/', [], '')
+        exchange = _server_exchange.ServerExchange(
+            head, connection, stream, self._limits, True
+        )
+        status = {
+            results.ResultCode.HEADERS_TOO_LARGE: 431,
+            results.ResultCode.REQUEST_TIMEOUT: 408,
+            results.ResultCode.TOO_MANY_CONNECTIONS: 503,
+        }.get(failure.code, 400)
+        await exchange.send_json(
+            status,
+            {
+                'error': {
+                    'code': int(failure.code),
+                    'name': failure.code.name,
+                    'reason': failure.reason,
+                    'run_state': failure.run_state.value,
+                }
+            },
+        )
+
+
+def _describe_protocol_error(
+    error: h11.RemoteProtocolError,
+) -> results.Failure:
+    """Maps the parser's error to a numbered failure."""
+    if error.error_status_hint == 431:
+        return results.Failure(
+            results.ResultCode.HEADERS_TOO_LARGE,
+            'the request headers are too large',
+        )
+    return results.Failure(results.ResultCode.MALFORMED_REQUEST, str(error))
+
+
+def create_http_server(
+    handler: Handler, limits: _limits.ServerLimits | None = None
+) -> HttpServer:
+    """Creates a server that passes each request to the handler."""
+    return HttpServer(handler, limits or _limits.ServerLimits())
--- /dev/null
+++ b/siskinmount/transport/_server_exchange.py
@@ -0,0 +1,217 @@
+"""One request and its response, as seen by a server's handler."""
+
+import urllib.parse
+
+import h11
+import orjson
+import trio
+
+from siskinmount import results
+from siskinmount.transport import _headers
+from siskinmount.transport import _limits
+
+READ_BYTES = 64 * 1024
+
+
+class RequestHead:
+    """The request line and headers.
+
+    Attributes:
+        method: Upper-case method.
+        path: Path without the query, percent-encoding undone.
+        query: Query parameters; of repeated ones the first.
+        headers: Header list with lower-case names.
+        peer_host: IP number of the client.
+    """
+
+    __slots__ = ('method', 'path', 'query', 'headers', 'peer_host')
+
+    def __init__(
+        self,
+        method: str,
+        target: str,
+        headers: _headers.Headers,
+        peer_host: str,
+    ) -> None:
+        self.method = method
+        path, _, query_text = target.partition('?')
+        self.path = urllib.parse.unquote(path)
+        self.query: dict[str, str] = {}
+        for name, value in urllib.parse.parse_qsl(query_text):
+            self.query.setdefault(name, value)
+        self.headers = headers
+        self.peer_host = peer_host
+
+    def find_header(self, name: bytes) -> str | None:
+        """Returns the first value of a header, by lower-case name."""
+        return _headers.find_header(self.headers, name)
+
+
+class ServerExchange:
+    """Reads one request and writes its response.
+
+    A handler reads the body if it wants it and then calls either `send_whole`
+    or `start_stream`, `send_chunk` and `finish`. A client that has gone shows
+    as `trio.BrokenResourceError` from the send methods; the connection's task
+    handles it.
+
+    Attributes:
+        head: The request's line and headers.
+        response_started: Whether a response's headers have been sent.
+    """
+
+    __slots__ = (
+        'head',
+        'response_started',
+        '_connection',
+        '_stream',
+        '_limits',
+        '_close_after',
+    )
+
+    def __init__(
+        self,
+        head: RequestHead,
+        connection: h11.Connection,
+        stream: trio.SocketStream,
+        limits: _limits.ServerLimits,
+        close_after: bool,
+    ) -> None:
+        self.head = head
+        self.response_started = False
+        self._connection = connection
+        self._stream = stream
+        self._limits = limits
+        self._close_after = close_after
+
+    async def receive_body_chunk(self) -> bytes | results.Failure:
+        """Returns the next bytes of the body, or empty bytes at its end."""
+        while True:
+            if self._connection.their_state is not h11.SEND_BODY:
+                return b''
+            try:
+                event = self._connection.next_event()
+            except h11.RemoteProtocolError as error:
+                return results.Failure(
+                    results.ResultCode.MALFORMED_REQUEST, str(error)
+                )
+            if event is h11.NEED_DATA:
+                failure = await self._receive()
+                if failure is not None:
+                    return failure
+                continue
+            if isinstance(event, h11.Data):
+                return bytes(event.data)
+            return b''
+
+    async def read_body(
+        self, max_bytes: int | None = None
+    ) -> bytes | results.Failure:
+        """Reads the whole body.
+
+        Args:
+            max_bytes: Bound on the body; the server's limit if None.
+        """
+        bound = self._limits.max_body_bytes if max_bytes is None else max_bytes
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            chunk = await self.receive_body_chunk()
+            if isinstance(chunk, results.Failure):
+                return chunk
+            if not chunk:
+                return b''.join(parts)
+            size += len(chunk)
+            if size > bound:
+                return results.Failure(
+                    results.ResultCode.BODY_TOO_LARGE,
+                    f'the body is larger than {bound} bytes',
+                )
+            parts.append(chunk)
+
+    async def send_whole(
+        self, status: int, headers: _headers.Headers, body: bytes
+    ) -> None:
+        """Sends a response with a known length."""
+        all_headers = [*headers, (b'content-length', b'%d' % len(body))]
+        data = self._start(status, all_headers)
+        data += self._connection.send(h11.Data(data=body)) or b''
+        data += self._connection.send(h11.EndOfMessage()) or b''
+        await self._send(data)
+
+    async def send_json(
+        self, status: int, document: object, headers: _headers.Headers = ()
+    ) -> None:
+        """Sends a JSON response."""
+        await self.send_whole(
+            status,
+            [*headers, (b'content-type', b'application/json')],
+            orjson.dumps(document),
+        )
+
+    async def start_stream(
+        self, status: int, headers: _headers.Headers
+    ) -> None:
+        """Sends the head of a response whose length is not known."""
+        await self._send(
+            self._start(status, [*headers, (b'transfer-encoding', b'chunked')])
+        )
+
+    async def send_chunk(self, chunk: bytes) -> None:
+        """Sends a part of the response's body."""
+        await self._send(self._connection.send(h11.Data(data=chunk)))
+
+    async def finish(self) -> None:
+        """Ends a response that `start_stream` began."""
+        await self._send(self._connection.send(h11.EndOfMessage()))
+
+    async def wait_disconnected(self) -> None:
+        """Returns when the client has closed or reset the connection.
+
+        Must run only after the body was read, beside the task that writes the
+        response. Bytes of a pipelined request are kept for later.
+        """
+        while True:
+            try:
+                data = await self._stream.receive_some(READ_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return
+            if not data:
+                return
+            self._connection.receive_data(data)
+
+    def _start(self, status: int, headers: _headers.Headers) -> bytes:
+        """Returns the bytes of a response's head."""
+        self.response_started = True
+        if self._close_after:
+            headers = [*headers, (b'connection', b'close')]
+        return self._connection.send(
+            h11.Response(status_code=status, headers=headers)
+        )
+
+    async def _receive(self) -> results.Failure | None:
+        """Feeds the next bytes from the socket to the parser."""
+        if self._connection.they_are_waiting_for_100_continue:
+            await self._send(
+                self._connection.send(
+                    h11.InformationalResponse(status_code=100, headers=[])
+                )
+            )
+        with trio.move_on_after(self._limits.body_timeout_ms / 1000) as scope:
+            data = await self._stream.receive_some(READ_BYTES)
+        if scope.cancelled_caught:
+            return results.Failure(
+                results.ResultCode.REQUEST_TIMEOUT,
+                'the body was not sent in time',
+            )
+        self._connection.receive_data(data)
+        return None
+
+    async def _send(self, data: bytes | None) -> None:
+        """Writes bytes, bounded by the limit for a client that does not read."""
+        if not data:
+            return
+        with trio.move_on_after(self._limits.send_timeout_ms / 1000) as scope:
+            await self._stream.send_all(data)
+        if scope.cancelled_caught:
+            raise trio.BrokenResourceError('the client does not read')
