--- /dev/null
+++ b/siskinmount/entry/_answer_format.py
@@ -0,0 +1,106 @@
+"""Formats generated tokens in the shape that common client libraries read."""
+
+import time
+
+import orjson
+
+from siskinmount import relay
+from siskinmount import results
+from siskinmount.entry import _error_answers
+from siskinmount.entry import _model_request
+
+DONE_EVENT = b'data: [DONE]\n\n'
+KEEP_ALIVE_EVENT = b': keep-alive\n\n'
+
+
+class AnswerFormat:
+    """Formats the answer to one request.
+
+    Attributes:
+        request_id: Identifies the answer.
+    """
+
+    __slots__ = ('request_id', '_request', '_created_s')
+
+    def __init__(
+        self, request: _model_request.ModelRequest, request_id: str
+    ) -> None:
+        self.request_id = request_id
+        self._request = request
+        self._created_s = int(time.time())
+
+    def format_token(self, index: int, text: str) -> bytes:
+        """Returns one token as a server-sent event.
+
+        The event's id is the token's index, so that `Last-Event-ID` tells
+        where to go on.
+        """
+        if self._request.is_chat:
+            delta = {'content': text}
+            if index == 0:
+                delta['role'] = 'assistant'
+            choice: dict[str, object] = {'index': 0, 'delta': delta}
+        else:
+            choice = {'index': 0, 'text': text}
+        choice['finish_reason'] = None
+        return b'id: %d\ndata: %b\n\n' % (
+            index,
+            orjson.dumps(self._envelope(choice, streamed=True)),
+        )
+
+    def format_end(self, end: relay.EndFrame) -> bytes:
+        """Returns the last events of a whole answer."""
+        if self._request.is_chat:
+            choice: dict[str, object] = {'index': 0, 'delta': {}}
+        else:
+            choice = {'index': 0, 'text': ''}
+        choice['finish_reason'] = end.finish_reason
+        envelope = self._envelope(choice, streamed=True)
+        envelope['usage'] = _usage(end)
+        return b'data: %b\n\n' % orjson.dumps(envelope) + DONE_EVENT
+
+    def format_failure(self, failure: results.Failure) -> bytes:
+        """Returns a failure within a stream that has begun."""
+        body = _error_answers.ErrorBody(failure, self.request_id)
+        return b'event: error\ndata: %b\n\n' % orjson.dumps(body.to_json())
+
+    def format_whole(
+        self, texts: list[str], end: relay.EndFrame
+    ) -> dict[str, object]:
+        """Returns the body of an answer that is not streamed."""
+        text = ''.join(texts)
+        if self._request.is_chat:
+            message = {'role': 'assistant', 'content': text}
+            choice: dict[str, object] = {'index': 0, 'message': message}
+        else:
+            choice = {'index': 0, 'text': text}
+        choice['finish_reason'] = end.finish_reason
+        envelope = self._envelope(choice, streamed=False)
+        envelope['usage'] = _usage(end)
+        return envelope
+
+    def _envelope(
+        self, choice: dict[str, object], streamed: bool
+    ) -> dict[str, object]:
+        """Returns the fields around a choice."""
+        if not self._request.is_chat:
+            object_name = 'text_completion'
+        elif streamed:
+            object_name = 'chat.completion.chunk'
+        else:
+            object_name = 'chat.completion'
+        return {
+            'id': self.request_id,
+            'object': object_name,
+            'created': self._created_s,
+            'model': self._request.model_name,
+            'choices': [choice],
+        }
+
+
+def _usage(end: relay.EndFrame) -> dict[str, int]:
+    return {
+        'prompt_tokens': end.prompt_tokens,
+        'completion_tokens': end.completion_tokens,
+        'total_tokens': end.prompt_tokens + end.completion_tokens,
+    }
--- /dev/null
+++ b/siskinmount/entry/_answer_run.py
@@ -0,0 +1,391 @@
+"""Obtains one whole answer, over as many upstreams as that takes."""
+
+import logging
+
+import trio
+
+from siskinmount import membership
+from siskinmount import relay
+from siskinmount import results
+from siskinmount import transport
+from siskinmount.entry import _run_request
+from siskinmount.entry import _upstream_access
+
+_LOGGER = logging.getLogger(__name__)
+
+#: Refusals without effect that one request may collect before it is given up.
+MAX_REFUSALS = 6
+#: Attempts to reach the same process again after a connection was lost.
+MAX_REATTACHES = 2
+REATTACH_PAUSE_S = 0.05
+MAX_ERROR_BYTES = 64 * 1024
+
+
+class AnswerRun:
+    """Reads one answer's frames and moves between upstreams when one is lost.
+
+    The caller of `receive_frames` sees each token exactly once and in order,
+    however many upstreams produced them.
+
+    Attributes:
+        token_texts: Texts of the tokens received so far.
+        attempt: Number of the current attempt, from 1.
+        upstream_vm: VM of the upstream that runs the request; empty if none.
+    """
+
+    __slots__ = (
+        'token_texts',
+        'attempt',
+        'upstream_vm',
+        '_access',
+        '_request',
+        '_member',
+        '_exchange',
+        '_reader',
+        '_excluded_vms',
+        '_refusals',
+        '_reattaches',
+        '_solo',
+        '_body_bytes_received',
+        '_body_bytes_to_skip',
+        '_head_received',
+        '_sent_to_any',
+        '_reported_failure',
+    )
+
+    def __init__(
+        self,
+        access: _upstream_access.UpstreamAccess,
+        request: _run_request.RunRequest,
+    ) -> None:
+        self.token_texts: list[str] = []
+        self.attempt = 0
+        self.upstream_vm = ''
+        self._access = access
+        self._request = request
+        self._member: membership.Member | None = None
+        self._exchange: transport.ClientExchange | None = None
+        self._reader = relay.FrameReader()
+        self._excluded_vms: set[str] = set()
+        self._refusals = 0
+        self._reattaches = 0
+        self._solo = False
+        self._body_bytes_received = 0
+        self._body_bytes_to_skip = 0
+        self._head_received = False
+        self._sent_to_any = False
+        # The failure that a sidecar has reported in a frame, as opposed to one
+        # of the connection to it.
+        self._reported_failure: results.Failure | None = None
+
+    async def receive_frames(self) -> list[relay.Frame] | results.Failure:
+        """Returns the next frames, or the final failure of the request."""
+        while True:
+            if trio.current_time() > self._request.deadline_s:
+                return self._final(
+                    results.Failure(
+                        results.ResultCode.DEADLINE_EXCEEDED,
+                        'the deadline has passed',
+                    )
+                )
+            if self._exchange is None:
+                failure = await self._open()
+                if failure is not None:
+                    return failure
+            frames = await self._read()
+            if isinstance(frames, results.Failure):
+                failure = await self._leave_upstream(frames)
+                if failure is not None:
+                    return failure
+                continue
+            if frames:
+                return frames
+
+    def close(self) -> None:
+        """Gives up the connection; the sidecar cancels the run after a while."""
+        if self._exchange is not None:
+            self._exchange.close()
+            self._exchange = None
+        if self._member is not None:
+            self._access.router.release(self._member.vm)
+            self._member = None
+
+    async def _open(self) -> results.Failure | None:
+        """Starts or continues the run at an upstream.
+
+        Returns:
+            None once an exchange is open, or the final failure.
+        """
+        while True:
+            if self._member is None:
+                failure = self._choose_upstream()
+                if failure is not None:
+                    return failure
+            failure = await self._send(attach_only=False)
+            if failure is None:
+                return None
+            failure = await self._leave_upstream(failure)
+            if failure is not None:
+                return failure
+            if self._exchange is not None:
+                return None
+
+    def _choose_upstream(self) -> results.Failure | None:
+        """Picks the upstream for the next attempt."""
+        request = self._request
+        access = self._access
+        if access.is_convicted(request.fingerprint):
+            return self._final(_convicted())
+        self._solo = access.is_suspect(request.fingerprint)
+        choice = access.router.choose(
+            service=request.service.name,
+            affinity_key=request.affinity_key,
+            excluded_vms=frozenset(self._excluded_vms),
+            request_class=request.request_class,
+        )
+        if isinstance(choice, results.Failure):
+            return self._final(choice)
+        self._member = choice.member
+        self.upstream_vm = choice.member.vm
+        self._reattaches = 0
+        self.attempt += 1
+        return None
+
+    async def _send(self, attach_only: bool) -> results.Failure | None:
+        """Posts the run to the chosen sidecar."""
+        member = self._member
+        if member is None:
+            raise RuntimeError('no upstream was chosen')
+        request = transport.ClientRequest(
+            'POST',
+            f'/run/{self._request.service.name}',
+            self._headers(attach_only),
+            self._request.encode_body(self.token_texts),
+        )
+        client = self._access.find_client(member)
+        exchange = await client.send(request)
+        if isinstance(exchange, results.Failure):
+            if exchange.run_state is not results.RunState.NOT_RUN:
+                self._sent_to_any = True
+            return exchange
+        self._access.note_answer(member, exchange)
+        if exchange.status != 200:
+            return await _read_refusal(exchange)
+        self._sent_to_any = True
+        self._exchange = exchange
+        self._reader = relay.FrameReader()
+        self._body_bytes_to_skip = self._body_bytes_received
+        return None
+
+    def _headers(self, attach_only: bool) -> transport.Headers:
+        """Returns the headers of a run."""
+        request = self._request
+        names = relay.RelayHeader
+        left_ms = max(
+            1, int((request.deadline_s - trio.current_time()) * 1000)
+        )
+        next_token = request.first_token + len(self.token_texts)
+        headers = [
+            (names.REQUEST_ID, request.request_id.encode('ascii')),
+            (names.ATTEMPT, b'%d' % self.attempt),
+            (names.DEADLINE_MS, b'%d' % left_ms),
+            (names.CLASS, request.request_class.value.encode('ascii')),
+            (names.FINGERPRINT, request.fingerprint.encode('ascii')),
+            (names.FROM_TOKEN, b'%d' % next_token),
+            (names.CALLER, request.caller.encode('utf-8')),
+        ]
+        if self._solo:
+            headers.append((names.SOLO, b'1'))
+        if attach_only:
+            headers.append((names.ATTACH_ONLY, b'1'))
+        return headers
+
+    async def _read(self) -> list[relay.Frame] | results.Failure:
+        """Returns the frames of one read of the connection."""
+        if self._reported_failure is not None:
+            return self._reported_failure
+        if self._exchange is None:
+            raise RuntimeError('no exchange is open')
+        chunk = await self._exchange.receive_chunk()
+        if isinstance(chunk, results.Failure):
+            return chunk
+        if not chunk:
+            return results.Failure(
+                results.ResultCode.UPSTREAM_SILENT,
+                'the stream ended before the answer was whole',
+                results.RunState.UNKNOWN,
+            )
+        frames = self._reader.feed(chunk)
+        if isinstance(frames, results.Failure):
+            return frames
+        kept: list[relay.Frame] = []
+        for frame in frames:
+            if isinstance(frame, relay.FailureFrame):
+                self._reported_failure = frame.failure
+                # Tokens before the failure are handed out first.
+                return kept if kept else frame.failure
+            accepted = self._accept(frame)
+            if isinstance(accepted, results.Failure):
+                return accepted
+            if accepted is not None:
+                kept.append(accepted)
+        return kept
+
+    def _accept(
+        self, frame: relay.Frame
+    ) -> relay.Frame | results.Failure | None:
+        """Returns a frame that is new to the caller, or None for a repeat."""
+        if isinstance(frame, relay.TokenFrame):
+            expected = self._request.first_token + len(self.token_texts)
+            if frame.index < expected:
+                return None
+            if frame.index > expected:
+                return results.Failure(
+                    results.ResultCode.UPSTREAM_ERROR,
+                    f'token {frame.index} came in place of {expected}',
+                    results.RunState.RAN,
+                )
+            self.token_texts.append(frame.text)
+            return frame
+        if isinstance(frame, relay.HeadFrame):
+            if self._head_received:
+                return None
+            self._head_received = True
+            return frame
+        if isinstance(frame, relay.BodyFrame):
+            skipped = min(self._body_bytes_to_skip, len(frame.data))
+            self._body_bytes_to_skip -= skipped
+            data = frame.data[skipped:]
+            self._body_bytes_received += len(data)
+            return relay.BodyFrame(data) if data else None
+        return frame
+
+    async def _leave_upstream(
+        self, failure: results.Failure
+    ) -> results.Failure | None:
+        """Decides what follows a failure at the current upstream.
+
+        Returns:
+            None if the run goes on, at the same upstream when an exchange is
+            open and elsewhere otherwise; or the final failure.
+        """
+        if self._exchange is not None:
+            self._exchange.close()
+            self._exchange = None
+        reported = failure is self._reported_failure
+        self._reported_failure = None
+        if not reported and await self._reattach(failure):
+            return None
+        member = self._member
+        if member is None:
+            raise RuntimeError('no upstream to leave')
+        self._excluded_vms.add(member.vm)
+        self._access.router.release(member.vm)
+        self._access.router.note_failure(member.vm, failure)
+        self._member = None
+        _LOGGER.info(
+            'attempt_failed',
+            extra={
+                'request_id': self._request.request_id,
+                'code': int(failure.code),
+                'upstream_vm': member.vm,
+                'attempt': self.attempt,
+                'run_state': failure.run_state.value,
+            },
+        )
+        if failure.run_state is results.RunState.NOT_RUN:
+            return self._after_refusal(failure)
+        if reported and failure.code is results.ResultCode.UPSTREAM_LOST:
+            await self._access.record_death(
+                self._request.fingerprint, member, self._solo
+            )
+            if self._access.is_convicted(self._request.fingerprint):
+                return self._final(_convicted())
+        return self._after_failed_attempt(failure)
+
+    async def _reattach(self, failure: results.Failure) -> bool:
+        """Tries to reach the same process again over a new connection.
+
+        A connection can go silent while the process behind it works on.
+        """
+        lost = failure.code in (
+            results.ResultCode.UPSTREAM_SILENT,
+            results.ResultCode.UPSTREAM_LOST,
+        )
+        unknown = failure.run_state is results.RunState.UNKNOWN
+        while lost and unknown and self._reattaches < MAX_REATTACHES:
+            self._reattaches += 1
+            next_failure = await self._send(attach_only=True)
+            if next_failure is None:
+                return True
+            if next_failure.code is results.ResultCode.NO_SUCH_REQUEST:
+                return False
+            await trio.sleep(REATTACH_PAUSE_S)
+        return False
+
+    def _after_refusal(
+        self, failure: results.Failure
+    ) -> results.Failure | None:
+        """Allows another upstream to be tried after one refused."""
+        self._refusals += 1
+        self.attempt -= 1
+        if failure.code is results.ResultCode.REQUEST_CONVICTED:
+            return self._final(failure)
+        if self._refusals >= MAX_REFUSALS:
+            return self._final(failure)
+        return None
+
+    def _after_failed_attempt(
+        self, failure: results.Failure
+    ) -> results.Failure | None:
+        """Allows another attempt if the request may run again."""
+        request = self._request
+        if not request.idempotent or self._head_received:
+            return self._final(failure)
+        if self.attempt >= request.service.max_attempts:
+            return self._final(failure)
+        if not self._access.take_retry(request.service.name):
+            return self._final(
+                results.Failure(
+                    results.ResultCode.RETRY_BUDGET_EXHAUSTED,
+                    f'not retried after: {failure.reason}',
+                    failure.run_state,
+                    retry_after_ms=1000,
+                )
+            )
+        return None
+
+    def _final(self, failure: results.Failure) -> results.Failure:
+        """Returns the failure with a truthful run state."""
+        self.close()
+        if failure.run_state is not results.RunState.NOT_RUN:
+            return failure
+        if not self._sent_to_any:
+            return failure
+        return results.Failure(
+            failure.code,
+            failure.reason,
+            results.RunState.UNKNOWN,
+            failure.retry_after_ms,
+        )
+
+
+async def _read_refusal(
+    exchange: transport.ClientExchange,
+) -> results.Failure:
+    """Reads the failure that a sidecar answered with."""
+    with exchange:
+        body = await exchange.read_body(MAX_ERROR_BYTES)
+    if isinstance(body, results.Failure):
+        return body
+    return _upstream_access.parse_error_body(body)
+
+
+def _convicted() -> results.Failure:
+    return results.Failure(
+        results.ResultCode.REQUEST_CONVICTED,
+        'upstreams that ran this request have died; it is not run again',
+        results.RunState.RAN,
+    )
+
+
--- /dev/null
+++ b/siskinmount/entry/_authentication.py
@@ -0,0 +1,30 @@
+"""Finds which caller sent a request."""
+
+import hashlib
+
+from siskinmount import configuration
+from siskinmount import results
+from siskinmount import transport
+
+_BEARER_PREFIX = 'bearer '
+
+
+def authenticate_caller(
+    document: configuration.ServiceDocument, head: transport.RequestHead
+) -> configuration.CallerPolicy | results.Failure:
+    """Returns the policy of the caller that a bearer key belongs to."""
+    value = head.find_header(b'authorization') or ''
+    if not value.lower().startswith(_BEARER_PREFIX):
+        return _unauthenticated('the request carries no bearer key')
+    key = value[len(_BEARER_PREFIX) :].strip()
+    # Keys are long random strings, so a plain digest resists guessing and its
+    # look-up reveals nothing about the key by its duration.
+    digest = hashlib.sha256(key.encode('utf-8')).hexdigest()
+    for caller in document.callers.values():
+        if caller.key_sha256 == digest:
+            return caller
+    return _unauthenticated('the bearer key belongs to no caller')
+
+
+def _unauthenticated(reason: str) -> results.Failure:
+    return results.Failure(results.ResultCode.UNAUTHENTICATED, reason)
--- /dev/null
+++ b/siskinmount/entry/_model_request.py
@@ -0,0 +1,189 @@
+"""Parses completions and chat completions."""
+
+import hashlib
+import re
+
+import orjson
+
+from siskinmount import configuration
+from siskinmount import results
+
+DEFAULT_MAX_TOKENS = 256
+MAX_MAX_TOKENS = 32_768
+MAX_KEY_CHARACTERS = 200
+_KEY_PATTERN = re.compile(r'[\x21-\x7e]{1,%d}' % MAX_KEY_CHARACTERS)
+
+
+class ModelRequest:
+    """A checked request for generated tokens.
+
+    Attributes:
+        service: The service that runs it.
+        is_chat: Whether the caller used the chat form.
+        prompt: Text prompt, or None for a chat.
+        messages: Chat messages, or None for a text prompt.
+        max_tokens: Bound on the answer's length in tokens.
+        stream: Whether the caller wants server-sent events.
+        session: Names the conversation for affinity; empty if not given.
+        model_name: The model as the caller wrote it.
+    """
+
+    __slots__ = (
+        'service',
+        'is_chat',
+        'prompt',
+        'messages',
+        'max_tokens',
+        'stream',
+        'session',
+        'model_name',
+    )
+
+    def __init__(
+        self,
+        *,
+        service: configuration.Service,
+        is_chat: bool,
+        prompt: str | None,
+        messages: list[dict[str, str]] | None,
+        max_tokens: int,
+        stream: bool,
+        session: str,
+        model_name: str,
+    ) -> None:
+        self.service = service
+        self.is_chat = is_chat
+        self.prompt = prompt
+        self.messages = messages
+        self.max_tokens = max_tokens
+        self.stream = stream
+        self.session = session
+        self.model_name = model_name
+
+    def content_text(self) -> str:
+        """Returns the canonical text of the prompt or the messages."""
+        if self.prompt is not None:
+            return self.prompt
+        parts: list[str] = []
+        for message in self.messages or []:
+            parts.append(f'{message["role"]}: {message["content"]}')
+        return '\n'.join(parts)
+
+    def fingerprint(self) -> str:
+        """Returns a hash of service and content, the same for each resend."""
+        digest = hashlib.sha256()
+        digest.update(self.service.name.encode('utf-8'))
+        digest.update(b'\0')
+        digest.update(self.content_text().encode('utf-8', 'surrogatepass'))
+        return digest.hexdigest()[:32]
+
+
+def parse_model_request(
+    document: configuration.ServiceDocument, body: bytes, is_chat: bool
+) -> ModelRequest | results.Failure:
+    """Checks the body of a completion or chat completion."""
+    try:
+        fields = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        return results.Failure(
+            results.ResultCode.MALFORMED_REQUEST,
+            f'the body is not JSON: {error}',
+        )
+    if not isinstance(fields, dict):
+        return _invalid('the body must be a JSON object')
+    service = _find_service(document, fields.get('model'))
+    if isinstance(service, results.Failure):
+        return service
+    max_tokens = _read_max_tokens(fields)
+    if isinstance(max_tokens, results.Failure):
+        return max_tokens
+    stream = fields.get('stream', False)
+    if not isinstance(stream, bool):
+        return _invalid('stream must be a boolean')
+    if fields.get('n', 1) != 1:
+        return _invalid('n must be 1')
+    session = fields.get('user', '')
+    if not isinstance(session, str):
+        return _invalid('user must be a string')
+    content = _read_messages(fields) if is_chat else _read_prompt(fields)
+    if isinstance(content, results.Failure):
+        return content
+    return ModelRequest(
+        service=service,
+        is_chat=is_chat,
+        prompt=content if isinstance(content, str) else None,
+        messages=content if isinstance(content, list) else None,
+        max_tokens=max_tokens,
+        stream=stream,
+        session=session,
+        model_name=str(fields['model']),
+    )
+
+
+def check_idempotency_key(text: str | None) -> str | None | results.Failure:
+    """Returns a caller's idempotency key if it is one, or None without one."""
+    if text is None:
+        return None
+    if _KEY_PATTERN.fullmatch(text):
+        return text
+    return _invalid(
+        f'Idempotency-Key must be 1 to {MAX_KEY_CHARACTERS} printable'
+        ' ASCII characters without spaces'
+    )
+
+
+def _find_service(
+    document: configuration.ServiceDocument, name: object
+) -> configuration.Service | results.Failure:
+    """Returns the model service with this name or model."""
+    if not isinstance(name, str):
+        return _invalid('model must be a string')
+    for service in document.services.values():
+        if service.kind is not configuration.ServiceKind.MODEL:
+            continue
+        if name in (service.name, service.model):
+            return service
+    return results.Failure(
+        results.ResultCode.NO_SUCH_SERVICE, f'no service runs model {name!r}'
+    )
+
+
+def _read_max_tokens(fields: dict) -> int | results.Failure:
+    """Returns the bound on the answer's length."""
+    value = fields.get('max_completion_tokens', fields.get('max_tokens'))
+    if value is None:
+        return DEFAULT_MAX_TOKENS
+    is_whole = isinstance(value, int) and not isinstance(value, bool)
+    if not is_whole or not 1 <= value <= MAX_MAX_TOKENS:
+        return _invalid(
+            f'max_tokens must be a whole number from 1 to {MAX_MAX_TOKENS}'
+        )
+    return value
+
+
+def _read_prompt(fields: dict) -> str | results.Failure:
+    prompt = fields.get('prompt')
+    if not isinstance(prompt, str) or not prompt:
+        return _invalid('prompt must be a non-empty string')
+    return prompt
+
+
+def _read_messages(fields: dict) -> list[dict[str, str]] | results.Failure:
+    """Returns the chat messages with just their roles and texts."""
+    messages = fields.get('messages')
+    if not isinstance(messages, list) or not messages:
+        return _invalid('messages must be a non-empty list')
+    checked: list[dict[str, str]] = []
+    for message in messages:
+        if not isinstance(message, dict):
+            return _invalid('each message must be an object')
+        role = message.get('role')
+        content = message.get('content')
+        if not isinstance(role, str) or not isinstance(content, str):
+            return _invalid('each message needs a role and a content text')
+        checked.append({'role': role, 'content': content})
+    return checked
+
+
+def _invalid(reason: str) -> results.Failure:
+    return results.Failure(results.ResultCode.INVALID_FIELD, reason)
--- /dev/null
+++ b/siskinmount/entry/_plain_answer.py
@@ -0,0 +1,99 @@
+"""The whole answer of a plain service."""
+
+import base64
+
+import orjson
+
+from siskinmount import transport
+
+#: Headers that concern one connection and are never passed on.
+_HOP_HEADERS = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'content-length',
+        'host',
+        'expect',
+    )
+)
+
+#: Headers for the system itself, which the plain service must not see.
+_OWN_HEADERS = frozenset(('authorization', 'idempotency-key'))
+
+
+class PlainAnswer:
+    """Status, headers and body as the plain service gave them.
+
+    Attributes:
+        status: HTTP status.
+        headers: Pairs of name and value, without those of a connection.
+        body: The whole body.
+    """
+
+    __slots__ = ('status', 'headers', 'body')
+
+    def __init__(
+        self, status: int, headers: list[tuple[str, str]], body: bytes
+    ) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    def encode(self) -> bytes:
+        """Returns the form that is recorded under an idempotency key."""
+        return orjson.dumps(
+            {
+                'status': self.status,
+                'headers': self.headers,
+                'body': base64.b64encode(self.body).decode('ascii'),
+            }
+        )
+
+    async def send(
+        self, exchange: transport.ServerExchange, request_id: str
+    ) -> None:
+        """Sends the answer to a caller."""
+        headers = [
+            (name.encode('latin-1'), value.encode('latin-1'))
+            for name, value in self.headers
+        ]
+        headers.append((b'x-request-id', request_id.encode('ascii')))
+        await exchange.send_whole(self.status, headers, self.body)
+
+
+def decode_plain_answer(data: bytes) -> PlainAnswer:
+    """Parses the recorded form.
+
+    Raises:
+        ValueError, KeyError: The record was not written by `encode`.
+    """
+    document = orjson.loads(data)
+    return PlainAnswer(
+        int(document['status']),
+        [(str(name), str(value)) for name, value in document['headers']],
+        base64.b64decode(document['body']),
+    )
+
+
+def keep_request_headers(headers: transport.Headers) -> list[tuple[str, str]]:
+    """Returns the headers of a caller's request that go to the upstream."""
+    kept: list[tuple[str, str]] = []
+    for name_bytes, value in headers:
+        name = name_bytes.decode('latin-1')
+        if name in _HOP_HEADERS or name in _OWN_HEADERS:
+            continue
+        kept.append((name, value.decode('latin-1')))
+    return kept
+
+
+def keep_answer_headers(
+    headers: list[tuple[str, str]],
+) -> list[tuple[str, str]]:
+    """Returns the headers of an upstream's answer that go to the caller."""
+    return [pair for pair in headers if pair[0].lower() not in _HOP_HEADERS]
--- /dev/null
+++ b/siskinmount/entry/_plain_calls.py
@@ -0,0 +1,278 @@
+"""Serves calls of plain services."""
+
+import hashlib
+import logging
+import urllib.parse
+
+import trio
+
+from siskinmount import configuration
+from siskinmount import relay
+from siskinmount import results
+from siskinmount import state
+from siskinmount import transport
+from siskinmount.entry import _answer_run
+from siskinmount.entry import _error_answers
+from siskinmount.entry import _key_access
+from siskinmount.entry import _latency_recorder
+from siskinmount.entry import _plain_answer
+from siskinmount.entry import _request_identity
+from siskinmount.entry import _run_request
+from siskinmount.entry import _upstream_access
+
+_LOGGER = logging.getLogger(__name__)
+
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+IN_PROGRESS_RETRY_MS = 500
+
+
+class PlainCall:
+    """A checked call of a plain service.
+
+    Attributes:
+        route: The route that the path belongs to.
+        service: The service of the route.
+        request: What the upstream gets.
+        identity: How the call is known to the system.
+        fingerprint: Hash of service and content.
+    """
+
+    __slots__ = ('route', 'service', 'request', 'identity', 'fingerprint')
+
+    def __init__(
+        self,
+        route: configuration.Route,
+        service: configuration.Service,
+        request: _run_request.PlainRequest,
+        identity: _request_identity.RequestIdentity,
+        fingerprint: str,
+    ) -> None:
+        self.route = route
+        self.service = service
+        self.request = request
+        self.identity = identity
+        self.fingerprint = fingerprint
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether the call may be sent again when its outcome is unknown."""
+        return self.route.idempotent or self.request.method in ('GET', 'HEAD')
+
+
+def parse_plain_call(
+    document: configuration.ServiceDocument,
+    caller: configuration.CallerPolicy,
+    head: transport.RequestHead,
+    body: bytes,
+) -> PlainCall | results.Failure:
+    """Finds the route of a call and checks it."""
+    route = find_route(document, head.path)
+    if route is None:
+        return results.Failure(
+            results.ResultCode.NO_SUCH_ROUTE, f'no route for {head.path}'
+        )
+    if head.method not in route.methods:
+        return results.Failure(
+            results.ResultCode.METHOD_NOT_ALLOWED,
+            f'{route.path_prefix} takes {", ".join(route.methods)}',
+        )
+    target = urllib.parse.quote(head.path)
+    if head.query:
+        target += '?' + urllib.parse.urlencode(head.query)
+    request = _run_request.PlainRequest(
+        head.method,
+        target,
+        _plain_answer.keep_request_headers(head.headers),
+        body,
+    )
+    digest = hashlib.sha256()
+    for part in (route.service, head.method, target):
+        digest.update(part.encode('utf-8') + b'\0')
+    digest.update(body)
+    fingerprint = digest.hexdigest()[:32]
+    identity = _request_identity.read_request_identity(
+        caller, head, fingerprint
+    )
+    if isinstance(identity, results.Failure):
+        return identity
+    return PlainCall(
+        route, document.services[route.service], request, identity, fingerprint
+    )
+
+
+def find_route(
+    document: configuration.ServiceDocument, path: str
+) -> configuration.Route | None:
+    """Returns the route with the longest prefix of a path."""
+    for route in document.routes:
+        if path.startswith(route.path_prefix):
+            return route
+        if path == route.path_prefix.rstrip('/'):
+            return route
+    return None
+
+
+async def serve_plain_call(
+    access: _upstream_access.UpstreamAccess,
+    keys: _key_access.KeyAccess,
+    recorder: _latency_recorder.LatencyRecorder,
+    exchange: transport.ServerExchange,
+    caller: configuration.CallerPolicy,
+    call: PlainCall,
+) -> None:
+    """Runs a call and sends its answer.
+
+    A call that may run at most once and carries a key is recorded before its
+    first byte is sent to an upstream, and its outcome before it is answered.
+    """
+    recorder.visit_request(call.service.name)
+    access.note_request(call.service.name)
+    keyed = not call.idempotent and call.identity.key is not None
+    if keyed:
+        known = await _begin(keys, caller, call)
+        if isinstance(known, results.Failure):
+            recorder.note_failure(known)
+            await _error_answers.send_failure(
+                exchange, known, call.identity.request_id
+            )
+            return
+        if known is not None:
+            await known.send(exchange, call.identity.request_id)
+            return
+    # Once an intent is recorded the call goes on even if its caller leaves, so
+    # that the outcome is there for a resend.
+    with trio.CancelScope(shield=keyed):
+        answer = await run_plain_call(access, caller, call)
+        if keyed:
+            await _finish(keys, caller, call, answer)
+    if isinstance(answer, results.Failure):
+        recorder.note_failure(answer)
+        await _error_answers.send_failure(
+            exchange, answer, call.identity.request_id
+        )
+        return
+    await answer.send(exchange, call.identity.request_id)
+    recorder.note_whole()
+
+
+async def run_plain_call(
+    access: _upstream_access.UpstreamAccess,
+    caller: configuration.CallerPolicy,
+    call: PlainCall,
+) -> _plain_answer.PlainAnswer | results.Failure:
+    """Returns the whole answer of an upstream."""
+    deadline_s = trio.current_time() + call.service.deadline_ms / 1000
+    run = _answer_run.AnswerRun(
+        access,
+        _run_request.RunRequest(
+            request_id=call.identity.request_id,
+            service=call.service,
+            request_class=call.route.request_class,
+            affinity_key=call.identity.request_id,
+            fingerprint=call.fingerprint,
+            deadline_s=deadline_s,
+            idempotent=call.idempotent,
+            caller=caller.name,
+            plain=call.request,
+        ),
+    )
+    try:
+        answer = await _collect_answer(run)
+    finally:
+        run.close()
+    code = results.ResultCode.OK
+    if isinstance(answer, results.Failure):
+        code = answer.code
+    _LOGGER.info(
+        'request_ended',
+        extra={
+            'request_id': call.identity.request_id,
+            'code': int(code),
+            'upstream_vm': run.upstream_vm,
+            'attempts': run.attempt,
+        },
+    )
+    return answer
+
+
+async def _collect_answer(
+    run: _answer_run.AnswerRun,
+) -> _plain_answer.PlainAnswer | results.Failure:
+    """Reads frames until the answer is whole."""
+    head: relay.HeadFrame | None = None
+    parts: list[bytes] = []
+    size_bytes = 0
+    while True:
+        frames = await run.receive_frames()
+        if isinstance(frames, results.Failure):
+            return frames
+        for frame in frames:
+            if isinstance(frame, relay.HeadFrame):
+                head = frame
+                continue
+            if isinstance(frame, relay.BodyFrame):
+                size_bytes += len(frame.data)
+                if size_bytes > MAX_ANSWER_BYTES:
+                    return results.Failure(
+                        results.ResultCode.UPSTREAM_ERROR,
+                        'the answer of the upstream is too large',
+                        results.RunState.RAN,
+                    )
+                parts.append(frame.data)
+                continue
+            if isinstance(frame, relay.EndFrame) and head is not None:
+                return _plain_answer.PlainAnswer(
+                    head.status,
+                    _plain_answer.keep_answer_headers(head.headers),
+                    b''.join(parts),
+                )
+
+
+async def _begin(
+    keys: _key_access.KeyAccess,
+    caller: configuration.CallerPolicy,
+    call: PlainCall,
+) -> _plain_answer.PlainAnswer | results.Failure | None:
+    """Records the intent to run a call.
+
+    Returns:
+        None if the call must run now, the answer if it has one already, or
+        why it is not run.
+    """
+    key = call.identity.key or ''
+    begun = await keys.begin(caller.name, key, call.fingerprint)
+    if isinstance(begun, results.Failure):
+        return begun
+    if isinstance(begun, state.KnownOutcome):
+        return _plain_answer.decode_plain_answer(begun.outcome)
+    if isinstance(begun, state.UnknownOutcome):
+        return results.Failure(
+            results.ResultCode.OUTCOME_UNKNOWN,
+            'the call with this key may have run; it is not sent again',
+            results.RunState.UNKNOWN,
+        )
+    if isinstance(begun, state.InProgress):
+        return results.Failure(
+            results.ResultCode.REQUEST_IN_PROGRESS,
+            'the call with this key is running',
+            results.RunState.UNKNOWN,
+            retry_after_ms=IN_PROGRESS_RETRY_MS,
+        )
+    return None
+
+
+async def _finish(
+    keys: _key_access.KeyAccess,
+    caller: configuration.CallerPolicy,
+    call: PlainCall,
+    answer: _plain_answer.PlainAnswer | results.Failure,
+) -> None:
+    """Records the outcome of a call."""
+    key = call.identity.key or ''
+    if isinstance(answer, _plain_answer.PlainAnswer):
+        await keys.finish_known(caller.name, key, answer.encode())
+        return
+    if answer.run_state is results.RunState.NOT_RUN:
+        await keys.finish_not_run(caller.name, key)
+        return
+    await keys.finish_unknown(caller.name, key)
--- /dev/null
+++ b/siskinmount/entry/_request_identity.py
@@ -0,0 +1,68 @@
+"""Names requests so that a resend finds the first one."""
+
+import hashlib
+import uuid
+
+from siskinmount import configuration
+from siskinmount import results
+from siskinmount import transport
+from siskinmount.entry import _model_request
+
+_ID_HEX_CHARACTERS = 32
+
+
+class RequestIdentity:
+    """How a request is known to the system.
+
+    Attributes:
+        request_id: Identifies the request; the same for each resend with the
+            same key.
+        key: The caller's idempotency key, or None.
+        first_token: Index of the first token that the caller still needs.
+    """
+
+    __slots__ = ('request_id', 'key', 'first_token')
+
+    def __init__(
+        self, request_id: str, key: str | None, first_token: int
+    ) -> None:
+        self.request_id = request_id
+        self.key = key
+        self.first_token = first_token
+
+
+def read_request_identity(
+    caller: configuration.CallerPolicy,
+    head: transport.RequestHead,
+    fingerprint: str,
+) -> RequestIdentity | results.Failure:
+    """Reads `Idempotency-Key` and `Last-Event-ID`.
+
+    Args:
+        caller: The caller; keys of different callers are never the same.
+        head: The request's headers.
+        fingerprint: Hash of service and content. It is part of the id, so
+            that a key used for other content never shows another's answer.
+    """
+    key = _model_request.check_idempotency_key(
+        head.find_header(b'idempotency-key')
+    )
+    if isinstance(key, results.Failure):
+        return key
+    last_event_id = head.find_header(b'last-event-id')
+    if key is None:
+        if last_event_id is not None:
+            return _invalid('Last-Event-ID needs an Idempotency-Key')
+        return RequestIdentity(uuid.uuid4().hex, None, 0)
+    first_token = 0
+    if last_event_id is not None:
+        if not last_event_id.isascii() or not last_event_id.isdigit():
+            return _invalid('Last-Event-ID must be the id of a received event')
+        first_token = int(last_event_id) + 1
+    text = f'{caller.name}\0{key}\0{fingerprint}'
+    digest = hashlib.sha256(text.encode('utf-8')).hexdigest()
+    return RequestIdentity(digest[:_ID_HEX_CHARACTERS], key, first_token)
+
+
+def _invalid(reason: str) -> results.Failure:
+    return results.Failure(results.ResultCode.INVALID_FIELD, reason)
--- /dev/null
+++ b/siskinmount/entry/_run_request.py
@@ -0,0 +1,120 @@
+"""What an entry asks a sidecar to run."""
+
+import base64
+
+import orjson
+
+from siskinmount import configuration
+from siskinmount.entry import _model_request
+
+
+class RunRequest:
+    """A request on its way to an upstream, whatever kind of service it needs.
+
+    Attributes:
+        request_id: Identifies the request at sidecars and in logs.
+        service: The service that runs it.
+        request_class: Online or batch.
+        affinity_key: Requests with the same key prefer the same upstream.
+        fingerprint: Hash of service and content.
+        deadline_s: Monotonic time by which the answer must be whole.
+        idempotent: Whether it may run again when its outcome is unknown.
+        caller: Name of the caller.
+        first_token: Index of the first token that the caller still needs.
+    """
+
+    __slots__ = (
+        'request_id',
+        'service',
+        'request_class',
+        'affinity_key',
+        'fingerprint',
+        'deadline_s',
+        'idempotent',
+        'caller',
+        'first_token',
+        '_model',
+        '_plain',
+    )
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        service: configuration.Service,
+        request_class: configuration.RequestClass,
+        affinity_key: str,
+        fingerprint: str,
+        deadline_s: float,
+        idempotent: bool,
+        caller: str,
+        first_token: int = 0,
+        model: '_model_request.ModelRequest | None' = None,
+        plain: 'PlainRequest | None' = None,
+    ) -> None:
+        self.request_id = request_id
+        self.service = service
+        self.request_class = request_class
+        self.affinity_key = affinity_key
+        self.fingerprint = fingerprint
+        self.deadline_s = deadline_s
+        self.idempotent = idempotent
+        self.caller = caller
+        self.first_token = first_token
+        self._model = model
+        self._plain = plain
+
+    def encode_body(self, resume_tokens: list[str]) -> bytes:
+        """Returns the body for `/run`.
+
+        Args:
+            resume_tokens: Texts of the tokens that the caller has already.
+        """
+        if self._plain is not None:
+            return self._plain.encode()
+        if self._model is None:
+            raise ValueError('a run request has no content')
+        return orjson.dumps(
+            {
+                'prompt': self._model.prompt,
+                'messages': self._model.messages,
+                'max_tokens': self._model.max_tokens,
+                'resume_tokens': resume_tokens,
+            }
+        )
+
+
+class PlainRequest:
+    """A request for a plain service.
+
+    Attributes:
+        method: Upper-case method.
+        target: Path with query as the plain service sees it.
+        headers: Pairs of name and value.
+        body: The body.
+    """
+
+    __slots__ = ('method', 'target', 'headers', 'body')
+
+    def __init__(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+
+    def encode(self) -> bytes:
+        """Returns the JSON form for `/run`."""
+        return orjson.dumps(
+            {
+                'method': self.method,
+                'target': self.target,
+                'headers': self.headers,
+                'body': base64.b64encode(self.body).decode('ascii'),
+            }
+        )
--- /dev/null
+++ b/siskinmount/entry/_upstream_access.py
@@ -0,0 +1,106 @@
+"""What an answer run needs to reach upstreams."""
+
+import orjson
+
+from siskinmount import membership
+from siskinmount import relay
+from siskinmount import results
+from siskinmount import routing
+from siskinmount import state
+from siskinmount import transport
+
+
+class UpstreamAccess:
+    """Connections to sidecars, and what is known about upstreams.
+
+    Attributes:
+        router: Chooses upstreams.
+    """
+
+    __slots__ = ('router', '_limits', '_clients', '_retries', '_convictions')
+
+    def __init__(
+        self,
+        router: routing.Router,
+        retries: routing.RetryBudgets,
+        convictions: state.ConvictionStream,
+        limits: transport.ClientLimits,
+    ) -> None:
+        self.router = router
+        self._limits = limits
+        self._clients: dict[transport.Address, transport.HttpClient] = {}
+        self._retries = retries
+        self._convictions = convictions
+
+    def find_client(self, member: membership.Member) -> transport.HttpClient:
+        """Returns the connection pool for a sidecar."""
+        address = member.peers_address
+        client = self._clients.get(address)
+        if client is None:
+            client = transport.create_http_client(address, self._limits)
+            self._clients[address] = client
+        return client
+
+    def drop_clients(self, kept: set[transport.Address]) -> None:
+        """Closes the pools of sidecars that are no longer members."""
+        for address in list(self._clients):
+            if address in kept:
+                continue
+            if self._clients[address].in_use_count:
+                continue
+            self._clients.pop(address).close()
+
+    def note_answer(
+        self, member: membership.Member, exchange: transport.ClientExchange
+    ) -> None:
+        """Passes the load that rides on an answer to the router."""
+        in_flight = exchange.find_header(relay.RelayHeader.IN_FLIGHT)
+        slots = exchange.find_header(relay.RelayHeader.SLOTS)
+        if in_flight is None or slots is None:
+            return
+        if not in_flight.isdigit() or not slots.isdigit():
+            return
+        self.router.note_answer(member.vm, int(in_flight), int(slots))
+
+    def take_retry(self, service: str) -> bool:
+        """Takes a token from the retry budget of a service."""
+        return self._retries.take(service)
+
+    def note_request(self, service: str) -> None:
+        """Counts a first attempt, which earns a share of a retry."""
+        self._retries.earn(service)
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Tells whether a request must run alone."""
+        return self._convictions.is_suspect(fingerprint)
+
+    def is_convicted(self, fingerprint: str) -> bool:
+        """Tells whether a request must not run again."""
+        return self._convictions.is_convicted(fingerprint)
+
+    async def record_death(
+        self, fingerprint: str, member: membership.Member, alone: bool
+    ) -> None:
+        """Records that an upstream died while it ran a request."""
+        await self._convictions.record_death(
+            fingerprint, member.vm, member.incarnation, alone
+        )
+
+
+def parse_error_body(body: bytes) -> results.Failure:
+    """Parses the failure that a daemon answered with."""
+    try:
+        error = orjson.loads(body)['error']
+        return results.Failure(
+            results.ResultCode(error['code']),
+            str(error['reason']),
+            results.RunState(error['run_state']),
+            error.get('retry_after_ms'),
+        )
+    except (ValueError, KeyError, TypeError):
+        return results.Failure(
+            results.ResultCode.UPSTREAM_ERROR,
+            'the answer of a daemon could not be read',
+            results.RunState.UNKNOWN,
+        )
+
