Parse the document and the settings, record histograms, run commands

There was only the document's typed form. configparser alone stops at the first fault and keeps no line numbers, so a scan of the lines finds the faults of structure first.

--- /dev/null
+++ b/siskinmount/commands/_command_line.py
@@ -0,0 +1,121 @@
+"""Finds the command that a command line names, and runs it."""
+
+import sys
+from typing import TextIO
+
+from absl import flags
+
+import siskinmount
+from siskinmount import results
+from siskinmount.commands import _check_command
+from siskinmount.commands import _command
+from siskinmount.commands import _entry_command
+from siskinmount.commands import _exit_status
+from siskinmount.commands import _sidecar_command
+
+_PROGRAM = 'siskinmount'
+_HELP_WORDS = ('--help', '-h', 'help')
+
+
+def create_commands() -> list[_command.Command]:
+    """Returns all commands in the order of the help text."""
+    return [
+        _entry_command.create_entry_command(),
+        _sidecar_command.create_sidecar_command(),
+        _check_command.create_check_command(),
+    ]
+
+
+def run_command_line(
+    arguments: list[str],
+    output: TextIO | None = None,
+    errors: TextIO | None = None,
+) -> _exit_status.ExitStatus:
+    """Runs the command that the arguments name.
+
+    Args:
+        arguments: Name of the program, then its arguments.
+        output: Where results go; by default the standard output.
+        errors: Where complaints go; by default the standard error stream.
+    """
+    output = output or sys.stdout
+    errors = errors or sys.stderr
+    words = arguments[1:]
+    commands = create_commands()
+    if words and words[0] in _HELP_WORDS:
+        output.write(_describe_program(commands))
+        return _exit_status.ExitStatus.OK
+    if words and words[0] == '--version':
+        output.write(f'{_PROGRAM} {siskinmount.VERSION}\n')
+        return _exit_status.ExitStatus.OK
+    command = _find_command(commands, words)
+    if command is None:
+        errors.write(_describe_program(commands))
+        return _refuse_usage(errors, 'no such command: ' + ' '.join(words[:2]))
+    rest = words[len(command.name.split()) :]
+    return _run_command(command, rest, output, errors)
+
+
+def _find_command(
+    commands: list[_command.Command], words: list[str]
+) -> _command.Command | None:
+    for command in commands:
+        name_words = command.name.split()
+        if words[: len(name_words)] == name_words:
+            return command
+    return None
+
+
+def _run_command(
+    command: _command.Command,
+    words: list[str],
+    output: TextIO,
+    errors: TextIO,
+) -> _exit_status.ExitStatus:
+    """Parses a command's flags and runs it."""
+    flag_values = flags.FlagValues()
+    flag_values.set_gnu_getopt()
+    flags.DEFINE_bool('help', False, 'Show this help.', flag_values=flag_values)
+    command.define_flags(flag_values)
+    try:
+        rest = flag_values([_PROGRAM, *words])[1:]
+    except flags.Error as error:
+        return _refuse_usage(errors, str(error))
+    if flag_values['help'].value:
+        output.write(_describe_command(command, flag_values))
+        return _exit_status.ExitStatus.OK
+    if len(rest) != len(command.argument_names):
+        wanted = ' '.join(command.argument_names) or 'no arguments'
+        return _refuse_usage(errors, f'{command.name} takes {wanted}')
+    invocation = _command.Invocation(flag_values, rest, output, errors)
+    return command.run(invocation)
+
+
+def _refuse_usage(errors: TextIO, reason: str) -> _exit_status.ExitStatus:
+    code = results.ResultCode.USAGE
+    errors.write(f'{_PROGRAM}: {reason} ({int(code)} {code.name})\n')
+    return _exit_status.ExitStatus.USAGE
+
+
+def _describe_program(commands: list[_command.Command]) -> str:
+    lines = [f'usage: {_PROGRAM} COMMAND [FLAGS] [ARGUMENTS]', '', 'commands:']
+    for command in commands:
+        words = ' '.join((command.name, *command.argument_names))
+        lines.append(f'  {words:<16} {command.summary}')
+    lines.append('')
+    lines.append(f'{_PROGRAM} COMMAND --help shows the flags of a command.')
+    return '\n'.join(lines) + '\n'
+
+
+def _describe_command(
+    command: _command.Command, flag_values: flags.FlagValues
+) -> str:
+    words = ' '.join((command.name, *command.argument_names))
+    lines = [f'usage: {_PROGRAM} {words} [FLAGS]', '', command.summary, '']
+    lines.append('flags:')
+    for name in sorted(flag_values):
+        flag = flag_values[name]
+        lines.append(f'  --{name}: {flag.help}')
+        if flag.default not in (None, False):
+            lines.append(f'      default: {flag.default}')
+    return '\n'.join(lines) + '\n'
--- /dev/null
+++ b/siskinmount/commands/_daemon_start.py
@@ -0,0 +1,76 @@
+"""Runs a daemon: settings, logs, the daemon itself, and its end."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import logging
+from typing import Protocol
+from typing import TypeVar
+
+import trio
+
+from siskinmount import configuration
+from siskinmount import results
+from siskinmount import telemetry
+from siskinmount.commands import _command
+from siskinmount.commands import _exit_status
+from siskinmount.commands import _fault_report
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class _Settings(Protocol):
+    """What the settings of all daemons have in common."""
+
+    identity: configuration.DaemonIdentity
+
+
+_SettingsT = TypeVar('_SettingsT', bound=_Settings)
+
+_RunDaemon = Callable[[_SettingsT], Awaitable[results.Failure | None]]
+
+
+def run_daemon(
+    invocation: _command.Invocation,
+    role: str,
+    load_settings: Callable[
+        [str], _SettingsT | list[configuration.DocumentFault]
+    ],
+    import_daemon: Callable[[], _RunDaemon[_SettingsT]],
+) -> _exit_status.ExitStatus:
+    """Runs a daemon until its planned stop or its failure.
+
+    Args:
+        invocation: The command's invocation.
+        role: `entry` or `sidecar`.
+        load_settings: Reads the settings from a file.
+        import_daemon: Imports the daemon, so that the operators' commands
+            start fast, and returns its main coroutine function.
+    """
+    path = invocation.flag_values['settings'].value
+    if not path:
+        invocation.write_error('--settings FILE is required')
+        return _exit_status.ExitStatus.USAGE
+    settings = load_settings(path)
+    if isinstance(settings, list):
+        telemetry.configure_logging('info', '', role, '')
+        _fault_report.log_settings_faults(settings)
+        return _exit_status.ExitStatus.SETTINGS_INVALID
+    identity = settings.identity
+    telemetry.configure_logging(
+        identity.log_level.value,
+        identity.vm,
+        role,
+        identity.failure_domain,
+    )
+    return _report_end(trio.run(import_daemon(), settings))
+
+
+def _report_end(failure: results.Failure | None) -> _exit_status.ExitStatus:
+    """Logs why a daemon ended, if not by a planned stop."""
+    if failure is None:
+        return _exit_status.ExitStatus.OK
+    _LOGGER.error(
+        'daemon_failed',
+        extra={'code': int(failure.code), 'reason': failure.reason},
+    )
+    return _exit_status.ExitStatus.UNAVAILABLE
--- /dev/null
+++ b/siskinmount/commands/tests/test_command_line.py
@@ -0,0 +1,59 @@
+import io
+import pathlib
+import tempfile
+
+import orjson
+import testtools
+
+from siskinmount import commands
+
+_EXAMPLE = pathlib.Path(__file__).parents[3] / 'examples' / 'swapnest.ini'
+
+
+def _run(*words):
+    output = io.StringIO()
+    errors = io.StringIO()
+    status = commands.run_command_line(['siskinmount', *words], output, errors)
+    return status, output.getvalue(), errors.getvalue()
+
+
+class CommandLineTest(testtools.TestCase):
+
+    def test_help_of_each_command(self):
+        status, text, _ = _run('--help')
+        self.assertEqual(commands.ExitStatus.OK, status)
+        for command in commands.create_commands():
+            self.assertIn(command.name, text)
+            status, help_text, _ = _run(*command.name.split(), '--help')
+            self.assertEqual(commands.ExitStatus.OK, status)
+            self.assertIn(command.summary, help_text)
+
+    def test_usage(self):
+        for words in (
+            (),
+            ('foo',),
+            ('check',),
+            ('check', 'a', 'b'),
+            ('check', 'a', '--nope'),
+            ('check', '/nonexistent'),
+            ('entry',),
+        ):
+            status, _, errors = _run(*words)
+            self.assertEqual(commands.ExitStatus.USAGE, status, words)
+            self.assertTrue(errors)
+
+    def test_check_valid(self):
+        status, text, _ = _run('check', str(_EXAMPLE))
+        self.assertEqual(commands.ExitStatus.OK, status)
+        self.assertIn('valid: owner swapnest', text)
+
+    def test_check_invalid(self):
+        with tempfile.NamedTemporaryFile('w', suffix='.ini') as file:
+            file.write('[document]\nformat = 1\nwoner = x\n')
+            file.flush()
+            status, text, _ = _run('check', file.name)
+            self.assertEqual(commands.ExitStatus.NEGATIVE, status)
+            self.assertIn('line 3: [document] woner', text)
+            status, text, _ = _run('check', '--json', file.name)
+            self.assertEqual(commands.ExitStatus.NEGATIVE, status)
+            self.assertEqual(3, len(orjson.loads(text)['faults']))
--- /dev/null
+++ b/siskinmount/configuration/_settings_parser.py
@@ -0,0 +1,245 @@
+"""Parses and checks the settings of the daemons."""
+
+import pathlib
+
+from siskinmount import transport
+from siskinmount.configuration import _daemon_settings
+from siskinmount.configuration import _document_fault
+from siskinmount.configuration import _ini_text
+from siskinmount.configuration import _section_reader
+
+_MAX_STREAMS = 256
+_MAX_SLOTS = 4096
+_MAX_BYTES = 1 << 30
+_MAX_DURATION_MS = 3_600_000
+_MAX_CONNECTIONS = 1_000_000
+
+_ENTRY_SECTIONS = ('daemon', 'platform', 'state', 'seeds', 'limits')
+_SIDECAR_SECTIONS = ('daemon', 'platform', 'upstream', 'gate', 'seeds')
+_OPTIONAL_SECTIONS = ('state', 'limits', 'gate')
+
+SettingsFaults = list[_document_fault.DocumentFault]
+
+
+def load_entry_settings(
+    path: str,
+) -> _daemon_settings.EntrySettings | SettingsFaults:
+    """Reads an entry's settings from a file, or returns every fault."""
+    text = _read_file(path)
+    if isinstance(text, list):
+        return text
+    return parse_entry_settings(text)
+
+
+def load_sidecar_settings(
+    path: str,
+) -> _daemon_settings.SidecarSettings | SettingsFaults:
+    """Reads a sidecar's settings from a file, or returns every fault."""
+    text = _read_file(path)
+    if isinstance(text, list):
+        return text
+    return parse_sidecar_settings(text)
+
+
+def parse_entry_settings(
+    text: str,
+) -> _daemon_settings.EntrySettings | SettingsFaults:
+    """Parses and checks the text of an entry's settings."""
+    source = _SettingsSource(text, _ENTRY_SECTIONS)
+    daemon = source.get_reader('daemon')
+    settings = _daemon_settings.EntrySettings(
+        identity=_read_identity(source),
+        callers_address=daemon.read_address('callers_address'),
+        stream_count=source.get_reader('state').read_whole_number(
+            'stream_count', 1, _MAX_STREAMS, 4
+        ),
+        limits=_read_limits(source.get_reader('limits')),
+    )
+    faults = source.finish()
+    return faults or settings
+
+
+def parse_sidecar_settings(
+    text: str,
+) -> _daemon_settings.SidecarSettings | SettingsFaults:
+    """Parses and checks the text of a sidecar's settings."""
+    source = _SettingsSource(text, _SIDECAR_SECTIONS)
+    upstream = source.get_reader('upstream')
+    gate = source.get_reader('gate')
+    settings = _daemon_settings.SidecarSettings(
+        identity=_read_identity(source),
+        service=upstream.read_text('service'),
+        upstream_address=upstream.read_address('address'),
+        orders_fenced=upstream.read_truth('orders_fenced', False),
+        gate_policy=gate.read_choice(
+            'gate_policy',
+            _daemon_settings.GatePolicy,
+            _daemon_settings.GatePolicy.ONLINE_FIRST,
+        ),
+        slots=_read_optional_slots(gate, 'slots'),
+        online_slots=_read_optional_slots(gate, 'online_slots'),
+    )
+    _check_split(gate, settings)
+    faults = source.finish()
+    return faults or settings
+
+
+class _SettingsSource:
+    """Sections of a settings file and the faults found so far."""
+
+    __slots__ = ('_faults', '_readers')
+
+    def __init__(self, text: str, section_names: tuple[str, ...]) -> None:
+        ini_text = _ini_text.read_ini_text(text)
+        self._faults = list(ini_text.faults)
+        self._readers: dict[str, _section_reader.SectionReader] = {}
+        for section in ini_text.sections:
+            reader = _section_reader.SectionReader(section, self._faults)
+            if section.header in section_names:
+                self._readers[section.header] = reader
+                continue
+            reader.add_fault(
+                '',
+                _section_reader.describe_near_names(
+                    'the section', section.header, section_names
+                ),
+                'an unknown section',
+            )
+        self._add_missing(section_names)
+
+    def get_reader(self, name: str) -> _section_reader.SectionReader:
+        """Returns the reader of a section; an empty one if it is missing."""
+        reader = self._readers.get(name)
+        if reader is not None:
+            return reader
+        # The faults of a missing section are covered by one fault for it.
+        return _section_reader.SectionReader(_ini_text.IniSection(name, 0), [])
+
+    def finish(self) -> SettingsFaults:
+        """Returns all faults in the order of the lines."""
+        for reader in self._readers.values():
+            reader.reject_unknown_keys()
+        return sorted(self._faults, key=_get_line)
+
+    def _add_missing(self, section_names: tuple[str, ...]) -> None:
+        for name in section_names:
+            if name in self._readers or name in _OPTIONAL_SECTIONS:
+                continue
+            self._faults.append(
+                _document_fault.DocumentFault(
+                    section=name,
+                    key='',
+                    line=0,
+                    expected='this required section',
+                    found='nothing',
+                )
+            )
+
+
+def _get_line(fault: _document_fault.DocumentFault) -> int:
+    return fault.line
+
+
+def _read_file(path: str) -> str | SettingsFaults:
+    try:
+        return pathlib.Path(path).read_text(encoding='utf-8')
+    except (OSError, ValueError) as error:
+        return [
+            _document_fault.DocumentFault(
+                section='',
+                key='',
+                line=0,
+                expected=f'a readable UTF-8 file {path}',
+                found=str(error),
+            )
+        ]
+
+
+def _read_identity(source: _SettingsSource) -> _daemon_settings.DaemonIdentity:
+    daemon = source.get_reader('daemon')
+    platform = source.get_reader('platform')
+    seeds = source.get_reader('seeds')
+    return _daemon_settings.DaemonIdentity(
+        vm=daemon.read_text('vm'),
+        region=daemon.read_text('region'),
+        failure_domain=daemon.read_text('failure_domain'),
+        log_level=daemon.read_choice(
+            'log_level',
+            _daemon_settings.LogLevel,
+            _daemon_settings.LogLevel.INFO,
+        ),
+        peers_address=daemon.read_address('peers_address'),
+        control_address=daemon.read_address('control_address'),
+        log_address=platform.read_address('log_address'),
+        vm_list_address=platform.read_address('vm_list_address'),
+        seeds=seeds.read_addresses('entries'),
+    )
+
+
+def _read_limits(
+    reader: _section_reader.SectionReader,
+) -> transport.ServerLimits:
+    defaults = transport.ServerLimits()
+    return transport.ServerLimits(
+        max_header_bytes=reader.read_whole_number(
+            'max_header_bytes', 1024, _MAX_BYTES, defaults.max_header_bytes
+        ),
+        max_body_bytes=reader.read_whole_number(
+            'max_body_bytes', 1024, _MAX_BYTES, defaults.max_body_bytes
+        ),
+        header_timeout_ms=_read_timeout(
+            reader, 'header_timeout_ms', defaults.header_timeout_ms
+        ),
+        body_timeout_ms=_read_timeout(
+            reader, 'body_timeout_ms', defaults.body_timeout_ms
+        ),
+        send_timeout_ms=_read_timeout(
+            reader, 'send_timeout_ms', defaults.send_timeout_ms
+        ),
+        idle_timeout_ms=_read_timeout(
+            reader, 'idle_timeout_ms', defaults.idle_timeout_ms
+        ),
+        max_connections=reader.read_whole_number(
+            'max_connections', 1, _MAX_CONNECTIONS, defaults.max_connections
+        ),
+        max_connections_per_host=reader.read_whole_number(
+            'max_connections_per_host',
+            1,
+            _MAX_CONNECTIONS,
+            defaults.max_connections_per_host,
+        ),
+    )
+
+
+def _read_timeout(
+    reader: _section_reader.SectionReader, key: str, default_ms: int
+) -> int:
+    return reader.read_whole_number(key, 10, _MAX_DURATION_MS, default_ms)
+
+
+def _read_optional_slots(
+    reader: _section_reader.SectionReader, key: str
+) -> int | None:
+    """Reads a number of slots; None if the key is missing."""
+    slots = reader.read_whole_number(key, 1, _MAX_SLOTS, 1)
+    return slots if reader.has(key) else None
+
+
+def _check_split(
+    reader: _section_reader.SectionReader,
+    settings: _daemon_settings.SidecarSettings,
+) -> None:
+    """Checks that the static split has a part for each class."""
+    is_split = settings.gate_policy is _daemon_settings.GatePolicy.STATIC_SPLIT
+    if is_split and settings.online_slots is None:
+        reader.add_fault('online_slots', 'this key with static_split')
+        return
+    if not is_split and settings.online_slots is not None:
+        reader.add_fault('online_slots', 'this key only with static_split')
+        return
+    if settings.slots is None or settings.online_slots is None:
+        return
+    if settings.online_slots >= settings.slots:
+        reader.add_fault(
+            'online_slots', f'less than slots, which is {settings.slots}'
+        )
--- /dev/null
+++ b/siskinmount/telemetry/_histograms.py
@@ -0,0 +1,410 @@
+"""Histograms and counts of objectives over windows of time.
+
+A series has one open window of a minute and one of an hour. Closed windows are
+kept in the encoded form, so that a month of them takes little memory.
+"""
+
+import collections
+from collections.abc import Callable
+import time
+
+from hdrh import histogram as hdr
+
+MINUTE_S = 60
+HOUR_S = 3600
+MINUTES_KEPT = 70
+HOURS_KEPT = 30 * 24
+
+#: Series of one process; further ones are counted as dropped.
+MAX_SERIES = 256
+
+_LOWEST_VALUE_US = 1
+_HIGHEST_VALUE_US = 3_600_000_000
+_SIGNIFICANT_DIGITS = 2
+_US_PER_MS = 1000
+
+
+class ObjectiveBound:
+    """What an objective bounds, as far as recording needs it.
+
+    Attributes:
+        name: Name of the objective.
+        service: Name of the service.
+        measure: Name of the measure.
+        within_ms: A value up to this is good.
+    """
+
+    __slots__ = ('name', 'service', 'measure', 'within_ms')
+
+    def __init__(
+        self, *, name: str, service: str, measure: str, within_ms: float
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.measure = measure
+        self.within_ms = within_ms
+
+
+class WindowSnapshot:
+    """One window of one series in a form that can be sent.
+
+    Attributes:
+        service: Name of the service.
+        objective: Name of the objective, or of the measure for values that no
+            objective bounds.
+        window_start_s: Start of the window in seconds since the Unix epoch.
+        window_s: Length of the window in seconds.
+        good: Values that met the objective.
+        bad: Values that did not.
+        histogram: hdrhistogram's compressed V2 encoding, of values in
+            microseconds.
+    """
+
+    __slots__ = (
+        'service',
+        'objective',
+        'window_start_s',
+        'window_s',
+        'good',
+        'bad',
+        'histogram',
+    )
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        objective: str,
+        window_start_s: int,
+        window_s: int,
+        good: int,
+        bad: int,
+        histogram: bytes,
+    ) -> None:
+        self.service = service
+        self.objective = objective
+        self.window_start_s = window_start_s
+        self.window_s = window_s
+        self.good = good
+        self.bad = bad
+        self.histogram = histogram
+
+
+class Summary:
+    """Quantiles of a series, in milliseconds.
+
+    Attributes:
+        service: Name of the service.
+        objective: Name of the objective or measure.
+        count: Values.
+        good: Values that met the objective.
+        bad: Values that did not.
+        p50_ms: Median.
+        p95_ms: 95th percentile.
+        p99_ms: 99th percentile.
+    """
+
+    __slots__ = (
+        'service',
+        'objective',
+        'count',
+        'good',
+        'bad',
+        'p50_ms',
+        'p95_ms',
+        'p99_ms',
+    )
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        objective: str,
+        count: int,
+        good: int,
+        bad: int,
+        p50_ms: float,
+        p95_ms: float,
+        p99_ms: float,
+    ) -> None:
+        self.service = service
+        self.objective = objective
+        self.count = count
+        self.good = good
+        self.bad = bad
+        self.p50_ms = p50_ms
+        self.p95_ms = p95_ms
+        self.p99_ms = p99_ms
+
+
+def create_histograms(
+    bounds: list[ObjectiveBound], clock: Callable[[], float] = time.time
+) -> 'Histograms':
+    """Returns empty histograms.
+
+    Args:
+        bounds: The objectives in force.
+        clock: Returns the seconds since the Unix epoch.
+    """
+    histograms = Histograms(clock)
+    histograms.set_bounds(bounds)
+    return histograms
+
+
+class Histograms:
+    """The histograms of one process."""
+
+    __slots__ = ('_clock', '_bounds', '_series', '_dropped_count')
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        # Objectives by service and measure.
+        self._bounds: dict[tuple[str, str], list[ObjectiveBound]] = {}
+        # Series by service and objective.
+        self._series: dict[tuple[str, str], _Series] = {}
+        self._dropped_count = 0
+
+    @property
+    def dropped_count(self) -> int:
+        """Returns the values lost because of `MAX_SERIES`."""
+        return self._dropped_count
+
+    def set_bounds(self, bounds: list[ObjectiveBound]) -> None:
+        """Replaces the objectives; what has been recorded is kept."""
+        by_measure: dict[tuple[str, str], list[ObjectiveBound]] = {}
+        for bound in bounds:
+            key = (bound.service, bound.measure)
+            by_measure.setdefault(key, []).append(bound)
+        self._bounds = by_measure
+
+    def record(self, service: str, measure: str, value_ms: float) -> None:
+        """Records a value with each objective that bounds the measure."""
+        now_s = self._clock()
+        value_us = int(value_ms * _US_PER_MS)
+        bounds = self._bounds.get((service, measure))
+        if bounds is None:
+            self._record(service, measure, now_s, value_us, None)
+            return
+        for bound in bounds:
+            is_good = value_ms <= bound.within_ms
+            self._record(service, bound.name, now_s, value_us, is_good)
+
+    def record_outcome(self, service: str, measure: str, is_good: bool) -> None:
+        """Counts an event without a duration, such as an answer's success."""
+        now_s = self._clock()
+        bounds = self._bounds.get((service, measure))
+        if bounds is None:
+            self._record(service, measure, now_s, None, is_good)
+            return
+        for bound in bounds:
+            self._record(service, bound.name, now_s, None, is_good)
+
+    def take_snapshots(self) -> list[WindowSnapshot]:
+        """Returns all windows, the open ones included."""
+        now_s = self._clock()
+        snapshots: list[WindowSnapshot] = []
+        for service, objective in self._series:
+            series = self._series[(service, objective)]
+            series.advance(now_s)
+            for window in series.list_windows():
+                snapshots.append(window.take_snapshot(service, objective))
+        return snapshots
+
+    def summarize(self) -> list[Summary]:
+        """Returns the quantiles of each series over its open hour."""
+        now_s = self._clock()
+        summaries: list[Summary] = []
+        for (service, objective), series in self._series.items():
+            series.advance(now_s)
+            summaries.append(series.summarize(service, objective))
+        return summaries
+
+    def _record(
+        self,
+        service: str,
+        name: str,
+        now_s: float,
+        value_us: int | None,
+        is_good: bool | None,
+    ) -> None:
+        series = self._series.get((service, name))
+        if series is None:
+            if len(self._series) >= MAX_SERIES:
+                self._dropped_count += 1
+                return
+            series = _Series(now_s)
+            self._series[(service, name)] = series
+        series.advance(now_s)
+        series.record(value_us, is_good)
+
+
+def create_hdr_histogram() -> hdr.HdrHistogram:
+    """Returns an empty histogram of values in microseconds."""
+    return hdr.HdrHistogram(
+        _LOWEST_VALUE_US, _HIGHEST_VALUE_US, _SIGNIFICANT_DIGITS
+    )
+
+
+def decode_hdr_histogram(data: bytes) -> hdr.HdrHistogram:
+    """Returns a histogram from its compressed V2 encoding."""
+    return hdr.HdrHistogram.decode(data)
+
+
+class _ClosedWindow:
+    """A window that gets no further values."""
+
+    __slots__ = ('start_s', 'length_s', 'good', 'bad', 'data')
+
+    def __init__(
+        self, start_s: int, length_s: int, good: int, bad: int, data: bytes
+    ) -> None:
+        self.start_s = start_s
+        self.length_s = length_s
+        self.good = good
+        self.bad = bad
+        self.data = data
+
+    def take_snapshot(self, service: str, objective: str) -> WindowSnapshot:
+        """Returns the window in a form that can be sent."""
+        return WindowSnapshot(
+            service=service,
+            objective=objective,
+            window_start_s=self.start_s,
+            window_s=self.length_s,
+            good=self.good,
+            bad=self.bad,
+            histogram=self.data,
+        )
+
+
+class _OpenWindow:
+    """A window that gets values."""
+
+    __slots__ = ('start_s', 'length_s', 'good', 'bad', 'histogram')
+
+    def __init__(self, now_s: float, length_s: int) -> None:
+        self.start_s = int(now_s) // length_s * length_s
+        self.length_s = length_s
+        self.good = 0
+        self.bad = 0
+        self.histogram = create_hdr_histogram()
+
+    def is_over(self, now_s: float) -> bool:
+        """Returns whether the window ends before a time."""
+        return now_s >= self.start_s + self.length_s
+
+    def record(self, value_us: int | None, is_good: bool | None) -> None:
+        """Counts one value."""
+        if value_us is not None:
+            self.histogram.record_value(min(value_us, _HIGHEST_VALUE_US))
+        if is_good is None:
+            return
+        if is_good:
+            self.good += 1
+        else:
+            self.bad += 1
+
+    def add(self, other: '_OpenWindow') -> None:
+        """Adds the values of a shorter window."""
+        self.good += other.good
+        self.bad += other.bad
+        self.histogram.add(other.histogram)
+
+    def copy(self) -> '_OpenWindow':
+        """Returns a window with the same values."""
+        result = _OpenWindow(self.start_s, self.length_s)
+        result.add(self)
+        return result
+
+    def is_empty(self) -> bool:
+        """Returns whether there is nothing to keep."""
+        return not (self.good or self.bad or self.histogram.total_count)
+
+    def close(self) -> _ClosedWindow:
+        """Returns the window in the encoded form."""
+        return _ClosedWindow(
+            self.start_s,
+            self.length_s,
+            self.good,
+            self.bad,
+            self.histogram.encode(),
+        )
+
+
+class _Series:
+    """The windows of one service and objective."""
+
+    __slots__ = ('_minute', '_hour', '_minutes', '_hours')
+
+    def __init__(self, now_s: float) -> None:
+        self._minute = _OpenWindow(now_s, MINUTE_S)
+        # Holds the closed minutes of the hour only.
+        self._hour = _OpenWindow(now_s, HOUR_S)
+        self._minutes: collections.deque[_ClosedWindow] = collections.deque()
+        self._hours: collections.deque[_ClosedWindow] = collections.deque()
+
+    def record(self, value_us: int | None, is_good: bool | None) -> None:
+        """Counts one value in the open window."""
+        self._minute.record(value_us, is_good)
+
+    def advance(self, now_s: float) -> None:
+        """Closes windows that are over and forgets the oldest.
+
+        A clock that was set back leaves the windows open until it has caught
+        up.
+        """
+        if not self._minute.is_over(now_s):
+            return
+        if not self._minute.is_empty():
+            self._hour.add(self._minute)
+            self._minutes.append(self._minute.close())
+        self._minute = _OpenWindow(now_s, MINUTE_S)
+        if self._hour.is_over(now_s):
+            if not self._hour.is_empty():
+                self._hours.append(self._hour.close())
+            self._hour = _OpenWindow(now_s, HOUR_S)
+        _drop_before(self._minutes, now_s - MINUTES_KEPT * MINUTE_S)
+        _drop_before(self._hours, now_s - HOURS_KEPT * HOUR_S)
+
+    def list_windows(self) -> list[_ClosedWindow]:
+        """Returns all windows, oldest first, minutes before hours."""
+        windows = [*self._minutes]
+        if not self._minute.is_empty():
+            windows.append(self._minute.close())
+        windows.extend(self._hours)
+        hour = self._copy_hour()
+        if not hour.is_empty():
+            windows.append(hour.close())
+        return windows
+
+    def summarize(self, service: str, objective: str) -> Summary:
+        """Returns the quantiles of the open hour."""
+        hour = self._copy_hour()
+        return Summary(
+            service=service,
+            objective=objective,
+            count=hour.histogram.total_count,
+            good=hour.good,
+            bad=hour.bad,
+            p50_ms=_get_quantile_ms(hour.histogram, 50),
+            p95_ms=_get_quantile_ms(hour.histogram, 95),
+            p99_ms=_get_quantile_ms(hour.histogram, 99),
+        )
+
+    def _copy_hour(self) -> _OpenWindow:
+        """Returns the open hour with its open minute."""
+        hour = self._hour.copy()
+        hour.add(self._minute)
+        return hour
+
+
+def _get_quantile_ms(histogram: hdr.HdrHistogram, percentile: float) -> float:
+    return histogram.get_value_at_percentile(percentile) / _US_PER_MS
+
+
+def _drop_before(
+    windows: collections.deque[_ClosedWindow], limit_s: float
+) -> None:
+    """Removes the leading windows that ended before a time."""
+    while windows and windows[0].start_s + windows[0].length_s <= limit_s:
+        windows.popleft()
