Run, attach to and cancel requests at a sidecar

Cause: entries need one process beside each upstream that runs a request once, keeps its output for readers that come back, and holds back what an engine without priorities must not see yet.

Change: the sidecar's HTTP interface, the registry of running requests, the gate with its three policies, adapters for engines and plain services. A witness connection on which nothing is sent tells the end of a process from one broken answer, since the engines give no identity of their process.

Ruled out: taking each closed connection for a crash, which would make suspects of innocent requests.

--- /dev/null
+++ b/siskinmount/sidecar/_gate.py
@@ -0,0 +1,282 @@
+"""Admits requests to the upstream."""
+
+import math
+
+import trio
+
+from siskinmount import configuration
+from siskinmount import results
+from siskinmount.sidecar import _gate_load
+from siskinmount.sidecar import _gate_policy
+from siskinmount.sidecar import _invariant
+from siskinmount.sidecar import _online_first_policy
+from siskinmount.sidecar import _pass_through_policy
+from siskinmount.sidecar import _static_split_policy
+
+ONLINE_WAIT_MS = 2000
+SOLO_WAIT_MS = 10_000
+WAITING_PER_SLOT = 2
+RETRY_AFTER_MS = 500
+PREFILL_PAUSE_FACTOR = 3.0
+
+
+class Gate:
+    """Holds requests back until the policy lets them go to the upstream.
+
+    Engines know no priority, so whatever must wait waits here.
+
+    Attributes:
+        load: Counts of the requests, as the policy sees them.
+        closed: Whether new requests are refused because the sidecar stops.
+        preempted_count: Requests stopped to make room, in total.
+        refused_count: Requests refused for lack of capacity, in total.
+    """
+
+    __slots__ = (
+        'load',
+        'closed',
+        'preempted_count',
+        'refused_count',
+        '_policy',
+        '_waiting',
+        '_running',
+    )
+
+    def __init__(
+        self, policy: _gate_policy.GatePolicy, load: _gate_load.GateLoad
+    ) -> None:
+        self.load = load
+        self.closed = False
+        self.preempted_count = 0
+        self.refused_count = 0
+        self._policy = policy
+        self._waiting: list[_gate_load.Ticket] = []
+        self._running: list[_gate_load.Ticket] = []
+
+    async def admit(self, ticket: _gate_load.Ticket) -> results.Failure | None:
+        """Returns None once the request may go, or why it never will.
+
+        An admitted ticket must be given back with `release`.
+        """
+        if self.closed:
+            return _leaving()
+        if ticket.online and self._count_waiting_online() >= self._queue_bound:
+            self.refused_count += 1
+            return _overloaded('too many requests wait')
+        self._waiting.append(ticket)
+        self.admit_waiting()
+        try:
+            await self._wait_decided(ticket)
+        finally:
+            if ticket.state is _gate_load.TicketState.WAITING:
+                self._waiting.remove(ticket)
+                ticket.state = _gate_load.TicketState.GONE
+                self.admit_waiting()
+        return ticket.refusal
+
+    def release(self, ticket: _gate_load.Ticket) -> None:
+        """Takes back the slot of a request that has left the upstream."""
+        _invariant.require(
+            ticket in self._running,
+            'released_ticket_was_admitted',
+            state=ticket.state.value,
+        )
+        self._running.remove(ticket)
+        ticket.state = _gate_load.TicketState.GONE
+        self.admit_waiting()
+
+    def note_tokens(self, ticket: _gate_load.Ticket, count: int) -> None:
+        """Notes that an admitted request has emitted tokens."""
+        first = ticket.is_prefilling
+        ticket.emitted_tokens += count
+        if not first or ticket.online:
+            return
+        now_s = trio.current_time()
+        prefill_s = now_s - ticket.started_at_s
+        self.load.prefill_open_at_s = now_s + PREFILL_PAUSE_FACTOR * prefill_s
+        self.admit_waiting()
+
+    def close(self) -> None:
+        """Refuses all that wait and all that come."""
+        self.closed = True
+        for ticket in list(self._waiting):
+            self._refuse(ticket, _leaving())
+
+    def count_idle_batch_slots(self) -> int:
+        """Returns how many more batch requests could start now."""
+        self._count()
+        return self._policy.count_idle_batch_slots(self.load)
+
+    def count_waiting(self) -> int:
+        """Returns how many requests wait."""
+        return len(self._waiting)
+
+    def count_running(self) -> int:
+        """Returns how many requests are at the upstream."""
+        return len(self._running)
+
+    def count_in_flight(self) -> int:
+        """Returns how many requests a new online one would compete with."""
+        self._count()
+        if self.load.solo_running or self.load.online_solo_waiting:
+            return max(self.load.slots, len(self._running))
+        if self._policy.puts_online_first:
+            return self.load.online_running + self.load.online_waiting
+        return len(self._running) + len(self._waiting)
+
+    def admit_waiting(self) -> None:
+        """Admits all that the policy allows now."""
+        for ticket in self._policy.arrange(self._waiting):
+            self._count()
+            if not self._policy.may_start(ticket, self.load):
+                self._preempt(self._policy.count_to_preempt(ticket, self.load))
+                continue
+            self._preempt(self._policy.count_to_preempt(ticket, self.load))
+            self._start(ticket)
+
+    @property
+    def _queue_bound(self) -> int:
+        return WAITING_PER_SLOT * self.load.slots
+
+    def _count_waiting_online(self) -> int:
+        return sum(ticket.online for ticket in self._waiting)
+
+    async def _wait_decided(self, ticket: _gate_load.Ticket) -> None:
+        """Waits until a ticket is admitted or refused."""
+        limit_s = math.inf
+        if ticket.online:
+            wait_ms = SOLO_WAIT_MS if ticket.solo else ONLINE_WAIT_MS
+            limit_s = trio.current_time() + wait_ms / 1000
+        while not ticket.decided.is_set():
+            now_s = trio.current_time()
+            if now_s >= limit_s:
+                self.refused_count += 1
+                self._refuse(ticket, _overloaded('no slot became free'))
+                return
+            wake_at_s = limit_s
+            if not ticket.online and self.load.prefill_open_at_s > now_s:
+                wake_at_s = self.load.prefill_open_at_s
+            with trio.move_on_at(wake_at_s):
+                await ticket.decided.wait()
+            if not ticket.decided.is_set():
+                self.admit_waiting()
+
+    def _start(self, ticket: _gate_load.Ticket) -> None:
+        """Moves a ticket to the upstream."""
+        _invariant.require(
+            ticket.online
+            or not self.load.online_waiting
+            or not self._policy.puts_online_first,
+            'batch_never_starts_while_online_waits',
+        )
+        self._waiting.remove(ticket)
+        self._running.append(ticket)
+        ticket.state = _gate_load.TicketState.RUNNING
+        ticket.started_at_s = trio.current_time()
+        ticket.decided.set()
+        self._count()
+        self._check_bound()
+
+    def _refuse(
+        self, ticket: _gate_load.Ticket, failure: results.Failure
+    ) -> None:
+        """Removes a waiting ticket with a reason."""
+        self._waiting.remove(ticket)
+        ticket.state = _gate_load.TicketState.GONE
+        ticket.refusal = failure
+        ticket.decided.set()
+
+    def _preempt(self, count: int) -> None:
+        """Stops the batch requests that lose least by being resumed later."""
+        candidates = [
+            ticket
+            for ticket in self._running
+            if ticket.preemptible
+            and ticket.state is _gate_load.TicketState.RUNNING
+        ]
+        candidates.sort(key=lambda ticket: ticket.resume_cost_tokens)
+        for ticket in candidates[:count]:
+            ticket.state = _gate_load.TicketState.YIELDING
+            self.preempted_count += 1
+            ticket.preempt()
+
+    def _count(self) -> None:
+        """Brings the counts in `load` up to date."""
+        load = self.load
+        load.now_s = trio.current_time()
+        load.online_running = 0
+        load.batch_running = 0
+        load.batch_yielding = 0
+        load.batch_prefilling = 0
+        load.solo_running = 0
+        for ticket in self._running:
+            load.solo_running += ticket.solo
+            if ticket.online:
+                load.online_running += 1
+                continue
+            load.batch_running += 1
+            yielding = ticket.state is _gate_load.TicketState.YIELDING
+            load.batch_yielding += yielding
+            load.batch_prefilling += ticket.is_prefilling
+        load.online_waiting = 0
+        load.solo_waiting = 0
+        load.online_solo_waiting = 0
+        for ticket in self._waiting:
+            load.online_waiting += ticket.online
+            load.solo_waiting += ticket.solo
+            load.online_solo_waiting += ticket.online and ticket.solo
+
+    def _check_bound(self) -> None:
+        """Checks that no more run than slots, but for those that yield."""
+        load = self.load
+        unyielding_batch = sum(
+            not ticket.online and not ticket.preemptible
+            for ticket in self._running
+        )
+        counted = load.running - load.batch_yielding
+        _invariant.require(
+            counted <= max(load.slots, load.online_running + unyielding_batch),
+            'slots_bound',
+            running=load.running,
+            yielding=load.batch_yielding,
+            slots=load.slots,
+        )
+        _invariant.require(
+            not load.solo_running or load.running == 1, 'solo_runs_alone'
+        )
+
+
+def _leaving() -> results.Failure:
+    return results.Failure(
+        results.ResultCode.LEAVING,
+        'this upstream is leaving',
+        retry_after_ms=0,
+    )
+
+
+def _overloaded(reason: str) -> results.Failure:
+    return results.Failure(
+        results.ResultCode.OVERLOADED, reason, retry_after_ms=RETRY_AFTER_MS
+    )
+
+
+def create_gate(
+    policy: configuration.GatePolicy, load: _gate_load.GateLoad
+) -> Gate:
+    """Creates a gate.
+
+    Args:
+        policy: How the upstream is shared.
+        load: The bounds to keep.
+    """
+    return Gate(_create_policy(policy), load)
+
+
+def _create_policy(
+    policy: configuration.GatePolicy,
+) -> _gate_policy.GatePolicy:
+    if policy is configuration.GatePolicy.PASS_THROUGH:
+        return _pass_through_policy.PassThroughPolicy()
+    if policy is configuration.GatePolicy.STATIC_SPLIT:
+        return _static_split_policy.StaticSplitPolicy()
+    return _online_first_policy.OnlineFirstPolicy()
--- /dev/null
+++ b/siskinmount/sidecar/_gate_policy.py
@@ -0,0 +1,40 @@
+"""What decides when a request may go to the upstream."""
+
+from typing import Protocol
+
+from siskinmount.sidecar import _gate_load
+
+
+class GatePolicy(Protocol):
+    """Orders, admits and preempts requests.
+
+    A policy keeps no state of its own: it decides from the load alone.
+
+    Attributes:
+        puts_online_first: Whether batch requests never start while an online
+            request waits, and make room for it.
+    """
+
+    puts_online_first: bool
+
+    def arrange(
+        self, waiting: list[_gate_load.Ticket]
+    ) -> list[_gate_load.Ticket]:
+        """Returns the waiting requests in the order of admission."""
+        ...
+
+    def may_start(
+        self, ticket: _gate_load.Ticket, load: _gate_load.GateLoad
+    ) -> bool:
+        """Tells whether a waiting request may go to the upstream now."""
+        ...
+
+    def count_to_preempt(
+        self, ticket: _gate_load.Ticket, load: _gate_load.GateLoad
+    ) -> int:
+        """Returns how many batch requests must make room for this one."""
+        ...
+
+    def count_idle_batch_slots(self, load: _gate_load.GateLoad) -> int:
+        """Returns how many more batch requests could start now."""
+        ...
--- /dev/null
+++ b/siskinmount/sidecar/_http_model_upstream.py
@@ -0,0 +1,200 @@
+"""Speaks to a model engine over HTTP."""
+
+import orjson
+
+from siskinmount import relay
+from siskinmount import results
+from siskinmount import transport
+from siskinmount.sidecar import _run_request
+from siskinmount.sidecar import _upstreams
+from siskinmount.sidecar import _witness_connection
+
+MAX_ERROR_BYTES = 64 * 1024
+MAX_LINE_BYTES = 1024 * 1024
+PROBE_TIMEOUT_MS = 1000
+MAX_CONNECTIONS = 1024
+
+_DATA_PREFIX = b'data:'
+_DONE = b'[DONE]'
+_WHOLE_REASONS = ('stop', 'length')
+
+
+class EngineStream:
+    """Parses the server-sent events of one answer."""
+
+    __slots__ = ('_exchange', '_pending')
+
+    def __init__(self, exchange: transport.ClientExchange) -> None:
+        self._exchange = exchange
+        self._pending = b''
+
+    async def receive(self) -> list[relay.Frame] | results.Failure:
+        """Returns the next frames."""
+        while True:
+            chunk = await self._exchange.receive_chunk()
+            if isinstance(chunk, results.Failure):
+                return _ran(chunk.code, chunk.reason)
+            if not chunk:
+                return _ran(
+                    results.ResultCode.UPSTREAM_LOST,
+                    'the answer broke off',
+                )
+            frames = self._parse(chunk)
+            if isinstance(frames, results.Failure) or frames:
+                return frames
+
+    def close(self) -> None:
+        """Gives the connection up."""
+        self._exchange.close()
+
+    def _parse(self, chunk: bytes) -> list[relay.Frame] | results.Failure:
+        """Returns the frames that a chunk completes."""
+        lines = (self._pending + chunk).split(b'\n')
+        self._pending = lines.pop()
+        if len(self._pending) > MAX_LINE_BYTES:
+            return _ran(
+                results.ResultCode.UPSTREAM_ERROR, 'an event is too long'
+            )
+        frames: list[relay.Frame] = []
+        for line in lines:
+            if not line.startswith(_DATA_PREFIX):
+                continue
+            data = line[len(_DATA_PREFIX) :].strip()
+            if data == _DONE:
+                continue
+            frame = _parse_event(data)
+            if isinstance(frame, results.Failure):
+                return frame
+            frames.append(frame)
+        return frames
+
+
+class HttpModelUpstream:
+    """A model engine at an address."""
+
+    __slots__ = ('_client', '_address')
+
+    def __init__(self, address: transport.Address) -> None:
+        self._address = address
+        self._client = transport.create_http_client(
+            address, transport.ClientLimits(max_connections=MAX_CONNECTIONS)
+        )
+
+    async def start(
+        self,
+        request_id: str,
+        body: _run_request.ModelBody,
+        resume_tokens: list[str],
+    ) -> _upstreams.UpstreamStream | results.Failure:
+        """Starts to generate after `resume_tokens`."""
+        document: dict[str, object] = {
+            'request_id': request_id,
+            'max_tokens': body.max_tokens,
+            'resume_tokens': resume_tokens,
+            'stream': True,
+        }
+        if body.prompt is not None:
+            document['prompt'] = body.prompt
+        else:
+            document['messages'] = body.messages
+        exchange = await self._client.send(_post('/v1/completions', document))
+        if isinstance(exchange, results.Failure):
+            return exchange
+        if exchange.status == 200:
+            return EngineStream(exchange)
+        with exchange:
+            return await describe_refusal(exchange)
+
+    async def cancel(self, request_id: str) -> None:
+        """Makes the engine stop a request."""
+        exchange = await self._client.send(
+            _post('/v1/cancel', {'request_id': request_id})
+        )
+        if isinstance(exchange, results.Failure):
+            return
+        with exchange:
+            await exchange.read_body(MAX_ERROR_BYTES)
+
+    async def probe(self) -> results.Failure | None:
+        """Returns None if the engine answers on a new connection."""
+        client = transport.create_http_client(
+            self._address,
+            transport.ClientLimits(
+                max_connections=1,
+                connect_timeout_ms=PROBE_TIMEOUT_MS,
+                silence_timeout_ms=PROBE_TIMEOUT_MS,
+            ),
+        )
+        exchange = await client.send(
+            transport.ClientRequest('GET', '/v1/state')
+        )
+        if isinstance(exchange, results.Failure):
+            return exchange
+        # The connection is dropped: each probe shall open its own.
+        exchange.close()
+        client.close()
+        return None
+
+    async def open_witness(self) -> _upstreams.Witness | results.Failure:
+        """Returns a witness of the engine's process."""
+        return await _witness_connection.open_witness_connection(self._address)
+
+
+def create_http_model_upstream(
+    address: transport.Address,
+) -> HttpModelUpstream:
+    """Creates the client of a model engine."""
+    return HttpModelUpstream(address)
+
+
+async def describe_refusal(
+    exchange: transport.ClientExchange,
+) -> results.Failure:
+    """Turns an upstream's answer that is no result into a failure."""
+    data = await exchange.read_body(MAX_ERROR_BYTES)
+    text = ''
+    if isinstance(data, bytes):
+        text = data[:200].decode('utf-8', 'replace')
+    code = results.ResultCode.UPSTREAM_ERROR
+    if exchange.status in (400, 413, 422):
+        code = results.ResultCode.INVALID_FIELD
+    return results.Failure(
+        code,
+        f'the upstream answered {exchange.status}: {text}',
+        results.RunState.UNKNOWN,
+    )
+
+
+def _parse_event(data: bytes) -> relay.Frame | results.Failure:
+    """Parses the data of one event."""
+    try:
+        event = orjson.loads(data)
+        if 'text' in event:
+            return relay.TokenFrame(int(event['index']), str(event['text']))
+        if event.get('finish_reason') in _WHOLE_REASONS:
+            return relay.EndFrame(
+                str(event['finish_reason']),
+                int(event['prompt_tokens']),
+                int(event['completion_tokens']),
+            )
+        return _ran(
+            results.ResultCode.UPSTREAM_ERROR,
+            f'the upstream says: {data[:200].decode("utf-8", "replace")}',
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        return _ran(
+            results.ResultCode.UPSTREAM_ERROR, f'invalid event: {error!r}'
+        )
+
+
+def _post(target: str, document: dict[str, object]) -> transport.ClientRequest:
+    return transport.ClientRequest(
+        'POST',
+        target,
+        [(b'content-type', b'application/json')],
+        orjson.dumps(document),
+    )
+
+
+def _ran(code: results.ResultCode, reason: str) -> results.Failure:
+    return results.Failure(code, reason, results.RunState.RAN)
--- /dev/null
+++ b/siskinmount/sidecar/_http_plain_upstream.py
@@ -0,0 +1,127 @@
+"""Speaks to a plain service over HTTP."""
+
+from siskinmount import relay
+from siskinmount import results
+from siskinmount import transport
+from siskinmount.sidecar import _run_request
+from siskinmount.sidecar import _upstreams
+from siskinmount.sidecar import _witness_connection
+
+CONNECT_TIMEOUT_MS = 1000
+SILENCE_TIMEOUT_MS = 600_000
+MAX_CONNECTIONS = 1024
+
+_HOP_HEADERS = frozenset(
+    (
+        'connection',
+        'content-length',
+        'host',
+        'keep-alive',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+
+
+class PlainStream:
+    """Turns one response into frames."""
+
+    __slots__ = ('_exchange', '_head_given')
+
+    def __init__(self, exchange: transport.ClientExchange) -> None:
+        self._exchange = exchange
+        self._head_given = False
+
+    async def receive(self) -> list[relay.Frame] | results.Failure:
+        """Returns the head first, then parts of the body, then the end."""
+        if not self._head_given:
+            self._head_given = True
+            return [
+                relay.HeadFrame(self._exchange.status, self._list_headers())
+            ]
+        chunk = await self._exchange.receive_chunk()
+        if isinstance(chunk, results.Failure):
+            return results.Failure(
+                chunk.code, chunk.reason, results.RunState.RAN
+            )
+        if not chunk:
+            return [relay.EndFrame()]
+        return [relay.BodyFrame(chunk)]
+
+    def close(self) -> None:
+        """Gives the connection up."""
+        self._exchange.close()
+
+    def _list_headers(self) -> list[tuple[str, str]]:
+        """Returns the headers that concern the caller."""
+        headers: list[tuple[str, str]] = []
+        for raw_name, raw_value in self._exchange.headers:
+            name = raw_name.decode('latin-1')
+            if name in _HOP_HEADERS:
+                continue
+            headers.append((name, raw_value.decode('latin-1')))
+        return headers
+
+
+class HttpPlainUpstream:
+    """A plain service at an address."""
+
+    __slots__ = ('_client', '_address')
+
+    def __init__(self, address: transport.Address) -> None:
+        self._address = address
+        # How long a plain service thinks is bounded by each request's
+        # deadline alone.
+        self._client = transport.create_http_client(
+            address,
+            transport.ClientLimits(
+                max_connections=MAX_CONNECTIONS,
+                connect_timeout_ms=CONNECT_TIMEOUT_MS,
+                silence_timeout_ms=SILENCE_TIMEOUT_MS,
+            ),
+        )
+
+    async def start(
+        self, request_id: str, body: _run_request.PlainBody
+    ) -> _upstreams.UpstreamStream | results.Failure:
+        """Sends the request once."""
+        headers: transport.Headers = []
+        for name, value in body.headers:
+            lower_name = name.lower()
+            if lower_name in _HOP_HEADERS or lower_name == 'x-request-id':
+                continue
+            headers.append(
+                (lower_name.encode('latin-1'), value.encode('latin-1'))
+            )
+        headers.append((relay.RelayHeader.REQUEST_ID, request_id.encode()))
+        exchange = await self._client.send(
+            transport.ClientRequest(
+                body.method, body.target, headers, body.body
+            )
+        )
+        if isinstance(exchange, results.Failure):
+            return exchange
+        return PlainStream(exchange)
+
+    async def probe(self) -> results.Failure | None:
+        """Returns None if a new connection can be opened."""
+        connection = await _witness_connection.open_witness_connection(
+            self._address
+        )
+        if isinstance(connection, results.Failure):
+            return connection
+        connection.close()
+        return None
+
+    async def open_witness(self) -> _upstreams.Witness | results.Failure:
+        """Returns a witness of the service's process."""
+        return await _witness_connection.open_witness_connection(self._address)
+
+
+def create_http_plain_upstream(
+    address: transport.Address,
+) -> HttpPlainUpstream:
+    """Creates the client of a plain service."""
+    return HttpPlainUpstream(address)
--- /dev/null
+++ b/siskinmount/sidecar/_online_first_policy.py
@@ -0,0 +1,70 @@
+"""Online requests run at once; batch fills what they leave idle."""
+
+from siskinmount.sidecar import _gate_load
+
+
+class OnlineFirstPolicy:
+    """Batch takes idle slots beyond a reserve and yields to online requests."""
+
+    __slots__ = ()
+
+    puts_online_first = True
+
+    def arrange(
+        self, waiting: list[_gate_load.Ticket]
+    ) -> list[_gate_load.Ticket]:
+        """Returns online requests before batch ones, each in arrival order."""
+        return sorted(waiting, key=lambda ticket: not ticket.online)
+
+    def may_start(
+        self, ticket: _gate_load.Ticket, load: _gate_load.GateLoad
+    ) -> bool:
+        """Tells whether a waiting request may go to the upstream now."""
+        if load.solo_running:
+            return False
+        if ticket.online and ticket.solo:
+            return load.running == 0
+        if load.online_solo_waiting:
+            return False
+        if ticket.online:
+            return load.online_running < load.slots
+        if load.online_waiting:
+            return False
+        if ticket.solo:
+            return load.running == 0
+        if self.count_idle_batch_slots(load) < 1:
+            return False
+        return _may_prefill(ticket, load)
+
+    def count_to_preempt(
+        self, ticket: _gate_load.Ticket, load: _gate_load.GateLoad
+    ) -> int:
+        """Returns how many batch requests must make room for this one."""
+        if not ticket.online:
+            return 0
+        batch = load.batch_running - load.batch_yielding
+        if ticket.solo or load.solo_running:
+            return batch
+        over = load.online_running + batch + 1 - load.slots
+        return max(0, min(over, batch))
+
+    def count_idle_batch_slots(self, load: _gate_load.GateLoad) -> int:
+        """Returns how many more batch requests could start now."""
+        if load.solo_running or load.online_solo_waiting:
+            return 0
+        if load.solo_waiting and not load.online_running:
+            # The batch request that must run alone gets its turn.
+            return 0
+        idle = load.slots - load.running - load.online_reserve_slots
+        return max(0, min(idle, load.batch_slots - load.batch_running))
+
+
+def _may_prefill(ticket: _gate_load.Ticket, load: _gate_load.GateLoad) -> bool:
+    """Tells whether a batch prompt may be computed beside running requests."""
+    if load.online_running == 0:
+        return True
+    if ticket.prompt_tokens > load.batch_prefill_tokens:
+        return False
+    if load.batch_prefilling:
+        return False
+    return load.now_s >= load.prefill_open_at_s
--- /dev/null
+++ b/siskinmount/sidecar/_request_runner.py
@@ -0,0 +1,365 @@
+"""Runs one admitted request at the upstream."""
+
+import logging
+
+import trio
+
+from siskinmount import relay
+from siskinmount import results
+from siskinmount.sidecar import _gate
+from siskinmount.sidecar import _gate_load
+from siskinmount.sidecar import _request_registry
+from siskinmount.sidecar import _run_request
+from siskinmount.sidecar import _running_request
+from siskinmount.sidecar import _upstream_monitor
+from siskinmount.sidecar import _upstreams
+
+_LOGGER = logging.getLogger(__name__)
+
+MAX_RECONNECTS = 2
+MAX_SILENCES_BEFORE_FIRST_TOKEN = 6
+CANCEL_TIMEOUT_S = 2.0
+MAX_OUTPUT_BYTES = 32 * 1024 * 1024
+
+_CONNECTION_FAULTS = (
+    results.ResultCode.UPSTREAM_LOST,
+    results.ResultCode.UPSTREAM_SILENT,
+)
+
+
+class RequestRunner:
+    """Takes requests through the gate and to the upstream.
+
+    Attributes:
+        reconnect_count: Streams taken up again over a new connection.
+    """
+
+    __slots__ = (
+        'reconnect_count',
+        '_gate',
+        '_registry',
+        '_monitor',
+        '_model_upstream',
+        '_plain_upstream',
+    )
+
+    def __init__(
+        self,
+        *,
+        gate: _gate.Gate,
+        registry: _request_registry.RequestRegistry,
+        monitor: _upstream_monitor.UpstreamMonitor,
+        model_upstream: _upstreams.ModelUpstream,
+        plain_upstream: _upstreams.PlainUpstream,
+    ) -> None:
+        self.reconnect_count = 0
+        self._gate = gate
+        self._registry = registry
+        self._monitor = monitor
+        self._model_upstream = model_upstream
+        self._plain_upstream = plain_upstream
+
+    async def run(self, running: _running_request.RunningRequest) -> None:
+        """Runs a request to its last frame."""
+        deadline_ms = running.request.deadline_ms
+        if deadline_ms is not None:
+            running.scope.deadline = trio.current_time() + deadline_ms / 1000
+        failure: results.Failure | None = None
+        try:
+            with running.scope:
+                failure = await self._run_through_gate(running)
+        except Exception:
+            _LOGGER.exception(
+                'request_faulted',
+                extra={
+                    'code': int(results.ResultCode.INTERNAL),
+                    'request_id': running.request.request_id,
+                },
+            )
+            failure = results.Failure(
+                results.ResultCode.INTERNAL,
+                'internal fault',
+                _describe_run_state(running),
+            )
+        if not running.ended:
+            running.append(
+                relay.FailureFrame(failure or _describe_stop(running))
+            )
+        self._registry.settle(running)
+
+    async def _run_through_gate(
+        self, running: _running_request.RunningRequest
+    ) -> results.Failure | None:
+        """Waits for admission, then runs; returns why there is no answer."""
+        ticket = _create_ticket(running)
+        refusal = await self._gate.admit(ticket)
+        if refusal is not None:
+            return refusal
+        try:
+            if isinstance(running.request.body, _run_request.PlainBody):
+                return await self._run_plain(running, running.request.body)
+            return await self._run_model(running, running.request.body, ticket)
+        finally:
+            await self._stop_at_upstream(running)
+            self._gate.release(ticket)
+
+    async def _stop_at_upstream(
+        self, running: _running_request.RunningRequest
+    ) -> None:
+        """Cancels a generation that has not come to its end."""
+        is_model = isinstance(running.request.body, _run_request.ModelBody)
+        if running.ended or not running.sent_to_upstream or not is_model:
+            return
+        with trio.move_on_after(CANCEL_TIMEOUT_S, shield=True):
+            await self._model_upstream.cancel(running.request.request_id)
+
+    async def _run_model(
+        self,
+        running: _running_request.RunningRequest,
+        body: _run_request.ModelBody,
+        ticket: _gate_load.Ticket,
+    ) -> results.Failure | None:
+        """Generates, over a new connection if one goes silent."""
+        reconnects = 0
+        while True:
+            generation = self._monitor.generation
+            failure = await self._generate(running, body, ticket)
+            if failure is None:
+                return None
+            if failure.run_state is results.RunState.NOT_RUN:
+                self._monitor.note_unreachable(failure)
+                return _settle_run_state(failure, running)
+            if failure.code not in _CONNECTION_FAULTS:
+                return failure
+            failure = await self._explain(failure, running, generation)
+            process_ended = failure.code is results.ResultCode.UPSTREAM_LOST
+            if process_ended or not self._monitor.reachable:
+                return failure
+            if reconnects == MAX_RECONNECTS:
+                return failure
+            reconnects += 1
+            self.reconnect_count += 1
+            _LOGGER.info(
+                'stream_reconnected',
+                extra={
+                    'request_id': running.request.request_id,
+                    'code': int(failure.code),
+                },
+            )
+            await self._stop_at_upstream(running)
+
+    async def _explain(
+        self,
+        failure: results.Failure,
+        running: _running_request.RunningRequest,
+        generation: int,
+    ) -> results.Failure:
+        """Finds out what a broken or silent connection means.
+
+        Returns:
+            A failure with code `UPSTREAM_LOST` only if the upstream's process
+            has ended since the request was sent.
+        """
+        found = await self._monitor.check_after_loss()
+        run_state = _describe_run_state(running)
+        unreachable = (
+            found is not None
+            and found.code is results.ResultCode.UPSTREAM_UNREACHABLE
+        )
+        if unreachable or self._monitor.generation != generation:
+            return results.Failure(
+                results.ResultCode.UPSTREAM_LOST,
+                'the process of the upstream has ended',
+                run_state,
+            )
+        code = results.ResultCode.UPSTREAM_SILENT
+        if failure.code is results.ResultCode.UPSTREAM_LOST:
+            code = results.ResultCode.UPSTREAM_ERROR
+        return results.Failure(code, failure.reason, run_state)
+
+    async def _generate(
+        self,
+        running: _running_request.RunningRequest,
+        body: _run_request.ModelBody,
+        ticket: _gate_load.Ticket,
+    ) -> results.Failure | None:
+        """Appends what one stream gives; returns why it ended early."""
+        tokens = running.collect_tokens()
+        was_sent = running.sent_to_upstream
+        running.sent_to_upstream = True
+        stream = await self._model_upstream.start(
+            running.request.request_id, body, tokens
+        )
+        if isinstance(stream, results.Failure):
+            not_run = stream.run_state is results.RunState.NOT_RUN
+            running.sent_to_upstream = was_sent or not not_run
+            return stream
+        try:
+            return await self._copy_tokens(running, ticket, stream, len(tokens))
+        finally:
+            stream.close()
+
+    async def _copy_tokens(
+        self,
+        running: _running_request.RunningRequest,
+        ticket: _gate_load.Ticket,
+        stream: _upstreams.UpstreamStream,
+        next_index: int,
+    ) -> results.Failure | None:
+        """Appends frames until the end, or returns why there is none."""
+        silences = 0
+        first_index = next_index
+        while True:
+            frames = await stream.receive()
+            if isinstance(frames, results.Failure):
+                silent = frames.code is results.ResultCode.UPSTREAM_SILENT
+                silences += 1
+                may_queue = next_index == first_index
+                if not silent or not may_queue:
+                    return frames
+                if silences > MAX_SILENCES_BEFORE_FIRST_TOKEN:
+                    return frames
+                if await self._monitor.check() is not None:
+                    return frames
+                continue
+            count = 0
+            for frame in frames:
+                if isinstance(frame, relay.TokenFrame):
+                    if frame.index < next_index:
+                        continue
+                    if frame.index > next_index:
+                        return _gap(next_index, frame.index)
+                    next_index += 1
+                    count += 1
+                running.append(frame)
+            if count:
+                self._gate.note_tokens(ticket, count)
+            if running.ended:
+                return None
+
+    async def _run_plain(
+        self,
+        running: _running_request.RunningRequest,
+        body: _run_request.PlainBody,
+    ) -> results.Failure | None:
+        """Sends a plain request, once; returns why there is no answer."""
+        generation = self._monitor.generation
+        failure = await self._exchange_plain(running, body)
+        if failure is None:
+            return None
+        if failure.run_state is results.RunState.NOT_RUN:
+            self._monitor.note_unreachable(failure)
+            return failure
+        if failure.code not in _CONNECTION_FAULTS:
+            return failure
+        return await self._explain(failure, running, generation)
+
+    async def _exchange_plain(
+        self,
+        running: _running_request.RunningRequest,
+        body: _run_request.PlainBody,
+    ) -> results.Failure | None:
+        """Sends a plain request and appends what comes back."""
+        running.sent_to_upstream = True
+        stream = await self._plain_upstream.start(
+            running.request.request_id, body
+        )
+        if isinstance(stream, results.Failure):
+            not_run = stream.run_state is results.RunState.NOT_RUN
+            running.sent_to_upstream = not not_run
+            return stream
+        try:
+            while not running.ended:
+                frames = await stream.receive()
+                if isinstance(frames, results.Failure):
+                    return frames
+                for frame in frames:
+                    running.append(frame)
+                if running.size_bytes > MAX_OUTPUT_BYTES:
+                    return results.Failure(
+                        results.ResultCode.UPSTREAM_ERROR,
+                        f'the answer is larger than {MAX_OUTPUT_BYTES} bytes',
+                        results.RunState.RAN,
+                    )
+        finally:
+            stream.close()
+        return None
+
+
+def _create_ticket(
+    running: _running_request.RunningRequest,
+) -> _gate_load.Ticket:
+    """Returns what the gate must know about a request."""
+    request = running.request
+    prompt_tokens = 0
+    preemptible = False
+    if isinstance(request.body, _run_request.ModelBody):
+        prompt_tokens = request.body.estimate_prompt_tokens()
+        preemptible = not request.is_online
+    return _gate_load.Ticket(
+        online=request.is_online,
+        solo=request.solo,
+        prompt_tokens=prompt_tokens,
+        preemptible=preemptible,
+        preempt=lambda: running.stop(_running_request.StopReason.PREEMPTED),
+    )
+
+
+def _describe_run_state(
+    running: _running_request.RunningRequest,
+) -> results.RunState:
+    """Returns whether a request that ends now was executed."""
+    if not running.sent_to_upstream:
+        return results.RunState.NOT_RUN
+    if running.frames:
+        return results.RunState.RAN
+    return results.RunState.UNKNOWN
+
+
+def _describe_stop(
+    running: _running_request.RunningRequest,
+) -> results.Failure:
+    """Returns why a stopped request has no whole answer."""
+    run_state = _describe_run_state(running)
+    reason = running.stop_reason
+    if reason is None:
+        return results.Failure(
+            results.ResultCode.DEADLINE_EXCEEDED,
+            'the deadline has passed',
+            run_state,
+        )
+    if reason in (
+        _running_request.StopReason.PREEMPTED,
+        _running_request.StopReason.LEAVING,
+    ):
+        return results.Failure(
+            results.ResultCode.BATCH_YIELDED,
+            f'the batch request was stopped: {reason.value}',
+            run_state,
+            retry_after_ms=0,
+        )
+    return results.Failure(
+        results.ResultCode.REQUEST_CANCELLED,
+        f'the request was stopped: {reason.value}',
+        run_state,
+    )
+
+
+def _settle_run_state(
+    failure: results.Failure, running: _running_request.RunningRequest
+) -> results.Failure:
+    """Corrects `NOT_RUN` of a later try for what an earlier one has sent."""
+    return results.Failure(
+        failure.code,
+        failure.reason,
+        _describe_run_state(running),
+        failure.retry_after_ms,
+    )
+
+
+def _gap(expected_index: int, index: int) -> results.Failure:
+    return results.Failure(
+        results.ResultCode.UPSTREAM_ERROR,
+        f'token {expected_index} is missing before token {index}',
+        results.RunState.RAN,
+    )
--- /dev/null
+++ b/siskinmount/sidecar/_run_request.py
@@ -0,0 +1,202 @@
+"""A request to run at the upstream, as typed values."""
+
+import base64
+
+import orjson
+
+from siskinmount import configuration
+from siskinmount import relay
+from siskinmount import results
+from siskinmount import transport
+
+CHARACTERS_PER_TOKEN = 4
+DEFAULT_MAX_TOKENS = 256
+
+
+class ModelBody:
+    """What a model engine shall generate.
+
+    Attributes:
+        prompt: The prompt, or None if `messages` is given.
+        messages: The conversation, or None if `prompt` is given.
+        max_tokens: Longest answer, in tokens, resumed tokens included.
+        resume_tokens: Tokens of the answer that exist already.
+    """
+
+    __slots__ = ('prompt', 'messages', 'max_tokens', 'resume_tokens')
+
+    def __init__(
+        self,
+        *,
+        prompt: str | None,
+        messages: list[object] | None = None,
+        max_tokens: int = DEFAULT_MAX_TOKENS,
+        resume_tokens: list[str] | None = None,
+    ) -> None:
+        self.prompt = prompt
+        self.messages = messages
+        self.max_tokens = max_tokens
+        self.resume_tokens = resume_tokens or []
+
+    def estimate_prompt_tokens(self) -> int:
+        """Returns about how many tokens the engine must prefill."""
+        if self.prompt is not None:
+            characters = len(self.prompt)
+        else:
+            characters = len(orjson.dumps(self.messages))
+        return characters // CHARACTERS_PER_TOKEN + len(self.resume_tokens)
+
+
+class PlainBody:
+    """A request to a plain service.
+
+    Attributes:
+        method: Upper-case method.
+        target: Path with query, percent-encoded.
+        headers: Pairs of name and value.
+        body: The body.
+    """
+
+    __slots__ = ('method', 'target', 'headers', 'body')
+
+    def __init__(
+        self,
+        *,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]] | None = None,
+        body: bytes = b'',
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers or []
+        self.body = body
+
+
+class RunRequest:
+    """A request with what the sidecar must know to admit it.
+
+    Attributes:
+        request_id: Identifies the request.
+        body: What to run.
+        request_class: Online or batch.
+        attempt: Number of this attempt, from 1.
+        deadline_ms: Time left, in milliseconds, or None without a bound.
+        fingerprint: Hash of service and content.
+        solo: Whether no other request may run beside it.
+    """
+
+    __slots__ = (
+        'request_id',
+        'body',
+        'request_class',
+        'attempt',
+        'deadline_ms',
+        'fingerprint',
+        'solo',
+    )
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        body: ModelBody | PlainBody,
+        request_class: configuration.RequestClass,
+        attempt: int = 1,
+        deadline_ms: int | None = None,
+        fingerprint: str = '',
+        solo: bool = False,
+    ) -> None:
+        self.request_id = request_id
+        self.body = body
+        self.request_class = request_class
+        self.attempt = attempt
+        self.deadline_ms = deadline_ms
+        self.fingerprint = fingerprint
+        self.solo = solo
+
+    @property
+    def is_online(self) -> bool:
+        """Whether a caller waits for the answer."""
+        return self.request_class is configuration.RequestClass.ONLINE
+
+
+def parse_body(document: object) -> ModelBody | PlainBody | results.Failure:
+    """Parses the JSON body of a request for a model or a plain service."""
+    if not isinstance(document, dict):
+        return _malformed('the body is not an object')
+    try:
+        if 'method' in document:
+            return _parse_plain_body(document)
+        return _parse_model_body(document)
+    except (KeyError, TypeError, ValueError) as error:
+        return _malformed(f'invalid body: {error!r}')
+
+
+def parse_run_request(
+    head: transport.RequestHead, data: bytes
+) -> RunRequest | results.Failure:
+    """Parses headers and body of a POST to `/run`."""
+    request_id = head.find_header(relay.RelayHeader.REQUEST_ID)
+    if not request_id:
+        return _malformed('the request has no id')
+    try:
+        document = orjson.loads(data)
+    except orjson.JSONDecodeError as error:
+        return _malformed(f'the body is not JSON: {error}')
+    body = parse_body(document)
+    if isinstance(body, results.Failure):
+        return body
+    deadline_text = head.find_header(relay.RelayHeader.DEADLINE_MS)
+    class_text = head.find_header(relay.RelayHeader.CLASS) or 'online'
+    try:
+        return RunRequest(
+            request_id=request_id,
+            body=body,
+            request_class=configuration.RequestClass(class_text),
+            attempt=int(head.find_header(relay.RelayHeader.ATTEMPT) or 1),
+            deadline_ms=int(deadline_text) if deadline_text else None,
+            fingerprint=head.find_header(relay.RelayHeader.FINGERPRINT) or '',
+            solo=head.find_header(relay.RelayHeader.SOLO) == '1',
+        )
+    except ValueError as error:
+        return _malformed(f'invalid header: {error}')
+
+
+def _parse_model_body(document: dict) -> ModelBody:
+    """Builds a model body.
+
+    Raises:
+        KeyError, TypeError, ValueError: A field is missing or invalid.
+    """
+    prompt = document.get('prompt')
+    messages = document.get('messages')
+    if not isinstance(prompt, str) and not isinstance(messages, list):
+        raise ValueError('neither prompt nor messages')
+    return ModelBody(
+        prompt=prompt,
+        messages=messages,
+        max_tokens=int(document.get('max_tokens', DEFAULT_MAX_TOKENS)),
+        resume_tokens=[str(text) for text in document.get('resume_tokens', ())],
+    )
+
+
+def _parse_plain_body(document: dict) -> PlainBody:
+    """Builds a plain body.
+
+    Raises:
+        KeyError, TypeError, ValueError: A field is missing or invalid.
+    """
+    return PlainBody(
+        method=str(document['method']),
+        target=str(document['target']),
+        headers=[
+            (str(name), str(value))
+            for name, value in document.get('headers', ())
+        ],
+        body=base64.b64decode(document.get('body') or '', validate=True),
+    )
+
+
+def _malformed(reason: str) -> results.Failure:
+    return results.Failure(results.ResultCode.MALFORMED_REQUEST, reason)
--- /dev/null
+++ b/siskinmount/sidecar/_sidecar.py
@@ -0,0 +1,322 @@
+"""The sidecar: one process beside each upstream."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import logging
+import signal
+import time
+
+import trio
+
+from siskinmount import configuration
+from siskinmount import relay
+from siskinmount import results
+from siskinmount import supervision
+from siskinmount import telemetry
+from siskinmount import transport
+from siskinmount.sidecar import _gate
+from siskinmount.sidecar import _gate_load
+from siskinmount.sidecar import _http_model_upstream
+from siskinmount.sidecar import _http_plain_upstream
+from siskinmount.sidecar import _request_registry
+from siskinmount.sidecar import _request_runner
+from siskinmount.sidecar import _run_handler
+from siskinmount.sidecar import _run_request
+from siskinmount.sidecar import _running_request
+from siskinmount.sidecar import _upstream_monitor
+
+_LOGGER = logging.getLogger(__name__)
+
+DEFAULT_SLOTS = 8
+LEAVING_NOTICE_S = 3.0
+UNREAD_GRACE_S = 10.0
+LEAVING_POLL_S = 0.05
+
+_RUN_PREFIX = '/run/'
+_CANCEL_PREFIX = '/cancel/'
+
+
+class Sidecar:
+    """Everything that one sidecar process holds.
+
+    Attributes:
+        settings: The settings.
+        incarnation: Rises with each start of the process.
+        gate: Admits requests to the upstream.
+        registry: Requests that run or have ended a short while ago.
+        runner: Runs requests.
+        monitor: Watches the upstream.
+        leaving: Whether the sidecar is stopping.
+        address: Where it listens for daemons, once it does.
+        model_version: Version that the upstream runs; empty if unknown.
+        configuration_version: Version of the document in force.
+    """
+
+    __slots__ = (
+        'settings',
+        'incarnation',
+        'gate',
+        'registry',
+        'runner',
+        'monitor',
+        'leaving',
+        'address',
+        'model_version',
+        'configuration_version',
+        '_handler',
+        '_server',
+        '_nursery',
+        '_leaving_requested',
+        '_left',
+    )
+
+    def __init__(
+        self,
+        settings: configuration.SidecarSettings,
+        gate: _gate.Gate,
+        nursery: trio.Nursery,
+    ) -> None:
+        self.settings = settings
+        self.incarnation = time.time_ns()
+        self.gate = gate
+        self.registry = _request_registry.RequestRegistry()
+        model_upstream = _http_model_upstream.create_http_model_upstream(
+            settings.upstream_address
+        )
+        plain_upstream = _http_plain_upstream.create_http_plain_upstream(
+            settings.upstream_address
+        )
+        self.monitor = _upstream_monitor.UpstreamMonitor(plain_upstream)
+        self.runner = _request_runner.RequestRunner(
+            gate=gate,
+            registry=self.registry,
+            monitor=self.monitor,
+            model_upstream=model_upstream,
+            plain_upstream=plain_upstream,
+        )
+        self.leaving = False
+        self.address = settings.identity.peers_address
+        self.model_version = ''
+        self.configuration_version = 0
+        self._nursery = nursery
+        self._leaving_requested = trio.Event()
+        self._left = trio.Event()
+        self._handler = _run_handler.RunHandler(
+            service=settings.service,
+            gate=gate,
+            registry=self.registry,
+            monitor=self.monitor,
+            run=self.runner.run,
+            start_task=self.start_task,
+            answer_headers=self.list_answer_headers,
+        )
+        self._server = transport.create_http_server(self._handle)
+
+    def start_task(
+        self, run: Callable[..., Awaitable[None]], *arguments: object
+    ) -> None:
+        """Starts a task that lives as long as the sidecar."""
+        self._nursery.start_soon(run, *arguments)
+
+    def apply_service(
+        self, service: configuration.Service, configuration_version: int
+    ) -> None:
+        """Takes the bounds that the service document states."""
+        load = self.gate.load
+        if self.settings.slots is None:
+            load.slots = service.slots_per_upstream
+            load.batch_slots = service.slots_per_upstream
+        load.online_reserve_slots = service.online_reserve_slots
+        load.batch_prefill_tokens = service.batch_prefill_tokens
+        self.configuration_version = configuration_version
+        self.gate.admit_waiting()
+
+    def begin_leaving(self) -> None:
+        """Refuses new work from now on and lets what runs come to its end."""
+        if self.leaving:
+            return
+        _LOGGER.info(
+            'leaving_begun', extra={'running': self.gate.count_running()}
+        )
+        self.leaving = True
+        self.gate.close()
+        for running in self.registry.list_running():
+            is_model = isinstance(running.request.body, _run_request.ModelBody)
+            if is_model and not running.request.is_online:
+                running.stop(_running_request.StopReason.LEAVING)
+        self._leaving_requested.set()
+
+    def list_answer_headers(self) -> transport.Headers:
+        """Returns the headers that every answer to an entry carries."""
+        in_flight = self.gate.count_in_flight()
+        return [
+            (relay.RelayHeader.IN_FLIGHT, b'%d' % in_flight),
+            (relay.RelayHeader.SLOTS, b'%d' % self.gate.load.slots),
+            (relay.RelayHeader.VM, self.settings.identity.vm.encode('latin-1')),
+            (relay.RelayHeader.INCARNATION, b'%d' % self.incarnation),
+        ]
+
+    def describe(self) -> dict[str, object]:
+        """Returns the sidecar's state, for operators."""
+        return {
+            'vm': self.settings.identity.vm,
+            'incarnation': self.incarnation,
+            'service': self.settings.service,
+            'state': 'leaving' if self.leaving else 'live',
+            'upstream_reachable': self.monitor.reachable,
+            'upstream_deaths': self.monitor.death_count,
+            'slots': self.gate.load.slots,
+            'online_running': self.gate.load.online_running,
+            'batch_running': self.gate.load.batch_running,
+            'waiting': self.gate.count_waiting(),
+            'preempted': self.gate.preempted_count,
+            'refused': self.gate.refused_count,
+            'started': self._handler.started_count,
+            'attached': self._handler.attached_count,
+            'reconnected': self.runner.reconnect_count,
+            'model_version': self.model_version,
+            'configuration_version': self.configuration_version,
+        }
+
+    async def serve(
+        self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serves daemons until the sidecar has left."""
+        async with trio.open_nursery() as nursery:
+            self.address = await nursery.start(
+                self._server.run, self.settings.identity.peers_address
+            )
+            task_status.started()
+            nursery.start_soon(self._leave_when_requested)
+        self._left.set()
+
+    async def wait_left(self) -> None:
+        """Returns once the last request has ended after a planned stop."""
+        await self._left.wait()
+
+    async def _leave_when_requested(self) -> None:
+        """Stops the server once all that ran here has been read."""
+        await self._leaving_requested.wait()
+        notice_ends_s = trio.current_time() + LEAVING_NOTICE_S
+        while True:
+            noticed = trio.current_time() >= notice_ends_s
+            if noticed and self._is_empty():
+                break
+            await trio.sleep(LEAVING_POLL_S)
+        self._server.stop()
+
+    def _is_empty(self) -> bool:
+        """Tells whether nobody can still want something from this process."""
+        now_s = trio.current_time()
+        for running in self.registry.list_all():
+            if not running.ended:
+                return False
+            unread = not running.fully_read
+            if unread and now_s - running.ended_at_s < UNREAD_GRACE_S:
+                return False
+        return True
+
+    def _render_metrics(self) -> bytes:
+        """Returns the numbers of `describe` as metrics."""
+        metrics = telemetry.create_metrics()
+        for name, value in self.describe().items():
+            if isinstance(value, int):
+                gauge = metrics.create_gauge(f'sidecar_{name}', f'{name}.')
+                gauge.set(value)
+        return telemetry.render_metrics(metrics)
+
+    async def _handle(self, exchange: transport.ServerExchange) -> None:
+        """Hands a request to its handler."""
+        path = exchange.head.path
+        method = exchange.head.method
+        if method == 'POST' and path.startswith(_RUN_PREFIX):
+            await self._handler.handle_run(
+                exchange, path.removeprefix(_RUN_PREFIX)
+            )
+            return
+        if method == 'POST' and path.startswith(_CANCEL_PREFIX):
+            await self._handler.handle_cancel(
+                exchange, path.removeprefix(_CANCEL_PREFIX)
+            )
+            return
+        if path == '/healthz':
+            await exchange.send_json(200, {'status': 'ok'})
+            return
+        if path == '/readyz':
+            ready = self.monitor.reachable and not self.leaving
+            await exchange.send_json(200 if ready else 503, {'ready': ready})
+            return
+        if path == '/status':
+            await exchange.send_json(200, self.describe())
+            return
+        if path == '/metrics':
+            await exchange.send_whole(
+                200,
+                [(b'content-type', telemetry.CONTENT_TYPE.encode('ascii'))],
+                self._render_metrics(),
+            )
+            return
+        await exchange.send_json(
+            404,
+            {
+                'error': {
+                    'code': int(results.ResultCode.NO_SUCH_ROUTE),
+                    'name': results.ResultCode.NO_SUCH_ROUTE.name,
+                    'reason': f'no such path: {path}',
+                    'run_state': results.RunState.NOT_RUN.value,
+                }
+            },
+        )
+
+
+async def run_sidecar(
+    settings: configuration.SidecarSettings,
+    task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+) -> results.Failure | None:
+    """Runs a sidecar until SIGTERM and the end of what it had in progress.
+
+    Args:
+        settings: The settings.
+        task_status: Receives the `Sidecar` once it listens.
+
+    Returns:
+        None after a planned stop, or why the sidecar cannot start.
+    """
+    load = _gate_load.GateLoad(
+        slots=settings.slots or DEFAULT_SLOTS,
+        online_slots=settings.online_slots,
+    )
+    gate = _gate.create_gate(settings.gate_policy, load)
+    async with trio.open_nursery() as nursery:
+        sidecar = Sidecar(settings, gate, nursery)
+        nursery.start_soon(
+            supervision.run_supervisor,
+            'sidecar',
+            [
+                supervision.Child('upstream_monitor', sidecar.monitor.run),
+                supervision.Child(
+                    'stop_signal', lambda: _watch_stop_signal(sidecar)
+                ),
+            ],
+        )
+        await nursery.start(sidecar.serve)
+        task_status.started(sidecar)
+        _LOGGER.info(
+            'sidecar_started',
+            extra={
+                'vm': settings.identity.vm,
+                'service': settings.service,
+                'address': str(sidecar.address),
+            },
+        )
+        await sidecar.wait_left()
+        nursery.cancel_scope.cancel()
+    _LOGGER.info('sidecar_left', extra={'vm': settings.identity.vm})
+    return None
+
+
+async def _watch_stop_signal(sidecar: Sidecar) -> None:
+    """Begins the planned stop at SIGTERM."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            sidecar.begin_leaving()
--- /dev/null
+++ b/siskinmount/sidecar/_static_split_policy.py
@@ -0,0 +1,55 @@
+"""Each class has a fixed share of the slots."""
+
+import math
+
+from siskinmount.sidecar import _gate_load
+
+ONLINE_SHARE = 0.5
+
+
+class StaticSplitPolicy:
+    """Neither class uses the other's slots, even when they are idle."""
+
+    __slots__ = ()
+
+    puts_online_first = False
+
+    def arrange(
+        self, waiting: list[_gate_load.Ticket]
+    ) -> list[_gate_load.Ticket]:
+        """Returns the requests in order of arrival."""
+        return list(waiting)
+
+    def may_start(
+        self, ticket: _gate_load.Ticket, load: _gate_load.GateLoad
+    ) -> bool:
+        """Tells whether the request's class has a free slot."""
+        if load.solo_running:
+            return False
+        if ticket.solo:
+            return load.running == 0
+        if load.solo_waiting:
+            return False
+        if ticket.online:
+            return load.online_running < _count_online_slots(load)
+        return self.count_idle_batch_slots(load) > 0
+
+    def count_to_preempt(
+        self, ticket: _gate_load.Ticket, load: _gate_load.GateLoad
+    ) -> int:
+        """Returns 0: nothing makes room for anything."""
+        return 0
+
+    def count_idle_batch_slots(self, load: _gate_load.GateLoad) -> int:
+        """Returns the number of free slots in the share of batch."""
+        if load.solo_running or load.solo_waiting:
+            return 0
+        share = load.slots - _count_online_slots(load)
+        return max(0, share - load.batch_running)
+
+
+def _count_online_slots(load: _gate_load.GateLoad) -> int:
+    """Returns the share of online requests, by default half, rounded up."""
+    if load.online_slots is not None:
+        return min(load.online_slots, load.slots)
+    return math.ceil(load.slots * ONLINE_SHARE)
--- /dev/null
+++ b/siskinmount/sidecar/_witness_connection.py
@@ -0,0 +1,56 @@
+"""A connection whose only use is to show that a process has ended."""
+
+import select
+
+import trio
+
+from siskinmount import results
+from siskinmount import transport
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+class WitnessConnection:
+    """An open connection on which nothing is sent.
+
+    When the upstream's process ends, its kernel closes this connection with
+    all others; a single broken answer leaves it open.
+
+    Attributes:
+        opened_at_s: Monotonic time of its opening.
+    """
+
+    __slots__ = ('opened_at_s', '_stream')
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self.opened_at_s = trio.current_time()
+        self._stream = stream
+
+    def has_closed(self) -> bool:
+        """Tells whether the upstream's side has closed the connection."""
+        poller = select.poll()
+        poller.register(self._stream.socket.fileno(), select.POLLIN)
+        return bool(poller.poll(0))
+
+    def close(self) -> None:
+        """Closes this side."""
+        self._stream.socket.close()
+
+
+async def open_witness_connection(
+    address: transport.Address,
+) -> WitnessConnection | results.Failure:
+    """Opens a connection to a process that shall be watched."""
+    try:
+        with trio.fail_after(CONNECT_TIMEOUT_S):
+            stream = await trio.open_tcp_stream(address.host, address.port)
+    except trio.TooSlowError:
+        return results.Failure(
+            results.ResultCode.UPSTREAM_SILENT,
+            'the upstream does not accept a connection',
+        )
+    except OSError as error:
+        return results.Failure(
+            results.ResultCode.UPSTREAM_UNREACHABLE, str(error)
+        )
+    return WitnessConnection(stream)
