--- /dev/null
+++ b/siskinmount/sidecar/_batch_puller.py
@@ -0,0 +1,356 @@
+"""Pulls batch items from the entries and runs them in idle slots."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import logging
+
+import trio
+
+from siskinmount import results
+from siskinmount.sidecar import _batch_item
+from siskinmount.sidecar import _entry_link
+from siskinmount.sidecar import _gate
+from siskinmount.sidecar import _report_queue
+from siskinmount.sidecar import _request_registry
+from siskinmount.sidecar import _running_request
+from siskinmount.sidecar import _upstream_monitor
+
+_LOGGER = logging.getLogger(__name__)
+
+WAIT_FOR_ITEMS_MS = 2000
+RETRY_PAUSE_S = 0.5
+RECONCILE_INTERVAL_S = 0.5
+HOLD_S = 5.0
+IDLE_MEMORY_S = 10.0
+RENEWALS_PER_LEASE = 3
+MIN_RENEW_INTERVAL_S = 0.2
+IDLE_RENEW_INTERVAL_S = 1.0
+MAX_UNSETTLED_REPORTS = 1000
+GIVE_BACK_S = 5.0
+
+ListEntries = Callable[[], list[_entry_link.EntryPeer]]
+RunRequest = Callable[[_running_request.RunningRequest], Awaitable[None]]
+StartTask = Callable[..., None]
+CreateLink = Callable[[_entry_link.EntryPeer], _entry_link.EntryLink]
+
+
+class BatchPuller:
+    """Holds a few items more than run, so that a gap is filled at once.
+
+    Attributes:
+        reports: Reports that no entry has settled yet.
+        pulled_count: Items pulled, in total.
+        done_count: Items with a whole answer, in total.
+        yielded_count: Items given back, in total.
+    """
+
+    __slots__ = (
+        'reports',
+        'pulled_count',
+        'done_count',
+        'yielded_count',
+        '_gate',
+        '_registry',
+        '_monitor',
+        '_run',
+        '_list_entries',
+        '_create_link',
+        '_start_task',
+        '_items',
+        '_owners',
+        '_links',
+        '_asked_credit',
+        '_idle_seen_at_s',
+        '_changed',
+        '_leaving',
+    )
+
+    def __init__(
+        self,
+        *,
+        gate: _gate.Gate,
+        registry: _request_registry.RequestRegistry,
+        monitor: _upstream_monitor.UpstreamMonitor,
+        run: RunRequest,
+        list_entries: ListEntries,
+        create_link: CreateLink,
+        start_task: StartTask,
+    ) -> None:
+        self.reports = _report_queue.ReportQueue()
+        self.pulled_count = 0
+        self.done_count = 0
+        self.yielded_count = 0
+        self._gate = gate
+        self._registry = registry
+        self._monitor = monitor
+        self._run = run
+        self._list_entries = list_entries
+        self._create_link = create_link
+        self._start_task = start_task
+        self._items: dict[_batch_item.ItemKey, _batch_item.BatchItem] = {}
+        # The entry that answers for each held item.
+        self._owners: dict[_batch_item.ItemKey, str] = {}
+        self._links: dict[str, trio.CancelScope] = {}
+        self._asked_credit = 0
+        self._idle_seen_at_s = -IDLE_MEMORY_S
+        self._changed = trio.Event()
+        self._leaving = False
+
+    @property
+    def held_count(self) -> int:
+        """Items that are held here, running or not."""
+        return len(self._items)
+
+    async def run(self) -> None:
+        """Works for all entries until everything was given back."""
+        self._links.clear()
+        async with trio.open_nursery() as nursery:
+            while not (self._leaving and self._is_settled()):
+                self._reconcile(nursery)
+                self._give_back_overdue()
+                with trio.move_on_after(RECONCILE_INTERVAL_S):
+                    await self._changed.wait()
+            nursery.cancel_scope.cancel()
+
+    def begin_leaving(self) -> None:
+        """Pulls no more and gives back what has not ended."""
+        self._leaving = True
+        for item in self._items.values():
+            self._return_item(item, _running_request.StopReason.LEAVING)
+        self._notify()
+
+    async def wait_settled(self) -> None:
+        """Returns once no item is held and every report is settled.
+
+        Gives up after a while if no entry can be reached.
+        """
+        with trio.move_on_after(GIVE_BACK_S):
+            while not self._is_settled():
+                await self._wait_changed()
+
+    def _is_settled(self) -> bool:
+        return not self._items and not len(self.reports)
+
+    def _notify(self) -> None:
+        """Wakes all that wait for a change."""
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def _wait_changed(self) -> None:
+        await self._changed.wait()
+
+    def _reconcile(self, nursery: trio.Nursery) -> None:
+        """Starts links to new entries and ends those to entries gone."""
+        peers = {peer.vm: peer for peer in self._list_entries()}
+        for vm, peer in peers.items():
+            if vm not in self._links:
+                scope = trio.CancelScope()
+                self._links[vm] = scope
+                nursery.start_soon(self._run_link, peer, scope)
+        for vm in list(self._links):
+            if vm not in peers:
+                self._links.pop(vm).cancel()
+        if self._links:
+            self._hand_over()
+
+    def _hand_over(self) -> None:
+        """Moves items and reports of entries gone to one that is there."""
+        heir_vm = min(self._links)
+        for vm in self.reports.list_vms():
+            if vm not in self._links:
+                self.reports.move(vm, heir_vm)
+        for key, vm in self._owners.items():
+            if vm not in self._links:
+                self._owners[key] = heir_vm
+
+    async def _run_link(
+        self, peer: _entry_link.EntryPeer, scope: trio.CancelScope
+    ) -> None:
+        """Pulls, renews and reports at one entry until it is gone."""
+        link = self._create_link(peer)
+        with scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._pull_forever, link)
+                nursery.start_soon(self._renew_forever, link)
+                nursery.start_soon(self._report_forever, link)
+        link.close()
+
+    async def _pull_forever(self, link: _entry_link.EntryLink) -> None:
+        """Asks one entry for items whenever slots are idle."""
+        has_items = False
+        while True:
+            await self._monitor.became_reachable.wait()
+            needed = self._count_needed()
+            if needed < 1:
+                with trio.move_on_after(RECONCILE_INTERVAL_S):
+                    await self._gate.wait_capacity()
+                continue
+            # An entry that had none last time is asked for one item only, so
+            # that the credit is left for the others.
+            credit = needed if has_items else 1
+            wait_ms = 0 if has_items else WAIT_FOR_ITEMS_MS
+            pulled = await self._ask(link, credit, wait_ms, has_items)
+            if isinstance(pulled, results.Failure):
+                has_items = False
+                await trio.sleep(RETRY_PAUSE_S)
+                continue
+            has_items = bool(pulled.items)
+            for report in pulled.reports:
+                self.reports.add(link.vm, report)
+            for item in pulled.items:
+                self._hold(item, link.vm)
+
+    async def _ask(
+        self,
+        link: _entry_link.EntryLink,
+        credit: int,
+        wait_ms: int,
+        counted: bool,
+    ) -> _entry_link.PullAnswer | results.Failure:
+        """Asks for items, and counts the credit so that no one else asks."""
+        asked = credit if counted else 0
+        self._asked_credit += asked
+        try:
+            return await link.pull(credit, wait_ms)
+        finally:
+            self._asked_credit -= asked
+
+    def _count_needed(self) -> int:
+        """Returns how many more items shall be held."""
+        if self._leaving or len(self.reports) >= MAX_UNSETTLED_REPORTS:
+            return 0
+        now_s = trio.current_time()
+        idle = self._gate.count_idle_batch_slots()
+        if idle:
+            self._idle_seen_at_s = now_s
+        batch_running = self._gate.load.batch_running
+        spare = 0
+        if now_s - self._idle_seen_at_s < IDLE_MEMORY_S or batch_running:
+            spare = max(1, self._gate.load.slots // 2)
+        waiting = len(self._items) - batch_running
+        return idle + spare - waiting - self._asked_credit
+
+    def _hold(self, item: _batch_item.BatchItem, vm: str) -> None:
+        """Takes an item and starts its task."""
+        self.pulled_count += 1
+        held = self._items.get(item.key)
+        if held is not None:
+            # The earlier lease has lapsed; its run goes on under the new one.
+            held.lease = item.lease
+            held.attempt = item.attempt
+            held.leased_until_s = item.leased_until_s
+            self._owners[item.key] = vm
+            return
+        self._items[item.key] = item
+        self._owners[item.key] = vm
+        self._start_task(self._run_item, item)
+
+    async def _run_item(self, item: _batch_item.BatchItem) -> None:
+        """Runs an item, again after it had to yield, and reports on it."""
+        while True:
+            running = self._registry.add(item.create_request())
+            if isinstance(running, results.Failure):
+                break
+            item.running = running
+            item.held_since_s = trio.current_time()
+            await self._run(running)
+            running.fully_read = True
+            if not self._may_resume(item):
+                break
+            item.keep_output(running.collect_tokens())
+        self._finish(item)
+
+    def _may_resume(self, item: _batch_item.BatchItem) -> bool:
+        """Tells whether an item that had to yield is resumed here."""
+        running = item.running
+        if running is None or running.failure is None:
+            return False
+        yielded = running.failure.code is results.ResultCode.BATCH_YIELDED
+        if not yielded or self._leaving:
+            return False
+        return not item.give_back and not item.cancelled
+
+    def _finish(self, item: _batch_item.BatchItem) -> None:
+        """Reports on an item and forgets it."""
+        report = _batch_item.create_report(item)
+        if report.outcome is _batch_item.ItemOutcome.DONE:
+            self.done_count += 1
+        if report.outcome is _batch_item.ItemOutcome.YIELDED:
+            self.yielded_count += 1
+        del self._items[item.key]
+        vm = self._owners.pop(item.key)
+        self.reports.add(vm, report)
+        self._notify()
+
+    def _return_item(
+        self,
+        item: _batch_item.BatchItem,
+        reason: _running_request.StopReason,
+    ) -> None:
+        """Stops an item for good, unless it must run to its end."""
+        item.give_back = True
+        running = item.running
+        if running is None:
+            return
+        if item.idempotent or not running.sent_to_upstream:
+            running.stop(reason)
+
+    def _give_back_overdue(self) -> None:
+        """Gives back items that have waited too long for a slot."""
+        limit_s = trio.current_time() - HOLD_S
+        for item in self._items.values():
+            running = item.running
+            if running is None or running.sent_to_upstream:
+                continue
+            if item.held_since_s < limit_s:
+                self._return_item(item, _running_request.StopReason.PREEMPTED)
+
+    def _cancel(self, keys: list[_batch_item.ItemKey]) -> None:
+        """Stops items whose jobs were cancelled."""
+        for key in keys:
+            item = self._items.get(key)
+            if item is None:
+                continue
+            item.cancelled = True
+            if item.running is not None:
+                item.running.stop(_running_request.StopReason.CANCELLED)
+
+    async def _renew_forever(self, link: _entry_link.EntryLink) -> None:
+        """Renews the leases of the items that one entry answers for."""
+        while True:
+            items = [
+                item
+                for key, item in self._items.items()
+                if self._owners[key] == link.vm
+            ]
+            if not items:
+                await trio.sleep(IDLE_RENEW_INTERVAL_S)
+                continue
+            lease_ms = min(item.lease_ms for item in items)
+            interval_s = lease_ms / 1000 / RENEWALS_PER_LEASE
+            await trio.sleep(max(MIN_RENEW_INTERVAL_S, interval_s))
+            held = [item for item in items if item.key in self._items]
+            cancelled = await link.renew(held) if held else []
+            if isinstance(cancelled, results.Failure):
+                _LOGGER.warning(
+                    'batch_renewal_failed',
+                    extra={
+                        'code': int(cancelled.code),
+                        'entry': link.vm,
+                        'reason': cancelled.reason,
+                    },
+                )
+                continue
+            self._cancel(cancelled)
+
+    async def _report_forever(self, link: _entry_link.EntryLink) -> None:
+        """Delivers reports to one entry, each until it is answered."""
+        while True:
+            reports = await self.reports.wait_next(link.vm)
+            cancelled = await link.report(reports)
+            if isinstance(cancelled, results.Failure):
+                await trio.sleep(RETRY_PAUSE_S)
+                continue
+            self.reports.settle(link.vm, len(reports))
+            self._notify()
+            self._cancel(cancelled)
--- /dev/null
+++ b/siskinmount/sidecar/_batch_slot_controller.py
@@ -0,0 +1,71 @@
+"""Sets how much batch runs beside online requests, from measured latency."""
+
+import collections
+
+import trio
+
+from siskinmount.sidecar import _gate
+from siskinmount.sidecar import _step_time_model
+
+INTERVAL_S = 0.25
+PEAK_INTERVALS = 8
+SAMPLE_EVERY = 4
+DEFAULT_MAX_SLOWDOWN = 1.3
+MIN_PAUSE_SHARE = 0.02
+MAX_PAUSE_FACTOR = 50.0
+
+
+class BatchSlotController:
+    """Bounds batch beside online requests by the harm it is allowed to do.
+
+    The time between tokens is measured here, at the streams themselves; the
+    engine's own report lags behind.
+
+    Attributes:
+        model: What was learnt about the engine.
+        max_slowdown: How much longer batch may make the time between an online
+            request's tokens, as a multiple.
+    """
+
+    __slots__ = ('model', 'max_slowdown', '_gate', '_peaks', '_countdown')
+
+    def __init__(self, gate: _gate.Gate) -> None:
+        self.model = _step_time_model.StepTimeModel()
+        self.max_slowdown = DEFAULT_MAX_SLOWDOWN
+        self._gate = gate
+        self._peaks: collections.deque[int] = collections.deque(
+            maxlen=PEAK_INTERVALS
+        )
+        self._countdown = SAMPLE_EVERY
+
+    def note_gap(self, gap_s: float, token_count: int) -> None:
+        """Takes the time that a stream needed for its last tokens."""
+        self._countdown -= 1
+        if self._countdown:
+            return
+        self._countdown = SAMPLE_EVERY
+        # A prompt that is being computed slows everything down for a moment;
+        # the pauses between prompts take care of that.
+        if self._gate.is_prefilling():
+            return
+        self.model.add(self._gate.count_running(), gap_s * 1000 / token_count)
+
+    async def run(self) -> None:
+        """Adjusts the gate for ever."""
+        while True:
+            self.adjust()
+            await trio.sleep(INTERVAL_S)
+
+    def adjust(self) -> None:
+        """Adjusts the gate to what is known now."""
+        load = self._gate.load
+        self._peaks.append(load.online_running)
+        load.batch_slots_beside_online = self.model.count_allowed_beside(
+            max(1, *self._peaks), self.max_slowdown, load.slots
+        )
+        # Batch prompts take at most the share of time by which batch may slow
+        # online requests down.
+        share = max(MIN_PAUSE_SHARE, self.max_slowdown - 1)
+        self._gate.prefill_pause_factor = min(MAX_PAUSE_FACTOR, 1 / share)
+        self._gate.preempt_excess()
+        self._gate.admit_waiting()
--- a/siskinmount/sidecar/_gate.py
+++ b/siskinmount/sidecar/_gate.py
@@ -17,7 +17,7 @@
 SOLO_WAIT_MS = 10_000
 WAITING_PER_SLOT = 2
 RETRY_AFTER_MS = 500
-PREFILL_PAUSE_FACTOR = 3.0
+DEFAULT_PREFILL_PAUSE_FACTOR = 3.0
 
 
 class Gate:
@@ -30,6 +30,8 @@
         closed: Whether new requests are refused because the sidecar stops.
         preempted_count: Requests stopped to make room, in total.
         refused_count: Requests refused for lack of capacity, in total.
+        prefill_pause_factor: Pause between two batch prompts beside online
+            requests, as a multiple of how long the first took.
     """
 
     __slots__ = (
@@ -37,9 +39,11 @@
         'closed',
         'preempted_count',
         'refused_count',
+        'prefill_pause_factor',
         '_policy',
         '_waiting',
         '_running',
+        '_changed',
     )
 
     def __init__(
@@ -49,9 +53,11 @@
         self.closed = False
         self.preempted_count = 0
         self.refused_count = 0
+        self.prefill_pause_factor = DEFAULT_PREFILL_PAUSE_FACTOR
         self._policy = policy
         self._waiting: list[_gate_load.Ticket] = []
         self._running: list[_gate_load.Ticket] = []
+        self._changed = trio.Event()
 
     async def admit(self, ticket: _gate_load.Ticket) -> results.Failure | None:
         """Returns None once the request may go, or why it never will.
@@ -84,6 +90,7 @@
         self._running.remove(ticket)
         ticket.state = _gate_load.TicketState.GONE
         self.admit_waiting()
+        self._notify()
 
     def note_tokens(self, ticket: _gate_load.Ticket, count: int) -> None:
         """Notes that an admitted request has emitted tokens."""
@@ -93,8 +100,11 @@
             return
         now_s = trio.current_time()
         prefill_s = now_s - ticket.started_at_s
-        self.load.prefill_open_at_s = now_s + PREFILL_PAUSE_FACTOR * prefill_s
+        self.load.prefill_open_at_s = (
+            now_s + self.prefill_pause_factor * prefill_s
+        )
         self.admit_waiting()
+        self._notify()
 
     def close(self) -> None:
         """Refuses all that wait and all that come."""
@@ -102,6 +112,25 @@
         for ticket in list(self._waiting):
             self._refuse(ticket, _leaving())
 
+    async def wait_capacity(self) -> None:
+        """Returns after a request has started or left."""
+        await self._changed.wait()
+
+    def is_prefilling(self) -> bool:
+        """Tells whether any request has not emitted its first token."""
+        return any(ticket.is_prefilling for ticket in self._running)
+
+    def preempt_excess(self) -> None:
+        """Stops batch requests over the bound beside online requests."""
+        self._count()
+        load = self.load
+        if not load.online_running or not self._policy.puts_online_first:
+            return
+        batch = load.batch_running - load.batch_yielding
+        if batch <= load.batch_slots_beside_online:
+            return
+        self._preempt_for(_gate_load.Ticket(online=True))
+
     def count_idle_batch_slots(self) -> int:
         """Returns how many more batch requests could start now."""
         self._count()
@@ -128,11 +157,10 @@
         """Admits all that the policy allows now."""
         for ticket in self._policy.arrange(self._waiting):
             self._count()
-            if not self._policy.may_start(ticket, self.load):
-                self._preempt(self._policy.count_to_preempt(ticket, self.load))
-                continue
-            self._preempt(self._policy.count_to_preempt(ticket, self.load))
-            self._start(ticket)
+            may_start = self._policy.may_start(ticket, self.load)
+            self._preempt_for(ticket)
+            if may_start:
+                self._start(ticket)
 
     @property
     def _queue_bound(self) -> int:
@@ -153,12 +181,16 @@
                 self.refused_count += 1
                 self._refuse(ticket, _overloaded('no slot became free'))
                 return
-            wake_at_s = limit_s
-            if not ticket.online and self.load.prefill_open_at_s > now_s:
-                wake_at_s = self.load.prefill_open_at_s
-            with trio.move_on_at(wake_at_s):
-                await ticket.decided.wait()
-            if not ticket.decided.is_set():
+            if ticket.online:
+                with trio.move_on_at(limit_s):
+                    await ticket.decided.wait()
+                continue
+            if now_s >= self.load.prefill_open_at_s:
+                await self._changed.wait()
+                continue
+            with trio.move_on_at(self.load.prefill_open_at_s) as scope:
+                await self._changed.wait()
+            if scope.cancelled_caught:
                 self.admit_waiting()
 
     def _start(self, ticket: _gate_load.Ticket) -> None:
@@ -176,6 +208,12 @@
         ticket.decided.set()
         self._count()
         self._check_bound()
+        self._notify()
+
+    def _notify(self) -> None:
+        """Wakes those that wait for a change."""
+        self._changed.set()
+        self._changed = trio.Event()
 
     def _refuse(
         self, ticket: _gate_load.Ticket, failure: results.Failure
@@ -185,20 +223,22 @@
         ticket.state = _gate_load.TicketState.GONE
         ticket.refusal = failure
         ticket.decided.set()
+        self._notify()
 
-    def _preempt(self, count: int) -> None:
-        """Stops the batch requests that lose least by being resumed later."""
+    def _preempt_for(self, ticket: _gate_load.Ticket) -> None:
+        """Stops the batch requests that must make room for a request."""
         candidates = [
-            ticket
-            for ticket in self._running
-            if ticket.preemptible
-            and ticket.state is _gate_load.TicketState.RUNNING
+            each
+            for each in self._running
+            if each.preemptible and each.state is _gate_load.TicketState.RUNNING
         ]
-        candidates.sort(key=lambda ticket: ticket.resume_cost_tokens)
-        for ticket in candidates[:count]:
-            ticket.state = _gate_load.TicketState.YIELDING
+        if not candidates:
+            return
+        chosen = self._policy.choose_to_preempt(ticket, self.load, candidates)
+        for each in chosen:
+            each.state = _gate_load.TicketState.YIELDING
             self.preempted_count += 1
-            ticket.preempt()
+            each.preempt()
 
     def _count(self) -> None:
         """Brings the counts in `load` up to date."""
--- a/siskinmount/sidecar/_gate_load.py
+++ b/siskinmount/sidecar/_gate_load.py
@@ -90,7 +90,8 @@
 
     Attributes:
         slots: Requests that the upstream runs at once.
-        batch_slots: Batch requests admitted at once, at most.
+        batch_slots_beside_online: Batch requests beside running online ones,
+            at most.
         online_slots: Slots that a static split keeps for online requests, or
             None for its default.
         online_reserve_slots: Slots that batch leaves free.
@@ -110,7 +111,7 @@
 
     __slots__ = (
         'slots',
-        'batch_slots',
+        'batch_slots_beside_online',
         'online_slots',
         'online_reserve_slots',
         'batch_prefill_tokens',
@@ -130,13 +131,12 @@
         self,
         *,
         slots: int,
-        batch_slots: int | None = None,
         online_slots: int | None = None,
         online_reserve_slots: int = 0,
         batch_prefill_tokens: int = 2048,
     ) -> None:
         self.slots = slots
-        self.batch_slots = slots if batch_slots is None else batch_slots
+        self.batch_slots_beside_online = slots
         self.online_slots = online_slots
         self.online_reserve_slots = online_reserve_slots
         self.batch_prefill_tokens = batch_prefill_tokens
--- a/siskinmount/sidecar/_gate_policy.py
+++ b/siskinmount/sidecar/_gate_policy.py
@@ -29,10 +29,19 @@
         """Tells whether a waiting request may go to the upstream now."""
         ...
 
-    def count_to_preempt(
-        self, ticket: _gate_load.Ticket, load: _gate_load.GateLoad
-    ) -> int:
-        """Returns how many batch requests must make room for this one."""
+    def choose_to_preempt(
+        self,
+        ticket: _gate_load.Ticket,
+        load: _gate_load.GateLoad,
+        candidates: list[_gate_load.Ticket],
+    ) -> list[_gate_load.Ticket]:
+        """Returns the batch requests that must make room for a request.
+
+        Args:
+            ticket: The request that wants to start.
+            load: The load without it.
+            candidates: Running batch requests that can be stopped.
+        """
         ...
 
     def count_idle_batch_slots(self, load: _gate_load.GateLoad) -> int:
--- a/siskinmount/sidecar/_online_first_policy.py
+++ b/siskinmount/sidecar/_online_first_policy.py
@@ -36,17 +36,33 @@
             return False
         return _may_prefill(ticket, load)
 
-    def count_to_preempt(
-        self, ticket: _gate_load.Ticket, load: _gate_load.GateLoad
-    ) -> int:
-        """Returns how many batch requests must make room for this one."""
+    def choose_to_preempt(
+        self,
+        ticket: _gate_load.Ticket,
+        load: _gate_load.GateLoad,
+        candidates: list[_gate_load.Ticket],
+    ) -> list[_gate_load.Ticket]:
+        """Returns those that lose least by being resumed later.
+
+        Prompts that would not have been admitted beside an online request are
+        stopped in any case.
+        """
         if not ticket.online:
-            return 0
-        batch = load.batch_running - load.batch_yielding
+            return []
         if ticket.solo or load.solo_running:
-            return batch
-        over = load.online_running + batch + 1 - load.slots
-        return max(0, min(over, batch))
+            return list(candidates)
+        batch = load.batch_running - load.batch_yielding
+        over = max(
+            load.online_running + batch + 1 - load.slots,
+            batch - load.batch_slots_beside_online,
+        )
+        ranked = sorted(candidates, key=lambda each: _rank(each, load))
+        chosen: list[_gate_load.Ticket] = []
+        for candidate in ranked:
+            if len(chosen) >= over and not _is_long_prefill(candidate, load):
+                break
+            chosen.append(candidate)
+        return chosen
 
     def count_idle_batch_slots(self, load: _gate_load.GateLoad) -> int:
         """Returns how many more batch requests could start now."""
@@ -56,7 +72,25 @@
             # The batch request that must run alone gets its turn.
             return 0
         idle = load.slots - load.running - load.online_reserve_slots
-        return max(0, min(idle, load.batch_slots - load.batch_running))
+        if load.online_running:
+            beside = load.batch_slots_beside_online - load.batch_running
+            idle = min(idle, beside)
+        return max(0, idle)
+
+
+def _is_long_prefill(
+    ticket: _gate_load.Ticket, load: _gate_load.GateLoad
+) -> bool:
+    """Tells whether a long prompt is being computed."""
+    is_long = ticket.prompt_tokens > load.batch_prefill_tokens
+    return is_long and ticket.is_prefilling
+
+
+def _rank(
+    ticket: _gate_load.Ticket, load: _gate_load.GateLoad
+) -> tuple[bool, int]:
+    """Orders by what is lost when a request is stopped."""
+    return (not _is_long_prefill(ticket, load), ticket.resume_cost_tokens)
 
 
 def _may_prefill(ticket: _gate_load.Ticket, load: _gate_load.GateLoad) -> bool:
--- a/siskinmount/sidecar/_pass_through_policy.py
+++ b/siskinmount/sidecar/_pass_through_policy.py
@@ -26,11 +26,14 @@
             return load.running == 0
         return not load.solo_waiting and load.running < load.slots
 
-    def count_to_preempt(
-        self, ticket: _gate_load.Ticket, load: _gate_load.GateLoad
-    ) -> int:
-        """Returns 0: nothing makes room for anything."""
-        return 0
+    def choose_to_preempt(
+        self,
+        ticket: _gate_load.Ticket,
+        load: _gate_load.GateLoad,
+        candidates: list[_gate_load.Ticket],
+    ) -> list[_gate_load.Ticket]:
+        """Returns nothing: no request makes room for another."""
+        return []
 
     def count_idle_batch_slots(self, load: _gate_load.GateLoad) -> int:
         """Returns the number of free slots."""
--- a/siskinmount/sidecar/_request_runner.py
+++ b/siskinmount/sidecar/_request_runner.py
@@ -1,5 +1,6 @@
 """Runs one admitted request at the upstream."""
 
+from collections.abc import Callable
 import logging
 
 import trio
@@ -41,6 +42,7 @@
         '_monitor',
         '_model_upstream',
         '_plain_upstream',
+        '_note_gap',
     )
 
     def __init__(
@@ -51,6 +53,7 @@
         monitor: _upstream_monitor.UpstreamMonitor,
         model_upstream: _upstreams.ModelUpstream,
         plain_upstream: _upstreams.PlainUpstream,
+        note_gap: Callable[[float, int], None],
     ) -> None:
         self.reconnect_count = 0
         self._gate = gate
@@ -58,6 +61,7 @@
         self._monitor = monitor
         self._model_upstream = model_upstream
         self._plain_upstream = plain_upstream
+        self._note_gap = note_gap
 
     async def run(self, running: _running_request.RunningRequest) -> None:
         """Runs a request to its last frame."""
@@ -96,6 +100,10 @@
         if refusal is not None:
             return refusal
         try:
+            if not running.request.may_start():
+                return results.Failure(
+                    results.ResultCode.BATCH_YIELDED, 'the lease has lapsed'
+                )
             if isinstance(running.request.body, _run_request.PlainBody):
                 return await self._run_plain(running, running.request.body)
             return await self._run_model(running, running.request.body, ticket)
@@ -209,6 +217,7 @@
         """Appends frames until the end, or returns why there is none."""
         silences = 0
         first_index = next_index
+        received_at_s = trio.current_time()
         while True:
             frames = await stream.receive()
             if isinstance(frames, results.Failure):
@@ -232,10 +241,15 @@
                     next_index += 1
                     count += 1
                 running.append(frame)
-            if count:
-                self._gate.note_tokens(ticket, count)
             if running.ended:
                 return None
+            if not count:
+                continue
+            now_s = trio.current_time()
+            if not ticket.is_prefilling:
+                self._note_gap(now_s - received_at_s, count)
+            received_at_s = now_s
+            self._gate.note_tokens(ticket, count)
 
     async def _run_plain(
         self,
@@ -295,7 +309,7 @@
     preemptible = False
     if isinstance(request.body, _run_request.ModelBody):
         prompt_tokens = request.body.estimate_prompt_tokens()
-        preemptible = not request.is_online
+        preemptible = request.preemptible and not request.is_online
     return _gate_load.Ticket(
         online=request.is_online,
         solo=request.solo,
--- a/siskinmount/sidecar/_run_handler.py
+++ b/siskinmount/sidecar/_run_handler.py
@@ -20,7 +20,7 @@
 FRAMES_PER_CHUNK = 256
 UNREACHABLE_RETRY_AFTER_MS = 1000
 
-StartTask = Callable[[Callable[..., Awaitable[None]], object], None]
+StartTask = Callable[..., None]
 
 
 class RunHandler:
--- a/siskinmount/sidecar/_run_request.py
+++ b/siskinmount/sidecar/_run_request.py
@@ -1,6 +1,7 @@
 """A request to run at the upstream, as typed values."""
 
 import base64
+from collections.abc import Callable
 
 import orjson
 
@@ -84,6 +85,9 @@
         deadline_ms: Time left, in milliseconds, or None without a bound.
         fingerprint: Hash of service and content.
         solo: Whether no other request may run beside it.
+        preemptible: Whether it may be stopped for an online request and
+            resumed later; counts for batch requests of a model only.
+        may_start: Asked at the last moment before the first byte is sent.
     """
 
     __slots__ = (
@@ -94,6 +98,8 @@
         'deadline_ms',
         'fingerprint',
         'solo',
+        'preemptible',
+        'may_start',
     )
 
     def __init__(
@@ -106,6 +112,8 @@
         deadline_ms: int | None = None,
         fingerprint: str = '',
         solo: bool = False,
+        preemptible: bool = True,
+        may_start: Callable[[], bool] = lambda: True,
     ) -> None:
         self.request_id = request_id
         self.body = body
@@ -114,6 +122,8 @@
         self.deadline_ms = deadline_ms
         self.fingerprint = fingerprint
         self.solo = solo
+        self.preemptible = preemptible
+        self.may_start = may_start
 
     @property
     def is_online(self) -> bool:
--- a/siskinmount/sidecar/_sidecar.py
+++ b/siskinmount/sidecar/_sidecar.py
@@ -14,6 +14,9 @@
 from siskinmount import supervision
 from siskinmount import telemetry
 from siskinmount import transport
+from siskinmount.sidecar import _batch_puller
+from siskinmount.sidecar import _batch_slot_controller
+from siskinmount.sidecar import _entry_link
 from siskinmount.sidecar import _gate
 from siskinmount.sidecar import _gate_load
 from siskinmount.sidecar import _http_model_upstream
@@ -46,6 +49,9 @@
         registry: Requests that run or have ended a short while ago.
         runner: Runs requests.
         monitor: Watches the upstream.
+        slot_controller: Bounds batch by measured latency.
+        puller: Pulls batch items.
+        list_entries: Returns the entries to pull batch items from.
         leaving: Whether the sidecar is stopping.
         address: Where it listens for daemons, once it does.
         model_version: Version that the upstream runs; empty if unknown.
@@ -59,6 +65,9 @@
         'registry',
         'runner',
         'monitor',
+        'slot_controller',
+        'puller',
+        'list_entries',
         'leaving',
         'address',
         'model_version',
@@ -86,6 +95,7 @@
         plain_upstream = _http_plain_upstream.create_http_plain_upstream(
             settings.upstream_address
         )
+        self.slot_controller = _batch_slot_controller.BatchSlotController(gate)
         self.monitor = _upstream_monitor.UpstreamMonitor(plain_upstream)
         self.runner = _request_runner.RequestRunner(
             gate=gate,
@@ -93,7 +103,18 @@
             monitor=self.monitor,
             model_upstream=model_upstream,
             plain_upstream=plain_upstream,
+            note_gap=self.slot_controller.note_gap,
         )
+        self.puller = _batch_puller.BatchPuller(
+            gate=gate,
+            registry=self.registry,
+            monitor=self.monitor,
+            run=self.runner.run,
+            list_entries=self._list_entries,
+            create_link=self._create_link,
+            start_task=self.start_task,
+        )
+        self.list_entries: _batch_puller.ListEntries = _list_no_entries
         self.leaving = False
         self.address = settings.identity.peers_address
         self.model_version = ''
@@ -125,7 +146,6 @@
         load = self.gate.load
         if self.settings.slots is None:
             load.slots = service.slots_per_upstream
-            load.batch_slots = service.slots_per_upstream
         load.online_reserve_slots = service.online_reserve_slots
         load.batch_prefill_tokens = service.batch_prefill_tokens
         self.configuration_version = configuration_version
@@ -139,6 +159,7 @@
             'leaving_begun', extra={'running': self.gate.count_running()}
         )
         self.leaving = True
+        self.puller.begin_leaving()
         self.gate.close()
         for running in self.registry.list_running():
             is_model = isinstance(running.request.body, _run_request.ModelBody)
@@ -146,6 +167,19 @@
                 running.stop(_running_request.StopReason.LEAVING)
         self._leaving_requested.set()
 
+    def _list_entries(self) -> list[_entry_link.EntryPeer]:
+        return self.list_entries()
+
+    def _create_link(
+        self, peer: _entry_link.EntryPeer
+    ) -> _entry_link.EntryLink:
+        return _entry_link.EntryLink(
+            peer=peer,
+            own_vm=self.settings.identity.vm,
+            incarnation=self.incarnation,
+            service=self.settings.service,
+        )
+
     def list_answer_headers(self) -> transport.Headers:
         """Returns the headers that every answer to an entry carries."""
         in_flight = self.gate.count_in_flight()
@@ -174,6 +208,14 @@
             'started': self._handler.started_count,
             'attached': self._handler.attached_count,
             'reconnected': self.runner.reconnect_count,
+            'batch_slots_beside_online': (
+                self.gate.load.batch_slots_beside_online
+            ),
+            'batch_items_held': self.puller.held_count,
+            'batch_items_pulled': self.puller.pulled_count,
+            'batch_items_done': self.puller.done_count,
+            'batch_items_yielded': self.puller.yielded_count,
+            'batch_reports_unsettled': len(self.puller.reports),
             'model_version': self.model_version,
             'configuration_version': self.configuration_version,
         }
@@ -203,6 +245,7 @@
             if noticed and self._is_empty():
                 break
             await trio.sleep(LEAVING_POLL_S)
+        await self.puller.wait_settled()
         self._server.stop()
 
     def _is_empty(self) -> bool:
@@ -294,6 +337,10 @@
             'sidecar',
             [
                 supervision.Child('upstream_monitor', sidecar.monitor.run),
+                supervision.Child(
+                    'slot_controller', sidecar.slot_controller.run
+                ),
+                supervision.Child('batch_puller', sidecar.puller.run),
                 supervision.Child(
                     'stop_signal', lambda: _watch_stop_signal(sidecar)
                 ),
@@ -315,6 +362,10 @@
     return None
 
 
+def _list_no_entries() -> list[_entry_link.EntryPeer]:
+    return []
+
+
 async def _watch_stop_signal(sidecar: Sidecar) -> None:
     """Begins the planned stop at SIGTERM."""
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- a/siskinmount/sidecar/_static_split_policy.py
+++ b/siskinmount/sidecar/_static_split_policy.py
@@ -34,11 +34,14 @@
             return load.online_running < _count_online_slots(load)
         return self.count_idle_batch_slots(load) > 0
 
-    def count_to_preempt(
-        self, ticket: _gate_load.Ticket, load: _gate_load.GateLoad
-    ) -> int:
-        """Returns 0: nothing makes room for anything."""
-        return 0
+    def choose_to_preempt(
+        self,
+        ticket: _gate_load.Ticket,
+        load: _gate_load.GateLoad,
+        candidates: list[_gate_load.Ticket],
+    ) -> list[_gate_load.Ticket]:
+        """Returns nothing: no request makes room for another."""
+        return []
 
     def count_idle_batch_slots(self, load: _gate_load.GateLoad) -> int:
         """Returns the number of free slots in the share of batch."""
--- /dev/null
+++ b/siskinmount/sidecar/_step_time_model.py
@@ -0,0 +1,112 @@
+"""Learns how the time between tokens rises with the requests that run."""
+
+MIN_SAMPLES = 12
+FULL_WEIGHT_SAMPLES = 60
+SMOOTHING = 0.08
+MAX_STEP_SHARE = 0.5
+
+
+class _Estimate:
+    """A running estimate at one number of requests."""
+
+    __slots__ = ('time_ms', 'sample_count')
+
+    def __init__(self, time_ms: float) -> None:
+        self.time_ms = time_ms
+        self.sample_count = 1
+
+    def add(self, time_ms: float) -> None:
+        """Takes a sample; one far off moves the estimate by a bounded step."""
+        bound = MAX_STEP_SHARE * self.time_ms
+        difference = max(-bound, min(bound, time_ms - self.time_ms))
+        self.sample_count += 1
+        weight = max(SMOOTHING, 1 / self.sample_count)
+        self.time_ms += weight * difference
+
+
+class StepTimeModel:
+    """Fits a line through what was measured for each number of requests."""
+
+    __slots__ = ('_estimates',)
+
+    def __init__(self) -> None:
+        self._estimates: dict[int, _Estimate] = {}
+
+    def add(self, running: int, time_ms: float) -> None:
+        """Takes the time between two tokens while `running` requests ran."""
+        estimate = self._estimates.get(running)
+        if estimate is None:
+            self._estimates[running] = _Estimate(time_ms)
+        else:
+            estimate.add(time_ms)
+
+    def estimate_ms(self, running: int) -> float | None:
+        """Returns the expected time between tokens, if it can be told."""
+        line = self._fit()
+        if line is None:
+            return None
+        base_ms, per_request_ms = line
+        return base_ms + per_request_ms * running
+
+    def count_allowed_beside(
+        self, online: int, max_slowdown: float, limit: int
+    ) -> int:
+        """Returns how many batch requests may run beside online ones.
+
+        Where too little is known, one more is allowed than was measured.
+
+        Args:
+            online: Online requests that run.
+            max_slowdown: Bound on the time between tokens, as a multiple of
+                what it would be without batch.
+            limit: Most that can be allowed.
+        """
+        known = self._list_known()
+        if not known:
+            return min(limit, 1)
+        explored = max(0, max(known) + 1 - online)
+        line = self._fit()
+        if line is None:
+            return min(limit, max(1, explored))
+        base_ms, per_request_ms = line
+        if per_request_ms <= 0:
+            return min(limit, max(1, explored))
+        alone_ms = base_ms + per_request_ms * online
+        allowed = int((max_slowdown - 1) * alone_ms / per_request_ms)
+        return max(0, min(limit, allowed, max(1, explored)))
+
+    def _list_known(self) -> list[int]:
+        """Returns the numbers of requests with enough samples."""
+        return [
+            running
+            for running, estimate in self._estimates.items()
+            if estimate.sample_count >= MIN_SAMPLES
+        ]
+
+    def _fit(self) -> tuple[float, float] | None:
+        """Returns base and rise of the weighted line, if there is one."""
+        total = 0.0
+        sum_x = 0.0
+        sum_y = 0.0
+        known = self._list_known()
+        if len(known) < 2:
+            return None
+        for running in known:
+            estimate = self._estimates[running]
+            weight = min(estimate.sample_count, FULL_WEIGHT_SAMPLES)
+            total += weight
+            sum_x += weight * running
+            sum_y += weight * estimate.time_ms
+        mean_x = sum_x / total
+        mean_y = sum_y / total
+        spread = 0.0
+        covariance = 0.0
+        for running in known:
+            estimate = self._estimates[running]
+            weight = min(estimate.sample_count, FULL_WEIGHT_SAMPLES)
+            spread += weight * (running - mean_x) ** 2
+            covariance += (
+                weight * (running - mean_x) * (estimate.time_ms - mean_y)
+            )
+        rise = covariance / spread
+        return mean_y - rise * mean_x, rise
