--- /dev/null
+++ b/siskinmount/entry/_callers_api.py
@@ -0,0 +1,192 @@
+"""Serves callers: finds out what a request is and who sent it."""
+
+import trio
+
+from siskinmount import admission
+from siskinmount import configuration
+from siskinmount import results
+from siskinmount import telemetry
+from siskinmount import transport
+from siskinmount.entry import _authentication
+from siskinmount.entry import _batch_api
+from siskinmount.entry import _configuration_in_force
+from siskinmount.entry import _error_answers
+from siskinmount.entry import _key_access
+from siskinmount.entry import _latency_recorder
+from siskinmount.entry import _model_calls
+from siskinmount.entry import _model_request
+from siskinmount.entry import _plain_calls
+from siskinmount.entry import _request_identity
+from siskinmount.entry import _self_description
+from siskinmount.entry import _upstream_access
+
+COMPLETIONS_PATH = '/v1/completions'
+CHAT_COMPLETIONS_PATH = '/v1/chat/completions'
+HEALTH_PATH = '/healthz'
+READY_PATH = '/readyz'
+NO_CONFIGURATION_RETRY_MS = 2000
+
+
+class CallersApi:
+    """Handles every request on the callers' address."""
+
+    __slots__ = (
+        '_own',
+        '_in_force',
+        '_access',
+        '_keys',
+        '_jobs',
+        '_admission',
+        '_histograms',
+    )
+
+    def __init__(
+        self,
+        *,
+        own: _self_description.SelfDescription,
+        in_force: _configuration_in_force.ConfigurationInForce,
+        access: _upstream_access.UpstreamAccess,
+        keys: _key_access.KeyAccess,
+        jobs: _batch_api.BatchApi,
+        admission_control: admission.Admission,
+        histograms: telemetry.Histograms,
+    ) -> None:
+        self._own = own
+        self._in_force = in_force
+        self._access = access
+        self._keys = keys
+        self._jobs = jobs
+        self._admission = admission_control
+        self._histograms = histograms
+
+    async def handle(self, exchange: transport.ServerExchange) -> None:
+        """Answers one request."""
+        path = exchange.head.path
+        if path == HEALTH_PATH:
+            await exchange.send_json(200, {'status': 'ok'})
+            return
+        document = self._in_force.document
+        if path == READY_PATH:
+            ready = document is not None and not self._own.leaving
+            await exchange.send_json(200 if ready else 503, {'ready': ready})
+            return
+        if document is None:
+            await _error_answers.send_failure(exchange, _no_configuration())
+            return
+        caller = _authentication.authenticate_caller(document, exchange.head)
+        if isinstance(caller, results.Failure):
+            await _error_answers.send_failure(exchange, caller)
+            return
+        await self._dispatch(exchange, document, caller)
+
+    async def _dispatch(
+        self,
+        exchange: transport.ServerExchange,
+        document: configuration.ServiceDocument,
+        caller: configuration.CallerPolicy,
+    ) -> None:
+        """Hands a caller's request to what serves it."""
+        path = exchange.head.path
+        if path in (COMPLETIONS_PATH, CHAT_COMPLETIONS_PATH):
+            if exchange.head.method != 'POST':
+                await _error_answers.send_failure(
+                    exchange, _method_not_allowed(path, 'POST')
+                )
+                return
+            await self._serve_model_call(exchange, document, caller)
+            return
+        if _batch_api.is_batch_path(path):
+            await self._jobs.serve_caller(exchange, document, caller)
+            return
+        await self._serve_plain_call(exchange, document, caller)
+
+    async def _serve_model_call(
+        self,
+        exchange: transport.ServerExchange,
+        document: configuration.ServiceDocument,
+        caller: configuration.CallerPolicy,
+    ) -> None:
+        """Serves a completion or a chat completion."""
+        arrived_s = trio.current_time()
+        body = await exchange.read_body()
+        if isinstance(body, results.Failure):
+            await _error_answers.send_failure(exchange, body)
+            return
+        is_chat = exchange.head.path == CHAT_COMPLETIONS_PATH
+        request = _model_request.parse_model_request(document, body, is_chat)
+        if isinstance(request, results.Failure):
+            await _error_answers.send_failure(exchange, request)
+            return
+        identity = _request_identity.read_request_identity(
+            caller, exchange.head, request.fingerprint()
+        )
+        if isinstance(identity, results.Failure):
+            await _error_answers.send_failure(exchange, identity)
+            return
+        ticket = self._admission.admit(
+            caller, request.service, configuration.RequestClass.ONLINE
+        )
+        if isinstance(ticket, results.Failure):
+            await _error_answers.send_failure(
+                exchange, ticket, identity.request_id
+            )
+            return
+        with ticket:
+            await _model_calls.serve_model_call(
+                self._access,
+                _latency_recorder.LatencyRecorder(self._histograms, arrived_s),
+                exchange,
+                caller,
+                request,
+                identity,
+            )
+
+    async def _serve_plain_call(
+        self,
+        exchange: transport.ServerExchange,
+        document: configuration.ServiceDocument,
+        caller: configuration.CallerPolicy,
+    ) -> None:
+        """Serves a call of a plain service."""
+        arrived_s = trio.current_time()
+        body = await exchange.read_body()
+        if isinstance(body, results.Failure):
+            await _error_answers.send_failure(exchange, body)
+            return
+        call = _plain_calls.parse_plain_call(
+            document, caller, exchange.head, body
+        )
+        if isinstance(call, results.Failure):
+            await _error_answers.send_failure(exchange, call)
+            return
+        ticket = self._admission.admit(
+            caller, call.service, call.route.request_class
+        )
+        if isinstance(ticket, results.Failure):
+            await _error_answers.send_failure(
+                exchange, ticket, call.identity.request_id
+            )
+            return
+        with ticket:
+            await _plain_calls.serve_plain_call(
+                self._access,
+                self._keys,
+                _latency_recorder.LatencyRecorder(self._histograms, arrived_s),
+                exchange,
+                caller,
+                call,
+            )
+
+
+def _no_configuration() -> results.Failure:
+    return results.Failure(
+        results.ResultCode.NO_CONFIGURATION,
+        'no configuration is in force yet',
+        retry_after_ms=NO_CONFIGURATION_RETRY_MS,
+    )
+
+
+def _method_not_allowed(path: str, methods: str) -> results.Failure:
+    return results.Failure(
+        results.ResultCode.METHOD_NOT_ALLOWED, f'{path} takes {methods}'
+    )
--- /dev/null
+++ b/siskinmount/entry/_control_service.py
@@ -0,0 +1,104 @@
+"""Answers control calls of daemons and operators."""
+
+from collections.abc import Callable
+
+import orjson
+
+from siskinmount import membership
+from siskinmount import results
+from siskinmount import rpc
+from siskinmount import telemetry
+from siskinmount.entry import _configuration_in_force
+from siskinmount.entry import _self_description
+
+
+class ControlService:
+    """Implements `rpc.ControlHandlers` for an entry."""
+
+    __slots__ = (
+        '_own',
+        '_members',
+        '_in_force',
+        '_histograms',
+        '_list_backlogs',
+        '_describe_details',
+    )
+
+    def __init__(
+        self,
+        own: _self_description.SelfDescription,
+        members: membership.MemberTable,
+        in_force: _configuration_in_force.ConfigurationInForce,
+        histograms: telemetry.Histograms,
+        list_backlogs: Callable[[], list[rpc.Backlog]],
+        describe_details: Callable[[], dict[str, object]],
+    ) -> None:
+        self._own = own
+        self._members = members
+        self._in_force = in_force
+        self._histograms = histograms
+        self._list_backlogs = list_backlogs
+        self._describe_details = describe_details
+
+    async def heartbeat(
+        self, request: rpc.HeartbeatRequest
+    ) -> rpc.HeartbeatReply | results.Failure:
+        """Takes note of the sender and tells what this daemon is."""
+        sender = membership.decode_member(request.sender)
+        if isinstance(sender, results.Failure):
+            return sender
+        stale = self._members.apply_heartbeat(sender)
+        if stale is not None:
+            return stale
+        reply = rpc.HeartbeatReply(
+            replier=membership.encode_member(self._own.describe()),
+            backlogs=self._list_backlogs(),
+        )
+        for entry in self._members.list_entries_for_reply():
+            message = membership.encode_member(entry)
+            message.heard_ms_ago = int(self._members.heard_ms_ago(entry.vm))
+            reply.entries.append(message)
+        return reply
+
+    async def get_configuration(
+        self, request: rpc.ConfigurationRequest
+    ) -> rpc.ConfigurationReply | results.Failure:
+        """Returns the configuration in force here."""
+        reply = rpc.ConfigurationReply(version=self._in_force.version)
+        document = self._in_force.document
+        if document is not None and request.known_version < reply.version:
+            reply.text = document.text
+        return reply
+
+    async def get_status(
+        self, request: rpc.StatusRequest
+    ) -> rpc.StatusReply | results.Failure:
+        """Returns what this daemon knows, for operators."""
+        reply = rpc.StatusReply(
+            self=membership.encode_member(self._own.describe()),
+            details=orjson.dumps(self._describe_details()),
+        )
+        for member in self._members.list_members():
+            reply.members.append(membership.encode_member(member))
+        return reply
+
+    async def get_histograms(
+        self, request: rpc.HistogramsRequest
+    ) -> rpc.HistogramsReply | results.Failure:
+        """Returns this daemon's histograms, for the burn report."""
+        reply = rpc.HistogramsReply(
+            vm=self._own.identity.vm, incarnation=self._own.incarnation
+        )
+        for snapshot in self._histograms.take_snapshots():
+            reply.histograms.append(
+                rpc.WindowedHistogram(
+                    service=snapshot.service,
+                    objective=snapshot.objective,
+                    window_start_s=snapshot.window_start_s,
+                    window_s=snapshot.window_s,
+                    good=snapshot.good,
+                    bad=snapshot.bad,
+                    histogram=snapshot.histogram,
+                )
+            )
+        return reply
--- /dev/null
+++ b/siskinmount/entry/_key_access.py
@@ -0,0 +1,159 @@
+"""Idempotency keys, wherever the owner of their stream is."""
+
+import uuid
+
+from siskinmount import results
+from siskinmount import state
+from siskinmount import transport
+from siskinmount.entry import _key_messages
+from siskinmount.entry import _owner_calls
+
+KEYS_PATH = '/keys'
+
+
+class KeyAccess:
+    """Asks the owner of a key's stream.
+
+    Attributes:
+        holder: Names this process in intents.
+    """
+
+    __slots__ = ('holder', '_calls')
+
+    def __init__(self, calls: _owner_calls.OwnerCalls, holder: str) -> None:
+        self.holder = holder
+        self._calls = calls
+
+    async def begin(
+        self, caller: str, key: str, fingerprint: str
+    ) -> state.BeginOutcome:
+        """Records the intent to run a request, unless it is known already."""
+        answer = await self._send(
+            _key_messages.KeyCall(
+                operation=_key_messages.KeyOperation.BEGIN,
+                stream=self._find_stream(caller, key),
+                caller=caller,
+                key=key,
+                attempt=uuid.uuid4().hex,
+                fingerprint=fingerprint,
+                holder=self.holder,
+            )
+        )
+        if isinstance(answer, results.Failure):
+            # Whether or not the intent was recorded, nothing was sent.
+            answer.run_state = results.RunState.NOT_RUN
+            if answer.retry_after_ms is None:
+                answer.retry_after_ms = 1000
+            return answer
+        return _key_messages.decode_begun(answer)
+
+    async def finish(
+        self, caller: str, key: str, attempt: str, outcome: bytes
+    ) -> results.Failure | None:
+        """Records the outcome of a request."""
+        answer = await self._send(
+            _key_messages.KeyCall(
+                operation=_key_messages.KeyOperation.FINISH,
+                stream=self._find_stream(caller, key),
+                caller=caller,
+                key=key,
+                attempt=attempt,
+                outcome=outcome,
+            )
+        )
+        return answer if isinstance(answer, results.Failure) else None
+
+    async def abandon(
+        self, caller: str, key: str, attempt: str
+    ) -> results.Failure | None:
+        """Frees the key of a request that was certainly not sent."""
+        answer = await self._send(
+            _key_messages.KeyCall(
+                operation=_key_messages.KeyOperation.ABANDON,
+                stream=self._find_stream(caller, key),
+                caller=caller,
+                key=key,
+                attempt=attempt,
+            )
+        )
+        return answer if isinstance(answer, results.Failure) else None
+
+    async def serve(self, exchange: transport.ServerExchange) -> None:
+        """Answers a call of another entry."""
+        data = await exchange.read_body()
+        if isinstance(data, results.Failure):
+            await send_peer_failure(exchange, data)
+            return
+        call = _key_messages.decode_key_call(data)
+        if isinstance(call, results.Failure):
+            await send_peer_failure(exchange, call)
+            return
+        answer = await self._execute(call)
+        if isinstance(answer, results.Failure):
+            await send_peer_failure(exchange, answer)
+            return
+        await exchange.send_whole(200, [], answer)
+
+    async def _send(
+        self, call: _key_messages.KeyCall
+    ) -> bytes | results.Failure:
+        """Executes a call here or at the owner."""
+        shard = self._calls.find_local(call.stream)
+        if not isinstance(shard, results.Failure):
+            return await self._execute(call)
+        return await self._calls.send(
+            call.stream,
+            transport.ClientRequest(
+                'POST', KEYS_PATH, [], _key_messages.encode_key_call(call)
+            ),
+        )
+
+    async def _execute(
+        self, call: _key_messages.KeyCall
+    ) -> bytes | results.Failure:
+        """Executes a call on a stream that this entry should own."""
+        shard = await _owner_calls.wait_for_shard(self._calls, call.stream)
+        if isinstance(shard, results.Failure):
+            return shard
+        if call.operation is _key_messages.KeyOperation.BEGIN:
+            begun = await shard.keys.begin(
+                call.key,
+                call.caller,
+                call.fingerprint,
+                call.holder,
+                call.attempt,
+            )
+            if isinstance(begun, results.Failure):
+                return begun
+            return _key_messages.encode_begun(begun)
+        if call.operation is _key_messages.KeyOperation.FINISH:
+            failure = await shard.keys.finish(
+                call.key, call.caller, call.attempt, call.outcome
+            )
+        else:
+            failure = await shard.keys.abandon(
+                call.key, call.caller, call.attempt
+            )
+        return b'{}' if failure is None else failure
+
+    def _find_stream(self, caller: str, key: str) -> str:
+        """Returns the stream of a caller's key."""
+        return self._calls.find_stream(f'{caller}\n{key}')
+
+
+async def send_peer_failure(
+    exchange: transport.ServerExchange, failure: results.Failure
+) -> None:
+    """Answers another daemon with a failure."""
+    await exchange.send_json(
+        503,
+        {
+            'error': {
+                'code': int(failure.code),
+                'name': failure.code.name,
+                'reason': failure.reason,
+                'run_state': failure.run_state.value,
+                'retry_after_ms': failure.retry_after_ms,
+            }
+        },
+    )
--- /dev/null
+++ b/siskinmount/entry/_key_messages.py
@@ -0,0 +1,136 @@
+"""Messages about idempotency keys between entries."""
+
+import base64
+import enum
+
+import orjson
+
+from siskinmount import results
+from siskinmount import state
+
+
+class KeyOperation(enum.Enum):
+    """What the owner of a key's stream is asked to do."""
+
+    #: Record the intent to run a request.
+    BEGIN = 'begin'
+
+    #: Record the outcome of a request.
+    FINISH = 'finish'
+
+    #: Free the key of a request that was certainly not sent.
+    ABANDON = 'abandon'
+
+
+class KeyCall:
+    """One operation on one key.
+
+    Attributes:
+        operation: What to do.
+        stream: The key's stream.
+        caller: Name of the caller.
+        key: The caller's idempotency key.
+        attempt: Names the run of the request; chosen by the asking entry, so
+            that a repeated call is recognised.
+        fingerprint: Hash of the request's content; for `BEGIN`.
+        holder: The asking process; for `BEGIN`.
+        outcome: The recorded answer; for `FINISH`.
+    """
+
+    __slots__ = (
+        'operation',
+        'stream',
+        'caller',
+        'key',
+        'attempt',
+        'fingerprint',
+        'holder',
+        'outcome',
+    )
+
+    def __init__(
+        self,
+        *,
+        operation: KeyOperation,
+        stream: str,
+        caller: str,
+        key: str,
+        attempt: str,
+        fingerprint: str = '',
+        holder: str = '',
+        outcome: bytes = b'',
+    ) -> None:
+        self.operation = operation
+        self.stream = stream
+        self.caller = caller
+        self.key = key
+        self.attempt = attempt
+        self.fingerprint = fingerprint
+        self.holder = holder
+        self.outcome = outcome
+
+
+def encode_key_call(call: KeyCall) -> bytes:
+    """Returns a call as JSON."""
+    return orjson.dumps(
+        {
+            'operation': call.operation.value,
+            'stream': call.stream,
+            'caller': call.caller,
+            'key': call.key,
+            'attempt': call.attempt,
+            'fingerprint': call.fingerprint,
+            'holder': call.holder,
+            'outcome': base64.b64encode(call.outcome).decode('ascii'),
+        }
+    )
+
+
+def decode_key_call(data: bytes) -> KeyCall | results.Failure:
+    """Parses a call."""
+    try:
+        document = orjson.loads(data)
+        return KeyCall(
+            operation=KeyOperation(document['operation']),
+            stream=str(document['stream']),
+            caller=str(document['caller']),
+            key=str(document['key']),
+            attempt=str(document['attempt']),
+            fingerprint=str(document['fingerprint']),
+            holder=str(document['holder']),
+            outcome=base64.b64decode(document['outcome']),
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        return results.Failure(
+            results.ResultCode.MALFORMED_REQUEST, f'invalid key call: {error}'
+        )
+
+
+def encode_begun(begun: state.BeginOutcome) -> bytes:
+    """Returns what is known of a key as JSON."""
+    if isinstance(begun, state.Started):
+        return orjson.dumps({'begun': 'started', 'attempt': begun.attempt})
+    if isinstance(begun, state.KnownOutcome):
+        outcome = base64.b64encode(begun.outcome).decode('ascii')
+        return orjson.dumps({'begun': 'known', 'outcome': outcome})
+    if isinstance(begun, state.InProgress):
+        return orjson.dumps({'begun': 'in_progress'})
+    return orjson.dumps({'begun': 'unknown'})
+
+
+def decode_begun(data: bytes) -> state.BeginOutcome:
+    """Parses what `encode_begun` wrote."""
+    try:
+        document = orjson.loads(data)
+        begun = document['begun']
+        if begun == 'started':
+            return state.Started(str(document['attempt']))
+        if begun == 'known':
+            return state.KnownOutcome(base64.b64decode(document['outcome']))
+        if begun == 'in_progress':
+            return state.InProgress()
+        return state.UnknownOutcome()
+    except (ValueError, KeyError, TypeError) as error:
+        return results.Failure(
+            results.ResultCode.INTERNAL, f'invalid answer: {error}'
+        )
--- a/siskinmount/entry/_latency_recorder.py
+++ b/siskinmount/entry/_latency_recorder.py
@@ -64,15 +64,24 @@
             configuration.ObjectiveMeasure.WHOLE_ANSWER,
             trio.current_time() - self._arrived_s,
         )
-        self._histograms.record_outcome(self._service, good=True)
+        self._record_outcome(is_good=True)
 
     def note_failure(self, failure: results.Failure) -> None:
         """Records that the request got no whole answer."""
         if failure.code in _CALLER_FAULT_CODES:
             return
-        self._histograms.record_outcome(self._service, good=False)
+        self._record_outcome(is_good=False)
 
     def _record(
         self, measure: configuration.ObjectiveMeasure, duration_s: float
     ) -> None:
-        self._histograms.record(self._service, measure, duration_s * 1000)
+        self._histograms.record(
+            self._service, measure.value, duration_s * 1000
+        )
+
+    def _record_outcome(self, is_good: bool) -> None:
+        self._histograms.record_outcome(
+            self._service,
+            configuration.ObjectiveMeasure.AVAILABILITY.value,
+            is_good,
+        )
--- /dev/null
+++ b/siskinmount/entry/_owner_calls.py
@@ -0,0 +1,134 @@
+"""Reaches the owner of a state stream, wherever it is."""
+
+import trio
+
+from siskinmount import membership
+from siskinmount import results
+from siskinmount import state
+from siskinmount import transport
+from siskinmount.entry import _entry_shard
+from siskinmount.entry import _upstream_access
+
+#: How long a call waits for a stream to get an owner.
+OWNER_WAIT_S = 4.0
+RETRY_PAUSE_S = 0.1
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+
+_RETRIED_CODES = frozenset(
+    (
+        results.ResultCode.NOT_OWNER,
+        results.ResultCode.OWNER_UNKNOWN,
+        results.ResultCode.OWNERSHIP_LOST,
+        results.ResultCode.UPSTREAM_UNREACHABLE,
+    )
+)
+
+
+class OwnerCalls:
+    """Finds owners and sends them requests of other entries.
+
+    Attributes:
+        streams: Streams that this entry owns.
+    """
+
+    __slots__ = ('streams', '_members', '_limits', '_clients', '_stream_count')
+
+    def __init__(
+        self,
+        streams: 'state.OwnershipManager[_entry_shard.EntryShard]',
+        members: membership.MemberTable,
+        limits: transport.ClientLimits,
+        stream_count: int,
+    ) -> None:
+        self.streams = streams
+        self._members = members
+        self._limits = limits
+        self._clients: dict[transport.Address, transport.HttpClient] = {}
+        self._stream_count = stream_count
+
+    def find_stream(self, key: str) -> str:
+        """Returns the stream that a key belongs to."""
+        return state.stream_of(key, self._stream_count)
+
+    def find_local(
+        self, stream: str
+    ) -> _entry_shard.EntryShard | results.Failure:
+        """Returns a stream's state if this entry owns it."""
+        return self.streams.find_shard(stream)
+
+    async def send(
+        self, stream: str, request: transport.ClientRequest
+    ) -> bytes | results.Failure:
+        """Sends a request to the owner until one answers.
+
+        The request must be safe to repeat: it is sent again when the owner
+        cannot be reached or has changed.
+
+        Returns:
+            The body of the answer, or the failure that the owner named, or
+            that there was no owner in time.
+        """
+        deadline_s = trio.current_time() + OWNER_WAIT_S
+        while True:
+            answer = await self._send_once(stream, request)
+            if not isinstance(answer, results.Failure):
+                return answer
+            if answer.code not in _RETRIED_CODES:
+                return answer
+            if trio.current_time() > deadline_s:
+                return answer
+            await trio.sleep(RETRY_PAUSE_S)
+
+    async def _send_once(
+        self, stream: str, request: transport.ClientRequest
+    ) -> bytes | results.Failure:
+        """Sends a request to the present owner."""
+        owner_vm = self.streams.owner_vm(stream)
+        owner = self._members.find(owner_vm) if owner_vm else None
+        if owner is None:
+            return results.Failure(
+                results.ResultCode.OWNER_UNKNOWN,
+                f'{stream} has no owner yet',
+                retry_after_ms=1000,
+            )
+        exchange = await self._find_client(owner).send(request)
+        if isinstance(exchange, results.Failure):
+            return exchange
+        with exchange:
+            body = await exchange.read_body(MAX_ANSWER_BYTES)
+        if isinstance(body, results.Failure):
+            return body
+        if exchange.status != 200:
+            return _upstream_access.parse_error_body(body)
+        return body
+
+    def _find_client(self, owner: membership.Member) -> transport.HttpClient:
+        """Returns the connection pool for an entry."""
+        client = self._clients.get(owner.peers_address)
+        if client is None:
+            client = transport.create_http_client(
+                owner.peers_address, self._limits
+            )
+            self._clients[owner.peers_address] = client
+        return client
+
+
+async def wait_for_shard(
+    calls: OwnerCalls, stream: str
+) -> _entry_shard.EntryShard | results.Failure:
+    """Returns a stream's state once this entry owns it.
+
+    Returns:
+        The state, or at once that another entry is the owner, or after a
+        while that the stream has no owner.
+    """
+    deadline_s = trio.current_time() + OWNER_WAIT_S
+    while True:
+        shard = calls.find_local(stream)
+        if not isinstance(shard, results.Failure):
+            return shard
+        if shard.code is not results.ResultCode.OWNER_UNKNOWN:
+            return shard
+        if trio.current_time() > deadline_s:
+            return shard
+        await trio.sleep(RETRY_PAUSE_S)
--- a/siskinmount/entry/_plain_calls.py
+++ b/siskinmount/entry/_plain_calls.py
@@ -24,6 +24,8 @@
 
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 IN_PROGRESS_RETRY_MS = 500
+#: Recorded for a call that may have run and whose answer was lost.
+UNKNOWN_OUTCOME = b''
 
 
 class PlainCall:
@@ -124,27 +126,14 @@
 
     A call that may run at most once and carries a key is recorded before its
     first byte is sent to an upstream, and its outcome before it is answered.
+    Without a key each resend is a call of its own.
     """
     recorder.visit_request(call.service.name)
     access.note_request(call.service.name)
-    keyed = not call.idempotent and call.identity.key is not None
-    if keyed:
-        known = await _begin(keys, caller, call)
-        if isinstance(known, results.Failure):
-            recorder.note_failure(known)
-            await _error_answers.send_failure(
-                exchange, known, call.identity.request_id
-            )
-            return
-        if known is not None:
-            await known.send(exchange, call.identity.request_id)
-            return
-    # Once an intent is recorded the call goes on even if its caller leaves, so
-    # that the outcome is there for a resend.
-    with trio.CancelScope(shield=keyed):
+    if not call.idempotent and call.identity.key is not None:
+        answer = await _run_once(access, keys, caller, call)
+    else:
         answer = await run_plain_call(access, caller, call)
-        if keyed:
-            await _finish(keys, caller, call, answer)
     if isinstance(answer, results.Failure):
         recorder.note_failure(answer)
         await _error_answers.send_failure(
@@ -228,29 +217,40 @@
                 )
 
 
-async def _begin(
+async def _run_once(
+    access: _upstream_access.UpstreamAccess,
     keys: _key_access.KeyAccess,
     caller: configuration.CallerPolicy,
     call: PlainCall,
-) -> _plain_answer.PlainAnswer | results.Failure | None:
-    """Records the intent to run a call.
-
-    Returns:
-        None if the call must run now, the answer if it has one already, or
-        why it is not run.
-    """
+) -> _plain_answer.PlainAnswer | results.Failure:
+    """Runs a call under its key, or returns what is known of it already."""
     key = call.identity.key or ''
     begun = await keys.begin(caller.name, key, call.fingerprint)
+    if not isinstance(begun, state.Started):
+        return _describe_begun(begun)
+    # The call goes on even if its caller leaves, so that the outcome is there
+    # for a resend.
+    with trio.CancelScope(shield=True):
+        answer = await run_plain_call(access, caller, call)
+        if isinstance(answer, _plain_answer.PlainAnswer):
+            await keys.finish(
+                caller.name, key, begun.attempt, answer.encode()
+            )
+        elif answer.run_state is results.RunState.NOT_RUN:
+            await keys.abandon(caller.name, key, begun.attempt)
+        else:
+            await keys.finish(
+                caller.name, key, begun.attempt, UNKNOWN_OUTCOME
+            )
+    return answer
+
+
+def _describe_begun(
+    begun: state.BeginOutcome,
+) -> _plain_answer.PlainAnswer | results.Failure:
+    """Returns the answer to a call that must not be sent now."""
     if isinstance(begun, results.Failure):
         return begun
-    if isinstance(begun, state.KnownOutcome):
-        return _plain_answer.decode_plain_answer(begun.outcome)
-    if isinstance(begun, state.UnknownOutcome):
-        return results.Failure(
-            results.ResultCode.OUTCOME_UNKNOWN,
-            'the call with this key may have run; it is not sent again',
-            results.RunState.UNKNOWN,
-        )
     if isinstance(begun, state.InProgress):
         return results.Failure(
             results.ResultCode.REQUEST_IN_PROGRESS,
@@ -258,21 +258,11 @@
             results.RunState.UNKNOWN,
             retry_after_ms=IN_PROGRESS_RETRY_MS,
         )
-    return None
-
-
-async def _finish(
-    keys: _key_access.KeyAccess,
-    caller: configuration.CallerPolicy,
-    call: PlainCall,
-    answer: _plain_answer.PlainAnswer | results.Failure,
-) -> None:
-    """Records the outcome of a call."""
-    key = call.identity.key or ''
-    if isinstance(answer, _plain_answer.PlainAnswer):
-        await keys.finish_known(caller.name, key, answer.encode())
-        return
-    if answer.run_state is results.RunState.NOT_RUN:
-        await keys.finish_not_run(caller.name, key)
-        return
-    await keys.finish_unknown(caller.name, key)
+    if isinstance(begun, state.KnownOutcome):
+        if begun.outcome != UNKNOWN_OUTCOME:
+            return _plain_answer.decode_plain_answer(begun.outcome)
+    return results.Failure(
+        results.ResultCode.OUTCOME_UNKNOWN,
+        'the call with this key may have run; it is not sent again',
+        results.RunState.UNKNOWN,
+    )
--- /dev/null
+++ b/tools/fleet/_fleet_plan.py
@@ -0,0 +1,185 @@
+"""Which processes a fleet has and where they listen."""
+
+import socket
+
+from siskinmount import transport
+
+REGION = 'region-1'
+
+
+class EntryPlan:
+    """One entry.
+
+    Attributes:
+        vm: Name of its VM.
+        failure_domain: Its failure domain.
+        callers_address: Where callers reach it.
+        peers_address: Where daemons reach it over HTTP.
+        control_address: Where daemons reach it over gRPC.
+    """
+
+    __slots__ = (
+        'vm',
+        'failure_domain',
+        'callers_address',
+        'peers_address',
+        'control_address',
+    )
+
+    def __init__(
+        self,
+        vm: str,
+        failure_domain: str,
+        callers_address: transport.Address,
+        peers_address: transport.Address,
+        control_address: transport.Address,
+    ) -> None:
+        self.vm = vm
+        self.failure_domain = failure_domain
+        self.callers_address = callers_address
+        self.peers_address = peers_address
+        self.control_address = control_address
+
+
+class SidecarPlan:
+    """One upstream with the sidecar beside it.
+
+    Attributes:
+        vm: Name of their VM.
+        failure_domain: Their failure domain.
+        service: Service of the upstream.
+        is_model: Whether the upstream is a model engine.
+        upstream_address: Where the upstream listens.
+        peers_address: Where the sidecar listens over HTTP.
+        control_address: Where the sidecar listens over gRPC.
+    """
+
+    __slots__ = (
+        'vm',
+        'failure_domain',
+        'service',
+        'is_model',
+        'upstream_address',
+        'peers_address',
+        'control_address',
+    )
+
+    def __init__(
+        self,
+        vm: str,
+        failure_domain: str,
+        service: str,
+        is_model: bool,
+        upstream_address: transport.Address,
+        peers_address: transport.Address,
+        control_address: transport.Address,
+    ) -> None:
+        self.vm = vm
+        self.failure_domain = failure_domain
+        self.service = service
+        self.is_model = is_model
+        self.upstream_address = upstream_address
+        self.peers_address = peers_address
+        self.control_address = control_address
+
+
+class FleetPlan:
+    """A whole fleet.
+
+    Attributes:
+        log_address: The log service.
+        vm_list_address: The VM list.
+        entries: The entries.
+        sidecars: The upstreams with their sidecars.
+        stream_count: Number of state streams.
+    """
+
+    __slots__ = (
+        'log_address',
+        'vm_list_address',
+        'entries',
+        'sidecars',
+        'stream_count',
+    )
+
+    def __init__(
+        self,
+        log_address: transport.Address,
+        vm_list_address: transport.Address,
+        entries: list[EntryPlan],
+        sidecars: list[SidecarPlan],
+        stream_count: int,
+    ) -> None:
+        self.log_address = log_address
+        self.vm_list_address = vm_list_address
+        self.entries = entries
+        self.sidecars = sidecars
+        self.stream_count = stream_count
+
+
+def plan_fleet(
+    *,
+    entry_count: int = 2,
+    model_services: dict[str, int],
+    plain_services: dict[str, int],
+    failure_domain_count: int = 3,
+    stream_count: int = 2,
+) -> FleetPlan:
+    """Returns a plan on free loopback ports.
+
+    Args:
+        entry_count: Number of entries.
+        model_services: Number of engines by service.
+        plain_services: Number of plain upstreams by service.
+        failure_domain_count: Failure domains that the VMs are spread over.
+        stream_count: Number of state streams.
+    """
+    upstream_count = sum(model_services.values()) + sum(plain_services.values())
+    addresses = _find_free_addresses(2 + 3 * entry_count + 3 * upstream_count)
+    log_address = addresses.pop()
+    vm_list_address = addresses.pop()
+    entries: list[EntryPlan] = []
+    for number in range(entry_count):
+        entries.append(
+            EntryPlan(
+                f'entry-{number}',
+                f'domain-{number % failure_domain_count}',
+                addresses.pop(),
+                addresses.pop(),
+                addresses.pop(),
+            )
+        )
+    sidecars: list[SidecarPlan] = []
+    for services, is_model in ((model_services, True), (plain_services, False)):
+        for service, count in services.items():
+            for number in range(count):
+                sidecars.append(
+                    SidecarPlan(
+                        f'{service}-{number}',
+                        f'domain-{number % failure_domain_count}',
+                        service,
+                        is_model,
+                        addresses.pop(),
+                        addresses.pop(),
+                        addresses.pop(),
+                    )
+                )
+    return FleetPlan(
+        log_address, vm_list_address, entries, sidecars, stream_count
+    )
+
+
+def _find_free_addresses(count: int) -> list[transport.Address]:
+    """Returns loopback addresses with ports that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        addresses: list[transport.Address] = []
+        for holder in sockets:
+            holder.bind(('127.0.0.1', 0))
+            addresses.append(
+                transport.Address('127.0.0.1', holder.getsockname()[1])
+            )
+        return addresses
+    finally:
+        for holder in sockets:
+            holder.close()
--- /dev/null
+++ b/tools/tests/test_import_direction.py
@@ -0,0 +1,64 @@
+"""Tests that sub-packages import only from the layers below them."""
+
+import ast
+import pathlib
+
+import testtools
+
+_ROOT = pathlib.Path(__file__).resolve().parents[2] / 'siskinmount'
+
+# Sub-packages from the bottom up, as in docs/ARCHITECTURE.md. Those of one
+# layer do not import each other.
+_LAYERS = (
+    ('results',),
+    ('supervision', 'transport', 'telemetry'),
+    ('relay', 'configuration', 'platform', 'rpc'),
+    ('membership', 'state'),
+    ('routing', 'admission', 'batch'),
+    ('sidecar', 'entry'),
+    ('commands',),
+)
+
+
+def _find_imports(path):
+    """Returns the sub-packages that a module imports."""
+    names = set()
+    for node in ast.walk(ast.parse(path.read_text(encoding='utf-8'))):
+        if isinstance(node, ast.ImportFrom) and node.module:
+            parts = node.module.split('.')
+            if parts[0] != 'siskinmount':
+                continue
+            if len(parts) > 1:
+                names.add(parts[1])
+                continue
+            names.update(alias.name for alias in node.names)
+    return names
+
+
+class ImportDirectionTest(testtools.TestCase):
+
+    def test_imports_point_down(self):
+        layer_of = {}
+        for number, layer in enumerate(_LAYERS):
+            for name in layer:
+                layer_of[name] = number
+        faults = []
+        for name, number in layer_of.items():
+            for path in (_ROOT / name).rglob('*.py'):
+                if 'tests' in path.parts or path.stem.endswith('_pb2_grpc'):
+                    continue
+                for imported in _find_imports(path) - {name}:
+                    if imported not in layer_of:
+                        continue
+                    if layer_of[imported] >= number:
+                        faults.append(f'{path.name} imports {imported}')
+        self.assertEqual([], faults)
+
+    def test_every_subpackage_has_a_layer(self):
+        known = {name for layer in _LAYERS for name in layer}
+        found = {
+            path.name
+            for path in _ROOT.iterdir()
+            if path.is_dir() and (path / '__init__.py').exists()
+        }
+        self.assertEqual(known, found - {'tests'})
