--- /dev/null
+++ b/siskinmount/admission/_admission.py
@@ -0,0 +1,233 @@
+"""Decides whether a request may run."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import logging
+import math
+from typing import Protocol
+
+import trio
+
+from siskinmount import configuration
+from siskinmount import results
+from siskinmount.admission import _caller_usage
+from siskinmount.admission import _service_pressure
+from siskinmount.admission import _ticket
+
+_LOGGER = logging.getLogger(__name__)
+
+MIN_RETRY_AFTER_MS = 10
+
+
+class CapacitySource(Protocol):
+    """Tells how loaded the upstreams are; `routing.Router` does."""
+
+    def count_in_flight(self, service: str) -> int:
+        """Returns the requests in flight at a service."""
+        ...
+
+    def count_slots(self, service: str) -> int:
+        """Returns the requests that a service's upstreams run at once."""
+        ...
+
+
+class Admission:
+    """Keeps each caller within its limits and each service below overload.
+
+    A caller's limits hold for the whole fleet; each entry grants its part.
+    """
+
+    __slots__ = ('_capacity', '_clock', '_usages', '_pressures')
+
+    def __init__(
+        self, capacity: CapacitySource, clock: Callable[[], float]
+    ) -> None:
+        self._capacity = capacity
+        self._clock = clock
+        self._usages: dict[str, _caller_usage.CallerUsage] = {}
+        self._pressures: dict[str, _service_pressure.ServicePressure] = {}
+
+    def configure(
+        self,
+        callers: Mapping[str, configuration.CallerPolicy],
+        entry_count: int,
+    ) -> None:
+        """Takes the callers' limits and the number of entries that share them."""
+        now_s = self._clock()
+        count = max(1, entry_count)
+        for name, policy in callers.items():
+            usage = self._usages.get(name)
+            if usage is not None:
+                usage.configure(policy, count, now_s)
+                continue
+            self._usages[name] = _caller_usage.CallerUsage(policy, count, now_s)
+        for name in list(self._usages):
+            if name not in callers:
+                del self._usages[name]
+
+    def admit(
+        self,
+        caller: str,
+        service: str,
+        request_class: configuration.RequestClass,
+    ) -> _ticket.Ticket | results.Failure:
+        """Admits a request or says why not and when to come again.
+
+        The entry releases the ticket when the request has ended. A refused
+        request takes nothing from the caller's limits.
+
+        Args:
+            caller: Name of the authenticated caller.
+            service: Name of the service.
+            request_class: Online or batch.
+        """
+        usage = self._usages.get(caller)
+        if usage is None:
+            return results.Failure(
+                results.ResultCode.FORBIDDEN, f'{caller} has no limits here'
+            )
+        now_s = self._clock()
+        refusal = self._check_caller(usage, service, now_s)
+        if refusal is None:
+            refusal = self._check_service(usage, service, request_class, now_s)
+        if refusal is not None:
+            return refusal
+        usage.bucket.take(now_s)
+        usage.begin(service)
+        return _ticket.Ticket(caller, service, now_s, self._make_end(usage))
+
+    def note_delay(self, service: str, delay_ms: float) -> None:
+        """Takes the time that a request has waited for an upstream."""
+        self._pressure_of(service).note_delay(delay_ms, self._clock())
+
+    def in_flight(self, caller: str) -> int:
+        """Returns the caller's requests in progress at this entry."""
+        usage = self._usages.get(caller)
+        return 0 if usage is None else usage.in_flight
+
+    def _check_caller(
+        self, usage: _caller_usage.CallerUsage, service: str, now_s: float
+    ) -> results.Failure | None:
+        """Returns why the caller's own limits forbid a request."""
+        name = usage.policy.name
+        wait_ms = usage.bucket.wait_ms(now_s)
+        if wait_ms is None or wait_ms > 0:
+            return results.Failure(
+                results.ResultCode.CALLER_OVER_LIMIT,
+                f'{name} sends more requests than its rate allows',
+                retry_after_ms=_round_up(wait_ms),
+            )
+        if usage.in_flight < usage.max_in_flight:
+            return None
+        next_end_ms = self._pressure_of(service).duration_ms / usage.in_flight
+        return results.Failure(
+            results.ResultCode.CALLER_OVER_LIMIT,
+            f'{name} has {usage.in_flight} requests in progress',
+            retry_after_ms=_round_up(next_end_ms),
+        )
+
+    def _check_service(
+        self,
+        usage: _caller_usage.CallerUsage,
+        service: str,
+        request_class: configuration.RequestClass,
+        now_s: float,
+    ) -> results.Failure | None:
+        """Returns why the service's load forbids a request."""
+        in_flight = self._capacity.count_in_flight(service)
+        slots = self._capacity.count_slots(service)
+        pressure = self._pressure_of(service).conclude(in_flight, slots, now_s)
+        if pressure is _service_pressure.Pressure.NONE:
+            return None
+        is_online = request_class is configuration.RequestClass.ONLINE
+        if pressure is _service_pressure.Pressure.BATCH_SHED and is_online:
+            return None
+        all_shed = pressure is _service_pressure.Pressure.ALL_SHED
+        if is_online and not all_shed:
+            if not self._is_over_share(usage, service):
+                return None
+        return results.Failure(
+            results.ResultCode.OVERLOADED,
+            f'{service} is overloaded',
+            retry_after_ms=self._estimate_wait_ms(service, in_flight, slots),
+        )
+
+    def _is_over_share(
+        self, usage: _caller_usage.CallerUsage, service: str
+    ) -> bool:
+        """Tells whether a further request exceeds the caller's fair share.
+
+        The share is the caller's part, by weight, of what all callers that
+        use the service have in progress at this entry.
+        """
+        total = 0
+        total_weight = 0
+        for other in self._usages.values():
+            count = other.in_flight_by_service.get(service, 0)
+            if not count and other is not usage:
+                continue
+            total += count
+            total_weight += other.policy.weight
+        share = (total + 1) * usage.policy.weight / max(1, total_weight)
+        return usage.in_flight_by_service.get(service, 0) + 1 > share
+
+    def _estimate_wait_ms(
+        self, service: str, in_flight: int, slots: int
+    ) -> int:
+        """Returns the time until the load has fallen to what is admitted."""
+        duration_ms = self._pressure_of(service).duration_ms
+        if not in_flight:
+            return _round_up(duration_ms)
+        goal = _service_pressure.SHED_BATCH_AT * slots
+        excess = max(1.0, in_flight - goal)
+        return _round_up(duration_ms * excess / in_flight)
+
+    def _pressure_of(self, service: str) -> _service_pressure.ServicePressure:
+        """Returns the service's measures."""
+        pressure = self._pressures.get(service)
+        if pressure is None:
+            pressure = _service_pressure.ServicePressure()
+            self._pressures[service] = pressure
+        return pressure
+
+    def _make_end(
+        self, usage: _caller_usage.CallerUsage
+    ) -> Callable[[_ticket.Ticket], None]:
+        """Returns what ends a request of this caller."""
+
+        def end(ticket: _ticket.Ticket) -> None:
+            usage.end(ticket.service)
+            duration_s = self._clock() - ticket.admitted_at_s
+            self._pressure_of(ticket.service).note_duration(duration_s * 1000)
+            if usage.in_flight >= 0:
+                return
+            _LOGGER.error(
+                'invariant_broken',
+                extra={
+                    'code': int(results.ResultCode.INVARIANT_BROKEN),
+                    'invariant': 'in_flight_not_negative',
+                    'caller': ticket.caller,
+                },
+            )
+            raise AssertionError(f'{ticket.caller} has fewer than no requests')
+
+        return end
+
+
+def _round_up(wait_ms: float | None) -> int | None:
+    """Returns whole milliseconds, not too few."""
+    if wait_ms is None:
+        return None
+    return max(MIN_RETRY_AFTER_MS, math.ceil(wait_ms))
+
+
+def create_admission(
+    capacity: CapacitySource, clock: Callable[[], float] = trio.current_time
+) -> Admission:
+    """Creates an admission that knows no caller until configured.
+
+    Args:
+        capacity: Tells how loaded the upstreams are.
+        clock: Returns monotonic seconds.
+    """
+    return Admission(capacity, clock)
--- /dev/null
+++ b/siskinmount/membership/_heartbeat_sender.py
@@ -0,0 +1,256 @@
+"""Tells entries that this daemon lives, one task per peer."""
+
+import logging
+import random
+
+import trio
+
+from siskinmount import results
+from siskinmount import rpc
+from siskinmount import transport
+from siskinmount.membership import _entry_subset
+from siskinmount.membership import _heartbeat_observer
+from siskinmount.membership import _heartbeat_settings
+from siskinmount.membership import _member
+from siskinmount.membership import _member_message
+from siskinmount.membership import _member_table
+
+_LOGGER = logging.getLogger(__name__)
+
+REVIEW_INTERVAL_S = 0.5
+
+
+class HeartbeatSender:
+    """Keeps a heartbeat going to each chosen entry.
+
+    Entries become known from seeds, from replies and from the VM list.
+
+    Attributes:
+        sent_count: Heartbeats sent since the start.
+    """
+
+    __slots__ = (
+        'sent_count',
+        '_table',
+        '_observer',
+        '_settings',
+        '_seeds',
+        '_listed',
+        '_peer_scopes',
+        '_pulling',
+    )
+
+    def __init__(
+        self,
+        table: _member_table.MemberTable,
+        observer: _heartbeat_observer.HeartbeatObserver,
+        seeds: list[transport.Address],
+        settings: _heartbeat_settings.HeartbeatSettings,
+    ) -> None:
+        self.sent_count = 0
+        self._table = table
+        self._observer = observer
+        self._settings = settings
+        self._seeds = set(seeds)
+        self._listed: set[transport.Address] = set()
+        self._peer_scopes: dict[transport.Address, trio.CancelScope] = {}
+        self._pulling = False
+
+    def replace_listed(self, addresses: list[transport.Address]) -> None:
+        """Takes the control addresses of the entries on the VM list."""
+        self._listed = set(addresses)
+
+    async def run(
+        self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Sends heartbeats until cancelled."""
+        self._peer_scopes.clear()
+        async with trio.open_nursery() as nursery:
+            task_status.started()
+            while True:
+                self._table.refresh()
+                self._review_peers(nursery)
+                await trio.sleep(REVIEW_INTERVAL_S)
+
+    def list_peers(self) -> list[transport.Address]:
+        """Returns the control addresses that get heartbeats now."""
+        return list(self._peer_scopes)
+
+    def _review_peers(self, nursery: trio.Nursery) -> None:
+        """Starts tasks for new peers and ends those of former ones."""
+        wanted = self._choose_peers()
+        for address, scope in list(self._peer_scopes.items()):
+            if address in wanted:
+                continue
+            scope.cancel()
+            del self._peer_scopes[address]
+        for address in wanted:
+            if address in self._peer_scopes:
+                continue
+            scope = trio.CancelScope()
+            self._peer_scopes[address] = scope
+            nursery.start_soon(self._run_peer, address, scope)
+
+    def _choose_peers(self) -> set[transport.Address]:
+        """Returns the control addresses that should get heartbeats."""
+        own = self._observer.describe_self()
+        is_entry = own.role is _member.MemberRole.ENTRY
+        limit = (
+            self._settings.max_entry_peers
+            if is_entry
+            else self._settings.max_sidecar_peers
+        )
+        others: list[_member.Member] = []
+        for entry in self._table.list_entries():
+            if entry.vm != own.vm:
+                others.append(entry)
+        chosen = _entry_subset.choose_entries(own.vm, own.region, others, limit)
+        wanted = {entry.control_address for entry in chosen}
+        known = {entry.control_address for entry in others}
+        # An address that is no known entry's may be that of one that has just
+        # started, or of one that was cut off and is back.
+        unknown = self._seeds | self._listed | self._dead_addresses()
+        for address in sorted(unknown - known, key=str):
+            if len(wanted) >= limit:
+                break
+            wanted.add(address)
+        wanted.discard(own.control_address)
+        return wanted
+
+    def _dead_addresses(self) -> set[transport.Address]:
+        """Returns the addresses of dead entries that are not yet forgotten."""
+        addresses: set[transport.Address] = set()
+        for member in self._table.list_members():
+            if member.role is not _member.MemberRole.ENTRY:
+                continue
+            if member.state is _member.MemberState.DEAD:
+                addresses.add(member.control_address)
+        return addresses
+
+    async def _run_peer(
+        self, address: transport.Address, scope: trio.CancelScope
+    ) -> None:
+        """Sends heartbeats to one peer until its scope is cancelled."""
+        client = rpc.create_control_client(
+            address,
+            rpc.ControlDeadlines(
+                heartbeat_timeout_ms=max(1000, self._settings.interval_ms)
+            ),
+        )
+        try:
+            with scope:
+                while True:
+                    await self._send_one(client)
+                    await trio.sleep(self._draw_interval_s())
+        finally:
+            client.close()
+
+    def _draw_interval_s(self) -> float:
+        """Returns the time to the next heartbeat."""
+        jitter = self._settings.jitter_share
+        factor = random.uniform(1 - jitter, 1 + jitter)
+        return self._settings.interval_ms * factor / 1000
+
+    async def _send_one(self, client: rpc.ControlClient) -> None:
+        """Sends one heartbeat and takes in the reply."""
+        own = self._observer.describe_self()
+        self.sent_count += 1
+        reply = await client.heartbeat(
+            rpc.HeartbeatRequest(sender=_member_message.encode_member(own))
+        )
+        if isinstance(reply, results.Failure):
+            self._note_failure(client.address, reply)
+            return
+        replier = _member_message.decode_member(reply.replier)
+        if isinstance(replier, results.Failure):
+            _LOGGER.warning(
+                'heartbeat_reply_invalid',
+                extra={'code': int(replier.code), 'reason': replier.reason},
+            )
+            return
+        stale = self._table.apply_heartbeat(replier)
+        if stale is not None:
+            return
+        self._take_listed_entries(own, replier, reply)
+        self._observer.receive_reply(replier, reply)
+        await self._pull_configuration(client, own, replier)
+
+    def _take_listed_entries(
+        self,
+        own: _member.Member,
+        replier: _member.Member,
+        reply: rpc.HeartbeatReply,
+    ) -> None:
+        """Takes in what the replier says of other entries."""
+        for message in reply.entries:
+            if message.vm in (own.vm, replier.vm):
+                continue
+            entry = _member_message.decode_member(message)
+            if isinstance(entry, results.Failure):
+                continue
+            self._table.apply_peer_report(entry, message.heard_ms_ago)
+
+    def _note_failure(
+        self, address: transport.Address, failure: results.Failure
+    ) -> None:
+        """Tells the table that the entry at an address gave no answer."""
+        for entry in self._table.list_entries():
+            if entry.control_address != address:
+                continue
+            _LOGGER.info(
+                'heartbeat_failed',
+                extra={
+                    'member': entry.vm,
+                    'code': int(failure.code),
+                    'reason': failure.reason,
+                },
+            )
+            self._table.note_unreachable(entry.vm, entry.incarnation)
+
+    async def _pull_configuration(
+        self,
+        client: rpc.ControlClient,
+        own: _member.Member,
+        replier: _member.Member,
+    ) -> None:
+        """Fetches the configuration from a replier that holds a newer one."""
+        if replier.configuration_version <= own.configuration_version:
+            return
+        if self._pulling:
+            return
+        self._pulling = True
+        try:
+            pulled = await client.get_configuration(
+                rpc.ConfigurationRequest(
+                    known_version=own.configuration_version
+                )
+            )
+            if isinstance(pulled, results.Failure) or not pulled.text:
+                return
+            await self._observer.receive_configuration(
+                pulled.version, pulled.text
+            )
+        finally:
+            self._pulling = False
+
+
+def create_heartbeat_sender(
+    table: _member_table.MemberTable,
+    observer: _heartbeat_observer.HeartbeatObserver,
+    seeds: list[transport.Address],
+    settings: _heartbeat_settings.HeartbeatSettings | None = None,
+) -> HeartbeatSender:
+    """Creates a sender for this daemon.
+
+    Args:
+        table: Learns the entries that reply.
+        observer: Describes this daemon and receives what replies bring.
+        seeds: Control addresses at which entries may be found.
+        settings: Rates and bounds.
+    """
+    return HeartbeatSender(
+        table,
+        observer,
+        seeds,
+        settings or _heartbeat_settings.HeartbeatSettings(),
+    )
--- /dev/null
+++ b/siskinmount/membership/_member.py
@@ -0,0 +1,103 @@
+"""One daemon as the others know it."""
+
+import enum
+
+from siskinmount import transport
+
+
+class MemberRole(enum.Enum):
+    """What a daemon does."""
+
+    ENTRY = 'entry'
+    SIDECAR = 'sidecar'
+
+
+class MemberState(enum.Enum):
+    """What may be expected of a member."""
+
+    #: Heard from recently, takes work.
+    LIVE = 'live'
+
+    #: Finishes what it has and takes no new work.
+    LEAVING = 'leaving'
+
+    #: Not heard from recently; used only if nothing else is left.
+    SUSPECT = 'suspect'
+
+    #: Two sources agree that it is gone.
+    DEAD = 'dead'
+
+
+class Member:
+    """A daemon, as described by itself.
+
+    Attributes:
+        vm: Name of the VM.
+        role: Entry or sidecar.
+        incarnation: Rises with each start of the process: nanoseconds since
+            the Unix epoch.
+        region: Region of the VM.
+        failure_domain: Failure domain of the VM.
+        peers_address: Where it serves HTTP to other daemons.
+        control_address: Where it serves control calls.
+        state: Live or leaving as told by itself; in lists of a `MemberTable`,
+            the state that the table has concluded.
+        service: The service of a sidecar's upstream; empty for entries.
+        slots: Requests that a sidecar's upstream runs at once.
+        in_flight: Requests in progress at a sidecar.
+        model_version: Version that a sidecar's engine has loaded.
+        configuration_version: Version of the configuration in force there.
+    """
+
+    __slots__ = (
+        'vm',
+        'role',
+        'incarnation',
+        'region',
+        'failure_domain',
+        'peers_address',
+        'control_address',
+        'state',
+        'service',
+        'slots',
+        'in_flight',
+        'model_version',
+        'configuration_version',
+    )
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        role: MemberRole,
+        incarnation: int,
+        region: str,
+        failure_domain: str,
+        peers_address: transport.Address,
+        control_address: transport.Address,
+        state: MemberState = MemberState.LIVE,
+        service: str = '',
+        slots: int = 0,
+        in_flight: int = 0,
+        model_version: str = '',
+        configuration_version: int = 0,
+    ) -> None:
+        self.vm = vm
+        self.role = role
+        self.incarnation = incarnation
+        self.region = region
+        self.failure_domain = failure_domain
+        self.peers_address = peers_address
+        self.control_address = control_address
+        self.state = state
+        self.service = service
+        self.slots = slots
+        self.in_flight = in_flight
+        self.model_version = model_version
+        self.configuration_version = configuration_version
+
+    def __repr__(self) -> str:
+        return (
+            f'Member({self.vm!r}, {self.role.value}, {self.incarnation},'
+            f' {self.state.value})'
+        )
--- /dev/null
+++ b/siskinmount/membership/_vm_list_watcher.py
@@ -0,0 +1,76 @@
+"""Reads the platform's VM list, the slow second source of membership."""
+
+import logging
+
+import trio
+
+from siskinmount import platform
+from siskinmount import results
+from siskinmount import transport
+from siskinmount.membership import _heartbeat_sender
+from siskinmount.membership import _heartbeat_settings
+from siskinmount.membership import _member
+from siskinmount.membership import _member_table
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class VmListWatcher:
+    """Feeds the member table and the heartbeat sender from the VM list."""
+
+    __slots__ = ('_source', '_table', '_sender', '_settings')
+
+    def __init__(
+        self,
+        source: 'platform.VmList',
+        table: _member_table.MemberTable,
+        sender: _heartbeat_sender.HeartbeatSender,
+        settings: _heartbeat_settings.HeartbeatSettings,
+    ) -> None:
+        self._source = source
+        self._table = table
+        self._sender = sender
+        self._settings = settings
+
+    async def run(
+        self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Reads the list at a steady rate until cancelled."""
+        task_status.started()
+        while True:
+            await self._read_once()
+            await trio.sleep(self._settings.vm_list_interval_ms / 1000)
+
+    async def _read_once(self) -> None:
+        """Reads the list once; an outage changes nothing."""
+        vms = await self._source.fetch()
+        if isinstance(vms, results.Failure):
+            _LOGGER.warning(
+                'vm_list_unavailable',
+                extra={'code': int(vms.code), 'reason': vms.reason},
+            )
+            return
+        self._table.apply_vm_list(vms)
+        listed: list[transport.Address] = []
+        for vm in vms:
+            if vm.role != _member.MemberRole.ENTRY.value:
+                continue
+            address = transport.parse_address(vm.control_address)
+            if not isinstance(address, results.Failure):
+                listed.append(address)
+        self._sender.replace_listed(listed)
+
+
+def create_vm_list_watcher(
+    source: 'platform.VmList',
+    table: _member_table.MemberTable,
+    sender: _heartbeat_sender.HeartbeatSender,
+    settings: _heartbeat_settings.HeartbeatSettings | None = None,
+) -> VmListWatcher:
+    """Creates a watcher that feeds the table and the sender."""
+    return VmListWatcher(
+        source,
+        table,
+        sender,
+        settings or _heartbeat_settings.HeartbeatSettings(),
+    )
--- a/siskinmount/routing/__init__.py
+++ b/siskinmount/routing/__init__.py
@@ -0,0 +1,8 @@
+"""Choice of an upstream for a request, and the budget for retries."""
+
+from siskinmount.routing._affinity_key import create_affinity_key
+from siskinmount.routing._choice import Choice
+from siskinmount.routing._retry_budget import create_retry_budget
+from siskinmount.routing._retry_budget import RetryBudget
+from siskinmount.routing._router import create_router
+from siskinmount.routing._router import Router
--- /dev/null
+++ b/siskinmount/routing/_router.py
@@ -0,0 +1,273 @@
+"""Chooses an upstream for each attempt of a request."""
+
+from collections.abc import Callable
+from collections.abc import Collection
+import logging
+import random
+
+import trio
+
+from siskinmount import configuration
+from siskinmount import membership
+from siskinmount import results
+from siskinmount.routing import _bounded_load
+from siskinmount.routing import _choice
+from siskinmount.routing import _upstream_load
+
+_LOGGER = logging.getLogger(__name__)
+
+NO_UPSTREAM_RETRY_AFTER_MS = 1000
+
+_NOTHING: frozenset[str] = frozenset()
+
+
+class Router:
+    """Knows the load of the upstreams and chooses among them.
+
+    Load is this entry's own count and the count that each sidecar puts on its
+    answers, never an engine's lagging report.
+    """
+
+    __slots__ = ('_table', '_failure_domain', '_clock', '_random', '_loads')
+
+    def __init__(
+        self,
+        table: membership.MemberTable,
+        failure_domain: str,
+        clock: Callable[[], float],
+        random_source: random.Random,
+    ) -> None:
+        self._table = table
+        self._failure_domain = failure_domain
+        self._clock = clock
+        self._random = random_source
+        self._loads: dict[str, _upstream_load.UpstreamLoad] = {}
+        table.add_listener(self._take_change)
+
+    def choose(
+        self,
+        service: str,
+        affinity_key: str | None,
+        excluded: Collection[str] = _NOTHING,
+        request_class: configuration.RequestClass = (
+            configuration.RequestClass.ONLINE
+        ),
+    ) -> _choice.Choice | results.Failure:
+        """Chooses an upstream and counts an attempt there.
+
+        The caller releases the choice when the attempt has ended.
+
+        Args:
+            service: Name of the service.
+            affinity_key: Requests with one key go to one upstream while its
+                load allows; None if any is as good as another.
+            excluded: VMs that have failed this request already.
+            request_class: Online or batch. A batch request is refused when no
+                upstream is in good order.
+        """
+        sidecars: list[membership.Member] = []
+        for sidecar in self._table.list_sidecars(service):
+            if sidecar.vm not in excluded:
+                sidecars.append(sidecar)
+        candidates = self._list_preferred(sidecars)
+        is_online = request_class is configuration.RequestClass.ONLINE
+        if not candidates and is_online:
+            candidates = _list_last_resort(sidecars)
+        if not candidates:
+            return results.Failure(
+                results.ResultCode.NO_UPSTREAM,
+                f'no upstream of {service} can take the request',
+                retry_after_ms=NO_UPSTREAM_RETRY_AFTER_MS,
+            )
+        if affinity_key is None:
+            return self._begin(self._choose_of_two(candidates), False)
+        return self._choose_by_affinity(affinity_key, candidates)
+
+    def note_answer(
+        self, vm: str, in_flight: int, slots: int, incarnation: int = 0
+    ) -> None:
+        """Takes the load that a sidecar has put on its answer.
+
+        Args:
+            vm: The sidecar's VM.
+            in_flight: Requests in flight there.
+            slots: Requests that its upstream runs at once.
+            incarnation: Incarnation on the answer, which shows that the
+                process lives; 0 if unknown.
+        """
+        sidecar = self._table.find(vm)
+        if sidecar is None:
+            return
+        load = self._find_load(sidecar)
+        load.note_report(in_flight, slots, self._clock())
+        load.note_success()
+        if incarnation:
+            self._table.note_answer(vm, incarnation)
+
+    def note_failure(
+        self, vm: str, incarnation: int, reachable: bool = False
+    ) -> None:
+        """Takes note that an attempt failed for the upstream's fault.
+
+        Args:
+            vm: The sidecar's VM.
+            incarnation: Incarnation of the process that was tried.
+            reachable: Whether the sidecar itself answered.
+        """
+        sidecar = self._table.find(vm)
+        if sidecar is None:
+            return
+        self._find_load(sidecar).note_failure(self._clock())
+        if not reachable:
+            self._table.note_unreachable(vm, incarnation)
+
+    def outstanding(self, vm: str) -> int:
+        """Returns this entry's attempts in progress at a VM."""
+        load = self._loads.get(vm)
+        return 0 if load is None else load.outstanding
+
+    def count_in_flight(self, service: str) -> int:
+        """Returns the estimated requests in flight at a service."""
+        count = 0
+        for sidecar in self._table.list_sidecars(service):
+            count += self._find_load(sidecar).estimate()
+        return count
+
+    def count_slots(self, service: str) -> int:
+        """Returns the slots of the upstreams of a service that take work."""
+        count = 0
+        for sidecar in self._table.list_sidecars(service):
+            if sidecar.state is membership.MemberState.LIVE:
+                count += self._find_load(sidecar).slots
+        return count
+
+    def _list_preferred(
+        self, sidecars: list[membership.Member]
+    ) -> list[membership.Member]:
+        """Returns the live sidecars that have not just failed."""
+        now_s = self._clock()
+        preferred: list[membership.Member] = []
+        for sidecar in sidecars:
+            if sidecar.state is not membership.MemberState.LIVE:
+                continue
+            if self._find_load(sidecar).penalised_until_s > now_s:
+                continue
+            preferred.append(sidecar)
+        return preferred
+
+    def _choose_by_affinity(
+        self, affinity_key: str, candidates: list[membership.Member]
+    ) -> _choice.Choice:
+        """Returns the first candidate in the key's order that has room."""
+        by_vm: dict[str, membership.Member] = {}
+        shares: dict[str, _bounded_load.UpstreamShare] = {}
+        for candidate in candidates:
+            load = self._find_load(candidate)
+            by_vm[candidate.vm] = candidate
+            shares[candidate.vm] = _bounded_load.UpstreamShare(
+                load.estimate(), load.slots
+            )
+        vm, place = _bounded_load.choose_bounded(affinity_key, shares)
+        return self._begin(by_vm[vm], place == 0)
+
+    def _choose_of_two(
+        self, candidates: list[membership.Member]
+    ) -> membership.Member:
+        """Returns the less loaded of two candidates drawn at random.
+
+        Between equally loaded ones the own failure domain goes first.
+        """
+        if len(candidates) == 1:
+            return candidates[0]
+        first, second = self._random.sample(candidates, 2)
+        first_load = self._relative_load(first)
+        second_load = self._relative_load(second)
+        if first_load < second_load:
+            return first
+        if second_load < first_load:
+            return second
+        if second.failure_domain == self._failure_domain:
+            return second
+        return first
+
+    def _relative_load(self, sidecar: membership.Member) -> float:
+        """Returns the part of a sidecar's slots that is in use."""
+        load = self._find_load(sidecar)
+        return load.estimate() / load.slots
+
+    def _begin(
+        self, member: membership.Member, by_affinity: bool
+    ) -> _choice.Choice:
+        """Counts an attempt at the member."""
+        self._find_load(member).begin()
+        return _choice.Choice(member, by_affinity, self._end)
+
+    def _end(self, vm: str) -> None:
+        """Counts the end of an attempt."""
+        load = self._loads.get(vm)
+        if load is None:
+            return
+        load.end()
+        if load.outstanding < 0:
+            _LOGGER.error(
+                'invariant_broken',
+                extra={
+                    'code': int(results.ResultCode.INVARIANT_BROKEN),
+                    'invariant': 'outstanding_not_negative',
+                    'member': vm,
+                },
+            )
+            raise AssertionError(f'{vm} has fewer than no attempts')
+        if not load.outstanding and self._table.find(vm) is None:
+            del self._loads[vm]
+
+    def _find_load(
+        self, sidecar: membership.Member
+    ) -> _upstream_load.UpstreamLoad:
+        """Returns the load of a sidecar, by its heartbeat if that is newer."""
+        now_s = self._clock()
+        load = self._loads.get(sidecar.vm)
+        if load is None:
+            load = _upstream_load.UpstreamLoad()
+            self._loads[sidecar.vm] = load
+        if load.is_out_of_date(now_s):
+            load.note_report(sidecar.in_flight, sidecar.slots, now_s)
+        return load
+
+    def _take_change(self, change: membership.MembershipChange) -> None:
+        """Forgets the load of an upstream that is dead and not in use."""
+        if change.member.state is not membership.MemberState.DEAD:
+            return
+        load = self._loads.get(change.member.vm)
+        if load is not None and not load.outstanding:
+            del self._loads[change.member.vm]
+
+
+def _list_last_resort(
+    sidecars: list[membership.Member],
+) -> list[membership.Member]:
+    """Returns the sidecars to try when none is in good order."""
+    remaining: list[membership.Member] = []
+    for sidecar in sidecars:
+        if sidecar.state is not membership.MemberState.LEAVING:
+            remaining.append(sidecar)
+    return remaining
+
+
+def create_router(
+    table: membership.MemberTable,
+    failure_domain: str = '',
+    clock: Callable[[], float] = trio.current_time,
+    random_source: random.Random | None = None,
+) -> Router:
+    """Creates a router over the table's sidecars.
+
+    Args:
+        table: The members known.
+        failure_domain: This entry's failure domain.
+        clock: Returns monotonic seconds.
+        random_source: Draws the two candidates.
+    """
+    return Router(
+        table, failure_domain, clock, random_source or random.Random()
+    )
