--- a/siskinmount/entry/_answer_run.py
+++ b/siskinmount/entry/_answer_run.py
@@ -7,6 +7,7 @@
 from siskinmount import membership
 from siskinmount import relay
 from siskinmount import results
+from siskinmount import routing
 from siskinmount import transport
 from siskinmount.entry import _run_request
 from siskinmount.entry import _upstream_access
@@ -20,6 +21,16 @@
 REATTACH_PAUSE_S = 0.05
 MAX_ERROR_BYTES = 64 * 1024
 
+#: Refusals that say nothing against the upstream.
+_BLAMELESS_CODES = frozenset(
+    (
+        results.ResultCode.LEAVING,
+        results.ResultCode.OVERLOADED,
+        results.ResultCode.REQUEST_CANCELLED,
+        results.ResultCode.REQUEST_CONVICTED,
+    )
+)
+
 
 class AnswerRun:
     """Reads one answer's frames and moves between upstreams when one is lost.
@@ -39,7 +50,7 @@
         'upstream_vm',
         '_access',
         '_request',
-        '_member',
+        '_choice',
         '_exchange',
         '_reader',
         '_excluded_vms',
@@ -63,7 +74,7 @@
         self.upstream_vm = ''
         self._access = access
         self._request = request
-        self._member: membership.Member | None = None
+        self._choice: routing.Choice | None = None
         self._exchange: transport.ClientExchange | None = None
         self._reader = relay.FrameReader()
         self._excluded_vms: set[str] = set()
@@ -106,9 +117,7 @@
         if self._exchange is not None:
             self._exchange.close()
             self._exchange = None
-        if self._member is not None:
-            self._access.router.release(self._member.vm)
-            self._member = None
+        self._release_choice()
 
     async def _open(self) -> results.Failure | None:
         """Starts or continues the run at an upstream.
@@ -117,7 +126,7 @@
             None once an exchange is open, or the final failure.
         """
         while True:
-            if self._member is None:
+            if self._choice is None:
                 failure = self._choose_upstream()
                 if failure is not None:
                     return failure
@@ -130,6 +139,18 @@
             if self._exchange is not None:
                 return None
 
+    def _find_member(self) -> membership.Member:
+        """Returns the chosen upstream's sidecar."""
+        if self._choice is None:
+            raise RuntimeError('no upstream was chosen')
+        return self._choice.member
+
+    def _release_choice(self) -> None:
+        """Ends the attempt at the chosen upstream."""
+        if self._choice is not None:
+            self._choice.release()
+            self._choice = None
+
     def _choose_upstream(self) -> results.Failure | None:
         """Picks the upstream for the next attempt."""
         request = self._request
@@ -138,14 +159,14 @@
             return self._final(_convicted())
         self._solo = access.is_suspect(request.fingerprint)
         choice = access.router.choose(
-            service=request.service.name,
-            affinity_key=request.affinity_key,
-            excluded_vms=frozenset(self._excluded_vms),
-            request_class=request.request_class,
+            request.service.name,
+            request.affinity_key,
+            self._excluded_vms,
+            request.request_class,
         )
         if isinstance(choice, results.Failure):
             return self._final(choice)
-        self._member = choice.member
+        self._choice = choice
         self.upstream_vm = choice.member.vm
         self._reattaches = 0
         self.attempt += 1
@@ -153,9 +174,7 @@
 
     async def _send(self, attach_only: bool) -> results.Failure | None:
         """Posts the run to the chosen sidecar."""
-        member = self._member
-        if member is None:
-            raise RuntimeError('no upstream was chosen')
+        member = self._find_member()
         request = transport.ClientRequest(
             'POST',
             f'/run/{self._request.service.name}',
@@ -276,13 +295,13 @@
         self._reported_failure = None
         if not reported and await self._reattach(failure):
             return None
-        member = self._member
-        if member is None:
-            raise RuntimeError('no upstream to leave')
+        member = self._find_member()
         self._excluded_vms.add(member.vm)
-        self._access.router.release(member.vm)
-        self._access.router.note_failure(member.vm, failure)
-        self._member = None
+        self._release_choice()
+        if failure.code not in _BLAMELESS_CODES:
+            self._access.router.note_failure(
+                member.vm, member.incarnation, reachable=reported
+            )
         _LOGGER.info(
             'attempt_failed',
             extra={
@@ -344,16 +363,11 @@
             return self._final(failure)
         if self.attempt >= request.service.max_attempts:
             return self._final(failure)
-        if not self._access.take_retry(request.service.name):
-            return self._final(
-                results.Failure(
-                    results.ResultCode.RETRY_BUDGET_EXHAUSTED,
-                    f'not retried after: {failure.reason}',
-                    failure.run_state,
-                    retry_after_ms=1000,
-                )
-            )
-        return None
+        refusal = self._access.retries.spend_retry(request.service.name)
+        if refusal is None:
+            return None
+        refusal.run_state = failure.run_state
+        return self._final(refusal)
 
     def _final(self, failure: results.Failure) -> results.Failure:
         """Returns the failure with a truthful run state."""
--- a/siskinmount/entry/_callers_api.py
+++ b/siskinmount/entry/_callers_api.py
@@ -124,7 +124,7 @@
             await _error_answers.send_failure(exchange, identity)
             return
         ticket = self._admission.admit(
-            caller, request.service, configuration.RequestClass.ONLINE
+            caller.name, request.service.name, configuration.RequestClass.ONLINE
         )
         if isinstance(ticket, results.Failure):
             await _error_answers.send_failure(
@@ -160,7 +160,7 @@
             await _error_answers.send_failure(exchange, call)
             return
         ticket = self._admission.admit(
-            caller, call.service, call.route.request_class
+            caller.name, call.service.name, call.route.request_class
         )
         if isinstance(ticket, results.Failure):
             await _error_answers.send_failure(
--- a/siskinmount/entry/_model_calls.py
+++ b/siskinmount/entry/_model_calls.py
@@ -7,6 +7,7 @@
 from siskinmount import configuration
 from siskinmount import relay
 from siskinmount import results
+from siskinmount import routing
 from siskinmount import transport
 from siskinmount.entry import _answer_format
 from siskinmount.entry import _answer_run
@@ -20,9 +21,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Characters of the content that decide which upstream's cache fits best.
-AFFINITY_PREFIX_CHARACTERS = 1024
-
 
 async def serve_model_call(
     access: _upstream_access.UpstreamAccess,
@@ -38,7 +36,9 @@
         request_id=identity.request_id,
         service=request.service,
         request_class=configuration.RequestClass.ONLINE,
-        affinity_key=_find_affinity_key(caller, request),
+        affinity_key=routing.create_affinity_key(
+            request.service.name, request.session, request.content_text()
+        ),
         fingerprint=request.fingerprint(),
         deadline_s=deadline_s,
         idempotent=True,
@@ -46,7 +46,7 @@
         first_token=identity.first_token,
         model=request,
     )
-    access.note_request(request.service.name)
+    access.retries.note_first_attempt(request.service.name)
     run = _answer_run.AnswerRun(access, run_request)
     answer_format = _answer_format.AnswerFormat(request, identity.request_id)
     recorder.visit_request(request.service.name)
@@ -165,11 +165,3 @@
         },
     )
 
-
-def _find_affinity_key(
-    caller: configuration.CallerPolicy, request: _model_request.ModelRequest
-) -> str:
-    """Returns the session, or the start of the content without one."""
-    if request.session:
-        return f'session {caller.name} {request.session}'
-    return request.content_text()[:AFFINITY_PREFIX_CHARACTERS]
--- a/siskinmount/entry/_plain_calls.py
+++ b/siskinmount/entry/_plain_calls.py
@@ -129,7 +129,7 @@
     Without a key each resend is a call of its own.
     """
     recorder.visit_request(call.service.name)
-    access.note_request(call.service.name)
+    access.retries.note_first_attempt(call.service.name)
     if not call.idempotent and call.identity.key is not None:
         answer = await _run_once(access, keys, caller, call)
     else:
@@ -157,7 +157,7 @@
             request_id=call.identity.request_id,
             service=call.service,
             request_class=call.route.request_class,
-            affinity_key=call.identity.request_id,
+            affinity_key=None,
             fingerprint=call.fingerprint,
             deadline_s=deadline_s,
             idempotent=call.idempotent,
--- a/siskinmount/entry/_run_request.py
+++ b/siskinmount/entry/_run_request.py
@@ -15,7 +15,8 @@
         request_id: Identifies the request at sidecars and in logs.
         service: The service that runs it.
         request_class: Online or batch.
-        affinity_key: Requests with the same key prefer the same upstream.
+        affinity_key: Requests with the same key prefer the same upstream;
+            None if any is as good as another.
         fingerprint: Hash of service and content.
         deadline_s: Monotonic time by which the answer must be whole.
         idempotent: Whether it may run again when its outcome is unknown.
@@ -43,7 +44,7 @@
         request_id: str,
         service: configuration.Service,
         request_class: configuration.RequestClass,
-        affinity_key: str,
+        affinity_key: str | None,
         fingerprint: str,
         deadline_s: float,
         idempotent: bool,
--- a/siskinmount/entry/_upstream_access.py
+++ b/siskinmount/entry/_upstream_access.py
@@ -15,21 +15,22 @@
 
     Attributes:
         router: Chooses upstreams.
+        retries: Bounds the retries of each service.
     """
 
-    __slots__ = ('router', '_limits', '_clients', '_retries', '_convictions')
+    __slots__ = ('router', 'retries', '_limits', '_clients', '_convictions')
 
     def __init__(
         self,
         router: routing.Router,
-        retries: routing.RetryBudgets,
+        retries: routing.RetryBudget,
         convictions: state.ConvictionStream,
         limits: transport.ClientLimits,
     ) -> None:
         self.router = router
+        self.retries = retries
         self._limits = limits
         self._clients: dict[transport.Address, transport.HttpClient] = {}
-        self._retries = retries
         self._convictions = convictions
 
     def find_client(self, member: membership.Member) -> transport.HttpClient:
@@ -60,15 +61,9 @@
             return
         if not in_flight.isdigit() or not slots.isdigit():
             return
-        self.router.note_answer(member.vm, int(in_flight), int(slots))
-
-    def take_retry(self, service: str) -> bool:
-        """Takes a token from the retry budget of a service."""
-        return self._retries.take(service)
-
-    def note_request(self, service: str) -> None:
-        """Counts a first attempt, which earns a share of a retry."""
-        self._retries.earn(service)
+        self.router.note_answer(
+            member.vm, int(in_flight), int(slots), member.incarnation
+        )
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Tells whether a request must run alone."""
@@ -83,7 +78,7 @@
     ) -> None:
         """Records that an upstream died while it ran a request."""
         await self._convictions.record_death(
-            fingerprint, member.vm, member.incarnation, alone
+            fingerprint, member.vm, member.incarnation, alone=alone
         )
 
 
