--- /dev/null
+++ b/siskinmount/platform/tests/fake_log.py
@@ -0,0 +1,104 @@
+"""A log service in memory, with outages, lost answers and retention."""
+
+import trio
+import trio.lowlevel
+
+from siskinmount import platform
+from siskinmount import results
+
+
+class FakeLog:
+    """Implements `platform.LogService`.
+
+    Attributes:
+        is_down: Every call fails and has no effect.
+        answers_lost: How many of the next appends take effect without answer.
+        appends_dropped: How many of the next appends fail without effect, in
+            a way that the client cannot tell from a lost answer.
+        append_count: Appends that took effect.
+        held: If set, appends wait here before they take effect.
+    """
+
+    def __init__(self):
+        self.is_down = False
+        self.answers_lost = 0
+        self.appends_dropped = 0
+        self.append_count = 0
+        self.appended_bytes = 0
+        self.held = None
+        self._streams = {}
+        self._first_offsets = {}
+        self._grown = trio.Event()
+
+    async def append(self, stream, data):
+        await trio.lowlevel.checkpoint()
+        if self.held is not None:
+            await self.held.wait()
+        if self.is_down:
+            return _down(results.RunState.NOT_RUN)
+        if self.appends_dropped > 0:
+            self.appends_dropped -= 1
+            return _down(results.RunState.UNKNOWN)
+        offset = self.append_now(stream, data)
+        if self.answers_lost > 0:
+            self.answers_lost -= 1
+            return _down(results.RunState.UNKNOWN)
+        return platform.Appended(offset)
+
+    def append_now(self, stream, data):
+        records = self._streams.setdefault(stream, [])
+        records.append(data)
+        self.append_count += 1
+        self.appended_bytes += len(data)
+        grown, self._grown = self._grown, trio.Event()
+        grown.set()
+        return len(records)
+
+    async def read(
+        self, stream, from_offset, *, limit=1000, max_bytes=1 << 20, wait_ms=0
+    ):
+        await trio.lowlevel.checkpoint()
+        if self.is_down:
+            return _down(results.RunState.NOT_RUN)
+        records = self._streams.setdefault(stream, [])
+        if from_offset > len(records) and wait_ms:
+            with trio.move_on_after(wait_ms / 1000):
+                while from_offset > len(records):
+                    await self._grown.wait()
+            if self.is_down:
+                return _down(results.RunState.NOT_RUN)
+        first_offset = self._first_offsets.get(stream, 1)
+        if from_offset < first_offset:
+            return platform.LogExpired(first_offset)
+        page = []
+        size = 0
+        for offset in range(from_offset, len(records) + 1):
+            data = records[offset - 1]
+            size += len(data)
+            if len(page) >= limit or (page and size > max_bytes):
+                break
+            page.append(platform.LogRecord(offset, data))
+        return platform.LogPage(first_offset, len(records) + 1, page)
+
+    async def stream_range(self, stream):
+        await trio.lowlevel.checkpoint()
+        if self.is_down:
+            return _down(results.RunState.NOT_RUN)
+        return platform.StreamRange(
+            self._first_offsets.get(stream, 1),
+            len(self._streams.get(stream, [])) + 1,
+        )
+
+    def expire_before(self, stream, first_offset):
+        """Drops the records before an offset."""
+        self._first_offsets[stream] = first_offset
+
+    def records(self, stream):
+        return list(self._streams.get(stream, []))
+
+
+def _down(run_state):
+    code = results.ResultCode.LOG_UNAVAILABLE
+    if run_state is results.RunState.UNKNOWN:
+        code = results.ResultCode.LOG_APPEND_UNKNOWN
+    return results.Failure(code, 'the log is down', run_state, 100)
--- a/siskinmount/state/__init__.py
+++ b/siskinmount/state/__init__.py
@@ -0,0 +1,68 @@
+"""Streams of the system's own state in the platform's log.
+
+Public API:
+    create_state_stream(name, log, writer, limits, is_live, clock_ms): A
+        `StateStream` for one tenure. `await stream.run()` replays, claims and
+        returns a `TenureEnd`; `await stream.commit(record)` returns
+        `Committed(position)` once the record is read back, or a Failure;
+        `stream.enqueue(record)` queues a record also while the log is down;
+        `stream.resign()` releases; `stream.is_owned`, `epoch`,
+        `is_log_failing`, `is_buffer_full`.
+    create_ownership_manager(stream_names, own_vm, live_entries,
+        create_shard): Runs a tenure for each stream that this entry should
+        own. `find_shard(stream) -> Shard | Failure(NOT_OWNER |
+        OWNER_UNKNOWN)`, `owner_vm(stream)`, `owned_shards()`, `run()`,
+        `stop()` (releases; `run` returns when done).
+    stream_of(key, stream_count), state_stream_names(stream_count),
+        owner_of(stream, live_entries): Which stream a key belongs to, and
+        which entry should own it.
+    create_key_table(stream): Idempotency keys. `begin(key, caller,
+        fingerprint, holder) -> Started(attempt) | KnownOutcome(outcome) |
+        UnknownOutcome | InProgress | Failure`, `finish(key, caller, attempt,
+        outcome)`, `abandon(key, caller, attempt)` if nothing was sent,
+        `drop_holder(holder)` when the process that sends is lost.
+    create_configuration_stream(log, parse, ...): `publish(text,
+        base_version, publisher) -> Accepted(version) | Lost(winner) |
+        Failure`, `follow()`, `wait_newer(version)`, `in_force`, `version`,
+        `adopt(version, text)` for a version pulled from a peer, `run()`.
+    create_conviction_stream(log, ...): `record_death(fingerprint, vm,
+        incarnation, alone=...)`, `is_suspect`, `is_convicted`,
+        `read_offset`, `run()`.
+    Writer(vm, incarnation): Identity of the process; one for all streams.
+    StreamLimits: Bounds and intervals.
+"""
+
+from siskinmount.state._commit_queue import Committed
+from siskinmount.state._commit_queue import PendingRecord
+from siskinmount.state._configuration_rules import ConfigurationVersion
+from siskinmount.state._configuration_stream import Accepted
+from siskinmount.state._configuration_stream import ConfigurationStream
+from siskinmount.state._configuration_stream import create_configuration_stream
+from siskinmount.state._configuration_stream import Lost
+from siskinmount.state._conviction_stream import ConvictionStream
+from siskinmount.state._conviction_stream import create_conviction_stream
+from siskinmount.state._key_table import BeginOutcome
+from siskinmount.state._key_table import create_key_table
+from siskinmount.state._key_table import InProgress
+from siskinmount.state._key_table import KeyTable
+from siskinmount.state._key_table import KnownOutcome
+from siskinmount.state._key_table import Started
+from siskinmount.state._key_table import UnknownOutcome
+from siskinmount.state._ownership_manager import create_ownership_manager
+from siskinmount.state._ownership_manager import OwnershipManager
+from siskinmount.state._ownership_manager import Shard
+from siskinmount.state._participant import Participant
+from siskinmount.state._participant import Position
+from siskinmount.state._record_reader import RecordReader
+from siskinmount.state._state_stream import create_state_stream
+from siskinmount.state._state_stream import StateStream
+from siskinmount.state._state_stream import TenureEnd
+from siskinmount.state._state_stream import wall_clock_ms
+from siskinmount.state._stream_limits import StreamLimits
+from siskinmount.state._stream_names import CONFIGURATION_STREAM
+from siskinmount.state._stream_names import CONVICTIONS_STREAM
+from siskinmount.state._stream_names import owner_of
+from siskinmount.state._stream_names import state_stream_name
+from siskinmount.state._stream_names import state_stream_names
+from siskinmount.state._stream_names import stream_of
+from siskinmount.state._writer import Writer
--- /dev/null
+++ b/siskinmount/state/_backoff.py
@@ -0,0 +1,28 @@
+"""Pauses between calls of a log that fails."""
+
+import random
+
+import trio
+
+
+class Backoff:
+    """Pauses that double up to a bound, with jitter."""
+
+    __slots__ = ('_first_ms', '_max_ms', '_next_ms')
+
+    def __init__(self, first_ms: int, max_ms: int) -> None:
+        self._first_ms = first_ms
+        self._max_ms = max_ms
+        self._next_ms = first_ms
+
+    def reset(self) -> None:
+        """Makes the next pause the first again."""
+        self._next_ms = self._first_ms
+
+    async def pause(self, at_least_ms: int | None = None) -> None:
+        """Waits, the longer the more pauses there were since the reset."""
+        pause_ms = random.uniform(self._next_ms / 2, self._next_ms)
+        self._next_ms = min(self._max_ms, self._next_ms * 2)
+        await trio.sleep(
+            max(pause_ms, min(at_least_ms or 0, self._max_ms)) / 1000
+        )
--- /dev/null
+++ b/siskinmount/state/_bootstrap.py
@@ -0,0 +1,94 @@
+"""Finds where the replay of a stream starts."""
+
+from google.protobuf import message
+
+from siskinmount import platform
+from siskinmount import results
+from siskinmount.state import records_pb2
+
+
+class ReplayStart:
+    """Where replay starts.
+
+    Attributes:
+        first_offset: Oldest offset that the log holds.
+        anchor: Newest snapshot that is held whole, or None to start at the
+            oldest offset.
+    """
+
+    __slots__ = ('first_offset', 'anchor')
+
+    def __init__(
+        self, first_offset: int, anchor: records_pb2.Anchor | None
+    ) -> None:
+        self.first_offset = first_offset
+        self.anchor = anchor
+
+
+async def find_replay_start(
+    log: platform.LogService, stream: str
+) -> ReplayStart | results.Failure:
+    """Finds the newest complete snapshot that the log still holds.
+
+    Every envelope names the newest snapshot that its writer has read back,
+    and a snapshot that was ever read back stays valid. So the last record of
+    the stream mostly suffices; only where the snapshot that it names has
+    expired is the rest of the stream searched.
+    """
+    held = await log.stream_range(stream)
+    if isinstance(held, results.Failure):
+        return held
+    if held.next_offset <= held.first_offset:
+        return ReplayStart(held.first_offset, None)
+    anchor = await _newest_anchor(
+        log, stream, held.next_offset - 1, held.first_offset
+    )
+    if isinstance(anchor, records_pb2.Anchor | results.Failure):
+        if isinstance(anchor, results.Failure):
+            return anchor
+        return ReplayStart(held.first_offset, anchor)
+    if held.first_offset == 1:
+        return ReplayStart(1, None)
+    anchor = await _newest_anchor(
+        log, stream, held.first_offset, held.first_offset
+    )
+    if isinstance(anchor, results.Failure):
+        return anchor
+    return ReplayStart(held.first_offset, anchor)
+
+
+async def _newest_anchor(
+    log: platform.LogService, stream: str, from_offset: int, first_offset: int
+) -> records_pb2.Anchor | None | results.Failure:
+    """Returns the newest anchor held that records from an offset on name."""
+    newest: records_pb2.Anchor | None = None
+    offset = from_offset
+    while True:
+        page = await log.read(stream, offset)
+        if isinstance(page, results.Failure):
+            return page
+        if isinstance(page, platform.LogExpired):
+            offset = first_offset = page.first_offset
+            newest = None
+            continue
+        for record in page.records:
+            anchor = _anchor_of(record)
+            if anchor is None or anchor.replay_offset < first_offset:
+                continue
+            if newest is None or anchor.replay_offset > newest.replay_offset:
+                newest = anchor
+        offset += len(page.records)
+        if offset >= page.next_offset or not page.records:
+            return newest
+
+
+def _anchor_of(record: platform.LogRecord) -> records_pb2.Anchor | None:
+    """Returns the anchor that a record names, if any."""
+    envelope = records_pb2.Envelope()
+    try:
+        envelope.ParseFromString(record.data)
+    except message.DecodeError:
+        return None
+    if not envelope.HasField('anchor') or not envelope.anchor.replay_offset:
+        return None
+    return envelope.anchor
--- /dev/null
+++ b/siskinmount/state/_commit_queue.py
@@ -0,0 +1,135 @@
+"""Records that wait to be committed together."""
+
+import collections
+
+import trio
+
+from siskinmount import results
+from siskinmount.state import _participant
+from siskinmount.state import records_pb2
+
+# Bytes that a record adds to a group beside its own.
+RECORD_OVERHEAD_BYTES = 8
+
+
+class Committed:
+    """A record that was read back under the epoch in force.
+
+    Attributes:
+        position: Where the record stands.
+    """
+
+    __slots__ = ('position',)
+
+    def __init__(self, position: _participant.Position) -> None:
+        self.position = position
+
+
+class PendingRecord:
+    """A record on its way into the log.
+
+    Attributes:
+        record: The record.
+        size_bytes: Its encoded size.
+        is_sent: Whether an append that holds it may have reached the log.
+        outcome: What became of it, or None.
+        settled: Set when the outcome is known.
+    """
+
+    __slots__ = ('record', 'size_bytes', 'is_sent', 'outcome', 'settled')
+
+    def __init__(self, record: records_pb2.Record) -> None:
+        self.record = record
+        self.size_bytes = record.ByteSize() + RECORD_OVERHEAD_BYTES
+        self.is_sent = False
+        self.outcome: Committed | results.Failure | None = None
+        self.settled = trio.Event()
+
+    def settle(self, outcome: Committed | results.Failure) -> None:
+        """Notes the outcome and wakes those who wait for it."""
+        self.outcome = outcome
+        self.settled.set()
+
+
+class CommitQueue:
+    """Holds records in order until they are read back.
+
+    Attributes:
+        queued_bytes: Bytes of the records held.
+    """
+
+    __slots__ = ('queued_bytes', '_waiting', '_in_flight', '_changed')
+
+    def __init__(self) -> None:
+        self.queued_bytes = 0
+        self._waiting: collections.deque[PendingRecord] = collections.deque()
+        self._in_flight: list[PendingRecord] = []
+        self._changed = trio.Event()
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no record waits or is on its way."""
+        return not self._waiting and not self._in_flight
+
+    @property
+    def has_waiting(self) -> bool:
+        """Whether a record waits to be sent."""
+        return bool(self._waiting)
+
+    def add(self, pending: PendingRecord) -> None:
+        """Appends a record to the queue."""
+        self._waiting.append(pending)
+        self.queued_bytes += pending.size_bytes
+        self._changed.set()
+
+    def withdraw(self, pending: PendingRecord) -> None:
+        """Removes a record that has not been sent."""
+        self._waiting.remove(pending)
+        self.queued_bytes -= pending.size_bytes
+
+    async def wait_changed(self) -> None:
+        """Waits until `add` or `wake` is called."""
+        self._changed = trio.Event()
+        await self._changed.wait()
+
+    def wake(self) -> None:
+        """Wakes a task in `wait_changed`."""
+        self._changed.set()
+
+    def take_group(self, max_bytes: int) -> records_pb2.Group:
+        """Moves waiting records into flight, one at least."""
+        group = records_pb2.Group()
+        size_bytes = 0
+        while self._waiting:
+            size_bytes += self._waiting[0].size_bytes
+            if self._in_flight and size_bytes > max_bytes:
+                break
+            pending = self._waiting.popleft()
+            pending.is_sent = True
+            self._in_flight.append(pending)
+            group.records.append(pending.record)
+        return group
+
+    def settle_group(self, offset: int) -> None:
+        """Notes that the group in flight was read back at an offset."""
+        in_flight, self._in_flight = self._in_flight, []
+        for index, pending in enumerate(in_flight):
+            self.queued_bytes -= pending.size_bytes
+            pending.settle(Committed(_participant.Position(offset, index)))
+
+    def refuse_group(self, failure: results.Failure) -> None:
+        """Notes that the log certainly does not hold the group in flight."""
+        in_flight, self._in_flight = self._in_flight, []
+        for pending in in_flight:
+            self.queued_bytes -= pending.size_bytes
+            pending.settle(failure)
+
+    def settle_all(
+        self, sent: results.Failure, unsent: results.Failure
+    ) -> None:
+        """Ends all records that are left, at the end of a tenure."""
+        self.refuse_group(sent)
+        while self._waiting:
+            pending = self._waiting.popleft()
+            self.queued_bytes -= pending.size_bytes
+            pending.settle(unsent)
--- /dev/null
+++ b/siskinmount/state/_configuration_rules.py
@@ -0,0 +1,202 @@
+"""Decides which published configuration is in force."""
+
+from collections.abc import Callable
+import enum
+
+from google.protobuf import message
+
+from siskinmount import platform
+from siskinmount import results
+from siskinmount.state import records_pb2
+
+Parse = Callable[[str], object]
+
+
+class PublicationVerdict(enum.Enum):
+    """What a record of the configuration stream does."""
+
+    #: Its document is in force from here on.
+    IN_FORCE = 'in_force'
+
+    #: It was published on a version that is not in force.
+    LOST_RACE = 'lost_race'
+
+    #: Its document is invalid.
+    INVALID = 'invalid'
+
+    #: A copy of a record that was judged before.
+    REPEATED = 'repeated'
+
+    #: Its document needs a newer release to be judged; so do those after it.
+    NOT_JUDGED = 'not_judged'
+
+    #: It carries a version forward.
+    CARRIED = 'carried'
+
+
+class ConfigurationVersion:
+    """A document that is or was in force.
+
+    Attributes:
+        version: Offset of the record that was accepted; 0 before the first.
+        text: The document.
+        document: What the parser made of it; None before the first.
+        publisher: Who published it.
+        base_version: Version that it was made from.
+        grammar: Version of the rules that it is written for.
+        publication: Identifier that its publisher gave it.
+    """
+
+    __slots__ = (
+        'version',
+        'text',
+        'document',
+        'publisher',
+        'base_version',
+        'grammar',
+        'publication',
+    )
+
+    def __init__(
+        self,
+        version: int,
+        document: object,
+        record: records_pb2.ConfigurationRecord,
+    ) -> None:
+        self.version = version
+        self.text = record.text.decode('utf-8')
+        self.document = document
+        self.publisher = record.publisher
+        self.base_version = record.base_version
+        self.grammar = record.grammar
+        self.publication = record.publication
+
+
+class ConfigurationRules:
+    """Judges the records of the configuration stream by rising offset.
+
+    All processes judge alike: the verdict follows from the stream and from
+    the rules of the document's grammar, which no release changes. A process
+    that does not know a grammar judges nothing after it until a version is
+    carried forward by one that does. A reader that starts after records have
+    expired judges again, once it has read a carried version, what was
+    published on that version before it was carried.
+
+    Attributes:
+        in_force: The newest version in force, or None.
+        newest_offset: Offset of the newest record that holds it.
+        written_at_ms: When that record was written.
+    """
+
+    __slots__ = (
+        'in_force',
+        'newest_offset',
+        'written_at_ms',
+        '_parse',
+        '_grammar',
+        '_is_blocked',
+        '_is_start_known',
+        '_unjudged',
+    )
+
+    def __init__(self, parse: Parse, grammar: int) -> None:
+        self.in_force: ConfigurationVersion | None = None
+        self.newest_offset = 0
+        self.written_at_ms = 0
+        self._parse = parse
+        self._grammar = grammar
+        self._is_blocked = False
+        self._is_start_known = False
+        self._unjudged: list[tuple[int, records_pb2.ConfigurationRecord]] = []
+
+    @property
+    def version(self) -> int:
+        """Version in force; 0 if there is none."""
+        return 0 if self.in_force is None else self.in_force.version
+
+    def take(
+        self, log_record: platform.LogRecord
+    ) -> tuple[records_pb2.ConfigurationRecord, PublicationVerdict]:
+        """Judges one record."""
+        if log_record.offset == 1:
+            self._is_start_known = True
+        record = records_pb2.ConfigurationRecord()
+        try:
+            record.ParseFromString(log_record.data)
+        except message.DecodeError:
+            return record, PublicationVerdict.INVALID
+        if record.carried_version:
+            self._take_carried(record, log_record.offset)
+            return record, PublicationVerdict.CARRIED
+        verdict = self._judge(record, log_record.offset)
+        if verdict is PublicationVerdict.NOT_JUDGED or (
+            verdict is PublicationVerdict.LOST_RACE and not self._is_start_known
+        ):
+            self._unjudged.append((log_record.offset, record))
+        return record, verdict
+
+    def adopt(
+        self, version: int, record: records_pb2.ConfigurationRecord
+    ) -> bool:
+        """Takes a version that a peer has in force; True if it is newer."""
+        if version <= self.version or record.grammar > self._grammar:
+            return False
+        document = self._parse_text(record)
+        if isinstance(document, results.Failure):
+            return False
+        self.in_force = ConfigurationVersion(version, document, record)
+        self._is_blocked = False
+        self._is_start_known = True
+        unjudged, self._unjudged = self._unjudged, []
+        for offset, later in unjudged:
+            verdict = self._judge(later, offset)
+            if verdict is PublicationVerdict.NOT_JUDGED:
+                self._unjudged.append((offset, later))
+        return True
+
+    def _judge(
+        self, record: records_pb2.ConfigurationRecord, offset: int
+    ) -> PublicationVerdict:
+        """Judges a publication."""
+        if offset <= self.version:
+            return PublicationVerdict.REPEATED
+        if self._is_blocked:
+            return PublicationVerdict.NOT_JUDGED
+        in_force = self.in_force
+        if in_force is not None and (
+            in_force.publication == record.publication
+        ):
+            return PublicationVerdict.REPEATED
+        if record.base_version != self.version:
+            return PublicationVerdict.LOST_RACE
+        if record.grammar > self._grammar:
+            self._is_blocked = True
+            return PublicationVerdict.NOT_JUDGED
+        document = self._parse_text(record)
+        if isinstance(document, results.Failure):
+            return PublicationVerdict.INVALID
+        self.in_force = ConfigurationVersion(offset, document, record)
+        self.newest_offset = offset
+        self.written_at_ms = record.written_at_ms
+        return PublicationVerdict.IN_FORCE
+
+    def _take_carried(
+        self, record: records_pb2.ConfigurationRecord, offset: int
+    ) -> None:
+        """Takes a version that was written again before it expired."""
+        self.adopt(record.carried_version, record)
+        if record.carried_version == self.version:
+            self.newest_offset = offset
+            self.written_at_ms = record.written_at_ms
+
+    def _parse_text(
+        self, record: records_pb2.ConfigurationRecord
+    ) -> object | results.Failure:
+        """Parses a record's document."""
+        try:
+            text = record.text.decode('utf-8')
+        except UnicodeDecodeError as error:
+            return results.Failure(
+                results.ResultCode.DOCUMENT_INVALID, str(error)
+            )
+        return self._parse(text)
--- /dev/null
+++ b/siskinmount/state/_configuration_stream.py
@@ -0,0 +1,362 @@
+"""The configuration that operators publish, and which version is in force."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import logging
+import uuid
+
+import trio
+
+from siskinmount import platform
+from siskinmount import results
+from siskinmount.state import _backoff
+from siskinmount.state import _configuration_rules
+from siskinmount.state import _log_tail
+from siskinmount.state import _state_stream
+from siskinmount.state import _stream_names
+from siskinmount.state import records_pb2
+
+_LOGGER = logging.getLogger(__name__)
+
+PUBLISH_TIMEOUT_MS = 10_000
+CARRY_CHECK_INTERVAL_MS = 10_000
+DEFAULT_RETENTION_MS = 24 * 3600 * 1000
+
+
+class Accepted:
+    """A publication that is in force.
+
+    Attributes:
+        version: Its version.
+    """
+
+    __slots__ = ('version',)
+
+    def __init__(self, version: int) -> None:
+        self.version = version
+
+
+class Lost:
+    """A publication whose base was not in force when it reached the log.
+
+    Attributes:
+        winner: The version that was in force instead, or None if there was
+            none.
+    """
+
+    __slots__ = ('winner',)
+
+    def __init__(
+        self, winner: _configuration_rules.ConfigurationVersion | None
+    ) -> None:
+        self.winner = winner
+
+
+class _Publication:
+    """Watches for the verdict on one publication.
+
+    Attributes:
+        publication: Its identifier.
+        outcome: The verdict on its first copy in the log, or None.
+    """
+
+    __slots__ = ('publication', 'outcome', '_rules')
+
+    def __init__(
+        self, publication: str, rules: _configuration_rules.ConfigurationRules
+    ) -> None:
+        self.publication = publication
+        self.outcome: Accepted | Lost | results.Failure | None = None
+        self._rules = rules
+
+    def take(self, log_record: platform.LogRecord) -> None:
+        """Judges one record of the stream."""
+        record, verdict = self._rules.take(log_record)
+        if self.outcome is not None or record.publication != self.publication:
+            return
+        if verdict is _configuration_rules.PublicationVerdict.IN_FORCE:
+            self.outcome = Accepted(log_record.offset)
+        elif verdict is _configuration_rules.PublicationVerdict.LOST_RACE:
+            self.outcome = Lost(self._rules.in_force)
+        elif verdict is _configuration_rules.PublicationVerdict.NOT_JUDGED:
+            self.outcome = results.Failure(
+                results.ResultCode.DOCUMENT_INVALID,
+                'the version in force needs a newer release of this program',
+            )
+        else:
+            self.outcome = results.Failure(
+                results.ResultCode.DOCUMENT_INVALID, 'the document is invalid'
+            )
+
+
+class ConfigurationStream:
+    """Publishes configurations and follows those in force."""
+
+    __slots__ = (
+        '_log',
+        '_parse',
+        '_grammar',
+        '_retention_ms',
+        '_is_carrier',
+        '_clock_ms',
+        '_rules',
+        '_newer',
+        '_tail',
+    )
+
+    def __init__(
+        self,
+        log: platform.LogService,
+        parse: _configuration_rules.Parse,
+        grammar: int,
+        retention_ms: int,
+        is_carrier: Callable[[], bool],
+        clock_ms: Callable[[], int],
+    ) -> None:
+        self._log = log
+        self._parse = parse
+        self._grammar = grammar
+        self._retention_ms = retention_ms
+        self._is_carrier = is_carrier
+        self._clock_ms = clock_ms
+        self._rules = self._new_rules()
+        self._newer = trio.Event()
+        self._tail = _log_tail.LogTail(log, _stream_names.CONFIGURATION_STREAM)
+
+    @property
+    def in_force(self) -> _configuration_rules.ConfigurationVersion | None:
+        """The newest version known to be in force."""
+        return self._rules.in_force
+
+    @property
+    def version(self) -> int:
+        """Number of the newest version known; 0 if there is none."""
+        return self._rules.version
+
+    async def wait_newer(
+        self, than_version: int
+    ) -> _configuration_rules.ConfigurationVersion:
+        """Waits until a version above a number is in force."""
+        while True:
+            in_force = self._rules.in_force
+            if in_force is not None and in_force.version > than_version:
+                return in_force
+            await self._newer.wait()
+
+    async def follow(
+        self,
+    ) -> AsyncIterator[_configuration_rules.ConfigurationVersion]:
+        """Yields versions in force, each higher than the one before."""
+        version = 0
+        while True:
+            in_force = await self.wait_newer(version)
+            version = in_force.version
+            yield in_force
+
+    def adopt(
+        self, version: int, text: str, publisher: str = '', grammar: int = 1
+    ) -> bool:
+        """Takes a version that a peer has in force, if it is higher."""
+        before = self._rules.version
+        adopted = self._rules.adopt(
+            version,
+            records_pb2.ConfigurationRecord(
+                publisher=publisher, grammar=grammar, text=text.encode('utf-8')
+            ),
+        )
+        self._note_change(before)
+        return adopted
+
+    async def run(self) -> None:
+        """Follows the stream, and carries the version forward, for ever."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._tail.follow, self._take)
+            nursery.start_soon(self._carry_forward)
+
+    async def publish(
+        self, text: str, base_version: int, publisher: str
+    ) -> Accepted | Lost | results.Failure:
+        """Publishes a document made from a version.
+
+        Args:
+            text: The document.
+            base_version: Version that the publisher edited; 0 for the first.
+            publisher: Who publishes.
+
+        Returns:
+            Whether it is in force, or which version won; a failure with run
+            state `UNKNOWN` if the log did not tell in time.
+        """
+        document = self._parse(text)
+        if isinstance(document, results.Failure):
+            return document
+        record = records_pb2.ConfigurationRecord(
+            base_version=base_version,
+            publisher=publisher,
+            publication=uuid.uuid4().hex,
+            grammar=self._grammar,
+            text=text.encode('utf-8'),
+            written_at_ms=self._clock_ms(),
+        )
+        publication = _Publication(record.publication, self._new_rules())
+        attempt = _PublishAttempt(self._log, publication, record)
+        with trio.move_on_after(PUBLISH_TIMEOUT_MS / 1000):
+            return await attempt.run()
+        return attempt.timed_out()
+
+    def _new_rules(self) -> _configuration_rules.ConfigurationRules:
+        return _configuration_rules.ConfigurationRules(
+            self._parse, self._grammar
+        )
+
+    def _take(self, log_record: platform.LogRecord) -> None:
+        """Judges one record and wakes those who wait for a version."""
+        before = self._rules.version
+        _, verdict = self._rules.take(log_record)
+        if verdict is _configuration_rules.PublicationVerdict.NOT_JUDGED:
+            _LOGGER.error(
+                'configuration_needs_newer_release',
+                extra={
+                    'code': int(results.ResultCode.DOCUMENT_INVALID),
+                    'offset': log_record.offset,
+                },
+            )
+        self._note_change(before)
+
+    def _note_change(self, before: int) -> None:
+        """Wakes waiting tasks if the version has changed."""
+        version = self._rules.version
+        if version == before:
+            return
+        if version < before:
+            _LOGGER.critical(
+                'invariant_broken',
+                extra={
+                    'code': int(results.ResultCode.INVARIANT_BROKEN),
+                    'invariant': 'configuration versions only rise',
+                },
+            )
+            raise AssertionError(f'configuration {before} became {version}')
+        _LOGGER.info('configuration_in_force', extra={'version': version})
+        newer, self._newer = self._newer, trio.Event()
+        newer.set()
+
+    async def _carry_forward(self) -> None:
+        """Writes the version in force again before its record expires."""
+        while True:
+            await trio.sleep(CARRY_CHECK_INTERVAL_MS / 1000)
+            record = self._record_to_carry()
+            if record is None:
+                continue
+            await self._log.append(
+                _stream_names.CONFIGURATION_STREAM, record.SerializeToString()
+            )
+
+    def _record_to_carry(self) -> records_pb2.ConfigurationRecord | None:
+        """Returns a record that carries the version forward, if it is due."""
+        in_force = self._rules.in_force
+        if in_force is None or not self._tail.is_at_tail:
+            return None
+        age_ms = self._clock_ms() - self._rules.written_at_ms
+        if age_ms < self._retention_ms // 2 or not self._is_carrier():
+            return None
+        return records_pb2.ConfigurationRecord(
+            base_version=in_force.base_version,
+            publisher=in_force.publisher,
+            publication=in_force.publication,
+            grammar=in_force.grammar,
+            text=in_force.text.encode('utf-8'),
+            written_at_ms=self._clock_ms(),
+            carried_version=in_force.version,
+        )
+
+
+class _PublishAttempt:
+    """Brings one publication into the log and learns the verdict."""
+
+    __slots__ = ('_log', '_publication', '_record', '_tail', '_is_sent')
+
+    def __init__(
+        self,
+        log: platform.LogService,
+        publication: _Publication,
+        record: records_pb2.ConfigurationRecord,
+    ) -> None:
+        self._log = log
+        self._publication = publication
+        self._record = record
+        self._tail = _log_tail.LogTail(log, _stream_names.CONFIGURATION_STREAM)
+        self._is_sent = False
+
+    async def run(self) -> Accepted | Lost | results.Failure:
+        """Appends, repeated under the same identifier, and reads it back."""
+        backoff = _backoff.Backoff(
+            _log_tail.FIRST_BACKOFF_MS, _log_tail.MAX_BACKOFF_MS
+        )
+        data = self._record.SerializeToString()
+        while True:
+            answer = await self._log.append(
+                _stream_names.CONFIGURATION_STREAM, data
+            )
+            if isinstance(answer, platform.Appended):
+                self._is_sent = True
+                break
+            if answer.run_state is not results.RunState.NOT_RUN:
+                self._is_sent = True
+            if answer.code is results.ResultCode.LOG_RECORD_INVALID:
+                return answer
+            await backoff.pause(answer.retry_after_ms)
+        return await self._read_verdict(backoff)
+
+    def timed_out(self) -> results.Failure:
+        """Returns what is known when there is no more time."""
+        if not self._is_sent:
+            return results.Failure(
+                results.ResultCode.LOG_UNAVAILABLE, 'the log is unavailable'
+            )
+        return results.Failure(
+            results.ResultCode.LOG_APPEND_UNKNOWN,
+            'the log did not tell in time whether the document is in force',
+            results.RunState.UNKNOWN,
+        )
+
+    async def _read_verdict(
+        self, backoff: _backoff.Backoff
+    ) -> Accepted | Lost | results.Failure:
+        """Reads the stream until the publication has been judged."""
+        while self._publication.outcome is None:
+            failure = await self._tail.read_once(self._publication.take, 0)
+            if failure is not None:
+                await backoff.pause(failure.retry_after_ms)
+        return self._publication.outcome
+
+
+def create_configuration_stream(
+    log: platform.LogService,
+    parse: _configuration_rules.Parse,
+    *,
+    grammar: int = 1,
+    retention_ms: int = DEFAULT_RETENTION_MS,
+    is_carrier: Callable[[], bool] | None = None,
+    clock_ms: Callable[[], int] = _state_stream.wall_clock_ms,
+) -> ConfigurationStream:
+    """Creates a publisher and follower of configurations.
+
+    Args:
+        log: The platform's log.
+        parse: Parses and checks a document; returns the parsed document or a
+            `results.Failure`. Its verdict on a text of one grammar must never
+            change from release to release.
+        grammar: Newest version of the document's rules that `parse` knows.
+        retention_ms: How long the log keeps a record.
+        is_carrier: Whether this process carries versions forward.
+        clock_ms: Milliseconds since the Unix epoch.
+    """
+    return ConfigurationStream(
+        log,
+        parse,
+        grammar,
+        retention_ms,
+        is_carrier or (lambda: True),
+        clock_ms,
+    )
--- /dev/null
+++ b/siskinmount/state/_conviction_stream.py
@@ -0,0 +1,167 @@
+"""Evidence on requests that make their upstreams die."""
+
+from collections.abc import Callable
+
+from google.protobuf import message
+import trio
+
+from siskinmount import platform
+from siskinmount import results
+from siskinmount.state import _log_tail
+from siskinmount.state import _state_stream
+from siskinmount.state import _stream_names
+from siskinmount.state import records_pb2
+
+# Upstreams that one request may take down.
+MAX_DEATHS = 2
+DEFAULT_EXPIRY_MS = 12 * 3600 * 1000
+DROP_INTERVAL_MS = 60_000
+
+
+class ConvictionStream:
+    """Collects the deaths of upstreams by the requests in progress there.
+
+    A request is a suspect after one death. It is convicted by two deaths of
+    which one at least befell it alone, so that a request that twice happened
+    to run beside a fatal one is not.
+
+    Attributes:
+        read_offset: Newest offset that has been read.
+    """
+
+    __slots__ = (
+        '_log',
+        '_expiry_ms',
+        '_clock_ms',
+        '_tail',
+        '_deaths',
+        '_own_deaths',
+        '_own_added',
+    )
+
+    def __init__(
+        self,
+        log: platform.LogService,
+        expiry_ms: int,
+        clock_ms: Callable[[], int],
+    ) -> None:
+        self._log = log
+        self._expiry_ms = expiry_ms
+        self._clock_ms = clock_ms
+        self._tail = _log_tail.LogTail(log, _stream_names.CONVICTIONS_STREAM)
+        self._deaths: dict[
+            str, dict[tuple[str, int], records_pb2.UpstreamDeath]
+        ] = {}
+        self._own_deaths: list[records_pb2.UpstreamDeath] = []
+        self._own_added = trio.Event()
+
+    @property
+    def read_offset(self) -> int:
+        """Newest offset that has been read."""
+        return self._tail.next_offset - 1
+
+    def record_death(
+        self, fingerprint: str, vm: str, incarnation: int, *, alone: bool
+    ) -> None:
+        """Notes that an upstream died with a request in progress.
+
+        The evidence counts here at once, and elsewhere as soon as the log has
+        taken it.
+
+        Args:
+            fingerprint: Digest of the request's service and content.
+            vm: VM of the upstream.
+            incarnation: Which run of the upstream on that VM ended, so that
+                several reports of one death count once.
+            alone: Whether it was the only request in progress there.
+        """
+        death = records_pb2.UpstreamDeath(
+            fingerprint=fingerprint,
+            vm=vm,
+            incarnation=incarnation,
+            alone=alone,
+            at_ms=self._clock_ms(),
+        )
+        self._note(death)
+        self._own_deaths.append(death)
+        self._own_added.set()
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Whether the request may have made an upstream die."""
+        return bool(self._live_deaths(fingerprint))
+
+    def is_convicted(self, fingerprint: str) -> bool:
+        """Whether the request must not be sent to an upstream again."""
+        deaths = self._live_deaths(fingerprint)
+        return len(deaths) >= MAX_DEATHS and any(
+            death.alone for death in deaths
+        )
+
+    async def run(self) -> None:
+        """Follows the stream and appends own evidence, for ever."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._tail.follow, self._take)
+            nursery.start_soon(self._append_own)
+            nursery.start_soon(self._drop_expired)
+
+    def _live_deaths(self, fingerprint: str) -> list[records_pb2.UpstreamDeath]:
+        """Returns the deaths that have not expired."""
+        limit_ms = self._clock_ms() - self._expiry_ms
+        deaths = self._deaths.get(fingerprint, {})
+        return [death for death in deaths.values() if death.at_ms > limit_ms]
+
+    def _take(self, log_record: platform.LogRecord) -> None:
+        """Takes one record of the stream."""
+        death = records_pb2.UpstreamDeath()
+        try:
+            death.ParseFromString(log_record.data)
+        except message.DecodeError:
+            return
+        self._note(death)
+
+    def _note(self, death: records_pb2.UpstreamDeath) -> None:
+        """Notes a death once, however often it is reported."""
+        deaths = self._deaths.setdefault(death.fingerprint, {})
+        known = deaths.setdefault((death.vm, death.incarnation), death)
+        if death.alone:
+            known.alone = True
+
+    async def _append_own(self) -> None:
+        """Appends own evidence in order, however long the log is down."""
+        while True:
+            if not self._own_deaths:
+                self._own_added = trio.Event()
+                await self._own_added.wait()
+            death = self._own_deaths[0]
+            answer = await self._log.append(
+                _stream_names.CONVICTIONS_STREAM, death.SerializeToString()
+            )
+            if isinstance(answer, results.Failure):
+                await trio.sleep(_log_tail.MAX_BACKOFF_MS / 1000)
+                continue
+            del self._own_deaths[0]
+
+    async def _drop_expired(self) -> None:
+        """Forgets evidence that has expired."""
+        while True:
+            await trio.sleep(DROP_INTERVAL_MS / 1000)
+            for fingerprint in list(self._deaths):
+                if not self._live_deaths(fingerprint):
+                    del self._deaths[fingerprint]
+
+
+def create_conviction_stream(
+    log: platform.LogService,
+    *,
+    expiry_ms: int = DEFAULT_EXPIRY_MS,
+    clock_ms: Callable[[], int] = _state_stream.wall_clock_ms,
+) -> ConvictionStream:
+    """Creates the evidence of this process and of all others.
+
+    Args:
+        log: The platform's log.
+        expiry_ms: Age at which evidence counts no more; not above the log's
+            retention.
+        clock_ms: Milliseconds since the Unix epoch.
+    """
+    return ConvictionStream(log, expiry_ms, clock_ms)
--- /dev/null
+++ b/siskinmount/state/_key_table.py
@@ -0,0 +1,392 @@
+"""Idempotency keys: at most one run of a request, and its outcome kept."""
+
+from collections.abc import Iterable
+import logging
+import uuid
+
+import trio
+
+from siskinmount import results
+from siskinmount.state import _commit_queue
+from siskinmount.state import _participant
+from siskinmount.state import _state_stream
+from siskinmount.state import records_pb2
+
+_LOGGER = logging.getLogger(__name__)
+
+DEFAULT_KEY_RETENTION_MS = 24 * 3600 * 1000
+SWEEP_INTERVAL_MS = 10_000
+MAX_DROPPED_PER_SWEEP = 1000
+
+
+class Started:
+    """The intent is in the log: the request may be sent, once.
+
+    Attributes:
+        attempt: Names this run of the request to `finish` and `abandon`.
+    """
+
+    __slots__ = ('attempt',)
+
+    def __init__(self, attempt: str) -> None:
+        self.attempt = attempt
+
+
+class KnownOutcome:
+    """The request has ended before.
+
+    Attributes:
+        outcome: What `finish` recorded.
+    """
+
+    __slots__ = ('outcome',)
+
+    def __init__(self, outcome: bytes) -> None:
+        self.outcome = outcome
+
+
+class UnknownOutcome:
+    """The request may have run, and it will never be known."""
+
+    __slots__ = ()
+
+
+class InProgress:
+    """The request is running now."""
+
+    __slots__ = ()
+
+
+BeginOutcome = (
+    Started | KnownOutcome | UnknownOutcome | InProgress | results.Failure
+)
+
+
+class _Entry:
+    """What the log says of a key.
+
+    Attributes:
+        intent: The first intent.
+        outcome: The outcome, or None.
+        outcome_at_ms: When it was recorded.
+    """
+
+    __slots__ = ('intent', 'outcome', 'outcome_at_ms')
+
+    def __init__(self, intent: records_pb2.KeyIntent) -> None:
+        self.intent = intent
+        self.outcome: bytes | None = None
+        self.outcome_at_ms = 0
+
+
+class KeyTable:
+    """Decides whether a request under a key may be sent.
+
+    A key belongs to its caller: two callers may use the same text.
+
+    Attributes:
+        kinds: Kinds of records that it takes.
+    """
+
+    kinds = frozenset({'key_intent', 'key_outcome', 'key_entry', 'key_dropped'})
+
+    __slots__ = (
+        '_stream',
+        '_retention_ms',
+        '_entries',
+        '_holders',
+        '_beginning',
+        '_abandoned',
+    )
+
+    def __init__(
+        self, stream: _state_stream.StateStream, retention_ms: int
+    ) -> None:
+        self._stream = stream
+        self._retention_ms = retention_ms
+        self._entries: dict[tuple[str, str], _Entry] = {}
+        # Attempts that may still be finished, and by whom.
+        self._holders: dict[str, str] = {}
+        # Keys whose intent is on its way into the log, with fingerprints.
+        self._beginning: dict[tuple[str, str], str] = {}
+        # Attempts that were given up while their intent was on its way.
+        self._abandoned: set[str] = set()
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    async def begin(
+        self, key: str, caller: str, fingerprint: str, holder: str = ''
+    ) -> BeginOutcome:
+        """Asks to send a request under a key.
+
+        Args:
+            key: The caller's idempotency key.
+            caller: Name of the caller.
+            fingerprint: Digest of the request's content.
+            holder: The process that will send it; see `drop_holder`.
+
+        Returns:
+            `Started` once the intent has been read back, and else what is
+            known of the request, which must then not be sent.
+        """
+        if not self._stream.is_owned:
+            return self._not_owner()
+        name = (caller, key)
+        known = self._find(name, fingerprint)
+        if known is not None:
+            return known
+        attempt = uuid.uuid4().hex
+        self._beginning[name] = fingerprint
+        self._holders[attempt] = holder
+        committed: _commit_queue.Committed | results.Failure | None = None
+        try:
+            committed = await self._stream.commit(
+                records_pb2.Record(
+                    key_intent=records_pb2.KeyIntent(
+                        caller=caller,
+                        key=key,
+                        fingerprint=fingerprint,
+                        attempt=attempt,
+                        at_ms=self._stream.now_ms(),
+                    )
+                )
+            )
+        finally:
+            del self._beginning[name]
+            if not isinstance(committed, _commit_queue.Committed):
+                self._give_up(name, attempt, committed)
+        if isinstance(committed, results.Failure):
+            # Nothing was sent, and whatever becomes of the intent, nothing
+            # will be.
+            committed.run_state = results.RunState.NOT_RUN
+            return committed
+        entry = self._entries[name]
+        self._assert_first(entry, attempt)
+        return Started(attempt)
+
+    async def finish(
+        self, key: str, caller: str, attempt: str, outcome: bytes
+    ) -> results.Failure | None:
+        """Records the outcome of a request that was started.
+
+        While the log is down the record waits in the stream's buffer.
+
+        Returns:
+            A failure if the outcome has not been read back in time; it may
+            still be recorded later.
+        """
+        return await self._settle(
+            records_pb2.KeyOutcome(
+                caller=caller, key=key, attempt=attempt, outcome=outcome
+            )
+        )
+
+    async def abandon(
+        self, key: str, caller: str, attempt: str
+    ) -> results.Failure | None:
+        """Frees a key whose request was started and certainly not sent."""
+        return await self._settle(
+            records_pb2.KeyOutcome(
+                caller=caller, key=key, attempt=attempt, not_run=True
+            )
+        )
+
+    def drop_holder(self, holder: str) -> None:
+        """Makes requests in progress at a lost process unknown for good."""
+        for attempt, owner in list(self._holders.items()):
+            if owner == holder:
+                del self._holders[attempt]
+
+    async def run(self) -> None:
+        """Drops keys whose retention is over, while the stream is owned."""
+        while self._stream.is_owned:
+            await trio.sleep(SWEEP_INTERVAL_MS / 1000)
+            self._drop_expired()
+
+    def apply(
+        self, record: records_pb2.Record, position: _participant.Position
+    ) -> None:
+        """Takes a record that counts."""
+        kind = record.WhichOneof('kind')
+        if kind == 'key_intent':
+            self._apply_intent(record.key_intent)
+        elif kind == 'key_outcome':
+            self._apply_outcome(record.key_outcome)
+        elif kind == 'key_dropped':
+            dropped = record.key_dropped
+            self._entries.pop((dropped.caller, dropped.key), None)
+
+    def describe(self) -> Iterable[records_pb2.Record]:
+        """Returns records which restore the present state."""
+        for entry in self._entries.values():
+            yield records_pb2.Record(
+                key_entry=records_pb2.KeyEntry(
+                    intent=entry.intent,
+                    has_outcome=entry.outcome is not None,
+                    outcome=entry.outcome or b'',
+                    outcome_at_ms=entry.outcome_at_ms,
+                )
+            )
+
+    def restore(self, record: records_pb2.Record) -> None:
+        """Takes a record of a snapshot."""
+        described = record.key_entry
+        entry = _Entry(described.intent)
+        if described.has_outcome:
+            entry.outcome = described.outcome
+            entry.outcome_at_ms = described.outcome_at_ms
+        self._entries[(entry.intent.caller, entry.intent.key)] = entry
+
+    def _find(
+        self, name: tuple[str, str], fingerprint: str
+    ) -> KnownOutcome | UnknownOutcome | InProgress | results.Failure | None:
+        """Returns what is known of a key, or None if it is free."""
+        beginning = self._beginning.get(name)
+        if beginning is not None:
+            return (
+                InProgress() if beginning == fingerprint else _reused(name[1])
+            )
+        entry = self._entries.get(name)
+        if entry is None:
+            return None
+        if entry.intent.fingerprint != fingerprint:
+            return _reused(name[1])
+        if entry.outcome is not None:
+            return KnownOutcome(entry.outcome)
+        if entry.intent.attempt in self._holders:
+            return InProgress()
+        return UnknownOutcome()
+
+    def _apply_intent(self, intent: records_pb2.KeyIntent) -> None:
+        """Notes the first intent for a key."""
+        name = (intent.caller, intent.key)
+        if name in self._entries:
+            return
+        self._entries[name] = _Entry(intent)
+        if intent.attempt in self._abandoned:
+            self._abandoned.discard(intent.attempt)
+            self._enqueue_not_run(name, intent.attempt)
+
+    def _apply_outcome(self, outcome: records_pb2.KeyOutcome) -> None:
+        """Notes the first outcome of the attempt that a key belongs to."""
+        name = (outcome.caller, outcome.key)
+        self._holders.pop(outcome.attempt, None)
+        entry = self._entries.get(name)
+        if entry is None or entry.intent.attempt != outcome.attempt:
+            return
+        if entry.outcome is not None:
+            return
+        if outcome.not_run:
+            del self._entries[name]
+            return
+        entry.outcome = outcome.outcome
+        entry.outcome_at_ms = outcome.at_ms
+
+    def _give_up(
+        self,
+        name: tuple[str, str],
+        attempt: str,
+        failure: results.Failure | None,
+    ) -> None:
+        """Frees the key of an attempt that will not be made."""
+        self._holders.pop(attempt, None)
+        if failure is not None and (
+            failure.run_state is results.RunState.NOT_RUN
+        ):
+            return
+        entry = self._entries.get(name)
+        if entry is not None and entry.intent.attempt == attempt:
+            self._enqueue_not_run(name, attempt)
+            return
+        self._abandoned.add(attempt)
+
+    def _enqueue_not_run(self, name: tuple[str, str], attempt: str) -> None:
+        """Queues the record that frees a key; without it, it stays unknown."""
+        caller, key = name
+        self._stream.enqueue(
+            records_pb2.Record(
+                key_outcome=records_pb2.KeyOutcome(
+                    caller=caller,
+                    key=key,
+                    attempt=attempt,
+                    not_run=True,
+                    at_ms=self._stream.now_ms(),
+                )
+            )
+        )
+
+    async def _settle(
+        self, outcome: records_pb2.KeyOutcome
+    ) -> results.Failure | None:
+        """Queues an outcome and waits a while for it to be read back."""
+        outcome.at_ms = self._stream.now_ms()
+        pending = self._stream.enqueue(records_pb2.Record(key_outcome=outcome))
+        if isinstance(pending, results.Failure):
+            return pending
+        with trio.move_on_after(self._stream.limits.commit_timeout_ms / 1000):
+            await pending.settled.wait()
+        if isinstance(pending.outcome, _commit_queue.Committed):
+            return None
+        if pending.outcome is not None:
+            return pending.outcome
+        return results.Failure(
+            results.ResultCode.LOG_APPEND_UNKNOWN,
+            'the outcome has not been read back yet',
+            results.RunState.UNKNOWN,
+        )
+
+    def _drop_expired(self) -> None:
+        """Queues records that drop keys whose retention is over."""
+        limit_ms = self._stream.now_ms() - self._retention_ms
+        dropped_count = 0
+        for (caller, key), entry in self._entries.items():
+            newest_ms = max(entry.intent.at_ms, entry.outcome_at_ms)
+            if newest_ms > limit_ms or entry.intent.attempt in self._holders:
+                continue
+            self._stream.enqueue(
+                records_pb2.Record(
+                    key_dropped=records_pb2.KeyDropped(caller=caller, key=key)
+                )
+            )
+            dropped_count += 1
+            if dropped_count >= MAX_DROPPED_PER_SWEEP:
+                return
+
+    def _not_owner(self) -> results.Failure:
+        return results.Failure(
+            results.ResultCode.NOT_OWNER,
+            f'{self._stream.name} is not owned by this process',
+            retry_after_ms=self._stream.limits.claim_wait_ms,
+        )
+
+    def _assert_first(self, entry: _Entry, attempt: str) -> None:
+        """Asserts that a started request holds its key."""
+        if entry.intent.attempt == attempt:
+            return
+        _LOGGER.critical(
+            'invariant_broken',
+            extra={
+                'code': int(results.ResultCode.INVARIANT_BROKEN),
+                'invariant': 'a key has one attempt that is started',
+                'stream': self._stream.name,
+            },
+        )
+        raise AssertionError('a second attempt was started under one key')
+
+
+def _reused(key: str) -> results.Failure:
+    return results.Failure(
+        results.ResultCode.IDEMPOTENCY_KEY_REUSED,
+        f'idempotency key {key!r} was used for another request',
+    )
+
+
+def create_key_table(
+    stream: _state_stream.StateStream,
+    retention_ms: int = DEFAULT_KEY_RETENTION_MS,
+) -> KeyTable:
+    """Creates the keys of a stream and adds them to it."""
+    table = KeyTable(stream, retention_ms)
+    stream.add_participant(table)
+    return table
--- /dev/null
+++ b/siskinmount/state/_log_tail.py
@@ -0,0 +1,56 @@
+"""Reads a stream record by record, however the log fails meanwhile."""
+
+from collections.abc import Callable
+
+from siskinmount import platform
+from siskinmount import results
+from siskinmount.state import _backoff
+
+TAIL_WAIT_MS = 5000
+FIRST_BACKOFF_MS = 50
+MAX_BACKOFF_MS = 2000
+
+
+class LogTail:
+    """Reads an unowned stream from its oldest record on.
+
+    Attributes:
+        next_offset: First offset that has not been read.
+        is_at_tail: Whether the newest record of the last answer was read.
+    """
+
+    __slots__ = ('next_offset', 'is_at_tail', '_log', '_stream')
+
+    def __init__(self, log: platform.LogService, stream: str) -> None:
+        self.next_offset = 1
+        self.is_at_tail = False
+        self._log = log
+        self._stream = stream
+
+    async def read_once(
+        self, take: Callable[[platform.LogRecord], None], wait_ms: int
+    ) -> results.Failure | None:
+        """Passes on the records of one read; skips those that expired."""
+        page = await self._log.read(
+            self._stream, self.next_offset, wait_ms=wait_ms
+        )
+        if isinstance(page, results.Failure):
+            return page
+        if isinstance(page, platform.LogExpired):
+            self.next_offset = max(page.first_offset, self.next_offset + 1)
+            return None
+        for record in page.records:
+            self.next_offset = record.offset + 1
+            take(record)
+        self.is_at_tail = self.next_offset >= page.next_offset
+        return None
+
+    async def follow(self, take: Callable[[platform.LogRecord], None]) -> None:
+        """Passes on all records for ever."""
+        backoff = _backoff.Backoff(FIRST_BACKOFF_MS, MAX_BACKOFF_MS)
+        while True:
+            failure = await self.read_once(take, TAIL_WAIT_MS)
+            if failure is not None:
+                await backoff.pause(failure.retry_after_ms)
+                continue
+            backoff.reset()
--- /dev/null
+++ b/siskinmount/state/_ownership_manager.py
@@ -0,0 +1,176 @@
+"""Claims the streams that this entry should own and resigns the others."""
+
+from collections.abc import Callable
+import functools
+import logging
+from typing import Generic
+from typing import Protocol
+from typing import TypeVar
+
+import trio
+
+from siskinmount import results
+from siskinmount import supervision
+from siskinmount.state import _backoff
+from siskinmount.state import _state_stream
+from siskinmount.state import _stream_names
+
+_LOGGER = logging.getLogger(__name__)
+
+MEMBERS_POLL_MS = 200
+FIRST_RECLAIM_PAUSE_MS = 200
+MAX_RECLAIM_PAUSE_MS = 5000
+
+
+class Shard(Protocol):
+    """One stream and the state built from it, for one tenure.
+
+    Attributes:
+        stream: The stream.
+    """
+
+    stream: _state_stream.StateStream
+
+    async def run(self) -> None:
+        """Runs what acts on the state; started when the stream is owned."""
+        ...
+
+
+ShardT = TypeVar('ShardT', bound=Shard)
+
+
+class OwnershipManager(Generic[ShardT]):
+    """Runs a tenure for each stream that this entry should own.
+
+    Attributes:
+        stream_names: All streams.
+    """
+
+    __slots__ = (
+        'stream_names',
+        '_own_vm',
+        '_live_entries',
+        '_create_shard',
+        '_shards',
+        '_is_stopping',
+    )
+
+    def __init__(
+        self,
+        stream_names: list[str],
+        own_vm: str,
+        live_entries: Callable[[], list[str]],
+        create_shard: Callable[[str], ShardT],
+    ) -> None:
+        self.stream_names = stream_names
+        self._own_vm = own_vm
+        self._live_entries = live_entries
+        self._create_shard = create_shard
+        self._shards: dict[str, ShardT] = {}
+        self._is_stopping = False
+
+    def owner_vm(self, stream: str) -> str | None:
+        """Returns the VM that should own a stream, as far as is known here."""
+        return _stream_names.owner_of(stream, self._live_entries())
+
+    def find_shard(self, stream: str) -> ShardT | results.Failure:
+        """Returns a stream's state if this process owns it."""
+        shard = self._shards.get(stream)
+        if shard is not None and shard.stream.is_owned:
+            return shard
+        owner = self.owner_vm(stream)
+        if owner == self._own_vm or owner is None:
+            return results.Failure(
+                results.ResultCode.OWNER_UNKNOWN,
+                f'{stream} has no owner yet',
+                retry_after_ms=FIRST_RECLAIM_PAUSE_MS,
+            )
+        return results.Failure(
+            results.ResultCode.NOT_OWNER,
+            f'{stream} is owned by {owner}',
+            retry_after_ms=FIRST_RECLAIM_PAUSE_MS,
+        )
+
+    def owned_shards(self) -> list[ShardT]:
+        """Returns the state of all streams that this process owns."""
+        return [
+            shard for shard in self._shards.values() if shard.stream.is_owned
+        ]
+
+    def stop(self) -> None:
+        """Releases all streams; `run` returns when that is done."""
+        self._is_stopping = True
+        for shard in self._shards.values():
+            shard.stream.resign()
+
+    async def run(self) -> None:
+        """Runs until `stop`, with one supervised task for each stream."""
+        children = [
+            supervision.Child(name, functools.partial(self._keep, name))
+            for name in self.stream_names
+        ]
+        await supervision.run_supervisor('streams', children)
+
+    async def _keep(self, name: str) -> None:
+        """Runs tenures of one stream until `stop`."""
+        backoff = _backoff.Backoff(FIRST_RECLAIM_PAUSE_MS, MAX_RECLAIM_PAUSE_MS)
+        while not self._is_stopping:
+            if self.owner_vm(name) != self._own_vm:
+                await trio.sleep(MEMBERS_POLL_MS / 1000)
+                continue
+            shard = self._create_shard(name)
+            self._shards[name] = shard
+            try:
+                end = await self._run_tenure(name, shard)
+            finally:
+                del self._shards[name]
+            if end is _state_stream.TenureEnd.EPOCH_LOST:
+                await backoff.pause()
+            else:
+                backoff.reset()
+
+    async def _run_tenure(
+        self, name: str, shard: ShardT
+    ) -> _state_stream.TenureEnd:
+        """Runs one tenure and what acts on the state."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_members, name, shard)
+            nursery.start_soon(self._act, shard)
+            end = await shard.stream.run()
+            nursery.cancel_scope.cancel()
+        return end
+
+    async def _watch_members(self, name: str, shard: ShardT) -> None:
+        """Resigns when another entry should own the stream."""
+        while True:
+            if self._is_stopping or self.owner_vm(name) != self._own_vm:
+                break
+            await trio.sleep(MEMBERS_POLL_MS / 1000)
+        _LOGGER.info(
+            'stream_resigned',
+            extra={'stream': name, 'next_owner': self.owner_vm(name)},
+        )
+        shard.stream.resign()
+
+    async def _act(self, shard: ShardT) -> None:
+        """Runs what acts on the state while the stream is owned."""
+        if await shard.stream.wait_owned():
+            await shard.run()
+
+
+def create_ownership_manager(
+    stream_names: list[str],
+    own_vm: str,
+    live_entries: Callable[[], list[str]],
+    create_shard: Callable[[str], ShardT],
+) -> OwnershipManager[ShardT]:
+    """Creates a manager.
+
+    Args:
+        stream_names: All state streams.
+        own_vm: Name of this VM.
+        live_entries: Returns the VM names of the entries that are live and
+            not leaving, this one included.
+        create_shard: Creates the state of a stream for one tenure.
+    """
+    return OwnershipManager(stream_names, own_vm, live_entries, create_shard)
--- /dev/null
+++ b/siskinmount/state/_replay.py
@@ -0,0 +1,201 @@
+"""Builds state from the records of a stream."""
+
+import logging
+
+from google.protobuf import message
+
+from siskinmount import platform
+from siskinmount import results
+from siskinmount.state import _age_marks
+from siskinmount.state import _epoch_filter
+from siskinmount.state import _participant
+from siskinmount.state import records_pb2
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class Replay:
+    """Applies a stream's records to its participants.
+
+    Attributes:
+        filter: Which records count.
+        anchor: Newest complete snapshot; `replay_offset` 0 if there is none.
+        next_offset: First offset that has not been read.
+        anchor_written_at_ms: When the newest snapshot, or without one the
+            oldest record read, was written; 0 if nothing was read.
+        records_since_anchor: Log records read since the newest snapshot.
+        age_marks: When records were written.
+    """
+
+    __slots__ = (
+        'filter',
+        'anchor',
+        'anchor_written_at_ms',
+        'next_offset',
+        'records_since_anchor',
+        'age_marks',
+        '_stream',
+        '_participants_by_kind',
+        '_chunks_by_snapshot',
+        '_held_back',
+        '_is_restoring',
+    )
+
+    def __init__(
+        self,
+        stream: str,
+        participants: list[_participant.Participant],
+        age_marks: _age_marks.AgeMarks,
+    ) -> None:
+        self.filter = _epoch_filter.EpochFilter()
+        self.anchor = records_pb2.Anchor()
+        self.anchor_written_at_ms = 0
+        self.next_offset = 1
+        self.records_since_anchor = 0
+        self.age_marks = age_marks
+        self._stream = stream
+        self._participants_by_kind = {
+            kind: participant
+            for participant in [*participants, age_marks]
+            for kind in participant.kinds
+        }
+        self._chunks_by_snapshot: dict[
+            int, list[records_pb2.SnapshotChunk | None]
+        ] = {}
+        self._held_back: list[tuple[int, records_pb2.Envelope]] = []
+        self._is_restoring = False
+
+    @property
+    def is_restoring(self) -> bool:
+        """Whether the end of the snapshot has not been read yet."""
+        return self._is_restoring
+
+    def start_from(self, anchor: records_pb2.Anchor) -> None:
+        """Begins at a complete snapshot in place of the stream's start."""
+        self.filter.resume_at(anchor)
+        self.anchor.CopyFrom(anchor)
+        self.next_offset = anchor.replay_offset
+        self._is_restoring = True
+
+    def start_after_expiry(self, first_offset: int) -> None:
+        """Begins at the oldest record, without the state before it."""
+        self.filter.is_epoch_known = False
+        self.next_offset = first_offset
+
+    def take(
+        self, record: platform.LogRecord
+    ) -> _epoch_filter.Verdict | results.Failure:
+        """Applies one record of the log, the next by offset."""
+        self.next_offset = record.offset + 1
+        self.records_since_anchor += 1
+        envelope = records_pb2.Envelope()
+        try:
+            envelope.ParseFromString(record.data)
+        except message.DecodeError as error:
+            return self._invalid(record.offset, str(error))
+        body = envelope.WhichOneof('body')
+        if body is None:
+            return self._invalid(record.offset, 'the record has no body')
+        verdict = self.filter.judge(envelope, record.offset)
+        if verdict is _epoch_filter.Verdict.CLAIM:
+            self._chunks_by_snapshot.clear()
+        if verdict not in (
+            _epoch_filter.Verdict.COUNTS,
+            _epoch_filter.Verdict.CLAIM,
+        ):
+            return verdict
+        self.age_marks.note(record.offset, envelope.written_at_ms)
+        if not self.anchor_written_at_ms:
+            self.anchor_written_at_ms = envelope.written_at_ms
+        if body == 'group':
+            self._take_group(record.offset, envelope)
+        elif body == 'snapshot_chunk':
+            self._take_chunk(envelope.snapshot_chunk)
+        elif body == 'snapshot_end':
+            self._take_snapshot_end(envelope)
+        return verdict
+
+    def describe(self) -> list[records_pb2.Record]:
+        """Returns records that restore the present state."""
+        participants = {
+            id(participant): participant
+            for participant in self._participants_by_kind.values()
+        }
+        described: list[records_pb2.Record] = []
+        for participant in participants.values():
+            described.extend(participant.describe())
+        return described
+
+    def _invalid(self, offset: int, reason: str) -> results.Failure:
+        """Logs a record that is not of this system; it never counts."""
+        _LOGGER.error(
+            'log_record_invalid',
+            extra={
+                'code': int(results.ResultCode.LOG_RECORD_INVALID),
+                'stream': self._stream,
+                'offset': offset,
+                'reason': reason,
+            },
+        )
+        return results.Failure(results.ResultCode.LOG_RECORD_INVALID, reason)
+
+    def _take_group(self, offset: int, envelope: records_pb2.Envelope) -> None:
+        if self._is_restoring:
+            self._held_back.append((offset, envelope))
+            return
+        self._apply_group(offset, envelope)
+
+    def _apply_group(self, offset: int, envelope: records_pb2.Envelope) -> None:
+        """Applies the records of a group in order."""
+        for index, record in enumerate(envelope.group.records):
+            participant = self._participants_by_kind.get(
+                record.WhichOneof('kind') or ''
+            )
+            if participant is None:
+                continue
+            position = _participant.Position(offset, index)
+            participant.apply(record, position)
+
+    def _take_chunk(self, chunk: records_pb2.SnapshotChunk) -> None:
+        """Notes a chunk; its content is kept only while restoring."""
+        if chunk.snapshot not in self._chunks_by_snapshot:
+            self._chunks_by_snapshot.clear()
+        chunks = self._chunks_by_snapshot.setdefault(chunk.snapshot, [])
+        if chunk.chunk != len(chunks):
+            del self._chunks_by_snapshot[chunk.snapshot]
+            return
+        chunks.append(chunk if self._is_restoring else None)
+
+    def _take_snapshot_end(self, envelope: records_pb2.Envelope) -> None:
+        """Restores from a complete snapshot, or notes that there is one."""
+        end = envelope.snapshot_end
+        chunks = self._chunks_by_snapshot.pop(end.snapshot, [])
+        if len(chunks) != end.chunk_count:
+            return
+        if self._is_restoring:
+            if end.through_offset + 1 != self.anchor.replay_offset:
+                return
+            self._restore(chunks)
+        self.records_since_anchor = self.next_offset - end.through_offset
+        self.anchor_written_at_ms = envelope.written_at_ms
+        self.anchor.replay_offset = end.through_offset + 1
+        self.anchor.epoch = envelope.epoch
+        self.anchor.sequence = end.through_sequence
+        self.anchor.owner_vm = envelope.writer_vm
+        self.anchor.owner_incarnation = envelope.writer_incarnation
+
+    def _restore(self, chunks: list[records_pb2.SnapshotChunk | None]) -> None:
+        """Restores the participants, then applies what came meanwhile."""
+        for chunk in chunks:
+            if chunk is None:
+                continue
+            for record in chunk.records:
+                participant = self._participants_by_kind.get(
+                    record.WhichOneof('kind') or ''
+                )
+                if participant is not None:
+                    participant.restore(record)
+        self._is_restoring = False
+        held_back, self._held_back = self._held_back, []
+        for offset, envelope in held_back:
+            self._apply_group(offset, envelope)
--- /dev/null
+++ b/siskinmount/state/_snapshot_writer.py
@@ -0,0 +1,62 @@
+"""Cuts the state of a stream into chunks of a snapshot."""
+
+import collections
+
+from siskinmount.state import _replay
+from siskinmount.state import records_pb2
+
+
+class SnapshotWriter:
+    """The records of one snapshot that are still to be appended.
+
+    The state is that of one offset; records may be committed between chunks.
+    """
+
+    __slots__ = ('_bodies',)
+
+    def __init__(
+        self, replay: _replay.Replay, number: int, chunk_bytes: int
+    ) -> None:
+        """Describes the present state.
+
+        Args:
+            replay: Holds the state.
+            number: Number of the snapshot, new within the epoch.
+            chunk_bytes: Most bytes in one chunk.
+        """
+        self._bodies: collections.deque[
+            records_pb2.SnapshotChunk | records_pb2.SnapshotEnd
+        ] = collections.deque()
+        chunk = records_pb2.SnapshotChunk(snapshot=number, chunk=0)
+        size_bytes = 0
+        for record in replay.describe():
+            record_bytes = record.ByteSize()
+            if chunk.records and size_bytes + record_bytes > chunk_bytes:
+                self._bodies.append(chunk)
+                chunk = records_pb2.SnapshotChunk(
+                    snapshot=number, chunk=chunk.chunk + 1
+                )
+                size_bytes = 0
+            chunk.records.append(record)
+            size_bytes += record_bytes
+        self._bodies.append(chunk)
+        self._bodies.append(
+            records_pb2.SnapshotEnd(
+                snapshot=number,
+                chunk_count=chunk.chunk + 1,
+                through_offset=replay.next_offset - 1,
+                through_sequence=replay.filter.sequence,
+            )
+        )
+
+    @property
+    def is_finished(self) -> bool:
+        """Whether all has been taken."""
+        return not self._bodies
+
+    def take_next(self) -> records_pb2.Envelope:
+        """Returns an envelope that holds the next chunk or the end."""
+        body = self._bodies.popleft()
+        if isinstance(body, records_pb2.SnapshotEnd):
+            return records_pb2.Envelope(snapshot_end=body)
+        return records_pb2.Envelope(snapshot_chunk=body)
--- /dev/null
+++ b/siskinmount/state/_state_stream.py
@@ -0,0 +1,513 @@
+"""One tenure of a state stream: replay, claim, group commit, release."""
+
+from collections.abc import Callable
+import enum
+import logging
+import time
+
+import trio
+
+from siskinmount import platform
+from siskinmount import results
+from siskinmount.state import _age_marks
+from siskinmount.state import _backoff
+from siskinmount.state import _bootstrap
+from siskinmount.state import _commit_queue
+from siskinmount.state import _epoch_filter
+from siskinmount.state import _participant
+from siskinmount.state import _replay
+from siskinmount.state import _snapshot_writer
+from siskinmount.state import _stream_limits
+from siskinmount.state import _writer
+from siskinmount.state import records_pb2
+
+_LOGGER = logging.getLogger(__name__)
+
+HOUSEKEEPING_INTERVAL_MS = 1000
+VACANCY_POLL_MS = 100
+
+
+class TenureEnd(enum.Enum):
+    """Why a tenure is over."""
+
+    #: The owner released the stream, or never claimed it.
+    RELEASED = 'released'
+
+    #: Another process has claimed the stream.
+    EPOCH_LOST = 'epoch_lost'
+
+    #: Records expired before they were read; replay has to start again.
+    GAP = 'gap'
+
+
+def wall_clock_ms() -> int:
+    """Returns milliseconds since the Unix epoch."""
+    return int(time.time() * 1000)
+
+
+class StateStream:
+    """Follows a stream, claims it, and commits records while it is owned.
+
+    An instance serves one tenure: `run` replays the stream, waits until the
+    stream is vacant, claims it, and returns when the stream is lost or
+    released.
+
+    Attributes:
+        name: Name of the stream.
+        limits: Bounds and intervals.
+        is_owned: Whether this process's claim is the newest that it has read.
+        age_marks: When the stream's records were written.
+    """
+
+    __slots__ = (
+        'name',
+        'limits',
+        'is_owned',
+        'age_marks',
+        '_log',
+        '_writer',
+        '_is_live',
+        '_clock_ms',
+        '_participants',
+        '_replay',
+        '_queue',
+        '_changed',
+        '_is_at_tail',
+        '_is_log_failing',
+        '_resign_asked',
+        '_end',
+        '_snapshot',
+        '_snapshot_count',
+        '_in_flight_sequence',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        log: platform.LogService,
+        writer: _writer.Writer,
+        limits: _stream_limits.StreamLimits,
+        is_live: Callable[[str], bool],
+        clock_ms: Callable[[], int],
+    ) -> None:
+        self.name = name
+        self.limits = limits
+        self.is_owned = False
+        self.age_marks = _age_marks.AgeMarks(limits.retention_ms)
+        self._log = log
+        self._writer = writer
+        self._is_live = is_live
+        self._clock_ms = clock_ms
+        self._participants: list[_participant.Participant] = []
+        self._replay = _replay.Replay(name, [], self.age_marks)
+        self._queue = _commit_queue.CommitQueue()
+        self._changed = trio.Event()
+        self._is_at_tail = False
+        self._is_log_failing = False
+        self._resign_asked = False
+        self._end: TenureEnd | None = None
+        self._snapshot: _snapshot_writer.SnapshotWriter | None = None
+        self._snapshot_count = 0
+        self._in_flight_sequence = 0
+
+    @property
+    def epoch(self) -> int:
+        """Offset of the newest claim that was read."""
+        return self._replay.filter.epoch
+
+    @property
+    def is_log_failing(self) -> bool:
+        """Whether the last append to the log had no certain success."""
+        return self._is_log_failing
+
+    @property
+    def is_buffer_full(self) -> bool:
+        """Whether records waiting for the log have reached their bound."""
+        return self._queue.queued_bytes >= self.limits.max_queued_bytes
+
+    @property
+    def end(self) -> TenureEnd | None:
+        """Why the tenure is over, or None while it is not."""
+        return self._end
+
+    def now_ms(self) -> int:
+        """Returns the wall clock in milliseconds since the Unix epoch."""
+        return self._clock_ms()
+
+    def add_participant(self, participant: _participant.Participant) -> None:
+        """Adds state that is built from the stream; only before `run`."""
+        self._participants.append(participant)
+
+    def resign(self) -> None:
+        """Asks for a release; `run` returns once it is done."""
+        self._resign_asked = True
+        self._notify()
+
+    async def wait_owned(self) -> bool:
+        """Waits for the claim; returns False if the tenure ended first."""
+        while not self.is_owned and self._end is None:
+            await self._changed.wait()
+        return self.is_owned
+
+    async def commit(
+        self, record: records_pb2.Record
+    ) -> _commit_queue.Committed | results.Failure:
+        """Commits a record and returns when it has been read back.
+
+        A failure has run state `NOT_RUN` if the record certainly does not
+        count and never will, and `UNKNOWN` if it may.
+        """
+        if self.is_owned and self._is_log_failing:
+            return self._unavailable('appends to the log fail')
+        pending = self.enqueue(record)
+        if isinstance(pending, results.Failure):
+            return pending
+        with trio.move_on_after(self.limits.commit_timeout_ms / 1000):
+            await pending.settled.wait()
+        if pending.outcome is not None:
+            return pending.outcome
+        if not pending.is_sent:
+            self._queue.withdraw(pending)
+            return self._unavailable('the log is slow')
+        return results.Failure(
+            results.ResultCode.LOG_APPEND_UNKNOWN,
+            'the record was sent to the log and has not been read back',
+            results.RunState.UNKNOWN,
+            self.limits.max_backoff_ms,
+        )
+
+    def enqueue(
+        self, record: records_pb2.Record
+    ) -> _commit_queue.PendingRecord | results.Failure:
+        """Queues a record, also while the log is down, and does not wait."""
+        if not self.is_owned:
+            return results.Failure(
+                results.ResultCode.NOT_OWNER,
+                f'{self.name} is not owned by this process',
+                retry_after_ms=self.limits.claim_wait_ms,
+            )
+        if self.is_buffer_full:
+            return self._unavailable('too many records wait for the log')
+        pending = _commit_queue.PendingRecord(record)
+        self._queue.add(pending)
+        return pending
+
+    async def run(self) -> TenureEnd:
+        """Runs one tenure."""
+        self._replay = _replay.Replay(
+            self.name, self._participants, self.age_marks
+        )
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._follow, nursery.cancel_scope)
+                nursery.start_soon(self._own, nursery.cancel_scope)
+        finally:
+            self._close()
+        assert self._end is not None
+        return self._end
+
+    def _close(self) -> None:
+        """Ends what still waits for the log."""
+        self.is_owned = False
+        unsent = results.Failure(
+            results.ResultCode.OWNERSHIP_LOST,
+            f'{self.name} has another owner',
+            retry_after_ms=self.limits.claim_wait_ms,
+        )
+        sent = unsent
+        if self._end is not TenureEnd.EPOCH_LOST:
+            sent = results.Failure(
+                results.ResultCode.LOG_APPEND_UNKNOWN,
+                'the record was not read back before the tenure ended',
+                results.RunState.UNKNOWN,
+                self.limits.claim_wait_ms,
+            )
+        self._queue.settle_all(sent, unsent)
+        self._notify()
+
+    def _unavailable(self, reason: str) -> results.Failure:
+        return results.Failure(
+            results.ResultCode.LOG_UNAVAILABLE,
+            reason,
+            retry_after_ms=self.limits.max_backoff_ms,
+        )
+
+    def _notify(self) -> None:
+        """Wakes all tasks that wait for a change."""
+        changed, self._changed = self._changed, trio.Event()
+        changed.set()
+        self._queue.wake()
+
+    def _finish(self, end: TenureEnd) -> None:
+        """Notes why the tenure is over."""
+        if self._end is not None:
+            return
+        self._end = end
+        self.is_owned = False
+        _LOGGER.info(
+            'tenure_ended',
+            extra={
+                'stream': self.name,
+                'epoch': self.epoch,
+                'reason': end.value,
+            },
+        )
+        self._notify()
+
+    async def _follow(self, scope: trio.CancelScope) -> None:
+        """Reads the stream and applies it until the tenure ends."""
+        await self._start_replay()
+        backoff = self._new_backoff()
+        while self._end is None:
+            page = await self._log.read(
+                self.name,
+                self._replay.next_offset,
+                wait_ms=self.limits.tail_wait_ms,
+            )
+            if isinstance(page, results.Failure):
+                await backoff.pause(page.retry_after_ms)
+                continue
+            if isinstance(page, platform.LogExpired):
+                self._finish(TenureEnd.GAP)
+                break
+            backoff.reset()
+            for record in page.records:
+                self._take(record)
+                if self._end is not None:
+                    break
+            if self._replay.next_offset >= page.next_offset:
+                self._check_restored()
+                self._is_at_tail = True
+            self._notify()
+        scope.cancel()
+
+    async def _start_replay(self) -> None:
+        """Finds where to start, however long the log is down."""
+        backoff = self._new_backoff()
+        while True:
+            start = await _bootstrap.find_replay_start(self._log, self.name)
+            if not isinstance(start, results.Failure):
+                break
+            await backoff.pause(start.retry_after_ms)
+        if start.anchor is not None:
+            self._replay.start_from(start.anchor)
+        elif start.first_offset > 1:
+            _LOGGER.error(
+                'state_expired',
+                extra={
+                    'code': int(results.ResultCode.LOG_RECORD_EXPIRED),
+                    'stream': self.name,
+                    'first_offset': start.first_offset,
+                },
+            )
+            self._replay.start_after_expiry(start.first_offset)
+
+    def _check_restored(self) -> None:
+        """Asserts that the snapshot that replay began with was whole."""
+        if not self._replay.is_restoring:
+            return
+        _LOGGER.critical(
+            'invariant_broken',
+            extra={
+                'code': int(results.ResultCode.INVARIANT_BROKEN),
+                'invariant': 'a snapshot that is named has been read back',
+                'stream': self.name,
+            },
+        )
+        raise AssertionError(f'{self.name}: no end of the snapshot')
+
+    def _take(self, record: platform.LogRecord) -> None:
+        """Applies one record and notes what it means for the tenure."""
+        verdict = self._replay.take(record)
+        epoch_filter = self._replay.filter
+        if verdict is _epoch_filter.Verdict.COUNTS:
+            if (
+                self.is_owned
+                and epoch_filter.sequence == self._in_flight_sequence
+            ):
+                self._queue.settle_group(record.offset)
+            return
+        if verdict is not _epoch_filter.Verdict.CLAIM:
+            return
+        is_own = (
+            epoch_filter.owner_vm == self._writer.vm
+            and epoch_filter.owner_incarnation == self._writer.incarnation
+        )
+        if self.is_owned and not is_own:
+            self._finish(TenureEnd.EPOCH_LOST)
+
+    async def _own(self, scope: trio.CancelScope) -> None:
+        """Claims the stream, commits while it is owned, and releases it."""
+        await self._wait_until_vacant()
+        if not self._resign_asked:
+            await self._claim()
+        while self.is_owned and not self._resign_asked:
+            await self._write_once()
+        if self.is_owned:
+            with trio.move_on_after(self.limits.release_timeout_ms / 1000):
+                await self._release()
+        self._finish(TenureEnd.RELEASED)
+        scope.cancel()
+
+    async def _wait_until_vacant(self) -> None:
+        """Waits for the tail and until the stream may be claimed."""
+        while not self._is_at_tail and not self._resign_asked:
+            await self._changed.wait()
+        epoch_filter = self._replay.filter
+        claim_at_s = trio.current_time() + self.limits.claim_wait_ms / 1000
+        while not self._resign_asked:
+            if (
+                epoch_filter.is_released
+                or epoch_filter.epoch == 0
+                or not epoch_filter.is_epoch_known
+                or epoch_filter.owner_vm == self._writer.vm
+                or not self._is_live(epoch_filter.owner_vm)
+                or trio.current_time() >= claim_at_s
+            ):
+                return
+            with trio.move_on_after(VACANCY_POLL_MS / 1000):
+                await self._changed.wait()
+
+    async def _claim(self) -> None:
+        """Appends a claim and notes whether it counts."""
+        epoch_filter = self._replay.filter
+        envelope = records_pb2.Envelope(
+            claim=records_pb2.Claim(
+                previous_epoch=epoch_filter.epoch,
+                after_expiry=not epoch_filter.is_epoch_known,
+            )
+        )
+        await self._append(envelope)
+        if (
+            epoch_filter.owner_vm != self._writer.vm
+            or epoch_filter.owner_incarnation != self._writer.incarnation
+            or epoch_filter.sequence != envelope.sequence
+        ):
+            self._finish(TenureEnd.EPOCH_LOST)
+            return
+        self.is_owned = True
+        _LOGGER.info(
+            'stream_claimed', extra={'stream': self.name, 'epoch': self.epoch}
+        )
+        self._notify()
+
+    async def _release(self) -> None:
+        """Commits what waits and gives the stream up."""
+        while self._queue.has_waiting and self.is_owned:
+            await self._write_group()
+        if self.is_owned:
+            self.is_owned = False
+            await self._append(
+                records_pb2.Envelope(release=records_pb2.Release())
+            )
+
+    async def _write_once(self) -> None:
+        """Appends a group and a part of a snapshot, whichever there is."""
+        self._start_snapshot_if_due()
+        if not self._queue.has_waiting and self._snapshot is None:
+            with trio.move_on_after(HOUSEKEEPING_INTERVAL_MS / 1000):
+                await self._queue.wait_changed()
+            return
+        if self._queue.has_waiting:
+            await self._write_group()
+        if self._snapshot is not None and self.is_owned:
+            await self._append(self._snapshot.take_next())
+            if self._snapshot.is_finished:
+                self._snapshot = None
+        await trio.sleep(self.limits.min_append_interval_ms / 1000)
+
+    async def _write_group(self) -> None:
+        """Commits waiting records together."""
+        group = self._queue.take_group(self.limits.max_group_bytes)
+        failure = await self._append(records_pb2.Envelope(group=group))
+        if failure is not None:
+            self._queue.refuse_group(failure)
+
+    def _start_snapshot_if_due(self) -> None:
+        """Describes the state for a new snapshot if the newest has aged."""
+        if self._snapshot is not None:
+            return
+        age_ms = self.now_ms() - self._replay.anchor_written_at_ms
+        if (
+            age_ms < self.limits.snapshot_after_ms
+            and self._replay.records_since_anchor
+            < self.limits.snapshot_after_records
+        ):
+            return
+        self._snapshot_count += 1
+        self._snapshot = _snapshot_writer.SnapshotWriter(
+            self._replay,
+            self._snapshot_count,
+            self.limits.snapshot_chunk_bytes,
+        )
+
+    async def _append(
+        self, envelope: records_pb2.Envelope
+    ) -> results.Failure | None:
+        """Appends a record, repeated until it has been read back.
+
+        A repeated append has the same writer and sequence number, so at most
+        one of its copies counts.
+
+        Returns:
+            A failure if the log refused the record for good.
+        """
+        envelope.writer_vm = self._writer.vm
+        envelope.writer_incarnation = self._writer.incarnation
+        envelope.sequence = self._writer.next_sequence()
+        self._in_flight_sequence = envelope.sequence
+        if envelope.WhichOneof('body') != 'claim':
+            envelope.epoch = self.epoch
+        envelope.written_at_ms = self.now_ms()
+        envelope.anchor.CopyFrom(self._replay.anchor)
+        data = envelope.SerializeToString()
+        backoff = self._new_backoff()
+        while True:
+            answer = await self._log.append(self.name, data)
+            if isinstance(answer, platform.Appended):
+                self._is_log_failing = False
+                await self._wait_read(answer.offset)
+                return None
+            if answer.code is results.ResultCode.LOG_RECORD_INVALID:
+                return answer
+            self._is_log_failing = True
+            await backoff.pause(answer.retry_after_ms)
+
+    async def _wait_read(self, offset: int) -> None:
+        """Waits until the record at an offset has been read and applied."""
+        while self._replay.next_offset <= offset:
+            await self._changed.wait()
+
+    def _new_backoff(self) -> _backoff.Backoff:
+        return _backoff.Backoff(
+            self.limits.first_backoff_ms, self.limits.max_backoff_ms
+        )
+
+
+def create_state_stream(
+    name: str,
+    log: platform.LogService,
+    writer: _writer.Writer,
+    limits: _stream_limits.StreamLimits | None = None,
+    is_live: Callable[[str], bool] | None = None,
+    clock_ms: Callable[[], int] = wall_clock_ms,
+) -> StateStream:
+    """Creates a stream for one tenure.
+
+    Args:
+        name: Name of the stream.
+        log: The platform's log.
+        writer: Identity of this process, shared by all its streams.
+        limits: Bounds and intervals.
+        is_live: Tells whether a VM is believed to live. A stream whose owner
+            lives is claimed only after a wait.
+        clock_ms: Milliseconds since the Unix epoch.
+    """
+    return StateStream(
+        name,
+        log,
+        writer,
+        limits or _stream_limits.StreamLimits(),
+        is_live or (lambda vm: True),
+        clock_ms,
+    )
--- /dev/null
+++ b/siskinmount/state/_writer.py
@@ -0,0 +1,22 @@
+"""Identity of a process that writes records."""
+
+
+class Writer:
+    """Who writes, and the numbers of what it writes.
+
+    Attributes:
+        vm: Name of the VM.
+        incarnation: Rises with each start of the process on the VM.
+    """
+
+    __slots__ = ('vm', 'incarnation', '_last_sequence')
+
+    def __init__(self, vm: str, incarnation: int) -> None:
+        self.vm = vm
+        self.incarnation = incarnation
+        self._last_sequence = 0
+
+    def next_sequence(self) -> int:
+        """Returns a sequence number that no other record has."""
+        self._last_sequence += 1
+        return self._last_sequence
--- /dev/null
+++ b/siskinmount/state/tests/stream_fixtures.py
@@ -0,0 +1,114 @@
+"""Helpers for tests of state streams."""
+
+import itertools
+
+import trio
+
+from siskinmount import state
+from siskinmount.state import records_pb2
+
+_INCARNATIONS = itertools.count(1)
+
+
+class TextList:
+    """A participant that keeps the keys it was given, in order."""
+
+    kinds = frozenset({'key_dropped', 'key_entry'})
+
+    def __init__(self):
+        self.texts = []
+
+    def apply(self, record, position):
+        self.texts.append(record.key_dropped.key)
+
+    def describe(self):
+        for text in self.texts:
+            yield records_pb2.Record(
+                key_entry=records_pb2.KeyEntry(
+                    intent=records_pb2.KeyIntent(key=text)
+                )
+            )
+
+    def restore(self, record):
+        self.texts.append(record.key_entry.intent.key)
+
+
+class Tenure:
+    """A stream in a task, and how it ended."""
+
+    def __init__(self, stream, participant):
+        self.stream = stream
+        self.participant = participant
+        self.ended = trio.Event()
+        self.end = None
+
+    @property
+    def texts(self):
+        return self.participant.texts
+
+    async def run(self):
+        self.end = await self.stream.run()
+        self.ended.set()
+
+
+class FrozenView:
+    """A log as a process sees it that may be frozen: its calls wait."""
+
+    def __init__(self, log):
+        self._log = log
+        self._running = trio.Event()
+        self._running.set()
+
+    def freeze(self):
+        self._running = trio.Event()
+
+    def thaw(self):
+        self._running.set()
+
+    async def append(self, stream, data):
+        await self._running.wait()
+        return await self._log.append(stream, data)
+
+    async def read(self, stream, from_offset, **options):
+        await self._running.wait()
+        page = await self._log.read(stream, from_offset, **options)
+        await self._running.wait()
+        return page
+
+    async def stream_range(self, stream):
+        await self._running.wait()
+        return await self._log.stream_range(stream)
+
+
+def limits(**changes):
+    return state.StreamLimits(**{'min_append_interval_ms': 1, **changes})
+
+
+def clock_ms():
+    return 1_700_000_000_000 + int(trio.current_time() * 1000)
+
+
+def new_writer(vm):
+    return state.Writer(vm, next(_INCARNATIONS))
+
+
+async def start(log, nursery, vm, stream_limits=None, is_live=None):
+    stream = state.create_state_stream(
+        'state-0',
+        log,
+        new_writer(vm),
+        stream_limits or limits(),
+        is_live or (lambda vm: False),
+        clock_ms,
+    )
+    participant = TextList()
+    stream.add_participant(participant)
+    tenure = Tenure(stream, participant)
+    nursery.start_soon(tenure.run)
+    return tenure
+
+
+async def start_owner(log, nursery, vm, stream_limits=None, is_live=None):
+    tenure = await start(log, nursery, vm, stream_limits, is_live)
+    assert await tenure.stream.wait_owned()
+    return tenure
