--- a/siskinmount/entry/_answer_run.py
+++ b/siskinmount/entry/_answer_run.py
@@ -61,7 +61,7 @@
         '_body_bytes_to_skip',
         '_head_received',
         '_sent_to_any',
-        '_reported_failure',
+        '_failure_frame',
     )
 
     def __init__(
@@ -85,9 +85,9 @@
         self._body_bytes_to_skip = 0
         self._head_received = False
         self._sent_to_any = False
-        # The failure that a sidecar has reported in a frame, as opposed to one
-        # of the connection to it.
-        self._reported_failure: results.Failure | None = None
+        # The last frame that a sidecar has sent in place of the rest of the
+        # answer, as opposed to a failure of the connection to it.
+        self._failure_frame: relay.FailureFrame | None = None
 
     async def receive_frames(self) -> list[relay.Frame] | results.Failure:
         """Returns the next frames, or the final failure of the request."""
@@ -200,9 +200,7 @@
         """Returns the headers of a run."""
         request = self._request
         names = relay.RelayHeader
-        left_ms = max(
-            1, int((request.deadline_s - trio.current_time()) * 1000)
-        )
+        left_ms = max(1, int((request.deadline_s - trio.current_time()) * 1000))
         next_token = request.first_token + len(self.token_texts)
         headers = [
             (names.REQUEST_ID, request.request_id.encode('ascii')),
@@ -221,8 +219,8 @@
 
     async def _read(self) -> list[relay.Frame] | results.Failure:
         """Returns the frames of one read of the connection."""
-        if self._reported_failure is not None:
-            return self._reported_failure
+        if self._failure_frame is not None:
+            return self._failure_frame.failure
         if self._exchange is None:
             raise RuntimeError('no exchange is open')
         chunk = await self._exchange.receive_chunk()
@@ -240,7 +238,7 @@
         kept: list[relay.Frame] = []
         for frame in frames:
             if isinstance(frame, relay.FailureFrame):
-                self._reported_failure = frame.failure
+                self._failure_frame = frame
                 # Tokens before the failure are handed out first.
                 return kept if kept else frame.failure
             accepted = self._accept(frame)
@@ -291,16 +289,18 @@
         if self._exchange is not None:
             self._exchange.close()
             self._exchange = None
-        reported = failure is self._reported_failure
-        self._reported_failure = None
-        if not reported and await self._reattach(failure):
+        failure_frame = self._failure_frame
+        self._failure_frame = None
+        if failure_frame is None and await self._reattach(failure):
             return None
         member = self._find_member()
         self._excluded_vms.add(member.vm)
         self._release_choice()
         if failure.code not in _BLAMELESS_CODES:
             self._access.router.note_failure(
-                member.vm, member.incarnation, reachable=reported
+                member.vm,
+                member.incarnation,
+                reachable=failure_frame is not None,
             )
         _LOGGER.info(
             'attempt_failed',
@@ -314,9 +314,12 @@
         )
         if failure.run_state is results.RunState.NOT_RUN:
             return self._after_refusal(failure)
-        if reported and failure.code is results.ResultCode.UPSTREAM_LOST:
-            await self._access.record_death(
-                self._request.fingerprint, member, self._solo
+        if failure_frame is not None and failure_frame.upstream_generation:
+            self._access.record_death(
+                self._request.fingerprint,
+                member,
+                failure_frame.upstream_generation,
+                self._solo,
             )
             if self._access.is_convicted(self._request.fingerprint):
                 return self._final(_convicted())
@@ -401,5 +404,3 @@
         'upstreams that ran this request have died; it is not run again',
         results.RunState.RAN,
     )
-
-
--- a/siskinmount/entry/_callers_api.py
+++ b/siskinmount/entry/_callers_api.py
@@ -8,7 +8,6 @@
 from siskinmount import telemetry
 from siskinmount import transport
 from siskinmount.entry import _authentication
-from siskinmount.entry import _batch_api
 from siskinmount.entry import _configuration_in_force
 from siskinmount.entry import _error_answers
 from siskinmount.entry import _key_access
@@ -35,7 +34,6 @@
         '_in_force',
         '_access',
         '_keys',
-        '_jobs',
         '_admission',
         '_histograms',
     )
@@ -47,7 +45,6 @@
         in_force: _configuration_in_force.ConfigurationInForce,
         access: _upstream_access.UpstreamAccess,
         keys: _key_access.KeyAccess,
-        jobs: _batch_api.BatchApi,
         admission_control: admission.Admission,
         histograms: telemetry.Histograms,
     ) -> None:
@@ -55,7 +52,6 @@
         self._in_force = in_force
         self._access = access
         self._keys = keys
-        self._jobs = jobs
         self._admission = admission_control
         self._histograms = histograms
 
@@ -95,9 +91,6 @@
                 return
             await self._serve_model_call(exchange, document, caller)
             return
-        if _batch_api.is_batch_path(path):
-            await self._jobs.serve_caller(exchange, document, caller)
-            return
         await self._serve_plain_call(exchange, document, caller)
 
     async def _serve_model_call(
--- a/siskinmount/entry/_configuration_in_force.py
+++ b/siskinmount/entry/_configuration_in_force.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 import logging
 
-import trio
-
 from siskinmount import configuration
+from siskinmount import results
+from siskinmount import state
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -16,44 +16,48 @@
     """Holds the newest valid document; its version only ever rises.
 
     Attributes:
+        stream: The configuration stream that it follows.
         version: Version in force; 0 before the first.
         document: Document in force, or None before the first.
     """
 
-    __slots__ = ('version', 'document', '_listeners', '_changed')
+    __slots__ = ('stream', 'version', 'document', '_listeners')
 
-    def __init__(self) -> None:
+    def __init__(self, stream: state.ConfigurationStream) -> None:
+        self.stream = stream
         self.version = 0
         self.document: configuration.ServiceDocument | None = None
         self._listeners: list[ConfigurationListener] = []
-        self._changed = trio.Event()
 
     def add_listener(self, listener: ConfigurationListener) -> None:
         """Calls the listener with each new document and its version."""
         self._listeners.append(listener)
 
-    def accept(self, version: int, text: str) -> bool:
-        """Puts a document in force unless it is invalid or not newer."""
-        if version <= self.version:
-            return False
-        document = configuration.parse_document(text)
-        if isinstance(document, list):
-            _LOGGER.error(
-                'configuration_invalid',
-                extra={'version': version, 'faults': len(document)},
+    async def run(self) -> None:
+        """Follows the stream and what peers pass on, for ever."""
+        while True:
+            newer = await self.stream.wait_newer(self.version)
+            if not isinstance(newer.document, configuration.ServiceDocument):
+                raise TypeError('the stream holds no service document')
+            if newer.version <= self.version:
+                raise AssertionError('a configuration version went back')
+            self.version = newer.version
+            self.document = newer.document
+            _LOGGER.info(
+                'configuration_in_force', extra={'version': newer.version}
             )
-            return False
-        self.version = version
-        self.document = document
-        _LOGGER.info('configuration_in_force', extra={'version': version})
-        for listener in self._listeners:
-            listener(document, version)
-        self._changed.set()
-        self._changed = trio.Event()
-        return True
-
-    async def wait_document(self) -> configuration.ServiceDocument:
-        """Returns the document in force, as soon as there is one."""
-        while self.document is None:
-            await self._changed.wait()
-        return self.document
+            for listener in self._listeners:
+                listener(newer.document, newer.version)
+
+
+def parse_published_text(
+    text: str,
+) -> configuration.ServiceDocument | results.Failure:
+    """Parses a document from the stream."""
+    document = configuration.parse_document(text)
+    if isinstance(document, list):
+        return results.Failure(
+            results.ResultCode.DOCUMENT_INVALID,
+            f'the document has {len(document)} faults',
+        )
+    return document
--- /dev/null
+++ b/siskinmount/entry/_entry.py
@@ -0,0 +1,338 @@
+"""The entry daemon: what it consists of, and its life from start to stop."""
+
+import logging
+import signal
+
+import trio
+
+from siskinmount import admission
+from siskinmount import configuration
+from siskinmount import membership
+from siskinmount import platform
+from siskinmount import results
+from siskinmount import routing
+from siskinmount import rpc
+from siskinmount import state
+from siskinmount import supervision
+from siskinmount import telemetry
+from siskinmount import transport
+from siskinmount.entry import _callers_api
+from siskinmount.entry import _configuration_in_force
+from siskinmount.entry import _control_service
+from siskinmount.entry import _entry_shard
+from siskinmount.entry import _heartbeat_observer
+from siskinmount.entry import _key_access
+from siskinmount.entry import _owner_calls
+from siskinmount.entry import _peers_api
+from siskinmount.entry import _self_description
+from siskinmount.entry import _upstream_access
+
+_LOGGER = logging.getLogger(__name__)
+
+#: How long a leaving entry still accepts connections, so that the balancer
+#: and the peers notice before they are refused.
+LEAVING_NOTICE_S = 3.0
+UPKEEP_INTERVAL_S = 1.0
+MAX_UPSTREAM_CONNECTIONS = 1024
+
+
+class Entry:
+    """Everything that one entry process holds.
+
+    Attributes:
+        settings: The settings.
+        own: What this entry tells others about itself.
+        members: The daemons it knows.
+        in_force: The configuration it serves by.
+        convictions: Requests that make upstreams die.
+        streams: State streams that it owns.
+    """
+
+    __slots__ = (
+        'settings',
+        'own',
+        'members',
+        'in_force',
+        'convictions',
+        'streams',
+        '_log',
+        '_writer',
+        '_histograms',
+        '_admission',
+        '_access',
+        '_heartbeats',
+        '_vm_list_watcher',
+        '_callers_server',
+        '_peers_server',
+        '_control_server',
+        '_stopping',
+        '_released',
+    )
+
+    def __init__(self, settings: configuration.EntrySettings) -> None:
+        identity = settings.identity
+        self.settings = settings
+        self.own = _self_description.SelfDescription(identity)
+        self.members = membership.create_member_table()
+        self._log = platform.create_log_client(identity.log_address)
+        self._writer = state.Writer(identity.vm, self.own.incarnation)
+        self.in_force = _configuration_in_force.ConfigurationInForce(
+            state.create_configuration_stream(
+                self._log,
+                _configuration_in_force.parse_published_text,
+                is_carrier=self._is_first_entry,
+            )
+        )
+        self.in_force.add_listener(self._apply_document)
+        self.convictions = state.create_conviction_stream(self._log)
+        self.streams = state.create_ownership_manager(
+            state.state_stream_names(settings.stream_count),
+            identity.vm,
+            self.list_live_entries,
+            self._create_shard,
+        )
+        self._histograms = telemetry.create_histograms([])
+        router = routing.create_router(self.members, identity.failure_domain)
+        self._admission = admission.create_admission(router)
+        self._access = _upstream_access.UpstreamAccess(
+            router,
+            routing.create_retry_budget(),
+            self.convictions,
+            transport.ClientLimits(max_connections=MAX_UPSTREAM_CONNECTIONS),
+        )
+        self._heartbeats = membership.create_heartbeat_sender(
+            self.members,
+            _heartbeat_observer.EntryHeartbeatObserver(
+                self.own, self.in_force.stream
+            ),
+            identity.seeds,
+        )
+        self._vm_list_watcher = membership.create_vm_list_watcher(
+            platform.create_vm_list_client(identity.vm_list_address),
+            self.members,
+            self._heartbeats,
+        )
+        self._build_servers()
+        self._stopping = trio.Event()
+        self._released = trio.Event()
+
+    def _build_servers(self) -> None:
+        """Creates the servers for callers, daemons and control calls."""
+        calls = _owner_calls.OwnerCalls(
+            self.streams,
+            self.members,
+            transport.ClientLimits(),
+            self.settings.stream_count,
+        )
+        keys = _key_access.KeyAccess(calls, self.own.holder())
+        callers_api = _callers_api.CallersApi(
+            own=self.own,
+            in_force=self.in_force,
+            access=self._access,
+            keys=keys,
+            admission_control=self._admission,
+            histograms=self._histograms,
+        )
+        self._callers_server = transport.create_http_server(
+            callers_api.handle, self.settings.limits
+        )
+        peers_api = _peers_api.PeersApi(
+            own=self.own,
+            in_force=self.in_force,
+            keys=keys,
+            histograms=self._histograms,
+            describe_details=self.describe_details,
+        )
+        self._peers_server = transport.create_http_server(peers_api.handle)
+        self._control_server = rpc.create_control_server(
+            _control_service.ControlService(
+                self.own,
+                self.members,
+                self.in_force,
+                self._histograms,
+                self.list_backlogs,
+                self.describe_details,
+            )
+        )
+
+    def list_live_entries(self) -> list[str]:
+        """Returns the VMs of the entries that may own streams."""
+        vms = self.members.live_entry_vms()
+        if not self.own.leaving and self.own.identity.vm not in vms:
+            vms.append(self.own.identity.vm)
+        return sorted(vms)
+
+    def list_backlogs(self) -> list[rpc.Backlog]:
+        """Returns the batch items that wait here, by service."""
+        return []
+
+    def describe_details(self) -> dict[str, object]:
+        """Returns what operators may want to know beyond the members."""
+        owned = [shard.stream.name for shard in self.streams.owned_shards()]
+        return {
+            'streams_owned': owned,
+            'configuration_version': self.in_force.version,
+            'connections': self._callers_server.connection_count,
+        }
+
+    def begin_leaving(self) -> None:
+        """Begins a planned stop."""
+        if self.own.leaving:
+            return
+        _LOGGER.info('leaving_begun')
+        self.own.leaving = True
+        self._stopping.set()
+
+    async def run(
+        self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Runs until a planned stop has come to its end."""
+        async with trio.open_nursery() as nursery:
+            peers_address = await nursery.start(
+                self._peers_server.run, self.settings.identity.peers_address
+            )
+            control_address = await nursery.start(
+                self._control_server.run,
+                self.settings.identity.control_address,
+            )
+            self.own.peers_address = peers_address
+            self.own.control_address = control_address
+            nursery.start_soon(
+                supervision.run_supervisor, 'entry', self._list_children()
+            )
+            async with trio.open_nursery() as serving:
+                callers_address = await serving.start(
+                    self._callers_server.run, self.settings.callers_address
+                )
+                task_status.started(callers_address)
+                _LOGGER.info(
+                    'entry_started',
+                    extra={'callers_address': str(callers_address)},
+                )
+                await self._stopping.wait()
+                self._callers_server.begin_draining()
+                await trio.sleep(LEAVING_NOTICE_S)
+                self._callers_server.stop()
+            # No caller is left; the state streams go to their next owners.
+            self.streams.stop()
+            await self._released.wait()
+            self._peers_server.stop()
+            self._control_server.stop()
+            nursery.cancel_scope.cancel()
+        _LOGGER.info('entry_left')
+
+    def _list_children(self) -> list[supervision.Child]:
+        """Returns the long-running parts."""
+        return [
+            supervision.Child('stop_signal', self._watch_stop_signal),
+            supervision.Child('configuration', self.in_force.stream.run),
+            supervision.Child('configuration_in_force', self.in_force.run),
+            supervision.Child('convictions', self.convictions.run),
+            supervision.Child('heartbeats', self._heartbeats.run),
+            supervision.Child('vm_list', self._vm_list_watcher.run),
+            supervision.Child('streams', self._run_streams),
+            supervision.Child('upkeep', self._run_upkeep),
+        ]
+
+    async def _watch_stop_signal(self) -> None:
+        """Begins the planned stop at SIGTERM."""
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            async for _ in signals:
+                self.begin_leaving()
+
+    async def _run_streams(self) -> None:
+        """Owns streams until the planned stop."""
+        await self.streams.run()
+        self._released.set()
+
+    async def _run_upkeep(self) -> None:
+        """Keeps what follows from membership up to date."""
+        while True:
+            document = self.in_force.document
+            if document is not None:
+                self._admission.configure(
+                    document.callers, len(self.list_live_entries())
+                )
+            self._access.drop_clients(
+                {
+                    sidecar.peers_address
+                    for sidecar in self.members.list_sidecars()
+                }
+            )
+            self._drop_lost_holders()
+            await trio.sleep(UPKEEP_INTERVAL_S)
+
+    def _drop_lost_holders(self) -> None:
+        """Gives up on intents of processes that are gone."""
+        live = {self.own.holder()}
+        for entry in self.members.list_entries():
+            live.add(f'{entry.vm}/{entry.incarnation}')
+        for shard in self.streams.owned_shards():
+            for holder in shard.keys.list_holders():
+                if holder not in live:
+                    shard.keys.drop_holder(holder)
+
+    def _apply_document(
+        self, document: configuration.ServiceDocument, version: int
+    ) -> None:
+        """Takes what a new document changes."""
+        self.own.configuration_version = version
+        self._admission.configure(
+            document.callers, len(self.list_live_entries())
+        )
+        bounds: list[telemetry.ObjectiveBound] = []
+        for objective in document.objectives:
+            bounds.append(
+                telemetry.ObjectiveBound(
+                    name=objective.name,
+                    service=objective.service,
+                    measure=objective.measure.value,
+                    within_ms=objective.within_ms,
+                )
+            )
+        self._histograms.set_bounds(bounds)
+
+    def _create_shard(self, name: str) -> _entry_shard.EntryShard:
+        """Creates the state of a stream for one tenure."""
+        stream = state.create_state_stream(
+            name, self._log, self._writer, is_live=self._is_live_owner
+        )
+        return _entry_shard.EntryShard(stream, state.create_key_table(stream))
+
+    def _is_live_owner(self, vm: str) -> bool:
+        """Tells whether an owner of a stream may still act."""
+        return vm in self.members.live_entry_vms()
+
+    def _is_first_entry(self) -> bool:
+        """Tells whether this entry does what one of all should do."""
+        vms = self.list_live_entries()
+        return bool(vms) and vms[0] == self.own.identity.vm
+
+
+async def run_entry(
+    settings: configuration.EntrySettings,
+    task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+) -> results.Failure | None:
+    """Runs an entry until SIGTERM and the end of what it had in progress.
+
+    Args:
+        settings: The settings.
+        task_status: Receives the address that callers reach it at.
+
+    Returns:
+        None after a planned stop, or why the entry cannot start.
+    """
+    entry = Entry(settings)
+    try:
+        await entry.run(task_status)
+    except ExceptionGroup as group:
+        listen_errors, others = group.split(OSError)
+        if others is not None or listen_errors is None:
+            raise
+        return results.Failure(
+            results.ResultCode.SETTINGS_INVALID,
+            f'an address cannot be listened on: {listen_errors}',
+        )
+    return None
--- a/siskinmount/entry/_error_answers.py
+++ b/siskinmount/entry/_error_answers.py
@@ -80,6 +80,4 @@
         seconds = max(1, -(-failure.retry_after_ms // 1000))
         headers.append((b'retry-after', b'%d' % seconds))
     body = ErrorBody(failure, request_id)
-    await exchange.send_json(
-        find_status(failure.code), body.to_json(), headers
-    )
+    await exchange.send_json(find_status(failure.code), body.to_json(), headers)
--- /dev/null
+++ b/siskinmount/entry/_heartbeat_observer.py
@@ -0,0 +1,33 @@
+"""What this entry's heartbeats say and bring."""
+
+from siskinmount import membership
+from siskinmount import rpc
+from siskinmount import state
+from siskinmount.entry import _self_description
+
+
+class EntryHeartbeatObserver:
+    """Implements `membership.HeartbeatObserver` for an entry."""
+
+    __slots__ = ('_own', '_configuration')
+
+    def __init__(
+        self,
+        own: _self_description.SelfDescription,
+        configuration_stream: state.ConfigurationStream,
+    ) -> None:
+        self._own = own
+        self._configuration = configuration_stream
+
+    def describe_self(self) -> membership.Member:
+        """Returns this entry as it is now."""
+        return self._own.describe()
+
+    async def receive_configuration(self, version: int, text: str) -> None:
+        """Takes a newer configuration that a peer holds."""
+        self._configuration.adopt(version, text)
+
+    def receive_reply(
+        self, replier: membership.Member, reply: rpc.HeartbeatReply
+    ) -> None:
+        """Takes the rest of a reply, of which an entry needs nothing."""
--- a/siskinmount/entry/_latency_recorder.py
+++ b/siskinmount/entry/_latency_recorder.py
@@ -75,9 +75,7 @@
     def _record(
         self, measure: configuration.ObjectiveMeasure, duration_s: float
     ) -> None:
-        self._histograms.record(
-            self._service, measure.value, duration_s * 1000
-        )
+        self._histograms.record(self._service, measure.value, duration_s * 1000)
 
     def _record_outcome(self, is_good: bool) -> None:
         self._histograms.record_outcome(
--- a/siskinmount/entry/_model_calls.py
+++ b/siskinmount/entry/_model_calls.py
@@ -164,4 +164,3 @@
             'tokens': len(run.token_texts),
         },
     )
-
--- a/siskinmount/entry/_model_request.py
+++ b/siskinmount/entry/_model_request.py
@@ -11,7 +11,7 @@
 DEFAULT_MAX_TOKENS = 256
 MAX_MAX_TOKENS = 32_768
 MAX_KEY_CHARACTERS = 200
-_KEY_PATTERN = re.compile(r'[\x21-\x7e]{1,%d}' % MAX_KEY_CHARACTERS)
+_KEY_PATTERN = re.compile(r'[\x21-\x7e]{1,200}')
 
 
 class ModelRequest:
--- /dev/null
+++ b/siskinmount/entry/_peers_api.py
@@ -0,0 +1,82 @@
+"""Serves other daemons and the machines that watch this one."""
+
+from collections.abc import Callable
+
+from siskinmount import results
+from siskinmount import telemetry
+from siskinmount import transport
+from siskinmount.entry import _configuration_in_force
+from siskinmount.entry import _key_access
+from siskinmount.entry import _self_description
+
+
+class PeersApi:
+    """Handles every request on the address for daemons."""
+
+    __slots__ = (
+        '_own',
+        '_in_force',
+        '_keys',
+        '_histograms',
+        '_describe_details',
+    )
+
+    def __init__(
+        self,
+        *,
+        own: _self_description.SelfDescription,
+        in_force: _configuration_in_force.ConfigurationInForce,
+        keys: _key_access.KeyAccess,
+        histograms: telemetry.Histograms,
+        describe_details: Callable[[], dict[str, object]],
+    ) -> None:
+        self._own = own
+        self._in_force = in_force
+        self._keys = keys
+        self._histograms = histograms
+        self._describe_details = describe_details
+
+    async def handle(self, exchange: transport.ServerExchange) -> None:
+        """Answers one request."""
+        method = exchange.head.method
+        path = exchange.head.path
+        if method == 'POST' and path == _key_access.KEYS_PATH:
+            await self._keys.serve(exchange)
+            return
+        if path == '/healthz':
+            await exchange.send_json(200, {'status': 'ok'})
+            return
+        if path == '/readyz':
+            ready = bool(self._in_force.version) and not self._own.leaving
+            await exchange.send_json(200 if ready else 503, {'ready': ready})
+            return
+        if path == '/status':
+            await exchange.send_json(200, self._describe_details())
+            return
+        if path == '/metrics':
+            await exchange.send_whole(
+                200,
+                [(b'content-type', telemetry.CONTENT_TYPE.encode('ascii'))],
+                self._render_metrics(),
+            )
+            return
+        await _key_access.send_peer_failure(
+            exchange,
+            results.Failure(
+                results.ResultCode.NO_SUCH_ROUTE, f'no such path: {path}'
+            ),
+        )
+
+    def _render_metrics(self) -> bytes:
+        """Returns this entry's metrics as text."""
+        metrics = telemetry.create_metrics()
+        for name, value in self._describe_details().items():
+            if not isinstance(value, int | float):
+                continue
+            gauge = metrics.create_gauge(
+                f'siskinmount_entry_{name}', f'The entry reports {name}.'
+            )
+            gauge.set(value)
+        return telemetry.render_metrics(metrics, self._histograms).encode(
+            'utf-8'
+        )
--- a/siskinmount/entry/_plain_calls.py
+++ b/siskinmount/entry/_plain_calls.py
@@ -233,15 +233,11 @@
     with trio.CancelScope(shield=True):
         answer = await run_plain_call(access, caller, call)
         if isinstance(answer, _plain_answer.PlainAnswer):
-            await keys.finish(
-                caller.name, key, begun.attempt, answer.encode()
-            )
+            await keys.finish(caller.name, key, begun.attempt, answer.encode())
         elif answer.run_state is results.RunState.NOT_RUN:
             await keys.abandon(caller.name, key, begun.attempt)
         else:
-            await keys.finish(
-                caller.name, key, begun.attempt, UNKNOWN_OUTCOME
-            )
+            await keys.finish(caller.name, key, begun.attempt, UNKNOWN_OUTCOME)
     return answer
 
 
--- a/siskinmount/entry/_upstream_access.py
+++ b/siskinmount/entry/_upstream_access.py
@@ -73,12 +73,26 @@
         """Tells whether a request must not run again."""
         return self._convictions.is_convicted(fingerprint)
 
-    async def record_death(
-        self, fingerprint: str, member: membership.Member, alone: bool
+    def record_death(
+        self,
+        fingerprint: str,
+        member: membership.Member,
+        upstream_generation: int,
+        alone: bool,
     ) -> None:
-        """Records that an upstream died while it ran a request."""
-        await self._convictions.record_death(
-            fingerprint, member.vm, member.incarnation, alone=alone
+        """Records that an upstream died while it ran a request.
+
+        Args:
+            fingerprint: Hash of service and content.
+            member: The sidecar beside the upstream.
+            upstream_generation: Which process of the upstream died.
+            alone: Whether no other request ran there.
+        """
+        self._convictions.record_death(
+            fingerprint,
+            member.vm,
+            member.incarnation + upstream_generation,
+            alone=alone,
         )
 
 
@@ -98,4 +112,3 @@
             'the answer of a daemon could not be read',
             results.RunState.UNKNOWN,
         )
-
--- a/siskinmount/relay/_frame_codec.py
+++ b/siskinmount/relay/_frame_codec.py
@@ -49,6 +49,7 @@
                     'reason': failure.reason,
                     'run_state': failure.run_state.value,
                     'retry_after_ms': failure.retry_after_ms,
+                    'upstream_generation': frame.upstream_generation,
                 }
             }
         )
@@ -100,7 +101,8 @@
             str(fail['reason']),
             results.RunState(fail['run_state']),
             fail.get('retry_after_ms'),
-        )
+        ),
+        int(fail.get('upstream_generation', 0)),
     )
 
 
--- a/siskinmount/relay/_frames.py
+++ b/siskinmount/relay/_frames.py
@@ -80,12 +80,17 @@
 
     Attributes:
         failure: Why, and whether the request was executed.
+        upstream_generation: Number of the upstream's process that ended while
+            it ran the request, counted by the sidecar from 1; 0 if none did.
     """
 
-    __slots__ = ('failure',)
+    __slots__ = ('failure', 'upstream_generation')
 
-    def __init__(self, failure: results.Failure) -> None:
+    def __init__(
+        self, failure: results.Failure, upstream_generation: int = 0
+    ) -> None:
         self.failure = failure
+        self.upstream_generation = upstream_generation
 
 
 Frame = (
--- a/siskinmount/sidecar/_request_runner.py
+++ b/siskinmount/sidecar/_request_runner.py
@@ -83,10 +83,16 @@
             )
         if not running.ended:
             running.append(
-                relay.FailureFrame(failure or _describe_stop(running))
+                self._describe_end(failure or _describe_stop(running))
             )
         self._registry.settle(running)
 
+    def _describe_end(self, failure: results.Failure) -> relay.FailureFrame:
+        """Returns the last frame of a request that has failed."""
+        if failure.code is results.ResultCode.UPSTREAM_LOST:
+            return relay.FailureFrame(failure, self._monitor.generation)
+        return relay.FailureFrame(failure)
+
     async def _run_through_gate(
         self, running: _running_request.RunningRequest
     ) -> results.Failure | None:
--- a/siskinmount/state/_key_table.py
+++ b/siskinmount/state/_key_table.py
@@ -116,7 +116,12 @@
         return len(self._entries)
 
     async def begin(
-        self, key: str, caller: str, fingerprint: str, holder: str = ''
+        self,
+        key: str,
+        caller: str,
+        fingerprint: str,
+        holder: str = '',
+        attempt: str = '',
     ) -> BeginOutcome:
         """Asks to send a request under a key.
 
@@ -125,6 +130,8 @@
             caller: Name of the caller.
             fingerprint: Digest of the request's content.
             holder: The process that will send it; see `drop_holder`.
+            attempt: Names the run. A holder that asks again with the same
+                name, since the answer was lost, has started it.
 
         Returns:
             `Started` once the intent has been read back, and else what is
@@ -134,9 +141,11 @@
             return self._not_owner()
         name = (caller, key)
         known = self._find(name, fingerprint)
+        if isinstance(known, InProgress) and self._holds(name, attempt):
+            return Started(attempt)
         if known is not None:
             return known
-        attempt = uuid.uuid4().hex
+        attempt = attempt or uuid.uuid4().hex
         self._beginning[name] = fingerprint
         self._holders[attempt] = holder
         committed: _commit_queue.Committed | results.Failure | None = None
@@ -192,6 +201,10 @@
             )
         )
 
+    def list_holders(self) -> list[str]:
+        """Returns the processes with requests in progress."""
+        return sorted(set(self._holders.values()))
+
     def drop_holder(self, holder: str) -> None:
         """Makes requests in progress at a lost process unknown for good."""
         for attempt, owner in list(self._holders.items()):
@@ -238,6 +251,15 @@
             entry.outcome_at_ms = described.outcome_at_ms
         self._entries[(entry.intent.caller, entry.intent.key)] = entry
 
+    def _holds(self, name: tuple[str, str], attempt: str) -> bool:
+        """Tells whether an attempt's intent is the one that counts."""
+        entry = self._entries.get(name)
+        return (
+            entry is not None
+            and bool(attempt)
+            and entry.intent.attempt == attempt
+        )
+
     def _find(
         self, name: tuple[str, str], fingerprint: str
     ) -> KnownOutcome | UnknownOutcome | InProgress | results.Failure | None:
--- a/siskinmount/transport/_http_server.py
+++ b/siskinmount/transport/_http_server.py
@@ -70,6 +70,10 @@
                 with self._accept_scope:
                     await self._accept_forever(listener, nursery)
 
+    def begin_draining(self) -> None:
+        """Ends each connection with the answer to its next request."""
+        self._draining = True
+
     def stop(self) -> None:
         """Closes the listener and idle connections; requests in progress go on."""
         self._draining = True
