Count an entry ready once it knows upstreams; hash encoded names

Cause of the 503: an entry took callers before any sidecar's heartbeat had arrived. Cause of the 500: xxhash takes bytes only, so no stream got an owner.

--- a/siskinmount/entry/_callers_api.py
+++ b/siskinmount/entry/_callers_api.py
@@ -1,5 +1,7 @@
 """Serves callers: finds out what a request is and who sent it."""
 
+from collections.abc import Callable
+
 import trio
 
 from siskinmount import admission
@@ -16,7 +18,6 @@
 from siskinmount.entry import _model_request
 from siskinmount.entry import _plain_calls
 from siskinmount.entry import _request_identity
-from siskinmount.entry import _self_description
 from siskinmount.entry import _upstream_access
 
 COMPLETIONS_PATH = '/v1/completions'
@@ -30,8 +31,8 @@
     """Handles every request on the callers' address."""
 
     __slots__ = (
-        '_own',
         '_in_force',
+        '_is_ready',
         '_access',
         '_keys',
         '_admission',
@@ -41,15 +42,15 @@
     def __init__(
         self,
         *,
-        own: _self_description.SelfDescription,
         in_force: _configuration_in_force.ConfigurationInForce,
+        is_ready: Callable[[], bool],
         access: _upstream_access.UpstreamAccess,
         keys: _key_access.KeyAccess,
         admission_control: admission.Admission,
         histograms: telemetry.Histograms,
     ) -> None:
-        self._own = own
         self._in_force = in_force
+        self._is_ready = is_ready
         self._access = access
         self._keys = keys
         self._admission = admission_control
@@ -63,7 +64,7 @@
             return
         document = self._in_force.document
         if path == READY_PATH:
-            ready = document is not None and not self._own.leaving
+            ready = self._is_ready()
             await exchange.send_json(200 if ready else 503, {'ready': ready})
             return
         if document is None:
--- a/siskinmount/entry/_entry.py
+++ b/siskinmount/entry/_entry.py
@@ -33,6 +33,8 @@
 #: and the peers notice before they are refused.
 LEAVING_NOTICE_S = 3.0
 UPKEEP_INTERVAL_S = 1.0
+#: How long a new entry waits for the upstreams of all services.
+UPSTREAMS_WAIT_S = 5.0
 MAX_UPSTREAM_CONNECTIONS = 1024
 
 
@@ -65,6 +67,7 @@
         '_callers_server',
         '_peers_server',
         '_control_server',
+        '_started_s',
         '_stopping',
         '_released',
     )
@@ -113,6 +116,7 @@
             self._heartbeats,
         )
         self._build_servers()
+        self._started_s = trio.current_time()
         self._stopping = trio.Event()
         self._released = trio.Event()
 
@@ -126,8 +130,8 @@
         )
         keys = _key_access.KeyAccess(calls, self.own.holder())
         callers_api = _callers_api.CallersApi(
-            own=self.own,
             in_force=self.in_force,
+            is_ready=self.is_ready,
             access=self._access,
             keys=keys,
             admission_control=self._admission,
@@ -137,8 +141,7 @@
             callers_api.handle, self.settings.limits
         )
         peers_api = _peers_api.PeersApi(
-            own=self.own,
-            in_force=self.in_force,
+            is_ready=self.is_ready,
             keys=keys,
             histograms=self._histograms,
             describe_details=self.describe_details,
@@ -162,6 +165,21 @@
             vms.append(self.own.identity.vm)
         return sorted(vms)
 
+    def is_ready(self) -> bool:
+        """Tells whether the balancer should send callers here.
+
+        A new entry knows no upstream until their heartbeats arrive.
+        """
+        document = self.in_force.document
+        if document is None or self.own.leaving:
+            return False
+        if trio.current_time() - self._started_s > UPSTREAMS_WAIT_S:
+            return True
+        for service in document.services:
+            if not self.members.list_sidecars(service):
+                return False
+        return True
+
     def list_backlogs(self) -> list[rpc.Backlog]:
         """Returns the batch items that wait here, by service."""
         return []
--- a/siskinmount/entry/_peers_api.py
+++ b/siskinmount/entry/_peers_api.py
@@ -5,17 +5,14 @@
 from siskinmount import results
 from siskinmount import telemetry
 from siskinmount import transport
-from siskinmount.entry import _configuration_in_force
 from siskinmount.entry import _key_access
-from siskinmount.entry import _self_description
 
 
 class PeersApi:
     """Handles every request on the address for daemons."""
 
     __slots__ = (
-        '_own',
-        '_in_force',
+        '_is_ready',
         '_keys',
         '_histograms',
         '_describe_details',
@@ -24,14 +21,12 @@
     def __init__(
         self,
         *,
-        own: _self_description.SelfDescription,
-        in_force: _configuration_in_force.ConfigurationInForce,
+        is_ready: Callable[[], bool],
         keys: _key_access.KeyAccess,
         histograms: telemetry.Histograms,
         describe_details: Callable[[], dict[str, object]],
     ) -> None:
-        self._own = own
-        self._in_force = in_force
+        self._is_ready = is_ready
         self._keys = keys
         self._histograms = histograms
         self._describe_details = describe_details
@@ -47,7 +42,7 @@
             await exchange.send_json(200, {'status': 'ok'})
             return
         if path == '/readyz':
-            ready = bool(self._in_force.version) and not self._own.leaving
+            ready = self._is_ready()
             await exchange.send_json(200 if ready else 503, {'ready': ready})
             return
         if path == '/status':
--- a/siskinmount/state/_stream_names.py
+++ b/siskinmount/state/_stream_names.py
@@ -18,7 +18,9 @@
 
 def stream_of(key: str, stream_count: int) -> str:
     """Returns the name of the state stream that a key belongs to."""
-    return state_stream_name(xxhash.xxh3_64_intdigest(key) % stream_count)
+    return state_stream_name(
+        xxhash.xxh3_64_intdigest(key.encode('utf-8')) % stream_count
+    )
 
 
 def owner_of(stream: str, live_entries: list[str]) -> str | None:
@@ -33,6 +35,11 @@
     """
     return max(
         live_entries,
-        key=lambda vm: (xxhash.xxh3_64_intdigest(f'{stream}\n{vm}'), vm),
+        key=lambda vm: (_weigh(stream, vm), vm),
         default=None,
     )
+
+
+def _weigh(stream: str, vm: str) -> int:
+    """Returns the weight of an entry for a stream."""
+    return xxhash.xxh3_64_intdigest(f'{stream}\n{vm}'.encode())
--- a/tools/demo/__main__.py
+++ b/tools/demo/__main__.py
@@ -1,6 +1,7 @@
 """Starts a fleet, serves requests through it, and stops it gracefully."""
 
 import json
+import pathlib
 import sys
 
 import trio
@@ -103,7 +104,7 @@
             )
         first, second = answers
         self._check(
-            first.status == 200 and first.body == second.body,
+            first.status == 201 and first.body == second.body,
             f'booking sent twice under one key: status {first.status},'
             f' then {second.status} with the same answer',
         )
@@ -130,7 +131,8 @@
         model_services={MODEL_SERVICE: 2}, plain_services={PLAIN_SERVICE: 1}
     )
     callers = fleet.create_callers(['demo'])
-    async with fleet.open_fleet(plan) as running:
+    log_dir = pathlib.Path(sys.argv[1]) if len(sys.argv) > 1 else None
+    async with fleet.open_fleet(plan, log_dir) as running:
         await running.start_all()
         version = await fleet.publish_document(
             plan.log_address,
