Add an open-loop load generator that checks every answer

Ruled out: a closed loop of workers, which sends less while the server is slow and so hides its worst seconds.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test format lint demo protos
+.PHONY: setup test format lint demo load bench protos
 
 $(VENV)/.installed: requirements.txt requirements-dev.txt constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -26,6 +26,14 @@
 demo: setup
 	$(BIN)/python -m tools.demo
 
+# Sends load to running servers: make load ARGS='--target HOST:PORT --rate 5'
+load: setup
+	$(BIN)/python -m tools.load $(ARGS)
+
+# Compares ways of sharing engines: make bench ARGS=--quick
+bench: setup
+	$(BIN)/python -m tools.bench $(ARGS)
+
 protos: setup
 	$(BIN)/python -m grpc_tools.protoc -I . --python_out=. --grpc_python_out=. \
 	  siskinmount/rpc/control.proto siskinmount/state/records.proto
--- /dev/null
+++ b/tools/load/_generator.py
@@ -0,0 +1,158 @@
+"""Sends requests at their intended times and checks every answer."""
+
+import orjson
+import trio
+
+from siskinmount import results
+from siskinmount import transport
+from tools.load import _load_report
+from tools.load import _wires
+from tools.load import _workload
+
+MAX_CONNECTIONS = 4096
+SILENCE_TIMEOUT_MS = 30_000
+MAX_ERROR_BYTES = 64 * 1024
+MAX_WRONG_EXAMPLES = 5
+
+
+class LoadGenerator:
+    """Sends an open loop of requests to servers in turn.
+
+    Attributes:
+        report: What was measured so far.
+    """
+
+    __slots__ = ('report', '_clients', '_wire', '_label', '_next_client')
+
+    def __init__(
+        self, targets: list[transport.Address], wire: _wires.Wire, label: str
+    ) -> None:
+        limits = transport.ClientLimits(
+            max_connections=MAX_CONNECTIONS,
+            silence_timeout_ms=SILENCE_TIMEOUT_MS,
+        )
+        self.report = _load_report.LoadReport()
+        self._clients = [
+            transport.create_http_client(target, limits) for target in targets
+        ]
+        self._wire = wire
+        self._label = label
+        self._next_client = 0
+
+    async def run(self, requests: list[_workload.LoadRequest]) -> None:
+        """Sends all requests and returns once each has ended."""
+        start_s = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for number, request in enumerate(requests):
+                intended_s = start_s + request.intended_s
+                await trio.sleep_until(intended_s)
+                nursery.start_soon(
+                    self._run_request,
+                    request,
+                    f'{self._label}-{number}',
+                    intended_s,
+                )
+        self.report.duration_s += trio.current_time() - start_s
+        for client in self._clients:
+            client.close()
+
+    async def _run_request(
+        self,
+        request: _workload.LoadRequest,
+        request_id: str,
+        intended_s: float,
+    ) -> None:
+        """Sends one request and takes its outcome."""
+        self.report.send_lag.record(trio.current_time() - intended_s)
+        client = self._clients[self._next_client % len(self._clients)]
+        self._next_client += 1
+        exchange = await client.send(
+            self._wire.write_request(request, request_id)
+        )
+        if isinstance(exchange, results.Failure):
+            self._note_failure(_load_report.Outcome.LOST, exchange)
+            return
+        with exchange:
+            if exchange.status != 200:
+                failure = await _read_refusal(exchange)
+                self._note_failure(_load_report.Outcome.REFUSED, failure)
+                return
+            texts = await self._read_answer(exchange, intended_s)
+        if isinstance(texts, results.Failure):
+            self._note_failure(_load_report.Outcome.LOST, texts)
+            return
+        if texts == request.find_answer():
+            self.report.outcomes[_load_report.Outcome.RIGHT] += 1
+            return
+        self.report.outcomes[_load_report.Outcome.WRONG] += 1
+        if len(self.report.wrong_examples) < MAX_WRONG_EXAMPLES:
+            self.report.wrong_examples.append(request_id)
+
+    async def _read_answer(
+        self, exchange: transport.ClientExchange, intended_s: float
+    ) -> list[str] | results.Failure:
+        """Reads tokens until the answer is whole, and records their times."""
+        reader = self._wire.create_reader()
+        texts: list[str] = []
+        last_token_s = 0.0
+        ended = False
+        while True:
+            chunk = await exchange.receive_chunk()
+            if isinstance(chunk, results.Failure):
+                return chunk
+            if not chunk:
+                break
+            now_s = trio.current_time()
+            item = reader.feed(chunk)
+            for text in item.texts:
+                if texts:
+                    self.report.between_tokens.record(now_s - last_token_s)
+                else:
+                    self.report.first_token.record(now_s - intended_s)
+                last_token_s = now_s
+                texts.append(text)
+            if item.failure is not None:
+                return item.failure
+            if item.ended:
+                ended = True
+                self.report.whole_answer.record(now_s - intended_s)
+        self.report.token_count += len(texts)
+        if ended:
+            return texts
+        return results.Failure(
+            results.ResultCode.UPSTREAM_LOST, 'the answer has no end'
+        )
+
+    def _note_failure(
+        self, outcome: _load_report.Outcome, failure: results.Failure
+    ) -> None:
+        self.report.outcomes[outcome] += 1
+        self.report.refusal_codes[failure.code.name] += 1
+
+
+async def _read_refusal(
+    exchange: transport.ClientExchange,
+) -> results.Failure:
+    """Reads the reason of a refusal."""
+    body = await exchange.read_body(MAX_ERROR_BYTES)
+    if isinstance(body, results.Failure):
+        return body
+    try:
+        return _wires.read_error(orjson.loads(body))
+    except (ValueError, KeyError, AttributeError):
+        return results.Failure(
+            results.ResultCode.UPSTREAM_ERROR, f'status {exchange.status}'
+        )
+
+
+def create_load_generator(
+    targets: list[transport.Address], wire: _wires.Wire, label: str = 'load'
+) -> LoadGenerator:
+    """Creates a generator.
+
+    Args:
+        targets: Servers, which take turns.
+        wire: How requests are written and answers are read.
+        label: Start of each request id.
+    """
+    return LoadGenerator(targets, wire, label)
--- /dev/null
+++ b/tools/load/_load_report.py
@@ -0,0 +1,165 @@
+"""What a run of load has measured."""
+
+import collections
+import enum
+
+from hdrh import histogram as hdr
+
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+SIGNIFICANT_DIGITS = 3
+PERCENTILES = (50.0, 95.0, 99.0, 99.9)
+
+
+class Outcome(enum.Enum):
+    """How one request ended."""
+
+    #: The whole and right answer came.
+    RIGHT = 'right'
+
+    #: An answer came whole, but is not the right one.
+    WRONG = 'wrong'
+
+    #: The server refused with a reason.
+    REFUSED = 'refused'
+
+    #: The answer broke off or never came.
+    LOST = 'lost'
+
+
+class LatencyHistogram:
+    """Latencies of one kind, in microseconds."""
+
+    __slots__ = ('_histogram',)
+
+    def __init__(self) -> None:
+        self._histogram = hdr.HdrHistogram(
+            LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
+        )
+
+    def record(self, latency_s: float) -> None:
+        """Records a latency."""
+        latency_us = int(latency_s * 1e6)
+        self._histogram.record_value(
+            min(HIGHEST_US, max(LOWEST_US, latency_us))
+        )
+
+    def add(self, other: 'LatencyHistogram') -> None:
+        """Adds the values of another histogram."""
+        self._histogram.add(other._histogram)
+
+    @property
+    def count(self) -> int:
+        """Values recorded."""
+        return self._histogram.get_total_count()
+
+    def find_percentile_ms(self, percentile: float) -> float:
+        """Returns the latency that a share of values does not exceed."""
+        return self._histogram.get_value_at_percentile(percentile) / 1000
+
+    def to_json(self) -> dict[str, object]:
+        """Returns percentiles and the encoded histogram."""
+        percentiles = {
+            f'p{percentile:g}': self.find_percentile_ms(percentile)
+            for percentile in PERCENTILES
+        }
+        return {
+            'count': self.count,
+            'percentiles_ms': percentiles,
+            'max_ms': self._histogram.get_max_value() / 1000,
+            'hdr': self._histogram.encode().decode('ascii'),
+        }
+
+
+class LoadReport:
+    """Counts and latencies of a run.
+
+    Latencies count from the time at which a request was meant to be sent, so
+    that a slow server cannot hide behind requests that wait for it.
+
+    Attributes:
+        first_token: Until the first token.
+        between_tokens: Between two tokens of one answer.
+        whole_answer: Until the answer was whole.
+        send_lag: Between the intended and the real time of sending. Large
+            values mean that the load generator itself was too slow.
+        outcomes: Requests by outcome.
+        refusal_codes: Refused requests by the name of the result code.
+        token_count: Tokens received.
+        duration_s: Length of the run.
+        wrong_examples: Ids of requests with wrong answers, the first few.
+    """
+
+    __slots__ = (
+        'first_token',
+        'between_tokens',
+        'whole_answer',
+        'send_lag',
+        'outcomes',
+        'refusal_codes',
+        'token_count',
+        'duration_s',
+        'wrong_examples',
+    )
+
+    def __init__(self) -> None:
+        self.first_token = LatencyHistogram()
+        self.between_tokens = LatencyHistogram()
+        self.whole_answer = LatencyHistogram()
+        self.send_lag = LatencyHistogram()
+        self.outcomes: collections.Counter[Outcome] = collections.Counter()
+        self.refusal_codes: collections.Counter[str] = collections.Counter()
+        self.token_count = 0
+        self.duration_s = 0.0
+        self.wrong_examples: list[str] = []
+
+    def add(self, other: 'LoadReport') -> None:
+        """Adds the counts and latencies of another run."""
+        self.first_token.add(other.first_token)
+        self.between_tokens.add(other.between_tokens)
+        self.whole_answer.add(other.whole_answer)
+        self.send_lag.add(other.send_lag)
+        self.outcomes.update(other.outcomes)
+        self.refusal_codes.update(other.refusal_codes)
+        self.token_count += other.token_count
+        self.duration_s += other.duration_s
+        self.wrong_examples.extend(other.wrong_examples)
+
+    def to_json(self) -> dict[str, object]:
+        """Returns the report as a JSON object."""
+        return {
+            'duration_s': self.duration_s,
+            'outcomes': {
+                outcome.value: self.outcomes[outcome] for outcome in Outcome
+            },
+            'refusal_codes': dict(self.refusal_codes),
+            'tokens': self.token_count,
+            'wrong_examples': self.wrong_examples,
+            'first_token': self.first_token.to_json(),
+            'between_tokens': self.between_tokens.to_json(),
+            'whole_answer': self.whole_answer.to_json(),
+            'send_lag': self.send_lag.to_json(),
+        }
+
+    def format_lines(self) -> list[str]:
+        """Returns the report as lines for a terminal."""
+        counts = ', '.join(
+            f'{outcome.value} {self.outcomes[outcome]}' for outcome in Outcome
+        )
+        lines = [f'requests: {counts}; tokens {self.token_count}']
+        for code, count in self.refusal_codes.most_common():
+            lines.append(f'  {code}: {count}')
+        for name in (
+            'first_token',
+            'between_tokens',
+            'whole_answer',
+            'send_lag',
+        ):
+            histogram = getattr(self, name)
+            values = '  '.join(
+                f'p{percentile:g}'
+                f' {histogram.find_percentile_ms(percentile):9.2f}'
+                for percentile in PERCENTILES
+            )
+            lines.append(f'{name:<15} ms: {values}')
+        return lines
