Leave the warm-up out of load reports, and read reports back

The comparison of policies needs requests before a steady state left out, a common start of several processes, and reports of several rounds added.

--- a/tools/load/__init__.py
+++ b/tools/load/__init__.py
@@ -8,7 +8,10 @@
 from tools.load._load_report import LoadReport
 from tools.load._load_report import Outcome
 from tools.load._load_report import PERCENTILES
+from tools.load._load_report import read_report
+from tools.load._wires import AnswerReader
 from tools.load._wires import create_wire
+from tools.load._wires import Wire
 from tools.load._wires import WireKind
 from tools.load._workload import create_requests
 from tools.load._workload import create_workload
--- a/tools/load/__main__.py
+++ b/tools/load/__main__.py
@@ -1,6 +1,7 @@
 """Sends load to servers and prints what was measured."""
 
 import pathlib
+import time
 
 from absl import app
 from absl import flags
@@ -22,6 +23,12 @@
 )
 _RATE = flags.DEFINE_float('rate', 5.0, 'Mean requests per second.')
 _DURATION_S = flags.DEFINE_float('duration_s', 10.0, 'Length of the run.')
+_WARM_UP_S = flags.DEFINE_float(
+    'warm_up_s', 0.0, 'Requests sent before this are not measured.'
+)
+_START_AT_S = flags.DEFINE_float(
+    'start_at_s', 0.0, 'When to begin, in seconds since the Unix epoch.'
+)
 _SEED = flags.DEFINE_integer('seed', 1, 'Decides all requests and times.')
 _LABEL = flags.DEFINE_string('label', 'load', 'Start of each request id.')
 _BURST_FACTOR = flags.DEFINE_float(
@@ -34,6 +41,15 @@
 _MAX_ANSWER_TOKENS = flags.DEFINE_integer(
     'max_answer_tokens', 96, 'Longest answer.'
 )
+_MIN_ANSWER_TOKENS = flags.DEFINE_integer(
+    'min_answer_tokens', 16, 'Shortest answer.'
+)
+_PREFIX_TOKENS = flags.DEFINE_integer(
+    'prefix_tokens', 128, 'Length of a shared prefix.'
+)
+_LONG_FACTOR = flags.DEFINE_integer(
+    'long_factor', 10, 'Length of a long prompt, as a multiple.'
+)
 _LONG_SHARE = flags.DEFINE_float('long_share', 0.05, 'Share of long prompts.')
 _SESSION_SHARE = flags.DEFINE_float(
     'session_share', 0.3, 'Share of requests that are turns of a session.'
@@ -61,7 +77,11 @@
     shape = load.WorkloadShape(
         prompt_tokens=_PROMPT_TOKENS.value,
         max_answer_tokens=_MAX_ANSWER_TOKENS.value,
-        min_answer_tokens=min(16, _MAX_ANSWER_TOKENS.value),
+        min_answer_tokens=min(
+            _MIN_ANSWER_TOKENS.value, _MAX_ANSWER_TOKENS.value
+        ),
+        prefix_tokens=_PREFIX_TOKENS.value,
+        long_factor=_LONG_FACTOR.value,
         long_share=_LONG_SHARE.value,
         session_share=_SESSION_SHARE.value,
     )
@@ -75,13 +95,16 @@
         request_class=_CLASS.value,
     )
     generator = load.create_load_generator(targets, wire, _LABEL.value)
-    trio.run(generator.run, requests)
+    # Nothing else happens in this process until the run begins.
+    time.sleep(max(0.0, _START_AT_S.value - time.time()))
+    trio.run(generator.run, requests, _WARM_UP_S.value)
     report = generator.report
     print('\n'.join(report.format_lines()))
     if _RESULTS.value:
         pathlib.Path(_RESULTS.value).write_bytes(
             orjson.dumps(report.to_json(), option=orjson.OPT_INDENT_2)
         )
+    report.add(generator.warm_up_report)
     right_count = report.outcomes[load.Outcome.RIGHT]
     return 0 if right_count == len(requests) else 1
 
--- a/tools/load/_generator.py
+++ b/tools/load/_generator.py
@@ -19,10 +19,18 @@
     """Sends an open loop of requests to servers in turn.
 
     Attributes:
-        report: What was measured so far.
+        report: What was measured so far, without the warm-up.
+        warm_up_report: What was measured during the warm-up.
     """
 
-    __slots__ = ('report', '_clients', '_wire', '_label', '_next_client')
+    __slots__ = (
+        'report',
+        'warm_up_report',
+        '_clients',
+        '_wire',
+        '_label',
+        '_next_client',
+    )
 
     def __init__(
         self, targets: list[transport.Address], wire: _wires.Wire, label: str
@@ -32,6 +40,7 @@
             silence_timeout_ms=SILENCE_TIMEOUT_MS,
         )
         self.report = _load_report.LoadReport()
+        self.warm_up_report = _load_report.LoadReport()
         self._clients = [
             transport.create_http_client(target, limits) for target in targets
         ]
@@ -39,20 +48,30 @@
         self._label = label
         self._next_client = 0
 
-    async def run(self, requests: list[_workload.LoadRequest]) -> None:
-        """Sends all requests and returns once each has ended."""
+    async def run(
+        self, requests: list[_workload.LoadRequest], warm_up_s: float = 0.0
+    ) -> None:
+        """Sends all requests and returns once each has ended.
+
+        Args:
+            requests: The requests in the order of their intended times.
+            warm_up_s: Requests meant to be sent before this are left out of
+                `report`.
+        """
         start_s = trio.current_time()
         async with trio.open_nursery() as nursery:
             for number, request in enumerate(requests):
                 intended_s = start_s + request.intended_s
                 await trio.sleep_until(intended_s)
+                warm = request.intended_s >= warm_up_s
                 nursery.start_soon(
                     self._run_request,
                     request,
                     f'{self._label}-{number}',
                     intended_s,
+                    self.report if warm else self.warm_up_report,
                 )
-        self.report.duration_s += trio.current_time() - start_s
+        self.report.duration_s += trio.current_time() - start_s - warm_up_s
         for client in self._clients:
             client.close()
 
@@ -61,35 +80,39 @@
         request: _workload.LoadRequest,
         request_id: str,
         intended_s: float,
+        report: _load_report.LoadReport,
     ) -> None:
         """Sends one request and takes its outcome."""
-        self.report.send_lag.record(trio.current_time() - intended_s)
+        report.send_lag.record(trio.current_time() - intended_s)
         client = self._clients[self._next_client % len(self._clients)]
         self._next_client += 1
         exchange = await client.send(
             self._wire.write_request(request, request_id)
         )
         if isinstance(exchange, results.Failure):
-            self._note_failure(_load_report.Outcome.LOST, exchange)
+            _note_failure(report, _load_report.Outcome.LOST, exchange)
             return
         with exchange:
             if exchange.status != 200:
                 failure = await _read_refusal(exchange)
-                self._note_failure(_load_report.Outcome.REFUSED, failure)
+                _note_failure(report, _load_report.Outcome.REFUSED, failure)
                 return
-            texts = await self._read_answer(exchange, intended_s)
+            texts = await self._read_answer(exchange, intended_s, report)
         if isinstance(texts, results.Failure):
-            self._note_failure(_load_report.Outcome.LOST, texts)
+            _note_failure(report, _load_report.Outcome.LOST, texts)
             return
         if texts == request.find_answer():
-            self.report.outcomes[_load_report.Outcome.RIGHT] += 1
+            report.outcomes[_load_report.Outcome.RIGHT] += 1
             return
-        self.report.outcomes[_load_report.Outcome.WRONG] += 1
-        if len(self.report.wrong_examples) < MAX_WRONG_EXAMPLES:
-            self.report.wrong_examples.append(request_id)
+        report.outcomes[_load_report.Outcome.WRONG] += 1
+        if len(report.wrong_examples) < MAX_WRONG_EXAMPLES:
+            report.wrong_examples.append(request_id)
 
     async def _read_answer(
-        self, exchange: transport.ClientExchange, intended_s: float
+        self,
+        exchange: transport.ClientExchange,
+        intended_s: float,
+        report: _load_report.LoadReport,
     ) -> list[str] | results.Failure:
         """Reads tokens until the answer is whole, and records their times."""
         reader = self._wire.create_reader()
@@ -106,28 +129,31 @@
             item = reader.feed(chunk)
             for text in item.texts:
                 if texts:
-                    self.report.between_tokens.record(now_s - last_token_s)
+                    report.between_tokens.record(now_s - last_token_s)
                 else:
-                    self.report.first_token.record(now_s - intended_s)
+                    report.first_token.record(now_s - intended_s)
                 last_token_s = now_s
                 texts.append(text)
             if item.failure is not None:
                 return item.failure
             if item.ended:
                 ended = True
-                self.report.whole_answer.record(now_s - intended_s)
-        self.report.token_count += len(texts)
+                report.whole_answer.record(now_s - intended_s)
+        report.token_count += len(texts)
         if ended:
             return texts
         return results.Failure(
             results.ResultCode.UPSTREAM_LOST, 'the answer has no end'
         )
 
-    def _note_failure(
-        self, outcome: _load_report.Outcome, failure: results.Failure
-    ) -> None:
-        self.report.outcomes[outcome] += 1
-        self.report.refusal_codes[failure.code.name] += 1
+
+def _note_failure(
+    report: _load_report.LoadReport,
+    outcome: _load_report.Outcome,
+    failure: results.Failure,
+) -> None:
+    report.outcomes[outcome] += 1
+    report.refusal_codes[failure.code.name] += 1
 
 
 async def _read_refusal(
--- a/tools/load/_load_report.py
+++ b/tools/load/_load_report.py
@@ -57,6 +57,10 @@
         """Returns the latency that a share of values does not exceed."""
         return self._histogram.get_value_at_percentile(percentile) / 1000
 
+    def add_json(self, document: dict[str, object]) -> None:
+        """Adds the values of a histogram that `to_json` returned."""
+        self._histogram.decode_and_add(document['hdr'])
+
     def to_json(self) -> dict[str, object]:
         """Returns percentiles and the encoded histogram."""
         percentiles = {
@@ -71,6 +75,9 @@
         }
 
 
+_HISTOGRAM_NAMES = ('first_token', 'between_tokens', 'whole_answer', 'send_lag')
+
+
 class LoadReport:
     """Counts and latencies of a run.
 
@@ -115,10 +122,8 @@
 
     def add(self, other: 'LoadReport') -> None:
         """Adds the counts and latencies of another run."""
-        self.first_token.add(other.first_token)
-        self.between_tokens.add(other.between_tokens)
-        self.whole_answer.add(other.whole_answer)
-        self.send_lag.add(other.send_lag)
+        for name in _HISTOGRAM_NAMES:
+            getattr(self, name).add(getattr(other, name))
         self.outcomes.update(other.outcomes)
         self.refusal_codes.update(other.refusal_codes)
         self.token_count += other.token_count
@@ -135,10 +140,9 @@
             'refusal_codes': dict(self.refusal_codes),
             'tokens': self.token_count,
             'wrong_examples': self.wrong_examples,
-            'first_token': self.first_token.to_json(),
-            'between_tokens': self.between_tokens.to_json(),
-            'whole_answer': self.whole_answer.to_json(),
-            'send_lag': self.send_lag.to_json(),
+            **{
+                name: getattr(self, name).to_json() for name in _HISTOGRAM_NAMES
+            },
         }
 
     def format_lines(self) -> list[str]:
@@ -149,12 +153,7 @@
         lines = [f'requests: {counts}; tokens {self.token_count}']
         for code, count in self.refusal_codes.most_common():
             lines.append(f'  {code}: {count}')
-        for name in (
-            'first_token',
-            'between_tokens',
-            'whole_answer',
-            'send_lag',
-        ):
+        for name in _HISTOGRAM_NAMES:
             histogram = getattr(self, name)
             values = '  '.join(
                 f'p{percentile:g}'
@@ -163,3 +162,17 @@
             )
             lines.append(f'{name:<15} ms: {values}')
         return lines
+
+
+def read_report(document: dict) -> LoadReport:
+    """Returns the report that a JSON object of `to_json` describes."""
+    report = LoadReport()
+    report.duration_s = document['duration_s']
+    for outcome in Outcome:
+        report.outcomes[outcome] = document['outcomes'][outcome.value]
+    report.refusal_codes.update(document['refusal_codes'])
+    report.token_count = document['tokens']
+    report.wrong_examples.extend(document['wrong_examples'])
+    for name in _HISTOGRAM_NAMES:
+        getattr(report, name).add_json(document[name])
+    return report
--- a/tools/load/tests/test_load.py
+++ b/tools/load/tests/test_load.py
@@ -151,7 +151,7 @@
 
 class GeneratorTest(testtools.TestCase):
 
-    def run_load(self, requests, fault=None, **fault_fields):
+    def run_load(self, requests, fault=None, warm_up_s=0.0, **fault_fields):
         """Returns the report of a load on an engine that shows a fault."""
         standin = engine.create_engine(
             engine.EngineSettings(time_scale=0.02), faults_module.Faults()
@@ -164,7 +164,7 @@
             )
             if fault is not None:
                 await caller.call('POST', f'/control/{fault}', fault_fields)
-            await generator.run(requests)
+            await generator.run(requests, warm_up_s)
             reports.append(generator.report)
 
         http_harness.run_standin(
@@ -188,6 +188,16 @@
         self.assertEqual(20, report.first_token.count)
         self.assertEqual(tokens - 20, report.between_tokens.count)
 
+    def test_warm_up_is_left_out(self):
+        requests = self.create_requests(4, 0.1)
+        report = self.run_load(requests, warm_up_s=0.15)
+        self.assertEqual(2, report.outcomes[load.Outcome.RIGHT])
+
+    def test_report_survives_json(self):
+        report = self.run_load(self.create_requests(5))
+        document = orjson.loads(orjson.dumps(report.to_json()))
+        self.assertEqual(document, load.read_report(document).to_json())
+
     def test_wrong_answers_are_seen(self):
         requests = self.create_requests(2)
 
