--- a/siskinmount/admission/_admission.py
+++ b/siskinmount/admission/_admission.py
@@ -1,7 +1,6 @@
 """Decides whether a request may run."""
 
 from collections.abc import Callable
-from collections.abc import Mapping
 import logging
 import math
 from typing import Protocol
@@ -17,6 +16,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 MIN_RETRY_AFTER_MS = 10
+SWEEP_INTERVAL_S = 60.0
 
 
 class CapacitySource(Protocol):
@@ -37,37 +37,38 @@
     A caller's limits hold for the whole fleet; each entry grants its part.
     """
 
-    __slots__ = ('_capacity', '_clock', '_usages', '_pressures')
+    __slots__ = (
+        '_capacity',
+        '_clock',
+        '_entry_count',
+        '_usages',
+        '_pressures',
+        '_swept_at_s',
+    )
 
     def __init__(
         self, capacity: CapacitySource, clock: Callable[[], float]
     ) -> None:
         self._capacity = capacity
         self._clock = clock
+        self._entry_count = 1
+        self._swept_at_s = clock()
         self._usages: dict[str, _caller_usage.CallerUsage] = {}
         self._pressures: dict[str, _service_pressure.ServicePressure] = {}
 
-    def configure(
-        self,
-        callers: Mapping[str, configuration.CallerPolicy],
-        entry_count: int,
-    ) -> None:
-        """Takes the callers' limits and the number of entries that share them."""
-        now_s = self._clock()
+    def set_entry_count(self, entry_count: int) -> None:
+        """Takes the number of entries that share the callers' limits."""
         count = max(1, entry_count)
-        for name, policy in callers.items():
-            usage = self._usages.get(name)
-            if usage is not None:
-                usage.configure(policy, count, now_s)
-                continue
-            self._usages[name] = _caller_usage.CallerUsage(policy, count, now_s)
-        for name in list(self._usages):
-            if name not in callers:
-                del self._usages[name]
+        if count == self._entry_count:
+            return
+        self._entry_count = count
+        now_s = self._clock()
+        for usage in self._usages.values():
+            usage.configure(usage.policy, count, now_s)
 
     def admit(
         self,
-        caller: str,
+        caller: configuration.CallerPolicy,
         service: str,
         request_class: configuration.RequestClass,
     ) -> _ticket.Ticket | results.Failure:
@@ -77,15 +78,11 @@
         request takes nothing from the caller's limits.
 
         Args:
-            caller: Name of the authenticated caller.
+            caller: The authenticated caller, with its limits in force.
             service: Name of the service.
             request_class: Online or batch.
         """
-        usage = self._usages.get(caller)
-        if usage is None:
-            return results.Failure(
-                results.ResultCode.FORBIDDEN, f'{caller} has no limits here'
-            )
+        usage = self._find_usage(caller)
         now_s = self._clock()
         refusal = self._check_caller(usage, service, now_s)
         if refusal is None:
@@ -94,7 +91,9 @@
             return refusal
         usage.bucket.take(now_s)
         usage.begin(service)
-        return _ticket.Ticket(caller, service, now_s, self._make_end(usage))
+        return _ticket.Ticket(
+            caller.name, service, now_s, self._make_end(usage)
+        )
 
     def note_delay(self, service: str, delay_ms: float) -> None:
         """Takes the time that a request has waited for an upstream."""
@@ -105,6 +104,29 @@
         usage = self._usages.get(caller)
         return 0 if usage is None else usage.in_flight
 
+    def _find_usage(
+        self, caller: configuration.CallerPolicy
+    ) -> _caller_usage.CallerUsage:
+        """Returns what the caller uses, under the limits given."""
+        now_s = self._clock()
+        usage = self._usages.get(caller.name)
+        if usage is None:
+            self._forget_idle(now_s)
+            usage = _caller_usage.CallerUsage(caller, self._entry_count, now_s)
+            self._usages[caller.name] = usage
+        if usage.policy is not caller:
+            usage.configure(caller, self._entry_count, now_s)
+        return usage
+
+    def _forget_idle(self, now_s: float) -> None:
+        """Removes, now and then, the callers that are as good as new."""
+        if now_s - self._swept_at_s < SWEEP_INTERVAL_S:
+            return
+        self._swept_at_s = now_s
+        for name, usage in list(self._usages.items()):
+            if not usage.in_flight and usage.bucket.is_full(now_s):
+                del self._usages[name]
+
     def _check_caller(
         self, usage: _caller_usage.CallerUsage, service: str, now_s: float
     ) -> results.Failure | None:
@@ -224,7 +246,7 @@
 def create_admission(
     capacity: CapacitySource, clock: Callable[[], float] = trio.current_time
 ) -> Admission:
-    """Creates an admission that knows no caller until configured.
+    """Creates an admission for an entry that is alone.
 
     Args:
         capacity: Tells how loaded the upstreams are.
--- a/siskinmount/admission/_token_bucket.py
+++ b/siskinmount/admission/_token_bucket.py
@@ -24,6 +24,11 @@
         self.burst = burst
         self._tokens = min(self._tokens, burst)
 
+    def is_full(self, now_s: float) -> bool:
+        """Tells whether no use is remembered."""
+        self._fill(now_s)
+        return self._tokens >= self.burst
+
     def wait_ms(self, now_s: float) -> float | None:
         """Returns the time until a token is there; None if it never will be."""
         self._fill(now_s)
--- a/siskinmount/membership/_member_table.py
+++ b/siskinmount/membership/_member_table.py
@@ -141,6 +141,14 @@
         record.hear(self._now_s())
         self._conclude(vm)
 
+    def note_leaving(self, vm: str, incarnation: int) -> None:
+        """Takes note that the member has refused work because it leaves."""
+        record = self._records.get(vm)
+        if record is None or record.member.incarnation != incarnation:
+            return
+        record.leaving_by_itself = True
+        self._conclude(vm)
+
     def apply_vm_list(self, vms: 'list[platform.VmEntry]') -> None:
         """Takes note of the platform's list, the slow second source."""
         by_vm = {entry.vm: entry for entry in vms}
--- a/siskinmount/routing/_choice.py
+++ b/siskinmount/routing/_choice.py
@@ -1,39 +1,18 @@
-"""The upstream that a request has been given."""
-
-from collections.abc import Callable
+"""The upstream that an attempt has been given."""
 
 from siskinmount import membership
 
 
 class Choice:
-    """One attempt's upstream; counts as outstanding there until released.
+    """One attempt's upstream; it counts there until `Router.release`.
 
     Attributes:
         member: The sidecar beside the upstream.
         by_affinity: Whether it is the first choice for the request's key.
     """
 
-    __slots__ = ('member', 'by_affinity', '_release')
+    __slots__ = ('member', 'by_affinity')
 
-    def __init__(
-        self,
-        member: membership.Member,
-        by_affinity: bool,
-        release: Callable[[str], None],
-    ) -> None:
+    def __init__(self, member: membership.Member, by_affinity: bool) -> None:
         self.member = member
         self.by_affinity = by_affinity
-        self._release: Callable[[str], None] | None = release
-
-    def release(self) -> None:
-        """Ends the attempt; further calls do nothing."""
-        if self._release is None:
-            return
-        self._release(self.member.vm)
-        self._release = None
-
-    def __enter__(self) -> 'Choice':
-        return self
-
-    def __exit__(self, *unused: object) -> None:
-        self.release()
--- a/siskinmount/routing/_retry_budget.py
+++ b/siskinmount/routing/_retry_budgets.py
@@ -1,11 +1,10 @@
 """Bounds retries to a share of the traffic."""
 
 from collections.abc import Callable
+import math
 
 import trio
 
-from siskinmount import results
-
 RETRY_SHARE = 0.1
 #: Retries that may follow on quiet times, when an upstream with all its
 #: requests is lost.
@@ -14,7 +13,7 @@
 RETRIES_PER_S = 1.0
 
 
-class RetryBudget:
+class RetryBudgets:
     """A token bucket per service: each first attempt pays in a tenth of a retry.
 
     Retries never exceed `RETRY_SHARE` of the first attempts plus
@@ -27,23 +26,25 @@
         self._clock = clock
         self._buckets: dict[str, _Bucket] = {}
 
-    def note_first_attempt(self, service: str) -> None:
-        """Counts a request of the service."""
+    def earn(self, service: str) -> None:
+        """Counts a first attempt, which earns a part of a retry."""
         bucket = self._refill(service)
         bucket.tokens = min(MAX_SAVED_RETRIES, bucket.tokens + RETRY_SHARE)
 
-    def spend_retry(self, service: str) -> None | results.Failure:
-        """Takes one retry out of the budget, or says when there will be one."""
+    def take(self, service: str) -> bool:
+        """Takes one retry out of the budget; tells whether there was one."""
         bucket = self._refill(service)
-        if bucket.tokens >= 1:
-            bucket.tokens -= 1
-            return None
-        wait_ms = (1 - bucket.tokens) / RETRIES_PER_S * 1000
-        return results.Failure(
-            results.ResultCode.RETRY_BUDGET_EXHAUSTED,
-            f'too many requests of {service} are being retried',
-            retry_after_ms=int(wait_ms) + 1,
-        )
+        if bucket.tokens < 1:
+            return False
+        bucket.tokens -= 1
+        return True
+
+    def wait_ms(self, service: str) -> int:
+        """Returns when there will be a retry, in milliseconds from now."""
+        missing = 1 - self._refill(service).tokens
+        if missing <= 0:
+            return 0
+        return math.ceil(missing / RETRIES_PER_S * 1000)
 
     def _refill(self, service: str) -> '_Bucket':
         """Returns the bucket of the service, filled up to now."""
@@ -73,8 +74,8 @@
         self.filled_at_s = filled_at_s
 
 
-def create_retry_budget(
+def create_retry_budgets(
     clock: Callable[[], float] = trio.current_time,
-) -> RetryBudget:
-    """Creates a budget; each service starts with all its retries saved."""
-    return RetryBudget(clock)
+) -> RetryBudgets:
+    """Creates the budgets; each service starts with all its retries saved."""
+    return RetryBudgets(clock)
--- a/siskinmount/routing/_router.py
+++ b/siskinmount/routing/_router.py
@@ -18,6 +18,24 @@
 
 NO_UPSTREAM_RETRY_AFTER_MS = 1000
 
+#: Failures after which other upstreams go first for a time.
+_UPSTREAM_FAULTS = frozenset(
+    (
+        results.ResultCode.OVERLOADED,
+        results.ResultCode.UPSTREAM_UNREACHABLE,
+        results.ResultCode.UPSTREAM_LOST,
+        results.ResultCode.UPSTREAM_ERROR,
+        results.ResultCode.UPSTREAM_SILENT,
+    )
+)
+#: Failures that speak against the sidecar itself.
+_NO_CONTACT = frozenset(
+    (
+        results.ResultCode.UPSTREAM_UNREACHABLE,
+        results.ResultCode.UPSTREAM_SILENT,
+    )
+)
+
 _NOTHING: frozenset[str] = frozenset()
 
 
@@ -48,26 +66,26 @@
         self,
         service: str,
         affinity_key: str | None,
-        excluded: Collection[str] = _NOTHING,
+        excluded_vms: Collection[str] = _NOTHING,
         request_class: configuration.RequestClass = (
             configuration.RequestClass.ONLINE
         ),
     ) -> _choice.Choice | results.Failure:
         """Chooses an upstream and counts an attempt there.
 
-        The caller releases the choice when the attempt has ended.
+        The caller calls `release` when the attempt has ended.
 
         Args:
             service: Name of the service.
             affinity_key: Requests with one key go to one upstream while its
                 load allows; None if any is as good as another.
-            excluded: VMs that have failed this request already.
+            excluded_vms: VMs that have failed this request already.
             request_class: Online or batch. A batch request is refused when no
                 upstream is in good order.
         """
         sidecars: list[membership.Member] = []
         for sidecar in self._table.list_sidecars(service):
-            if sidecar.vm not in excluded:
+            if sidecar.vm not in excluded_vms:
                 sidecars.append(sidecar)
         candidates = self._list_preferred(sidecars)
         is_online = request_class is configuration.RequestClass.ONLINE
@@ -83,17 +101,31 @@
             return self._begin(self._choose_of_two(candidates), False)
         return self._choose_by_affinity(affinity_key, candidates)
 
-    def note_answer(
-        self, vm: str, in_flight: int, slots: int, incarnation: int = 0
-    ) -> None:
+    def release(self, vm: str) -> None:
+        """Counts the end of an attempt."""
+        load = self._loads[vm]
+        load.end()
+        if load.outstanding < 0:
+            _LOGGER.error(
+                'invariant_broken',
+                extra={
+                    'code': int(results.ResultCode.INVARIANT_BROKEN),
+                    'invariant': 'outstanding_not_negative',
+                    'member': vm,
+                },
+            )
+            raise AssertionError(f'{vm} has fewer than no attempts')
+        if not load.outstanding and self._table.find(vm) is None:
+            del self._loads[vm]
+
+    def note_answer(self, vm: str, in_flight: int, slots: int) -> None:
         """Takes the load that a sidecar has put on its answer.
 
         Args:
             vm: The sidecar's VM.
-            in_flight: Requests in flight there.
+            in_flight: Requests in flight there that an online one would
+                compete with.
             slots: Requests that its upstream runs at once.
-            incarnation: Incarnation on the answer, which shows that the
-                process lives; 0 if unknown.
         """
         sidecar = self._table.find(vm)
         if sidecar is None:
@@ -101,25 +133,20 @@
         load = self._find_load(sidecar)
         load.note_report(in_flight, slots, self._clock())
         load.note_success()
-        if incarnation:
-            self._table.note_answer(vm, incarnation)
+        self._table.note_answer(vm, sidecar.incarnation)
 
-    def note_failure(
-        self, vm: str, incarnation: int, reachable: bool = False
-    ) -> None:
-        """Takes note that an attempt failed for the upstream's fault.
-
-        Args:
-            vm: The sidecar's VM.
-            incarnation: Incarnation of the process that was tried.
-            reachable: Whether the sidecar itself answered.
-        """
+    def note_failure(self, vm: str, failure: results.Failure) -> None:
+        """Takes note that an attempt has failed at an upstream."""
         sidecar = self._table.find(vm)
         if sidecar is None:
             return
-        self._find_load(sidecar).note_failure(self._clock())
-        if not reachable:
-            self._table.note_unreachable(vm, incarnation)
+        if failure.code is results.ResultCode.LEAVING:
+            self._table.note_leaving(vm, sidecar.incarnation)
+            return
+        if failure.code in _UPSTREAM_FAULTS:
+            self._find_load(sidecar).note_failure(self._clock())
+        if failure.code in _NO_CONTACT:
+            self._table.note_unreachable(vm, sidecar.incarnation)
 
     def outstanding(self, vm: str) -> int:
         """Returns this entry's attempts in progress at a VM."""
@@ -200,26 +227,7 @@
     ) -> _choice.Choice:
         """Counts an attempt at the member."""
         self._find_load(member).begin()
-        return _choice.Choice(member, by_affinity, self._end)
-
-    def _end(self, vm: str) -> None:
-        """Counts the end of an attempt."""
-        load = self._loads.get(vm)
-        if load is None:
-            return
-        load.end()
-        if load.outstanding < 0:
-            _LOGGER.error(
-                'invariant_broken',
-                extra={
-                    'code': int(results.ResultCode.INVARIANT_BROKEN),
-                    'invariant': 'outstanding_not_negative',
-                    'member': vm,
-                },
-            )
-            raise AssertionError(f'{vm} has fewer than no attempts')
-        if not load.outstanding and self._table.find(vm) is None:
-            del self._loads[vm]
+        return _choice.Choice(member, by_affinity)
 
     def _find_load(
         self, sidecar: membership.Member
