--- a/siskinmount/membership/_heartbeat_sender.py
+++ b/siskinmount/membership/_heartbeat_sender.py
@@ -78,7 +78,7 @@
 
     def _review_peers(self, nursery: trio.Nursery) -> None:
         """Starts tasks for new peers and ends those of former ones."""
-        wanted = self._choose_peers()
+        wanted = self.choose_peers()
         for address, scope in list(self._peer_scopes.items()):
             if address in wanted:
                 continue
@@ -91,7 +91,7 @@
             self._peer_scopes[address] = scope
             nursery.start_soon(self._run_peer, address, scope)
 
-    def _choose_peers(self) -> set[transport.Address]:
+    def choose_peers(self) -> set[transport.Address]:
         """Returns the control addresses that should get heartbeats."""
         own = self._observer.describe_self()
         is_entry = own.role is _member.MemberRole.ENTRY
--- a/siskinmount/membership/_member_table.py
+++ b/siskinmount/membership/_member_table.py
@@ -149,7 +149,7 @@
         record.leaving_by_itself = True
         self._conclude(vm)
 
-    def apply_vm_list(self, vms: 'list[platform.VmEntry]') -> None:
+    def apply_vm_list(self, vms: list[platform.VmEntry]) -> None:
         """Takes note of the platform's list, the slow second source."""
         by_vm = {entry.vm: entry for entry in vms}
         for vm, record in list(self._records.items()):
--- a/siskinmount/membership/_vm_list_watcher.py
+++ b/siskinmount/membership/_vm_list_watcher.py
@@ -22,7 +22,7 @@
 
     def __init__(
         self,
-        source: 'platform.VmList',
+        source: platform.VmList,
         table: _member_table.MemberTable,
         sender: _heartbeat_sender.HeartbeatSender,
         settings: _heartbeat_settings.HeartbeatSettings,
@@ -62,7 +62,7 @@
 
 
 def create_vm_list_watcher(
-    source: 'platform.VmList',
+    source: platform.VmList,
     table: _member_table.MemberTable,
     sender: _heartbeat_sender.HeartbeatSender,
     settings: _heartbeat_settings.HeartbeatSettings | None = None,
