--- a/siskinmount/membership/_member.py
+++ b/siskinmount/membership/_member.py
@@ -101,3 +101,22 @@
             f'Member({self.vm!r}, {self.role.value}, {self.incarnation},'
             f' {self.state.value})'
         )
+
+
+def copy_with_state(member: Member, state: MemberState) -> Member:
+    """Returns a copy of the member in another state."""
+    return Member(
+        vm=member.vm,
+        role=member.role,
+        incarnation=member.incarnation,
+        region=member.region,
+        failure_domain=member.failure_domain,
+        peers_address=member.peers_address,
+        control_address=member.control_address,
+        state=state,
+        service=member.service,
+        slots=member.slots,
+        in_flight=member.in_flight,
+        model_version=member.model_version,
+        configuration_version=member.configuration_version,
+    )
--- a/siskinmount/membership/_member_record.py
+++ b/siskinmount/membership/_member_record.py
@@ -30,6 +30,8 @@
         heard_at_s: Monotonic time of the last word from it.
         leaving_by_itself: Whether this incarnation has said that it leaves.
         leaving_by_vm_list: Whether the VM list says that it is leaving.
+        described: The member with the state last concluded; None if that was
+            before its last description.
         suspicions: Sources that speak against it since the last word from it.
     """
 
@@ -38,6 +40,7 @@
         'heard_at_s',
         'leaving_by_itself',
         'leaving_by_vm_list',
+        'described',
         'suspicions',
     )
 
@@ -46,6 +49,7 @@
         self.heard_at_s = heard_at_s
         self.leaving_by_itself = member.state is _member.MemberState.LEAVING
         self.leaving_by_vm_list = False
+        self.described: _member.Member | None = None
         self.suspicions: set[SuspicionSource] = set()
 
     def hear(self, at_s: float) -> None:
--- a/siskinmount/membership/_member_table.py
+++ b/siskinmount/membership/_member_table.py
@@ -177,7 +177,7 @@
         record = self._records.get(vm)
         if record is None:
             return None
-        return self._describe(record)
+        return self._describe(record, self._now_s())
 
     def list_sidecars(self, service: str | None = None) -> list[_member.Member]:
         """Returns the sidecars that are not dead, with concluded states.
@@ -185,13 +185,14 @@
         Args:
             service: Only sidecars of this service; all if None.
         """
+        now_s = self._now_s()
         sidecars: list[_member.Member] = []
         for record in self._records.values():
             if record.member.role is not _member.MemberRole.SIDECAR:
                 continue
             if service is not None and record.member.service != service:
                 continue
-            member = self._describe(record)
+            member = self._describe(record, now_s)
             if member.state is _member.MemberState.DEAD:
                 continue
             sidecars.append(member)
@@ -199,11 +200,12 @@
 
     def list_entries(self) -> list[_member.Member]:
         """Returns the entries that are not dead, with concluded states."""
+        now_s = self._now_s()
         entries: list[_member.Member] = []
         for record in self._records.values():
             if record.member.role is not _member.MemberRole.ENTRY:
                 continue
-            member = self._describe(record)
+            member = self._describe(record, now_s)
             if member.state is _member.MemberState.DEAD:
                 continue
             entries.append(member)
@@ -211,7 +213,10 @@
 
     def list_members(self) -> list[_member.Member]:
         """Returns all members, the dead included, with concluded states."""
-        return [self._describe(record) for record in self._records.values()]
+        now_s = self._now_s()
+        return [
+            self._describe(record, now_s) for record in self._records.values()
+        ]
 
     def live_entry_vms(self) -> list[str]:
         """Returns the sorted VM names of the entries that are live."""
@@ -273,6 +278,7 @@
             record.leaving_by_itself = True
         if heard_at_s >= record.heard_at_s:
             record.member = member
+            record.described = None
 
     def _suspect(
         self,
@@ -288,24 +294,16 @@
         silent_ms = (self._now_s() - record.heard_at_s) * 1000
         return silent_ms >= self._settings.suspect_after_ms
 
-    def _describe(self, record: _member_record.MemberRecord) -> _member.Member:
-        """Returns a copy of the member with its concluded state."""
-        told = record.member
-        return _member.Member(
-            vm=told.vm,
-            role=told.role,
-            incarnation=told.incarnation,
-            region=told.region,
-            failure_domain=told.failure_domain,
-            peers_address=told.peers_address,
-            control_address=told.control_address,
-            state=record.conclude_state(self._now_s(), self._settings),
-            service=told.service,
-            slots=told.slots,
-            in_flight=told.in_flight,
-            model_version=told.model_version,
-            configuration_version=told.configuration_version,
-        )
+    def _describe(
+        self, record: _member_record.MemberRecord, now_s: float
+    ) -> _member.Member:
+        """Returns the member with its concluded state."""
+        state = record.conclude_state(now_s, self._settings)
+        described = record.described
+        if described is None or described.state is not state:
+            described = _member.copy_with_state(record.member, state)
+            record.described = described
+        return described
 
     def _conclude(self, vm: str) -> None:
         """Compares a member's state with the last known and tells listeners."""
@@ -325,7 +323,9 @@
                 'suspicions': sorted(s.value for s in record.suspicions),
             },
         )
-        change = MembershipChange(self._describe(record), previous)
+        change = MembershipChange(
+            self._describe(record, self._now_s()), previous
+        )
         for listener in self._listeners:
             listener(change)
 
