--- a/siskinmount/entry/_answer_run.py
+++ b/siskinmount/entry/_answer_run.py
@@ -21,16 +21,6 @@
 REATTACH_PAUSE_S = 0.05
 MAX_ERROR_BYTES = 64 * 1024
 
-#: Refusals that say nothing against the upstream.
-_BLAMELESS_CODES = frozenset(
-    (
-        results.ResultCode.LEAVING,
-        results.ResultCode.OVERLOADED,
-        results.ResultCode.REQUEST_CANCELLED,
-        results.ResultCode.REQUEST_CONVICTED,
-    )
-)
-
 
 class AnswerRun:
     """Reads one answer's frames and moves between upstreams when one is lost.
@@ -148,7 +138,7 @@
     def _release_choice(self) -> None:
         """Ends the attempt at the chosen upstream."""
         if self._choice is not None:
-            self._choice.release()
+            self._access.router.release(self._choice.member.vm)
             self._choice = None
 
     def _choose_upstream(self) -> results.Failure | None:
@@ -296,12 +286,7 @@
         member = self._find_member()
         self._excluded_vms.add(member.vm)
         self._release_choice()
-        if failure.code not in _BLAMELESS_CODES:
-            self._access.router.note_failure(
-                member.vm,
-                member.incarnation,
-                reachable=failure_frame is not None,
-            )
+        self._access.router.note_failure(member.vm, failure)
         _LOGGER.info(
             'attempt_failed',
             extra={
@@ -366,11 +351,17 @@
             return self._final(failure)
         if self.attempt >= request.service.max_attempts:
             return self._final(failure)
-        refusal = self._access.retries.spend_retry(request.service.name)
-        if refusal is None:
+        retries = self._access.retries
+        if retries.take(request.service.name):
             return None
-        refusal.run_state = failure.run_state
-        return self._final(refusal)
+        return self._final(
+            results.Failure(
+                results.ResultCode.RETRY_BUDGET_EXHAUSTED,
+                f'not retried after: {failure.reason}',
+                failure.run_state,
+                retry_after_ms=retries.wait_ms(request.service.name),
+            )
+        )
 
     def _final(self, failure: results.Failure) -> results.Failure:
         """Returns the failure with a truthful run state."""
--- a/siskinmount/entry/_callers_api.py
+++ b/siskinmount/entry/_callers_api.py
@@ -118,7 +118,7 @@
             await _error_answers.send_failure(exchange, identity)
             return
         ticket = self._admission.admit(
-            caller.name, request.service.name, configuration.RequestClass.ONLINE
+            caller, request.service.name, configuration.RequestClass.ONLINE
         )
         if isinstance(ticket, results.Failure):
             await _error_answers.send_failure(
@@ -154,7 +154,7 @@
             await _error_answers.send_failure(exchange, call)
             return
         ticket = self._admission.admit(
-            caller.name, call.service.name, call.route.request_class
+            caller, call.service.name, call.route.request_class
         )
         if isinstance(ticket, results.Failure):
             await _error_answers.send_failure(
--- a/siskinmount/entry/_control_service.py
+++ b/siskinmount/entry/_control_service.py
@@ -55,9 +55,11 @@
             backlogs=self._list_backlogs(),
         )
         for entry in self._members.list_entries_for_reply():
-            message = membership.encode_member(entry)
-            message.heard_ms_ago = int(self._members.heard_ms_ago(entry.vm))
-            reply.entries.append(message)
+            reply.entries.append(
+                membership.encode_member(
+                    entry, self._members.heard_ms_ago(entry.vm)
+                )
+            )
         return reply
 
     async def get_configuration(
--- a/siskinmount/entry/_entry.py
+++ b/siskinmount/entry/_entry.py
@@ -99,7 +99,7 @@
         self._admission = admission.create_admission(router)
         self._access = _upstream_access.UpstreamAccess(
             router,
-            routing.create_retry_budget(),
+            routing.create_retry_budgets(),
             self.convictions,
             transport.ClientLimits(max_connections=MAX_UPSTREAM_CONNECTIONS),
         )
@@ -268,11 +268,7 @@
     async def _run_upkeep(self) -> None:
         """Keeps what follows from membership up to date."""
         while True:
-            document = self.in_force.document
-            if document is not None:
-                self._admission.configure(
-                    document.callers, len(self.list_live_entries())
-                )
+            self._admission.set_entry_count(len(self.list_live_entries()))
             self._access.drop_clients(
                 {
                     sidecar.peers_address
@@ -297,9 +293,6 @@
     ) -> None:
         """Takes what a new document changes."""
         self.own.configuration_version = version
-        self._admission.configure(
-            document.callers, len(self.list_live_entries())
-        )
         bounds: list[telemetry.ObjectiveBound] = []
         for objective in document.objectives:
             bounds.append(
--- a/siskinmount/entry/_model_calls.py
+++ b/siskinmount/entry/_model_calls.py
@@ -46,7 +46,7 @@
         first_token=identity.first_token,
         model=request,
     )
-    access.retries.note_first_attempt(request.service.name)
+    access.retries.earn(request.service.name)
     run = _answer_run.AnswerRun(access, run_request)
     answer_format = _answer_format.AnswerFormat(request, identity.request_id)
     recorder.visit_request(request.service.name)
--- a/siskinmount/entry/_plain_calls.py
+++ b/siskinmount/entry/_plain_calls.py
@@ -129,7 +129,7 @@
     Without a key each resend is a call of its own.
     """
     recorder.visit_request(call.service.name)
-    access.retries.note_first_attempt(call.service.name)
+    access.retries.earn(call.service.name)
     if not call.idempotent and call.identity.key is not None:
         answer = await _run_once(access, keys, caller, call)
     else:
--- a/siskinmount/entry/_upstream_access.py
+++ b/siskinmount/entry/_upstream_access.py
@@ -23,7 +23,7 @@
     def __init__(
         self,
         router: routing.Router,
-        retries: routing.RetryBudget,
+        retries: routing.RetryBudgets,
         convictions: state.ConvictionStream,
         limits: transport.ClientLimits,
     ) -> None:
@@ -61,9 +61,7 @@
             return
         if not in_flight.isdigit() or not slots.isdigit():
             return
-        self.router.note_answer(
-            member.vm, int(in_flight), int(slots), member.incarnation
-        )
+        self.router.note_answer(member.vm, int(in_flight), int(slots))
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Tells whether a request must run alone."""
