Own batch jobs: items leased, results recorded once, reports in any order

Each state stream holds jobs as records; an owner keeps one byte and one reference an item in memory and reads texts and results back from the log. Idempotent items are leased without a record; a non-idempotent one leaves only after its start has been read back. Takeover waits for renewals of leases that the last owner gave.

--- /dev/null
+++ b/siskinmount/batch/_batch_shard.py
@@ -0,0 +1,80 @@
+"""One state stream with the keys and jobs in it, for one tenure."""
+
+from collections.abc import Callable
+
+import trio
+
+from siskinmount import platform
+from siskinmount import state
+from siskinmount.batch import _batch_limits
+from siskinmount.batch import _batch_owner
+
+
+class BatchShard:
+    """Implements `state.Shard`.
+
+    Attributes:
+        stream: The state stream.
+        keys: Idempotency keys of online requests.
+        batch: Batch jobs.
+    """
+
+    __slots__ = ('stream', 'keys', 'batch')
+
+    def __init__(
+        self,
+        stream: state.StateStream,
+        keys: state.KeyTable,
+        batch: _batch_owner.BatchOwner,
+    ) -> None:
+        self.stream = stream
+        self.keys = keys
+        self.batch = batch
+
+    async def run(self) -> None:
+        """Looks after keys and jobs for as long as the stream is owned."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.keys.run)
+            nursery.start_soon(self.batch.run)
+
+
+def create_batch_shard(
+    name: str,
+    log: platform.LogService,
+    writer: state.Writer,
+    *,
+    stream_limits: state.StreamLimits | None = None,
+    batch_limits: _batch_limits.BatchLimits | None = None,
+    is_live: Callable[[str], bool] | None = None,
+    weight_of: Callable[[str], int] | None = None,
+    is_convicted: Callable[[str], bool] | None = None,
+    on_ready: Callable[[], None] | None = None,
+    clock_ms: Callable[[], int] = state.wall_clock_ms,
+) -> BatchShard:
+    """Creates the state of one stream for one tenure.
+
+    Args:
+        name: Name of the state stream.
+        log: The platform's log.
+        writer: Identity of this process, shared by all its streams.
+        stream_limits: Bounds and intervals of the stream.
+        batch_limits: Bounds and intervals of batch jobs.
+        is_live: Tells whether a VM is believed to live.
+        weight_of: Returns a caller's share relative to others.
+        is_convicted: Tells whether a fingerprint must not be run.
+        on_ready: Called when batch items may have become ready.
+        clock_ms: Milliseconds since the Unix epoch.
+    """
+    stream = state.create_state_stream(
+        name, log, writer, stream_limits, is_live, clock_ms
+    )
+    keys = state.create_key_table(stream)
+    batch = _batch_owner.create_batch_owner(
+        stream,
+        log,
+        limits=batch_limits,
+        weight_of=weight_of,
+        is_convicted=is_convicted,
+        on_ready=on_ready,
+    )
+    return BatchShard(stream, keys, batch)
--- /dev/null
+++ b/siskinmount/batch/_item_handout.py
@@ -0,0 +1,274 @@
+"""Hands items out to sidecars that ask for them."""
+
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+import trio
+import xxhash
+
+from siskinmount import results
+from siskinmount.batch import _dispatch_order
+from siskinmount.batch import _job
+from siskinmount.batch import _lease_table
+from siskinmount.batch import _owner_state
+from siskinmount.batch import _pull_messages
+from siskinmount.state import records_pb2
+
+
+def item_fingerprint(service: str, text: bytes) -> str:
+    """Returns a digest of an item's service and content."""
+    return xxhash.xxh3_128_hexdigest(service.encode('utf-8') + b'\n' + text)
+
+
+class ItemHandout:
+    """Chooses items, leases them, and reads their texts from the log."""
+
+    __slots__ = ('_state', '_weight_of', '_is_convicted', '_orders', '_rates')
+
+    def __init__(
+        self,
+        owner_state: _owner_state.OwnerState,
+        weight_of: Callable[[str], int],
+        is_convicted: Callable[[str], bool],
+    ) -> None:
+        self._state = owner_state
+        self._weight_of = weight_of
+        self._is_convicted = is_convicted
+        self._orders: dict[str, _dispatch_order.DispatchOrder] = {}
+        self._rates: dict[str, _dispatch_order.ItemRate] = {}
+
+    async def pull(
+        self, request: _pull_messages.PullRequest
+    ) -> _pull_messages.PullReply | results.Failure:
+        """Leases and returns up to `credit` items, without waiting for any."""
+        owner = self._state
+        if not owner.stream.is_owned:
+            return owner.not_owner()
+        gone = owner.leases.note_incarnation(request.vm, request.incarnation)
+        if isinstance(gone, results.Failure):
+            return gone
+        for lease in gone:
+            owner.lapse(lease)
+        if owner.stream.is_buffer_full:
+            return _pull_messages.PullReply([])
+        reserved = self._reserve(request)
+        try:
+            items = await self._prepare(reserved)
+        finally:
+            for job, lease in reserved:
+                held = owner.leases.find(job.job_id, lease.index)
+                if held is lease and not lease.is_handed_out:
+                    owner.return_unsent(job, lease)
+        return _pull_messages.PullReply(items)
+
+    def rate_per_s(self, service: str) -> float:
+        """Returns how many items of a service end a second here."""
+        rate = self._rates.get(service)
+        return rate.per_s if rate is not None else 0.0
+
+    def note_ended(self, service: str, count: int) -> None:
+        """Notes items that ended since the last call."""
+        now_s = trio.current_time()
+        rate = self._rates.get(service)
+        if rate is None:
+            self._rates[service] = _dispatch_order.ItemRate(now_s)
+            return
+        rate.note(count, now_s)
+
+    def has_ready(self, service: str) -> bool:
+        """Whether items of a service wait for an upstream."""
+        now_ms = self._state.stream.now_ms()
+        return any(
+            job.submitted.service == service
+            and job.is_active
+            and self._state.dispatch_of(job).has_ready(now_ms)
+            for job in self._state.table.jobs.values()
+        )
+
+    def _reserve(
+        self, request: _pull_messages.PullRequest
+    ) -> list[tuple[_job.Job, _lease_table.Lease]]:
+        """Leases items in order of fairness and urgency."""
+        owner = self._state
+        now_ms = owner.stream.now_ms()
+        rate_per_s = self.rate_per_s(request.service)
+        order = self._orders.get(request.service)
+        if order is None:
+            order = _dispatch_order.DispatchOrder(self._weight_of)
+            self._orders[request.service] = order
+        waiting = order.sort(
+            [
+                owner.dispatch_of(job)
+                for job in owner.table.jobs.values()
+                if job.is_active and job.submitted.service == request.service
+            ],
+            rate_per_s,
+        )
+        order.forget_absent(set(waiting))
+        reserved: list[tuple[_job.Job, _lease_table.Lease]] = []
+        while waiting and len(reserved) < request.credit:
+            caller = order.next_caller(list(waiting))
+            dispatch = waiting[caller][0]
+            index = dispatch.take(owner.leases, now_ms)
+            if index is None:
+                del waiting[caller][0]
+                if not waiting[caller]:
+                    del waiting[caller]
+                continue
+            job = dispatch.job
+            reserved.append((job, self._lease(request, job, index)))
+            order.note_served(caller, self.is_at_risk(job))
+        return reserved
+
+    def is_at_risk(self, job: _job.Job) -> bool:
+        """Whether a job will be late at the present rate."""
+        if not job.is_active:
+            return False
+        latest_ms = _dispatch_order.latest_start_ms(
+            job.submitted.due_at_ms,
+            job.open_count,
+            self.rate_per_s(job.submitted.service),
+        )
+        return latest_ms < self._state.stream.now_ms()
+
+    def _lease(
+        self, request: _pull_messages.PullRequest, job: _job.Job, index: int
+    ) -> _lease_table.Lease:
+        """Leases an item to the process that asks."""
+        owner = self._state
+        lease = _lease_table.Lease(
+            owner.new_lease_id(),
+            job.job_id,
+            index,
+            request.vm,
+            request.incarnation,
+            trio.current_time() + owner.limits.lease_ms / 1000,
+        )
+        owner.leases.add(lease)
+        return lease
+
+    async def _prepare(
+        self, reserved: list[tuple[_job.Job, _lease_table.Lease]]
+    ) -> list[_pull_messages.PulledItem]:
+        """Reads the texts and records the start of non-idempotent items."""
+        ready: list[
+            tuple[_job.Job, _lease_table.Lease, _pull_messages.PulledItem]
+        ] = []
+        for job, lease in reserved:
+            item = await self._load(job, lease)
+            if item is not None:
+                ready.append((job, lease, item))
+        async with trio.open_nursery() as nursery:
+            for job, lease, _ in ready:
+                if not job.submitted.idempotent:
+                    nursery.start_soon(self._record_start, job, lease)
+        items: list[_pull_messages.PulledItem] = []
+        for job, lease, item in ready:
+            if not self._may_hand_out(job, lease):
+                continue
+            lease.is_handed_out = True
+            items.append(item)
+        return items
+
+    def _may_hand_out(self, job: _job.Job, lease: _lease_table.Lease) -> bool:
+        """Tells whether an item may leave, after all has been read back."""
+        owner = self._state
+        if owner.leases.find(job.job_id, lease.index) is not lease:
+            return False
+        if not job.is_active or not job.is_open(lease.index):
+            return False
+        if job.submitted.idempotent:
+            return True
+        started = job.started.get(lease.index)
+        return (
+            owner.stream.is_owned
+            and started is not None
+            and started.lease == lease.lease_id
+        )
+
+    async def _load(
+        self, job: _job.Job, lease: _lease_table.Lease
+    ) -> _pull_messages.PulledItem | None:
+        """Reads an item's text; ends the item if it can never be run."""
+        owner = self._state
+        text = await read_text(owner, job, lease.index)
+        if isinstance(text, results.Failure):
+            if text.code is results.ResultCode.LOG_RECORD_EXPIRED:
+                self._end_failed(job, lease, text)
+            return None
+        service = job.submitted.service
+        fingerprint = item_fingerprint(service, text)
+        if self._is_convicted(fingerprint):
+            failure = results.Failure(
+                results.ResultCode.REQUEST_CONVICTED,
+                'the item has made upstreams die',
+            )
+            self._end_failed(job, lease, failure)
+            return None
+        attempt = job.attempts.get(lease.index)
+        body: dict[str, Any] = orjson.loads(text)
+        tokens = owner.resume_tokens.get(job.job_id, lease.index)
+        if tokens:
+            body['resume_tokens'] = tokens
+        return _pull_messages.PulledItem(
+            job=job.job_id,
+            index=lease.index,
+            attempt=1 + (attempt.failures + attempt.losses if attempt else 0),
+            lease=lease.lease_id,
+            lease_ms=owner.limits.lease_ms,
+            idempotent=job.submitted.idempotent,
+            fingerprint=fingerprint,
+            body=body,
+        )
+
+    def _end_failed(
+        self,
+        job: _job.Job,
+        lease: _lease_table.Lease,
+        failure: results.Failure,
+    ) -> None:
+        """Ends an item that cannot be run."""
+        self._state.end_item(
+            job,
+            lease.index,
+            records_pb2.ITEM_OUTCOME_FAILED,
+            code=failure.code,
+            reason=failure.reason,
+        )
+
+    async def _record_start(
+        self, job: _job.Job, lease: _lease_table.Lease
+    ) -> None:
+        """Records that a non-idempotent item is about to be handed out."""
+        await self._state.stream.commit(
+            records_pb2.Record(
+                item_started=records_pb2.ItemStarted(
+                    job=job.job_id,
+                    index=lease.index,
+                    lease=lease.lease_id,
+                    vm=lease.vm,
+                    incarnation=lease.incarnation,
+                )
+            )
+        )
+
+
+async def read_text(
+    owner: _owner_state.OwnerState, job: _job.Job, index: int
+) -> bytes | results.Failure:
+    """Reads an item's text from the log."""
+    chunk = job.texts.chunk_of(index)
+    assert chunk is not None
+    position = job.texts.position_of(chunk)
+    group = await owner.reader.fetch(position.offset)
+    if isinstance(group, results.Failure):
+        return group
+    texts = group.records[position.index].item_texts
+    text = texts.texts[index - texts.first_index]
+    if not text:
+        return results.Failure(
+            results.ResultCode.LOG_RECORD_EXPIRED,
+            f'the text of item {index} was not kept',
+        )
+    return text
--- /dev/null
+++ b/siskinmount/batch/_lease_table.py
@@ -0,0 +1,114 @@
+"""Which items are held by which sidecars."""
+
+from siskinmount import results
+
+
+class Lease:
+    """One item in the hands of one process.
+
+    Attributes:
+        lease_id: Identifier of the lease.
+        job_id: Identifier of the job.
+        index: Position of the item in the job.
+        vm: VM of the holder.
+        incarnation: Incarnation of the holder.
+        expires_at_s: When it lapses, on trio's clock.
+        is_handed_out: Whether the holder may have been told of the item.
+    """
+
+    __slots__ = (
+        'lease_id',
+        'job_id',
+        'index',
+        'vm',
+        'incarnation',
+        'expires_at_s',
+        'is_handed_out',
+    )
+
+    def __init__(
+        self,
+        lease_id: str,
+        job_id: str,
+        index: int,
+        vm: str,
+        incarnation: int,
+        expires_at_s: float,
+    ) -> None:
+        self.lease_id = lease_id
+        self.job_id = job_id
+        self.index = index
+        self.vm = vm
+        self.incarnation = incarnation
+        self.expires_at_s = expires_at_s
+        self.is_handed_out = False
+
+
+class LeaseTable:
+    """The leases of one owner, in memory only."""
+
+    __slots__ = ('_by_item', '_count_by_job', '_incarnations')
+
+    def __init__(self) -> None:
+        self._by_item: dict[tuple[str, int], Lease] = {}
+        self._count_by_job: dict[str, int] = {}
+        self._incarnations: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_item)
+
+    def add(self, lease: Lease) -> None:
+        """Adds a lease of an item that has none."""
+        assert (lease.job_id, lease.index) not in self._by_item
+        self._by_item[(lease.job_id, lease.index)] = lease
+        count = self._count_by_job.get(lease.job_id, 0)
+        self._count_by_job[lease.job_id] = count + 1
+
+    def find(self, job_id: str, index: int) -> Lease | None:
+        """Returns the lease of an item."""
+        return self._by_item.get((job_id, index))
+
+    def remove(self, lease: Lease) -> bool:
+        """Removes a lease; False if it had been removed."""
+        name = (lease.job_id, lease.index)
+        if self._by_item.get(name) is not lease:
+            return False
+        del self._by_item[name]
+        count = self._count_by_job[lease.job_id] - 1
+        if count:
+            self._count_by_job[lease.job_id] = count
+        else:
+            del self._count_by_job[lease.job_id]
+        return True
+
+    def count_of(self, job_id: str) -> int:
+        """Returns how many items of a job are leased."""
+        return self._count_by_job.get(job_id, 0)
+
+    def all(self) -> list[Lease]:
+        """Returns all leases."""
+        return list(self._by_item.values())
+
+    def note_incarnation(
+        self, vm: str, incarnation: int
+    ) -> list[Lease] | results.Failure:
+        """Notes that a process has spoken.
+
+        Returns:
+            The leases of its predecessors on the VM, which are gone; or that
+            the process itself has been followed by another.
+        """
+        newest = self._incarnations.get(vm, 0)
+        if incarnation < newest:
+            return results.Failure(
+                results.ResultCode.STALE_INCARNATION,
+                f'a newer process runs on {vm}',
+            )
+        if incarnation == newest:
+            return []
+        self._incarnations[vm] = incarnation
+        return [
+            lease
+            for lease in self._by_item.values()
+            if lease.vm == vm and lease.incarnation < incarnation
+        ]
--- /dev/null
+++ b/siskinmount/batch/_report_messages.py
@@ -0,0 +1,307 @@
+"""Messages with which a sidecar reports on items and renews their leases."""
+
+import enum
+from typing import Any
+
+import orjson
+
+from siskinmount import results
+from siskinmount.batch import _json_fields
+
+
+class ReportedOutcome(enum.Enum):
+    """How an attempt at an item ended."""
+
+    DONE = 'done'
+    FAILED = 'failed'
+
+    #: Not started, or stopped with its output so far; not an attempt.
+    YIELDED = 'yielded'
+
+    #: The item may or may not have run.
+    UNKNOWN = 'unknown'
+
+
+class ItemReport:
+    """How one attempt ended.
+
+    Attributes:
+        job: Identifier of the job.
+        index: Position of the item in the job.
+        lease: Identifier of the lease under which it ran.
+        outcome: How it ended.
+        output: The answer, or for a yielded item what there is of it.
+        code: Result code of a failure, else 0.
+        reason: Reason of a failure.
+        wasted_tokens: Tokens generated that cannot be used.
+    """
+
+    __slots__ = (
+        'job',
+        'index',
+        'lease',
+        'outcome',
+        'output',
+        'code',
+        'reason',
+        'wasted_tokens',
+    )
+
+    def __init__(
+        self,
+        job: str,
+        index: int,
+        lease: str,
+        outcome: ReportedOutcome,
+        output: dict[str, Any] | None = None,
+        code: int = 0,
+        reason: str = '',
+        wasted_tokens: int = 0,
+    ) -> None:
+        self.job = job
+        self.index = index
+        self.lease = lease
+        self.outcome = outcome
+        self.output = output
+        self.code = code
+        self.reason = reason
+        self.wasted_tokens = wasted_tokens
+
+
+class ReportRequest:
+    """Reports on items that a sidecar has held.
+
+    Attributes:
+        vm: The sidecar's VM.
+        incarnation: The sidecar's incarnation.
+        reports: One report an attempt.
+    """
+
+    __slots__ = ('vm', 'incarnation', 'reports')
+
+    def __init__(
+        self, vm: str, incarnation: int, reports: list[ItemReport]
+    ) -> None:
+        self.vm = vm
+        self.incarnation = incarnation
+        self.reports = reports
+
+    def to_json(self) -> bytes:
+        """Encodes the message."""
+        return orjson.dumps(
+            {
+                'vm': self.vm,
+                'incarnation': self.incarnation,
+                'reports': [
+                    {
+                        'job': report.job,
+                        'index': report.index,
+                        'lease': report.lease,
+                        'outcome': report.outcome.value,
+                        'output': report.output,
+                        'code': report.code,
+                        'reason': report.reason,
+                        'wasted_tokens': report.wasted_tokens,
+                    }
+                    for report in self.reports
+                ],
+            }
+        )
+
+
+def decode_report_request(data: bytes) -> ReportRequest | results.Failure:
+    """Decodes a report request."""
+    try:
+        document = _json_fields.decode_object(data)
+        reports = _json_fields.as_list(document.get('reports'), 'reports')
+        return ReportRequest(
+            _json_fields.read_text(document, 'vm'),
+            _json_fields.read_number(document, 'incarnation'),
+            [_decode_report(report) for report in reports],
+        )
+    except _json_fields.FieldFaultError as error:
+        return _json_fields.malformed(error)
+
+
+def _decode_report(value: object) -> ItemReport:
+    document = _json_fields.as_object(value, 'report')
+    try:
+        outcome = ReportedOutcome(document.get('outcome'))
+    except ValueError as error:
+        raise _json_fields.FieldFaultError('outcome is unknown') from error
+    output = document.get('output')
+    if output is not None:
+        output = _json_fields.as_object(output, 'output')
+    return ItemReport(
+        _json_fields.read_text(document, 'job'),
+        _json_fields.read_number(document, 'index'),
+        _json_fields.read_text(document, 'lease'),
+        outcome,
+        output,
+        _json_fields.read_number(document, 'code', 0),
+        str(document.get('reason') or ''),
+        _json_fields.read_number(document, 'wasted_tokens', 0),
+    )
+
+
+class ItemName:
+    """Names one item.
+
+    Attributes:
+        job: Identifier of the job.
+        index: Position of the item in the job.
+    """
+
+    __slots__ = ('job', 'index')
+
+    def __init__(self, job: str, index: int) -> None:
+        self.job = job
+        self.index = index
+
+
+class ReportReply:
+    """What became of the reports.
+
+    Attributes:
+        accepted: For each report whether it is settled: recorded, or void for
+            good. One that is not settled has to be sent again.
+        cancelled: Items of which nothing is wanted any more.
+    """
+
+    __slots__ = ('accepted', 'cancelled')
+
+    def __init__(self, accepted: list[bool], cancelled: list[ItemName]) -> None:
+        self.accepted = accepted
+        self.cancelled = cancelled
+
+    def to_json(self) -> bytes:
+        """Encodes the message."""
+        return orjson.dumps(
+            {
+                'accepted': self.accepted,
+                'cancelled': _encode_names(self.cancelled),
+            }
+        )
+
+
+def decode_report_reply(data: bytes) -> ReportReply | results.Failure:
+    """Decodes a reply to a report request."""
+    try:
+        document = _json_fields.decode_object(data)
+        accepted = _json_fields.as_list(document.get('accepted'), 'accepted')
+        return ReportReply(
+            [value is True for value in accepted], _decode_names(document)
+        )
+    except _json_fields.FieldFaultError as error:
+        return _json_fields.malformed(error)
+
+
+class LeaseName:
+    """Names one lease.
+
+    Attributes:
+        job: Identifier of the job.
+        index: Position of the item in the job.
+        lease: Identifier of the lease.
+    """
+
+    __slots__ = ('job', 'index', 'lease')
+
+    def __init__(self, job: str, index: int, lease: str) -> None:
+        self.job = job
+        self.index = index
+        self.lease = lease
+
+
+class RenewRequest:
+    """Extends the leases that a sidecar holds.
+
+    Attributes:
+        vm: The sidecar's VM.
+        incarnation: The sidecar's incarnation.
+        leases: The leases.
+    """
+
+    __slots__ = ('vm', 'incarnation', 'leases')
+
+    def __init__(
+        self, vm: str, incarnation: int, leases: list[LeaseName]
+    ) -> None:
+        self.vm = vm
+        self.incarnation = incarnation
+        self.leases = leases
+
+    def to_json(self) -> bytes:
+        """Encodes the message."""
+        return orjson.dumps(
+            {
+                'vm': self.vm,
+                'incarnation': self.incarnation,
+                'leases': [
+                    [lease.job, lease.index, lease.lease]
+                    for lease in self.leases
+                ],
+            }
+        )
+
+
+def decode_renew_request(data: bytes) -> RenewRequest | results.Failure:
+    """Decodes a renew request."""
+    try:
+        document = _json_fields.decode_object(data)
+        leases = _json_fields.as_list(document.get('leases'), 'leases')
+        return RenewRequest(
+            _json_fields.read_text(document, 'vm'),
+            _json_fields.read_number(document, 'incarnation'),
+            [_decode_lease(lease) for lease in leases],
+        )
+    except _json_fields.FieldFaultError as error:
+        return _json_fields.malformed(error)
+
+
+def _decode_lease(value: object) -> LeaseName:
+    parts = _json_fields.as_list(value, 'lease')
+    match parts:
+        case [str(job), int(index), str(lease)] if index >= 0:
+            return LeaseName(job, index, lease)
+    raise _json_fields.FieldFaultError('a lease is not [job, index, lease]')
+
+
+class RenewReply:
+    """Answers a renewal.
+
+    Attributes:
+        cancelled: Items that the sidecar must stop.
+    """
+
+    __slots__ = ('cancelled',)
+
+    def __init__(self, cancelled: list[ItemName]) -> None:
+        self.cancelled = cancelled
+
+    def to_json(self) -> bytes:
+        """Encodes the message."""
+        return orjson.dumps({'cancelled': _encode_names(self.cancelled)})
+
+
+def decode_renew_reply(data: bytes) -> RenewReply | results.Failure:
+    """Decodes a reply to a renew request."""
+    try:
+        return RenewReply(_decode_names(_json_fields.decode_object(data)))
+    except _json_fields.FieldFaultError as error:
+        return _json_fields.malformed(error)
+
+
+def _encode_names(names: list[ItemName]) -> list[list[str | int]]:
+    return [[name.job, name.index] for name in names]
+
+
+def _decode_names(document: dict[str, Any]) -> list[ItemName]:
+    names = []
+    for value in _json_fields.as_list(document.get('cancelled'), 'cancelled'):
+        match value:
+            case [str(job), int(index)]:
+                names.append(ItemName(job, index))
+            case _:
+                raise _json_fields.FieldFaultError('an item is malformed')
+    return names
--- /dev/null
+++ b/siskinmount/batch/tests/test_batch_owner.py
@@ -0,0 +1,240 @@
+"""Tests of one owner of batch jobs against a log in memory."""
+
+import testtools
+import trio
+
+from siskinmount import batch
+from siskinmount import results
+from siskinmount.batch.tests import batch_fixtures
+from siskinmount.platform.tests import fake_log
+from siskinmount.state.tests import stream_fixtures
+
+
+class BatchOwnerTest(testtools.TestCase):
+
+    def run_with_log(self, check):
+        batch_fixtures.run_with_log(check, fake_log.FakeLog)
+
+    async def results_of(self, owner, job='job', limit=7):
+        collected = []
+        after = -1
+        while True:
+            page = await owner.batch.results_page(job, 'swapnest', after, limit)
+            collected.extend(page.results)
+            after = page.next_after
+            if not page.has_more:
+                return collected
+
+    def test_job_runs_to_its_end(self):
+        async def check(log, nursery):
+            owner = await batch_fixtures.start_owner(log, nursery)
+            status = await owner.batch.submit(
+                batch_fixtures.request(), batch_fixtures.bodies(25)
+            )
+            self.assertIs(batch.JobState.RUNNING, status.state)
+            done = await batch_fixtures.finish_all(owner)
+            self.assertEqual(list(range(25)), sorted(done))
+            status = owner.batch.status('job', 'swapnest')
+            self.assertIs(batch.JobState.FINISHED, status.state)
+            self.assertEqual(25, status.done_count)
+            collected = await self.results_of(owner)
+            self.assertEqual(
+                list(range(25)), [result.index for result in collected]
+            )
+            self.assertIn(b'item 7', collected[7].output)
+
+        self.run_with_log(check)
+
+    def test_job_belongs_to_its_caller(self):
+        async def check(log, nursery):
+            owner = await batch_fixtures.start_owner(log, nursery)
+            await owner.batch.submit(
+                batch_fixtures.request(), batch_fixtures.bodies(1)
+            )
+            other = owner.batch.status('job', 'roadhaven')
+            self.assertEqual(results.ResultCode.NO_SUCH_JOB, other.code)
+
+        self.run_with_log(check)
+
+    def test_resent_job_is_the_same_job(self):
+        async def check(log, nursery):
+            owner = await batch_fixtures.start_owner(log, nursery)
+            for bodies, expected in (
+                (batch_fixtures.bodies(3), None),
+                (batch_fixtures.bodies(3), None),
+                (
+                    batch_fixtures.bodies(4),
+                    results.ResultCode.IDEMPOTENCY_KEY_REUSED,
+                ),
+            ):
+                status = await owner.batch.submit(
+                    batch_fixtures.request(), bodies
+                )
+                if expected is None:
+                    self.assertEqual(3, status.item_count)
+                else:
+                    self.assertEqual(expected, status.code)
+            done = await batch_fixtures.finish_all(owner)
+            self.assertEqual([0, 1, 2], done)
+
+        self.run_with_log(check)
+
+    def test_state_survives_the_owner(self):
+        async def check(log, nursery):
+            first = await batch_fixtures.start_owner(log, nursery)
+            await first.batch.submit(
+                batch_fixtures.request(), batch_fixtures.bodies(20)
+            )
+            reply = await first.batch.pull(batch_fixtures.pull(8))
+            for item in reply.items:
+                await first.batch.report(batch_fixtures.report(item))
+            first.stream.resign()
+            await first.ended.wait()
+            second = await batch_fixtures.start_owner(log, nursery, 'vm-b')
+            await trio.sleep(20)
+            done = await batch_fixtures.finish_all(second)
+            self.assertEqual(list(range(8, 20)), done)
+            self.assertEqual(20, len(await self.results_of(second)))
+
+        self.run_with_log(check)
+
+    def test_cancelled_job_stops(self):
+        async def check(log, nursery):
+            owner = await batch_fixtures.start_owner(log, nursery)
+            await owner.batch.submit(
+                batch_fixtures.request(), batch_fixtures.bodies(10)
+            )
+            held, late = (await owner.batch.pull(batch_fixtures.pull(2))).items
+            status = await owner.batch.cancel('job', 'swapnest')
+            self.assertIs(batch.JobState.CANCELLED, status.state)
+            reply = await owner.batch.pull(batch_fixtures.pull())
+            self.assertEqual([], reply.items)
+            renewed = owner.batch.renew(
+                batch.RenewRequest(
+                    'vm-s', 1, [batch.LeaseName('job', held.index, held.lease)]
+                )
+            )
+            self.assertEqual(1, len(renewed.cancelled))
+            reported = await owner.batch.report(batch_fixtures.report(late))
+            self.assertEqual(1, len(reported.cancelled))
+            status = owner.batch.status('job', 'swapnest')
+            self.assertEqual(0, status.done_count)
+
+        self.run_with_log(check)
+
+    def test_lapsed_lease_is_tried_again_and_first_result_counts(self):
+        async def check(log, nursery):
+            owner = await batch_fixtures.start_owner(log, nursery)
+            await owner.batch.submit(
+                batch_fixtures.request(), batch_fixtures.bodies(1)
+            )
+            [first] = (await owner.batch.pull(batch_fixtures.pull())).items
+            await trio.sleep(60)
+            [second] = (
+                await owner.batch.pull(batch_fixtures.pull(vm='vm-t'))
+            ).items
+            self.assertEqual(2, second.attempt)
+            for item, text in ((first, 'early'), (second, 'late')):
+                await owner.batch.report(
+                    batch_fixtures.report(item, output={'text': text})
+                )
+            [result] = await self.results_of(owner)
+            self.assertIn(b'early', result.output)
+            self.assertEqual(
+                1, owner.batch.status('job', 'swapnest').done_count
+            )
+
+        self.run_with_log(check)
+
+    def test_failing_item_ends_and_does_not_hold_others(self):
+        async def check(log, nursery):
+            owner = await batch_fixtures.start_owner(log, nursery)
+            await owner.batch.submit(
+                batch_fixtures.request(), batch_fixtures.bodies(5)
+            )
+            attempts = 0
+            while owner.batch.status('job', 'swapnest').finished_at_ms == 0:
+                reply = await owner.batch.pull(batch_fixtures.pull(1))
+                for item in reply.items:
+                    if item.index != 0:
+                        await owner.batch.report(batch_fixtures.report(item))
+                        continue
+                    attempts += 1
+                    await owner.batch.report(
+                        batch_fixtures.report(
+                            item,
+                            batch.ReportedOutcome.FAILED,
+                            code=int(results.ResultCode.UPSTREAM_ERROR),
+                            reason='no',
+                        )
+                    )
+                if not reply.items:
+                    await trio.sleep(1)
+            status = owner.batch.status('job', 'swapnest')
+            self.assertEqual(3, attempts)
+            self.assertEqual(4, status.done_count)
+            self.assertEqual(1, status.failed_count)
+
+        self.run_with_log(check)
+
+    def test_yielded_item_keeps_its_tokens_and_is_no_attempt(self):
+        async def check(log, nursery):
+            owner = await batch_fixtures.start_owner(log, nursery)
+            await owner.batch.submit(
+                batch_fixtures.request(), batch_fixtures.bodies(1)
+            )
+            for _ in range(20):
+                [item] = (await owner.batch.pull(batch_fixtures.pull())).items
+                self.assertEqual(1, item.attempt)
+                await owner.batch.report(
+                    batch_fixtures.report(
+                        item,
+                        batch.ReportedOutcome.YIELDED,
+                        output={'resume_tokens': ['a', 'b']},
+                    )
+                )
+            [item] = (await owner.batch.pull(batch_fixtures.pull())).items
+            self.assertEqual(['a', 'b'], item.body['resume_tokens'])
+
+        self.run_with_log(check)
+
+    def test_outage_buffers_results_and_bounds_dispatch(self):
+        async def check(log, nursery):
+            owner = await batch_fixtures.start_owner(
+                log,
+                nursery,
+                stream_limits=stream_fixtures.limits(max_queued_bytes=2000),
+            )
+            await owner.batch.submit(
+                batch_fixtures.request(), batch_fixtures.bodies(100)
+            )
+            (await owner.batch.pull(batch_fixtures.pull(1)))
+            log.is_down = True
+            reported = 0
+            while True:
+                reply = await owner.batch.pull(batch_fixtures.pull(5))
+                if not reply.items:
+                    break
+                for item in reply.items:
+                    answer = await owner.batch.report(
+                        batch_fixtures.report(item)
+                    )
+                    self.assertEqual([False], answer.accepted)
+                    reported += 1
+            self.assertTrue(5 <= reported < 100, reported)
+            refused = await owner.batch.submit(
+                batch_fixtures.request('other'), batch_fixtures.bodies(1)
+            )
+            self.assertIs(results.RunState.NOT_RUN, refused.run_state)
+            log.is_down = False
+            await trio.sleep(60)
+            status = owner.batch.status('job', 'swapnest')
+            self.assertTrue(status.done_count >= reported - 5)
+            await batch_fixtures.finish_all(owner)
+            await trio.sleep(120)
+            await batch_fixtures.finish_all(owner)
+            self.assertEqual(
+                100, owner.batch.status('job', 'swapnest').done_count
+            )
+
+        self.run_with_log(check)
