--- a/siskinmount/entry/_answer_run.py
+++ b/siskinmount/entry/_answer_run.py
@@ -7,6 +7,7 @@
 from siskinmount import membership
 from siskinmount import relay
 from siskinmount import results
+from siskinmount import routing
 from siskinmount import transport
 from siskinmount.entry import _run_request
 from siskinmount.entry import _upstream_access
@@ -39,7 +40,7 @@
         'upstream_vm',
         '_access',
         '_request',
-        '_member',
+        '_choice',
         '_exchange',
         '_reader',
         '_excluded_vms',
@@ -50,7 +51,7 @@
         '_body_bytes_to_skip',
         '_head_received',
         '_sent_to_any',
-        '_reported_failure',
+        '_failure_frame',
     )
 
     def __init__(
@@ -63,7 +64,7 @@
         self.upstream_vm = ''
         self._access = access
         self._request = request
-        self._member: membership.Member | None = None
+        self._choice: routing.Choice | None = None
         self._exchange: transport.ClientExchange | None = None
         self._reader = relay.FrameReader()
         self._excluded_vms: set[str] = set()
@@ -74,9 +75,9 @@
         self._body_bytes_to_skip = 0
         self._head_received = False
         self._sent_to_any = False
-        # The failure that a sidecar has reported in a frame, as opposed to one
-        # of the connection to it.
-        self._reported_failure: results.Failure | None = None
+        # The last frame that a sidecar has sent in place of the rest of the
+        # answer, as opposed to a failure of the connection to it.
+        self._failure_frame: relay.FailureFrame | None = None
 
     async def receive_frames(self) -> list[relay.Frame] | results.Failure:
         """Returns the next frames, or the final failure of the request."""
@@ -106,9 +107,7 @@
         if self._exchange is not None:
             self._exchange.close()
             self._exchange = None
-        if self._member is not None:
-            self._access.router.release(self._member.vm)
-            self._member = None
+        self._release_choice()
 
     async def _open(self) -> results.Failure | None:
         """Starts or continues the run at an upstream.
@@ -117,7 +116,7 @@
             None once an exchange is open, or the final failure.
         """
         while True:
-            if self._member is None:
+            if self._choice is None:
                 failure = self._choose_upstream()
                 if failure is not None:
                     return failure
@@ -130,6 +129,18 @@
             if self._exchange is not None:
                 return None
 
+    def _find_member(self) -> membership.Member:
+        """Returns the chosen upstream's sidecar."""
+        if self._choice is None:
+            raise RuntimeError('no upstream was chosen')
+        return self._choice.member
+
+    def _release_choice(self) -> None:
+        """Ends the attempt at the chosen upstream."""
+        if self._choice is not None:
+            self._access.router.release(self._choice.member.vm)
+            self._choice = None
+
     def _choose_upstream(self) -> results.Failure | None:
         """Picks the upstream for the next attempt."""
         request = self._request
@@ -138,14 +149,14 @@
             return self._final(_convicted())
         self._solo = access.is_suspect(request.fingerprint)
         choice = access.router.choose(
-            service=request.service.name,
-            affinity_key=request.affinity_key,
-            excluded_vms=frozenset(self._excluded_vms),
-            request_class=request.request_class,
+            request.service.name,
+            request.affinity_key,
+            self._excluded_vms,
+            request.request_class,
         )
         if isinstance(choice, results.Failure):
             return self._final(choice)
-        self._member = choice.member
+        self._choice = choice
         self.upstream_vm = choice.member.vm
         self._reattaches = 0
         self.attempt += 1
@@ -153,9 +164,7 @@
 
     async def _send(self, attach_only: bool) -> results.Failure | None:
         """Posts the run to the chosen sidecar."""
-        member = self._member
-        if member is None:
-            raise RuntimeError('no upstream was chosen')
+        member = self._find_member()
         request = transport.ClientRequest(
             'POST',
             f'/run/{self._request.service.name}',
@@ -181,9 +190,7 @@
         """Returns the headers of a run."""
         request = self._request
         names = relay.RelayHeader
-        left_ms = max(
-            1, int((request.deadline_s - trio.current_time()) * 1000)
-        )
+        left_ms = max(1, int((request.deadline_s - trio.current_time()) * 1000))
         next_token = request.first_token + len(self.token_texts)
         headers = [
             (names.REQUEST_ID, request.request_id.encode('ascii')),
@@ -202,8 +209,8 @@
 
     async def _read(self) -> list[relay.Frame] | results.Failure:
         """Returns the frames of one read of the connection."""
-        if self._reported_failure is not None:
-            return self._reported_failure
+        if self._failure_frame is not None:
+            return self._failure_frame.failure
         if self._exchange is None:
             raise RuntimeError('no exchange is open')
         chunk = await self._exchange.receive_chunk()
@@ -221,7 +228,7 @@
         kept: list[relay.Frame] = []
         for frame in frames:
             if isinstance(frame, relay.FailureFrame):
-                self._reported_failure = frame.failure
+                self._failure_frame = frame
                 # Tokens before the failure are handed out first.
                 return kept if kept else frame.failure
             accepted = self._accept(frame)
@@ -272,17 +279,14 @@
         if self._exchange is not None:
             self._exchange.close()
             self._exchange = None
-        reported = failure is self._reported_failure
-        self._reported_failure = None
-        if not reported and await self._reattach(failure):
+        failure_frame = self._failure_frame
+        self._failure_frame = None
+        if failure_frame is None and await self._reattach(failure):
             return None
-        member = self._member
-        if member is None:
-            raise RuntimeError('no upstream to leave')
+        member = self._find_member()
         self._excluded_vms.add(member.vm)
-        self._access.router.release(member.vm)
+        self._release_choice()
         self._access.router.note_failure(member.vm, failure)
-        self._member = None
         _LOGGER.info(
             'attempt_failed',
             extra={
@@ -295,9 +299,12 @@
         )
         if failure.run_state is results.RunState.NOT_RUN:
             return self._after_refusal(failure)
-        if reported and failure.code is results.ResultCode.UPSTREAM_LOST:
-            await self._access.record_death(
-                self._request.fingerprint, member, self._solo
+        if failure_frame is not None and failure_frame.upstream_generation:
+            self._access.record_death(
+                self._request.fingerprint,
+                member,
+                failure_frame.upstream_generation,
+                self._solo,
             )
             if self._access.is_convicted(self._request.fingerprint):
                 return self._final(_convicted())
@@ -344,16 +351,17 @@
             return self._final(failure)
         if self.attempt >= request.service.max_attempts:
             return self._final(failure)
-        if not self._access.take_retry(request.service.name):
-            return self._final(
-                results.Failure(
-                    results.ResultCode.RETRY_BUDGET_EXHAUSTED,
-                    f'not retried after: {failure.reason}',
-                    failure.run_state,
-                    retry_after_ms=1000,
-                )
+        retries = self._access.retries
+        if retries.take(request.service.name):
+            return None
+        return self._final(
+            results.Failure(
+                results.ResultCode.RETRY_BUDGET_EXHAUSTED,
+                f'not retried after: {failure.reason}',
+                failure.run_state,
+                retry_after_ms=retries.wait_ms(request.service.name),
             )
-        return None
+        )
 
     def _final(self, failure: results.Failure) -> results.Failure:
         """Returns the failure with a truthful run state."""
@@ -387,5 +395,3 @@
         'upstreams that ran this request have died; it is not run again',
         results.RunState.RAN,
     )
-
-
--- a/siskinmount/entry/_upstream_access.py
+++ b/siskinmount/entry/_upstream_access.py
@@ -15,9 +15,10 @@
 
     Attributes:
         router: Chooses upstreams.
+        retries: Bounds the retries of each service.
     """
 
-    __slots__ = ('router', '_limits', '_clients', '_retries', '_convictions')
+    __slots__ = ('router', 'retries', '_limits', '_clients', '_convictions')
 
     def __init__(
         self,
@@ -27,9 +28,9 @@
         limits: transport.ClientLimits,
     ) -> None:
         self.router = router
+        self.retries = retries
         self._limits = limits
         self._clients: dict[transport.Address, transport.HttpClient] = {}
-        self._retries = retries
         self._convictions = convictions
 
     def find_client(self, member: membership.Member) -> transport.HttpClient:
@@ -62,14 +63,6 @@
             return
         self.router.note_answer(member.vm, int(in_flight), int(slots))
 
-    def take_retry(self, service: str) -> bool:
-        """Takes a token from the retry budget of a service."""
-        return self._retries.take(service)
-
-    def note_request(self, service: str) -> None:
-        """Counts a first attempt, which earns a share of a retry."""
-        self._retries.earn(service)
-
     def is_suspect(self, fingerprint: str) -> bool:
         """Tells whether a request must run alone."""
         return self._convictions.is_suspect(fingerprint)
@@ -78,12 +71,26 @@
         """Tells whether a request must not run again."""
         return self._convictions.is_convicted(fingerprint)
 
-    async def record_death(
-        self, fingerprint: str, member: membership.Member, alone: bool
+    def record_death(
+        self,
+        fingerprint: str,
+        member: membership.Member,
+        upstream_generation: int,
+        alone: bool,
     ) -> None:
-        """Records that an upstream died while it ran a request."""
-        await self._convictions.record_death(
-            fingerprint, member.vm, member.incarnation, alone
+        """Records that an upstream died while it ran a request.
+
+        Args:
+            fingerprint: Hash of service and content.
+            member: The sidecar beside the upstream.
+            upstream_generation: Which process of the upstream died.
+            alone: Whether no other request ran there.
+        """
+        self._convictions.record_death(
+            fingerprint,
+            member.vm,
+            member.incarnation + upstream_generation,
+            alone=alone,
         )
 
 
@@ -103,4 +110,3 @@
             'the answer of a daemon could not be read',
             results.RunState.UNKNOWN,
         )
-
--- a/siskinmount/sidecar/_request_runner.py
+++ b/siskinmount/sidecar/_request_runner.py
@@ -87,7 +87,7 @@
             )
         if not running.ended:
             running.append(
-                relay.FailureFrame(failure or _describe_stop(running))
+                _describe_end(running, failure or _describe_stop(running))
             )
         self._registry.settle(running)
 
@@ -130,7 +130,7 @@
         """Generates, over a new connection if one goes silent."""
         reconnects = 0
         while True:
-            generation = self._monitor.generation
+            running.upstream_generation = self._monitor.generation
             failure = await self._generate(running, body, ticket)
             if failure is None:
                 return None
@@ -139,7 +139,7 @@
                 return _settle_run_state(failure, running)
             if failure.code not in _CONNECTION_FAULTS:
                 return failure
-            failure = await self._explain(failure, running, generation)
+            failure = await self._explain(failure, running)
             process_ended = failure.code is results.ResultCode.UPSTREAM_LOST
             if process_ended or not self._monitor.reachable:
                 return failure
@@ -160,7 +160,6 @@
         self,
         failure: results.Failure,
         running: _running_request.RunningRequest,
-        generation: int,
     ) -> results.Failure:
         """Finds out what a broken or silent connection means.
 
@@ -174,7 +173,8 @@
             found is not None
             and found.code is results.ResultCode.UPSTREAM_UNREACHABLE
         )
-        if unreachable or self._monitor.generation != generation:
+        replaced = self._monitor.generation != running.upstream_generation
+        if unreachable or replaced:
             return results.Failure(
                 results.ResultCode.UPSTREAM_LOST,
                 'the process of the upstream has ended',
@@ -257,7 +257,7 @@
         body: _run_request.PlainBody,
     ) -> results.Failure | None:
         """Sends a plain request, once; returns why there is no answer."""
-        generation = self._monitor.generation
+        running.upstream_generation = self._monitor.generation
         failure = await self._exchange_plain(running, body)
         if failure is None:
             return None
@@ -266,7 +266,7 @@
             return failure
         if failure.code not in _CONNECTION_FAULTS:
             return failure
-        return await self._explain(failure, running, generation)
+        return await self._explain(failure, running)
 
     async def _exchange_plain(
         self,
@@ -322,6 +322,15 @@
     )
 
 
+def _describe_end(
+    running: _running_request.RunningRequest, failure: results.Failure
+) -> relay.FailureFrame:
+    """Returns the last frame of a request that has failed."""
+    if failure.code is results.ResultCode.UPSTREAM_LOST:
+        return relay.FailureFrame(failure, running.upstream_generation)
+    return relay.FailureFrame(failure)
+
+
 def _describe_run_state(
     running: _running_request.RunningRequest,
 ) -> results.RunState:
--- a/siskinmount/sidecar/_running_request.py
+++ b/siskinmount/sidecar/_running_request.py
@@ -42,6 +42,8 @@
         scope: Cancelling it stops the request.
         stop_reason: Why it is stopped, or None.
         sent_to_upstream: Whether a byte can have reached the upstream.
+        upstream_generation: Number of the upstream's process that it was sent
+            to; 0 before.
         ended: Whether the last frame is there.
         ended_at_s: Monotonic time of the end.
         reader_count: Readers attached now.
@@ -56,6 +58,7 @@
         'scope',
         'stop_reason',
         'sent_to_upstream',
+        'upstream_generation',
         'ended',
         'ended_at_s',
         'reader_count',
@@ -71,6 +74,7 @@
         self.scope = trio.CancelScope()
         self.stop_reason: StopReason | None = None
         self.sent_to_upstream = False
+        self.upstream_generation = 0
         self.ended = False
         self.ended_at_s = math.inf
         self.reader_count = 0
--- a/siskinmount/sidecar/_sidecar.py
+++ b/siskinmount/sidecar/_sidecar.py
@@ -9,6 +9,7 @@
 import trio
 
 from siskinmount import configuration
+from siskinmount import membership
 from siskinmount import relay
 from siskinmount import results
 from siskinmount import supervision
@@ -17,6 +18,7 @@
 from siskinmount.sidecar import _batch_puller
 from siskinmount.sidecar import _batch_slot_controller
 from siskinmount.sidecar import _entry_link
+from siskinmount.sidecar import _fleet_link
 from siskinmount.sidecar import _gate
 from siskinmount.sidecar import _gate_load
 from siskinmount.sidecar import _http_model_upstream
@@ -51,11 +53,12 @@
         monitor: Watches the upstream.
         slot_controller: Bounds batch by measured latency.
         puller: Pulls batch items.
-        list_entries: Returns the entries to pull batch items from.
         leaving: Whether the sidecar is stopping.
         address: Where it listens for daemons, once it does.
         model_version: Version that the upstream runs; empty if unknown.
         configuration_version: Version of the document in force.
+        fleet: Heartbeats and control calls.
+        control_address: Where it listens for control calls, once it does.
     """
 
     __slots__ = (
@@ -67,11 +70,12 @@
         'monitor',
         'slot_controller',
         'puller',
-        'list_entries',
         'leaving',
         'address',
         'model_version',
         'configuration_version',
+        'fleet',
+        'control_address',
         '_handler',
         '_server',
         '_nursery',
@@ -114,11 +118,18 @@
             create_link=self._create_link,
             start_task=self.start_task,
         )
-        self.list_entries: _batch_puller.ListEntries = _list_no_entries
         self.leaving = False
         self.address = settings.identity.peers_address
         self.model_version = ''
         self.configuration_version = 0
+        self.control_address = settings.identity.control_address
+        self.fleet = _fleet_link.FleetLink(
+            settings.identity,
+            settings.service,
+            self.describe_member,
+            self.describe,
+            self.apply_document,
+        )
         self._nursery = nursery
         self._leaving_requested = trio.Event()
         self._left = trio.Event()
@@ -151,6 +162,37 @@
         self.configuration_version = configuration_version
         self.gate.admit_waiting()
 
+    def apply_document(
+        self, document: configuration.ServiceDocument, version: int
+    ) -> None:
+        """Takes what a new document says of this sidecar's service."""
+        service = document.services.get(self.settings.service)
+        if service is not None:
+            self.apply_service(service, version)
+
+    def describe_member(self) -> membership.Member:
+        """Returns what heartbeats say of this sidecar."""
+        identity = self.settings.identity
+        usable = self.monitor.reachable and not self.leaving
+        return membership.Member(
+            vm=identity.vm,
+            role=membership.MemberRole.SIDECAR,
+            incarnation=self.incarnation,
+            region=identity.region,
+            failure_domain=identity.failure_domain,
+            peers_address=self.address,
+            control_address=self.control_address,
+            state=(
+                membership.MemberState.LEAVING
+                if self.leaving
+                else membership.MemberState.LIVE
+            ),
+            service=self.settings.service,
+            slots=self.gate.load.slots if usable else 0,
+            in_flight=self.gate.count_in_flight(),
+            model_version=self.model_version,
+        )
+
     def begin_leaving(self) -> None:
         """Refuses new work from now on and lets what runs come to its end."""
         if self.leaving:
@@ -167,8 +209,8 @@
                 running.stop(_running_request.StopReason.LEAVING)
         self._leaving_requested.set()
 
-    def _list_entries(self) -> list[_entry_link.EntryPeer]:
-        return self.list_entries()
+    def _list_entries(self) -> list[membership.Member]:
+        return self.fleet.list_entries()
 
     def _create_link(
         self, peer: _entry_link.EntryPeer
@@ -332,11 +374,16 @@
     gate = _gate.create_gate(settings.gate_policy, load)
     async with trio.open_nursery() as nursery:
         sidecar = Sidecar(settings, gate, nursery)
+        await nursery.start(sidecar.serve)
+        sidecar.control_address = await nursery.start(
+            sidecar.fleet.server.run, settings.identity.control_address
+        )
         nursery.start_soon(
             supervision.run_supervisor,
             'sidecar',
             [
                 supervision.Child('upstream_monitor', sidecar.monitor.run),
+                *sidecar.fleet.list_children(),
                 supervision.Child(
                     'slot_controller', sidecar.slot_controller.run
                 ),
@@ -346,7 +393,6 @@
                 ),
             ],
         )
-        await nursery.start(sidecar.serve)
         task_status.started(sidecar)
         _LOGGER.info(
             'sidecar_started',
@@ -362,10 +408,6 @@
     return None
 
 
-def _list_no_entries() -> list[_entry_link.EntryPeer]:
-    return []
-
-
 async def _watch_stop_signal(sidecar: Sidecar) -> None:
     """Begins the planned stop at SIGTERM."""
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
