Speak the batch owner's messages at the sidecar

Cause: the batch sub-package now defines pull, renew and report; the sidecar had its own codecs, and took a report that is not accepted for void, while the owner means that it must be sent again.

Change: the sidecar uses the owner's messages; reports that are not settled stay queued behind those not tried yet. Answers too large for a report end as failed instead of being sent for ever.

--- a/siskinmount/sidecar/_batch_item.py
+++ b/siskinmount/sidecar/_batch_item.py
@@ -1,32 +1,18 @@
 """A batch item that this sidecar holds, and the report on it."""
 
 import base64
-import enum
 import math
 
 import trio
 
+from siskinmount import batch
 from siskinmount import configuration
 from siskinmount import relay
 from siskinmount import results
 from siskinmount.sidecar import _run_request
 from siskinmount.sidecar import _running_request
 
-
-class ItemOutcome(enum.Enum):
-    """What became of an item here."""
-
-    #: The upstream gave a whole answer.
-    DONE = 'done'
-
-    #: The attempt failed.
-    FAILED = 'failed'
-
-    #: Not started, or stopped with its output so far; no attempt.
-    YIELDED = 'yielded'
-
-    #: An item that must not be repeated may or may not have been executed.
-    UNKNOWN = 'unknown'
+MAX_OUTPUT_BYTES = 2 * 1024 * 1024
 
 
 class ItemKey:
@@ -165,100 +151,32 @@
         )
 
 
-class ItemReport:
-    """What the sidecar tells an entry about an item.
-
-    Attributes:
-        key: Identifies the item.
-        lease: The lease under which it ran.
-        outcome: What became of it.
-        output: The answer, or the output so far; None if there is neither.
-        code: Result code; `OK` for a whole answer.
-        reason: One sentence for a person.
-        wasted_tokens: Tokens generated here that are lost.
-    """
-
-    __slots__ = (
-        'key',
-        'lease',
-        'outcome',
-        'output',
-        'code',
-        'reason',
-        'wasted_tokens',
-    )
-
-    def __init__(
-        self,
-        *,
-        key: ItemKey,
-        lease: str,
-        outcome: ItemOutcome,
-        output: dict[str, object] | None = None,
-        code: results.ResultCode = results.ResultCode.OK,
-        reason: str = '',
-        wasted_tokens: int = 0,
-    ) -> None:
-        self.key = key
-        self.lease = lease
-        self.outcome = outcome
-        self.output = output
-        self.code = code
-        self.reason = reason
-        self.wasted_tokens = wasted_tokens
-
-    def to_document(self) -> dict[str, object]:
-        """Returns the report as a JSON object."""
-        return {
-            'job': self.key.job,
-            'index': self.key.index,
-            'lease': self.lease,
-            'outcome': self.outcome.value,
-            'output': self.output,
-            'code': int(self.code),
-            'reason': self.reason,
-            'wasted_tokens': self.wasted_tokens,
-        }
-
-
-def parse_item(
-    document: dict,
-) -> BatchItem | ItemReport | results.Failure:
-    """Parses an item as an entry hands it out.
-
-    Returns:
-        The item; or the report on an item whose body cannot be run; or a
-        failure if there is no telling which item it is.
-    """
-    try:
-        key = ItemKey(str(document['job']), int(document['index']))
-        lease = str(document['lease'])
-        body = _run_request.parse_body(document['body'])
-        if isinstance(body, results.Failure):
-            return ItemReport(
-                key=key,
-                lease=lease,
-                outcome=ItemOutcome.FAILED,
-                code=results.ResultCode.ITEM_INVALID,
-                reason=body.reason,
-            )
-        return BatchItem(
-            key=key,
-            attempt=int(document['attempt']),
-            lease=lease,
-            lease_ms=int(document['lease_ms']),
-            idempotent=bool(document['idempotent']),
-            fingerprint=str(document['fingerprint']),
-            body=body,
-            solo=bool(document.get('solo', False)),
-        )
-    except (KeyError, TypeError, ValueError) as error:
-        return results.Failure(
-            results.ResultCode.ITEM_INVALID, f'invalid item: {error!r}'
+def create_item(
+    pulled: batch.PulledItem,
+) -> BatchItem | batch.ItemReport:
+    """Returns an item to hold, or the report on one that can never be run."""
+    body = _run_request.parse_body(pulled.body)
+    if isinstance(body, results.Failure):
+        return batch.ItemReport(
+            pulled.job,
+            pulled.index,
+            pulled.lease,
+            batch.ReportedOutcome.FAILED,
+            code=int(results.ResultCode.ITEM_INVALID),
+            reason=body.reason,
         )
+    return BatchItem(
+        key=ItemKey(pulled.job, pulled.index),
+        attempt=pulled.attempt,
+        lease=pulled.lease,
+        lease_ms=pulled.lease_ms,
+        idempotent=pulled.idempotent,
+        fingerprint=pulled.fingerprint,
+        body=body,
+    )
 
 
-def create_report(item: BatchItem) -> ItemReport:
+def create_report(item: BatchItem) -> batch.ItemReport:
     """Returns the report on an item whose run has ended or never began."""
     running = item.running
     if running is None or not running.ended:
@@ -271,13 +189,12 @@
         return _create_yield_report(item, failure.reason)
     if failure.code is results.ResultCode.BATCH_YIELDED and item.idempotent:
         return _create_yield_report(item, failure.reason)
-    outcome = ItemOutcome.FAILED
+    outcome = batch.ReportedOutcome.FAILED
     if not item.idempotent and not not_run:
-        outcome = ItemOutcome.UNKNOWN
-    return ItemReport(
-        key=item.key,
-        lease=item.lease,
-        outcome=outcome,
+        outcome = batch.ReportedOutcome.UNKNOWN
+    return _create_report(
+        item,
+        outcome,
         output=_describe_progress(item),
         code=failure.code,
         reason=failure.reason,
@@ -285,11 +202,31 @@
     )
 
 
-def _create_yield_report(item: BatchItem, reason: str) -> ItemReport:
-    return ItemReport(
-        key=item.key,
-        lease=item.lease,
-        outcome=ItemOutcome.YIELDED,
+def _create_report(
+    item: BatchItem,
+    outcome: batch.ReportedOutcome,
+    *,
+    output: dict[str, object] | None,
+    code: results.ResultCode = results.ResultCode.OK,
+    reason: str = '',
+    wasted_tokens: int = 0,
+) -> batch.ItemReport:
+    return batch.ItemReport(
+        item.key.job,
+        item.key.index,
+        item.lease,
+        outcome,
+        output=output,
+        code=int(code),
+        reason=reason,
+        wasted_tokens=wasted_tokens,
+    )
+
+
+def _create_yield_report(item: BatchItem, reason: str) -> batch.ItemReport:
+    return _create_report(
+        item,
+        batch.ReportedOutcome.YIELDED,
         output=_describe_progress(item),
         code=results.ResultCode.BATCH_YIELDED,
         reason=reason,
@@ -298,8 +235,17 @@
 
 def _create_answer_report(
     item: BatchItem, running: _running_request.RunningRequest
-) -> ItemReport:
+) -> batch.ItemReport:
     """Returns the report on a whole answer."""
+    if running.size_bytes > MAX_OUTPUT_BYTES:
+        return _create_report(
+            item,
+            batch.ReportedOutcome.FAILED,
+            output=None,
+            code=results.ResultCode.BODY_TOO_LARGE,
+            reason=f'the answer is larger than {MAX_OUTPUT_BYTES} bytes',
+            wasted_tokens=_count_new_tokens(running),
+        )
     if isinstance(item.body, _run_request.PlainBody):
         return _create_plain_report(item, running)
     end = running.last_frame
@@ -308,17 +254,12 @@
         output['finish_reason'] = end.finish_reason
         output['prompt_tokens'] = end.prompt_tokens
         output['completion_tokens'] = end.completion_tokens
-    return ItemReport(
-        key=item.key,
-        lease=item.lease,
-        outcome=ItemOutcome.DONE,
-        output=output,
-    )
+    return _create_report(item, batch.ReportedOutcome.DONE, output=output)
 
 
 def _create_plain_report(
     item: BatchItem, running: _running_request.RunningRequest
-) -> ItemReport:
+) -> batch.ItemReport:
     """Returns the report on the answer of a plain service."""
     status = 0
     headers: list[tuple[str, str]] = []
@@ -329,24 +270,22 @@
             headers = frame.headers
         elif isinstance(frame, relay.BodyFrame):
             parts.append(frame.data)
-    outcome = ItemOutcome.DONE
-    code = results.ResultCode.OK
-    if status >= 400:
-        outcome = ItemOutcome.FAILED
-        code = results.ResultCode.UPSTREAM_ERROR
-        if status >= 500 and not item.idempotent:
-            outcome = ItemOutcome.UNKNOWN
-    return ItemReport(
-        key=item.key,
-        lease=item.lease,
-        outcome=outcome,
-        output={
-            'status': status,
-            'headers': headers,
-            'body': base64.b64encode(b''.join(parts)).decode('ascii'),
-        },
-        code=code,
-        reason='' if code is results.ResultCode.OK else f'status {status}',
+    output: dict[str, object] = {
+        'status': status,
+        'headers': headers,
+        'body': base64.b64encode(b''.join(parts)).decode('ascii'),
+    }
+    if status < 400:
+        return _create_report(item, batch.ReportedOutcome.DONE, output=output)
+    outcome = batch.ReportedOutcome.FAILED
+    if status >= 500 and not item.idempotent:
+        outcome = batch.ReportedOutcome.UNKNOWN
+    return _create_report(
+        item,
+        outcome,
+        output=output,
+        code=results.ResultCode.UPSTREAM_ERROR,
+        reason=f'status {status}',
     )
 
 
--- a/siskinmount/sidecar/_batch_puller.py
+++ b/siskinmount/sidecar/_batch_puller.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from siskinmount import batch
 from siskinmount import results
 from siskinmount.sidecar import _batch_item
 from siskinmount.sidecar import _entry_link
@@ -188,16 +189,15 @@
             # that the credit is left for the others.
             credit = needed if has_items else 1
             wait_ms = 0 if has_items else WAIT_FOR_ITEMS_MS
+            asked_at_s = trio.current_time()
             pulled = await self._ask(link, credit, wait_ms, has_items)
             if isinstance(pulled, results.Failure):
                 has_items = False
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
-            has_items = bool(pulled.items)
-            for report in pulled.reports:
-                self.reports.add(link.vm, report)
-            for item in pulled.items:
-                self._hold(item, link.vm)
+            has_items = bool(pulled)
+            for each in pulled:
+                self._take(each, link.vm, asked_at_s)
 
     async def _ask(
         self,
@@ -205,7 +205,7 @@
         credit: int,
         wait_ms: int,
         counted: bool,
-    ) -> _entry_link.PullAnswer | results.Failure:
+    ) -> list[batch.PulledItem] | results.Failure:
         """Asks for items, and counts the credit so that no one else asks."""
         asked = credit if counted else 0
         self._asked_credit += asked
@@ -229,6 +229,17 @@
         waiting = len(self._items) - batch_running
         return idle + spare - waiting - self._asked_credit
 
+    def _take(
+        self, pulled: batch.PulledItem, vm: str, asked_at_s: float
+    ) -> None:
+        """Holds a pulled item, or reports that it can never be run."""
+        item = _batch_item.create_item(pulled)
+        if isinstance(item, batch.ItemReport):
+            self.reports.add(vm, item)
+            return
+        item.extend_lease(asked_at_s)
+        self._hold(item, vm)
+
     def _hold(self, item: _batch_item.BatchItem, vm: str) -> None:
         """Takes an item and starts its task."""
         self.pulled_count += 1
@@ -273,9 +284,9 @@
     def _finish(self, item: _batch_item.BatchItem) -> None:
         """Reports on an item and forgets it."""
         report = _batch_item.create_report(item)
-        if report.outcome is _batch_item.ItemOutcome.DONE:
+        if report.outcome is batch.ReportedOutcome.DONE:
             self.done_count += 1
-        if report.outcome is _batch_item.ItemOutcome.YIELDED:
+        if report.outcome is batch.ReportedOutcome.YIELDED:
             self.yielded_count += 1
         del self._items[item.key]
         vm = self._owners.pop(item.key)
@@ -305,10 +316,10 @@
             if item.held_since_s < limit_s:
                 self._return_item(item, _running_request.StopReason.PREEMPTED)
 
-    def _cancel(self, keys: list[_batch_item.ItemKey]) -> None:
-        """Stops items whose jobs were cancelled."""
-        for key in keys:
-            item = self._items.get(key)
+    def _cancel(self, names: list[batch.ItemName]) -> None:
+        """Stops items of which nothing is wanted any more."""
+        for name in names:
+            item = self._items.get(_batch_item.ItemKey(name.job, name.index))
             if item is None:
                 continue
             item.cancelled = True
@@ -330,27 +341,45 @@
             interval_s = lease_ms / 1000 / RENEWALS_PER_LEASE
             await trio.sleep(max(MIN_RENEW_INTERVAL_S, interval_s))
             held = [item for item in items if item.key in self._items]
-            cancelled = await link.renew(held) if held else []
-            if isinstance(cancelled, results.Failure):
-                _LOGGER.warning(
-                    'batch_renewal_failed',
-                    extra={
-                        'code': int(cancelled.code),
-                        'entry': link.vm,
-                        'reason': cancelled.reason,
-                    },
-                )
-                continue
-            self._cancel(cancelled)
+            if held:
+                await self._renew(link, held)
+
+    async def _renew(
+        self, link: _entry_link.EntryLink, items: list[_batch_item.BatchItem]
+    ) -> None:
+        """Renews leases once, and stops the items that are not wanted."""
+        asked_at_s = trio.current_time()
+        reply = await link.renew(
+            [
+                batch.LeaseName(item.key.job, item.key.index, item.lease)
+                for item in items
+            ]
+        )
+        if isinstance(reply, results.Failure):
+            _LOGGER.warning(
+                'batch_renewal_failed',
+                extra={
+                    'code': int(reply.code),
+                    'entry': link.vm,
+                    'reason': reply.reason,
+                },
+            )
+            return
+        self._cancel(reply.cancelled)
+        for item in items:
+            if not item.cancelled:
+                item.extend_lease(asked_at_s)
 
     async def _report_forever(self, link: _entry_link.EntryLink) -> None:
         """Delivers reports to one entry, each until it is answered."""
         while True:
             reports = await self.reports.wait_next(link.vm)
-            cancelled = await link.report(reports)
-            if isinstance(cancelled, results.Failure):
+            reply = await link.report(reports)
+            if isinstance(reply, results.Failure):
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
-            self.reports.settle(link.vm, len(reports))
+            self.reports.settle(link.vm, reports, reply.accepted)
+            self._cancel(reply.cancelled)
             self._notify()
-            self._cancel(cancelled)
+            if not all(reply.accepted):
+                await trio.sleep(RETRY_PAUSE_S)
--- a/siskinmount/sidecar/_entry_link.py
+++ b/siskinmount/sidecar/_entry_link.py
@@ -1,16 +1,10 @@
 """Calls one entry for batch work."""
 
-import logging
 from typing import Protocol
 
-import orjson
-import trio
-
+from siskinmount import batch
 from siskinmount import results
 from siskinmount import transport
-from siskinmount.sidecar import _batch_item
-
-_LOGGER = logging.getLogger(__name__)
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 CALL_TIMEOUT_MS = 5000
@@ -29,21 +23,6 @@
     peers_address: transport.Address
 
 
-class PullAnswer:
-    """What an entry hands out.
-
-    Attributes:
-        items: The items.
-        reports: Reports on items that can never be run.
-    """
-
-    __slots__ = ('items', 'reports')
-
-    def __init__(self) -> None:
-        self.items: list[_batch_item.BatchItem] = []
-        self.reports: list[_batch_item.ItemReport] = []
-
-
 class EntryLink:
     """Pulls items from one entry, renews their leases, reports on them.
 
@@ -63,7 +42,6 @@
 
     def __init__(
         self,
-        *,
         peer: EntryPeer,
         own_vm: str,
         incarnation: int,
@@ -84,126 +62,71 @@
 
     async def pull(
         self, credit: int, wait_ms: int
-    ) -> PullAnswer | results.Failure:
+    ) -> list[batch.PulledItem] | results.Failure:
         """Asks for up to `credit` items, for up to `wait_ms`."""
-        asked_at_s = trio.current_time()
-        answer = await self._call(
-            '/batch/pull',
-            {'service': self._service, 'credit': credit, 'wait_ms': wait_ms},
+        request = batch.PullRequest(
+            self._own_vm, self._incarnation, self._service, credit, wait_ms
         )
-        if isinstance(answer, results.Failure):
-            return answer
-        pulled = PullAnswer()
-        for document in answer.get('items', ()):
-            item = _batch_item.parse_item(document)
-            if isinstance(item, _batch_item.ItemReport):
-                pulled.reports.append(item)
-                continue
-            if isinstance(item, results.Failure):
-                _LOGGER.error(
-                    'batch_item_invalid',
-                    extra={'code': int(item.code), 'reason': item.reason},
-                )
-                continue
-            item.extend_lease(asked_at_s)
-            pulled.items.append(item)
-        return pulled
+        data = await self._call('/batch/pull', request.to_json())
+        if isinstance(data, results.Failure):
+            return data
+        reply = batch.decode_pull_reply(data)
+        if isinstance(reply, results.Failure):
+            return reply
+        return reply.items
 
     async def renew(
-        self, items: list[_batch_item.BatchItem]
-    ) -> list[_batch_item.ItemKey] | results.Failure:
-        """Extends the leases and returns which items must stop."""
-        asked_at_s = trio.current_time()
-        answer = await self._call(
-            '/batch/renew',
-            {
-                'leases': [
-                    [item.key.job, item.key.index, item.lease] for item in items
-                ]
-            },
-        )
-        if isinstance(answer, results.Failure):
-            return answer
-        cancelled = _parse_keys(answer.get('cancelled', ()))
-        stopped = set(cancelled)
-        for item in items:
-            if item.key not in stopped:
-                item.extend_lease(asked_at_s)
-        return cancelled
+        self, leases: list[batch.LeaseName]
+    ) -> batch.RenewReply | results.Failure:
+        """Extends leases and returns which items must stop."""
+        request = batch.RenewRequest(self._own_vm, self._incarnation, leases)
+        data = await self._call('/batch/renew', request.to_json())
+        if isinstance(data, results.Failure):
+            return data
+        return batch.decode_renew_reply(data)
 
     async def report(
-        self, reports: list[_batch_item.ItemReport]
-    ) -> list[_batch_item.ItemKey] | results.Failure:
-        """Delivers reports and returns which items must stop.
-
-        An answer settles every report in it: what the entry does not accept
-        is void.
-        """
-        answer = await self._call(
-            '/batch/report',
-            {'reports': [report.to_document() for report in reports]},
-        )
-        if isinstance(answer, results.Failure):
-            return answer
-        for report, accepted in zip(
-            reports, answer.get('accepted', ()), strict=False
-        ):
-            if accepted:
-                continue
-            _LOGGER.info(
-                'batch_report_void',
-                extra={'job': report.key.job, 'index': report.key.index},
-            )
-        return _parse_keys(answer.get('cancelled', ()))
+        self, reports: list[batch.ItemReport]
+    ) -> batch.ReportReply | results.Failure:
+        """Delivers reports and returns which of them are settled."""
+        request = batch.ReportRequest(self._own_vm, self._incarnation, reports)
+        data = await self._call('/batch/report', request.to_json())
+        if isinstance(data, results.Failure):
+            return data
+        return batch.decode_report_reply(data)
 
     def close(self) -> None:
         """Closes idle connections."""
         self._client.close()
 
-    async def _call(
-        self, target: str, document: dict[str, object]
-    ) -> dict | results.Failure:
-        """Posts a document and returns the answer's."""
-        body = orjson.dumps(
-            {
-                'vm': self._own_vm,
-                'incarnation': self._incarnation,
-                **document,
-            }
-        )
-        exchange = await self._client.send(
-            transport.ClientRequest(
-                'POST',
-                target,
-                [(b'content-type', b'application/json')],
-                body,
-            )
+    async def _call(self, target: str, body: bytes) -> bytes | results.Failure:
+        """Posts a message and returns the answer's body."""
+        request = transport.ClientRequest(
+            'POST', target, [(b'content-type', b'application/json')], body
         )
+        exchange = await self._client.send(request)
         if isinstance(exchange, results.Failure):
             return exchange
         with exchange:
             data = await exchange.read_body(MAX_ANSWER_BYTES)
-        if isinstance(data, results.Failure):
+        if isinstance(data, results.Failure) or exchange.status == 200:
             return data
-        if exchange.status != 200:
-            return _unusable(f'{target} was answered with {exchange.status}')
-        try:
-            answer = orjson.loads(data)
-        except orjson.JSONDecodeError as error:
-            return _unusable(str(error))
-        if not isinstance(answer, dict):
-            return _unusable(f'the answer to {target} is not an object')
-        return answer
-
-
-def _parse_keys(pairs: object) -> list[_batch_item.ItemKey]:
-    """Parses a list of pairs of job and index."""
-    if not isinstance(pairs, list | tuple):
-        return []
-    return [_batch_item.ItemKey(str(pair[0]), int(pair[1])) for pair in pairs]
-
-
-def _unusable(reason: str) -> results.Failure:
-    return results.Failure(
-        results.ResultCode.UPSTREAM_ERROR, reason, results.RunState.UNKNOWN
-    )
+        return results.Failure(
+            results.ResultCode.UPSTREAM_ERROR,
+            f'{target} was answered with {exchange.status}',
+            results.RunState.UNKNOWN,
+        )
+
+
+def create_entry_link(
+    peer: EntryPeer, own_vm: str, incarnation: int, service: str
+) -> EntryLink:
+    """Creates the link to one entry.
+
+    Args:
+        peer: The entry.
+        own_vm: VM of this sidecar.
+        incarnation: Incarnation of this sidecar.
+        service: Service whose items are pulled.
+    """
+    return EntryLink(peer, own_vm, incarnation, service)
--- a/siskinmount/sidecar/_report_queue.py
+++ b/siskinmount/sidecar/_report_queue.py
@@ -1,10 +1,12 @@
 """Reports that no entry has settled yet."""
 
+import itertools
+
 import trio
 
-from siskinmount.sidecar import _batch_item
+from siskinmount import batch
 
-MAX_REPORTS_PER_CALL = 64
+MAX_REPORTS_PER_CALL = 8
 
 
 class ReportQueue:
@@ -17,18 +19,18 @@
     __slots__ = ('_reports_by_vm', '_changed')
 
     def __init__(self) -> None:
-        self._reports_by_vm: dict[str, list[_batch_item.ItemReport]] = {}
+        self._reports_by_vm: dict[str, list[batch.ItemReport]] = {}
         self._changed = trio.Event()
 
     def __len__(self) -> int:
         return sum(len(reports) for reports in self._reports_by_vm.values())
 
-    def add(self, vm: str, report: _batch_item.ItemReport) -> None:
+    def add(self, vm: str, report: batch.ItemReport) -> None:
         """Adds a report for an entry."""
         self._reports_by_vm.setdefault(vm, []).append(report)
         self._notify()
 
-    async def wait_next(self, vm: str) -> list[_batch_item.ItemReport]:
+    async def wait_next(self, vm: str) -> list[batch.ItemReport]:
         """Returns the oldest reports for an entry once there are any.
 
         They stay in the queue until `settle` is called.
@@ -37,9 +39,19 @@
             await self._changed.wait()
         return self._reports_by_vm[vm][:MAX_REPORTS_PER_CALL]
 
-    def settle(self, vm: str, count: int) -> None:
-        """Removes the oldest reports, which the entry has answered."""
-        del self._reports_by_vm[vm][:count]
+    def settle(
+        self, vm: str, reports: list[batch.ItemReport], settled: list[bool]
+    ) -> None:
+        """Removes the oldest reports, but for those not settled."""
+        kept: list[batch.ItemReport] = []
+        for report, is_settled in itertools.zip_longest(
+            reports, settled[: len(reports)], fillvalue=False
+        ):
+            if not is_settled:
+                kept.append(report)
+        waiting = self._reports_by_vm[vm][len(reports) :]
+        # What could not be settled goes behind what has not been tried.
+        self._reports_by_vm[vm] = waiting + kept
         self._notify()
 
     def move(self, from_vm: str, to_vm: str) -> None:
--- a/siskinmount/sidecar/_sidecar.py
+++ b/siskinmount/sidecar/_sidecar.py
@@ -215,11 +215,11 @@
     def _create_link(
         self, peer: _entry_link.EntryPeer
     ) -> _entry_link.EntryLink:
-        return _entry_link.EntryLink(
-            peer=peer,
-            own_vm=self.settings.identity.vm,
-            incarnation=self.incarnation,
-            service=self.settings.service,
+        return _entry_link.create_entry_link(
+            peer,
+            self.settings.identity.vm,
+            self.incarnation,
+            self.settings.service,
         )
 
     def list_answer_headers(self) -> transport.Headers:
--- a/siskinmount/sidecar/tests/test_batch_puller.py
+++ b/siskinmount/sidecar/tests/test_batch_puller.py
@@ -4,17 +4,30 @@
 import trio
 import trio.testing
 
+from siskinmount import batch
 from siskinmount import results
-from siskinmount import sidecar
 from siskinmount.sidecar import _batch_item
 from siskinmount.sidecar import _batch_puller
-from siskinmount.sidecar import _entry_link
 from siskinmount.sidecar.tests import fakes
 from siskinmount.sidecar.tests import test_request_runner
 
 LEASE_MS = 3000
 
 
+def create_pulled(**changes):
+    fields = {
+        'job': 'j',
+        'index': 1,
+        'attempt': 1,
+        'lease': 'l',
+        'lease_ms': LEASE_MS,
+        'idempotent': True,
+        'fingerprint': 'f',
+        'body': {'prompt': 'p', 'max_tokens': 3},
+    }
+    return batch.PulledItem(**{**fields, **changes})
+
+
 class FakeEntry:
     """Hands out items and notes reports."""
 
@@ -26,6 +39,7 @@
         self.reports = []
         self.to_cancel = []
         self.down = False
+        self.settles = True
 
     def add(self, count, tokens=3, job='j', idempotent=True):
         for _ in range(count):
@@ -39,35 +53,32 @@
         await trio.sleep(0.001)
         if self.down:
             return self._failure()
-        answer = _entry_link.PullAnswer()
-        while self.waiting and len(answer.items) < credit:
+        items = []
+        while self.waiting and len(items) < credit:
             job, index, tokens, idempotent = self.waiting.pop(0)
-            item = _batch_item.BatchItem(
-                key=_batch_item.ItemKey(job, index),
-                attempt=1,
-                lease='l',
-                lease_ms=LEASE_MS,
-                idempotent=idempotent,
-                fingerprint='f',
-                body=sidecar.ModelBody(prompt='p', max_tokens=tokens),
+            items.append(
+                create_pulled(
+                    job=job,
+                    index=index,
+                    idempotent=idempotent,
+                    body={'prompt': 'p', 'max_tokens': tokens},
+                )
             )
-            item.extend_lease(trio.current_time())
-            answer.items.append(item)
-        return answer
+        return items
 
-    async def renew(self, items):
+    async def renew(self, leases):
         if self.down:
             return self._failure()
-        for item in items:
-            item.extend_lease(trio.current_time())
-        return self.to_cancel
+        return batch.RenewReply(self.to_cancel)
 
     async def report(self, reports):
         await trio.sleep(0.001)
         if self.down:
             return self._failure()
-        self.reports.extend(reports)
-        return []
+        accepted = [self.settles] * len(reports)
+        if self.settles:
+            self.reports.extend(reports)
+        return batch.ReportReply(accepted, [])
 
     def close(self):
         pass
@@ -174,7 +185,7 @@
                 [True] * 2,
                 [item.lease_is_valid for item in puller._items.values()],
             )
-            entries[0].to_cancel = [_batch_item.ItemKey('j', 0)]
+            entries[0].to_cancel = [batch.ItemName('j', 0)]
             await trio.sleep(1)
             self.assertEqual(['failed'], entries[0].outcomes())
             self.assertGreater(entries[0].reports[0].wasted_tokens, 0)
@@ -250,27 +261,29 @@
 
         self.run_puller(check)
 
-    def test_invalid_items(self):
-        valid = {
-            'job': 'j',
-            'index': 1,
-            'attempt': 1,
-            'lease': 'l',
-            'lease_ms': 1000,
-            'idempotent': True,
-            'fingerprint': 'f',
-            'body': {'prompt': 'p', 'max_tokens': 3},
-        }
+    def test_unsettled_reports_are_sent_again(self):
+        async def check(bench, puller, entries, start_online):
+            entries[0].settles = False
+            entries[0].add(2)
+            await trio.sleep(5)
+            self.assertEqual(2, len(puller.reports))
+            entries[0].settles = True
+            await trio.sleep(2)
+            self.assertEqual(['done'] * 2, entries[0].outcomes())
+            self.assertEqual(0, len(puller.reports))
 
+        self.run_puller(check)
+
+    def test_invalid_items(self):
         async def main():
-            for change, kind in (
-                ({}, _batch_item.BatchItem),
-                ({'body': {}}, _batch_item.ItemReport),
-                ({'body': 1}, _batch_item.ItemReport),
-                ({'index': 'x'}, results.Failure),
-                ({'attempt': None}, results.Failure),
+            for body, kind in (
+                ({'prompt': 'p'}, _batch_item.BatchItem),
+                ({'method': 'GET', 'target': '/'}, _batch_item.BatchItem),
+                ({}, batch.ItemReport),
+                ({'prompt': 1}, batch.ItemReport),
+                ({'method': 'GET'}, batch.ItemReport),
             ):
-                parsed = _batch_item.parse_item({**valid, **change})
-                self.assertIsInstance(parsed, kind, change)
+                item = _batch_item.create_item(create_pulled(body=body))
+                self.assertIsInstance(item, kind, body)
 
         trio.run(main)
