--- a/siskinmount/sidecar/_http_model_upstream.py
+++ b/siskinmount/sidecar/_http_model_upstream.py
@@ -13,6 +13,7 @@
 MAX_LINE_BYTES = 1024 * 1024
 PROBE_TIMEOUT_MS = 1000
 MAX_CONNECTIONS = 1024
+SILENCE_TIMEOUT_MS = 2000
 
 _DATA_PREFIX = b'data:'
 _DONE = b'[DONE]'
@@ -77,7 +78,11 @@
     def __init__(self, address: transport.Address) -> None:
         self._address = address
         self._client = transport.create_http_client(
-            address, transport.ClientLimits(max_connections=MAX_CONNECTIONS)
+            address,
+            transport.ClientLimits(
+                max_connections=MAX_CONNECTIONS,
+                silence_timeout_ms=SILENCE_TIMEOUT_MS,
+            ),
         )
 
     async def start(
