Order model loads with fencing numbers, at most so many at a time

Cause: the document names a model version and how many upstreams may change at once; engines may or may not check who orders.

Change: permits on a log stream of each service (the request's offset is place in the queue and fencing number; closed by release, by a later process of the VM, or by revocation once the platform's list no longer names the VM). The engine is emptied, the permit looked up again as the last step, then the load is ordered. A random test of registry, gate and runner over all policies.

Ruled out: permits that lapse by a clock, since a paused holder would go on.

--- a/siskinmount/sidecar/_gate.py
+++ b/siskinmount/sidecar/_gate.py
@@ -17,6 +17,7 @@
 SOLO_WAIT_MS = 10_000
 WAITING_PER_SLOT = 2
 RETRY_AFTER_MS = 500
+CHANGE_RETRY_AFTER_MS = 1000
 DEFAULT_PREFILL_PAUSE_FACTOR = 3.0
 
 
@@ -28,6 +29,8 @@
     Attributes:
         load: Counts of the requests, as the policy sees them.
         closed: Whether new requests are refused because the sidecar stops.
+        paused: Whether new requests are refused because the upstream is being
+            changed.
         preempted_count: Requests stopped to make room, in total.
         refused_count: Requests refused for lack of capacity, in total.
         prefill_pause_factor: Pause between two batch prompts beside online
@@ -37,6 +40,7 @@
     __slots__ = (
         'load',
         'closed',
+        'paused',
         'preempted_count',
         'refused_count',
         'prefill_pause_factor',
@@ -51,6 +55,7 @@
     ) -> None:
         self.load = load
         self.closed = False
+        self.paused = False
         self.preempted_count = 0
         self.refused_count = 0
         self.prefill_pause_factor = DEFAULT_PREFILL_PAUSE_FACTOR
@@ -64,8 +69,9 @@
 
         An admitted ticket must be given back with `release`.
         """
-        if self.closed:
-            return _leaving()
+        refusal = self.find_refusal()
+        if refusal is not None:
+            return refusal
         if ticket.online and self._count_waiting_online() >= self._queue_bound:
             self.refused_count += 1
             return _overloaded('too many requests wait')
@@ -112,6 +118,32 @@
         for ticket in list(self._waiting):
             self._refuse(ticket, _leaving())
 
+    def pause(self) -> None:
+        """Refuses new requests and stops batch, so that the upstream empties."""
+        if self.paused:
+            return
+        self.paused = True
+        for ticket in list(self._waiting):
+            self._refuse(ticket, _changing())
+        for ticket in list(self._running):
+            if ticket.preemptible:
+                self._stop(ticket)
+
+    def resume(self) -> None:
+        """Admits requests again after `pause`."""
+        self.paused = False
+
+    def find_refusal(self) -> results.Failure | None:
+        """Returns why no request is admitted at present, or None."""
+        if self.closed:
+            return _leaving()
+        return _changing() if self.paused else None
+
+    async def wait_empty(self) -> None:
+        """Returns once nothing is at the upstream."""
+        while self._running:
+            await self._changed.wait()
+
     async def wait_capacity(self) -> None:
         """Returns after a request has started or left."""
         await self._changed.wait()
@@ -133,6 +165,8 @@
 
     def count_idle_batch_slots(self) -> int:
         """Returns how many more batch requests could start now."""
+        if self.find_refusal() is not None:
+            return 0
         self._count()
         return self._policy.count_idle_batch_slots(self.load)
 
@@ -236,9 +270,15 @@
             return
         chosen = self._policy.choose_to_preempt(ticket, self.load, candidates)
         for each in chosen:
-            each.state = _gate_load.TicketState.YIELDING
-            self.preempted_count += 1
-            each.preempt()
+            self._stop(each)
+
+    def _stop(self, ticket: _gate_load.Ticket) -> None:
+        """Tells a running batch request to make room."""
+        if ticket.state is not _gate_load.TicketState.RUNNING:
+            return
+        ticket.state = _gate_load.TicketState.YIELDING
+        self.preempted_count += 1
+        ticket.preempt()
 
     def _count(self) -> None:
         """Brings the counts in `load` up to date."""
@@ -294,6 +334,14 @@
     )
 
 
+def _changing() -> results.Failure:
+    return results.Failure(
+        results.ResultCode.NO_UPSTREAM,
+        'the upstream is being changed',
+        retry_after_ms=CHANGE_RETRY_AFTER_MS,
+    )
+
+
 def _overloaded(reason: str) -> results.Failure:
     return results.Failure(
         results.ResultCode.OVERLOADED, reason, retry_after_ms=RETRY_AFTER_MS
--- a/siskinmount/sidecar/_run_handler.py
+++ b/siskinmount/sidecar/_run_handler.py
@@ -113,12 +113,9 @@
         if known is not None:
             self.attached_count += 1
             return known
-        if self._gate.closed:
-            return results.Failure(
-                results.ResultCode.LEAVING,
-                'this upstream is leaving',
-                retry_after_ms=0,
-            )
+        refusal = self._gate.find_refusal()
+        if refusal is not None:
+            return refusal
         if not self._monitor.reachable:
             return results.Failure(
                 results.ResultCode.UPSTREAM_UNREACHABLE,
--- a/siskinmount/sidecar/_sidecar.py
+++ b/siskinmount/sidecar/_sidecar.py
@@ -10,6 +10,7 @@
 
 from siskinmount import configuration
 from siskinmount import membership
+from siskinmount import platform
 from siskinmount import relay
 from siskinmount import results
 from siskinmount import supervision
@@ -17,12 +18,15 @@
 from siskinmount import transport
 from siskinmount.sidecar import _batch_puller
 from siskinmount.sidecar import _batch_slot_controller
+from siskinmount.sidecar import _change_permits
+from siskinmount.sidecar import _engine_orders
 from siskinmount.sidecar import _entry_link
 from siskinmount.sidecar import _fleet_link
 from siskinmount.sidecar import _gate
 from siskinmount.sidecar import _gate_load
 from siskinmount.sidecar import _http_model_upstream
 from siskinmount.sidecar import _http_plain_upstream
+from siskinmount.sidecar import _model_changer
 from siskinmount.sidecar import _request_registry
 from siskinmount.sidecar import _request_runner
 from siskinmount.sidecar import _run_handler
@@ -55,7 +59,7 @@
         puller: Pulls batch items.
         leaving: Whether the sidecar is stopping.
         address: Where it listens for daemons, once it does.
-        model_version: Version that the upstream runs; empty if unknown.
+        changer: Brings the engine to the wanted model version.
         configuration_version: Version of the document in force.
         fleet: Heartbeats and control calls.
         control_address: Where it listens for control calls, once it does.
@@ -72,7 +76,7 @@
         'puller',
         'leaving',
         'address',
-        'model_version',
+        'changer',
         'configuration_version',
         'fleet',
         'control_address',
@@ -120,7 +124,22 @@
         )
         self.leaving = False
         self.address = settings.identity.peers_address
-        self.model_version = ''
+        self.changer = _model_changer.ModelChanger(
+            gate=gate,
+            monitor=self.monitor,
+            engine=_engine_orders.create_http_engine_orders(
+                settings.upstream_address
+            ),
+            permits=_change_permits.create_log_change_permits(
+                log=platform.create_log_client(settings.identity.log_address),
+                vm_list=platform.create_vm_list_client(
+                    settings.identity.vm_list_address
+                ),
+                service=settings.service,
+                vm=settings.identity.vm,
+                incarnation=self.incarnation,
+            ),
+        )
         self.configuration_version = 0
         self.control_address = settings.identity.control_address
         self.fleet = _fleet_link.FleetLink(
@@ -160,6 +179,14 @@
         load.online_reserve_slots = service.online_reserve_slots
         load.batch_prefill_tokens = service.batch_prefill_tokens
         self.configuration_version = configuration_version
+        if service.kind is configuration.ServiceKind.MODEL:
+            self.changer.set_wanted(
+                _model_changer.WantedModel(
+                    model=service.model,
+                    version=service.model_version,
+                    max_changing=service.max_changing,
+                )
+            )
         self.gate.admit_waiting()
 
     def apply_document(
@@ -173,7 +200,7 @@
     def describe_member(self) -> membership.Member:
         """Returns what heartbeats say of this sidecar."""
         identity = self.settings.identity
-        usable = self.monitor.reachable and not self.leaving
+        usable = self.monitor.reachable and self.gate.find_refusal() is None
         return membership.Member(
             vm=identity.vm,
             role=membership.MemberRole.SIDECAR,
@@ -190,7 +217,7 @@
             service=self.settings.service,
             slots=self.gate.load.slots if usable else 0,
             in_flight=self.gate.count_in_flight(),
-            model_version=self.model_version,
+            model_version=self.changer.version,
         )
 
     def begin_leaving(self) -> None:
@@ -258,7 +285,8 @@
             'batch_items_done': self.puller.done_count,
             'batch_items_yielded': self.puller.yielded_count,
             'batch_reports_unsettled': len(self.puller.reports),
-            'model_version': self.model_version,
+            'model_version': self.changer.version,
+            'orders': self.changer.order_count,
             'configuration_version': self.configuration_version,
         }
 
@@ -328,7 +356,8 @@
             await exchange.send_json(200, {'status': 'ok'})
             return
         if path == '/readyz':
-            ready = self.monitor.reachable and not self.leaving
+            refusal = self.gate.find_refusal()
+            ready = self.monitor.reachable and refusal is None
             await exchange.send_json(200 if ready else 503, {'ready': ready})
             return
         if path == '/status':
@@ -388,6 +417,7 @@
                     'slot_controller', sidecar.slot_controller.run
                 ),
                 supervision.Child('batch_puller', sidecar.puller.run),
+                supervision.Child('model_changer', sidecar.changer.run),
                 supervision.Child(
                     'stop_signal', lambda: _watch_stop_signal(sidecar)
                 ),
--- a/siskinmount/sidecar/tests/test_request_runner.py
+++ b/siskinmount/sidecar/tests/test_request_runner.py
@@ -19,12 +19,9 @@
 class Bench:
     """A runner with all that it needs."""
 
-    def __init__(self, slots=2):
+    def __init__(self, slots=2, policy=configuration.GatePolicy.ONLINE_FIRST):
         self.upstream = fakes.FakeModelUpstream()
-        self.gate = sidecar.create_gate(
-            configuration.GatePolicy.ONLINE_FIRST,
-            sidecar.GateLoad(slots=slots),
-        )
+        self.gate = sidecar.create_gate(policy, sidecar.GateLoad(slots=slots))
         self.registry = _request_registry.RequestRegistry()
         self.monitor = _upstream_monitor.UpstreamMonitor(self.upstream)
         self.runner = _request_runner.RequestRunner(
