Let those behind a refused solo request start

Found while writing the random test of the gate: a solo request that was refused after its wait left those behind it waiting until the next change. The test now draws mostly arrivals, and leaves the static split out of the check that no online request waits idly: there it has to wait.

Checked: the random test passes (100 examples).

--- a/siskinmount/sidecar/_gate.py
+++ b/siskinmount/sidecar/_gate.py
@@ -214,6 +214,8 @@
             if now_s >= limit_s:
                 self.refused_count += 1
                 self._refuse(ticket, _overloaded('no slot became free'))
+                # Others may have waited behind this one.
+                self.admit_waiting()
                 return
             if ticket.online:
                 with trio.move_on_at(limit_s):
