--- a/siskinmount/sidecar/_batch_puller.py
+++ b/siskinmount/sidecar/_batch_puller.py
@@ -24,7 +24,6 @@
 IDLE_MEMORY_S = 10.0
 RENEWALS_PER_LEASE = 3
 MIN_RENEW_INTERVAL_S = 0.2
-IDLE_RENEW_INTERVAL_S = 1.0
 MAX_UNSETTLED_REPORTS = 1000
 GIVE_BACK_S = 5.0
 
@@ -244,6 +243,7 @@
         self._items[item.key] = item
         self._owners[item.key] = vm
         self._start_task(self._run_item, item)
+        self._notify()
 
     async def _run_item(self, item: _batch_item.BatchItem) -> None:
         """Runs an item, again after it had to yield, and reports on it."""
@@ -324,7 +324,7 @@
                 if self._owners[key] == link.vm
             ]
             if not items:
-                await trio.sleep(IDLE_RENEW_INTERVAL_S)
+                await self._wait_changed()
                 continue
             lease_ms = min(item.lease_ms for item in items)
             interval_s = lease_ms / 1000 / RENEWALS_PER_LEASE
--- a/siskinmount/sidecar/_gate_load.py
+++ b/siskinmount/sidecar/_gate_load.py
@@ -32,6 +32,7 @@
         online: Whether a caller waits for it.
         solo: Whether no other request may run beside it.
         prompt_tokens: What the upstream must prefill, estimated.
+        resumed: Whether it continues an output that exists already.
         preemptible: Whether it can be stopped and resumed later.
         preempt: Stops the request.
         emitted_tokens: Tokens that came out since it was admitted.
@@ -45,6 +46,7 @@
         'online',
         'solo',
         'prompt_tokens',
+        'resumed',
         'preemptible',
         'preempt',
         'emitted_tokens',
@@ -60,12 +62,14 @@
         online: bool,
         solo: bool = False,
         prompt_tokens: int = 0,
+        resumed: bool = False,
         preemptible: bool = False,
         preempt: Callable[[], None] = lambda: None,
     ) -> None:
         self.online = online
         self.solo = solo
         self.prompt_tokens = prompt_tokens
+        self.resumed = resumed
         self.preemptible = preemptible
         self.preempt = preempt
         self.emitted_tokens = 0
--- a/siskinmount/sidecar/_online_first_policy.py
+++ b/siskinmount/sidecar/_online_first_policy.py
@@ -13,8 +13,10 @@
     def arrange(
         self, waiting: list[_gate_load.Ticket]
     ) -> list[_gate_load.Ticket]:
-        """Returns online requests before batch ones, each in arrival order."""
-        return sorted(waiting, key=lambda ticket: not ticket.online)
+        """Returns online requests, then resumed batch, then the other batch."""
+        return sorted(
+            waiting, key=lambda ticket: (not ticket.online, not ticket.resumed)
+        )
 
     def may_start(
         self, ticket: _gate_load.Ticket, load: _gate_load.GateLoad
--- a/siskinmount/sidecar/_request_runner.py
+++ b/siskinmount/sidecar/_request_runner.py
@@ -306,14 +306,17 @@
     """Returns what the gate must know about a request."""
     request = running.request
     prompt_tokens = 0
+    resumed = False
     preemptible = False
     if isinstance(request.body, _run_request.ModelBody):
+        resumed = bool(request.body.resume_tokens)
         prompt_tokens = request.body.estimate_prompt_tokens()
         preemptible = request.preemptible and not request.is_online
     return _gate_load.Ticket(
         online=request.is_online,
         solo=request.solo,
         prompt_tokens=prompt_tokens,
+        resumed=resumed,
         preemptible=preemptible,
         preempt=lambda: running.stop(_running_request.StopReason.PREEMPTED),
     )
--- /dev/null
+++ b/siskinmount/sidecar/tests/test_batch_puller.py
@@ -0,0 +1,276 @@
+"""Tests of the batch puller against fake entries, on a mock clock."""
+
+import testtools
+import trio
+import trio.testing
+
+from siskinmount import results
+from siskinmount import sidecar
+from siskinmount.sidecar import _batch_item
+from siskinmount.sidecar import _batch_puller
+from siskinmount.sidecar import _entry_link
+from siskinmount.sidecar.tests import fakes
+from siskinmount.sidecar.tests import test_request_runner
+
+LEASE_MS = 3000
+
+
+class FakeEntry:
+    """Hands out items and notes reports."""
+
+    def __init__(self, vm):
+        self.vm = vm
+        self.peers_address = None
+        self.waiting = []
+        self.credits = []
+        self.reports = []
+        self.renewed = 0
+        self.to_cancel = []
+        self.down = False
+
+    def add(self, count, tokens=3, job='j', idempotent=True):
+        for _ in range(count):
+            index = len(self.waiting) + 100 * len(self.credits)
+            self.waiting.append((job, index, tokens, idempotent))
+
+    async def pull(self, credit, wait_ms):
+        self.credits.append(credit)
+        if not self.waiting:
+            await trio.sleep(wait_ms / 1000)
+        await trio.sleep(0.001)
+        if self.down:
+            return self._failure()
+        answer = _entry_link.PullAnswer()
+        while self.waiting and len(answer.items) < credit:
+            job, index, tokens, idempotent = self.waiting.pop(0)
+            item = _batch_item.BatchItem(
+                key=_batch_item.ItemKey(job, index),
+                attempt=1,
+                lease='l',
+                lease_ms=LEASE_MS,
+                idempotent=idempotent,
+                fingerprint='f',
+                body=sidecar.ModelBody(prompt='p', max_tokens=tokens),
+            )
+            item.extend_lease(trio.current_time())
+            answer.items.append(item)
+        return answer
+
+    async def renew(self, items):
+        if self.down:
+            return self._failure()
+        self.renewed += len(items)
+        return self.to_cancel
+
+    async def report(self, reports):
+        await trio.sleep(0.001)
+        if self.down:
+            return self._failure()
+        self.reports.extend(reports)
+        return []
+
+    def close(self):
+        pass
+
+    def outcomes(self):
+        return [report.outcome.value for report in self.reports]
+
+    def _failure(self):
+        return results.Failure(results.ResultCode.UPSTREAM_UNREACHABLE, '')
+
+
+class BatchPullerTest(testtools.TestCase):
+
+    def run_puller(self, check, slots=2, entry_count=1):
+        async def main():
+            bench = test_request_runner.Bench(slots)
+            await bench.monitor.check()
+            entries = [FakeEntry(f'e{n}') for n in range(entry_count)]
+            async with trio.open_nursery() as nursery:
+                puller = _batch_puller.BatchPuller(
+                    gate=bench.gate,
+                    registry=bench.registry,
+                    monitor=bench.monitor,
+                    run=bench.runner.run,
+                    list_entries=lambda: list(entries),
+                    create_link=lambda peer: peer,
+                    start_task=nursery.start_soon,
+                )
+                nursery.start_soon(puller.run)
+
+                def start_online(request_id, tokens):
+                    running = bench.registry.add(
+                        fakes.create_run_request(request_id, True, tokens)
+                    )
+                    nursery.start_soon(bench.runner.run, running)
+                    return running
+
+                await check(bench, puller, entries, start_online)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_runs_all_items_of_two_entries(self):
+        async def check(bench, puller, entries, start_online):
+            entries[0].add(7)
+            entries[1].add(3, job='k')
+            await trio.sleep(10)
+            self.assertEqual(['done'] * 7, entries[0].outcomes())
+            self.assertEqual(['done'] * 3, entries[1].outcomes())
+            output = entries[1].reports[0].output
+            self.assertEqual('t0t1t2', output['text'])
+            self.assertEqual(0, puller.held_count)
+
+        self.run_puller(check, entry_count=2)
+
+    def test_holds_only_what_fills_the_slots_soon(self):
+        async def check(bench, puller, entries, start_online):
+            entries[0].add(50, tokens=100)
+            await trio.sleep(3)
+            self.assertEqual(4, bench.gate.count_running())
+            self.assertEqual(6, puller.held_count)
+
+        self.run_puller(check, slots=4)
+
+    def test_gap_is_filled_without_a_round_trip(self):
+        async def check(bench, puller, entries, start_online):
+            entries[0].add(9, tokens=30)
+            await trio.sleep(1)
+            online = [start_online(name, 10) for name in 'ab']
+            await trio.testing.wait_all_tasks_blocked()
+            await trio.sleep(0.01)
+            self.assertEqual(2, bench.gate.load.online_running)
+            pulls = len(entries[0].credits)
+            for running in online:
+                await running.wait_ended()
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertEqual(2, bench.gate.load.batch_running)
+            self.assertEqual(pulls, len(entries[0].credits))
+            # What ran before goes on where it stopped.
+            resumed = {start[1] for start in bench.upstream.started[-2:]}
+            self.assertNotIn(0, resumed)
+
+        self.run_puller(check)
+
+    def test_long_burst_gives_items_back_with_their_tokens(self):
+        async def check(bench, puller, entries, start_online):
+            entries[0].add(2, tokens=50)
+            await trio.sleep(1)
+            for name in 'ab':
+                start_online(name, 200)
+            await trio.sleep(_batch_puller.HOLD_S + 2)
+            self.assertEqual(['yielded'] * 2, entries[0].outcomes())
+            tokens = entries[0].reports[0].output['resume_tokens']
+            self.assertEqual('t0', tokens[0])
+            self.assertEqual(0, puller.held_count)
+
+        self.run_puller(check)
+
+    def test_leases_are_renewed_and_cancelled_items_stop(self):
+        async def check(bench, puller, entries, start_online):
+            entries[0].add(2, tokens=100)
+            await trio.sleep(LEASE_MS / 1000 * 2)
+            self.assertEqual(
+                [True] * 2,
+                [item.lease_is_valid for item in puller._items.values()],
+            )
+            entries[0].to_cancel = [_batch_item.ItemKey('j', 0)]
+            await trio.sleep(1)
+            self.assertEqual(['failed'], entries[0].outcomes())
+            self.assertGreater(entries[0].reports[0].wasted_tokens, 0)
+            self.assertEqual(1, bench.gate.count_running())
+
+        self.run_puller(check)
+
+    def test_reports_are_kept_until_an_entry_answers(self):
+        async def check(bench, puller, entries, start_online):
+            entries[0].add(2)
+            await trio.sleep(0.2)
+            entries[0].down = True
+            await trio.sleep(20)
+            self.assertEqual(2, len(puller.reports))
+            entries[0].down = False
+            await trio.sleep(1)
+            self.assertEqual(['done'] * 2, entries[0].outcomes())
+
+        self.run_puller(check)
+
+    def test_reports_of_a_gone_entry_reach_another(self):
+        async def check(bench, puller, entries, start_online):
+            entries[0].add(2)
+            await trio.sleep(0.2)
+            gone = entries.pop(0)
+            gone.down = True
+            await trio.sleep(3)
+            self.assertEqual(['done'] * 2, entries[0].outcomes())
+
+        self.run_puller(check, entry_count=2)
+
+    def test_leaving_gives_back_all(self):
+        async def check(bench, puller, entries, start_online):
+            entries[0].add(4, tokens=100)
+            await trio.sleep(1)
+            puller.begin_leaving()
+            await puller.wait_settled()
+            self.assertEqual(['yielded'] * 3, sorted(entries[0].outcomes()))
+            self.assertEqual(0, puller.held_count)
+
+        self.run_puller(check)
+
+    def test_death_of_the_upstream(self):
+        for idempotent, expected in ((True, 'failed'), (False, 'unknown')):
+
+            async def check(
+                bench,
+                puller,
+                entries,
+                start_online,
+                idempotent=idempotent,
+                expected=expected,
+            ):
+                entries[0].add(1, 50, idempotent=idempotent)
+                await trio.sleep(1)
+                bench.upstream.die()
+                await trio.sleep(1)
+                self.assertEqual([expected], entries[0].outcomes())
+                report = entries[0].reports[0]
+                self.assertEqual(results.ResultCode.UPSTREAM_LOST, report.code)
+                self.assertEqual('t0', report.output['resume_tokens'][0])
+
+            self.run_puller(check)
+
+    def test_item_that_must_not_repeat_is_not_preempted(self):
+        async def check(bench, puller, entries, start_online):
+            entries[0].add(2, tokens=20, idempotent=False)
+            await trio.sleep(1)
+            await start_online('a', 5).wait_ended()
+            await trio.sleep(3)
+            self.assertEqual(['done'] * 2, entries[0].outcomes())
+            self.assertEqual(0, bench.gate.preempted_count)
+
+        self.run_puller(check)
+
+    def test_invalid_items(self):
+        valid = {
+            'job': 'j',
+            'index': 1,
+            'attempt': 1,
+            'lease': 'l',
+            'lease_ms': 1000,
+            'idempotent': True,
+            'fingerprint': 'f',
+            'body': {'prompt': 'p', 'max_tokens': 3},
+        }
+
+        async def main():
+            for change, kind in (
+                ({}, _batch_item.BatchItem),
+                ({'body': {}}, _batch_item.ItemReport),
+                ({'body': 1}, _batch_item.ItemReport),
+                ({'index': 'x'}, results.Failure),
+                ({'attempt': None}, results.Failure),
+            ):
+                parsed = _batch_item.parse_item({**valid, **change})
+                self.assertIsInstance(parsed, kind, change)
+
+        trio.run(main)
