--- /dev/null
+++ b/siskinmount/entry/_job_access.py
@@ -0,0 +1,237 @@
+"""Batch jobs, wherever the owner of their stream is."""
+
+import urllib.parse
+
+import orjson
+
+from siskinmount import batch
+from siskinmount import results
+from siskinmount import transport
+from siskinmount.entry import _job_messages
+from siskinmount.entry import _owner_calls
+
+JOBS_PREFIX = '/jobs/'
+#: Bytes of items that are sent to a remote owner together.
+CHUNK_BYTES = 256 * 1024
+
+
+class JobAccess:
+    """Sends a caller's operations on a job to the job's owner."""
+
+    __slots__ = ('_calls',)
+
+    def __init__(self, calls: _owner_calls.OwnerCalls) -> None:
+        self._calls = calls
+
+    async def open_upload(
+        self, request: batch.JobRequest
+    ) -> 'LocalUpload | RemoteUpload | results.Failure':
+        """Begins the submission of a job."""
+        stream = self._calls.find_stream(request.job)
+        shard = await _owner_calls.wait_for_shard(self._calls, stream)
+        if not isinstance(shard, results.Failure):
+            upload = shard.batch.open_upload(request)
+            if isinstance(upload, results.Failure):
+                return upload
+            return LocalUpload(shard.batch, upload)
+        if shard.code is not results.ResultCode.NOT_OWNER:
+            return shard
+        answer = await self._calls.send(
+            stream,
+            transport.ClientRequest(
+                'POST',
+                f'{JOBS_PREFIX}{request.job}/open',
+                [],
+                _job_messages.encode_job_request(request),
+            ),
+        )
+        if isinstance(answer, results.Failure):
+            return _not_accepted(answer)
+        upload_id = str(orjson.loads(answer)['upload'])
+        return RemoteUpload(self._calls, stream, request.job, upload_id)
+
+    async def read_status(
+        self, job: str, caller: str
+    ) -> bytes | results.Failure:
+        """Returns the status of a job as JSON."""
+        return await self._ask(job, 'status', caller)
+
+    async def cancel(self, job: str, caller: str) -> bytes | results.Failure:
+        """Cancels a job and returns its status as JSON."""
+        return await self._ask(job, 'cancel', caller)
+
+    async def read_results(
+        self, job: str, caller: str, after: int, limit: int
+    ) -> '_job_messages.ResultsAnswer | results.Failure':
+        """Returns one page of a job's results."""
+        answer = await self._ask(
+            job, 'results', caller, {'after': str(after), 'limit': str(limit)}
+        )
+        if isinstance(answer, results.Failure):
+            return answer
+        return _job_messages.decode_results_answer(answer)
+
+    async def _ask(
+        self,
+        job: str,
+        operation: str,
+        caller: str,
+        parameters: dict[str, str] | None = None,
+    ) -> bytes | results.Failure:
+        """Executes one operation here or at the owner."""
+        stream = self._calls.find_stream(job)
+        query = {'caller': caller, **(parameters or {})}
+        shard = await _owner_calls.wait_for_shard(self._calls, stream)
+        if not isinstance(shard, results.Failure):
+            return await execute_job_operation(
+                shard.batch, job, operation, query
+            )
+        if shard.code is not results.ResultCode.NOT_OWNER:
+            return shard
+        target = (
+            f'{JOBS_PREFIX}{job}/{operation}?{urllib.parse.urlencode(query)}'
+        )
+        return await self._calls.send(
+            stream, transport.ClientRequest('POST', target)
+        )
+
+
+class LocalUpload:
+    """A submission to a stream that this entry owns."""
+
+    __slots__ = ('_owner', '_upload')
+
+    def __init__(
+        self, owner: batch.BatchOwner, upload: batch.JobUpload
+    ) -> None:
+        self._owner = owner
+        self._upload = upload
+
+    async def add(self, body: bytes) -> results.Failure | None:
+        """Adds the next item."""
+        return await self._upload.add(body)
+
+    async def finish(self) -> bytes | results.Failure:
+        """Submits the job and returns its status as JSON."""
+        status = await self._owner.finish_upload(self._upload)
+        if isinstance(status, results.Failure):
+            return status
+        return status.to_json()
+
+    async def give_up(self) -> None:
+        """Forgets the submission."""
+        self._upload.give_up()
+
+
+class RemoteUpload:
+    """A submission to a stream that another entry owns."""
+
+    __slots__ = ('_calls', '_stream', '_job', '_upload_id', '_chunk', '_size')
+
+    def __init__(
+        self,
+        calls: _owner_calls.OwnerCalls,
+        stream: str,
+        job: str,
+        upload_id: str,
+    ) -> None:
+        self._calls = calls
+        self._stream = stream
+        self._job = job
+        self._upload_id = upload_id
+        self._chunk: list[bytes] = []
+        self._size = 0
+
+    async def add(self, body: bytes) -> results.Failure | None:
+        """Adds the next item."""
+        self._chunk.append(body)
+        self._size += len(body)
+        if self._size < CHUNK_BYTES:
+            return None
+        return await self._send_chunk()
+
+    async def finish(self) -> bytes | results.Failure:
+        """Submits the job and returns its status as JSON."""
+        failure = await self._send_chunk()
+        if failure is not None:
+            return failure
+        return await self._send_once('finish', b'')
+
+    async def give_up(self) -> None:
+        """Forgets the submission; the owner drops it after a while."""
+        await self._send_once('give-up', b'')
+
+    async def _send_chunk(self) -> results.Failure | None:
+        """Sends the items gathered so far."""
+        if not self._chunk:
+            return None
+        body = b'\n'.join(self._chunk)
+        self._chunk = []
+        self._size = 0
+        answer = await self._send_once('items', body)
+        if isinstance(answer, results.Failure):
+            return _not_accepted(answer)
+        return None
+
+    async def _send_once(
+        self, operation: str, body: bytes
+    ) -> bytes | results.Failure:
+        """Sends a part once: a part that is repeated would be added twice."""
+        return await self._calls.send_once(
+            self._stream,
+            transport.ClientRequest(
+                'POST',
+                f'{JOBS_PREFIX}{self._job}/{operation}'
+                f'?upload={self._upload_id}',
+                [],
+                body,
+            ),
+        )
+
+
+Upload = LocalUpload | RemoteUpload
+
+
+async def execute_job_operation(
+    owner: batch.BatchOwner, job: str, operation: str, query: dict[str, str]
+) -> bytes | results.Failure:
+    """Executes an operation on a job that is owned here.
+
+    Args:
+        owner: The owner of the job's stream.
+        job: Identifier of the job.
+        operation: `status`, `cancel` or `results`.
+        query: The caller's name and the operation's parameters.
+    """
+    caller = query.get('caller', '')
+    if operation == 'status':
+        status = owner.status(job, caller)
+    elif operation == 'cancel':
+        status = await owner.cancel(job, caller)
+    elif operation == 'results':
+        page = await owner.results_page(
+            job, caller, int(query['after']), int(query['limit'])
+        )
+        if isinstance(page, results.Failure):
+            return page
+        return _job_messages.encode_results_answer(page)
+    else:
+        return results.Failure(
+            results.ResultCode.NO_SUCH_ROUTE, f'no operation {operation!r}'
+        )
+    if isinstance(status, results.Failure):
+        return status
+    return status.to_json()
+
+
+def _not_accepted(failure: results.Failure) -> results.Failure:
+    """Returns a failure before the end of a submission as what it is.
+
+    Only the end of a submission makes a job; before it nothing can run.
+    """
+    return results.Failure(
+        failure.code,
+        failure.reason,
+        results.RunState.NOT_RUN,
+        failure.retry_after_ms or 1000,
+    )
