--- a/siskinmount/routing/_router.py
+++ b/siskinmount/routing/_router.py
@@ -154,19 +154,26 @@
         return 0 if load is None else load.outstanding
 
     def count_in_flight(self, service: str) -> int:
-        """Returns the estimated requests in flight at a service."""
+        """Returns the estimated requests in flight where work is taken."""
         count = 0
-        for sidecar in self._table.list_sidecars(service):
+        for sidecar in self._list_live(service):
             count += self._find_load(sidecar).estimate()
         return count
 
     def count_slots(self, service: str) -> int:
         """Returns the slots of the upstreams of a service that take work."""
         count = 0
+        for sidecar in self._list_live(service):
+            count += self._find_load(sidecar).slots
+        return count
+
+    def _list_live(self, service: str) -> list[membership.Member]:
+        """Returns the sidecars of a service that take work."""
+        live: list[membership.Member] = []
         for sidecar in self._table.list_sidecars(service):
             if sidecar.state is membership.MemberState.LIVE:
-                count += self._find_load(sidecar).slots
-        return count
+                live.append(sidecar)
+        return live
 
     def _list_preferred(
         self, sidecars: list[membership.Member]
--- a/siskinmount/routing/tests/test_router.py
+++ b/siskinmount/routing/tests/test_router.py
@@ -166,9 +166,11 @@
         self.choose_vm()
         self.assertRaises(AssertionError, self.router.release, 's1')
 
-    def test_capacity_counts_live_slots(self):
-        self.add('s1', 's2', 's3', slots=4)
-        self.add('s3', state=membership.MemberState.LEAVING)
+    def test_capacity_counts_what_takes_work(self):
+        """Requests at an upstream that leaves are no load on the others."""
+        self.add('s1', 's2', slots=4)
+        leaving = membership.MemberState.LEAVING
+        self.add('s3', slots=4, in_flight=4, state=leaving)
         self.assertEqual(8, self.router.count_slots(SERVICE))
         self.router.choose(SERVICE, None)
         self.assertEqual(1, self.router.count_in_flight(SERVICE))
