--- a/siskinmount/entry/_answer_run.py
+++ b/siskinmount/entry/_answer_run.py
@@ -21,16 +21,6 @@
 REATTACH_PAUSE_S = 0.05
 MAX_ERROR_BYTES = 64 * 1024
 
-#: Refusals that say nothing against the upstream.
-_BLAMELESS_CODES = frozenset(
-    (
-        results.ResultCode.LEAVING,
-        results.ResultCode.OVERLOADED,
-        results.ResultCode.REQUEST_CANCELLED,
-        results.ResultCode.REQUEST_CONVICTED,
-    )
-)
-
 
 class AnswerRun:
     """Reads one answer's frames and moves between upstreams when one is lost.
@@ -61,7 +51,7 @@
         '_body_bytes_to_skip',
         '_head_received',
         '_sent_to_any',
-        '_reported_failure',
+        '_failure_frame',
     )
 
     def __init__(
@@ -85,9 +75,9 @@
         self._body_bytes_to_skip = 0
         self._head_received = False
         self._sent_to_any = False
-        # The failure that a sidecar has reported in a frame, as opposed to one
-        # of the connection to it.
-        self._reported_failure: results.Failure | None = None
+        # The last frame that a sidecar has sent in place of the rest of the
+        # answer, as opposed to a failure of the connection to it.
+        self._failure_frame: relay.FailureFrame | None = None
 
     async def receive_frames(self) -> list[relay.Frame] | results.Failure:
         """Returns the next frames, or the final failure of the request."""
@@ -148,7 +138,7 @@
     def _release_choice(self) -> None:
         """Ends the attempt at the chosen upstream."""
         if self._choice is not None:
-            self._choice.release()
+            self._access.router.release(self._choice.member.vm)
             self._choice = None
 
     def _choose_upstream(self) -> results.Failure | None:
@@ -200,9 +190,7 @@
         """Returns the headers of a run."""
         request = self._request
         names = relay.RelayHeader
-        left_ms = max(
-            1, int((request.deadline_s - trio.current_time()) * 1000)
-        )
+        left_ms = max(1, int((request.deadline_s - trio.current_time()) * 1000))
         next_token = request.first_token + len(self.token_texts)
         headers = [
             (names.REQUEST_ID, request.request_id.encode('ascii')),
@@ -221,8 +209,8 @@
 
     async def _read(self) -> list[relay.Frame] | results.Failure:
         """Returns the frames of one read of the connection."""
-        if self._reported_failure is not None:
-            return self._reported_failure
+        if self._failure_frame is not None:
+            return self._failure_frame.failure
         if self._exchange is None:
             raise RuntimeError('no exchange is open')
         chunk = await self._exchange.receive_chunk()
@@ -240,7 +228,7 @@
         kept: list[relay.Frame] = []
         for frame in frames:
             if isinstance(frame, relay.FailureFrame):
-                self._reported_failure = frame.failure
+                self._failure_frame = frame
                 # Tokens before the failure are handed out first.
                 return kept if kept else frame.failure
             accepted = self._accept(frame)
@@ -291,17 +279,14 @@
         if self._exchange is not None:
             self._exchange.close()
             self._exchange = None
-        reported = failure is self._reported_failure
-        self._reported_failure = None
-        if not reported and await self._reattach(failure):
+        failure_frame = self._failure_frame
+        self._failure_frame = None
+        if failure_frame is None and await self._reattach(failure):
             return None
         member = self._find_member()
         self._excluded_vms.add(member.vm)
         self._release_choice()
-        if failure.code not in _BLAMELESS_CODES:
-            self._access.router.note_failure(
-                member.vm, member.incarnation, reachable=reported
-            )
+        self._access.router.note_failure(member.vm, failure)
         _LOGGER.info(
             'attempt_failed',
             extra={
@@ -314,9 +299,12 @@
         )
         if failure.run_state is results.RunState.NOT_RUN:
             return self._after_refusal(failure)
-        if reported and failure.code is results.ResultCode.UPSTREAM_LOST:
-            await self._access.record_death(
-                self._request.fingerprint, member, self._solo
+        if failure_frame is not None and failure_frame.upstream_generation:
+            self._access.record_death(
+                self._request.fingerprint,
+                member,
+                failure_frame.upstream_generation,
+                self._solo,
             )
             if self._access.is_convicted(self._request.fingerprint):
                 return self._final(_convicted())
@@ -363,11 +351,17 @@
             return self._final(failure)
         if self.attempt >= request.service.max_attempts:
             return self._final(failure)
-        refusal = self._access.retries.spend_retry(request.service.name)
-        if refusal is None:
+        retries = self._access.retries
+        if retries.take(request.service.name):
             return None
-        refusal.run_state = failure.run_state
-        return self._final(refusal)
+        return self._final(
+            results.Failure(
+                results.ResultCode.RETRY_BUDGET_EXHAUSTED,
+                f'not retried after: {failure.reason}',
+                failure.run_state,
+                retry_after_ms=retries.wait_ms(request.service.name),
+            )
+        )
 
     def _final(self, failure: results.Failure) -> results.Failure:
         """Returns the failure with a truthful run state."""
@@ -401,5 +395,3 @@
         'upstreams that ran this request have died; it is not run again',
         results.RunState.RAN,
     )
-
-
