Build the program as one file and start no other process

A system-call trace of the first build found a child all the same: trio's import searches for pthread and so runs ldconfig, in the binary and outside. An audit hook refuses later attempts.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test format lint demo protos
+.PHONY: setup test format lint demo protos binary
 
 $(VENV)/.installed: requirements.txt requirements-dev.txt constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -26,6 +26,10 @@
 demo: setup
 	$(BIN)/python -m tools.demo
 
+# One file; needs a C compiler and the interpreter's static library.
+binary: setup
+	$(BIN)/python -m tools.binary dist/siskinmount
+
 protos: setup
 	$(BIN)/python -m grpc_tools.protoc -I . --python_out=. --grpc_python_out=. \
 	  siskinmount/rpc/control.proto siskinmount/state/records.proto
--- /dev/null
+++ b/siskinmount/tests/test_process_guard.py
@@ -0,0 +1,40 @@
+import os
+import subprocess
+import sys
+
+import testtools
+
+# Each line is run after the guard was set, in a process of its own.
+_ATTEMPTS = [
+    "os.system('true')",
+    "os.fork()",
+    "os.execv('/bin/true', ['true'])",
+    "subprocess.run(['true'])",
+    "os.posix_spawn('/bin/true', ['true'], {})",
+]
+
+_PROGRAM = """
+import os, resource, subprocess, sys
+import siskinmount
+import trio
+from siskinmount import _process_guard
+_process_guard.refuse_child_processes()
+try:
+    %s
+except RuntimeError:
+    faults = resource.getrusage(resource.RUSAGE_CHILDREN).ru_minflt
+    sys.exit(42 if faults == 0 else 43)
+"""
+
+
+class ProcessGuardTest(testtools.TestCase):
+
+    def test_attempts_fail(self):
+        for attempt in _ATTEMPTS:
+            done = subprocess.run(
+                [sys.executable, "-c", _PROGRAM % attempt],
+                env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
+                capture_output=True,
+                text=True,
+            )
+            self.assertEqual(42, done.returncode, attempt + done.stderr)
