Add publish, diff, status, jobs and the burn report

Operators had only 'check'. Burn is merged from the minutes and hours of all entries; a level needs a long and a short window, so that a burn that has ended is not reported. The format limit in the document is dropped, since the record's grammar carries it.

--- a/siskinmount/commands/_command_line.py
+++ b/siskinmount/commands/_command_line.py
@@ -9,9 +9,14 @@
 from siskinmount import results
 from siskinmount.commands import _check_command
 from siskinmount.commands import _command
+from siskinmount.commands import _diff_command
 from siskinmount.commands import _entry_command
 from siskinmount.commands import _exit_status
+from siskinmount.commands import _jobs_command
+from siskinmount.commands import _publish_command
+from siskinmount.commands import _report_burn_command
 from siskinmount.commands import _sidecar_command
+from siskinmount.commands import _status_command
 
 _PROGRAM = 'siskinmount'
 _HELP_WORDS = ('--help', '-h', 'help')
@@ -23,6 +28,11 @@
         _entry_command.create_entry_command(),
         _sidecar_command.create_sidecar_command(),
         _check_command.create_check_command(),
+        _publish_command.create_publish_command(),
+        _diff_command.create_diff_command(),
+        _status_command.create_status_command(),
+        _jobs_command.create_jobs_command(),
+        _report_burn_command.create_report_burn_command(),
     ]
 
 
@@ -116,6 +126,6 @@
     for name in sorted(flag_values):
         flag = flag_values[name]
         lines.append(f'  --{name}: {flag.help}')
-        if flag.default not in (None, False):
+        if flag.default:
             lines.append(f'      default: {flag.default}')
     return '\n'.join(lines) + '\n'
--- a/siskinmount/commands/_common_flags.py
+++ b/siskinmount/commands/_common_flags.py
@@ -2,6 +2,10 @@
 
 from absl import flags
 
+from siskinmount import results
+from siskinmount import transport
+from siskinmount.commands import _command
+
 
 def define_settings_flag(flag_values: flags.FlagValues) -> None:
     """Adds `--settings`."""
@@ -21,3 +25,43 @@
         'Write the result as one JSON document.',
         flag_values=flag_values,
     )
+
+
+def define_fleet_flags(flag_values: flags.FlagValues) -> None:
+    """Adds `--entries` and `--json`."""
+    flags.DEFINE_list(
+        'entries',
+        [],
+        'Control addresses of one or more entries, separated by commas.'
+        ' The others are found through them. Required.',
+        flag_values=flag_values,
+    )
+    define_json_flag(flag_values)
+
+
+def get_entries(
+    invocation: _command.Invocation,
+) -> list[transport.Address] | None:
+    """Returns the value of `--entries`, or None after a complaint."""
+    texts: list[str] = invocation.flag_values['entries'].value
+    if not texts:
+        invocation.write_error('--entries ADDRESS,... is required')
+        return None
+    addresses: list[transport.Address] = []
+    for text in texts:
+        address = parse_address_flag(invocation, 'entries', text)
+        if address is None:
+            return None
+        addresses.append(address)
+    return addresses
+
+
+def parse_address_flag(
+    invocation: _command.Invocation, name: str, text: str
+) -> transport.Address | None:
+    """Returns the address that a flag gives, or None after a complaint."""
+    address = transport.parse_address(text)
+    if isinstance(address, results.Failure):
+        invocation.write_error(f'--{name}: {address.reason}')
+        return None
+    return address
--- /dev/null
+++ b/siskinmount/commands/tests/test_publish_command.py
@@ -0,0 +1,107 @@
+import pathlib
+import tempfile
+
+import orjson
+import testtools
+
+from siskinmount import commands
+from siskinmount import transport
+from siskinmount.commands.tests import background
+from standins import faults as faults_module
+from standins import log_service
+from standins import serving
+
+_TEXT = """\
+[document]
+format = 1
+owner = %s
+[service lm]
+kind = model
+model = m
+model_version = 1
+"""
+
+
+class PublishCommandTest(testtools.TestCase):
+
+    def setUp(self):
+        super().setUp()
+        self.faults = faults_module.Faults()
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.directory = pathlib.Path(directory.name)
+
+    def _write(self, owner):
+        path = self.directory / f'{owner}.ini'
+        path.write_text(_TEXT % owner)
+        return str(path)
+
+    async def _start(self, nursery):
+        return await nursery.start(
+            serving.serve,
+            transport.Address('127.0.0.1', 0),
+            log_service.create_log_service().handle,
+            self.faults,
+        )
+
+    def _publish(self, log, path, base):
+        return background.run_command(
+            'publish', path, '--base', str(base), '--log', str(log)
+        )
+
+    def test_accepted_then_lost(self):
+        with background.serve(self._start) as log:
+            status, text, _ = self._publish(log, self._write('a'), 0)
+            self.assertEqual(commands.ExitStatus.OK, status)
+            self.assertEqual('accepted: version 1\n', text)
+            status, text, _ = self._publish(log, self._write('b'), 0)
+            self.assertEqual(commands.ExitStatus.NEGATIVE, status)
+            self.assertEqual(
+                'not accepted: version 1 by a is in force'
+                ' (5003 PUBLISH_LOST_RACE)\n',
+                text,
+            )
+            status, text, _ = self._publish(log, self._write('b'), 1)
+            self.assertEqual(commands.ExitStatus.OK, status)
+
+    def test_repeated_after_an_unknown_outcome(self):
+        with background.serve(self._start) as log:
+            path = self._write('a')
+            self._publish(log, path, 0)
+            status, text, _ = self._publish(log, path, 0)
+            self.assertEqual(commands.ExitStatus.OK, status)
+            self.assertEqual('in force already: version 1\n', text)
+
+    def test_lost_answer(self):
+        self.faults.lose_answers(faults_module.FaultMode.CLOSE, 1)
+        with background.serve(self._start) as log:
+            status, text, _ = self._publish(log, self._write('a'), 0)
+            self.assertEqual(commands.ExitStatus.OK, status)
+            self.assertEqual('accepted: version 1\n', text)
+
+    def test_wrong_base(self):
+        with background.serve(self._start) as log:
+            status, text, _ = self._publish(log, self._write('a'), 7)
+            self.assertEqual(commands.ExitStatus.NEGATIVE, status)
+            self.assertIn('the base is 0', text)
+
+    def test_invalid_document(self):
+        path = self.directory / 'bad.ini'
+        path.write_text('[document]\nformat = 1\n')
+        status, text, _ = background.run_command(
+            *('publish', str(path), '--base', '0', '--json'),
+            *('--log', '127.0.0.1:1'),
+        )
+        self.assertEqual(commands.ExitStatus.NEGATIVE, status)
+        self.assertEqual(5001, orjson.loads(text)['code'])
+
+    def test_usage(self):
+        path = self._write('a')
+        for words in (
+            ['--base', '0'],
+            ['--log', '127.0.0.1:1'],
+            ['--base', '-1', '--log', '127.0.0.1:1'],
+            ['--base', '0', '--log', 'nowhere'],
+        ):
+            status, _, _ = background.run_command('publish', path, *words)
+            self.assertEqual(commands.ExitStatus.USAGE, status, words)
--- a/siskinmount/configuration/_document_parser.py
+++ b/siskinmount/configuration/_document_parser.py
@@ -48,20 +48,18 @@
 
 
 def parse_document(
-    text: str, newest_format: int = KNOWN_FORMAT
+    text: str,
 ) -> _service_document.ServiceDocument | DocumentFaults:
     """Parses and checks the text of a service document.
 
     Args:
         text: The INI text.
-        newest_format: Newest format that the text may state: the
-            `newest_format` of the document that it is published on.
 
     Returns:
         The document, or every fault of the text in the order of its lines.
     """
     ini_text = _ini_text.read_ini_text(text)
-    foreign_format = _find_foreign_format(ini_text, newest_format)
+    foreign_format = _find_foreign_format(ini_text)
     if foreign_format is not None:
         # The rules of this format say nothing about the rest of the text.
         return [foreign_format]
@@ -78,22 +76,19 @@
 
 
 def _find_foreign_format(
-    ini_text: _ini_text.IniText, newest_format: int
+    ini_text: _ini_text.IniText,
 ) -> _document_fault.DocumentFault | None:
-    """Returns a fault if the text states another format than 1."""
+    """Returns a fault if the text states a format that is not known."""
     for section in ini_text.sections:
         if section.header != 'document':
             continue
         reader = _section_reader.SectionReader(section, [])
         stated = reader.read_whole_number('format', 0, _MAX_FORMAT, 0)
-        if stated <= 1:
+        if stated <= KNOWN_FORMAT:
             return None
-        allowed = min(newest_format, KNOWN_FORMAT)
-        if stated > newest_format:
-            expected = f'a format up to {newest_format}, which is allowed here'
-        else:
-            expected = f'a format up to {allowed}, which this release knows'
-        reader.add_fault('format', expected)
+        reader.add_fault(
+            'format', f'a format up to {KNOWN_FORMAT}, which is the newest'
+        )
         return reader.faults[0]
     return None
 
@@ -109,7 +104,6 @@
         'faults',
         '_sections',
         '_owner',
-        '_newest_format',
         '_services',
         '_routes',
         '_callers',
@@ -121,7 +115,6 @@
         self.faults = list(ini_text.faults)
         self._sections = ini_text.sections
         self._owner = ''
-        self._newest_format = KNOWN_FORMAT
         self._services: dict[str, _service_document.Service] = {}
         self._routes: list[_service_document.Route] = []
         self._callers: dict[str, _service_document.CallerPolicy] = {}
@@ -168,7 +161,6 @@
             callers=self._callers,
             objectives=self._objectives,
             text=text,
-            newest_format=self._newest_format,
         )
 
     def _reject_kind(self, section: _ini_text.IniSection) -> None:
@@ -189,9 +181,6 @@
         if reader.section.name:
             reader.add_fault('', '[document] without a name', 'a name')
         reader.read_whole_number('format', 1, KNOWN_FORMAT)
-        self._newest_format = reader.read_whole_number(
-            'newest_format', 1, _MAX_FORMAT, 1
-        )
         self._owner = reader.read_text('owner')
 
     def _visit_service(self, reader: _section_reader.SectionReader) -> None:
--- a/siskinmount/configuration/_service_document.py
+++ b/siskinmount/configuration/_service_document.py
@@ -237,8 +237,6 @@
     Attributes:
         owner: Name of the team.
         format: Format of the document.
-        newest_format: Newest format that the documents published on this one
-            may state.
         services: Services by name.
         routes: Routes, longest path prefix first.
         callers: Callers by name.
@@ -249,7 +247,6 @@
     __slots__ = (
         'owner',
         'format',
-        'newest_format',
         'services',
         'routes',
         'callers',
@@ -267,11 +264,9 @@
         objectives: list[Objective],
         text: str = '',
         format: int = 1,
-        newest_format: int = 1,
     ) -> None:
         self.owner = owner
         self.format = format
-        self.newest_format = newest_format
         self.services = services
         self.routes = sorted(
             routes, key=lambda route: len(route.path_prefix), reverse=True
--- a/siskinmount/telemetry/__init__.py
+++ b/siskinmount/telemetry/__init__.py
@@ -1,5 +1,18 @@
 """JSON-lines logs, metrics, and histograms of objectives."""
 
+from siskinmount.telemetry._burn import BurnLevel
+from siskinmount.telemetry._burn import BurnPoint
+from siskinmount.telemetry._burn import compute_budget_used
+from siskinmount.telemetry._burn import compute_window_burn
+from siskinmount.telemetry._burn import FAST_BURN_RATE
+from siskinmount.telemetry._burn import HOUR_WINDOW_S
+from siskinmount.telemetry._burn import judge_burn
+from siskinmount.telemetry._burn import list_burn_points
+from siskinmount.telemetry._burn import MEDIUM_BURN_RATE
+from siskinmount.telemetry._burn import REPORT_WINDOWS_S
+from siskinmount.telemetry._burn import SLOW_BURN_RATE
+from siskinmount.telemetry._burn import THREE_DAYS_WINDOW_S
+from siskinmount.telemetry._burn import WindowBurn
 from siskinmount.telemetry._histograms import create_hdr_histogram
 from siskinmount.telemetry._histograms import create_histograms
 from siskinmount.telemetry._histograms import decode_hdr_histogram
--- a/siskinmount/telemetry/_histograms.py
+++ b/siskinmount/telemetry/_histograms.py
@@ -15,6 +15,9 @@
 MINUTES_KEPT = 70
 HOURS_KEPT = 30 * 24
 
+#: Older windows are sent with their counts only.
+DETAILS_SENT_S = 73 * HOUR_S
+
 #: Series of one process; further ones are counted as dropped.
 MAX_SERIES = 256
 
@@ -57,7 +60,7 @@
         good: Values that met the objective.
         bad: Values that did not.
         histogram: hdrhistogram's compressed V2 encoding, of values in
-            microseconds.
+            microseconds; empty for windows before `DETAILS_SENT_S`.
     """
 
     __slots__ = (
@@ -207,7 +210,10 @@
             series = self._series[(service, objective)]
             series.advance(now_s)
             for window in series.list_windows():
-                snapshots.append(window.take_snapshot(service, objective))
+                snapshot = window.take_snapshot(service, objective)
+                if window.start_s < now_s - DETAILS_SENT_S:
+                    snapshot.histogram = b''
+                snapshots.append(snapshot)
         return snapshots
 
     def summarize(self) -> list[Summary]:
