--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test format lint demo load bench protos
+.PHONY: setup test format lint demo load bench binary protos
 
 $(VENV)/.installed: requirements.txt requirements-dev.txt constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -26,6 +26,10 @@
 demo: setup
 	$(BIN)/python -m tools.demo
 
+# One file; needs a C compiler and the interpreter's static library.
+binary: setup
+	$(BIN)/python -m tools.binary dist/siskinmount
+
 # Sends load to running servers: make load ARGS='--target HOST:PORT --rate 5'
 load: setup
 	$(BIN)/python -m tools.load $(ARGS)
