Compare ways of sharing engines by an experiment of turns

Five arms take turns over real processes: online alone, batch alone (for the capacity), the product's policy, first in first out, and a static split. The first measure of idle capacity counted tokens of requests by their time of sending and took batch alone under the reserve; it gave shares over 1.

--- /dev/null
+++ b/tools/bench/__main__.py
@@ -0,0 +1,116 @@
+"""Runs the experiment: all arms take turns in several rounds."""
+
+import pathlib
+import random
+import time
+
+from absl import app
+from absl import flags
+import trio
+
+from standins import processes
+from tools import bench
+from tools.bench import _plot
+
+_SETTING = flags.DEFINE_enum(
+    'setting', 'all', ['all', *bench.SETTINGS], 'Fleet and load to run.'
+)
+_QUICK = flags.DEFINE_bool('quick', False, 'A run of about a minute.')
+_ROUNDS = flags.DEFINE_integer('rounds', 4, 'Rounds.')
+_MEASURED_S = flags.DEFINE_float('measured_s', 20.0, 'Measured time of an arm.')
+_WARM_UP_S = flags.DEFINE_float('warm_up_s', 3.0, 'Time before it.')
+_SEED = flags.DEFINE_integer('seed', 1, 'Decides loads and order.')
+_ARMS = flags.DEFINE_list(
+    'arms', [arm.value for arm in bench.Arm], 'Arms to run.'
+)
+_OUT_DIR = flags.DEFINE_string('out_dir', 'out/bench', 'Where results go.')
+_COMPARE_WITH = flags.DEFINE_string(
+    'compare_with', '', 'Directory with the results of an earlier run.'
+)
+
+QUICK_SETTING = 'roadhaven'
+QUICK_ROUNDS = 2
+QUICK_MEASURED_S = 3.0
+QUICK_WARM_UP_S = 0.5
+
+
+async def run_experiment(
+    setting: bench.BenchSetting, plan: bench.BenchPlan, arms: list[bench.Arm]
+) -> list[bench.ArmResult]:
+    """Runs every arm once in each round, in an order drawn for the round."""
+
+    async def start_deployment(
+        group: processes.ProcessGroup,
+        arm: bench.Arm,
+        directory: pathlib.Path,
+    ) -> bench.Deployment:
+        deployment = bench.SidecarDeployment(setting, plan.seed)
+        await deployment.start(group, arm, directory)
+        return deployment
+
+    source = random.Random(plan.seed)
+    found: list[bench.ArmResult] = []
+    for round_number in range(plan.rounds):
+        for arm in source.sample(arms, len(arms)):
+            began_s = time.monotonic()
+            result = await bench.run_arm(
+                setting, plan, arm, round_number, start_deployment
+            )
+            found.append(result)
+            print(
+                f'{setting.name} round {round_number} {arm.value}:'
+                f' {time.monotonic() - began_s:.1f} s,'
+                f' {sum(result.online.outcomes.values())} online requests,'
+                f' {result.batch.done_items} batch items',
+                flush=True,
+            )
+    return found
+
+
+def run_setting(
+    setting: bench.BenchSetting, plan: bench.BenchPlan, arms: list[bench.Arm]
+) -> bool:
+    """Runs one setting and writes its results; tells if answers were right."""
+    results = trio.run(run_experiment, setting, plan, arms)
+    summaries = bench.summarize(setting, results)
+    out_dir = pathlib.Path(_OUT_DIR.value)
+    path = out_dir / f'{setting.name}.json'
+    print('\n'.join(bench.format_summaries(summaries)))
+    if _COMPARE_WITH.value:
+        earlier = pathlib.Path(_COMPARE_WITH.value) / path.name
+        print('\n'.join(bench.compare_with_earlier(earlier, summaries)))
+    bench.write_results(path, setting, plan, results, summaries)
+    _plot.draw_summaries(path.with_suffix('.png'), setting, summaries)
+    print(f'results: {path}')
+    wrong = [
+        summary.arm.value
+        for summary in summaries
+        if summary.wrong_items or summary.online_outcomes.get('wrong')
+    ]
+    if wrong:
+        print(f'wrong answers in: {", ".join(wrong)}')
+    return not wrong
+
+
+def main(unused_argv: list[str]) -> int:
+    """Runs the chosen settings; the exit status is 1 after wrong answers."""
+    names = list(bench.SETTINGS)
+    if _SETTING.value != 'all':
+        names = [_SETTING.value]
+    elif _QUICK.value:
+        names = [QUICK_SETTING]
+    plan = bench.BenchPlan(
+        rounds=QUICK_ROUNDS if _QUICK.value else _ROUNDS.value,
+        warm_up_s=QUICK_WARM_UP_S if _QUICK.value else _WARM_UP_S.value,
+        measured_s=QUICK_MEASURED_S if _QUICK.value else _MEASURED_S.value,
+        seed=_SEED.value,
+    )
+    arms = [bench.Arm(name) for name in _ARMS.value]
+    all_right = True
+    for name in names:
+        all_right &= run_setting(bench.SETTINGS[name](), plan, arms)
+    return 0 if all_right else 1
+
+
+if __name__ == '__main__':
+    app.run(main)
--- /dev/null
+++ b/tools/bench/_results_file.py
@@ -0,0 +1,61 @@
+"""Results of an experiment as a file that a later run can be compared with."""
+
+import pathlib
+
+import orjson
+
+from tools.bench import _arm_run
+from tools.bench import _settings
+from tools.bench import _summary
+
+FORMAT = 1
+
+
+def write_results(
+    path: pathlib.Path,
+    setting: _settings.BenchSetting,
+    plan: _settings.BenchPlan,
+    results: list[_arm_run.ArmResult],
+    summaries: list[_summary.ArmSummary],
+) -> None:
+    """Writes all results as JSON."""
+    document = {
+        'format': FORMAT,
+        'setting': setting.name,
+        'plan': {name: getattr(plan, name) for name in plan.__slots__},
+        'summaries': [summary.to_json() for summary in summaries],
+        'runs': [result.to_json() for result in results],
+    }
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_bytes(orjson.dumps(document, option=orjson.OPT_INDENT_2))
+
+
+def compare_with_earlier(
+    path: pathlib.Path, summaries: list[_summary.ArmSummary]
+) -> list[str]:
+    """Returns lines that put summaries beside those of an earlier file."""
+    earlier_document = orjson.loads(path.read_bytes())
+    earlier_by_arm = {
+        entry['arm']: entry for entry in earlier_document['summaries']
+    }
+    lines = [f'compared with {path.name}: earlier -> now']
+    for summary in summaries:
+        earlier = earlier_by_arm.get(summary.arm.value)
+        if earlier is None:
+            continue
+        lines.append(f'== {summary.arm.value}')
+        for measure, by_percentile in summary.latency_ratio.items():
+            for name, ratio in by_percentile.items():
+                before = earlier['latency_ratio'][measure][name]['value']
+                lines.append(
+                    f'  {measure} {name} ratio:'
+                    f' {before:.3f} -> {ratio.value:.3f}'
+                )
+        share = summary.idle_tokens_share
+        before_share = earlier['idle_tokens_share']
+        if share is not None and before_share is not None:
+            lines.append(
+                '  batch tokens of idle capacity:'
+                f' {before_share["value"]:.3f} -> {share.value:.3f}'
+            )
+    return lines
--- /dev/null
+++ b/tools/bench/_settings.py
@@ -0,0 +1,184 @@
+"""The settings that are compared: fleets, loads and sizes."""
+
+import enum
+
+from standins import engine
+from tools import load
+
+
+class Arm(enum.Enum):
+    """One way of sharing the engines."""
+
+    #: Online requests only.
+    ONLINE_ALONE = 'online_alone'
+
+    #: Batch items only; shows what the engines can do at most.
+    BATCH_ALONE = 'batch_alone'
+
+    #: Both, shared by the product's policy.
+    ONLINE_FIRST = 'online_first'
+
+    #: Both, first in first out.
+    PASS_THROUGH = 'pass_through'
+
+    #: Both, each with a fixed part of the slots.
+    STATIC_SPLIT = 'static_split'
+
+    @property
+    def has_online(self) -> bool:
+        """Whether online requests are sent."""
+        return self is not Arm.BATCH_ALONE
+
+    @property
+    def has_batch(self) -> bool:
+        """Whether batch items are run."""
+        return self is not Arm.ONLINE_ALONE
+
+    @property
+    def gate_policy(self) -> str:
+        """The sidecars' setting."""
+        if self is Arm.ONLINE_ALONE:
+            return Arm.ONLINE_FIRST.value
+        if self is Arm.BATCH_ALONE:
+            # Without a reserve, so that the engines show all they can do.
+            return Arm.PASS_THROUGH.value
+        return self.value
+
+
+class BenchSetting:
+    """A fleet and its load.
+
+    Attributes:
+        name: Name of the setting.
+        service: Name of the service.
+        engine_count: Engines, each with a sidecar.
+        slots: Requests that an engine runs at once.
+        online_reserve_slots: Slots that batch leaves free.
+        online_split_slots: Slots of online requests under the static split.
+        batch_prefill_tokens: Longest batch prompt beside online requests.
+        engine_settings: The engines' model.
+        online_pattern: When online requests arrive.
+        online_shape: Sizes of online requests.
+        batch_shape: Sizes of batch items.
+    """
+
+    __slots__ = (
+        'name',
+        'service',
+        'engine_count',
+        'slots',
+        'online_reserve_slots',
+        'online_split_slots',
+        'batch_prefill_tokens',
+        'engine_settings',
+        'online_pattern',
+        'online_shape',
+        'batch_shape',
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        service: str,
+        engine_count: int,
+        slots: int,
+        online_reserve_slots: int,
+        online_split_slots: int,
+        batch_prefill_tokens: int,
+        engine_settings: engine.EngineSettings,
+        online_pattern: load.ArrivalPattern,
+        online_shape: load.WorkloadShape,
+        batch_shape: load.WorkloadShape,
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.engine_count = engine_count
+        self.slots = slots
+        self.online_reserve_slots = online_reserve_slots
+        self.online_split_slots = online_split_slots
+        self.batch_prefill_tokens = batch_prefill_tokens
+        self.engine_settings = engine_settings
+        self.online_pattern = online_pattern
+        self.online_shape = online_shape
+        self.batch_shape = batch_shape
+
+
+class BenchPlan:
+    """How much is run.
+
+    Attributes:
+        rounds: Rounds; each runs every arm once.
+        warm_up_s: Time before anything is measured in an arm.
+        measured_s: Measured time of an arm.
+        seed: Decides loads and the order of arms.
+    """
+
+    __slots__ = ('rounds', 'warm_up_s', 'measured_s', 'seed')
+
+    def __init__(
+        self, *, rounds: int, warm_up_s: float, measured_s: float, seed: int
+    ) -> None:
+        self.rounds = rounds
+        self.warm_up_s = warm_up_s
+        self.measured_s = measured_s
+        self.seed = seed
+
+
+def create_roadhaven() -> BenchSetting:
+    """Creates an online-heavy day: callouts in bursts, job sheets between."""
+    return BenchSetting(
+        name='roadhaven',
+        service='dispatch-lm',
+        engine_count=3,
+        slots=16,
+        online_reserve_slots=4,
+        online_split_slots=10,
+        batch_prefill_tokens=1024,
+        engine_settings=engine.EngineSettings(max_running=16),
+        online_pattern=load.ArrivalPattern(
+            rate_per_s=8.0, burst_factor=3.0, burst_s=1.0, quiet_s=4.0
+        ),
+        online_shape=load.WorkloadShape(
+            prefix_tokens=192, prompt_tokens=64, long_share=0.02
+        ),
+        batch_shape=load.WorkloadShape(
+            prefix_tokens=64,
+            prompt_tokens=192,
+            long_share=0.05,
+            long_factor=4,
+            min_answer_tokens=32,
+            max_answer_tokens=128,
+            session_share=0.0,
+        ),
+    )
+
+
+def create_swapnest() -> BenchSetting:
+    """Creates a batch-heavy night: matches, and a few host questions."""
+    return BenchSetting(
+        name='swapnest',
+        service='wordsmith',
+        engine_count=3,
+        slots=16,
+        online_reserve_slots=1,
+        online_split_slots=4,
+        batch_prefill_tokens=4096,
+        engine_settings=engine.EngineSettings(max_running=16),
+        online_pattern=load.ArrivalPattern(
+            rate_per_s=2.0, burst_factor=4.0, burst_s=1.0, quiet_s=6.0
+        ),
+        online_shape=load.WorkloadShape(prefix_tokens=128, prompt_tokens=64),
+        batch_shape=load.WorkloadShape(
+            prefix_tokens=128,
+            prompt_tokens=96,
+            long_share=0.1,
+            long_factor=5,
+            min_answer_tokens=32,
+            max_answer_tokens=160,
+            session_share=0.0,
+        ),
+    )
+
+
+SETTINGS = {'roadhaven': create_roadhaven, 'swapnest': create_swapnest}
--- /dev/null
+++ b/tools/bench/tests/test_bench.py
@@ -0,0 +1,214 @@
+"""Tests of the comparison of arms."""
+
+import pathlib
+import tempfile
+
+import orjson
+import testtools
+import trio
+
+from siskinmount import relay
+from siskinmount import results
+from standins import engine
+from standins.tests import http_harness
+from tools import bench
+from tools import load
+
+_SETTING = bench.SETTINGS['roadhaven']()
+
+
+def _create_result(
+    arm,
+    round_number=0,
+    first_token_ms=(),
+    online_tokens=0,
+    batch_tokens=0,
+    batch_items=0,
+    generated=None,
+    prefilled=0,
+):
+    online = load.LoadReport()
+    for latency_ms in first_token_ms:
+        online.first_token.record(latency_ms / 1000)
+        online.outcomes[load.Outcome.RIGHT] += 1
+    online.window_token_count = online_tokens
+    batch = bench.BatchProgress()
+    batch.kept_tokens = batch_tokens
+    batch.done_items = batch_items
+    if generated is None:
+        generated = online_tokens + batch_tokens
+    return bench.ArmResult(
+        arm=arm,
+        round_number=round_number,
+        online=online,
+        batch=batch,
+        measured_s=10.0,
+        generated_tokens=generated,
+        prefilled_tokens=prefilled,
+        cpu_cores={'sidecar-0': 0.1},
+    )
+
+
+def _summarize(*arm_results):
+    summaries = bench.summarize(_SETTING, list(arm_results))
+    return {summary.arm: summary for summary in summaries}
+
+
+class SummaryTest(testtools.TestCase):
+
+    def test_ratio_is_to_online_alone_of_the_same_round(self):
+        summaries = _summarize(
+            _create_result(bench.Arm.ONLINE_ALONE, 0, [100.0]),
+            _create_result(bench.Arm.ONLINE_ALONE, 1, [200.0]),
+            _create_result(bench.Arm.ONLINE_FIRST, 0, [150.0]),
+            _create_result(bench.Arm.ONLINE_FIRST, 1, [240.0]),
+        )
+        ratio = summaries[bench.Arm.ONLINE_FIRST].latency_ratio
+        p99 = ratio['first_token']['p99']
+        self.assertAlmostEqual(1.2, p99.value, places=2)
+        self.assertAlmostEqual(1.2, p99.low, places=2)
+        self.assertAlmostEqual(1.5, p99.high, places=2)
+        alone = summaries[bench.Arm.ONLINE_ALONE].latency_ratio
+        self.assertEqual(1.0, alone['first_token']['p50'].value)
+
+    def test_idle_capacity_is_what_online_leaves(self):
+        for online_tokens, batch_tokens, expected in (
+            (0, 1000, 1.0),
+            (500, 500, 1.0),
+            (500, 250, 0.5),
+        ):
+            summaries = _summarize(
+                _create_result(bench.Arm.ONLINE_ALONE, online_tokens=500),
+                _create_result(
+                    bench.Arm.BATCH_ALONE, batch_tokens=1000, batch_items=10
+                ),
+                _create_result(
+                    bench.Arm.ONLINE_FIRST,
+                    online_tokens=online_tokens,
+                    batch_tokens=batch_tokens,
+                    batch_items=batch_tokens // 100,
+                ),
+            )
+            summary = summaries[bench.Arm.ONLINE_FIRST]
+            self.assertAlmostEqual(expected, summary.idle_tokens_share.value)
+            self.assertAlmostEqual(
+                expected, summary.idle_items_share.value, delta=0.11
+            )
+
+    def test_online_tokens_weigh_by_their_engine_time(self):
+        # A decoded token costs 12/16 + 0.8 = 1.55 ms; 13 prompt tokens for
+        # each batch token cost 13 * 0.12 = 1.56 ms more.
+        summaries = _summarize(
+            _create_result(bench.Arm.ONLINE_ALONE, online_tokens=500),
+            _create_result(
+                bench.Arm.BATCH_ALONE, batch_tokens=1000, prefilled=13_000
+            ),
+            _create_result(
+                bench.Arm.ONLINE_FIRST, online_tokens=1000, batch_tokens=100
+            ),
+        )
+        share = summaries[bench.Arm.ONLINE_FIRST].idle_tokens_share.value
+        self.assertAlmostEqual(0.1 / (1 - 1.55 / 3.11), share, places=3)
+
+    def test_waste_is_what_nobody_kept(self):
+        summaries = _summarize(
+            _create_result(
+                bench.Arm.PASS_THROUGH,
+                online_tokens=40,
+                batch_tokens=40,
+                generated=100,
+            )
+        )
+        summary = summaries[bench.Arm.PASS_THROUGH]
+        self.assertAlmostEqual(0.2, summary.wasted_share.value)
+        self.assertIsNone(summary.idle_tokens_share)
+
+    def test_results_file_can_be_compared_with(self):
+        arm_results = [
+            _create_result(bench.Arm.ONLINE_ALONE, 0, [100.0]),
+            _create_result(bench.Arm.ONLINE_FIRST, 0, [150.0]),
+        ]
+        summaries = bench.summarize(_SETTING, arm_results)
+        plan = bench.BenchPlan(rounds=1, warm_up_s=0.0, measured_s=10.0, seed=1)
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory) / 'sub' / 'roadhaven.json'
+            bench.write_results(path, _SETTING, plan, arm_results, summaries)
+            lines = bench.compare_with_earlier(path, summaries)
+            document = orjson.loads(path.read_bytes())
+        self.assertIn('  first_token p99 ratio: 1.500 -> 1.500', lines)
+        self.assertEqual(2, len(document['runs']))
+        self.assertTrue(bench.format_summaries(summaries))
+
+
+class _YieldingSidecar:
+    """Yields each item's first attempt after two tokens."""
+
+    def __init__(self):
+        self.resumed = []
+
+    async def handle(self, exchange):
+        document = await exchange.read_json()
+        tokens = engine.expected_tokens(
+            document['prompt'], None, document['max_tokens']
+        )
+        start = len(document['resume_tokens'])
+        attempt = exchange.head.find_header(relay.RelayHeader.ATTEMPT)
+        await exchange.start_stream(200, [])
+        end = min(len(tokens), start + 2) if attempt == '1' else len(tokens)
+        frames = [
+            relay.TokenFrame(index, tokens[index])
+            for index in range(start, end)
+        ]
+        if attempt == '1':
+            frames.append(
+                relay.FailureFrame(
+                    results.Failure(
+                        results.ResultCode.BATCH_YIELDED,
+                        'yielded',
+                        results.RunState.RAN,
+                    )
+                )
+            )
+        else:
+            self.resumed.append(start)
+            frames.append(relay.EndFrame('length', 1, len(tokens)))
+        for frame in frames:
+            await exchange.send_chunk(relay.encode_frame(frame))
+        await exchange.finish()
+
+
+class BatchFeederTest(testtools.TestCase):
+
+    def test_yielded_items_go_on_where_they_were(self):
+        progress = bench.BatchProgress()
+        sidecar = _YieldingSidecar()
+        shape = load.WorkloadShape(session_share=0.0, min_answer_tokens=4)
+
+        async def check(caller):
+            feeder = bench.BatchFeeder('lm', shape, 1, progress)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(feeder.run, [caller.address], 2)
+                await http_harness.wait_until(lambda: progress.done_items >= 5)
+                nursery.cancel_scope.cancel()
+
+        http_harness.run_standin(sidecar.handle, check)
+        self.assertEqual({2}, set(sidecar.resumed))
+        self.assertGreaterEqual(progress.yields, 5)
+        self.assertEqual(0, progress.wrong_items)
+        self.assertEqual(0, progress.failures)
+
+    def test_refusals_are_counted_and_tried_again(self):
+        progress = bench.BatchProgress()
+
+        async def check(caller):
+            await caller.call(
+                'POST', '/control/outage', {'duration_ms': 60_000}
+            )
+            feeder = bench.BatchFeeder('lm', load.WorkloadShape(), 1, progress)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(feeder.run, [caller.address], 1)
+                await http_harness.wait_until(lambda: progress.failures >= 2)
+                nursery.cancel_scope.cancel()
+
+        http_harness.run_standin(_YieldingSidecar().handle, check)
+        self.assertEqual(0, progress.done_items)
--- a/tools/load/__init__.py
+++ b/tools/load/__init__.py
@@ -11,6 +11,7 @@
 from tools.load._load_report import read_report
 from tools.load._wires import AnswerReader
 from tools.load._wires import create_wire
+from tools.load._wires import read_error
 from tools.load._wires import Wire
 from tools.load._wires import WireKind
 from tools.load._workload import create_requests
--- a/tools/load/__main__.py
+++ b/tools/load/__main__.py
@@ -97,7 +97,7 @@
     generator = load.create_load_generator(targets, wire, _LABEL.value)
     # Nothing else happens in this process until the run begins.
     time.sleep(max(0.0, _START_AT_S.value - time.time()))
-    trio.run(generator.run, requests, _WARM_UP_S.value)
+    trio.run(generator.run, requests, _WARM_UP_S.value, _DURATION_S.value)
     report = generator.report
     print('\n'.join(report.format_lines()))
     if _RESULTS.value:
--- a/tools/load/_generator.py
+++ b/tools/load/_generator.py
@@ -1,5 +1,7 @@
 """Sends requests at their intended times and checks every answer."""
 
+import math
+
 import orjson
 import trio
 
@@ -26,6 +28,8 @@
     __slots__ = (
         'report',
         'warm_up_report',
+        '_window_start_s',
+        '_window_end_s',
         '_clients',
         '_wire',
         '_label',
@@ -41,6 +45,8 @@
         )
         self.report = _load_report.LoadReport()
         self.warm_up_report = _load_report.LoadReport()
+        self._window_start_s = 0.0
+        self._window_end_s = math.inf
         self._clients = [
             transport.create_http_client(target, limits) for target in targets
         ]
@@ -49,7 +55,10 @@
         self._next_client = 0
 
     async def run(
-        self, requests: list[_workload.LoadRequest], warm_up_s: float = 0.0
+        self,
+        requests: list[_workload.LoadRequest],
+        warm_up_s: float = 0.0,
+        duration_s: float = math.inf,
     ) -> None:
         """Sends all requests and returns once each has ended.
 
@@ -57,8 +66,12 @@
             requests: The requests in the order of their intended times.
             warm_up_s: Requests meant to be sent before this are left out of
                 `report`.
+            duration_s: Tokens that arrive later are left out of the report's
+                `window_token_count`.
         """
         start_s = trio.current_time()
+        self._window_start_s = start_s + warm_up_s
+        self._window_end_s = start_s + duration_s
         async with trio.open_nursery() as nursery:
             for number, request in enumerate(requests):
                 intended_s = start_s + request.intended_s
@@ -99,7 +112,13 @@
                 return
             texts = await self._read_answer(exchange, intended_s, report)
         if isinstance(texts, results.Failure):
-            _note_failure(report, _load_report.Outcome.LOST, texts)
+            not_run = texts.run_state is results.RunState.NOT_RUN
+            outcome = (
+                _load_report.Outcome.REFUSED
+                if not_run
+                else _load_report.Outcome.LOST
+            )
+            _note_failure(report, outcome, texts)
             return
         if texts == request.find_answer():
             report.outcomes[_load_report.Outcome.RIGHT] += 1
@@ -127,6 +146,8 @@
                 break
             now_s = trio.current_time()
             item = reader.feed(chunk)
+            if self._window_start_s <= now_s < self._window_end_s:
+                self.report.window_token_count += len(item.texts)
             for text in item.texts:
                 if texts:
                     report.between_tokens.record(now_s - last_token_s)
@@ -143,7 +164,9 @@
         if ended:
             return texts
         return results.Failure(
-            results.ResultCode.UPSTREAM_LOST, 'the answer has no end'
+            results.ResultCode.UPSTREAM_LOST,
+            'the answer has no end',
+            results.RunState.RAN,
         )
 
 
--- a/tools/load/_load_report.py
+++ b/tools/load/_load_report.py
@@ -93,6 +93,8 @@
         outcomes: Requests by outcome.
         refusal_codes: Refused requests by the name of the result code.
         token_count: Tokens received.
+        window_token_count: Tokens received between the end of the warm-up and
+            the end of the run, of whatever request.
         duration_s: Length of the run.
         wrong_examples: Ids of requests with wrong answers, the first few.
     """
@@ -105,6 +107,7 @@
         'outcomes',
         'refusal_codes',
         'token_count',
+        'window_token_count',
         'duration_s',
         'wrong_examples',
     )
@@ -117,6 +120,7 @@
         self.outcomes: collections.Counter[Outcome] = collections.Counter()
         self.refusal_codes: collections.Counter[str] = collections.Counter()
         self.token_count = 0
+        self.window_token_count = 0
         self.duration_s = 0.0
         self.wrong_examples: list[str] = []
 
@@ -127,6 +131,7 @@
         self.outcomes.update(other.outcomes)
         self.refusal_codes.update(other.refusal_codes)
         self.token_count += other.token_count
+        self.window_token_count += other.window_token_count
         self.duration_s += other.duration_s
         self.wrong_examples.extend(other.wrong_examples)
 
@@ -139,6 +144,7 @@
             },
             'refusal_codes': dict(self.refusal_codes),
             'tokens': self.token_count,
+            'window_tokens': self.window_token_count,
             'wrong_examples': self.wrong_examples,
             **{
                 name: getattr(self, name).to_json() for name in _HISTOGRAM_NAMES
@@ -172,6 +178,7 @@
         report.outcomes[outcome] = document['outcomes'][outcome.value]
     report.refusal_codes.update(document['refusal_codes'])
     report.token_count = document['tokens']
+    report.window_token_count = document['window_tokens']
     report.wrong_examples.extend(document['wrong_examples'])
     for name in _HISTOGRAM_NAMES:
         getattr(report, name).add_json(document[name])
