Run the experiment on whole fleets under the users' own documents

Online requests now pass the entries and their routing, and each arm runs the example document of its user. Before, they went straight to sidecars. Latencies cover answered requests only, so the answered share and the codes of refusals stand beside them.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -5,7 +5,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 
@@ -19,40 +18,11 @@
 STOP_TIMEOUT_S = 15.0
 MAX_LOG_BYTES = 16 * 1024 * 1024
 READ_BYTES = 64 * 1024
-HEALTH_POLL_S = 0.02
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _CLOCK_TICKS_PER_S = os.sysconf('SC_CLK_TCK')
 _PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
 
 
-def find_free_address(host: str = '127.0.0.1') -> transport.Address:
-    """Returns an address that nobody listens on at present."""
-    with socket.socket() as unused:
-        unused.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        unused.bind((host, 0))
-        return transport.Address(host, unused.getsockname()[1])
-
-
-async def wait_http_ok(
-    address: transport.Address, path: str, timeout_s: float = READY_TIMEOUT_S
-) -> bool:
-    """Waits until a GET of a path is answered with 200.
-
-    Returns:
-        False if that took longer than the timeout.
-    """
-    client = transport.create_http_client(address)
-    with trio.move_on_after(timeout_s):
-        while True:
-            exchange = await client.send(transport.ClientRequest('GET', path))
-            if not isinstance(exchange, results.Failure):
-                with exchange:
-                    if exchange.status == 200:
-                        return True
-            await trio.sleep(HEALTH_POLL_S)
-    return False
-
-
 class ProcessUsage:
     """What a process has used.
 
--- a/tools/bench/__init__.py
+++ b/tools/bench/__init__.py
@@ -5,7 +5,7 @@
 from tools.bench._batch_feeder import BatchFeeder
 from tools.bench._batch_progress import BatchProgress
 from tools.bench._deployment import Deployment
-from tools.bench._deployment import SidecarDeployment
+from tools.bench._deployment import open_deployment
 from tools.bench._results_file import compare_with_earlier
 from tools.bench._results_file import write_results
 from tools.bench._settings import Arm
--- a/tools/bench/__main__.py
+++ b/tools/bench/__main__.py
@@ -8,7 +8,6 @@
 from absl import flags
 import trio
 
-from standins import processes
 from tools import bench
 from tools.bench import _plot
 
@@ -29,33 +28,21 @@
 )
 
 QUICK_SETTING = 'roadhaven'
-QUICK_ROUNDS = 2
-QUICK_MEASURED_S = 3.0
-QUICK_WARM_UP_S = 0.5
+QUICK_ROUNDS = 1
+QUICK_MEASURED_S = 4.0
+QUICK_WARM_UP_S = 1.0
 
 
 async def run_experiment(
     setting: bench.BenchSetting, plan: bench.BenchPlan, arms: list[bench.Arm]
 ) -> list[bench.ArmResult]:
     """Runs every arm once in each round, in an order drawn for the round."""
-
-    async def start_deployment(
-        group: processes.ProcessGroup,
-        arm: bench.Arm,
-        directory: pathlib.Path,
-    ) -> bench.Deployment:
-        deployment = bench.SidecarDeployment(setting, plan.seed)
-        await deployment.start(group, arm, directory)
-        return deployment
-
     source = random.Random(plan.seed)
     found: list[bench.ArmResult] = []
     for round_number in range(plan.rounds):
         for arm in source.sample(arms, len(arms)):
             began_s = time.monotonic()
-            result = await bench.run_arm(
-                setting, plan, arm, round_number, start_deployment
-            )
+            result = await bench.run_arm(setting, plan, arm, round_number)
             found.append(result)
             print(
                 f'{setting.name} round {round_number} {arm.value}:'
--- a/tools/bench/_arm_run.py
+++ b/tools/bench/_arm_run.py
@@ -1,7 +1,5 @@
 """Runs one arm of the experiment and measures it."""
 
-from collections.abc import Awaitable
-from collections.abc import Callable
 import contextlib
 import pathlib
 import tempfile
@@ -99,18 +97,11 @@
         self.cpu_s = cpu_s
 
 
-StartDeployment = Callable[
-    [processes.ProcessGroup, _settings.Arm, pathlib.Path],
-    Awaitable[_deployment.Deployment],
-]
-
-
 async def run_arm(
     setting: _settings.BenchSetting,
     plan: _settings.BenchPlan,
     arm: _settings.Arm,
     round_number: int,
-    start_deployment: StartDeployment,
 ) -> ArmResult:
     """Starts all processes of an arm, loads them, and measures.
 
@@ -122,13 +113,14 @@
         directory = pathlib.Path(
             stack.enter_context(tempfile.TemporaryDirectory())
         )
-        group = await stack.enter_async_context(processes.open_process_group())
-        deployment = await start_deployment(group, arm, directory)
+        deployment = await stack.enter_async_context(
+            _deployment.open_deployment(setting, arm, plan.seed)
+        )
         start_at_s = time.time() + START_DELAY_S
         report_path = directory / 'online.json'
         generator: processes.ManagedProcess | None = None
         if arm.has_online:
-            generator = await group.start_module(
+            generator = await deployment.fleet.group.start_module(
                 'online-load',
                 'tools.load',
                 _write_load_flags(
@@ -164,10 +156,11 @@
     """Returns the command line of the load generator."""
     pattern = setting.online_pattern
     shape = setting.online_shape
-    targets = ','.join(str(target) for target in deployment.online_targets)
+    targets = [str(target) for target in deployment.list_online_targets()]
     return [
-        f'--target={targets}',
-        *deployment.online_flags,
+        f'--target={",".join(targets)}',
+        f'--service={setting.service}',
+        f'--key={deployment.key}',
         f'--rate={pattern.rate_per_s}',
         f'--burst_factor={pattern.burst_factor}',
         f'--burst_s={pattern.burst_s}',
@@ -192,12 +185,12 @@
     deployment: _deployment.Deployment, progress: _batch_progress.BatchProgress
 ) -> _Snapshot:
     """Notes all counts at this moment."""
-    engines = await _deployment.count_engine_work(deployment.engines)
+    engines = await deployment.count_engine_work()
     cpu_s: dict[str, float] = {}
-    for name, daemon in deployment.daemons.items():
+    for daemon in deployment.list_daemons():
         usage = daemon.read_usage()
         if usage is not None:
-            cpu_s[name] = usage.cpu_s
+            cpu_s[daemon.name] = usage.cpu_s
     return _Snapshot(trio.current_time(), progress.copy(), engines, cpu_s)
 
 
--- a/tools/bench/_deployment.py
+++ b/tools/bench/_deployment.py
@@ -1,19 +1,22 @@
 """The processes that one arm runs against."""
 
-import pathlib
-from typing import Protocol
+from collections.abc import AsyncIterator
+import contextlib
 
 import orjson
 import trio
 
+from siskinmount import configuration
 from siskinmount import results
 from siskinmount import transport
 from standins import processes
+from tools import fleet
 from tools.bench import _batch_feeder
 from tools.bench import _batch_progress
 from tools.bench import _settings
 
-MAX_BODY_BYTES = 1024 * 1024
+CALLER_NAME = 'bench'
+READY_LIMIT_S = 30.0
 
 
 class EngineCounts:
@@ -31,111 +34,38 @@
         self.prefilled_tokens = prefilled_tokens
 
 
-class Deployment(Protocol):
-    """Processes that serve online requests and batch items.
+class Deployment:
+    """A running fleet that serves online requests and batch items.
 
     Attributes:
-        online_targets: Where online requests are sent.
-        online_flags: Flags of the load generator that name the wire.
-        daemons: The product's processes, by name.
-        engines: The engines.
+        fleet: The fleet.
+        key: The key of the caller that sends everything.
     """
 
-    online_targets: list[transport.Address]
-    online_flags: list[str]
-    daemons: dict[str, processes.ManagedProcess]
-    engines: list[processes.ManagedProcess]
+    __slots__ = ('fleet', 'key', '_setting', '_seed')
 
-    async def run_batch(self, progress: _batch_progress.BatchProgress) -> None:
-        """Runs batch items until cancelled and counts what they bring."""
-
-
-async def start_engines(
-    group: processes.ProcessGroup, setting: _settings.BenchSetting
-) -> list[processes.ManagedProcess]:
-    """Starts all engines at once."""
-    names = [f'engine-{number}' for number in range(setting.engine_count)]
-    model = setting.engine_settings
-    arguments = [f'--{key}={getattr(model, key)}' for key in model.__slots__]
-    async with trio.open_nursery() as nursery:
-        for name in names:
-            nursery.start_soon(
-                group.start_module, name, 'standins.engine', arguments
-            )
-    return [group.processes[name] for name in names]
-
-
-async def count_engine_work(
-    engines: list[processes.ManagedProcess],
-) -> EngineCounts:
-    """Asks all engines what they have computed."""
-    total = EngineCounts(0, 0)
-    for engine in engines:
-        if engine.listening is None:
-            raise processes.StartError(f'{engine.name} has no address')
-        client = transport.create_http_client(engine.listening)
-        exchange = await client.send(
-            transport.ClientRequest('GET', '/control/counts')
-        )
-        if isinstance(exchange, results.Failure):
-            raise processes.StartError(f'{engine.name}: {exchange.reason}')
-        with exchange:
-            body = await exchange.read_body(MAX_BODY_BYTES)
-        client.close()
-        if isinstance(body, results.Failure):
-            raise processes.StartError(f'{engine.name}: {body.reason}')
-        document = orjson.loads(body)
-        total.generated_tokens += document['generated_tokens']
-        total.prefilled_tokens += document['prefilled_tokens']
-    return total
-
-
-class SidecarDeployment:
-    """Engines with sidecars, without entries.
-
-    Online requests go to the sidecars in turn, and the bench itself feeds
-    batch items to them, so that only the sidecars' policies differ.
-    """
-
-    __slots__ = (
-        'online_targets',
-        'online_flags',
-        'daemons',
-        'engines',
-        '_setting',
-        '_seed',
-    )
-
-    def __init__(self, setting: _settings.BenchSetting, seed: int) -> None:
-        self.online_targets: list[transport.Address] = []
-        self.online_flags = ['--wire=sidecar', f'--service={setting.service}']
-        self.daemons: dict[str, processes.ManagedProcess] = {}
-        self.engines: list[processes.ManagedProcess] = []
+    def __init__(
+        self,
+        running: fleet.Fleet,
+        key: str,
+        setting: _settings.BenchSetting,
+        seed: int,
+    ) -> None:
+        self.fleet = running
+        self.key = key
         self._setting = setting
         self._seed = seed
 
-    async def start(
-        self,
-        group: processes.ProcessGroup,
-        arm: _settings.Arm,
-        directory: pathlib.Path,
-    ) -> None:
-        """Starts all processes and waits until they are ready."""
-        self.engines = await start_engines(group, self._setting)
-        async with trio.open_nursery() as nursery:
-            for number, engine in enumerate(self.engines):
-                address = processes.find_free_address()
-                self.online_targets.append(address)
-                path = directory / f'sidecar-{number}.ini'
-                path.write_text(
-                    self._write_settings(number, arm, address, engine)
-                )
-                nursery.start_soon(
-                    self._start_sidecar, group, f'sidecar-{number}', path
-                )
-        for address in self.online_targets:
-            if not await processes.wait_http_ok(address, '/readyz'):
-                raise processes.StartError(f'{address} is not ready')
+    def list_online_targets(self) -> list[transport.Address]:
+        """Returns where callers send online requests."""
+        return [entry.callers_address for entry in self.fleet.plan.entries]
+
+    def list_daemons(self) -> list[processes.ManagedProcess]:
+        """Returns the product's processes."""
+        plan = self.fleet.plan
+        vms = [entry.vm for entry in plan.entries]
+        vms += [sidecar.vm for sidecar in plan.sidecars]
+        return [self.fleet.group.processes[vm] for vm in vms]
 
     async def run_batch(self, progress: _batch_progress.BatchProgress) -> None:
         """Feeds batch items to the sidecars until cancelled."""
@@ -145,47 +75,66 @@
             self._seed,
             progress,
         )
-        await feeder.run(self.online_targets, self._setting.slots)
-
-    async def _start_sidecar(
-        self, group: processes.ProcessGroup, name: str, path: pathlib.Path
-    ) -> None:
-        self.daemons[name] = await group.start_module(
-            name,
-            'siskinmount',
-            ['sidecar', f'--settings={path}'],
-            waits_for_line=False,
+        addresses = [sidecar.peers_address for sidecar in self._list_models()]
+        await feeder.run(
+            addresses, self._setting.read_service().slots_per_upstream
         )
 
-    def _write_settings(
-        self,
-        number: int,
-        arm: _settings.Arm,
-        address: transport.Address,
-        engine: processes.ManagedProcess,
-    ) -> str:
-        """Returns the settings of one sidecar."""
-        nobody = processes.find_free_address()
-        lines = [
-            '[daemon]',
-            f'vm = upstream-{number}',
-            'region = region-1',
-            f'failure_domain = domain-{number % 3}',
-            'log_level = warning',
-            f'peers_address = {address}',
-            f'control_address = {processes.find_free_address()}',
-            '[platform]',
-            f'log_address = {nobody}',
-            f'vm_list_address = {nobody}',
-            '[seeds]',
-            f'entries = {nobody}',
-            '[upstream]',
-            f'service = {self._setting.service}',
-            f'address = {engine.listening}',
-            '[gate]',
-            f'gate_policy = {arm.gate_policy}',
-            f'slots = {self._setting.slots}',
+    async def count_engine_work(self) -> EngineCounts:
+        """Asks all engines what they have computed."""
+        total = EngineCounts(0, 0)
+        for sidecar in self._list_models():
+            answer = await self.fleet.send_control(
+                sidecar.upstream_address, 'GET', '/control/counts'
+            )
+            if isinstance(answer, results.Failure):
+                raise processes.StartError(f'{sidecar.vm}: {answer.reason}')
+            document = orjson.loads(answer)
+            total.generated_tokens += document['generated_tokens']
+            total.prefilled_tokens += document['prefilled_tokens']
+        return total
+
+    def _list_models(self) -> list[fleet.SidecarPlan]:
+        return [
+            sidecar for sidecar in self.fleet.plan.sidecars if sidecar.is_model
         ]
+
+
+@contextlib.asynccontextmanager
+async def open_deployment(
+    setting: _settings.BenchSetting, arm: _settings.Arm, seed: int
+) -> AsyncIterator[Deployment]:
+    """Starts the fleet of an arm, and ends all its processes on exit."""
+    plan = fleet.plan_fleet(
+        model_services={setting.service: setting.engine_count},
+        plain_services={setting.plain_service: 1},
+    )
+    async with fleet.open_fleet(plan) as running:
+        running.engine_arguments = _list_engine_arguments(setting)
+        running.gate_policy = arm.gate_policy
         if arm is _settings.Arm.STATIC_SPLIT:
-            lines.append(f'online_slots = {self._setting.online_split_slots}')
-        return '\n'.join(lines) + '\n'
+            running.gate_lines = (
+                f'online_slots = {setting.online_split_slots}\n'
+            )
+        caller = fleet.create_callers([CALLER_NAME])[0]
+        text = setting.read_document_text() + (
+            f'\n[caller {caller.name}]\nkey_sha256 = {caller.key_sha256()}\n'
+            'requests_per_s = 1000\nburst_requests = 2000\n'
+            'max_in_flight = 2000\n'
+        )
+        await running.start_all()
+        await fleet.publish_document(plan.log_address, text, 0)
+        with trio.fail_after(READY_LIMIT_S):
+            await running.wait_ready()
+        yield Deployment(running, caller.key, setting, seed)
+
+
+def _list_engine_arguments(setting: _settings.BenchSetting) -> list[str]:
+    """Returns flags that make the engines run what the document says."""
+    service: configuration.Service = setting.read_service()
+    model = setting.engine_settings
+    return [
+        f'--model={service.model}',
+        f'--model_version={service.model_version}',
+        *[f'--{name}={getattr(model, name)}' for name in model.__slots__],
+    ]
--- a/tools/bench/_settings.py
+++ b/tools/bench/_settings.py
@@ -1,10 +1,14 @@
 """The settings that are compared: fleets, loads and sizes."""
 
 import enum
+import pathlib
 
+from siskinmount import configuration
 from standins import engine
 from tools import load
 
+_EXAMPLES_DIR = pathlib.Path(__file__).resolve().parents[2] / 'examples'
+
 
 class Arm(enum.Enum):
     """One way of sharing the engines."""
@@ -50,12 +54,10 @@
 
     Attributes:
         name: Name of the setting.
-        service: Name of the service.
+        service: Name of the model service.
+        plain_service: Name of the plain service of the same document.
         engine_count: Engines, each with a sidecar.
-        slots: Requests that an engine runs at once.
-        online_reserve_slots: Slots that batch leaves free.
         online_split_slots: Slots of online requests under the static split.
-        batch_prefill_tokens: Longest batch prompt beside online requests.
         engine_settings: The engines' model.
         online_pattern: When online requests arrive.
         online_shape: Sizes of online requests.
@@ -65,11 +67,9 @@
     __slots__ = (
         'name',
         'service',
+        'plain_service',
         'engine_count',
-        'slots',
-        'online_reserve_slots',
         'online_split_slots',
-        'batch_prefill_tokens',
         'engine_settings',
         'online_pattern',
         'online_shape',
@@ -81,11 +81,9 @@
         *,
         name: str,
         service: str,
+        plain_service: str,
         engine_count: int,
-        slots: int,
-        online_reserve_slots: int,
         online_split_slots: int,
-        batch_prefill_tokens: int,
         engine_settings: engine.EngineSettings,
         online_pattern: load.ArrivalPattern,
         online_shape: load.WorkloadShape,
@@ -93,16 +91,25 @@
     ) -> None:
         self.name = name
         self.service = service
+        self.plain_service = plain_service
         self.engine_count = engine_count
-        self.slots = slots
-        self.online_reserve_slots = online_reserve_slots
         self.online_split_slots = online_split_slots
-        self.batch_prefill_tokens = batch_prefill_tokens
         self.engine_settings = engine_settings
         self.online_pattern = online_pattern
         self.online_shape = online_shape
         self.batch_shape = batch_shape
 
+    def read_document_text(self) -> str:
+        """Returns the text of the example document of the same name."""
+        return (_EXAMPLES_DIR / f'{self.name}.ini').read_text('utf-8')
+
+    def read_service(self) -> configuration.Service:
+        """Returns the model service as the document describes it."""
+        document = configuration.parse_document(self.read_document_text())
+        if isinstance(document, list):
+            raise AssertionError(f'the example {self.name} has faults')
+        return document.services[self.service]
+
 
 class BenchPlan:
     """How much is run.
@@ -130,11 +137,9 @@
     return BenchSetting(
         name='roadhaven',
         service='dispatch-lm',
+        plain_service='fleet-track',
         engine_count=3,
-        slots=16,
-        online_reserve_slots=4,
         online_split_slots=10,
-        batch_prefill_tokens=1024,
         engine_settings=engine.EngineSettings(max_running=16),
         online_pattern=load.ArrivalPattern(
             rate_per_s=8.0, burst_factor=3.0, burst_s=1.0, quiet_s=4.0
@@ -159,11 +164,9 @@
     return BenchSetting(
         name='swapnest',
         service='wordsmith',
+        plain_service='swapdesk',
         engine_count=3,
-        slots=16,
-        online_reserve_slots=1,
         online_split_slots=4,
-        batch_prefill_tokens=4096,
         engine_settings=engine.EngineSettings(max_running=16),
         online_pattern=load.ArrivalPattern(
             rate_per_s=2.0, burst_factor=4.0, burst_s=1.0, quiet_s=6.0
--- a/tools/bench/_summary.py
+++ b/tools/bench/_summary.py
@@ -42,7 +42,10 @@
         latency_ms: Latency by measure and percentile, over all rounds.
         latency_ratio: The same as a ratio to online alone, by measure and
             percentile.
-        online_outcomes: Online requests by outcome.
+        online_outcomes: Online requests by outcome. The latencies cover only
+            answered ones, so an arm that refuses many looks fast.
+        answered_share: Online requests with the right answer, as a share.
+        refusal_codes: Online requests without an answer, by result code.
         online_tokens_per_s: Tokens of online requests.
         batch_tokens_per_s: Batch tokens that were kept.
         batch_items_per_s: Batch items done.
@@ -59,6 +62,8 @@
         'latency_ms',
         'latency_ratio',
         'online_outcomes',
+        'answered_share',
+        'refusal_codes',
         'online_tokens_per_s',
         'batch_tokens_per_s',
         'batch_items_per_s',
@@ -75,6 +80,8 @@
         self.latency_ms: dict[str, dict[str, Spread]] = {}
         self.latency_ratio: dict[str, dict[str, Spread]] = {}
         self.online_outcomes: dict[str, int] = {}
+        self.answered_share: Spread | None = None
+        self.refusal_codes: dict[str, int] = {}
         self.online_tokens_per_s: Spread | None = None
         self.batch_tokens_per_s: Spread | None = None
         self.batch_items_per_s: Spread | None = None
@@ -172,7 +179,7 @@
     generated = sum(result.generated_tokens for result in rounds)
     prefilled = sum(result.prefilled_tokens for result in rounds)
     decode_ms = (
-        engine_settings.step_base_ms / setting.slots
+        engine_settings.step_base_ms / engine_settings.max_running
         + engine_settings.step_per_request_ms
     )
     prefill_ms = engine_settings.prefill_per_token_ms
@@ -191,6 +198,11 @@
     return result.online.window_token_count / result.measured_s
 
 
+def _answered_share(result: _arm_run.ArmResult) -> float:
+    outcomes = result.online.outcomes
+    return outcomes[load.Outcome.RIGHT] / max(1, outcomes.total())
+
+
 def _wasted_share(result: _arm_run.ArmResult) -> float:
     kept = result.online.window_token_count + result.batch.kept_tokens
     if not result.generated_tokens:
@@ -217,6 +229,10 @@
         for outcome, count in result.online.outcomes.items():
             total = summary.online_outcomes.get(outcome.value, 0) + count
             summary.online_outcomes[outcome.value] = total
+        for code, count in result.online.refusal_codes.items():
+            total = summary.refusal_codes.get(code, 0) + count
+            summary.refusal_codes[code] = total
+    summary.answered_share = _spread(rounds, _answered_share)
     summary.online_tokens_per_s = _spread(rounds, _online_tokens_per_s)
     for measure in MEASURES:
         summary.latency_ms[measure] = {}
@@ -332,7 +348,10 @@
 def _format_online(summary: ArmSummary) -> list[str]:
     if not summary.online_outcomes:
         return []
-    lines = [f'  online: {summary.online_outcomes}']
+    lines = [
+        f'  online: {summary.online_outcomes} {summary.refusal_codes or ""},'
+        f' answered share {summary.answered_share}'
+    ]
     for measure in MEASURES:
         for name, latency in summary.latency_ms[measure].items():
             ratio = summary.latency_ratio[measure].get(name)
