Submit batch items as jobs in the experiment

Items reach the sidecars as jobs at the entries; fed directly they leave out the entries' part, which stays as a choice. Progress comes from the results that callers read, each checked, so only whole items count.

--- a/tools/bench/__main__.py
+++ b/tools/bench/__main__.py
@@ -22,6 +22,12 @@
 _ARMS = flags.DEFINE_list(
     'arms', [arm.value for arm in bench.Arm], 'Arms to run.'
 )
+_BATCH_SOURCE = flags.DEFINE_enum_class(
+    'batch_source',
+    bench.BatchSourceKind.JOBS,
+    bench.BatchSourceKind,
+    'How batch items reach the sidecars.',
+)
 _OUT_DIR = flags.DEFINE_string('out_dir', 'out/bench', 'Where results go.')
 _COMPARE_WITH = flags.DEFINE_string(
     'compare_with', '', 'Directory with the results of an earlier run.'
@@ -91,6 +97,7 @@
         warm_up_s=QUICK_WARM_UP_S if _QUICK.value else _WARM_UP_S.value,
         measured_s=QUICK_MEASURED_S if _QUICK.value else _MEASURED_S.value,
         seed=_SEED.value,
+        batch_source=_BATCH_SOURCE.value,
     )
     arms = [bench.Arm(name) for name in _ARMS.value]
     all_right = True
--- a/tools/bench/_arm_run.py
+++ b/tools/bench/_arm_run.py
@@ -11,6 +11,7 @@
 from standins import processes
 from tools import load
 from tools.bench import _batch_progress
+from tools.bench import _batch_source
 from tools.bench import _deployment
 from tools.bench import _settings
 
@@ -82,18 +83,20 @@
 class _Snapshot:
     """Counts at one moment."""
 
-    __slots__ = ('at_s', 'batch', 'engines', 'cpu_s')
+    __slots__ = ('at_s', 'batch', 'engines', 'yields', 'cpu_s')
 
     def __init__(
         self,
         at_s: float,
         batch: _batch_progress.BatchProgress,
         engines: _deployment.EngineCounts,
+        yields: int,
         cpu_s: dict[str, float],
     ) -> None:
         self.at_s = at_s
         self.batch = batch
         self.engines = engines
+        self.yields = yields
         self.cpu_s = cpu_s
 
 
@@ -108,7 +111,6 @@
     The load follows from the plan's seed and the round, so that all arms of a
     round get the same online requests at the same times.
     """
-    progress = _batch_progress.BatchProgress()
     async with contextlib.AsyncExitStack() as stack:
         directory = pathlib.Path(
             stack.enter_context(tempfile.TemporaryDirectory())
@@ -116,6 +118,10 @@
         deployment = await stack.enter_async_context(
             _deployment.open_deployment(setting, arm, plan.seed)
         )
+        source = deployment.create_batch_source(
+            plan.batch_source,
+            START_DELAY_S + plan.warm_up_s + plan.measured_s,
+        )
         start_at_s = time.time() + START_DELAY_S
         report_path = directory / 'online.json'
         generator: processes.ManagedProcess | None = None
@@ -135,11 +141,11 @@
             )
         async with trio.open_nursery() as nursery:
             if arm.has_batch:
-                nursery.start_soon(deployment.run_batch, progress)
+                nursery.start_soon(source.run)
             await trio.sleep(start_at_s + plan.warm_up_s - time.time())
-            before = await _take_snapshot(deployment, progress)
+            before = await _take_snapshot(deployment, source)
             await trio.sleep(plan.measured_s)
-            after = await _take_snapshot(deployment, progress)
+            after = await _take_snapshot(deployment, source)
             online = await _finish_online(generator, report_path)
             nursery.cancel_scope.cancel()
     return _create_result(arm, round_number, online, before, after)
@@ -182,7 +188,7 @@
 
 
 async def _take_snapshot(
-    deployment: _deployment.Deployment, progress: _batch_progress.BatchProgress
+    deployment: _deployment.Deployment, source: _batch_source.BatchSource
 ) -> _Snapshot:
     """Notes all counts at this moment."""
     engines = await deployment.count_engine_work()
@@ -191,7 +197,10 @@
         usage = daemon.read_usage()
         if usage is not None:
             cpu_s[daemon.name] = usage.cpu_s
-    return _Snapshot(trio.current_time(), progress.copy(), engines, cpu_s)
+    yields = await deployment.count_yields()
+    at_s = trio.current_time()
+    progress = await source.read_progress()
+    return _Snapshot(at_s, progress, engines, yields, cpu_s)
 
 
 async def _finish_online(
@@ -223,11 +232,13 @@
     after: _Snapshot,
 ) -> ArmResult:
     measured_s = after.at_s - before.at_s
+    batch = after.batch.subtract(before.batch)
+    batch.yields = after.yields - before.yields
     return ArmResult(
         arm=arm,
         round_number=round_number,
         online=online,
-        batch=after.batch.subtract(before.batch),
+        batch=batch,
         measured_s=measured_s,
         generated_tokens=after.engines.generated_tokens
         - before.engines.generated_tokens,
--- a/tools/bench/_batch_feeder.py
+++ b/tools/bench/_batch_feeder.py
@@ -39,38 +39,54 @@
     """Keeps a number of items at each sidecar.
 
     An item that yields is continued later from where it was, at any sidecar.
+    The sidecars' policies can so be compared without the entries' part in
+    batch work.
 
     Attributes:
         progress: What has come so far.
     """
 
-    __slots__ = ('progress', '_service', '_workload', '_numbers', '_yielded')
+    __slots__ = (
+        'progress',
+        '_service',
+        '_workload',
+        '_sidecars',
+        '_items_per_sidecar',
+        '_numbers',
+        '_yielded',
+    )
 
     def __init__(
         self,
+        *,
         service: str,
         shape: load.WorkloadShape,
         seed: int,
-        progress: _batch_progress.BatchProgress,
+        sidecars: list[transport.Address],
+        items_per_sidecar: int,
     ) -> None:
-        self.progress = progress
+        self.progress = _batch_progress.BatchProgress()
+        self._sidecars = sidecars
+        self._items_per_sidecar = items_per_sidecar
         self._service = service
         self._workload = load.create_workload(shape, seed, 'batch')
         self._numbers = itertools.count()
         self._yielded: collections.deque[BatchItem] = collections.deque()
 
-    async def run(
-        self, sidecars: list[transport.Address], items_per_sidecar: int
-    ) -> None:
+    async def read_progress(self) -> _batch_progress.BatchProgress:
+        """Returns what has come so far."""
+        return self.progress.copy()
+
+    async def run(self) -> None:
         """Feeds all sidecars until cancelled."""
         limits = transport.ClientLimits(
-            max_connections=items_per_sidecar,
+            max_connections=self._items_per_sidecar,
             silence_timeout_ms=SILENCE_TIMEOUT_MS,
         )
         async with trio.open_nursery() as nursery:
-            for address in sidecars:
+            for address in self._sidecars:
                 client = transport.create_http_client(address, limits)
-                for _ in range(items_per_sidecar):
+                for _ in range(self._items_per_sidecar):
                     nursery.start_soon(self._feed, client)
 
     async def _feed(self, client: transport.HttpClient) -> None:
--- a/tools/bench/_batch_progress.py
+++ b/tools/bench/_batch_progress.py
@@ -6,8 +6,9 @@
 
     Attributes:
         done_items: Items whose whole answer arrived.
-        kept_tokens: Tokens that arrived and are not generated again.
-        yields: Times that an item was stopped for online requests.
+        kept_tokens: Tokens that arrived and are not generated again; from jobs
+            only those of items that are done.
+        yields: Times that an item came back unfinished.
         wrong_items: Items with an answer that is not the right one.
         failures: Attempts that failed for another reason than yielding.
     """
--- a/tools/bench/_deployment.py
+++ b/tools/bench/_deployment.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import math
 
 import orjson
 import trio
@@ -12,10 +13,13 @@
 from standins import processes
 from tools import fleet
 from tools.bench import _batch_feeder
-from tools.bench import _batch_progress
+from tools.bench import _batch_source
+from tools.bench import _job_source
 from tools.bench import _settings
 
 CALLER_NAME = 'bench'
+JOB_COUNT = 4
+MAX_ITEMS_PER_ENGINE_AND_S = 16
 READY_LIMIT_S = 30.0
 
 
@@ -67,19 +71,52 @@
         vms += [sidecar.vm for sidecar in plan.sidecars]
         return [self.fleet.group.processes[vm] for vm in vms]
 
-    async def run_batch(self, progress: _batch_progress.BatchProgress) -> None:
-        """Feeds batch items to the sidecars until cancelled."""
-        feeder = _batch_feeder.BatchFeeder(
-            self._setting.service,
-            self._setting.batch_shape,
-            self._seed,
-            progress,
+    def create_batch_source(
+        self, kind: _settings.BatchSourceKind, length_s: float
+    ) -> _batch_source.BatchSource:
+        """Creates a source of more items than can be done.
+
+        Args:
+            kind: How items reach the sidecars.
+            length_s: How long the source must last.
+        """
+        setting = self._setting
+        if kind is _settings.BatchSourceKind.FEEDER:
+            slots = setting.read_service().slots_per_upstream
+            return _batch_feeder.BatchFeeder(
+                service=setting.service,
+                shape=setting.batch_shape,
+                seed=self._seed,
+                sidecars=[
+                    sidecar.peers_address for sidecar in self._list_models()
+                ],
+                items_per_sidecar=slots,
+            )
+        item_count = (
+            length_s * setting.engine_count * MAX_ITEMS_PER_ENGINE_AND_S
         )
-        addresses = [sidecar.peers_address for sidecar in self._list_models()]
-        await feeder.run(
-            addresses, self._setting.read_service().slots_per_upstream
+        return _job_source.JobSource(
+            service=setting.service,
+            key=self.key,
+            entries=self.list_online_targets(),
+            shape=setting.batch_shape,
+            seed=self._seed,
+            job_count=JOB_COUNT,
+            items_per_job=math.ceil(item_count / JOB_COUNT),
         )
 
+    async def count_yields(self) -> int:
+        """Asks all sidecars how often batch items had to make room."""
+        total = 0
+        for sidecar in self._list_models():
+            answer = await self.fleet.send_control(
+                sidecar.peers_address, 'GET', '/status'
+            )
+            if isinstance(answer, results.Failure):
+                raise processes.StartError(f'{sidecar.vm}: {answer.reason}')
+            total += orjson.loads(answer)['preempted']
+        return total
+
     async def count_engine_work(self) -> EngineCounts:
         """Asks all engines what they have computed."""
         total = EngineCounts(0, 0)
--- a/tools/bench/_results_file.py
+++ b/tools/bench/_results_file.py
@@ -22,7 +22,13 @@
     document = {
         'format': FORMAT,
         'setting': setting.name,
-        'plan': {name: getattr(plan, name) for name in plan.__slots__},
+        'plan': {
+            'rounds': plan.rounds,
+            'warm_up_s': plan.warm_up_s,
+            'measured_s': plan.measured_s,
+            'seed': plan.seed,
+            'batch_source': plan.batch_source.value,
+        },
         'summaries': [summary.to_json() for summary in summaries],
         'runs': [result.to_json() for result in results],
     }
--- a/tools/bench/_settings.py
+++ b/tools/bench/_settings.py
@@ -49,6 +49,16 @@
         return self.value
 
 
+class BatchSourceKind(enum.Enum):
+    """How batch items reach the sidecars."""
+
+    #: As jobs at the entries, from where the sidecars pull them.
+    JOBS = 'jobs'
+
+    #: Directly from the bench.
+    FEEDER = 'feeder'
+
+
 class BenchSetting:
     """A fleet and its load.
 
@@ -119,17 +129,25 @@
         warm_up_s: Time before anything is measured in an arm.
         measured_s: Measured time of an arm.
         seed: Decides loads and the order of arms.
+        batch_source: How batch items reach the sidecars.
     """
 
-    __slots__ = ('rounds', 'warm_up_s', 'measured_s', 'seed')
+    __slots__ = ('rounds', 'warm_up_s', 'measured_s', 'seed', 'batch_source')
 
     def __init__(
-        self, *, rounds: int, warm_up_s: float, measured_s: float, seed: int
+        self,
+        *,
+        rounds: int,
+        warm_up_s: float,
+        measured_s: float,
+        seed: int,
+        batch_source: BatchSourceKind = BatchSourceKind.JOBS,
     ) -> None:
         self.rounds = rounds
         self.warm_up_s = warm_up_s
         self.measured_s = measured_s
         self.seed = seed
+        self.batch_source = batch_source
 
 
 def create_roadhaven() -> BenchSetting:
--- a/tools/bench/tests/test_bench.py
+++ b/tools/bench/tests/test_bench.py
@@ -177,38 +177,108 @@
         await exchange.finish()
 
 
+def create_feeder(caller, items_per_sidecar):
+    return bench.BatchFeeder(
+        service='lm',
+        shape=load.WorkloadShape(session_share=0.0, min_answer_tokens=4),
+        seed=1,
+        sidecars=[caller.address],
+        items_per_sidecar=items_per_sidecar,
+    )
+
+
 class BatchFeederTest(testtools.TestCase):
 
     def test_yielded_items_go_on_where_they_were(self):
-        progress = bench.BatchProgress()
         sidecar = _YieldingSidecar()
-        shape = load.WorkloadShape(session_share=0.0, min_answer_tokens=4)
 
         async def check(caller):
-            feeder = bench.BatchFeeder('lm', shape, 1, progress)
+            feeder = create_feeder(caller, 2)
+            progress = feeder.progress
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(feeder.run, [caller.address], 2)
+                nursery.start_soon(feeder.run)
                 await http_harness.wait_until(lambda: progress.done_items >= 5)
                 nursery.cancel_scope.cancel()
+            self.assertEqual({2}, set(sidecar.resumed))
+            self.assertGreaterEqual(progress.yields, 5)
+            self.assertEqual(0, progress.wrong_items)
+            self.assertEqual(0, progress.failures)
 
         http_harness.run_standin(sidecar.handle, check)
-        self.assertEqual({2}, set(sidecar.resumed))
-        self.assertGreaterEqual(progress.yields, 5)
-        self.assertEqual(0, progress.wrong_items)
-        self.assertEqual(0, progress.failures)
 
     def test_refusals_are_counted_and_tried_again(self):
-        progress = bench.BatchProgress()
-
         async def check(caller):
             await caller.call(
                 'POST', '/control/outage', {'duration_ms': 60_000}
             )
-            feeder = bench.BatchFeeder('lm', load.WorkloadShape(), 1, progress)
+            feeder = create_feeder(caller, 1)
+            progress = feeder.progress
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(feeder.run, [caller.address], 1)
+                nursery.start_soon(feeder.run)
                 await http_harness.wait_until(lambda: progress.failures >= 2)
                 nursery.cancel_scope.cancel()
+            self.assertEqual(0, progress.done_items)
 
         http_harness.run_standin(_YieldingSidecar().handle, check)
-        self.assertEqual(0, progress.done_items)
+
+
+class _JobEntry:
+    """Accepts jobs at the second try and has done every other item."""
+
+    def __init__(self):
+        self.bodies = []
+        self.tries = 0
+
+    async def handle(self, exchange):
+        body = await exchange.read_body()
+        if exchange.head.method == 'POST':
+            self.tries += 1
+            if self.tries == 1:
+                await exchange.send_json(503, {'error': 'no owner yet'})
+                return
+            self.bodies.append(body)
+            await exchange.send_json(202, {'job': f'j{len(self.bodies) - 1}'})
+            return
+        after = int(exchange.head.query['after'])
+        number = int(exchange.head.path.split('/')[3].removeprefix('j'))
+        lines = self.bodies[number].splitlines()
+        index = after + 2 if after >= 0 else 0
+        item = orjson.loads(lines[index])
+        tokens = engine.expected_tokens(
+            item['prompt'], None, item['max_tokens']
+        )
+        output = {'text': ''.join(tokens) if index else 'wrong'}
+        line = {'index': index, 'state': 'done', 'output': output}
+        more = b'true' if index + 2 < len(lines) else b'false'
+        await exchange.send_whole(
+            200, [(b'x-has-more', more)], orjson.dumps(line)
+        )
+
+
+class JobSourceTest(testtools.TestCase):
+
+    def test_results_are_read_page_by_page_and_checked(self):
+        entry = _JobEntry()
+
+        async def check(caller):
+            source = bench.JobSource(
+                service='lm',
+                key='k',
+                entries=[caller.address],
+                shape=load.WorkloadShape(session_share=0.0),
+                seed=1,
+                job_count=2,
+                items_per_job=5,
+            )
+            await source.run()
+            progress = await source.read_progress()
+            self.assertEqual(6, progress.done_items)
+            self.assertEqual(2, progress.wrong_items)
+            expected = sum(
+                len(job.requests[index].find_answer())
+                for job in source.jobs
+                for index in (0, 2, 4)
+            )
+            self.assertEqual(expected, progress.kept_tokens)
+
+        http_harness.run_standin(entry.handle, check)
