Join the running answer on Last-Event-ID; withdraw what may not run twice

Cause: a caller that came back with Last-Event-ID could start a second run whose tokens need not continue the first.

--- a/siskinmount/entry/_answer_run.py
+++ b/siskinmount/entry/_answer_run.py
@@ -29,7 +29,8 @@
     however many upstreams produced them.
 
     Attributes:
-        token_texts: Texts of the tokens received so far.
+        token_texts: Texts of all tokens of the answer so far, those that the
+            caller has had from another entry included.
         attempt: Number of the current attempt, from 1.
         upstream_vm: VM of the upstream that runs the request; empty if none.
     """
@@ -51,6 +52,8 @@
         '_body_bytes_to_skip',
         '_head_received',
         '_sent_to_any',
+        '_sent_before_attempt',
+        '_last_refusal',
         '_failure_frame',
     )
 
@@ -75,6 +78,8 @@
         self._body_bytes_to_skip = 0
         self._head_received = False
         self._sent_to_any = False
+        self._sent_before_attempt = False
+        self._last_refusal: results.Failure | None = None
         # The last frame that a sidecar has sent in place of the rest of the
         # answer, as opposed to a failure of the connection to it.
         self._failure_frame: relay.FailureFrame | None = None
@@ -115,6 +120,8 @@
         Returns:
             None once an exchange is open, or the final failure.
         """
+        if self._request.first_token and not self._sent_to_any:
+            return await self._join_running()
         while True:
             if self._choice is None:
                 failure = self._choose_upstream()
@@ -129,6 +136,32 @@
             if self._exchange is not None:
                 return None
 
+    async def _join_running(self) -> results.Failure | None:
+        """Finds the upstream where an earlier entry has started the run.
+
+        The caller has a part of the answer, so only the run that produced it
+        can be continued. The most likely upstream is asked first.
+        """
+        router = self._access.router
+        self.attempt = 1
+        for member in router.list_in_order(
+            self._request.service.name, self._request.affinity_key
+        ):
+            self._choice = router.choose_member(member)
+            self.upstream_vm = member.vm
+            failure = await self._send(attach_only=True)
+            if failure is None:
+                return None
+            self._release_choice()
+        return self._final(
+            results.Failure(
+                results.ResultCode.NO_SUCH_REQUEST,
+                'the answer can no longer be continued; send the request'
+                ' again without Last-Event-ID',
+                results.RunState.UNKNOWN,
+            )
+        )
+
     def _find_member(self) -> membership.Member:
         """Returns the chosen upstream's sidecar."""
         if self._choice is None:
@@ -155,8 +188,9 @@
             request.request_class,
         )
         if isinstance(choice, results.Failure):
-            return self._final(choice)
+            return self._final(self._last_refusal or choice)
         self._choice = choice
+        self._sent_before_attempt = self._sent_to_any
         self.upstream_vm = choice.member.vm
         self._reattaches = 0
         self.attempt += 1
@@ -191,14 +225,13 @@
         request = self._request
         names = relay.RelayHeader
         left_ms = max(1, int((request.deadline_s - trio.current_time()) * 1000))
-        next_token = request.first_token + len(self.token_texts)
         headers = [
             (names.REQUEST_ID, request.request_id.encode('ascii')),
             (names.ATTEMPT, b'%d' % self.attempt),
             (names.DEADLINE_MS, b'%d' % left_ms),
             (names.CLASS, request.request_class.value.encode('ascii')),
             (names.FINGERPRINT, request.fingerprint.encode('ascii')),
-            (names.FROM_TOKEN, b'%d' % next_token),
+            (names.FROM_TOKEN, b'%d' % len(self.token_texts)),
             (names.CALLER, request.caller.encode('utf-8')),
         ]
         if self._solo:
@@ -243,7 +276,7 @@
     ) -> relay.Frame | results.Failure | None:
         """Returns a frame that is new to the caller, or None for a repeat."""
         if isinstance(frame, relay.TokenFrame):
-            expected = self._request.first_token + len(self.token_texts)
+            expected = len(self.token_texts)
             if frame.index < expected:
                 return None
             if frame.index > expected:
@@ -253,7 +286,9 @@
                     results.RunState.RAN,
                 )
             self.token_texts.append(frame.text)
-            return frame
+            # The caller has the tokens before; the run itself needs them to
+            # go on at another upstream.
+            return None if frame.index < self._request.first_token else frame
         if isinstance(frame, relay.HeadFrame):
             if self._head_received:
                 return None
@@ -283,6 +318,9 @@
         self._failure_frame = None
         if failure_frame is None and await self._reattach(failure):
             return None
+        if failure_frame is None and await self._withdraw(failure):
+            failure.run_state = results.RunState.NOT_RUN
+            self._sent_to_any = self._sent_before_attempt
         member = self._find_member()
         self._excluded_vms.add(member.vm)
         self._release_choice()
@@ -330,11 +368,41 @@
             await trio.sleep(REATTACH_PAUSE_S)
         return False
 
+    async def _withdraw(self, failure: results.Failure) -> bool:
+        """Makes sure that a request which may be on its way is never run.
+
+        Only a request that must not run twice is worth it.
+
+        Returns:
+            Whether the sidecar has not received it and will refuse it.
+        """
+        unknown = failure.run_state is results.RunState.UNKNOWN
+        if self._request.idempotent or not unknown:
+            return False
+        member = self._find_member()
+        exchange = await self._access.find_client(member).send(
+            transport.ClientRequest(
+                'POST', f'/cancel/{self._request.request_id}'
+            )
+        )
+        if isinstance(exchange, results.Failure):
+            return False
+        incarnation = exchange.find_header(relay.RelayHeader.INCARNATION)
+        if exchange.status == 200:
+            exchange.close()
+            return False
+        refusal = await _read_refusal(exchange)
+        if refusal.code is not results.ResultCode.NO_SUCH_REQUEST:
+            return False
+        # A process that has started since may have forgotten the request.
+        return incarnation == str(member.incarnation)
+
     def _after_refusal(
         self, failure: results.Failure
     ) -> results.Failure | None:
         """Allows another upstream to be tried after one refused."""
         self._refusals += 1
+        self._last_refusal = failure
         self.attempt -= 1
         if failure.code is results.ResultCode.REQUEST_CONVICTED:
             return self._final(failure)
--- /dev/null
+++ b/siskinmount/entry/tests/test_answer_run.py
@@ -0,0 +1,195 @@
+"""Tests of answer runs against scripted sidecars on real connections."""
+
+import testtools
+import trio
+
+from siskinmount import membership
+from siskinmount import relay
+from siskinmount import results
+from siskinmount import transport
+from siskinmount.entry import _answer_run
+from siskinmount.entry.tests import scripted_sidecar
+
+_CUT = scripted_sidecar.ScriptedSidecar.CUT
+
+
+def _tokens(*indices):
+    return [relay.TokenFrame(index, f't{index}') for index in indices]
+
+
+def _failed(code, run_state, generation=0):
+    return relay.FailureFrame(
+        results.Failure(code, 'scripted', run_state), generation
+    )
+
+
+_LOST = _failed(
+    results.ResultCode.UPSTREAM_LOST, results.RunState.RAN, generation=1
+)
+_LEAVING = results.Failure(results.ResultCode.LEAVING, 'leaving')
+_END = relay.EndFrame('stop', 1, 3)
+
+
+class AnswerRunTest(testtools.TestCase):
+
+    def run_request(self, sidecars, check=None, **request_fields):
+        """Returns the token texts, the failure and the access used."""
+        outcome = {}
+
+        async def main():
+            table = membership.create_member_table()
+            async with trio.open_nursery() as nursery:
+                for sidecar in sidecars:
+                    server = transport.create_http_server(sidecar.handle)
+                    address = await nursery.start(
+                        server.run, transport.Address('127.0.0.1', 0)
+                    )
+                    table.apply_heartbeat(
+                        scripted_sidecar.create_member(sidecar, address)
+                    )
+                access = scripted_sidecar.create_access(table)
+                run = _answer_run.AnswerRun(
+                    access,
+                    scripted_sidecar.create_run_request(**request_fields),
+                )
+                with trio.fail_after(20):
+                    outcome['frames'], outcome['failure'] = await self._drain(
+                        run
+                    )
+                run.close()
+                outcome['run'] = run
+                outcome['access'] = access
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        return outcome
+
+    async def _drain(self, run):
+        received = []
+        while True:
+            frames = await run.receive_frames()
+            if isinstance(frames, results.Failure):
+                return received, frames
+            received.extend(frames)
+            if isinstance(frames[-1], relay.EndFrame):
+                return received, None
+
+    def assert_whole(self, outcome, texts=('t0', 't1', 't2')):
+        self.assertIsNone(outcome['failure'])
+        received = [
+            frame.text
+            for frame in outcome['frames']
+            if isinstance(frame, relay.TokenFrame)
+        ]
+        self.assertEqual(list(texts), received)
+
+    def test_lost_upstream_is_resumed_elsewhere_without_gap_or_repeat(self):
+        first = scripted_sidecar.ScriptedSidecar('a')
+        second = scripted_sidecar.ScriptedSidecar('b')
+        # Whichever is chosen first fails, the other resumes.
+        shared = [[*_tokens(0, 1), _LOST], [*_tokens(2), _END]]
+        first.scripts = second.scripts = shared
+        outcome = self.run_request([first, second])
+        self.assert_whole(outcome)
+        runs = first.runs + second.runs
+        self.assertIn((['t0', 't1'], 2), runs)
+        self.assertTrue(outcome['access'].is_suspect('f'))
+
+    def test_cut_connection_attaches_to_the_same_run(self):
+        sidecar = scripted_sidecar.ScriptedSidecar('a', [*_tokens(0), _CUT])
+        sidecar.attach_scripts = [[*_tokens(1, 2), _END]]
+        outcome = self.run_request([sidecar])
+        self.assert_whole(outcome)
+        self.assertEqual(1, len(sidecar.runs))
+        self.assertEqual([1], sidecar.attaches)
+
+    def test_repeated_tokens_are_dropped(self):
+        sidecar = scripted_sidecar.ScriptedSidecar(
+            'a', [*_tokens(0, 0, 1, 0, 1, 2), _END]
+        )
+        self.assert_whole(self.run_request([sidecar]))
+
+    def test_refusal_moves_the_request_without_counting_an_attempt(self):
+        shared = [_LEAVING, [*_tokens(0, 1, 2), _END]]
+        sidecars = [
+            scripted_sidecar.ScriptedSidecar('a'),
+            scripted_sidecar.ScriptedSidecar('b'),
+        ]
+        for sidecar in sidecars:
+            sidecar.scripts = shared
+        outcome = self.run_request(sidecars)
+        self.assert_whole(outcome)
+        self.assertEqual(1, outcome['run'].attempt)
+
+    def test_refused_everywhere_is_not_run_and_says_why(self):
+        sidecar = scripted_sidecar.ScriptedSidecar('a', _LEAVING)
+        failure = self.run_request([sidecar])['failure']
+        self.assertEqual(results.ResultCode.LEAVING, failure.code)
+        self.assertIs(results.RunState.NOT_RUN, failure.run_state)
+
+    def test_non_idempotent_request_is_sent_once(self):
+        unknown = _failed(
+            results.ResultCode.UPSTREAM_LOST, results.RunState.UNKNOWN
+        )
+        sidecars = [
+            scripted_sidecar.ScriptedSidecar('a', [unknown]),
+            scripted_sidecar.ScriptedSidecar('b', [unknown]),
+        ]
+        failure = self.run_request(sidecars, idempotent=False)['failure']
+        self.assertIs(results.RunState.UNKNOWN, failure.run_state)
+        self.assertEqual(1, len(sidecars[0].runs) + len(sidecars[1].runs))
+
+    def test_withdrawn_request_may_run_elsewhere(self):
+        """A sidecar that never had the request refuses it for good."""
+        shared = [[_CUT], [*_tokens(0, 1, 2), _END]]
+        sidecars = [
+            scripted_sidecar.ScriptedSidecar('a'),
+            scripted_sidecar.ScriptedSidecar('b'),
+        ]
+        for sidecar in sidecars:
+            sidecar.scripts = shared
+        outcome = self.run_request(sidecars, idempotent=False)
+        self.assert_whole(outcome)
+        self.assertEqual(1, len(sidecars[0].cancels) + len(sidecars[1].cancels))
+
+    def test_restarted_sidecar_leaves_the_outcome_unknown(self):
+        sidecar = scripted_sidecar.ScriptedSidecar('a', [_CUT])
+        original = sidecar._headers
+
+        def newer_headers():
+            if sidecar.runs:
+                sidecar.incarnation = 8
+            return original()
+
+        sidecar._headers = newer_headers
+        failure = self.run_request([sidecar], idempotent=False)['failure']
+        self.assertIs(results.RunState.UNKNOWN, failure.run_state)
+
+    def test_two_deaths_end_the_request_for_good(self):
+        shared = [[_LOST], [_LOST], [*_tokens(0, 1, 2), _END]]
+        sidecars = []
+        for vm in 'abc':
+            sidecar = scripted_sidecar.ScriptedSidecar(vm)
+            sidecar.scripts = shared
+            sidecars.append(sidecar)
+        outcome = self.run_request(sidecars)
+        self.assertEqual(
+            results.ResultCode.REQUEST_CONVICTED, outcome['failure'].code
+        )
+        self.assertEqual(1, len(shared))
+
+    def test_reattach_joins_the_run_and_skips_what_the_caller_has(self):
+        sidecars = [
+            scripted_sidecar.ScriptedSidecar('a'),
+            scripted_sidecar.ScriptedSidecar('b'),
+        ]
+        sidecars[1].attach_scripts = [[*_tokens(0, 1, 2), _END]]
+        outcome = self.run_request(sidecars, first_token=2)
+        self.assert_whole(outcome, ('t2',))
+        self.assertEqual([], sidecars[0].runs + sidecars[1].runs)
+
+    def test_reattach_to_nothing_starts_nothing(self):
+        sidecar = scripted_sidecar.ScriptedSidecar('a')
+        failure = self.run_request([sidecar], first_token=2)['failure']
+        self.assertEqual(results.ResultCode.NO_SUCH_REQUEST, failure.code)
+        self.assertEqual([], sidecar.runs)
--- a/siskinmount/routing/_router.py
+++ b/siskinmount/routing/_router.py
@@ -101,6 +101,23 @@
             return self._begin(self._choose_of_two(candidates), False)
         return self._choose_by_affinity(affinity_key, candidates)
 
+    def list_in_order(
+        self, service: str, affinity_key: str | None
+    ) -> list[membership.Member]:
+        """Returns the sidecars of a service, the likeliest for a key first.
+
+        Those that leave are among them: they finish what they run.
+        """
+        by_vm: dict[str, membership.Member] = {}
+        for sidecar in self._table.list_sidecars(service):
+            by_vm[sidecar.vm] = sidecar
+        ranked = membership.rank_by_rendezvous(affinity_key or '', by_vm)
+        return [by_vm[vm] for vm in ranked]
+
+    def choose_member(self, member: membership.Member) -> _choice.Choice:
+        """Counts an attempt at a sidecar that the caller has chosen."""
+        return self._begin(member, False)
+
     def release(self, vm: str) -> None:
         """Counts the end of an attempt."""
         load = self._loads[vm]
