--- a/tools/bench/__main__.py
+++ b/tools/bench/__main__.py
@@ -1,7 +1,9 @@
 """Runs the experiment: all arms take turns in several rounds."""
 
+from collections.abc import AsyncIterator
 import pathlib
 import random
+import signal
 import time
 
 from absl import app
@@ -60,11 +62,38 @@
     return found
 
 
+async def _run_until_signal(
+    setting: bench.BenchSetting,
+    plan: bench.BenchPlan,
+    arms: list[bench.Arm],
+) -> list[bench.ArmResult]:
+    """Runs the experiment; a signal to stop ends its processes first."""
+    finished = False
+    results: list[bench.ArmResult] = []
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_at_signal, signals, nursery.cancel_scope)
+            results = await run_experiment(setting, plan, arms)
+            finished = True
+            nursery.cancel_scope.cancel()
+    if not finished:
+        raise SystemExit('stopped by a signal')
+    return results
+
+
+async def _cancel_at_signal(
+    signals: AsyncIterator[int], scope: trio.CancelScope
+) -> None:
+    """Cancels a scope at the first signal."""
+    await anext(signals)
+    scope.cancel()
+
+
 def run_setting(
     setting: bench.BenchSetting, plan: bench.BenchPlan, arms: list[bench.Arm]
 ) -> bool:
     """Runs one setting and writes its results; tells if answers were right."""
-    results = trio.run(run_experiment, setting, plan, arms)
+    results = trio.run(_run_until_signal, setting, plan, arms)
     summaries = bench.summarize(setting, results)
     out_dir = pathlib.Path(_OUT_DIR.value)
     path = out_dir / f'{setting.name}.json'
