--- /dev/null
+++ b/siskinmount/entry/_item_bodies.py
@@ -0,0 +1,91 @@
+"""Turns the lines of a submitted batch job into bodies for `/run`."""
+
+import orjson
+
+from siskinmount import configuration
+from siskinmount import results
+from siskinmount.entry import _model_request
+from siskinmount.entry import _run_request
+
+
+def parse_item_line(
+    document: configuration.ServiceDocument,
+    service: configuration.Service,
+    line: bytes,
+    line_number: int,
+) -> bytes | results.Failure:
+    """Returns the body for `/run` of one item.
+
+    Args:
+        document: The document in force.
+        service: The job's service.
+        line: One JSON object. For a model service it has the fields of a
+            completion or a chat completion; for a plain service `method`,
+            `path` and `body`.
+        line_number: Number of the line, from 1, for messages.
+    """
+    if service.kind is configuration.ServiceKind.MODEL:
+        body = _parse_model_item(document, service, line)
+    else:
+        body = _parse_plain_item(line)
+    if isinstance(body, results.Failure):
+        return results.Failure(
+            results.ResultCode.ITEM_INVALID,
+            f'line {line_number}: {body.reason}',
+        )
+    return body
+
+
+def _parse_model_item(
+    document: configuration.ServiceDocument,
+    service: configuration.Service,
+    line: bytes,
+) -> bytes | results.Failure:
+    """Returns the body of a generation."""
+    fields = _parse_object(line)
+    if isinstance(fields, results.Failure):
+        return fields
+    fields['model'] = service.name
+    request = _model_request.parse_model_request(
+        document, orjson.dumps(fields), 'messages' in fields
+    )
+    if isinstance(request, results.Failure):
+        return request
+    return request.encode_run_body([])
+
+
+def _parse_plain_item(line: bytes) -> bytes | results.Failure:
+    """Returns the body of a call."""
+    fields = _parse_object(line)
+    if isinstance(fields, results.Failure):
+        return fields
+    method = fields.get('method', 'POST')
+    path = fields.get('path')
+    if not isinstance(method, str) or not isinstance(path, str):
+        return _invalid('method and path must be strings')
+    if not path.startswith('/') or not path.isascii():
+        return _invalid('path must begin with a slash')
+    content = fields.get('body', '')
+    data = (
+        content.encode('utf-8')
+        if isinstance(content, str)
+        else orjson.dumps(content)
+    )
+    return _run_request.PlainRequest(
+        method.upper(), path, [('content-type', 'application/json')], data
+    ).encode()
+
+
+def _parse_object(line: bytes) -> dict | results.Failure:
+    """Parses a line as a JSON object."""
+    try:
+        fields = orjson.loads(line)
+    except orjson.JSONDecodeError as error:
+        return _invalid(f'not JSON: {error}')
+    if not isinstance(fields, dict):
+        return _invalid('not a JSON object')
+    return fields
+
+
+def _invalid(reason: str) -> results.Failure:
+    return results.Failure(results.ResultCode.ITEM_INVALID, reason)
--- /dev/null
+++ b/siskinmount/entry/_job_messages.py
@@ -0,0 +1,83 @@
+"""Messages about batch jobs between entries."""
+
+import orjson
+
+from siskinmount import batch
+from siskinmount import results
+
+
+class ResultsAnswer:
+    """One page of results on its way to a caller.
+
+    Attributes:
+        lines: The results as JSON lines.
+        next_after: Value of `after` for the next page.
+        has_more: Whether further items have ended already.
+        job_state: Where the job stands.
+    """
+
+    __slots__ = ('lines', 'next_after', 'has_more', 'job_state')
+
+    def __init__(
+        self, lines: bytes, next_after: int, has_more: bool, job_state: str
+    ) -> None:
+        self.lines = lines
+        self.next_after = next_after
+        self.has_more = has_more
+        self.job_state = job_state
+
+
+def encode_results_answer(page: batch.ResultsPage) -> bytes:
+    """Returns a page as one JSON line for its head, then the results."""
+    head = orjson.dumps(
+        {
+            'next_after': page.next_after,
+            'has_more': page.has_more,
+            'state': page.state.value,
+        }
+    )
+    return head + b'\n' + page.to_json_lines()
+
+
+def decode_results_answer(data: bytes) -> ResultsAnswer | results.Failure:
+    """Parses what `encode_results_answer` wrote."""
+    head_line, _, lines = data.partition(b'\n')
+    try:
+        head = orjson.loads(head_line)
+        return ResultsAnswer(
+            lines,
+            int(head['next_after']),
+            bool(head['has_more']),
+            str(head['state']),
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        return results.Failure(
+            results.ResultCode.INTERNAL, f'invalid answer: {error}'
+        )
+
+
+def encode_job_request(request: batch.JobRequest) -> bytes:
+    """Returns a job request as JSON."""
+    return orjson.dumps(
+        {name: getattr(request, name) for name in request.__slots__}
+    )
+
+
+def decode_job_request(data: bytes) -> batch.JobRequest | results.Failure:
+    """Parses a job request."""
+    try:
+        fields = orjson.loads(data)
+        return batch.JobRequest(
+            job=str(fields['job']),
+            caller=str(fields['caller']),
+            service=str(fields['service']),
+            due_at_ms=int(fields['due_at_ms']),
+            idempotent=bool(fields['idempotent']),
+            max_attempts=int(fields['max_attempts']),
+            result_retention_ms=int(fields['result_retention_ms']),
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        return results.Failure(
+            results.ResultCode.MALFORMED_REQUEST,
+            f'invalid job request: {error}',
+        )
--- a/siskinmount/entry/_peers_api.py
+++ b/siskinmount/entry/_peers_api.py
@@ -5,6 +5,9 @@
 from siskinmount import results
 from siskinmount import telemetry
 from siskinmount import transport
+from siskinmount.entry import _batch_peers
+from siskinmount.entry import _job_access
+from siskinmount.entry import _job_peers
 from siskinmount.entry import _key_access
 
 
@@ -14,6 +17,8 @@
     __slots__ = (
         '_is_ready',
         '_keys',
+        '_batch',
+        '_jobs',
         '_histograms',
         '_describe_details',
     )
@@ -23,11 +28,15 @@
         *,
         is_ready: Callable[[], bool],
         keys: _key_access.KeyAccess,
+        batch_peers: _batch_peers.BatchPeers,
+        jobs: _job_peers.JobPeers,
         histograms: telemetry.Histograms,
         describe_details: Callable[[], dict[str, object]],
     ) -> None:
         self._is_ready = is_ready
         self._keys = keys
+        self._batch = batch_peers
+        self._jobs = jobs
         self._histograms = histograms
         self._describe_details = describe_details
 
@@ -38,6 +47,12 @@
         if method == 'POST' and path == _key_access.KEYS_PATH:
             await self._keys.serve(exchange)
             return
+        if method == 'POST' and path.startswith('/batch/'):
+            await self._batch.serve(exchange)
+            return
+        if method == 'POST' and path.startswith(_job_access.JOBS_PREFIX):
+            await self._jobs.serve(exchange)
+            return
         if path == '/healthz':
             await exchange.send_json(200, {'status': 'ok'})
             return
--- /dev/null
+++ b/siskinmount/sidecar/_batch_item.py
@@ -0,0 +1,304 @@
+"""A batch item that this sidecar holds, and the report on it."""
+
+import base64
+import math
+
+import trio
+
+from siskinmount import batch
+from siskinmount import configuration
+from siskinmount import relay
+from siskinmount import results
+from siskinmount.sidecar import _run_request
+from siskinmount.sidecar import _running_request
+
+MAX_OUTPUT_BYTES = 2 * 1024 * 1024
+
+
+class ItemKey:
+    """Identifies an item among all jobs.
+
+    Attributes:
+        job: Id of the job.
+        index: Position of the item in the job.
+    """
+
+    __slots__ = ('job', 'index')
+
+    def __init__(self, job: str, index: int) -> None:
+        self.job = job
+        self.index = index
+
+    def __eq__(self, other: object) -> bool:
+        return (
+            isinstance(other, ItemKey)
+            and self.job == other.job
+            and self.index == other.index
+        )
+
+    def __hash__(self) -> int:
+        return hash((self.job, self.index))
+
+    def __repr__(self) -> str:
+        return f'ItemKey({self.job!r}, {self.index})'
+
+
+class BatchItem:
+    """An item under a lease.
+
+    Attributes:
+        key: Identifies the item.
+        attempt: Number of this attempt, from 1.
+        lease: Names the lease towards the entry.
+        lease_ms: Length of the lease.
+        leased_until_s: Monotonic time at which the lease lapses.
+        idempotent: Whether the item may be attempted again.
+        solo: Whether nothing may run beside it.
+        fingerprint: Hash of service and content.
+        body: What to run.
+        running: The run, once there is one.
+        held_since_s: Monotonic time since which it waits for the upstream.
+        give_back: Whether it shall be given back instead of resumed here.
+        cancelled: Whether its job was cancelled.
+    """
+
+    __slots__ = (
+        'key',
+        'attempt',
+        'lease',
+        'lease_ms',
+        'leased_until_s',
+        'idempotent',
+        'solo',
+        'fingerprint',
+        'body',
+        'running',
+        'held_since_s',
+        'give_back',
+        'cancelled',
+    )
+
+    def __init__(
+        self,
+        *,
+        key: ItemKey,
+        attempt: int,
+        lease: str,
+        lease_ms: int,
+        idempotent: bool,
+        fingerprint: str,
+        body: _run_request.ModelBody | _run_request.PlainBody,
+        solo: bool = False,
+    ) -> None:
+        self.key = key
+        self.attempt = attempt
+        self.lease = lease
+        self.lease_ms = lease_ms
+        self.leased_until_s = -math.inf
+        self.idempotent = idempotent
+        self.solo = solo
+        self.fingerprint = fingerprint
+        self.body = body
+        self.running: _running_request.RunningRequest | None = None
+        self.held_since_s = trio.current_time()
+        self.give_back = False
+        self.cancelled = False
+
+    @property
+    def request_id(self) -> str:
+        """Id under which the item runs at the upstream."""
+        return f'{self.key.job}/{self.key.index}'
+
+    @property
+    def lease_is_valid(self) -> bool:
+        """Whether the entry may still count on this sidecar alone."""
+        return trio.current_time() < self.leased_until_s
+
+    def extend_lease(self, asked_at_s: float) -> None:
+        """Extends the lease from the time at which that was asked for."""
+        self.leased_until_s = asked_at_s + self.lease_ms / 1000
+
+    def create_request(self) -> _run_request.RunRequest:
+        """Returns the request to run, after the output that exists."""
+        return _run_request.RunRequest(
+            request_id=self.request_id,
+            body=self.body,
+            request_class=configuration.RequestClass.BATCH,
+            attempt=self.attempt,
+            fingerprint=self.fingerprint,
+            solo=self.solo,
+            preemptible=self.idempotent,
+            may_start=self._may_start,
+        )
+
+    def _may_start(self) -> bool:
+        """Tells whether the item may be sent to the upstream.
+
+        After a pause of this process the entry may have written off an item
+        that must not be repeated.
+        """
+        return self.idempotent or self.lease_is_valid
+
+    def keep_output(self, tokens: list[str]) -> None:
+        """Makes the next run continue after `tokens`."""
+        if not isinstance(self.body, _run_request.ModelBody):
+            return
+        self.body = _run_request.ModelBody(
+            prompt=self.body.prompt,
+            messages=self.body.messages,
+            max_tokens=self.body.max_tokens,
+            resume_tokens=tokens,
+        )
+
+
+def create_item(
+    pulled: batch.PulledItem,
+) -> BatchItem | batch.ItemReport:
+    """Returns an item to hold, or the report on one that can never be run."""
+    body = _run_request.parse_body(pulled.body)
+    if isinstance(body, results.Failure):
+        return batch.ItemReport(
+            pulled.job,
+            pulled.index,
+            pulled.lease,
+            batch.ReportedOutcome.FAILED,
+            code=int(results.ResultCode.ITEM_INVALID),
+            reason=body.reason,
+        )
+    return BatchItem(
+        key=ItemKey(pulled.job, pulled.index),
+        attempt=pulled.attempt,
+        lease=pulled.lease,
+        lease_ms=pulled.lease_ms,
+        idempotent=pulled.idempotent,
+        fingerprint=pulled.fingerprint,
+        body=body,
+    )
+
+
+def create_report(item: BatchItem) -> batch.ItemReport:
+    """Returns the report on an item whose run has ended or never began."""
+    running = item.running
+    if running is None or not running.ended:
+        return _create_yield_report(item, 'not started')
+    failure = running.failure
+    if failure is None:
+        return _create_answer_report(item, running)
+    not_run = failure.run_state is results.RunState.NOT_RUN
+    if not_run and not item.cancelled:
+        return _create_yield_report(item, failure.reason)
+    if failure.code is results.ResultCode.BATCH_YIELDED and item.idempotent:
+        return _create_yield_report(item, failure.reason)
+    outcome = batch.ReportedOutcome.FAILED
+    if not item.idempotent and not not_run:
+        outcome = batch.ReportedOutcome.UNKNOWN
+    return _create_report(
+        item,
+        outcome,
+        output=_describe_progress(item),
+        code=failure.code,
+        reason=failure.reason,
+        wasted_tokens=_count_new_tokens(running) if item.cancelled else 0,
+    )
+
+
+def _create_report(
+    item: BatchItem,
+    outcome: batch.ReportedOutcome,
+    *,
+    output: dict[str, object] | None,
+    code: results.ResultCode = results.ResultCode.OK,
+    reason: str = '',
+    wasted_tokens: int = 0,
+) -> batch.ItemReport:
+    return batch.ItemReport(
+        item.key.job,
+        item.key.index,
+        item.lease,
+        outcome,
+        output=output,
+        code=int(code),
+        reason=reason,
+        wasted_tokens=wasted_tokens,
+    )
+
+
+def _create_yield_report(item: BatchItem, reason: str) -> batch.ItemReport:
+    return _create_report(
+        item,
+        batch.ReportedOutcome.YIELDED,
+        output=_describe_progress(item),
+        code=results.ResultCode.BATCH_YIELDED,
+        reason=reason,
+    )
+
+
+def _create_answer_report(
+    item: BatchItem, running: _running_request.RunningRequest
+) -> batch.ItemReport:
+    """Returns the report on a whole answer."""
+    if running.size_bytes > MAX_OUTPUT_BYTES:
+        return _create_report(
+            item,
+            batch.ReportedOutcome.FAILED,
+            output=None,
+            code=results.ResultCode.BODY_TOO_LARGE,
+            reason=f'the answer is larger than {MAX_OUTPUT_BYTES} bytes',
+            wasted_tokens=_count_new_tokens(running),
+        )
+    if isinstance(item.body, _run_request.PlainBody):
+        return _create_plain_report(item, running)
+    end = running.last_frame
+    output: dict[str, object] = {'text': ''.join(running.collect_tokens())}
+    if isinstance(end, relay.EndFrame):
+        output['finish_reason'] = end.finish_reason
+        output['prompt_tokens'] = end.prompt_tokens
+        output['completion_tokens'] = end.completion_tokens
+    return _create_report(item, batch.ReportedOutcome.DONE, output=output)
+
+
+def _create_plain_report(
+    item: BatchItem, running: _running_request.RunningRequest
+) -> batch.ItemReport:
+    """Returns the report on the answer of a plain service."""
+    status = 0
+    headers: list[tuple[str, str]] = []
+    parts: list[bytes] = []
+    for frame in running.frames:
+        if isinstance(frame, relay.HeadFrame):
+            status = frame.status
+            headers = frame.headers
+        elif isinstance(frame, relay.BodyFrame):
+            parts.append(frame.data)
+    output: dict[str, object] = {
+        'status': status,
+        'headers': headers,
+        'body': base64.b64encode(b''.join(parts)).decode('ascii'),
+    }
+    if status < 400:
+        return _create_report(item, batch.ReportedOutcome.DONE, output=output)
+    outcome = batch.ReportedOutcome.FAILED
+    if status >= 500 and not item.idempotent:
+        outcome = batch.ReportedOutcome.UNKNOWN
+    return _create_report(
+        item,
+        outcome,
+        output=output,
+        code=results.ResultCode.UPSTREAM_ERROR,
+        reason=f'status {status}',
+    )
+
+
+def _describe_progress(item: BatchItem) -> dict[str, object] | None:
+    """Returns the output so far, for the next attempt to continue."""
+    if not isinstance(item.body, _run_request.ModelBody):
+        return None
+    tokens = item.body.resume_tokens
+    if item.running is not None:
+        tokens = item.running.collect_tokens()
+    return {'resume_tokens': tokens} if tokens else None
+
+
+def _count_new_tokens(running: _running_request.RunningRequest) -> int:
+    """Returns how many tokens this run has generated."""
+    return sum(isinstance(frame, relay.TokenFrame) for frame in running.frames)
--- a/siskinmount/sidecar/_gate.py
+++ b/siskinmount/sidecar/_gate.py
@@ -17,7 +17,8 @@
 SOLO_WAIT_MS = 10_000
 WAITING_PER_SLOT = 2
 RETRY_AFTER_MS = 500
-PREFILL_PAUSE_FACTOR = 3.0
+CHANGE_RETRY_AFTER_MS = 1000
+DEFAULT_PREFILL_PAUSE_FACTOR = 3.0
 
 
 class Gate:
@@ -28,18 +29,25 @@
     Attributes:
         load: Counts of the requests, as the policy sees them.
         closed: Whether new requests are refused because the sidecar stops.
+        paused: Whether new requests are refused because the upstream is being
+            changed.
         preempted_count: Requests stopped to make room, in total.
         refused_count: Requests refused for lack of capacity, in total.
+        prefill_pause_factor: Pause between two batch prompts beside online
+            requests, as a multiple of how long the first took.
     """
 
     __slots__ = (
         'load',
         'closed',
+        'paused',
         'preempted_count',
         'refused_count',
+        'prefill_pause_factor',
         '_policy',
         '_waiting',
         '_running',
+        '_changed',
     )
 
     def __init__(
@@ -47,19 +55,23 @@
     ) -> None:
         self.load = load
         self.closed = False
+        self.paused = False
         self.preempted_count = 0
         self.refused_count = 0
+        self.prefill_pause_factor = DEFAULT_PREFILL_PAUSE_FACTOR
         self._policy = policy
         self._waiting: list[_gate_load.Ticket] = []
         self._running: list[_gate_load.Ticket] = []
+        self._changed = trio.Event()
 
     async def admit(self, ticket: _gate_load.Ticket) -> results.Failure | None:
         """Returns None once the request may go, or why it never will.
 
         An admitted ticket must be given back with `release`.
         """
-        if self.closed:
-            return _leaving()
+        refusal = self.find_refusal()
+        if refusal is not None:
+            return refusal
         if ticket.online and self._count_waiting_online() >= self._queue_bound:
             self.refused_count += 1
             return _overloaded('too many requests wait')
@@ -84,6 +96,7 @@
         self._running.remove(ticket)
         ticket.state = _gate_load.TicketState.GONE
         self.admit_waiting()
+        self._notify()
 
     def note_tokens(self, ticket: _gate_load.Ticket, count: int) -> None:
         """Notes that an admitted request has emitted tokens."""
@@ -93,8 +106,11 @@
             return
         now_s = trio.current_time()
         prefill_s = now_s - ticket.started_at_s
-        self.load.prefill_open_at_s = now_s + PREFILL_PAUSE_FACTOR * prefill_s
+        self.load.prefill_open_at_s = (
+            now_s + self.prefill_pause_factor * prefill_s
+        )
         self.admit_waiting()
+        self._notify()
 
     def close(self) -> None:
         """Refuses all that wait and all that come."""
@@ -102,8 +118,55 @@
         for ticket in list(self._waiting):
             self._refuse(ticket, _leaving())
 
+    def pause(self) -> None:
+        """Refuses new requests and stops batch, so that the upstream empties."""
+        if self.paused:
+            return
+        self.paused = True
+        for ticket in list(self._waiting):
+            self._refuse(ticket, _changing())
+        for ticket in list(self._running):
+            if ticket.preemptible:
+                self._stop(ticket)
+
+    def resume(self) -> None:
+        """Admits requests again after `pause`."""
+        self.paused = False
+
+    def find_refusal(self) -> results.Failure | None:
+        """Returns why no request is admitted at present, or None."""
+        if self.closed:
+            return _leaving()
+        return _changing() if self.paused else None
+
+    async def wait_empty(self) -> None:
+        """Returns once nothing is at the upstream."""
+        while self._running:
+            await self._changed.wait()
+
+    async def wait_capacity(self) -> None:
+        """Returns after a request has started or left."""
+        await self._changed.wait()
+
+    def is_prefilling(self) -> bool:
+        """Tells whether any request has not emitted its first token."""
+        return any(ticket.is_prefilling for ticket in self._running)
+
+    def preempt_excess(self) -> None:
+        """Stops batch requests over the bound beside online requests."""
+        self._count()
+        load = self.load
+        if not load.online_running or not self._policy.puts_online_first:
+            return
+        batch = load.batch_running - load.batch_yielding
+        if batch <= load.batch_slots_beside_online:
+            return
+        self._preempt_for(_gate_load.Ticket(online=True))
+
     def count_idle_batch_slots(self) -> int:
         """Returns how many more batch requests could start now."""
+        if self.find_refusal() is not None:
+            return 0
         self._count()
         return self._policy.count_idle_batch_slots(self.load)
 
@@ -128,11 +191,10 @@
         """Admits all that the policy allows now."""
         for ticket in self._policy.arrange(self._waiting):
             self._count()
-            if not self._policy.may_start(ticket, self.load):
-                self._preempt(self._policy.count_to_preempt(ticket, self.load))
-                continue
-            self._preempt(self._policy.count_to_preempt(ticket, self.load))
-            self._start(ticket)
+            may_start = self._policy.may_start(ticket, self.load)
+            self._preempt_for(ticket)
+            if may_start:
+                self._start(ticket)
 
     @property
     def _queue_bound(self) -> int:
@@ -153,12 +215,16 @@
                 self.refused_count += 1
                 self._refuse(ticket, _overloaded('no slot became free'))
                 return
-            wake_at_s = limit_s
-            if not ticket.online and self.load.prefill_open_at_s > now_s:
-                wake_at_s = self.load.prefill_open_at_s
-            with trio.move_on_at(wake_at_s):
-                await ticket.decided.wait()
-            if not ticket.decided.is_set():
+            if ticket.online:
+                with trio.move_on_at(limit_s):
+                    await ticket.decided.wait()
+                continue
+            if now_s >= self.load.prefill_open_at_s:
+                await self._changed.wait()
+                continue
+            with trio.move_on_at(self.load.prefill_open_at_s) as scope:
+                await self._changed.wait()
+            if scope.cancelled_caught:
                 self.admit_waiting()
 
     def _start(self, ticket: _gate_load.Ticket) -> None:
@@ -176,6 +242,12 @@
         ticket.decided.set()
         self._count()
         self._check_bound()
+        self._notify()
+
+    def _notify(self) -> None:
+        """Wakes those that wait for a change."""
+        self._changed.set()
+        self._changed = trio.Event()
 
     def _refuse(
         self, ticket: _gate_load.Ticket, failure: results.Failure
@@ -185,20 +257,28 @@
         ticket.state = _gate_load.TicketState.GONE
         ticket.refusal = failure
         ticket.decided.set()
+        self._notify()
 
-    def _preempt(self, count: int) -> None:
-        """Stops the batch requests that lose least by being resumed later."""
+    def _preempt_for(self, ticket: _gate_load.Ticket) -> None:
+        """Stops the batch requests that must make room for a request."""
         candidates = [
-            ticket
-            for ticket in self._running
-            if ticket.preemptible
-            and ticket.state is _gate_load.TicketState.RUNNING
+            each
+            for each in self._running
+            if each.preemptible and each.state is _gate_load.TicketState.RUNNING
         ]
-        candidates.sort(key=lambda ticket: ticket.resume_cost_tokens)
-        for ticket in candidates[:count]:
-            ticket.state = _gate_load.TicketState.YIELDING
-            self.preempted_count += 1
-            ticket.preempt()
+        if not candidates:
+            return
+        chosen = self._policy.choose_to_preempt(ticket, self.load, candidates)
+        for each in chosen:
+            self._stop(each)
+
+    def _stop(self, ticket: _gate_load.Ticket) -> None:
+        """Tells a running batch request to make room."""
+        if ticket.state is not _gate_load.TicketState.RUNNING:
+            return
+        ticket.state = _gate_load.TicketState.YIELDING
+        self.preempted_count += 1
+        ticket.preempt()
 
     def _count(self) -> None:
         """Brings the counts in `load` up to date."""
@@ -254,6 +334,14 @@
     )
 
 
+def _changing() -> results.Failure:
+    return results.Failure(
+        results.ResultCode.NO_UPSTREAM,
+        'the upstream is being changed',
+        retry_after_ms=CHANGE_RETRY_AFTER_MS,
+    )
+
+
 def _overloaded(reason: str) -> results.Failure:
     return results.Failure(
         results.ResultCode.OVERLOADED, reason, retry_after_ms=RETRY_AFTER_MS
--- a/siskinmount/sidecar/_gate_load.py
+++ b/siskinmount/sidecar/_gate_load.py
@@ -32,6 +32,7 @@
         online: Whether a caller waits for it.
         solo: Whether no other request may run beside it.
         prompt_tokens: What the upstream must prefill, estimated.
+        resumed: Whether it continues an output that exists already.
         preemptible: Whether it can be stopped and resumed later.
         preempt: Stops the request.
         emitted_tokens: Tokens that came out since it was admitted.
@@ -45,6 +46,7 @@
         'online',
         'solo',
         'prompt_tokens',
+        'resumed',
         'preemptible',
         'preempt',
         'emitted_tokens',
@@ -60,12 +62,14 @@
         online: bool,
         solo: bool = False,
         prompt_tokens: int = 0,
+        resumed: bool = False,
         preemptible: bool = False,
         preempt: Callable[[], None] = lambda: None,
     ) -> None:
         self.online = online
         self.solo = solo
         self.prompt_tokens = prompt_tokens
+        self.resumed = resumed
         self.preemptible = preemptible
         self.preempt = preempt
         self.emitted_tokens = 0
@@ -90,7 +94,8 @@
 
     Attributes:
         slots: Requests that the upstream runs at once.
-        batch_slots: Batch requests admitted at once, at most.
+        batch_slots_beside_online: Batch requests beside running online ones,
+            at most.
         online_slots: Slots that a static split keeps for online requests, or
             None for its default.
         online_reserve_slots: Slots that batch leaves free.
@@ -110,7 +115,7 @@
 
     __slots__ = (
         'slots',
-        'batch_slots',
+        'batch_slots_beside_online',
         'online_slots',
         'online_reserve_slots',
         'batch_prefill_tokens',
@@ -130,13 +135,12 @@
         self,
         *,
         slots: int,
-        batch_slots: int | None = None,
         online_slots: int | None = None,
         online_reserve_slots: int = 0,
         batch_prefill_tokens: int = 2048,
     ) -> None:
         self.slots = slots
-        self.batch_slots = slots if batch_slots is None else batch_slots
+        self.batch_slots_beside_online = slots
         self.online_slots = online_slots
         self.online_reserve_slots = online_reserve_slots
         self.batch_prefill_tokens = batch_prefill_tokens
--- a/siskinmount/supervision/__init__.py
+++ b/siskinmount/supervision/__init__.py
@@ -1,5 +1,6 @@
 """Supervisor tree: restarts failed children and escalates repeated failure."""
 
+from siskinmount.supervision._stop_signal import watch_stop_signal
 from siskinmount.supervision._supervisor import Child
 from siskinmount.supervision._supervisor import RestartLimitError
 from siskinmount.supervision._supervisor import run_supervisor
--- a/siskinmount/transport/_http_server.py
+++ b/siskinmount/transport/_http_server.py
@@ -140,6 +140,7 @@
                 head, connection, stream, self._limits, self._draining
             )
             await self._handle(exchange)
+            exchange.discard_received_body()
             if connection.our_state is not h11.DONE or self._draining:
                 return
             if connection.their_state is not h11.DONE:
