Find packages that hold only extension modules in the binary

Run from the binary, a small fleet (2 entries, 3 sidecars) served the demo, but GetStatus failed inside an entry: protobuf had fallen back to its pure-Python form, because google._upb has no entry of its own in the archive. Its directory is now written, and a test reads the archive of the built binary.

--- a/siskinmount/commands/_report_burn_command.py
+++ b/siskinmount/commands/_report_burn_command.py
@@ -77,6 +77,8 @@
 
 def _judge(report: _burn_report.BurnReport) -> _exit_status.ExitStatus:
     """Returns the exit status that tells a script whether to look closer."""
+    if not report.daemon_count:
+        return _exit_status.ExitStatus.UNAVAILABLE
     if report.list_risky_jobs():
         return _exit_status.ExitStatus.NEGATIVE
     for burn in report.objectives:
--- a/siskinmount/commands/tests/test_fleet_commands.py
+++ b/siskinmount/commands/tests/test_fleet_commands.py
@@ -6,6 +6,7 @@
 import testtools
 
 from siskinmount import commands
+from siskinmount import results
 from siskinmount import rpc
 from siskinmount import telemetry
 from siskinmount import transport
@@ -227,6 +228,19 @@
         for outside in ('http:', 'https:', '<script', 'src='):
             self.assertNotIn(outside, page)
 
+    def test_report_burn_without_any_status(self):
+        async def fail(request):
+            return results.Failure(results.ResultCode.INTERNAL, 'failed')
+
+        for entry in self.entries:
+            entry.get_status = fail
+        with background.serve(self._start) as address:
+            status, _, errors = background.run_command(
+                'report', 'burn', '--entries', str(address)
+            )
+        self.assertEqual(commands.ExitStatus.UNAVAILABLE, status)
+        self.assertIn('failed (9002 INTERNAL)', errors)
+
     def test_report_burn_ok(self):
         self._record(good=40, bad=0)
         with background.serve(self._start) as address:
--- a/tools/binary/build.py
+++ b/tools/binary/build.py
@@ -102,6 +102,7 @@
         stripped = self._work / 'extension.so'
         _run('strip', '--strip-debug', '-o', str(stripped), str(path))
         self._write(f'extensions/{module}.so', stripped.read_bytes())
+        self._add_directories(name)
 
     def _note_libraries(self, path: pathlib.Path) -> None:
         """Notes the libraries that a file needs, deepest first."""
@@ -117,14 +118,20 @@
             self._libraries[name] = library_path
 
     def _write(self, name: str, data: bytes) -> None:
+        self._add_directories(name)
+        self._zip.writestr(zipfile.ZipInfo(name, _ZIP_DATE), data)
+
+    def _add_directories(self, name: str) -> None:
+        """Adds the directories of a file.
+
+        Packages without an __init__ module are found by these entries.
+        """
         for parent in reversed(pathlib.PurePosixPath(name).parents):
             directory = f'{parent}/'
             if directory == './' or directory in self._directories:
                 continue
-            # Packages without an __init__ module are found by these entries.
             self._directories.add(directory)
             self._zip.writestr(zipfile.ZipInfo(directory, _ZIP_DATE), b'')
-        self._zip.writestr(zipfile.ZipInfo(name, _ZIP_DATE), data)
 
 
 def build_binary(output: str) -> None:
--- a/tools/binary/tests/test_binary.py
+++ b/tools/binary/tests/test_binary.py
@@ -6,6 +6,7 @@
 import tempfile
 import termios
 import time
+import zipfile
 
 import testtools
 
@@ -61,6 +62,16 @@
             done = self._run('check', str(_EXAMPLES / name))
             self.assertEqual((0, ''), (done.returncode, done.stderr))
 
+    def test_packages_of_extensions_can_be_found(self):
+        with zipfile.ZipFile(self.binary) as archive:
+            names = set(archive.namelist())
+        modules = [n for n in names if n.startswith('extensions/')]
+        self.assertIn('extensions/google._upb._message.so', modules)
+        for module in modules:
+            package = module[len('extensions/') : -len('.so')].split('.')[:-1]
+            if package:
+                self.assertIn('/'.join(package) + '/', names)
+
     def test_starts_no_other_process(self):
         process = subprocess.Popen(
             [self.binary, 'check', '/dev/stdin'],
