--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,12 @@
 bench: setup
 	$(BIN)/python -m tools.bench $(ARGS)
 
+SEED ?= 1
+SECONDS ?= 60
+
+chaos: setup
+	$(BIN)/python -m tools.chaos --seed $(SEED) --seconds $(SECONDS)
+
 protos: setup
 	$(BIN)/python -m grpc_tools.protoc -I . --python_out=. --grpc_python_out=. \
 	  siskinmount/rpc/control.proto siskinmount/state/records.proto
