--- a/siskinmount/batch/_job_upload.py
+++ b/siskinmount/batch/_job_upload.py
@@ -15,7 +15,7 @@
     """Returns a job's identifier: the same for the same caller and key."""
     if key is None:
         return uuid.uuid4().hex
-    return xxhash.xxh3_128_hexdigest(f'{caller}\n{key}')
+    return xxhash.xxh3_128_hexdigest(f'{caller}\n{key}'.encode())
 
 
 class JobUpload:
