--- a/siskinmount/entry/_control_service.py
+++ b/siskinmount/entry/_control_service.py
@@ -76,10 +76,8 @@
         self, request: rpc.StatusRequest
     ) -> rpc.StatusReply | results.Failure:
         """Returns what this daemon knows, for operators."""
-        reply = rpc.StatusReply(
-            self=membership.encode_member(self._own.describe()),
-            details=orjson.dumps(self._describe_details()),
-        )
+        reply = rpc.StatusReply(details=orjson.dumps(self._describe_details()))
+        reply.self.CopyFrom(membership.encode_member(self._own.describe()))
         for member in self._members.list_members():
             reply.members.append(membership.encode_member(member))
         return reply
--- a/siskinmount/entry/_entry.py
+++ b/siskinmount/entry/_entry.py
@@ -3,6 +3,7 @@
 import functools
 import logging
 
+import orjson
 import trio
 
 from siskinmount import admission
@@ -93,6 +94,7 @@
             state.create_configuration_stream(
                 self._log,
                 _configuration_in_force.parse_published_text,
+                grammar=configuration.KNOWN_FORMAT,
                 is_carrier=self._is_first_entry,
             )
         )
@@ -215,9 +217,14 @@
 
     def describe_details(self) -> dict[str, object]:
         """Returns what operators may want to know beyond the members."""
-        owned = [shard.stream.name for shard in self.streams.owned_shards()]
+        shards = self.streams.owned_shards()
+        jobs: list[object] = []
+        for shard in shards:
+            for status in shard.batch.statuses():
+                jobs.append(orjson.loads(status.to_json()))
         return {
-            'streams_owned': owned,
+            'streams_owned': [shard.stream.name for shard in shards],
+            'jobs': jobs,
             'configuration_version': self.in_force.version,
             'connections': self._callers_server.connection_count,
         }
--- a/siskinmount/entry/_peers_api.py
+++ b/siskinmount/entry/_peers_api.py
@@ -81,12 +81,10 @@
         """Returns this entry's metrics as text."""
         metrics = telemetry.create_metrics()
         for name, value in self._describe_details().items():
-            if not isinstance(value, int | float):
+            if isinstance(value, bool) or not isinstance(value, int | float):
                 continue
             gauge = metrics.create_gauge(
-                f'siskinmount_entry_{name}', f'The entry reports {name}.'
+                f'entry_{name}', f'The entry reports {name}.'
             )
             gauge.set(value)
-        return telemetry.render_metrics(metrics, self._histograms).encode(
-            'utf-8'
-        )
+        return telemetry.render_metrics(metrics, self._histograms)
--- a/siskinmount/sidecar/_fleet_link.py
+++ b/siskinmount/sidecar/_fleet_link.py
@@ -128,10 +128,8 @@
         self, request: rpc.StatusRequest
     ) -> rpc.StatusReply | results.Failure:
         """Returns what this sidecar knows, for operators."""
-        reply = rpc.StatusReply(
-            self=membership.encode_member(self.describe_self()),
-            details=orjson.dumps(self._describe_details()),
-        )
+        reply = rpc.StatusReply(details=orjson.dumps(self._describe_details()))
+        reply.self.CopyFrom(membership.encode_member(self.describe_self()))
         for member in self.members.list_members():
             reply.members.append(membership.encode_member(member))
         return reply
--- a/tools/demo/__main__.py
+++ b/tools/demo/__main__.py
@@ -42,6 +42,8 @@
         await self._run_completions()
         await self._run_plain_calls()
         await self._run_batch_job()
+        await self._run_commands()
+        await self._read_metrics()
 
     async def _run_completions(self) -> None:
         """Streams completions and asks for one whole chat answer."""
@@ -167,6 +169,42 @@
             f' {right} of {BATCH_ITEMS} whole',
         )
 
+    async def _run_commands(self) -> None:
+        """Runs the operators' commands against the fleet."""
+        entries = ','.join(
+            str(entry.control_address) for entry in self._fleet.plan.entries
+        )
+        for command in (['status'], ['jobs'], ['report', 'burn']):
+            finished = await trio.run_process(
+                [
+                    sys.executable,
+                    '-m',
+                    'siskinmount',
+                    *command,
+                    '--entries',
+                    entries,
+                ],
+                capture_stdout=True,
+                check=False,
+            )
+            self._check(
+                finished.returncode == 0,
+                f'siskinmount {" ".join(command)}:',
+            )
+            print(finished.stdout.decode('utf-8').rstrip())
+
+    async def _read_metrics(self) -> None:
+        """Reads the metrics of every daemon."""
+        plan = self._fleet.plan
+        for member in (*plan.entries, *plan.sidecars):
+            answer = await self._fleet.send_control(
+                member.peers_address, 'GET', '/metrics'
+            )
+            self._check(
+                isinstance(answer, bytes) and b'siskinmount_' in answer,
+                f'metrics of {member.vm}',
+            )
+
     async def _send(
         self,
         entry: fleet.EntryPlan,
