--- a/tools/bench/_arm_run.py
+++ b/tools/bench/_arm_run.py
@@ -122,26 +122,26 @@
             plan.batch_source,
             START_DELAY_S + plan.warm_up_s + plan.measured_s,
         )
-        start_at_s = time.time() + START_DELAY_S
         report_path = directory / 'online.json'
         generator: processes.ManagedProcess | None = None
-        if arm.has_online:
-            generator = await deployment.fleet.group.start_module(
-                'online-load',
-                'tools.load',
-                _write_load_flags(
-                    setting,
-                    plan,
-                    plan.seed + round_number,
-                    deployment,
-                    start_at_s,
-                    report_path,
-                ),
-                waits_for_line=False,
-            )
         async with trio.open_nursery() as nursery:
             if arm.has_batch:
-                nursery.start_soon(source.run)
+                await nursery.start(source.run)
+            start_at_s = time.time() + START_DELAY_S
+            if arm.has_online:
+                generator = await deployment.fleet.group.start_module(
+                    'online-load',
+                    'tools.load',
+                    _write_load_flags(
+                        setting,
+                        plan,
+                        plan.seed + round_number,
+                        deployment,
+                        start_at_s,
+                        report_path,
+                    ),
+                    waits_for_line=False,
+                )
             await trio.sleep(start_at_s + plan.warm_up_s - time.time())
             before = await _take_snapshot(deployment, source)
             await trio.sleep(plan.measured_s)
--- a/tools/bench/_batch_feeder.py
+++ b/tools/bench/_batch_feeder.py
@@ -77,7 +77,9 @@
         """Returns what has come so far."""
         return self.progress.copy()
 
-    async def run(self) -> None:
+    async def run(
+        self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
+    ) -> None:
         """Feeds all sidecars until cancelled."""
         limits = transport.ClientLimits(
             max_connections=self._items_per_sidecar,
@@ -88,6 +90,7 @@
                 client = transport.create_http_client(address, limits)
                 for _ in range(self._items_per_sidecar):
                     nursery.start_soon(self._feed, client)
+            task_status.started()
 
     async def _feed(self, client: transport.HttpClient) -> None:
         """Runs one item after the other at one sidecar."""
--- a/tools/bench/_job_source.py
+++ b/tools/bench/_job_source.py
@@ -12,6 +12,7 @@
 PAGE_ITEMS = 10_000
 DUE_S = 3600
 ACCEPTED_STATUS = 202
+RETRIED_STATUSES = (429, 503)
 RETRY_PAUSE_S = 0.2
 MAX_RETRIES = 50
 
@@ -81,8 +82,14 @@
         self._job_count = job_count
         self._items_per_job = items_per_job
 
-    async def run(self) -> None:
-        """Submits all jobs; the sidecars pull their items."""
+    async def run(
+        self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Submits all jobs; the sidecars pull their items.
+
+        Raises:
+            JobError: A job was not accepted.
+        """
         for number in range(self._job_count):
             client = self._clients[number % len(self._clients)]
             requests = [
@@ -91,6 +98,7 @@
             ]
             job_id = await self._submit(client, requests, number)
             self.jobs.append(SubmittedJob(job_id, requests, client))
+        task_status.started()
 
     async def read_progress(self) -> _batch_progress.BatchProgress:
         """Reads all results and checks each answer."""
@@ -126,6 +134,8 @@
             if answer.status == ACCEPTED_STATUS:
                 return str(orjson.loads(answer.body)['job'])
             reason = f'status {answer.status}: {answer.body[:300]!r}'
+            if answer.status not in RETRIED_STATUSES:
+                break
             await trio.sleep(RETRY_PAUSE_S)
         raise JobError(f'the job was not accepted: {reason}')
 
