--- a/siskinmount/configuration/_ini_text.py
+++ b/siskinmount/configuration/_ini_text.py
@@ -10,7 +10,7 @@
 
 from siskinmount.configuration import _document_fault
 
-MAX_TEXT_CHARACTERS = 256 * 1024
+MAX_TEXT_CHARACTERS = 3 * 1024 * 1024
 _MAX_SHOWN_CHARACTERS = 60
 _COMMENT_PREFIXES = ('#', ';')
 _HEADER = re.compile(r'\[([^\[\]]+)\]')
