--- a/siskinmount/batch/_batch_owner.py
+++ b/siskinmount/batch/_batch_owner.py
@@ -15,7 +15,6 @@
 from siskinmount.batch import _job_messages
 from siskinmount.batch import _job_results
 from siskinmount.batch import _job_upload
-from siskinmount.batch import _lease_table
 from siskinmount.batch import _owner_state
 from siskinmount.batch import _pull_messages
 from siskinmount.batch import _report_messages
@@ -173,7 +172,6 @@
 
     async def run(self) -> None:
         """Looks after jobs and leases for as long as the stream is owned."""
-        self._begin_tenure()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._sweep)
             nursery.start_soon(self._carry_forward)
@@ -184,28 +182,6 @@
             self._state, job, self._handout.is_at_risk(job)
         )
 
-    def _begin_tenure(self) -> None:
-        """Takes over what the stream's last owner had handed out."""
-        owner = self._state
-        owner.table.drop_uploads()
-        expires_at_s = trio.current_time() + owner.limits.lease_ms / 1000
-        for job in owner.table.jobs.values():
-            if not job.is_active:
-                continue
-            owner.dispatch_of(job).is_held = job.submitted.idempotent
-            for started in job.started.values():
-                lease = _lease_table.Lease(
-                    started.lease,
-                    job.job_id,
-                    started.index,
-                    started.vm,
-                    started.incarnation,
-                    expires_at_s,
-                )
-                lease.is_handed_out = True
-                if owner.leases.find(job.job_id, started.index) is None:
-                    owner.leases.add(lease)
-
     async def _release_held(self) -> None:
         """Hands out inherited jobs once sidecars had time to renew."""
         await trio.sleep(self._state.limits.adoption_ms / 1000)
--- a/siskinmount/batch/_item_handout.py
+++ b/siskinmount/batch/_item_handout.py
@@ -43,13 +43,9 @@
     ) -> _pull_messages.PullReply | results.Failure:
         """Leases and returns up to `credit` items, without waiting for any."""
         owner = self._state
-        if not owner.stream.is_owned:
-            return owner.not_owner()
-        gone = owner.leases.note_incarnation(request.vm, request.incarnation)
-        if isinstance(gone, results.Failure):
-            return gone
-        for lease in gone:
-            owner.lapse(lease)
+        failure = owner.note_sidecar(request.vm, request.incarnation)
+        if failure is not None:
+            return failure
         if owner.stream.is_buffer_full:
             return _pull_messages.PullReply([])
         reserved = self._reserve(request)
@@ -117,6 +113,8 @@
                     del waiting[caller]
                 continue
             job = dispatch.job
+            if (job.job_id, index) in owner.ending:
+                continue
             reserved.append((job, self._lease(request, job, index)))
             order.note_served(caller, self.is_at_risk(job))
         return reserved
--- a/siskinmount/batch/_item_reports.py
+++ b/siskinmount/batch/_item_reports.py
@@ -86,13 +86,9 @@
     ) -> _report_messages.RenewReply | results.Failure:
         """Extends leases, and says which items the sidecar must stop."""
         owner = self._state
-        if not owner.stream.is_owned:
-            return owner.not_owner()
-        gone = owner.leases.note_incarnation(request.vm, request.incarnation)
-        if isinstance(gone, results.Failure):
-            return gone
-        for lease in gone:
-            owner.lapse(lease)
+        failure = owner.note_sidecar(request.vm, request.incarnation)
+        if failure is not None:
+            return failure
         return _report_messages.RenewReply(
             [
                 _report_messages.ItemName(name.job, name.index)
--- a/siskinmount/batch/_job_table.py
+++ b/siskinmount/batch/_job_table.py
@@ -14,6 +14,7 @@
     Attributes:
         kinds: Kinds of records that it takes.
         jobs: Accepted jobs by identifier.
+        on_begin_tenure: Called when this process owns the stream.
         on_item_returned: Called with job and index when a non-idempotent item
             has come back without having been sent.
     """
@@ -34,10 +35,17 @@
         }
     )
 
-    __slots__ = ('jobs', 'on_item_returned', '_uploads', '_handlers')
+    __slots__ = (
+        'jobs',
+        'on_begin_tenure',
+        'on_item_returned',
+        '_uploads',
+        '_handlers',
+    )
 
     def __init__(self) -> None:
         self.jobs: dict[str, _job.Job] = {}
+        self.on_begin_tenure: Callable[[], None] | None = None
         self.on_item_returned: Callable[[_job.Job, int], None] | None = None
         # Texts of uploads that have not been submitted, by job and upload.
         self._uploads: dict[tuple[str, str], _job.TextIndex] = {}
@@ -62,6 +70,12 @@
         if handler is not None:
             handler(getattr(record, kind), position)
 
+    def begin_tenure(self) -> None:
+        """Forgets uploads of earlier epochs, which can never be submitted."""
+        self._uploads.clear()
+        if self.on_begin_tenure is not None:
+            self.on_begin_tenure()
+
     def describe(self) -> Iterable[records_pb2.Record]:
         """Returns records which restore the present state."""
         for (job, upload), texts in self._uploads.items():
@@ -95,10 +109,6 @@
         job.finished_at_ms = entry.finished_at_ms
         self.jobs[job.job_id] = job
 
-    def drop_uploads(self) -> None:
-        """Forgets uploads of earlier epochs, which can never be submitted."""
-        self._uploads.clear()
-
     def drop_upload(self, job_id: str, upload: str) -> None:
         """Forgets an upload that was given up."""
         self._uploads.pop((job_id, upload), None)
--- a/siskinmount/batch/_owner_state.py
+++ b/siskinmount/batch/_owner_state.py
@@ -60,6 +60,7 @@
         self.resume_tokens = _ResumeTokens(limits.max_resume_tokens)
         self.on_ready = on_ready
         self._lease_count = 0
+        self.table.on_begin_tenure = self._begin_tenure
         self.table.on_item_returned = self._on_item_returned
         stream.add_participant(self.table)
 
@@ -219,10 +220,37 @@
         )
 
     def drop_settled(self) -> None:
-        """Forgets ends that are in the log."""
-        for name, pending in list(self.ending.items()):
-            if pending.outcome is not None:
-                del self.ending[name]
+        """Forgets ends that are in the log, and ends that it refused."""
+        for (job_id, index), pending in list(self.ending.items()):
+            if pending.outcome is None:
+                continue
+            del self.ending[(job_id, index)]
+            job = self.table.jobs.get(job_id)
+            if isinstance(pending.outcome, state.Committed) or job is None:
+                continue
+            self.end_item(
+                job,
+                index,
+                records_pb2.ITEM_OUTCOME_FAILED,
+                code=results.ResultCode.BODY_TOO_LARGE,
+                reason='the log refused the result',
+            )
+
+    def note_sidecar(self, vm: str, incarnation: int) -> results.Failure | None:
+        """Notes that a sidecar has spoken; its predecessors are gone.
+
+        Returns:
+            A failure if this process is not the owner, or the sidecar not the
+            newest on its VM.
+        """
+        if not self.stream.is_owned:
+            return self.not_owner()
+        gone = self.leases.note_incarnation(vm, incarnation)
+        if isinstance(gone, results.Failure):
+            return gone
+        for lease in gone:
+            self.lapse(lease)
+        return None
 
     def _retry_later(
         self, job: _job.Job, index: int, failures: int, losses: int
@@ -252,6 +280,25 @@
         self.put_back(job, index, retry_at_ms)
         return queued
 
+    def _begin_tenure(self) -> None:
+        """Takes over what the stream's last owner had handed out."""
+        expires_at_s = trio.current_time() + self.limits.lease_ms / 1000
+        for job in self.table.jobs.values():
+            if not job.is_active:
+                continue
+            self.dispatch_of(job).is_held = job.submitted.idempotent
+            for started in job.started.values():
+                lease = _lease_table.Lease(
+                    started.lease,
+                    job.job_id,
+                    started.index,
+                    started.vm,
+                    started.incarnation,
+                    expires_at_s,
+                )
+                lease.is_handed_out = True
+                self.leases.add(lease)
+
     def _on_item_returned(self, job: _job.Job, index: int) -> None:
         """Makes a non-idempotent item that was not sent available again."""
         lease = self.leases.find(job.job_id, index)
--- a/siskinmount/state/_age_marks.py
+++ b/siskinmount/state/_age_marks.py
@@ -60,6 +60,9 @@
     ) -> None:
         """Ignores records: marks come from envelopes."""
 
+    def begin_tenure(self) -> None:
+        """Does nothing: marks are the same for all."""
+
     def describe(self) -> Iterable[records_pb2.Record]:
         """Returns a record with all marks."""
         yield records_pb2.Record(
--- a/siskinmount/state/_key_table.py
+++ b/siskinmount/state/_key_table.py
@@ -15,6 +15,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 DEFAULT_KEY_RETENTION_MS = 24 * 3600 * 1000
+DEFAULT_MAX_RUN_MS = 10 * 60 * 1000
 SWEEP_INTERVAL_MS = 10_000
 MAX_DROPPED_PER_SWEEP = 1000
 
@@ -93,6 +94,7 @@
     __slots__ = (
         '_stream',
         '_retention_ms',
+        '_max_run_ms',
         '_entries',
         '_holders',
         '_beginning',
@@ -100,10 +102,14 @@
     )
 
     def __init__(
-        self, stream: _state_stream.StateStream, retention_ms: int
+        self,
+        stream: _state_stream.StateStream,
+        retention_ms: int,
+        max_run_ms: int,
     ) -> None:
         self._stream = stream
         self._retention_ms = retention_ms
+        self._max_run_ms = max_run_ms
         self._entries: dict[tuple[str, str], _Entry] = {}
         # Attempts that may still be finished, and by whom.
         self._holders: dict[str, str] = {}
@@ -129,7 +135,8 @@
             key: The caller's idempotency key.
             caller: Name of the caller.
             fingerprint: Digest of the request's content.
-            holder: The process that will send it; see `drop_holder`.
+            holder: The process that will send it, if it is another than the
+                stream's owner; see `drop_holder`.
             attempt: Names the run. A holder that asks again with the same
                 name, since the answer was lost, has started it.
 
@@ -158,6 +165,7 @@
                         fingerprint=fingerprint,
                         attempt=attempt,
                         at_ms=self._stream.now_ms(),
+                        holder=holder,
                     )
                 )
             )
@@ -179,7 +187,8 @@
     ) -> results.Failure | None:
         """Records the outcome of a request that was started.
 
-        While the log is down the record waits in the stream's buffer.
+        While the log is down the record waits in the stream's buffer. If the
+        stream has another owner by now, that one takes the outcome as well.
 
         Returns:
             A failure if the outcome has not been read back in time; it may
@@ -217,6 +226,12 @@
             await trio.sleep(SWEEP_INTERVAL_MS / 1000)
             self._drop_expired()
 
+    def begin_tenure(self) -> None:
+        """Notes which requests may still be running at other processes."""
+        for entry in self._entries.values():
+            if entry.outcome is None and entry.intent.holder:
+                self._holders[entry.intent.attempt] = entry.intent.holder
+
     def apply(
         self, record: records_pb2.Record, position: _participant.Position
     ) -> None:
@@ -276,7 +291,8 @@
             return _reused(name[1])
         if entry.outcome is not None:
             return KnownOutcome(entry.outcome)
-        if entry.intent.attempt in self._holders:
+        run_ms = self._stream.now_ms() - entry.intent.at_ms
+        if entry.intent.attempt in self._holders and run_ms < self._max_run_ms:
             return InProgress()
         return UnknownOutcome()
 
@@ -407,8 +423,16 @@
 def create_key_table(
     stream: _state_stream.StateStream,
     retention_ms: int = DEFAULT_KEY_RETENTION_MS,
+    max_run_ms: int = DEFAULT_MAX_RUN_MS,
 ) -> KeyTable:
-    """Creates the keys of a stream and adds them to it."""
-    table = KeyTable(stream, retention_ms)
+    """Creates the keys of a stream and adds them to it.
+
+    Args:
+        stream: The state stream, not running yet.
+        retention_ms: How long a key and its outcome are kept.
+        max_run_ms: How long a request may be in progress; without an outcome
+            by then, what is said of it is that it may have run.
+    """
+    table = KeyTable(stream, retention_ms, max_run_ms)
     stream.add_participant(table)
     return table
--- a/siskinmount/state/_participant.py
+++ b/siskinmount/state/_participant.py
@@ -40,6 +40,14 @@
         """Takes a record that counts."""
         ...
 
+    def begin_tenure(self) -> None:
+        """Notes that this process owns the stream from now on.
+
+        Called once, when its claim has been read back, before anything can be
+        committed.
+        """
+        ...
+
     def describe(self) -> Iterable[records_pb2.Record]:
         """Returns records which restore the present state."""
         ...
--- a/siskinmount/state/_replay.py
+++ b/siskinmount/state/_replay.py
@@ -24,6 +24,7 @@
         anchor_written_at_ms: When the newest snapshot, or without one the
             oldest record read, was written; 0 if nothing was read.
         records_since_anchor: Log records read since the newest snapshot.
+        bytes_since_anchor: Bytes of these records.
         age_marks: When records were written.
     """
 
@@ -33,6 +34,7 @@
         'anchor_written_at_ms',
         'next_offset',
         'records_since_anchor',
+        'bytes_since_anchor',
         'age_marks',
         '_stream',
         '_participants_by_kind',
@@ -52,6 +54,7 @@
         self.anchor_written_at_ms = 0
         self.next_offset = 1
         self.records_since_anchor = 0
+        self.bytes_since_anchor = 0
         self.age_marks = age_marks
         self._stream = stream
         self._participants_by_kind = {
@@ -88,6 +91,7 @@
         """Applies one record of the log, the next by offset."""
         self.next_offset = record.offset + 1
         self.records_since_anchor += 1
+        self.bytes_since_anchor += len(record.data)
         envelope = records_pb2.Envelope()
         try:
             envelope.ParseFromString(record.data)
@@ -177,6 +181,7 @@
                 return
             self._restore(chunks)
         self.records_since_anchor = self.next_offset - end.through_offset
+        self.bytes_since_anchor = 0
         self.anchor_written_at_ms = envelope.written_at_ms
         self.anchor.replay_offset = end.through_offset + 1
         self.anchor.epoch = envelope.epoch
--- a/siskinmount/state/_state_stream.py
+++ b/siskinmount/state/_state_stream.py
@@ -201,6 +201,7 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._follow, nursery.cancel_scope)
                 nursery.start_soon(self._own, nursery.cancel_scope)
+                nursery.start_soon(self._bound_release, nursery.cancel_scope)
         finally:
             self._close()
         assert self._end is not None
@@ -344,8 +345,15 @@
         while self.is_owned and not self._resign_asked:
             await self._write_once()
         if self.is_owned:
-            with trio.move_on_after(self.limits.release_timeout_ms / 1000):
-                await self._release()
+            await self._release()
+        self._finish(TenureEnd.RELEASED)
+        scope.cancel()
+
+    async def _bound_release(self, scope: trio.CancelScope) -> None:
+        """Ends a tenure that is to be released and cannot be."""
+        while not self._resign_asked:
+            await self._changed.wait()
+        await trio.sleep(self.limits.release_timeout_ms / 1000)
         self._finish(TenureEnd.RELEASED)
         scope.cancel()
 
@@ -386,6 +394,8 @@
             self._finish(TenureEnd.EPOCH_LOST)
             return
         self.is_owned = True
+        for participant in self._participants:
+            participant.begin_tenure()
         _LOGGER.info(
             'stream_claimed', extra={'stream': self.name, 'epoch': self.epoch}
         )
@@ -432,6 +442,8 @@
             age_ms < self.limits.snapshot_after_ms
             and self._replay.records_since_anchor
             < self.limits.snapshot_after_records
+            and self._replay.bytes_since_anchor
+            < self.limits.snapshot_after_bytes
         ):
             return
         self._snapshot_count += 1
--- a/siskinmount/state/_stream_limits.py
+++ b/siskinmount/state/_stream_limits.py
@@ -19,6 +19,8 @@
         claim_wait_ms: How long to leave a stream to an owner that may live.
         release_timeout_ms: How long a release may take.
         snapshot_after_records: Log records after which a snapshot is written.
+        snapshot_after_bytes: Bytes of log records after which a snapshot is
+            written.
         snapshot_chunk_bytes: Most bytes in one chunk of a snapshot.
     """
 
@@ -34,6 +36,7 @@
         'claim_wait_ms',
         'release_timeout_ms',
         'snapshot_after_records',
+        'snapshot_after_bytes',
         'snapshot_chunk_bytes',
     )
 
@@ -51,6 +54,7 @@
         claim_wait_ms: int = 5000,
         release_timeout_ms: int = 5000,
         snapshot_after_records: int = 20_000,
+        snapshot_after_bytes: int = 64 * 1024 * 1024,
         snapshot_chunk_bytes: int = 256 * 1024,
     ) -> None:
         self.retention_ms = retention_ms
@@ -64,6 +68,7 @@
         self.claim_wait_ms = claim_wait_ms
         self.release_timeout_ms = release_timeout_ms
         self.snapshot_after_records = snapshot_after_records
+        self.snapshot_after_bytes = snapshot_after_bytes
         self.snapshot_chunk_bytes = snapshot_chunk_bytes
 
     @property
--- a/siskinmount/state/tests/stream_fixtures.py
+++ b/siskinmount/state/tests/stream_fixtures.py
@@ -21,6 +21,9 @@
     def apply(self, record, position):
         self.texts.append(record.key_dropped.key)
 
+    def begin_tenure(self):
+        pass
+
     def describe(self):
         for text in self.texts:
             yield records_pb2.Record(
