--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test format lint demo load bench protos
+.PHONY: setup test format lint demo load bench binary protos
 
 $(VENV)/.installed: requirements.txt requirements-dev.txt constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -26,6 +26,10 @@
 demo: setup
 	$(BIN)/python -m tools.demo
 
+# One file; needs a C compiler and the interpreter's static library.
+binary: setup
+	$(BIN)/python -m tools.binary dist/siskinmount
+
 # Sends load to running servers: make load ARGS='--target HOST:PORT --rate 5'
 load: setup
 	$(BIN)/python -m tools.load $(ARGS)
@@ -34,6 +38,12 @@
 bench: setup
 	$(BIN)/python -m tools.bench $(ARGS)
 
+SEED ?= 1
+SECONDS ?= 60
+
+chaos: setup
+	$(BIN)/python -m tools.chaos --seed $(SEED) --seconds $(SECONDS)
+
 protos: setup
 	$(BIN)/python -m grpc_tools.protoc -I . --python_out=. --grpc_python_out=. \
 	  siskinmount/rpc/control.proto siskinmount/state/records.proto
--- a/siskinmount/entry/_callers_api.py
+++ b/siskinmount/entry/_callers_api.py
@@ -10,6 +10,7 @@
 from siskinmount import telemetry
 from siskinmount import transport
 from siskinmount.entry import _authentication
+from siskinmount.entry import _batch_api
 from siskinmount.entry import _configuration_in_force
 from siskinmount.entry import _error_answers
 from siskinmount.entry import _key_access
@@ -35,6 +36,7 @@
         '_is_ready',
         '_access',
         '_keys',
+        '_jobs',
         '_admission',
         '_histograms',
     )
@@ -46,6 +48,7 @@
         is_ready: Callable[[], bool],
         access: _upstream_access.UpstreamAccess,
         keys: _key_access.KeyAccess,
+        jobs: _batch_api.BatchApi,
         admission_control: admission.Admission,
         histograms: telemetry.Histograms,
     ) -> None:
@@ -53,6 +56,7 @@
         self._is_ready = is_ready
         self._access = access
         self._keys = keys
+        self._jobs = jobs
         self._admission = admission_control
         self._histograms = histograms
 
@@ -92,6 +96,9 @@
                 return
             await self._serve_model_call(exchange, document, caller)
             return
+        if _batch_api.is_batch_path(path):
+            await self._jobs.serve(exchange, document, caller)
+            return
         await self._serve_plain_call(exchange, document, caller)
 
     async def _serve_model_call(
@@ -118,7 +125,7 @@
             await _error_answers.send_failure(exchange, identity)
             return
         ticket = self._admission.admit(
-            caller.name, request.service.name, configuration.RequestClass.ONLINE
+            caller, request.service.name, configuration.RequestClass.ONLINE
         )
         if isinstance(ticket, results.Failure):
             await _error_answers.send_failure(
@@ -154,7 +161,7 @@
             await _error_answers.send_failure(exchange, call)
             return
         ticket = self._admission.admit(
-            caller.name, call.service.name, call.route.request_class
+            caller, call.service.name, call.route.request_class
         )
         if isinstance(ticket, results.Failure):
             await _error_answers.send_failure(
--- /dev/null
+++ b/siskinmount/entry/_job_peers.py
@@ -0,0 +1,124 @@
+"""Serves other entries' operations on jobs that this entry owns."""
+
+import uuid
+
+import orjson
+import trio
+
+from siskinmount import results
+from siskinmount import transport
+from siskinmount.entry import _job_access
+from siskinmount.entry import _job_messages
+from siskinmount.entry import _key_access
+from siskinmount.entry import _owner_calls
+
+#: How long a submission may rest between two of its parts.
+UPLOAD_IDLE_S = 60.0
+MAX_PART_BYTES = 8 * 1024 * 1024
+
+
+class _OpenUpload:
+    """A submission that another entry brings in parts.
+
+    Attributes:
+        upload: The submission.
+        touched_s: Monotonic time of its last part.
+    """
+
+    __slots__ = ('upload', 'touched_s')
+
+    def __init__(self, upload: _job_access.LocalUpload) -> None:
+        self.upload = upload
+        self.touched_s = trio.current_time()
+
+
+class JobPeers:
+    """Answers `POST /jobs/{job}/{operation}`."""
+
+    __slots__ = ('_calls', '_uploads')
+
+    def __init__(self, calls: _owner_calls.OwnerCalls) -> None:
+        self._calls = calls
+        self._uploads: dict[str, _OpenUpload] = {}
+
+    async def serve(self, exchange: transport.ServerExchange) -> None:
+        """Answers one request."""
+        body = await exchange.read_body(MAX_PART_BYTES)
+        if isinstance(body, results.Failure):
+            await _key_access.send_peer_failure(exchange, body)
+            return
+        answer = await self._execute(exchange.head, body)
+        if isinstance(answer, results.Failure):
+            await _key_access.send_peer_failure(exchange, answer)
+            return
+        await exchange.send_whole(200, [], answer)
+
+    async def drop_idle_uploads(self) -> None:
+        """Gives up submissions whose sender has gone."""
+        limit_s = trio.current_time() - UPLOAD_IDLE_S
+        for upload_id in list(self._uploads):
+            if self._uploads[upload_id].touched_s < limit_s:
+                await self._uploads.pop(upload_id).upload.give_up()
+
+    async def _execute(
+        self, head: transport.RequestHead, body: bytes
+    ) -> bytes | results.Failure:
+        """Executes one operation."""
+        path = head.path.removeprefix(_job_access.JOBS_PREFIX)
+        job, _, operation = path.partition('/')
+        if operation == 'open':
+            return await self._open(job, body)
+        if operation in ('items', 'finish', 'give-up'):
+            return await self._continue(operation, head, body)
+        shard = await _owner_calls.wait_for_shard(
+            self._calls, self._calls.find_stream(job)
+        )
+        if isinstance(shard, results.Failure):
+            return shard
+        return await _job_access.execute_job_operation(
+            shard.batch, job, operation, head.query
+        )
+
+    async def _open(self, job: str, body: bytes) -> bytes | results.Failure:
+        """Begins a submission."""
+        request = _job_messages.decode_job_request(body)
+        if isinstance(request, results.Failure):
+            return request
+        shard = await _owner_calls.wait_for_shard(
+            self._calls, self._calls.find_stream(job)
+        )
+        if isinstance(shard, results.Failure):
+            return shard
+        upload = shard.batch.open_upload(request)
+        if isinstance(upload, results.Failure):
+            return upload
+        upload_id = uuid.uuid4().hex
+        self._uploads[upload_id] = _OpenUpload(
+            _job_access.LocalUpload(shard.batch, upload)
+        )
+        return orjson.dumps({'upload': upload_id})
+
+    async def _continue(
+        self, operation: str, head: transport.RequestHead, body: bytes
+    ) -> bytes | results.Failure:
+        """Takes the next part of a submission, or its end."""
+        upload_id = head.query.get('upload', '')
+        opened = self._uploads.get(upload_id)
+        if opened is None:
+            return results.Failure(
+                results.ResultCode.OWNERSHIP_LOST,
+                'the submission is not known here',
+                retry_after_ms=1000,
+            )
+        opened.touched_s = trio.current_time()
+        if operation == 'items':
+            for line in body.split(b'\n'):
+                failure = await opened.upload.add(line)
+                if failure is not None:
+                    return failure
+            return b'{}'
+        del self._uploads[upload_id]
+        if operation == 'finish':
+            return await opened.upload.finish()
+        await opened.upload.give_up()
+        return b'{}'
--- a/siskinmount/entry/_owner_calls.py
+++ b/siskinmount/entry/_owner_calls.py
@@ -2,11 +2,11 @@
 
 import trio
 
+from siskinmount import batch
 from siskinmount import membership
 from siskinmount import results
 from siskinmount import state
 from siskinmount import transport
-from siskinmount.entry import _entry_shard
 from siskinmount.entry import _upstream_access
 
 #: How long a call waits for a stream to get an owner.
@@ -35,7 +35,7 @@
 
     def __init__(
         self,
-        streams: 'state.OwnershipManager[_entry_shard.EntryShard]',
+        streams: state.OwnershipManager[batch.BatchShard],
         members: membership.MemberTable,
         limits: transport.ClientLimits,
         stream_count: int,
@@ -50,9 +50,7 @@
         """Returns the stream that a key belongs to."""
         return state.stream_of(key, self._stream_count)
 
-    def find_local(
-        self, stream: str
-    ) -> _entry_shard.EntryShard | results.Failure:
+    def find_local(self, stream: str) -> batch.BatchShard | results.Failure:
         """Returns a stream's state if this entry owns it."""
         return self.streams.find_shard(stream)
 
@@ -70,7 +68,7 @@
         """
         deadline_s = trio.current_time() + OWNER_WAIT_S
         while True:
-            answer = await self._send_once(stream, request)
+            answer = await self.send_once(stream, request)
             if not isinstance(answer, results.Failure):
                 return answer
             if answer.code not in _RETRIED_CODES:
@@ -79,18 +77,30 @@
                 return answer
             await trio.sleep(RETRY_PAUSE_S)
 
-    async def _send_once(
+    async def send_once(
         self, stream: str, request: transport.ClientRequest
     ) -> bytes | results.Failure:
-        """Sends a request to the present owner."""
+        """Sends a request to the present owner, once."""
         owner_vm = self.streams.owner_vm(stream)
-        owner = self._members.find(owner_vm) if owner_vm else None
-        if owner is None:
+        if owner_vm is None:
             return results.Failure(
                 results.ResultCode.OWNER_UNKNOWN,
                 f'{stream} has no owner yet',
                 retry_after_ms=1000,
             )
+        return await self.send_to(owner_vm, request)
+
+    async def send_to(
+        self, vm: str, request: transport.ClientRequest
+    ) -> bytes | results.Failure:
+        """Sends a request to the entry on a VM, once."""
+        owner = self._members.find(vm)
+        if owner is None:
+            return results.Failure(
+                results.ResultCode.OWNER_UNKNOWN,
+                f'entry {vm} is not known here',
+                retry_after_ms=1000,
+            )
         exchange = await self._find_client(owner).send(request)
         if isinstance(exchange, results.Failure):
             return exchange
@@ -115,7 +125,7 @@
 
 async def wait_for_shard(
     calls: OwnerCalls, stream: str
-) -> _entry_shard.EntryShard | results.Failure:
+) -> batch.BatchShard | results.Failure:
     """Returns a stream's state once this entry owns it.
 
     Returns:
--- a/siskinmount/sidecar/_sidecar.py
+++ b/siskinmount/sidecar/_sidecar.py
@@ -2,24 +2,31 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import functools
 import logging
-import signal
 import time
 
 import trio
 
 from siskinmount import configuration
 from siskinmount import membership
+from siskinmount import platform
 from siskinmount import relay
 from siskinmount import results
 from siskinmount import supervision
 from siskinmount import telemetry
 from siskinmount import transport
+from siskinmount.sidecar import _batch_puller
+from siskinmount.sidecar import _batch_slot_controller
+from siskinmount.sidecar import _change_permits
+from siskinmount.sidecar import _engine_orders
+from siskinmount.sidecar import _entry_link
 from siskinmount.sidecar import _fleet_link
 from siskinmount.sidecar import _gate
 from siskinmount.sidecar import _gate_load
 from siskinmount.sidecar import _http_model_upstream
 from siskinmount.sidecar import _http_plain_upstream
+from siskinmount.sidecar import _model_changer
 from siskinmount.sidecar import _request_registry
 from siskinmount.sidecar import _request_runner
 from siskinmount.sidecar import _run_handler
@@ -48,9 +55,11 @@
         registry: Requests that run or have ended a short while ago.
         runner: Runs requests.
         monitor: Watches the upstream.
+        slot_controller: Bounds batch by measured latency.
+        puller: Pulls batch items.
         leaving: Whether the sidecar is stopping.
         address: Where it listens for daemons, once it does.
-        model_version: Version that the upstream runs; empty if unknown.
+        changer: Brings the engine to the wanted model version.
         configuration_version: Version of the document in force.
         fleet: Heartbeats and control calls.
         control_address: Where it listens for control calls, once it does.
@@ -63,9 +72,11 @@
         'registry',
         'runner',
         'monitor',
+        'slot_controller',
+        'puller',
         'leaving',
         'address',
-        'model_version',
+        'changer',
         'configuration_version',
         'fleet',
         'control_address',
@@ -92,6 +103,7 @@
         plain_upstream = _http_plain_upstream.create_http_plain_upstream(
             settings.upstream_address
         )
+        self.slot_controller = _batch_slot_controller.BatchSlotController(gate)
         self.monitor = _upstream_monitor.UpstreamMonitor(plain_upstream)
         self.runner = _request_runner.RequestRunner(
             gate=gate,
@@ -99,10 +111,35 @@
             monitor=self.monitor,
             model_upstream=model_upstream,
             plain_upstream=plain_upstream,
+            note_gap=self.slot_controller.note_gap,
+        )
+        self.puller = _batch_puller.BatchPuller(
+            gate=gate,
+            registry=self.registry,
+            monitor=self.monitor,
+            run=self.runner.run,
+            list_entries=self._list_entries,
+            create_link=self._create_link,
+            start_task=self.start_task,
         )
         self.leaving = False
         self.address = settings.identity.peers_address
-        self.model_version = ''
+        self.changer = _model_changer.ModelChanger(
+            gate=gate,
+            monitor=self.monitor,
+            engine=_engine_orders.create_http_engine_orders(
+                settings.upstream_address
+            ),
+            permits=_change_permits.create_log_change_permits(
+                log=platform.create_log_client(settings.identity.log_address),
+                vm_list=platform.create_vm_list_client(
+                    settings.identity.vm_list_address
+                ),
+                service=settings.service,
+                vm=settings.identity.vm,
+                incarnation=self.incarnation,
+            ),
+        )
         self.configuration_version = 0
         self.control_address = settings.identity.control_address
         self.fleet = _fleet_link.FleetLink(
@@ -139,10 +176,17 @@
         load = self.gate.load
         if self.settings.slots is None:
             load.slots = service.slots_per_upstream
-            load.batch_slots = service.slots_per_upstream
         load.online_reserve_slots = service.online_reserve_slots
         load.batch_prefill_tokens = service.batch_prefill_tokens
         self.configuration_version = configuration_version
+        if service.kind is configuration.ServiceKind.MODEL:
+            self.changer.set_wanted(
+                _model_changer.WantedModel(
+                    model=service.model,
+                    version=service.model_version,
+                    max_changing=service.max_changing,
+                )
+            )
         self.gate.admit_waiting()
 
     def apply_document(
@@ -156,7 +200,7 @@
     def describe_member(self) -> membership.Member:
         """Returns what heartbeats say of this sidecar."""
         identity = self.settings.identity
-        usable = self.monitor.reachable and not self.leaving
+        usable = self.monitor.reachable and self.gate.find_refusal() is None
         return membership.Member(
             vm=identity.vm,
             role=membership.MemberRole.SIDECAR,
@@ -173,7 +217,7 @@
             service=self.settings.service,
             slots=self.gate.load.slots if usable else 0,
             in_flight=self.gate.count_in_flight(),
-            model_version=self.model_version,
+            model_version=self.changer.version,
         )
 
     def begin_leaving(self) -> None:
@@ -184,6 +228,7 @@
             'leaving_begun', extra={'running': self.gate.count_running()}
         )
         self.leaving = True
+        self.puller.begin_leaving()
         self.gate.close()
         for running in self.registry.list_running():
             is_model = isinstance(running.request.body, _run_request.ModelBody)
@@ -191,6 +236,19 @@
                 running.stop(_running_request.StopReason.LEAVING)
         self._leaving_requested.set()
 
+    def _list_entries(self) -> list[membership.Member]:
+        return self.fleet.list_entries()
+
+    def _create_link(
+        self, peer: _entry_link.EntryPeer
+    ) -> _entry_link.EntryLink:
+        return _entry_link.create_entry_link(
+            peer,
+            self.settings.identity.vm,
+            self.incarnation,
+            self.settings.service,
+        )
+
     def list_answer_headers(self) -> transport.Headers:
         """Returns the headers that every answer to an entry carries."""
         in_flight = self.gate.count_in_flight()
@@ -219,7 +277,16 @@
             'started': self._handler.started_count,
             'attached': self._handler.attached_count,
             'reconnected': self.runner.reconnect_count,
-            'model_version': self.model_version,
+            'batch_slots_beside_online': (
+                self.gate.load.batch_slots_beside_online
+            ),
+            'batch_items_held': self.puller.held_count,
+            'batch_items_pulled': self.puller.pulled_count,
+            'batch_items_done': self.puller.done_count,
+            'batch_items_yielded': self.puller.yielded_count,
+            'batch_reports_unsettled': len(self.puller.reports),
+            'model_version': self.changer.version,
+            'orders': self.changer.order_count,
             'configuration_version': self.configuration_version,
         }
 
@@ -248,6 +315,7 @@
             if noticed and self._is_empty():
                 break
             await trio.sleep(LEAVING_POLL_S)
+        await self.puller.wait_settled()
         self._server.stop()
 
     def _is_empty(self) -> bool:
@@ -288,7 +356,8 @@
             await exchange.send_json(200, {'status': 'ok'})
             return
         if path == '/readyz':
-            ready = self.monitor.reachable and not self.leaving
+            refusal = self.gate.find_refusal()
+            ready = self.monitor.reachable and refusal is None
             await exchange.send_json(200 if ready else 503, {'ready': ready})
             return
         if path == '/status':
@@ -345,7 +414,15 @@
                 supervision.Child('upstream_monitor', sidecar.monitor.run),
                 *sidecar.fleet.list_children(),
                 supervision.Child(
-                    'stop_signal', lambda: _watch_stop_signal(sidecar)
+                    'slot_controller', sidecar.slot_controller.run
+                ),
+                supervision.Child('batch_puller', sidecar.puller.run),
+                supervision.Child('model_changer', sidecar.changer.run),
+                supervision.Child(
+                    'stop_signal',
+                    functools.partial(
+                        supervision.watch_stop_signal, sidecar.begin_leaving
+                    ),
                 ),
             ],
         )
@@ -362,10 +439,3 @@
         nursery.cancel_scope.cancel()
     _LOGGER.info('sidecar_left', extra={'vm': settings.identity.vm})
     return None
-
-
-async def _watch_stop_signal(sidecar: Sidecar) -> None:
-    """Begins the planned stop at SIGTERM."""
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            sidecar.begin_leaving()
--- a/siskinmount/transport/_server_exchange.py
+++ b/siskinmount/transport/_server_exchange.py
@@ -129,6 +129,20 @@
                 )
             parts.append(chunk)
 
+    def discard_received_body(self) -> None:
+        """Drops what the handler has not read of a body that is here already.
+
+        The connection can then serve another request, unless more of the body
+        is still to come.
+        """
+        while self._connection.their_state is h11.SEND_BODY:
+            try:
+                event = self._connection.next_event()
+            except h11.RemoteProtocolError:
+                return
+            if event is h11.NEED_DATA:
+                return
+
     async def send_whole(
         self, status: int, headers: _headers.Headers, body: bytes
     ) -> None:
--- a/siskinmount/transport/tests/test_http.py
+++ b/siskinmount/transport/tests/test_http.py
@@ -59,6 +59,18 @@
 
         self.run_with_server(check)
 
+    def test_reuses_connection_when_body_was_not_read(self):
+        async def check(address, server):
+            client = transport.create_http_client(address)
+            for _ in range(3):
+                request = transport.ClientRequest('GET', '/stream')
+                with await client.send(request) as exchange:
+                    await exchange.read_body(10)
+                self.assertEqual(1, server.connection_count)
+            client.close()
+
+        self.run_with_server(check)
+
     def test_streams(self):
         async def check(address, server):
             client = transport.create_http_client(address)
--- a/tools/demo/__main__.py
+++ b/tools/demo/__main__.py
@@ -18,6 +18,8 @@
     'Draft a short welcome note.',
 )
 MAX_TOKENS = 24
+BATCH_ITEMS = 40
+BATCH_TIMEOUT_S = 30.0
 EXIT_TIMEOUT_S = 30.0
 
 
@@ -39,6 +41,7 @@
         """Runs all parts, one after the other."""
         await self._run_completions()
         await self._run_plain_calls()
+        await self._run_batch_job()
 
     async def _run_completions(self) -> None:
         """Streams completions and asks for one whole chat answer."""
@@ -106,7 +109,8 @@
         self._check(
             first.status == 201 and first.body == second.body,
             f'booking sent twice under one key: status {first.status},'
-            f' then {second.status} with the same answer',
+            f' then {second.status} with the same answer'
+            f' {first.body[:200]!r}',
         )
         effects = 0
         for sidecar in self._fleet.plan.sidecars:
@@ -118,6 +122,68 @@
             effects += len(json.loads(answer)['effects'])
         self._check(effects == 1, f'bookings made: {effects}')
 
+    async def _run_batch_job(self) -> None:
+        """Submits a job at one entry and reads its results at the other."""
+        entries = self._fleet.plan.entries
+        lines: list[str] = []
+        for number in range(BATCH_ITEMS):
+            prompt = f'Match swap offer {number}.'
+            lines.append(json.dumps({'prompt': prompt, 'max_tokens': 8}))
+        accepted = await self._send(
+            entries[0],
+            'POST',
+            f'/v1/batches?service={MODEL_SERVICE}&due_s=3600',
+            '\n'.join(lines).encode('utf-8'),
+        )
+        self._check(
+            accepted.status == 202,
+            f'batch job through {entries[0].vm}: status {accepted.status}',
+        )
+        if accepted.status != 202:
+            return
+        path = f'/v1/batches/{json.loads(accepted.body)["job"]}'
+        with trio.move_on_after(BATCH_TIMEOUT_S):
+            while True:
+                status = await self._send(entries[-1], 'GET', path, b'')
+                if json.loads(status.body)['state'] == 'finished':
+                    break
+                await trio.sleep(0.2)
+        page = await self._send(
+            entries[-1], 'GET', f'{path}/results?limit={BATCH_ITEMS}', b''
+        )
+        if page.status != 200:
+            self._check(False, f'batch results: {page.body!r}')
+            return
+        right = 0
+        for line in page.body.splitlines():
+            result = json.loads(line)
+            prompt = f'Match swap offer {result["index"]}.'
+            expected = ''.join(engine.expected_tokens(prompt, None, 8))
+            output = result['output'] or {}
+            right += output.get('text') == expected
+        self._check(
+            right == BATCH_ITEMS,
+            f'batch results through {entries[-1].vm}:'
+            f' {right} of {BATCH_ITEMS} whole',
+        )
+
+    async def _send(
+        self,
+        entry: fleet.EntryPlan,
+        method: str,
+        path: str,
+        body: bytes,
+    ) -> _caller_client.PlainAnswer:
+        """Sends one request through an entry."""
+        return await trio.to_thread.run_sync(
+            _caller_client.send_request,
+            entry.callers_address,
+            self._caller,
+            method,
+            path,
+            body,
+        )
+
     def _check(self, right: bool, text: str) -> None:
         """Prints one line and counts it if it is wrong."""
         print(('ok    ' if right else 'WRONG ') + text)
