--- /dev/null
+++ b/siskinmount/state/tests/test_conviction_stream.py
@@ -0,0 +1,70 @@
+"""Tests of the evidence on requests that make upstreams die."""
+
+import testtools
+import trio
+import trio.testing
+
+from siskinmount import state
+from siskinmount.platform.tests import fake_log
+from siskinmount.state.tests import stream_fixtures
+
+
+class ConvictionStreamTest(testtools.TestCase):
+
+    def run_with_log(self, check):
+        async def main():
+            log = fake_log.FakeLog()
+            async with trio.open_nursery() as nursery:
+                await check(log, nursery)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def create(self, log, nursery):
+        stream = state.create_conviction_stream(
+            log, expiry_ms=3_600_000, clock_ms=stream_fixtures.clock_ms
+        )
+        nursery.start_soon(stream.run)
+        return stream
+
+    def test_verdicts_follow_from_deaths(self):
+        async def check(log, nursery):
+            for name, deaths, suspect, convicted in (
+                ('none', (), False, False),
+                ('one alone', (('a', 1, True),), True, False),
+                ('reported twice', (('a', 1, True),) * 2, True, False),
+                ('in company twice', (('a', 1, False), ('b', 1, False)), 1, 0),
+                (
+                    'company, then alone',
+                    (('a', 1, False), ('b', 1, True)),
+                    1,
+                    1,
+                ),
+                ('alone twice', (('a', 1, True), ('a', 2, True)), 1, 1),
+            ):
+                stream = self.create(log, nursery)
+                for vm, incarnation, alone in deaths:
+                    stream.record_death(name, vm, incarnation, alone=alone)
+                self.assertEqual(suspect, stream.is_suspect(name), name)
+                self.assertEqual(convicted, stream.is_convicted(name), name)
+
+        self.run_with_log(check)
+
+    def test_evidence_reaches_other_entries_after_an_outage_and_expires(self):
+        async def check(log, nursery):
+            here = self.create(log, nursery)
+            there = self.create(log, nursery)
+            log.is_down = True
+            here.record_death('f', 'a', 1, alone=True)
+            here.record_death('f', 'b', 1, alone=True)
+            await trio.sleep(60)
+            self.assertTrue(here.is_convicted('f'))
+            self.assertFalse(there.is_suspect('f'))
+            log.is_down = False
+            log.answers_lost = 1
+            await trio.sleep(60)
+            self.assertTrue(there.is_convicted('f'))
+            await trio.sleep(3600)
+            self.assertFalse(there.is_suspect('f'))
+
+        self.run_with_log(check)
--- a/siskinmount/state/tests/test_state_stream_properties.py
+++ b/siskinmount/state/tests/test_state_stream_properties.py
@@ -35,7 +35,7 @@
                 self.view,
                 self.writer,
                 self._run.limits,
-                lambda vm: self._run.generator.random() < 0.5,
+                lambda vm: self._run.generator.random() < 0.98,
                 stream_fixtures.clock_ms,
             )
             participant = stream_fixtures.TextList()
@@ -64,7 +64,7 @@
         self.committed = set()
         self.refused = set()
         self.limits = stream_fixtures.limits(
-            snapshot_after_records=15, claim_wait_ms=1000
+            snapshot_after_records=15, claim_wait_ms=4000
         )
 
     async def main(self):
@@ -92,8 +92,14 @@
             + ('freeze', 'thaw', 'outage', 'resign', 'expire', 'late')
         )
         if action == 'commit':
-            for number in range(3):
-                nursery.start_soon(process.commit, f'{step}.{number}')
+            believers = [
+                believer
+                for believer in processes
+                if believer.tenure.stream.is_owned
+            ]
+            for number in range(9):
+                committer = self.generator.choice(believers or processes)
+                nursery.start_soon(committer.commit, f'{step}.{number}')
         elif action == 'freeze':
             process.view.freeze()
         elif action == 'thaw':
