--- a/tools/chaos/_check_online.py
+++ b/tools/chaos/_check_online.py
@@ -20,8 +20,8 @@
         if not request.is_poison:
             violations.extend(_check_answer(request))
             violations.extend(_check_conviction(request))
-        started = start_counts[engine.fingerprint_content(request.prompt)]
-        violations.extend(_check_not_run(request, started))
+            started = start_counts[engine.fingerprint_content(request.prompt)]
+            violations.extend(_check_not_run(request, started))
     return violations
 
 
@@ -52,8 +52,8 @@
 
 
 def _is_refused(request: _observations.OnlineObservation) -> bool:
-    """Tells whether the caller was told for good before it got a token."""
-    if request.texts or not request.failures or request.was_resent:
+    """Tells whether the caller was told that nothing ran, and left it so."""
+    if request.texts or not request.failures or not request.is_given_up:
         return False
     return request.failures[-1].run_state is results.RunState.NOT_RUN
 
@@ -74,16 +74,17 @@
 def _check_not_run(
     request: _observations.OnlineObservation, started: int
 ) -> list[_violation.Violation]:
-    """Looks for a start of a request that was refused and not resent."""
-    if request.was_resent or request.texts or not request.failures:
+    """Looks for a start of a request of which every send was refused."""
+    if not started or request.lost_count or not request.failures:
         return []
-    if request.failures[-1].run_state is not results.RunState.NOT_RUN:
-        return []
-    if not started:
+    if request.texts or request.ended:
         return []
+    for failure in request.failures:
+        if failure.run_state is not results.RunState.NOT_RUN:
+            return []
     return [
         _violation.Violation(
             _violation.ViolationKind.FALSE_NOT_RUN,
-            f'{request.name}: {request.failures[-1]} but {started} starts',
+            f'{request.name}: {request.failures} but {started} starts',
         )
     ]
--- a/tools/chaos/_observations.py
+++ b/tools/chaos/_observations.py
@@ -18,7 +18,8 @@
         texts: Tokens received, over all resends.
         ended: Whether the end of the answer came.
         failures: Failures that the system gave, in order.
-        was_resent: Whether it was sent again after a failure.
+        is_given_up: Whether the caller stopped after a refusal.
+        lost_count: Sends that may have been taken and had no whole answer.
         breaks: Connections that broke in mid-answer.
     """
 
@@ -30,7 +31,8 @@
         'texts',
         'ended',
         'failures',
-        'was_resent',
+        'is_given_up',
+        'lost_count',
         'breaks',
     )
 
@@ -48,7 +50,8 @@
         self.texts: list[str] = []
         self.ended = False
         self.failures: list[results.Failure] = []
-        self.was_resent = False
+        self.is_given_up = False
+        self.lost_count = 0
         self.breaks: list[BrokenConnection] = []
 
 
--- a/tools/chaos/_online_caller.py
+++ b/tools/chaos/_online_caller.py
@@ -38,10 +38,7 @@
 
     async def run(self) -> None:
         """Returns once the request was answered or refused for good."""
-        sends = 0
         while True:
-            sends += 1
-            self.request.was_resent = sends > 1
             entry_vm = self._client.choose_entry()
             outcome = await self._send(entry_vm)
             if self.request.ended:
@@ -54,6 +51,7 @@
                 return
             not_run = outcome.run_state is results.RunState.NOT_RUN
             if not_run and not self._resends and not self.request.texts:
+                self.request.is_given_up = True
                 return
             pause_s = (outcome.retry_after_ms or 0) / 1000
             await trio.sleep(min(MAX_PAUSE_S, max(RESEND_PAUSE_S, pause_s)))
@@ -75,10 +73,12 @@
             entry_vm, 'POST', '/v1/completions', orjson.dumps(body), headers
         )
         if isinstance(exchange, results.Failure):
+            if exchange.run_state is not results.RunState.NOT_RUN:
+                request.lost_count += 1
             return None
         with exchange:
             if exchange.status != 200:
-                return await _read_refusal(exchange)
+                return await self._read_refusal(exchange)
             return await self._read_stream(entry_vm, exchange)
 
     async def _read_stream(
@@ -89,6 +89,7 @@
         while True:
             chunk = await exchange.receive_chunk()
             if isinstance(chunk, results.Failure) or not chunk:
+                self.request.lost_count += 1
                 self.request.breaks.append(
                     _observations.BrokenConnection(entry_vm, time.monotonic())
                 )
@@ -101,11 +102,12 @@
                 self.request.ended = True
                 return None
 
-
-async def _read_refusal(
-    exchange: transport.ClientExchange,
-) -> results.Failure | None:
-    body = await exchange.read_body(_entry_client.MAX_BODY_BYTES)
-    if isinstance(body, results.Failure):
-        return None
-    return _entry_client.read_failure(body)
+    async def _read_refusal(
+        self, exchange: transport.ClientExchange
+    ) -> results.Failure | None:
+        """Returns the failure that came in place of a stream."""
+        body = await exchange.read_body(_entry_client.MAX_BODY_BYTES)
+        if isinstance(body, results.Failure):
+            self.request.lost_count += 1
+            return None
+        return _entry_client.read_failure(body)
--- a/tools/chaos/tests/test_checker.py
+++ b/tools/chaos/tests/test_checker.py
@@ -89,7 +89,24 @@
                 {'texts': [], 'ended': False, 'failures': [UNKNOWN]},
                 [KINDS.UNANSWERED],
             ),
-            ({'texts': [], 'ended': False, 'failures': [NOT_RUN]}, []),
+            (
+                {
+                    'texts': [],
+                    'ended': False,
+                    'failures': [NOT_RUN],
+                    'is_given_up': True,
+                },
+                [],
+            ),
+            (
+                {
+                    'texts': [],
+                    'ended': False,
+                    'failures': [UNKNOWN],
+                    'is_given_up': True,
+                },
+                [KINDS.UNANSWERED],
+            ),
             (
                 {
                     'failures': [
@@ -97,7 +114,6 @@
                             results.ResultCode.REQUEST_CONVICTED, ''
                         )
                     ],
-                    'was_resent': True,
                 },
                 [KINDS.INNOCENT_CONVICTED],
             ),
@@ -107,12 +123,20 @@
             self.assertEqual(expected, found, changes)
 
     def test_online_refusal_that_ran(self):
-        refused = {'texts': [], 'ended': False, 'failures': [NOT_RUN]}
-        for was_resent, expected in (
-            (False, [KINDS.FALSE_NOT_RUN]),
-            (True, [KINDS.UNANSWERED]),
-        ):
-            request = _create_online(**refused, was_resent=was_resent)
+        rows = [
+            ([NOT_RUN], 0, [KINDS.FALSE_NOT_RUN]),
+            ([NOT_RUN, NOT_RUN], 0, [KINDS.FALSE_NOT_RUN]),
+            ([NOT_RUN], 1, []),
+            ([UNKNOWN, NOT_RUN], 0, []),
+        ]
+        for failures, lost_count, expected in rows:
+            request = _create_online(
+                texts=[],
+                ended=False,
+                failures=failures,
+                lost_count=lost_count,
+                is_given_up=True,
+            )
             self.assertEqual(
                 expected,
                 self.find_kinds(online=[request], starts=[_start('a prompt')]),
