--- a/siskinmount/entry/_entry.py
+++ b/siskinmount/entry/_entry.py
@@ -1,11 +1,12 @@
 """The entry daemon: what it consists of, and its life from start to stop."""
 
+import functools
 import logging
-import signal
 
 import trio
 
 from siskinmount import admission
+from siskinmount import batch
 from siskinmount import configuration
 from siskinmount import membership
 from siskinmount import platform
@@ -16,11 +17,14 @@
 from siskinmount import supervision
 from siskinmount import telemetry
 from siskinmount import transport
+from siskinmount.entry import _batch_api
+from siskinmount.entry import _batch_peers
 from siskinmount.entry import _callers_api
 from siskinmount.entry import _configuration_in_force
 from siskinmount.entry import _control_service
-from siskinmount.entry import _entry_shard
 from siskinmount.entry import _heartbeat_observer
+from siskinmount.entry import _job_access
+from siskinmount.entry import _job_peers
 from siskinmount.entry import _key_access
 from siskinmount.entry import _owner_calls
 from siskinmount.entry import _peers_api
@@ -33,6 +37,8 @@
 #: and the peers notice before they are refused.
 LEAVING_NOTICE_S = 3.0
 UPKEEP_INTERVAL_S = 1.0
+#: How long a new entry hears of others before it claims streams.
+SETTLE_S = 2.5
 #: How long a new entry waits for the upstreams of all services.
 UPSTREAMS_WAIT_S = 5.0
 MAX_UPSTREAM_CONNECTIONS = 1024
@@ -48,6 +54,7 @@
         in_force: The configuration it serves by.
         convictions: Requests that make upstreams die.
         streams: State streams that it owns.
+        batch_service: Batch jobs of these streams.
     """
 
     __slots__ = (
@@ -57,6 +64,7 @@
         'in_force',
         'convictions',
         'streams',
+        'batch_service',
         '_log',
         '_writer',
         '_histograms',
@@ -67,6 +75,7 @@
         '_callers_server',
         '_peers_server',
         '_control_server',
+        '_job_peers',
         '_started_s',
         '_stopping',
         '_released',
@@ -74,6 +83,7 @@
 
     def __init__(self, settings: configuration.EntrySettings) -> None:
         identity = settings.identity
+        self._started_s = trio.current_time()
         self.settings = settings
         self.own = _self_description.SelfDescription(identity)
         self.members = membership.create_member_table()
@@ -116,7 +126,6 @@
             self._heartbeats,
         )
         self._build_servers()
-        self._started_s = trio.current_time()
         self._stopping = trio.Event()
         self._released = trio.Event()
 
@@ -129,11 +138,18 @@
             self.settings.stream_count,
         )
         keys = _key_access.KeyAccess(calls, self.own.holder())
+        self.batch_service = batch.create_batch_service(
+            self.streams,
+            self.own.identity.vm,
+            _batch_peers.HttpOwnerClient(calls),
+        )
+        self._job_peers = _job_peers.JobPeers(calls)
         callers_api = _callers_api.CallersApi(
             in_force=self.in_force,
             is_ready=self.is_ready,
             access=self._access,
             keys=keys,
+            jobs=_batch_api.BatchApi(_job_access.JobAccess(calls)),
             admission_control=self._admission,
             histograms=self._histograms,
         )
@@ -143,6 +159,11 @@
         peers_api = _peers_api.PeersApi(
             is_ready=self.is_ready,
             keys=keys,
+            batch_peers=_batch_peers.BatchPeers(
+                self.batch_service,
+                batch.create_batch_service(self.streams, self.own.identity.vm),
+            ),
+            jobs=self._job_peers,
             histograms=self._histograms,
             describe_details=self.describe_details,
         )
@@ -159,7 +180,12 @@
         )
 
     def list_live_entries(self) -> list[str]:
-        """Returns the VMs of the entries that may own streams."""
+        """Returns the VMs of the entries that may own streams.
+
+        There is none while a new entry may not have heard of the others.
+        """
+        if trio.current_time() - self._started_s < SETTLE_S:
+            return []
         vms = self.members.live_entry_vms()
         if not self.own.leaving and self.own.identity.vm not in vms:
             vms.append(self.own.identity.vm)
@@ -182,7 +208,10 @@
 
     def list_backlogs(self) -> list[rpc.Backlog]:
         """Returns the batch items that wait here, by service."""
-        return []
+        backlogs: list[rpc.Backlog] = []
+        for service, count in self.batch_service.waiting_counts().items():
+            backlogs.append(rpc.Backlog(service=service, waiting_items=count))
+        return backlogs
 
     def describe_details(self) -> dict[str, object]:
         """Returns what operators may want to know beyond the members."""
@@ -242,7 +271,12 @@
     def _list_children(self) -> list[supervision.Child]:
         """Returns the long-running parts."""
         return [
-            supervision.Child('stop_signal', self._watch_stop_signal),
+            supervision.Child(
+                'stop_signal',
+                functools.partial(
+                    supervision.watch_stop_signal, self.begin_leaving
+                ),
+            ),
             supervision.Child('configuration', self.in_force.stream.run),
             supervision.Child('configuration_in_force', self.in_force.run),
             supervision.Child('convictions', self.convictions.run),
@@ -252,14 +286,6 @@
             supervision.Child('upkeep', self._run_upkeep),
         ]
 
-    async def _watch_stop_signal(self) -> None:
-        """Begins the planned stop at SIGTERM."""
-        with trio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
-        ) as signals:
-            async for _ in signals:
-                self.begin_leaving()
-
     async def _run_streams(self) -> None:
         """Owns streams until the planned stop."""
         await self.streams.run()
@@ -276,6 +302,7 @@
                 }
             )
             self._drop_lost_holders()
+            await self._job_peers.drop_idle_uploads()
             await trio.sleep(UPKEEP_INTERVAL_S)
 
     def _drop_lost_holders(self) -> None:
@@ -305,12 +332,24 @@
             )
         self._histograms.set_bounds(bounds)
 
-    def _create_shard(self, name: str) -> _entry_shard.EntryShard:
+    def _create_shard(self, name: str) -> batch.BatchShard:
         """Creates the state of a stream for one tenure."""
-        stream = state.create_state_stream(
-            name, self._log, self._writer, is_live=self._is_live_owner
+        return batch.create_batch_shard(
+            name,
+            self._log,
+            self._writer,
+            is_live=self._is_live_owner,
+            weight_of=self._find_weight,
+            is_convicted=self.convictions.is_convicted,
+            on_ready=self.batch_service.note_ready,
         )
-        return _entry_shard.EntryShard(stream, state.create_key_table(stream))
+
+    def _find_weight(self, caller: str) -> int:
+        """Returns a caller's share of batch capacity."""
+        document = self.in_force.document
+        if document is None or caller not in document.callers:
+            return 1
+        return document.callers[caller].weight
 
     def _is_live_owner(self, vm: str) -> bool:
         """Tells whether an owner of a stream may still act."""
--- a/siskinmount/entry/_run_request.py
+++ b/siskinmount/entry/_run_request.py
@@ -75,14 +75,7 @@
             return self._plain.encode()
         if self._model is None:
             raise ValueError('a run request has no content')
-        return orjson.dumps(
-            {
-                'prompt': self._model.prompt,
-                'messages': self._model.messages,
-                'max_tokens': self._model.max_tokens,
-                'resume_tokens': resume_tokens,
-            }
-        )
+        return self._model.encode_run_body(resume_tokens)
 
 
 class PlainRequest:
--- a/siskinmount/sidecar/_request_runner.py
+++ b/siskinmount/sidecar/_request_runner.py
@@ -1,5 +1,6 @@
 """Runs one admitted request at the upstream."""
 
+from collections.abc import Callable
 import logging
 
 import trio
@@ -41,6 +42,7 @@
         '_monitor',
         '_model_upstream',
         '_plain_upstream',
+        '_note_gap',
     )
 
     def __init__(
@@ -51,6 +53,7 @@
         monitor: _upstream_monitor.UpstreamMonitor,
         model_upstream: _upstreams.ModelUpstream,
         plain_upstream: _upstreams.PlainUpstream,
+        note_gap: Callable[[float, int], None],
     ) -> None:
         self.reconnect_count = 0
         self._gate = gate
@@ -58,6 +61,7 @@
         self._monitor = monitor
         self._model_upstream = model_upstream
         self._plain_upstream = plain_upstream
+        self._note_gap = note_gap
 
     async def run(self, running: _running_request.RunningRequest) -> None:
         """Runs a request to its last frame."""
@@ -83,16 +87,10 @@
             )
         if not running.ended:
             running.append(
-                self._describe_end(failure or _describe_stop(running))
+                _describe_end(running, failure or _describe_stop(running))
             )
         self._registry.settle(running)
 
-    def _describe_end(self, failure: results.Failure) -> relay.FailureFrame:
-        """Returns the last frame of a request that has failed."""
-        if failure.code is results.ResultCode.UPSTREAM_LOST:
-            return relay.FailureFrame(failure, self._monitor.generation)
-        return relay.FailureFrame(failure)
-
     async def _run_through_gate(
         self, running: _running_request.RunningRequest
     ) -> results.Failure | None:
@@ -102,6 +100,10 @@
         if refusal is not None:
             return refusal
         try:
+            if not running.request.may_start():
+                return results.Failure(
+                    results.ResultCode.BATCH_YIELDED, 'the lease has lapsed'
+                )
             if isinstance(running.request.body, _run_request.PlainBody):
                 return await self._run_plain(running, running.request.body)
             return await self._run_model(running, running.request.body, ticket)
@@ -128,7 +130,7 @@
         """Generates, over a new connection if one goes silent."""
         reconnects = 0
         while True:
-            generation = self._monitor.generation
+            running.upstream_generation = self._monitor.generation
             failure = await self._generate(running, body, ticket)
             if failure is None:
                 return None
@@ -137,7 +139,7 @@
                 return _settle_run_state(failure, running)
             if failure.code not in _CONNECTION_FAULTS:
                 return failure
-            failure = await self._explain(failure, running, generation)
+            failure = await self._explain(failure, running)
             process_ended = failure.code is results.ResultCode.UPSTREAM_LOST
             if process_ended or not self._monitor.reachable:
                 return failure
@@ -158,7 +160,6 @@
         self,
         failure: results.Failure,
         running: _running_request.RunningRequest,
-        generation: int,
     ) -> results.Failure:
         """Finds out what a broken or silent connection means.
 
@@ -172,7 +173,8 @@
             found is not None
             and found.code is results.ResultCode.UPSTREAM_UNREACHABLE
         )
-        if unreachable or self._monitor.generation != generation:
+        replaced = self._monitor.generation != running.upstream_generation
+        if unreachable or replaced:
             return results.Failure(
                 results.ResultCode.UPSTREAM_LOST,
                 'the process of the upstream has ended',
@@ -215,6 +217,7 @@
         """Appends frames until the end, or returns why there is none."""
         silences = 0
         first_index = next_index
+        received_at_s = trio.current_time()
         while True:
             frames = await stream.receive()
             if isinstance(frames, results.Failure):
@@ -238,10 +241,15 @@
                     next_index += 1
                     count += 1
                 running.append(frame)
-            if count:
-                self._gate.note_tokens(ticket, count)
             if running.ended:
                 return None
+            if not count:
+                continue
+            now_s = trio.current_time()
+            if not ticket.is_prefilling:
+                self._note_gap(now_s - received_at_s, count)
+            received_at_s = now_s
+            self._gate.note_tokens(ticket, count)
 
     async def _run_plain(
         self,
@@ -249,7 +257,7 @@
         body: _run_request.PlainBody,
     ) -> results.Failure | None:
         """Sends a plain request, once; returns why there is no answer."""
-        generation = self._monitor.generation
+        running.upstream_generation = self._monitor.generation
         failure = await self._exchange_plain(running, body)
         if failure is None:
             return None
@@ -258,7 +266,7 @@
             return failure
         if failure.code not in _CONNECTION_FAULTS:
             return failure
-        return await self._explain(failure, running, generation)
+        return await self._explain(failure, running)
 
     async def _exchange_plain(
         self,
@@ -298,19 +306,31 @@
     """Returns what the gate must know about a request."""
     request = running.request
     prompt_tokens = 0
+    resumed = False
     preemptible = False
     if isinstance(request.body, _run_request.ModelBody):
+        resumed = bool(request.body.resume_tokens)
         prompt_tokens = request.body.estimate_prompt_tokens()
-        preemptible = not request.is_online
+        preemptible = request.preemptible and not request.is_online
     return _gate_load.Ticket(
         online=request.is_online,
         solo=request.solo,
         prompt_tokens=prompt_tokens,
+        resumed=resumed,
         preemptible=preemptible,
         preempt=lambda: running.stop(_running_request.StopReason.PREEMPTED),
     )
 
 
+def _describe_end(
+    running: _running_request.RunningRequest, failure: results.Failure
+) -> relay.FailureFrame:
+    """Returns the last frame of a request that has failed."""
+    if failure.code is results.ResultCode.UPSTREAM_LOST:
+        return relay.FailureFrame(failure, running.upstream_generation)
+    return relay.FailureFrame(failure)
+
+
 def _describe_run_state(
     running: _running_request.RunningRequest,
 ) -> results.RunState:
--- a/siskinmount/state/_state_stream.py
+++ b/siskinmount/state/_state_stream.py
@@ -262,7 +262,8 @@
             page = await self._log.read(
                 self.name,
                 self._replay.next_offset,
-                wait_ms=self.limits.tail_wait_ms,
+                # Replay must learn at once that it has reached the tail.
+                wait_ms=self.limits.tail_wait_ms if self._is_at_tail else 0,
             )
             if isinstance(page, results.Failure):
                 await backoff.pause(page.retry_after_ms)
