--- a/siskinmount/entry/_model_request.py
+++ b/siskinmount/entry/_model_request.py
@@ -69,6 +69,21 @@
             parts.append(f'{message["role"]}: {message["content"]}')
         return '\n'.join(parts)
 
+    def encode_run_body(self, resume_tokens: list[str]) -> bytes:
+        """Returns the body for `/run`.
+
+        Args:
+            resume_tokens: Texts of the tokens that are there already.
+        """
+        return orjson.dumps(
+            {
+                'prompt': self.prompt,
+                'messages': self.messages,
+                'max_tokens': self.max_tokens,
+                'resume_tokens': resume_tokens,
+            }
+        )
+
     def fingerprint(self) -> str:
         """Returns a hash of service and content, the same for each resend."""
         digest = hashlib.sha256()
--- a/siskinmount/routing/_router.py
+++ b/siskinmount/routing/_router.py
@@ -101,6 +101,23 @@
             return self._begin(self._choose_of_two(candidates), False)
         return self._choose_by_affinity(affinity_key, candidates)
 
+    def list_in_order(
+        self, service: str, affinity_key: str | None
+    ) -> list[membership.Member]:
+        """Returns the sidecars of a service, the likeliest for a key first.
+
+        Those that leave are among them: they finish what they run.
+        """
+        by_vm: dict[str, membership.Member] = {}
+        for sidecar in self._table.list_sidecars(service):
+            by_vm[sidecar.vm] = sidecar
+        ranked = membership.rank_by_rendezvous(affinity_key or '', by_vm)
+        return [by_vm[vm] for vm in ranked]
+
+    def choose_member(self, member: membership.Member) -> _choice.Choice:
+        """Counts an attempt at a sidecar that the caller has chosen."""
+        return self._begin(member, False)
+
     def release(self, vm: str) -> None:
         """Counts the end of an attempt."""
         load = self._loads[vm]
@@ -154,19 +171,26 @@
         return 0 if load is None else load.outstanding
 
     def count_in_flight(self, service: str) -> int:
-        """Returns the estimated requests in flight at a service."""
+        """Returns the estimated requests in flight where work is taken."""
         count = 0
-        for sidecar in self._table.list_sidecars(service):
+        for sidecar in self._list_live(service):
             count += self._find_load(sidecar).estimate()
         return count
 
     def count_slots(self, service: str) -> int:
         """Returns the slots of the upstreams of a service that take work."""
         count = 0
+        for sidecar in self._list_live(service):
+            count += self._find_load(sidecar).slots
+        return count
+
+    def _list_live(self, service: str) -> list[membership.Member]:
+        """Returns the sidecars of a service that take work."""
+        live: list[membership.Member] = []
         for sidecar in self._table.list_sidecars(service):
             if sidecar.state is membership.MemberState.LIVE:
-                count += self._find_load(sidecar).slots
-        return count
+                live.append(sidecar)
+        return live
 
     def _list_preferred(
         self, sidecars: list[membership.Member]
--- a/siskinmount/sidecar/_sidecar.py
+++ b/siskinmount/sidecar/_sidecar.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import functools
 import logging
-import signal
 import time
 
 import trio
@@ -419,7 +419,10 @@
                 supervision.Child('batch_puller', sidecar.puller.run),
                 supervision.Child('model_changer', sidecar.changer.run),
                 supervision.Child(
-                    'stop_signal', lambda: _watch_stop_signal(sidecar)
+                    'stop_signal',
+                    functools.partial(
+                        supervision.watch_stop_signal, sidecar.begin_leaving
+                    ),
                 ),
             ],
         )
@@ -436,10 +439,3 @@
         nursery.cancel_scope.cancel()
     _LOGGER.info('sidecar_left', extra={'vm': settings.identity.vm})
     return None
-
-
-async def _watch_stop_signal(sidecar: Sidecar) -> None:
-    """Begins the planned stop at SIGTERM."""
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            sidecar.begin_leaving()
