--- a/siskinmount/sidecar/tests/test_gate.py
+++ b/siskinmount/sidecar/tests/test_gate.py
@@ -197,6 +197,20 @@
 
         self.run_gate(check)
 
+    def test_refused_solo_lets_those_behind_start(self):
+        async def check(gate, add):
+            await add(ONLINE)
+            solo = await add(SOLO)
+            batch = await add(BATCH)
+            await trio.sleep(_gate.SOLO_WAIT_MS / 1000 - 1)
+            self.assertEqual('waiting', batch.state)
+            await trio.sleep(1.1)
+            self.assertEqual(
+                ('OVERLOADED', 'running'), (solo.state, batch.state)
+            )
+
+        self.run_gate(check)
+
     def test_close_refuses_all_that_wait(self):
         async def check(gate, add):
             running = [await add(ONLINE) for _ in range(3)]
