Record values into series found once, and use open windows again

Recording looked the series up and went through five calls for each value, and each minute left a histogram with a reference cycle to the collector.

--- a/siskinmount/telemetry/_histograms.py
+++ b/siskinmount/telemetry/_histograms.py
@@ -157,12 +157,14 @@
 class Histograms:
     """The histograms of one process."""
 
-    __slots__ = ('_clock', '_bounds', '_series', '_dropped_count')
+    __slots__ = ('_clock', '_bounds', '_targets', '_series', '_dropped_count')
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
         # Objectives by service and measure.
         self._bounds: dict[tuple[str, str], list[ObjectiveBound]] = {}
+        # Where to record, by service and measure; filled on first use.
+        self._targets: dict[tuple[str, str], list[_Target]] = {}
         # Series by service and objective.
         self._series: dict[tuple[str, str], _Series] = {}
         self._dropped_count = 0
@@ -179,28 +181,23 @@
             key = (bound.service, bound.measure)
             by_measure.setdefault(key, []).append(bound)
         self._bounds = by_measure
+        self._targets = {}
 
     def record(self, service: str, measure: str, value_ms: float) -> None:
         """Records a value with each objective that bounds the measure."""
         now_s = self._clock()
         value_us = int(value_ms * _US_PER_MS)
-        bounds = self._bounds.get((service, measure))
-        if bounds is None:
-            self._record(service, measure, now_s, value_us, None)
-            return
-        for bound in bounds:
-            is_good = value_ms <= bound.within_ms
-            self._record(service, bound.name, now_s, value_us, is_good)
+        for target in self._find_targets(service, measure):
+            is_good = None
+            if target.within_ms is not None:
+                is_good = value_ms <= target.within_ms
+            target.series.record(now_s, value_us, is_good)
 
     def record_outcome(self, service: str, measure: str, is_good: bool) -> None:
         """Counts an event without a duration, such as an answer's success."""
         now_s = self._clock()
-        bounds = self._bounds.get((service, measure))
-        if bounds is None:
-            self._record(service, measure, now_s, None, is_good)
-            return
-        for bound in bounds:
-            self._record(service, bound.name, now_s, None, is_good)
+        for target in self._find_targets(service, measure):
+            target.series.record(now_s, None, is_good)
 
     def take_snapshots(self) -> list[WindowSnapshot]:
         """Returns all windows, the open ones included."""
@@ -225,23 +222,44 @@
             summaries.append(series.summarize(service, objective))
         return summaries
 
-    def _record(
+    def _find_targets(self, service: str, measure: str) -> list['_Target']:
+        """Returns where values of a measure are recorded."""
+        key = (service, measure)
+        targets = self._targets.get(key)
+        if targets is None:
+            targets = self._create_targets(service, measure)
+            self._targets[key] = targets
+        elif not targets:
+            self._dropped_count += 1
+        return targets
+
+    def _create_targets(self, service: str, measure: str) -> list['_Target']:
+        """Returns a target for each objective, or one for the measure."""
+        targets: list[_Target] = []
+        bounds = self._bounds.get((service, measure))
+        if bounds is None:
+            self._add_target(targets, service, measure, None)
+            return targets
+        for bound in bounds:
+            self._add_target(targets, service, bound.name, bound.within_ms)
+        return targets
+
+    def _add_target(
         self,
+        targets: list['_Target'],
         service: str,
         name: str,
-        now_s: float,
-        value_us: int | None,
-        is_good: bool | None,
+        within_ms: float | None,
     ) -> None:
+        """Adds a target with its series, unless there are too many."""
         series = self._series.get((service, name))
         if series is None:
             if len(self._series) >= MAX_SERIES:
                 self._dropped_count += 1
                 return
-            series = _Series(now_s)
+            series = _Series(self._clock())
             self._series[(service, name)] = series
-        series.advance(now_s)
-        series.record(value_us, is_good)
+        targets.append(_Target(series, within_ms))
 
 
 def create_hdr_histogram() -> hdr.HdrHistogram:
@@ -284,20 +302,25 @@
 
 
 class _OpenWindow:
-    """A window that gets values."""
+    """A window that gets values.
 
-    __slots__ = ('start_s', 'length_s', 'good', 'bad', 'histogram')
+    It is used again for the next window, since a histogram is costly to make.
+    """
+
+    __slots__ = ('start_s', 'end_s', 'length_s', 'good', 'bad', 'histogram')
 
     def __init__(self, now_s: float, length_s: int) -> None:
-        self.start_s = int(now_s) // length_s * length_s
         self.length_s = length_s
-        self.good = 0
-        self.bad = 0
         self.histogram = create_hdr_histogram()
+        self.restart(now_s)
 
-    def is_over(self, now_s: float) -> bool:
-        """Returns whether the window ends before a time."""
-        return now_s >= self.start_s + self.length_s
+    def restart(self, now_s: float) -> None:
+        """Forgets all values and begins the window of a time."""
+        self.start_s = int(now_s) // self.length_s * self.length_s
+        self.end_s = self.start_s + self.length_s
+        self.good = 0
+        self.bad = 0
+        self.histogram.reset()
 
     def record(self, value_us: int | None, is_good: bool | None) -> None:
         """Counts one value."""
@@ -337,6 +360,21 @@
         )
 
 
+class _Target:
+    """A series that gets the values of a measure.
+
+    Attributes:
+        series: The series.
+        within_ms: A value up to this is good; None without an objective.
+    """
+
+    __slots__ = ('series', 'within_ms')
+
+    def __init__(self, series: '_Series', within_ms: float | None) -> None:
+        self.series = series
+        self.within_ms = within_ms
+
+
 class _Series:
     """The windows of one service and objective."""
 
@@ -349,8 +387,12 @@
         self._minutes: collections.deque[_ClosedWindow] = collections.deque()
         self._hours: collections.deque[_ClosedWindow] = collections.deque()
 
-    def record(self, value_us: int | None, is_good: bool | None) -> None:
+    def record(
+        self, now_s: float, value_us: int | None, is_good: bool | None
+    ) -> None:
         """Counts one value in the open window."""
+        if now_s >= self._minute.end_s:
+            self.advance(now_s)
         self._minute.record(value_us, is_good)
 
     def advance(self, now_s: float) -> None:
@@ -359,16 +401,16 @@
         A clock that was set back leaves the windows open until it has caught
         up.
         """
-        if not self._minute.is_over(now_s):
+        if now_s < self._minute.end_s:
             return
         if not self._minute.is_empty():
             self._hour.add(self._minute)
             self._minutes.append(self._minute.close())
-        self._minute = _OpenWindow(now_s, MINUTE_S)
-        if self._hour.is_over(now_s):
+        self._minute.restart(now_s)
+        if now_s >= self._hour.end_s:
             if not self._hour.is_empty():
                 self._hours.append(self._hour.close())
-            self._hour = _OpenWindow(now_s, HOUR_S)
+            self._hour.restart(now_s)
         _drop_before(self._minutes, now_s - MINUTES_KEPT * MINUTE_S)
         _drop_before(self._hours, now_s - HOURS_KEPT * HOUR_S)
 
