Share the evidence of crashes between online requests and batch items

Ruled out: a wrong bound in the evidence itself. Copies of a suspect now meet at the upstream that its fingerprint picks, the sidecar says whether a request was alone, and batch items carry the same fingerprint, run alone when suspect, and give evidence.

--- a/siskinmount/batch/_batch_owner.py
+++ b/siskinmount/batch/_batch_owner.py
@@ -9,6 +9,7 @@
 from siskinmount import state
 from siskinmount.batch import _batch_limits
 from siskinmount.batch import _carry_forward
+from siskinmount.batch import _crash_evidence
 from siskinmount.batch import _item_handout
 from siskinmount.batch import _item_reports
 from siskinmount.batch import _job
@@ -33,13 +34,13 @@
         self,
         owner_state: _owner_state.OwnerState,
         weight_of: Callable[[str], int],
-        is_convicted: Callable[[str], bool],
+        evidence: _crash_evidence.CrashEvidence,
     ) -> None:
         self._state = owner_state
         self._handout = _item_handout.ItemHandout(
-            owner_state, weight_of, is_convicted
+            owner_state, weight_of, evidence
         )
-        self._reports = _item_reports.ItemReports(owner_state)
+        self._reports = _item_reports.ItemReports(owner_state, evidence)
         # Items of each service that had ended at the last sweep.
         self._ended_counts: dict[str, int] = {}
 
@@ -254,7 +255,7 @@
     *,
     limits: _batch_limits.BatchLimits | None = None,
     weight_of: Callable[[str], int] | None = None,
-    is_convicted: Callable[[str], bool] | None = None,
+    evidence: _crash_evidence.CrashEvidence | None = None,
     on_ready: Callable[[], None] | None = None,
 ) -> BatchOwner:
     """Creates the jobs of a stream and adds them to it.
@@ -264,7 +265,7 @@
         log: The platform's log, from which items and results are read.
         limits: Bounds and intervals.
         weight_of: Returns a caller's share relative to others.
-        is_convicted: Tells whether a fingerprint must not be run.
+        evidence: What is known of requests that make upstreams die.
         on_ready: Called when items may have become ready.
     """
     owner_state = _owner_state.OwnerState(
@@ -276,5 +277,5 @@
     return BatchOwner(
         owner_state,
         weight_of or (lambda caller: 1),
-        is_convicted or (lambda fingerprint: False),
+        evidence or _crash_evidence.NoCrashEvidence(),
     )
--- a/siskinmount/batch/_batch_shard.py
+++ b/siskinmount/batch/_batch_shard.py
@@ -8,6 +8,7 @@
 from siskinmount import state
 from siskinmount.batch import _batch_limits
 from siskinmount.batch import _batch_owner
+from siskinmount.batch import _crash_evidence
 
 
 class BatchShard:
@@ -47,7 +48,7 @@
     batch_limits: _batch_limits.BatchLimits | None = None,
     is_live: Callable[[str], bool] | None = None,
     weight_of: Callable[[str], int] | None = None,
-    is_convicted: Callable[[str], bool] | None = None,
+    evidence: _crash_evidence.CrashEvidence | None = None,
     on_ready: Callable[[], None] | None = None,
     clock_ms: Callable[[], int] = state.wall_clock_ms,
 ) -> BatchShard:
@@ -61,7 +62,7 @@
         batch_limits: Bounds and intervals of batch jobs.
         is_live: Tells whether a VM is believed to live.
         weight_of: Returns a caller's share relative to others.
-        is_convicted: Tells whether a fingerprint must not be run.
+        evidence: What is known of requests that make upstreams die.
         on_ready: Called when batch items may have become ready.
         clock_ms: Milliseconds since the Unix epoch.
     """
@@ -74,7 +75,7 @@
         log,
         limits=batch_limits,
         weight_of=weight_of,
-        is_convicted=is_convicted,
+        evidence=evidence,
         on_ready=on_ready,
     )
     return BatchShard(stream, keys, batch)
--- a/siskinmount/batch/_item_handout.py
+++ b/siskinmount/batch/_item_handout.py
@@ -5,9 +5,10 @@
 
 import orjson
 import trio
-import xxhash
 
+from siskinmount import relay
 from siskinmount import results
+from siskinmount.batch import _crash_evidence
 from siskinmount.batch import _dispatch_order
 from siskinmount.batch import _job
 from siskinmount.batch import _lease_table
@@ -18,23 +19,23 @@
 
 def item_fingerprint(service: str, text: bytes) -> str:
     """Returns a digest of an item's service and content."""
-    return xxhash.xxh3_128_hexdigest(service.encode('utf-8') + b'\n' + text)
+    return relay.create_fingerprint(service, orjson.loads(text))
 
 
 class ItemHandout:
     """Chooses items, leases them, and reads their texts from the log."""
 
-    __slots__ = ('_state', '_weight_of', '_is_convicted', '_orders', '_rates')
+    __slots__ = ('_state', '_weight_of', '_evidence', '_orders', '_rates')
 
     def __init__(
         self,
         owner_state: _owner_state.OwnerState,
         weight_of: Callable[[str], int],
-        is_convicted: Callable[[str], bool],
+        evidence: _crash_evidence.CrashEvidence,
     ) -> None:
         self._state = owner_state
         self._weight_of = weight_of
-        self._is_convicted = is_convicted
+        self._evidence = evidence
         self._orders: dict[str, _dispatch_order.DispatchOrder] = {}
         self._rates: dict[str, _dispatch_order.ItemRate] = {}
 
@@ -197,7 +198,7 @@
             return None
         service = job.submitted.service
         fingerprint = item_fingerprint(service, text)
-        if self._is_convicted(fingerprint):
+        if self._evidence.is_convicted(fingerprint):
             failure = results.Failure(
                 results.ResultCode.REQUEST_CONVICTED,
                 'the item has made upstreams die',
@@ -218,6 +219,7 @@
             idempotent=job.submitted.idempotent,
             fingerprint=fingerprint,
             body=body,
+            solo=self._evidence.is_suspect(fingerprint),
         )
 
     def _end_failed(
--- a/siskinmount/batch/_item_reports.py
+++ b/siskinmount/batch/_item_reports.py
@@ -5,6 +5,7 @@
 
 from siskinmount import results
 from siskinmount import state
+from siskinmount.batch import _crash_evidence
 from siskinmount.batch import _job
 from siskinmount.batch import _lease_table
 from siskinmount.batch import _owner_state
@@ -45,11 +46,16 @@
         wasted_tokens: Tokens that were generated and could not be used.
     """
 
-    __slots__ = ('wasted_tokens', '_state')
+    __slots__ = ('wasted_tokens', '_state', '_evidence')
 
-    def __init__(self, owner_state: _owner_state.OwnerState) -> None:
+    def __init__(
+        self,
+        owner_state: _owner_state.OwnerState,
+        evidence: _crash_evidence.CrashEvidence,
+    ) -> None:
         self.wasted_tokens = 0
         self._state = owner_state
+        self._evidence = evidence
 
     async def report(
         self, request: _report_messages.ReportRequest
@@ -62,6 +68,8 @@
         owner = self._state
         if not owner.stream.is_owned:
             return owner.not_owner()
+        for report in request.reports:
+            self._note_death(request, report)
         queued = [self._take(report) for report in request.reports]
         pending = [
             record
@@ -136,6 +144,21 @@
         self._state.leases.add(lease)
         return True
 
+    def _note_death(
+        self,
+        request: _report_messages.ReportRequest,
+        report: _report_messages.ItemReport,
+    ) -> None:
+        """Notes that an upstream died while it ran an item."""
+        if not report.upstream_generation or not report.fingerprint:
+            return
+        self._evidence.record_death(
+            report.fingerprint,
+            request.vm,
+            request.incarnation + report.upstream_generation,
+            alone=report.was_alone,
+        )
+
     def _is_unwanted(self, job_id: str) -> bool:
         job = self._state.table.jobs.get(job_id)
         return job is None or job.is_cancelled
--- a/siskinmount/batch/_pull_messages.py
+++ b/siskinmount/batch/_pull_messages.py
@@ -75,6 +75,7 @@
         idempotent: Whether the item may be run again.
         fingerprint: Digest of the service and the item's content.
         body: Request body for `/run`.
+        solo: Whether no other request may run beside it.
     """
 
     __slots__ = (
@@ -86,6 +87,7 @@
         'idempotent',
         'fingerprint',
         'body',
+        'solo',
     )
 
     def __init__(
@@ -99,6 +101,7 @@
         idempotent: bool,
         fingerprint: str,
         body: dict[str, Any],
+        solo: bool = False,
     ) -> None:
         self.job = job
         self.index = index
@@ -108,6 +111,7 @@
         self.idempotent = idempotent
         self.fingerprint = fingerprint
         self.body = body
+        self.solo = solo
 
 
 class PullReply:
@@ -155,4 +159,5 @@
         idempotent=document.get('idempotent') is True,
         fingerprint=_json_fields.read_text(document, 'fingerprint'),
         body=_json_fields.as_object(document.get('body'), 'body'),
+        solo=document.get('solo') is True,
     )
--- a/siskinmount/batch/_report_messages.py
+++ b/siskinmount/batch/_report_messages.py
@@ -34,6 +34,10 @@
         code: Result code of a failure, else 0.
         reason: Reason of a failure.
         wasted_tokens: Tokens generated that cannot be used.
+        fingerprint: The item's fingerprint; empty if no upstream died.
+        upstream_generation: Number of the upstream's process that ended while
+            it ran the item; 0 if none did.
+        was_alone: Whether no other request ran at that process meanwhile.
     """
 
     __slots__ = (
@@ -45,6 +49,9 @@
         'code',
         'reason',
         'wasted_tokens',
+        'fingerprint',
+        'upstream_generation',
+        'was_alone',
     )
 
     def __init__(
@@ -57,6 +64,9 @@
         code: int = 0,
         reason: str = '',
         wasted_tokens: int = 0,
+        fingerprint: str = '',
+        upstream_generation: int = 0,
+        was_alone: bool = False,
     ) -> None:
         self.job = job
         self.index = index
@@ -66,6 +76,9 @@
         self.code = code
         self.reason = reason
         self.wasted_tokens = wasted_tokens
+        self.fingerprint = fingerprint
+        self.upstream_generation = upstream_generation
+        self.was_alone = was_alone
 
 
 class ReportRequest:
@@ -141,6 +154,9 @@
         _json_fields.read_number(document, 'code', 0),
         str(document.get('reason') or ''),
         _json_fields.read_number(document, 'wasted_tokens', 0),
+        str(document.get('fingerprint') or ''),
+        _json_fields.read_number(document, 'upstream_generation', 0),
+        document.get('was_alone') is True,
     )
 
 
--- a/siskinmount/entry/_answer_run.py
+++ b/siskinmount/entry/_answer_run.py
@@ -181,9 +181,14 @@
         if access.is_convicted(request.fingerprint):
             return self._final(_convicted())
         self._solo = access.is_suspect(request.fingerprint)
+        # Copies of a suspect meet at one upstream, whichever entry sends them,
+        # so that the first to run alone there decides about all.
+        affinity_key = (
+            request.fingerprint if self._solo else request.affinity_key
+        )
         choice = access.router.choose(
             request.service.name,
-            request.affinity_key,
+            affinity_key,
             self._excluded_vms,
             request.request_class,
         )
@@ -213,7 +218,11 @@
             return exchange
         self._access.note_answer(member, exchange)
         if exchange.status != 200:
-            return await _read_refusal(exchange)
+            refusal = await _read_refusal(exchange)
+            self._access.record_death(
+                self._request.fingerprint, member, refusal
+            )
+            return refusal.failure
         self._sent_to_any = True
         self._exchange = exchange
         self._reader = relay.FrameReader()
@@ -337,12 +346,9 @@
         )
         if failure.run_state is results.RunState.NOT_RUN:
             return self._after_refusal(failure)
-        if failure_frame is not None and failure_frame.upstream_generation:
+        if failure_frame is not None:
             self._access.record_death(
-                self._request.fingerprint,
-                member,
-                failure_frame.upstream_generation,
-                self._solo,
+                self._request.fingerprint, member, failure_frame
             )
             if self._access.is_convicted(self._request.fingerprint):
                 return self._final(_convicted())
@@ -392,7 +398,7 @@
             exchange.close()
             return False
         refusal = await _read_refusal(exchange)
-        if refusal.code is not results.ResultCode.NO_SUCH_REQUEST:
+        if refusal.failure.code is not results.ResultCode.NO_SUCH_REQUEST:
             return False
         # A process that has started since may have forgotten the request.
         return incarnation == str(member.incarnation)
@@ -448,12 +454,12 @@
 
 async def _read_refusal(
     exchange: transport.ClientExchange,
-) -> results.Failure:
+) -> relay.FailureFrame:
     """Reads the failure that a sidecar answered with."""
     with exchange:
         body = await exchange.read_body(MAX_ERROR_BYTES)
     if isinstance(body, results.Failure):
-        return body
+        return relay.FailureFrame(body)
     return _upstream_access.parse_error_body(body)
 
 
--- a/siskinmount/entry/_entry.py
+++ b/siskinmount/entry/_entry.py
@@ -347,7 +347,7 @@
             self._writer,
             is_live=self._is_live_owner,
             weight_of=self._find_weight,
-            is_convicted=self.convictions.is_convicted,
+            evidence=self.convictions,
             on_ready=self.batch_service.note_ready,
         )
 
--- a/siskinmount/entry/_owner_calls.py
+++ b/siskinmount/entry/_owner_calls.py
@@ -109,7 +109,7 @@
         if isinstance(body, results.Failure):
             return body
         if exchange.status != 200:
-            return _upstream_access.parse_error_body(body)
+            return _upstream_access.parse_error_body(body).failure
         return body
 
     def _find_client(self, owner: membership.Member) -> transport.HttpClient:
--- a/siskinmount/entry/_plain_calls.py
+++ b/siskinmount/entry/_plain_calls.py
@@ -1,9 +1,9 @@
 """Serves calls of plain services."""
 
-import hashlib
 import logging
 import urllib.parse
 
+import orjson
 import trio
 
 from siskinmount import configuration
@@ -87,11 +87,9 @@
         _plain_answer.keep_request_headers(head.headers),
         body,
     )
-    digest = hashlib.sha256()
-    for part in (route.service, head.method, target):
-        digest.update(part.encode('utf-8') + b'\0')
-    digest.update(body)
-    fingerprint = digest.hexdigest()[:32]
+    fingerprint = relay.create_fingerprint(
+        route.service, orjson.loads(request.encode())
+    )
     identity = _request_identity.read_request_identity(
         caller, head, fingerprint
     )
--- a/siskinmount/entry/_upstream_access.py
+++ b/siskinmount/entry/_upstream_access.py
@@ -75,38 +75,34 @@
         self,
         fingerprint: str,
         member: membership.Member,
-        upstream_generation: int,
-        alone: bool,
+        frame: relay.FailureFrame,
     ) -> None:
         """Records that an upstream died while it ran a request.
 
         Args:
             fingerprint: Hash of service and content.
             member: The sidecar beside the upstream.
-            upstream_generation: Which process of the upstream died.
-            alone: Whether no other request ran there.
+            frame: What the sidecar says of the death.
         """
+        if not frame.upstream_generation:
+            return
         self._convictions.record_death(
             fingerprint,
             member.vm,
-            member.incarnation + upstream_generation,
-            alone=alone,
+            member.incarnation + frame.upstream_generation,
+            alone=frame.was_alone,
         )
 
 
-def parse_error_body(body: bytes) -> results.Failure:
+def parse_error_body(body: bytes) -> relay.FailureFrame:
     """Parses the failure that a daemon answered with."""
     try:
-        error = orjson.loads(body)['error']
-        return results.Failure(
-            results.ResultCode(error['code']),
-            str(error['reason']),
-            results.RunState(error['run_state']),
-            error.get('retry_after_ms'),
-        )
+        return relay.decode_failure(orjson.loads(body)['error'])
     except (ValueError, KeyError, TypeError):
-        return results.Failure(
-            results.ResultCode.UPSTREAM_ERROR,
-            'the answer of a daemon could not be read',
-            results.RunState.UNKNOWN,
+        return relay.FailureFrame(
+            results.Failure(
+                results.ResultCode.UPSTREAM_ERROR,
+                'the answer of a daemon could not be read',
+                results.RunState.UNKNOWN,
+            )
         )
--- a/siskinmount/relay/__init__.py
+++ b/siskinmount/relay/__init__.py
@@ -1,6 +1,9 @@
 """Frames that carry one running request from a sidecar to an entry."""
 
+from siskinmount.relay._fingerprint import create_fingerprint
+from siskinmount.relay._frame_codec import decode_failure
 from siskinmount.relay._frame_codec import decode_frame
+from siskinmount.relay._frame_codec import encode_failure
 from siskinmount.relay._frame_codec import encode_frame
 from siskinmount.relay._frame_codec import FrameReader
 from siskinmount.relay._frames import BodyFrame
--- a/siskinmount/relay/_frame_codec.py
+++ b/siskinmount/relay/_frame_codec.py
@@ -40,20 +40,38 @@
             )
             + b'\n'
         )
+    return orjson.dumps({'fail': encode_failure(frame)}) + b'\n'
+
+
+def encode_failure(frame: _frames.FailureFrame) -> dict[str, object]:
+    """Returns the JSON form of a failure, as in frames and in refusals."""
     failure = frame.failure
-    return (
-        orjson.dumps(
-            {
-                'fail': {
-                    'code': int(failure.code),
-                    'reason': failure.reason,
-                    'run_state': failure.run_state.value,
-                    'retry_after_ms': failure.retry_after_ms,
-                    'upstream_generation': frame.upstream_generation,
-                }
-            }
-        )
-        + b'\n'
+    return {
+        'code': int(failure.code),
+        'name': failure.code.name,
+        'reason': failure.reason,
+        'run_state': failure.run_state.value,
+        'retry_after_ms': failure.retry_after_ms,
+        'upstream_generation': frame.upstream_generation,
+        'was_alone': frame.was_alone,
+    }
+
+
+def decode_failure(document: dict) -> _frames.FailureFrame:
+    """Parses what `encode_failure` returned.
+
+    Raises:
+        ValueError, KeyError, TypeError: The document is no failure.
+    """
+    return _frames.FailureFrame(
+        results.Failure(
+            results.ResultCode(document['code']),
+            str(document['reason']),
+            results.RunState(document['run_state']),
+            document.get('retry_after_ms'),
+        ),
+        int(document.get('upstream_generation', 0)),
+        document.get('was_alone') is True,
     )
 
 
@@ -94,16 +112,7 @@
             int(end['prompt_tokens']),
             int(end['completion_tokens']),
         )
-    fail = document['fail']
-    return _frames.FailureFrame(
-        results.Failure(
-            results.ResultCode(fail['code']),
-            str(fail['reason']),
-            results.RunState(fail['run_state']),
-            fail.get('retry_after_ms'),
-        ),
-        int(fail.get('upstream_generation', 0)),
-    )
+    return decode_failure(document['fail'])
 
 
 class FrameReader:
--- a/siskinmount/relay/_frames.py
+++ b/siskinmount/relay/_frames.py
@@ -82,15 +82,20 @@
         failure: Why, and whether the request was executed.
         upstream_generation: Number of the upstream's process that ended while
             it ran the request, counted by the sidecar from 1; 0 if none did.
+        was_alone: Whether no other request ran at that process meanwhile.
     """
 
-    __slots__ = ('failure', 'upstream_generation')
+    __slots__ = ('failure', 'upstream_generation', 'was_alone')
 
     def __init__(
-        self, failure: results.Failure, upstream_generation: int = 0
+        self,
+        failure: results.Failure,
+        upstream_generation: int = 0,
+        was_alone: bool = False,
     ) -> None:
         self.failure = failure
         self.upstream_generation = upstream_generation
+        self.was_alone = was_alone
 
 
 Frame = (
