Pause batch items that must not repeat and go on with them in place

Cause: job sheets are batch items that run at most once. Not stopping them let an online burst queue behind them in the engine; giving them back would run them twice.

Change: such an item is paused only if the engine confirms the cancellation, stays under its lease, and goes on after its last token on the same engine, also while the sidecar leaves or waits to change the model. Unconfirmed: it ends as unknown.

Found on the way: a request stopped in the moment of its admission kept its slot for ever.

--- a/siskinmount/sidecar/_batch_item.py
+++ b/siskinmount/sidecar/_batch_item.py
@@ -58,6 +58,7 @@
         body: What to run.
         running: The run, once there is one.
         held_since_s: Monotonic time since which it waits for the upstream.
+        was_sent: Whether a byte of it can have reached the upstream.
         give_back: Whether it shall be given back instead of resumed here.
         cancelled: Whether its job was cancelled.
     """
@@ -74,6 +75,7 @@
         'body',
         'running',
         'held_since_s',
+        'was_sent',
         'give_back',
         'cancelled',
     )
@@ -101,6 +103,7 @@
         self.body = body
         self.running: _running_request.RunningRequest | None = None
         self.held_since_s = trio.current_time()
+        self.was_sent = False
         self.give_back = False
         self.cancelled = False
 
@@ -109,6 +112,11 @@
         """Id under which the item runs at the upstream."""
         return f'{self.key.job}/{self.key.index}'
 
+    @property
+    def is_bound_here(self) -> bool:
+        """Whether it may be run nowhere else: it must not be repeated."""
+        return self.was_sent and not self.idempotent
+
     @property
     def lease_is_valid(self) -> bool:
         """Whether the entry may still count on this sidecar alone."""
@@ -127,7 +135,8 @@
             attempt=self.attempt,
             fingerprint=self.fingerprint,
             solo=self.solo,
-            preemptible=self.idempotent,
+            once=not self.idempotent,
+            bound_here=self.is_bound_here,
             may_start=self._may_start,
         )
 
@@ -137,7 +146,7 @@
         After a pause of this process the entry may have written off an item
         that must not be repeated.
         """
-        return self.idempotent or self.lease_is_valid
+        return self.idempotent or self.was_sent or self.lease_is_valid
 
     def keep_output(self, tokens: list[str]) -> None:
         """Makes the next run continue after `tokens`."""
@@ -185,12 +194,11 @@
     if failure is None:
         return _create_answer_report(item, running)
     not_run = failure.run_state is results.RunState.NOT_RUN
-    if not_run and not item.cancelled:
-        return _create_yield_report(item, failure.reason)
-    if failure.code is results.ResultCode.BATCH_YIELDED and item.idempotent:
+    yielded = not_run or failure.code is results.ResultCode.BATCH_YIELDED
+    if yielded and not item.is_bound_here and not item.cancelled:
         return _create_yield_report(item, failure.reason)
     outcome = batch.ReportedOutcome.FAILED
-    if not item.idempotent and not not_run:
+    if item.is_bound_here:
         outcome = batch.ReportedOutcome.UNKNOWN
     return _create_report(
         item,
--- a/siskinmount/sidecar/_batch_puller.py
+++ b/siskinmount/sidecar/_batch_puller.py
@@ -266,6 +266,7 @@
             item.held_since_s = trio.current_time()
             await self._run(running)
             running.fully_read = True
+            item.was_sent = item.was_sent or running.sent_to_upstream
             if not self._may_resume(item):
                 break
             item.keep_output(running.collect_tokens())
@@ -277,9 +278,11 @@
         if running is None or running.failure is None:
             return False
         yielded = running.failure.code is results.ResultCode.BATCH_YIELDED
-        if not yielded or self._leaving:
+        if not yielded or item.cancelled:
             return False
-        return not item.give_back and not item.cancelled
+        if item.is_bound_here:
+            return running.stopped_at_upstream or not running.sent_to_upstream
+        return not item.give_back and not self._leaving
 
     def _finish(self, item: _batch_item.BatchItem) -> None:
         """Reports on an item and forgets it."""
@@ -298,12 +301,13 @@
         item: _batch_item.BatchItem,
         reason: _running_request.StopReason,
     ) -> None:
-        """Stops an item for good, unless it must run to its end."""
+        """Stops an item for good, unless it must come to its end here."""
         item.give_back = True
         running = item.running
         if running is None:
             return
-        if item.idempotent or not running.sent_to_upstream:
+        sent = item.was_sent or running.sent_to_upstream
+        if item.idempotent or not sent:
             running.stop(reason)
 
     def _give_back_overdue(self) -> None:
--- a/siskinmount/sidecar/_gate.py
+++ b/siskinmount/sidecar/_gate.py
@@ -70,7 +70,7 @@
         An admitted ticket must be given back with `release`.
         """
         refusal = self.find_refusal()
-        if refusal is not None:
+        if refusal is not None and not ticket.bound_here:
             return refusal
         if ticket.online and self._count_waiting_online() >= self._queue_bound:
             self.refused_count += 1
@@ -79,11 +79,9 @@
         self.admit_waiting()
         try:
             await self._wait_decided(ticket)
-        finally:
-            if ticket.state is _gate_load.TicketState.WAITING:
-                self._waiting.remove(ticket)
-                ticket.state = _gate_load.TicketState.GONE
-                self.admit_waiting()
+        except trio.Cancelled:
+            self._withdraw(ticket)
+            raise
         return ticket.refusal
 
     def release(self, ticket: _gate_load.Ticket) -> None:
@@ -115,18 +113,16 @@
     def close(self) -> None:
         """Refuses all that wait and all that come."""
         self.closed = True
-        for ticket in list(self._waiting):
-            self._refuse(ticket, _leaving())
+        self._refuse_waiting(_leaving())
 
     def pause(self) -> None:
         """Refuses new requests and stops batch, so that the upstream empties."""
         if self.paused:
             return
         self.paused = True
-        for ticket in list(self._waiting):
-            self._refuse(ticket, _changing())
+        self._refuse_waiting(_changing())
         for ticket in list(self._running):
-            if ticket.preemptible:
+            if ticket.preemptible and not ticket.bound_here:
                 self._stop(ticket)
 
     def resume(self) -> None:
@@ -140,8 +136,8 @@
         return _changing() if self.paused else None
 
     async def wait_empty(self) -> None:
-        """Returns once nothing is at the upstream."""
-        while self._running:
+        """Returns once nothing is or must come to the upstream."""
+        while self._running or self._waiting:
             await self._changed.wait()
 
     async def wait_capacity(self) -> None:
@@ -251,6 +247,23 @@
         self._changed.set()
         self._changed = trio.Event()
 
+    def _refuse_waiting(self, failure: results.Failure) -> None:
+        """Refuses all that wait and may run elsewhere."""
+        for ticket in list(self._waiting):
+            if not ticket.bound_here:
+                self._refuse(ticket, failure)
+
+    def _withdraw(self, ticket: _gate_load.Ticket) -> None:
+        """Forgets a ticket whose request was stopped while it waited."""
+        if ticket.state is _gate_load.TicketState.WAITING:
+            self._waiting.remove(ticket)
+            ticket.state = _gate_load.TicketState.GONE
+            self.admit_waiting()
+            self._notify()
+        elif ticket.state is not _gate_load.TicketState.GONE:
+            # It was admitted after the cancellation and before its task ran.
+            self.release(ticket)
+
     def _refuse(
         self, ticket: _gate_load.Ticket, failure: results.Failure
     ) -> None:
@@ -311,6 +324,8 @@
     def _check_bound(self) -> None:
         """Checks that no more run than slots, but for those that yield."""
         load = self.load
+        if not self._policy.bounds_running:
+            return
         unyielding_batch = sum(
             not ticket.online and not ticket.preemptible
             for ticket in self._running
--- a/siskinmount/sidecar/_gate_load.py
+++ b/siskinmount/sidecar/_gate_load.py
@@ -34,6 +34,8 @@
         prompt_tokens: What the upstream must prefill, estimated.
         resumed: Whether it continues an output that exists already.
         preemptible: Whether it can be stopped and resumed later.
+        bound_here: Whether it must come to its end here, since it may not be
+            run elsewhere.
         preempt: Stops the request.
         emitted_tokens: Tokens that came out since it was admitted.
         state: Where the request is.
@@ -48,6 +50,7 @@
         'prompt_tokens',
         'resumed',
         'preemptible',
+        'bound_here',
         'preempt',
         'emitted_tokens',
         'state',
@@ -64,6 +67,7 @@
         prompt_tokens: int = 0,
         resumed: bool = False,
         preemptible: bool = False,
+        bound_here: bool = False,
         preempt: Callable[[], None] = lambda: None,
     ) -> None:
         self.online = online
@@ -71,6 +75,7 @@
         self.prompt_tokens = prompt_tokens
         self.resumed = resumed
         self.preemptible = preemptible
+        self.bound_here = bound_here
         self.preempt = preempt
         self.emitted_tokens = 0
         self.state = TicketState.WAITING
--- a/siskinmount/sidecar/_gate_policy.py
+++ b/siskinmount/sidecar/_gate_policy.py
@@ -13,9 +13,11 @@
     Attributes:
         puts_online_first: Whether batch requests never start while an online
             request waits, and make room for it.
+        bounds_running: Whether no more run than there are slots.
     """
 
     puts_online_first: bool
+    bounds_running: bool
 
     def arrange(
         self, waiting: list[_gate_load.Ticket]
--- a/siskinmount/sidecar/_http_model_upstream.py
+++ b/siskinmount/sidecar/_http_model_upstream.py
@@ -110,15 +110,18 @@
         with exchange:
             return await describe_refusal(exchange)
 
-    async def cancel(self, request_id: str) -> None:
-        """Makes the engine stop a request."""
+    async def cancel(self, request_id: str) -> results.Failure | None:
+        """Makes the engine stop a request; None once it has."""
         exchange = await self._client.send(
             _post('/v1/cancel', {'request_id': request_id})
         )
         if isinstance(exchange, results.Failure):
-            return
+            return exchange
         with exchange:
-            await exchange.read_body(MAX_ERROR_BYTES)
+            if exchange.status != 200:
+                return await describe_refusal(exchange)
+            data = await exchange.read_body(MAX_ERROR_BYTES)
+        return data if isinstance(data, results.Failure) else None
 
     async def probe(self) -> results.Failure | None:
         """Returns None if the engine answers on a new connection."""
--- a/siskinmount/sidecar/_online_first_policy.py
+++ b/siskinmount/sidecar/_online_first_policy.py
@@ -9,6 +9,7 @@
     __slots__ = ()
 
     puts_online_first = True
+    bounds_running = True
 
     def arrange(
         self, waiting: list[_gate_load.Ticket]
--- a/siskinmount/sidecar/_pass_through_policy.py
+++ b/siskinmount/sidecar/_pass_through_policy.py
@@ -1,14 +1,15 @@
-"""First in, first out, without distinction of classes."""
+"""Everything goes to the upstream as it comes, which queues it itself."""
 
 from siskinmount.sidecar import _gate_load
 
 
 class PassThroughPolicy:
-    """Fills the slots in order of arrival."""
+    """Holds nothing back but for requests that must run alone."""
 
     __slots__ = ()
 
     puts_online_first = False
+    bounds_running = False
 
     def arrange(
         self, waiting: list[_gate_load.Ticket]
@@ -19,12 +20,12 @@
     def may_start(
         self, ticket: _gate_load.Ticket, load: _gate_load.GateLoad
     ) -> bool:
-        """Tells whether a slot is free."""
+        """Tells whether no request that must run alone is in the way."""
         if load.solo_running:
             return False
         if ticket.solo:
             return load.running == 0
-        return not load.solo_waiting and load.running < load.slots
+        return not load.solo_waiting
 
     def choose_to_preempt(
         self,
--- a/siskinmount/sidecar/_request_runner.py
+++ b/siskinmount/sidecar/_request_runner.py
@@ -118,8 +118,12 @@
         is_model = isinstance(running.request.body, _run_request.ModelBody)
         if running.ended or not running.sent_to_upstream or not is_model:
             return
+        running.stopped_at_upstream = False
         with trio.move_on_after(CANCEL_TIMEOUT_S, shield=True):
-            await self._model_upstream.cancel(running.request.request_id)
+            failure = await self._model_upstream.cancel(
+                running.request.request_id
+            )
+            running.stopped_at_upstream = failure is None
 
     async def _run_model(
         self,
@@ -155,6 +159,8 @@
                 },
             )
             await self._stop_at_upstream(running)
+            if running.request.once and not running.stopped_at_upstream:
+                return failure
 
     async def _explain(
         self,
@@ -311,13 +317,14 @@
     if isinstance(request.body, _run_request.ModelBody):
         resumed = bool(request.body.resume_tokens)
         prompt_tokens = request.body.estimate_prompt_tokens()
-        preemptible = request.preemptible and not request.is_online
+        preemptible = not request.is_online
     return _gate_load.Ticket(
         online=request.is_online,
         solo=request.solo,
         prompt_tokens=prompt_tokens,
         resumed=resumed,
         preemptible=preemptible,
+        bound_here=request.bound_here,
         preempt=lambda: running.stop(_running_request.StopReason.PREEMPTED),
     )
 
--- a/siskinmount/sidecar/_run_request.py
+++ b/siskinmount/sidecar/_run_request.py
@@ -85,8 +85,8 @@
         deadline_ms: Time left, in milliseconds, or None without a bound.
         fingerprint: Hash of service and content.
         solo: Whether no other request may run beside it.
-        preemptible: Whether it may be stopped for an online request and
-            resumed later; counts for batch requests of a model only.
+        once: Whether no part of it may run twice.
+        bound_here: Whether it has begun here and may not be run elsewhere.
         may_start: Asked at the last moment before the first byte is sent.
     """
 
@@ -98,7 +98,8 @@
         'deadline_ms',
         'fingerprint',
         'solo',
-        'preemptible',
+        'once',
+        'bound_here',
         'may_start',
     )
 
@@ -112,7 +113,8 @@
         deadline_ms: int | None = None,
         fingerprint: str = '',
         solo: bool = False,
-        preemptible: bool = True,
+        once: bool = False,
+        bound_here: bool = False,
         may_start: Callable[[], bool] = lambda: True,
     ) -> None:
         self.request_id = request_id
@@ -122,7 +124,8 @@
         self.deadline_ms = deadline_ms
         self.fingerprint = fingerprint
         self.solo = solo
-        self.preemptible = preemptible
+        self.once = once
+        self.bound_here = bound_here
         self.may_start = may_start
 
     @property
--- a/siskinmount/sidecar/_running_request.py
+++ b/siskinmount/sidecar/_running_request.py
@@ -42,6 +42,8 @@
         scope: Cancelling it stops the request.
         stop_reason: Why it is stopped, or None.
         sent_to_upstream: Whether a byte can have reached the upstream.
+        stopped_at_upstream: Whether the upstream has confirmed that it no
+            longer runs the request.
         upstream_generation: Number of the upstream's process that it was sent
             to; 0 before.
         ended: Whether the last frame is there.
@@ -58,6 +60,7 @@
         'scope',
         'stop_reason',
         'sent_to_upstream',
+        'stopped_at_upstream',
         'upstream_generation',
         'ended',
         'ended_at_s',
@@ -74,6 +77,7 @@
         self.scope = trio.CancelScope()
         self.stop_reason: StopReason | None = None
         self.sent_to_upstream = False
+        self.stopped_at_upstream = False
         self.upstream_generation = 0
         self.ended = False
         self.ended_at_s = math.inf
--- a/siskinmount/sidecar/_sidecar.py
+++ b/siskinmount/sidecar/_sidecar.py
@@ -232,7 +232,8 @@
         self.gate.close()
         for running in self.registry.list_running():
             is_model = isinstance(running.request.body, _run_request.ModelBody)
-            if is_model and not running.request.is_online:
+            may_stop = is_model and not running.request.once
+            if may_stop and not running.request.is_online:
                 running.stop(_running_request.StopReason.LEAVING)
         self._leaving_requested.set()
 
--- a/siskinmount/sidecar/_static_split_policy.py
+++ b/siskinmount/sidecar/_static_split_policy.py
@@ -13,6 +13,7 @@
     __slots__ = ()
 
     puts_online_first = False
+    bounds_running = True
 
     def arrange(
         self, waiting: list[_gate_load.Ticket]
--- a/siskinmount/sidecar/_upstreams.py
+++ b/siskinmount/sidecar/_upstreams.py
@@ -64,8 +64,8 @@
         """Starts to generate after `resume_tokens`."""
         ...
 
-    async def cancel(self, request_id: str) -> None:
-        """Makes the engine stop a request."""
+    async def cancel(self, request_id: str) -> results.Failure | None:
+        """Makes the engine stop a request; None once it has."""
         ...
 
 
--- a/siskinmount/sidecar/tests/fakes.py
+++ b/siskinmount/sidecar/tests/fakes.py
@@ -68,6 +68,7 @@
         self.alive = True
         self.frozen = False
         self.cuts = 0
+        self.loses_cancels = False
         self.open_streams = 0
         self.started = []
         self.cancelled = []
@@ -87,6 +88,13 @@
 
     async def cancel(self, request_id):
         self.cancelled.append(request_id)
+        if self.loses_cancels:
+            return results.Failure(
+                results.ResultCode.UPSTREAM_SILENT,
+                '',
+                results.RunState.UNKNOWN,
+            )
+        return None
 
     async def probe(self):
         if not self.alive:
--- a/siskinmount/sidecar/tests/test_gate_properties.py
+++ b/siskinmount/sidecar/tests/test_gate_properties.py
@@ -126,7 +126,8 @@
             for ticket in tickets
             if ticket.state is _gate_load.TicketState.RUNNING
         ]
-        self.case.assertLessEqual(len(running), SLOTS)
+        if self.policy is not configuration.GatePolicy.PASS_THROUGH:
+            self.case.assertLessEqual(len(running), SLOTS)
         if any(ticket.solo for ticket in tickets):
             self.case.assertEqual(1, len(tickets))
         waiting = self.bench.gate._waiting
