Feed the baseline's batch items straight to the engines; faults in mid run

Now batch goes past the sidecars in that arm and in batch alone, and queues with online requests inside the engines. Log appends are counted.

--- a/standins/tests/test_platform.py
+++ b/standins/tests/test_platform.py
@@ -193,6 +193,32 @@
         service = plain_service.create_plain_service()
         http_harness.run_standin(service.handle, check)
 
+    def test_slow_service_still_answers(self):
+        async def check(caller):
+            fault = {'delay_ms': 200, 'duration_ms': 10_000}
+            await caller.call('POST', '/control/slow', fault)
+            start_s = trio.current_time()
+            status, _ = await caller.call('POST', '/bookings', {'key': 'k'})
+            self.assertEqual(201, status)
+            self.assertGreaterEqual(trio.current_time() - start_s, 0.2)
+
+        service = plain_service.create_plain_service()
+        http_harness.run_standin(service.handle, check)
+
+    def test_silent_answer_leaves_the_effect(self):
+        async def check(caller):
+            fault = {'count': 1, 'mode': 'silent'}
+            await caller.call('POST', '/control/lose_answer', fault)
+            impatient = http_harness.Caller(
+                caller.address, transport.ClientLimits(silence_timeout_ms=50)
+            )
+            answer = await impatient.call('POST', '/bookings', {'key': 'k'})
+            self.assertEqual(results.ResultCode.UPSTREAM_SILENT, answer.code)
+            self.assertEqual(1, len(service.effects))
+
+        service = plain_service.create_plain_service()
+        http_harness.run_standin(service.handle, check)
+
     def test_echo_and_ping(self):
         async def check(caller):
             self.assertEqual(
--- a/tools/bench/__init__.py
+++ b/tools/bench/__init__.py
@@ -7,13 +7,15 @@
 from tools.bench._batch_source import BatchSource
 from tools.bench._deployment import Deployment
 from tools.bench._deployment import open_deployment
+from tools.bench._engine_feeder import EngineFeeder
 from tools.bench._job_source import JobError
 from tools.bench._job_source import JobSource
+from tools.bench._plan import BatchSourceKind
+from tools.bench._plan import BenchPlan
+from tools.bench._plan import FaultKind
 from tools.bench._results_file import compare_with_earlier
 from tools.bench._results_file import write_results
 from tools.bench._settings import Arm
-from tools.bench._settings import BatchSourceKind
-from tools.bench._settings import BenchPlan
 from tools.bench._settings import BenchSetting
 from tools.bench._settings import SETTINGS
 from tools.bench._summary import ArmSummary
--- a/tools/bench/__main__.py
+++ b/tools/bench/__main__.py
@@ -30,6 +30,12 @@
     bench.BatchSourceKind,
     'How batch items reach the sidecars.',
 )
+_FAULT = flags.DEFINE_enum_class(
+    'fault',
+    bench.FaultKind.NONE,
+    bench.FaultKind,
+    'What goes wrong in the middle of every arm.',
+)
 _OUT_DIR = flags.DEFINE_string('out_dir', 'out/bench', 'Where results go.')
 _COMPARE_WITH = flags.DEFINE_string(
     'compare_with', '', 'Directory with the results of an earlier run.'
@@ -127,6 +133,7 @@
         measured_s=QUICK_MEASURED_S if _QUICK.value else _MEASURED_S.value,
         seed=_SEED.value,
         batch_source=_BATCH_SOURCE.value,
+        fault=_FAULT.value,
     )
     arms = [bench.Arm(name) for name in _ARMS.value]
     all_right = True
--- a/tools/bench/_arm_run.py
+++ b/tools/bench/_arm_run.py
@@ -13,6 +13,8 @@
 from tools.bench import _batch_progress
 from tools.bench import _batch_source
 from tools.bench import _deployment
+from tools.bench import _mid_run_fault
+from tools.bench import _plan
 from tools.bench import _settings
 
 START_DELAY_S = 1.2
@@ -31,6 +33,7 @@
         measured_s: Length of the measured time.
         generated_tokens: Tokens that the engines generated in it.
         prefilled_tokens: Prompt tokens that the engines computed in it.
+        log_appends: Records appended to the log in it.
         cpu_cores: Mean processor cores used in it, by daemon.
     """
 
@@ -42,6 +45,7 @@
         'measured_s',
         'generated_tokens',
         'prefilled_tokens',
+        'log_appends',
         'cpu_cores',
     )
 
@@ -55,6 +59,7 @@
         measured_s: float,
         generated_tokens: int,
         prefilled_tokens: int,
+        log_appends: int,
         cpu_cores: dict[str, float],
     ) -> None:
         self.arm = arm
@@ -64,6 +69,7 @@
         self.measured_s = measured_s
         self.generated_tokens = generated_tokens
         self.prefilled_tokens = prefilled_tokens
+        self.log_appends = log_appends
         self.cpu_cores = cpu_cores
 
     def to_json(self) -> dict[str, object]:
@@ -76,6 +82,7 @@
             'measured_s': self.measured_s,
             'generated_tokens': self.generated_tokens,
             'prefilled_tokens': self.prefilled_tokens,
+            'log_appends': self.log_appends,
             'cpu_cores': self.cpu_cores,
         }
 
@@ -83,7 +90,7 @@
 class _Snapshot:
     """Counts at one moment."""
 
-    __slots__ = ('at_s', 'batch', 'engines', 'yields', 'cpu_s')
+    __slots__ = ('at_s', 'batch', 'engines', 'yields', 'log_appends', 'cpu_s')
 
     def __init__(
         self,
@@ -91,18 +98,20 @@
         batch: _batch_progress.BatchProgress,
         engines: _deployment.EngineCounts,
         yields: int,
+        log_appends: int,
         cpu_s: dict[str, float],
     ) -> None:
         self.at_s = at_s
         self.batch = batch
         self.engines = engines
         self.yields = yields
+        self.log_appends = log_appends
         self.cpu_s = cpu_s
 
 
 async def run_arm(
     setting: _settings.BenchSetting,
-    plan: _settings.BenchPlan,
+    plan: _plan.BenchPlan,
     arm: _settings.Arm,
     round_number: int,
 ) -> ArmResult:
@@ -119,6 +128,7 @@
             _deployment.open_deployment(setting, arm, plan.seed)
         )
         source = deployment.create_batch_source(
+            arm,
             plan.batch_source,
             START_DELAY_S + plan.warm_up_s + plan.measured_s,
         )
@@ -144,6 +154,12 @@
                 )
             await trio.sleep(start_at_s + plan.warm_up_s - time.time())
             before = await _take_snapshot(deployment, source)
+            nursery.start_soon(
+                _mid_run_fault.cause_fault,
+                plan.fault,
+                deployment,
+                plan.measured_s,
+            )
             await trio.sleep(plan.measured_s)
             after = await _take_snapshot(deployment, source)
             online = await _finish_online(generator, report_path)
@@ -153,7 +169,7 @@
 
 def _write_load_flags(
     setting: _settings.BenchSetting,
-    plan: _settings.BenchPlan,
+    plan: _plan.BenchPlan,
     seed: int,
     deployment: _deployment.Deployment,
     start_at_s: float,
@@ -198,9 +214,10 @@
         if usage is not None:
             cpu_s[daemon.name] = usage.cpu_s
     yields = await deployment.count_yields()
+    log_appends = await deployment.count_log_appends()
     at_s = trio.current_time()
     progress = await source.read_progress()
-    return _Snapshot(at_s, progress, engines, yields, cpu_s)
+    return _Snapshot(at_s, progress, engines, yields, log_appends, cpu_s)
 
 
 async def _finish_online(
@@ -244,6 +261,7 @@
         - before.engines.generated_tokens,
         prefilled_tokens=after.engines.prefilled_tokens
         - before.engines.prefilled_tokens,
+        log_appends=after.log_appends - before.log_appends,
         cpu_cores={
             name: (cpu_s - before.cpu_s.get(name, 0.0)) / measured_s
             for name, cpu_s in after.cpu_s.items()
--- a/tools/bench/_batch_feeder.py
+++ b/tools/bench/_batch_feeder.py
@@ -11,8 +11,8 @@
 from siskinmount import transport
 from tools import load
 from tools.bench import _batch_progress
+from tools.bench import _feeding
 
-SILENCE_TIMEOUT_MS = 60_000
 REFUSAL_PAUSE_S = 0.05
 
 
@@ -81,16 +81,9 @@
         self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Feeds all sidecars until cancelled."""
-        limits = transport.ClientLimits(
-            max_connections=self._items_per_sidecar,
-            silence_timeout_ms=SILENCE_TIMEOUT_MS,
+        await _feeding.feed_all(
+            self._sidecars, self._items_per_sidecar, self._feed, task_status
         )
-        async with trio.open_nursery() as nursery:
-            for address in self._sidecars:
-                client = transport.create_http_client(address, limits)
-                for _ in range(self._items_per_sidecar):
-                    nursery.start_soon(self._feed, client)
-            task_status.started()
 
     async def _feed(self, client: transport.HttpClient) -> None:
         """Runs one item after the other at one sidecar."""
--- a/tools/bench/_deployment.py
+++ b/tools/bench/_deployment.py
@@ -14,7 +14,9 @@
 from tools import fleet
 from tools.bench import _batch_feeder
 from tools.bench import _batch_source
+from tools.bench import _engine_feeder
 from tools.bench import _job_source
+from tools.bench import _plan
 from tools.bench import _settings
 
 CALLER_NAME = 'bench'
@@ -46,7 +48,7 @@
         key: The key of the caller that sends everything.
     """
 
-    __slots__ = ('fleet', 'key', '_setting', '_seed')
+    __slots__ = ('fleet', 'key', '_setting', '_seed', '_counts_of_killed')
 
     def __init__(
         self,
@@ -59,6 +61,7 @@
         self.key = key
         self._setting = setting
         self._seed = seed
+        self._counts_of_killed = EngineCounts(0, 0)
 
     def list_online_targets(self) -> list[transport.Address]:
         """Returns where callers send online requests."""
@@ -72,23 +75,36 @@
         return [self.fleet.group.processes[vm] for vm in vms]
 
     def create_batch_source(
-        self, kind: _settings.BatchSourceKind, length_s: float
+        self,
+        arm: _settings.Arm,
+        kind: _plan.BatchSourceKind,
+        length_s: float,
     ) -> _batch_source.BatchSource:
         """Creates a source of more items than can be done.
 
         Args:
-            kind: How items reach the sidecars.
+            arm: The arm.
+            kind: How items reach the sidecars, in arms where they do.
             length_s: How long the source must last.
         """
         setting = self._setting
-        if kind is _settings.BatchSourceKind.FEEDER:
-            slots = setting.read_service().slots_per_upstream
+        slots = setting.read_service().slots_per_upstream
+        if arm.feeds_engines:
+            return _engine_feeder.EngineFeeder(
+                shape=setting.batch_shape,
+                seed=self._seed,
+                engines=[
+                    sidecar.upstream_address for sidecar in self.list_models()
+                ],
+                items_per_engine=slots,
+            )
+        if kind is _plan.BatchSourceKind.FEEDER:
             return _batch_feeder.BatchFeeder(
                 service=setting.service,
                 shape=setting.batch_shape,
                 seed=self._seed,
                 sidecars=[
-                    sidecar.peers_address for sidecar in self._list_models()
+                    sidecar.peers_address for sidecar in self.list_models()
                 ],
                 items_per_sidecar=slots,
             )
@@ -108,30 +124,54 @@
     async def count_yields(self) -> int:
         """Asks all sidecars how often batch items had to make room."""
         total = 0
-        for sidecar in self._list_models():
-            answer = await self.fleet.send_control(
-                sidecar.peers_address, 'GET', '/status'
-            )
-            if isinstance(answer, results.Failure):
-                raise processes.StartError(f'{sidecar.vm}: {answer.reason}')
-            total += orjson.loads(answer)['preempted']
+        for sidecar in self.list_models():
+            document = await self._read_json(sidecar.peers_address, '/status')
+            total += document['preempted']
         return total
 
     async def count_engine_work(self) -> EngineCounts:
         """Asks all engines what they have computed."""
-        total = EngineCounts(0, 0)
-        for sidecar in self._list_models():
-            answer = await self.fleet.send_control(
-                sidecar.upstream_address, 'GET', '/control/counts'
-            )
-            if isinstance(answer, results.Failure):
-                raise processes.StartError(f'{sidecar.vm}: {answer.reason}')
-            document = orjson.loads(answer)
-            total.generated_tokens += document['generated_tokens']
-            total.prefilled_tokens += document['prefilled_tokens']
+        total = EngineCounts(
+            self._counts_of_killed.generated_tokens,
+            self._counts_of_killed.prefilled_tokens,
+        )
+        for sidecar in self.list_models():
+            await self._add_engine_counts(sidecar, total)
         return total
 
-    def _list_models(self) -> list[fleet.SidecarPlan]:
+    async def _add_engine_counts(
+        self, sidecar: fleet.SidecarPlan, total: EngineCounts
+    ) -> None:
+        """Adds what one engine has computed."""
+        document = await self._read_json(
+            sidecar.upstream_address, '/control/counts'
+        )
+        total.generated_tokens += document['generated_tokens']
+        total.prefilled_tokens += document['prefilled_tokens']
+
+    async def count_log_appends(self) -> int:
+        """Asks the log service how many appends it has done."""
+        document = await self._read_json(
+            self.fleet.plan.log_address, '/control/counts'
+        )
+        return document['appends']
+
+    async def _read_json(self, address: transport.Address, path: str) -> dict:
+        """Reads a JSON object that a process must be able to give."""
+        answer = await self.fleet.send_control(address, 'GET', path)
+        if isinstance(answer, results.Failure):
+            raise processes.StartError(f'{address}{path}: {answer.reason}')
+        return orjson.loads(answer)
+
+    async def kill_engine(self, sidecar: fleet.SidecarPlan) -> None:
+        """Kills the engine beside a sidecar; what it computed still counts."""
+        await self._add_engine_counts(sidecar, self._counts_of_killed)
+        process = self.fleet.group.processes[f'upstream-{sidecar.vm}']
+        process.kill()
+        await process.wait()
+
+    def list_models(self) -> list[fleet.SidecarPlan]:
+        """Returns the engines with their sidecars."""
         return [
             sidecar for sidecar in self.fleet.plan.sidecars if sidecar.is_model
         ]
--- a/tools/bench/_results_file.py
+++ b/tools/bench/_results_file.py
@@ -5,6 +5,7 @@
 import orjson
 
 from tools.bench import _arm_run
+from tools.bench import _plan
 from tools.bench import _settings
 from tools.bench import _summary
 
@@ -14,7 +15,7 @@
 def write_results(
     path: pathlib.Path,
     setting: _settings.BenchSetting,
-    plan: _settings.BenchPlan,
+    plan: _plan.BenchPlan,
     results: list[_arm_run.ArmResult],
     summaries: list[_summary.ArmSummary],
 ) -> None:
@@ -28,6 +29,7 @@
             'measured_s': plan.measured_s,
             'seed': plan.seed,
             'batch_source': plan.batch_source.value,
+            'fault': plan.fault.value,
         },
         'summaries': [summary.to_json() for summary in summaries],
         'runs': [result.to_json() for result in results],
--- a/tools/bench/_settings.py
+++ b/tools/bench/_settings.py
@@ -22,7 +22,7 @@
     #: Both, shared by the product's policy.
     ONLINE_FIRST = 'online_first'
 
-    #: Both, first in first out.
+    #: Both, first in first out within the engines.
     PASS_THROUGH = 'pass_through'
 
     #: Both, each with a fixed part of the slots.
@@ -41,22 +41,14 @@
     @property
     def gate_policy(self) -> str:
         """The sidecars' setting."""
-        if self is Arm.ONLINE_ALONE:
+        if self in (Arm.ONLINE_ALONE, Arm.BATCH_ALONE):
             return Arm.ONLINE_FIRST.value
-        if self is Arm.BATCH_ALONE:
-            # Without a reserve, so that the engines show all they can do.
-            return Arm.PASS_THROUGH.value
         return self.value
 
-
-class BatchSourceKind(enum.Enum):
-    """How batch items reach the sidecars."""
-
-    #: As jobs at the entries, from where the sidecars pull them.
-    JOBS = 'jobs'
-
-    #: Directly from the bench.
-    FEEDER = 'feeder'
+    @property
+    def feeds_engines(self) -> bool:
+        """Whether batch items go to the engines past the sidecars."""
+        return self in (Arm.BATCH_ALONE, Arm.PASS_THROUGH)
 
 
 class BenchSetting:
@@ -121,35 +113,6 @@
         return document.services[self.service]
 
 
-class BenchPlan:
-    """How much is run.
-
-    Attributes:
-        rounds: Rounds; each runs every arm once.
-        warm_up_s: Time before anything is measured in an arm.
-        measured_s: Measured time of an arm.
-        seed: Decides loads and the order of arms.
-        batch_source: How batch items reach the sidecars.
-    """
-
-    __slots__ = ('rounds', 'warm_up_s', 'measured_s', 'seed', 'batch_source')
-
-    def __init__(
-        self,
-        *,
-        rounds: int,
-        warm_up_s: float,
-        measured_s: float,
-        seed: int,
-        batch_source: BatchSourceKind = BatchSourceKind.JOBS,
-    ) -> None:
-        self.rounds = rounds
-        self.warm_up_s = warm_up_s
-        self.measured_s = measured_s
-        self.seed = seed
-        self.batch_source = batch_source
-
-
 def create_roadhaven() -> BenchSetting:
     """Creates an online-heavy day: callouts in bursts, job sheets between."""
     return BenchSetting(
--- a/tools/bench/_summary.py
+++ b/tools/bench/_summary.py
@@ -54,6 +54,7 @@
         wasted_share: Generated tokens that nobody kept, as a share of all.
         yields: Times that a batch item was stopped.
         wrong_items: Batch items with a wrong answer.
+        log_appends_per_s: Records appended to the log.
         cpu_cores: Mean processor cores, by daemon.
     """
 
@@ -72,6 +73,7 @@
         'wasted_share',
         'yields',
         'wrong_items',
+        'log_appends_per_s',
         'cpu_cores',
     )
 
@@ -90,6 +92,7 @@
         self.wasted_share: Spread | None = None
         self.yields = 0
         self.wrong_items = 0
+        self.log_appends_per_s: Spread | None = None
         self.cpu_cores: dict[str, float] = {}
 
     def to_json(self) -> dict[str, object]:
@@ -129,6 +132,7 @@
             _summarize_online(summary, rounds, alone)
         if arm.has_batch:
             _summarize_batch(summary, rounds, capacity)
+        summary.log_appends_per_s = _spread(rounds, _log_appends_per_s)
         summary.cpu_cores = _average_cpu(rounds)
         summaries.append(summary)
     return summaries
@@ -198,6 +202,10 @@
     return result.online.window_token_count / result.measured_s
 
 
+def _log_appends_per_s(result: _arm_run.ArmResult) -> float:
+    return result.log_appends / result.measured_s
+
+
 def _answered_share(result: _arm_run.ArmResult) -> float:
     outcomes = result.online.outcomes
     return outcomes[load.Outcome.RIGHT] / max(1, outcomes.total())
@@ -342,6 +350,7 @@
             f'{name} {cores:.3f}' for name, cores in summary.cpu_cores.items()
         )
         lines.append(f'  processor cores: {cpu}')
+        lines.append(f'  log appends/s: {summary.log_appends_per_s}')
     return lines
 
 
--- a/tools/bench/tests/test_bench.py
+++ b/tools/bench/tests/test_bench.py
@@ -10,6 +10,7 @@
 from siskinmount import relay
 from siskinmount import results
 from standins import engine
+from standins import faults
 from standins.tests import http_harness
 from tools import bench
 from tools import load
@@ -45,6 +46,7 @@
         measured_s=10.0,
         generated_tokens=generated,
         prefilled_tokens=prefilled,
+        log_appends=20,
         cpu_cores={'sidecar-0': 0.1},
     )
 
@@ -222,6 +224,32 @@
         http_harness.run_standin(_YieldingSidecar().handle, check)
 
 
+class EngineFeederTest(testtools.TestCase):
+
+    def test_whole_answers_are_counted(self):
+        standin = engine.create_engine(
+            engine.EngineSettings(time_scale=0.01), faults.Faults()
+        )
+
+        async def check(caller):
+            feeder = bench.EngineFeeder(
+                shape=load.WorkloadShape(session_share=0.0),
+                seed=1,
+                engines=[caller.address],
+                items_per_engine=3,
+            )
+            progress = feeder.progress
+            async with trio.open_nursery() as nursery:
+                await nursery.start(feeder.run)
+                await http_harness.wait_until(lambda: progress.done_items >= 5)
+                nursery.cancel_scope.cancel()
+            self.assertGreater(progress.kept_tokens, 5 * 16)
+            self.assertEqual(0, progress.wrong_items)
+            self.assertEqual(0, progress.failures)
+
+        http_harness.run_standin(standin.handle, check, (standin.loop.run,))
+
+
 class _JobEntry:
     """Accepts jobs at the second try and has done every other item."""
 
