--- a/siskinmount/configuration/_ini_text.py
+++ b/siskinmount/configuration/_ini_text.py
@@ -150,7 +150,7 @@
             self._open = False
             self.accepted_lines.append('')
             return
-        if not stripped.isprintable():
+        if not stripped.replace('\t', ' ').isprintable():
             self._reject(number, 'printable characters only', stripped)
             return
         if line[0].isspace():
--- a/siskinmount/configuration/_section_reader.py
+++ b/siskinmount/configuration/_section_reader.py
@@ -14,6 +14,7 @@
 
 _WHOLE_NUMBER = re.compile(r'[0-9]{1,15}')
 _DECIMAL_NUMBER = re.compile(r'[0-9]{1,15}(\.[0-9]{1,15})?')
+_COMMENT_BEHIND_VALUE = re.compile(r'(^|\s)[#;]')
 _TRUTH_VALUES = {'true': True, 'false': False}
 
 _UNITS = {
@@ -67,6 +68,9 @@
         if not entry.value or '\n' in entry.value:
             self.add_fault(key, 'one line of text')
             return default or ''
+        if _COMMENT_BEHIND_VALUE.search(entry.value):
+            self.add_fault(key, 'a comment only at the start of a line')
+            return default or ''
         return entry.value
 
     def read_words(self, key: str, default: tuple[str, ...]) -> tuple[str, ...]:
@@ -74,6 +78,9 @@
         entry = self._find(key, required=False)
         if entry is None:
             return default
+        if _COMMENT_BEHIND_VALUE.search(entry.value):
+            self.add_fault(key, 'a comment only at the start of a line')
+            return default
         parts = entry.value.replace('\n', ',').split(',')
         return tuple(part.strip() for part in parts if part.strip())
 
--- a/siskinmount/configuration/tests/test_document_parser.py
+++ b/siskinmount/configuration/tests/test_document_parser.py
@@ -68,6 +68,9 @@
     ('owner = team', 'owner = te\x00am', [('document', 'owner', 1), ('document', '', 3)]),
     ('owner = team', 'owner = team\n  more', [('document', 'owner', 3)]),
     ('slots_per_upstream = 4', 'online_reserve_slots = 8', [('service lm', 'online_reserve_slots', 9)]),
+    ('owner = team', 'owner = team # us', [('document', 'owner', 3)]),
+    ('model_version = 1', 'model_version = ; 1', [('service lm', 'model_version', 8)]),
+    ('[route /desk/]', '[route /desk/]\nmethods = GET # only', [('route /desk/', 'methods', 15)]),
     ('ab' * 32, 'secret', [('caller app', 'key_sha256', 18)]),
 ]  # fmt: skip
 
@@ -83,6 +86,11 @@
         self.assertEqual(500, document.objectives[0].within_ms)
         self.assertEqual(_VALID, document.text)
 
+    def test_tabs_and_line_ends_of_other_systems(self):
+        text = _VALID.replace(' = ', '\t=\t').replace('\n', '\r\n')
+        document = configuration.parse_document(text)
+        self.assertIsInstance(document, configuration.ServiceDocument)
+
     def test_broken(self):
         for old, new, expected in _BROKEN:
             text = _VALID.replace(old, new, 1)
--- a/siskinmount/configuration/tests/test_settings_parser.py
+++ b/siskinmount/configuration/tests/test_settings_parser.py
@@ -1,3 +1,7 @@
+import pathlib
+
+import hypothesis
+from hypothesis import strategies
 import testtools
 
 from siskinmount import configuration
@@ -60,6 +64,34 @@
         self.assertEqual(1, len(faults))
 
 
+class AnySettingsTest(testtools.TestCase):
+
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(
+        strategies.integers(0, len(_SIDECAR)),
+        strategies.integers(0, 20),
+        strategies.text(max_size=5),
+    )
+    def test_any_edit_has_a_verdict(self, start, length, text):
+        edited = _SIDECAR[:start] + text + _SIDECAR[start + length :]
+        for parse in (
+            configuration.parse_entry_settings,
+            configuration.parse_sidecar_settings,
+        ):
+            for fault in self._list_faults(parse(edited)):
+                self.assertNotIn('\n', str(fault))
+
+    def _list_faults(self, result):
+        return result if isinstance(result, list) else []
+
+    def test_examples(self):
+        examples = pathlib.Path(__file__).parents[3] / 'examples'
+        entry = configuration.load_entry_settings(examples / 'entry.ini')
+        self.assertIsInstance(entry, configuration.EntrySettings, entry)
+        sidecar = configuration.load_sidecar_settings(examples / 'sidecar.ini')
+        self.assertIsInstance(sidecar, configuration.SidecarSettings, sidecar)
+
+
 class SidecarSettingsTest(testtools.TestCase):
 
     def test_valid(self):
--- a/tools/binary/binary_start.py
+++ b/tools/binary/binary_start.py
@@ -17,6 +17,8 @@
 _LIBRARIES_PREFIX = 'libraries/'
 _MEMORY_DIRECTORIES = ('/dev/shm', '/run', '/tmp')
 _MEMORY_FILE_SYSTEMS = ('tmpfs', 'ramfs', 'rootfs')
+# Equal to `commands.ExitStatus.INTERNAL`, which cannot be imported yet.
+_EXIT_STATUS = 70
 _MOUNTS_PATH = '/proc/self/mounts'
 
 
@@ -165,7 +167,11 @@
     """Makes the archive importable and runs the program."""
     archive = zipimport.zipimporter(sys.executable)
     sys.meta_path.insert(0, ExtensionFinder(archive))
-    _load_libraries(archive)
+    try:
+        _load_libraries(archive)
+    except OSError as error:
+        print(f'siskinmount: {error}', file=sys.stderr)
+        sys.exit(_EXIT_STATUS)
     from siskinmount import __main__
 
     __main__.main()
--- a/tools/binary/tests/test_binary.py
+++ b/tools/binary/tests/test_binary.py
@@ -32,13 +32,13 @@
         cls.directory.cleanup()
         super().tearDownClass()
 
-    def _run(self, *words):
+    def _run(self, *words, **variables):
         # No variable of the tests' own environment helps the binary.
         return subprocess.run(
             [self.binary, *words],
             capture_output=True,
             text=True,
-            env={},
+            env=variables,
             cwd='/',
             timeout=_WAIT_S,
         )
@@ -57,6 +57,12 @@
             self.assertEqual(3, done.returncode, done.stderr)
             self.assertIn('"code":5002', done.stderr)
 
+    def test_without_a_memory_file_system(self):
+        done = self._run('--help', SISKINMOUNT_MEMORY_DIR='/nonexistent')
+        self.assertEqual((70, ''), (done.returncode, done.stdout))
+        self.assertIn('set SISKINMOUNT_MEMORY_DIR', done.stderr)
+        self.assertEqual(1, done.stderr.count('\n'))
+
     def test_check(self):
         for name in ('swapnest.ini', 'roadhaven.ini'):
             done = self._run('check', str(_EXAMPLES / name))
