Tell copies of a request that wait at an upstream of its death

Cause: the log brings the evidence to other entries a little after the death, and a copy that waited at the same upstream was refused without a word of it. The sidecar now remembers the death for a minute and gives it as evidence with the refusal. Plain services are left out: their calls are small and alike, and refusing them after a crash would do more harm.

--- a/siskinmount/entry/_answer_run.py
+++ b/siskinmount/entry/_answer_run.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from siskinmount import configuration
 from siskinmount import membership
 from siskinmount import relay
 from siskinmount import results
@@ -180,7 +181,10 @@
         access = self._access
         if access.is_convicted(request.fingerprint):
             return self._final(_convicted())
-        self._solo = access.is_suspect(request.fingerprint)
+        # A plain service runs many small calls at once; waiting until none is
+        # there would stop all of them.
+        is_model = request.service.kind is configuration.ServiceKind.MODEL
+        self._solo = is_model and access.is_suspect(request.fingerprint)
         # Copies of a suspect meet at one upstream, whichever entry sends them,
         # so that the first to run alone there decides about all.
         affinity_key = (
--- a/siskinmount/sidecar/_batch_item.py
+++ b/siskinmount/sidecar/_batch_item.py
@@ -182,6 +182,7 @@
         idempotent=pulled.idempotent,
         fingerprint=pulled.fingerprint,
         body=body,
+        solo=pulled.solo,
     )
 
 
@@ -219,7 +220,7 @@
     reason: str = '',
     wasted_tokens: int = 0,
 ) -> batch.ItemReport:
-    return batch.ItemReport(
+    report = batch.ItemReport(
         item.key.job,
         item.key.index,
         item.lease,
@@ -229,6 +230,12 @@
         reason=reason,
         wasted_tokens=wasted_tokens,
     )
+    last = item.running.last_frame if item.running is not None else None
+    if isinstance(last, relay.FailureFrame) and last.upstream_generation:
+        report.fingerprint = item.fingerprint
+        report.upstream_generation = last.upstream_generation
+        report.was_alone = last.was_alone
+    return report
 
 
 def _create_yield_report(item: BatchItem, reason: str) -> batch.ItemReport:
--- a/siskinmount/sidecar/_gate.py
+++ b/siskinmount/sidecar/_gate.py
@@ -235,6 +235,9 @@
         )
         self._waiting.remove(ticket)
         self._running.append(ticket)
+        if len(self._running) > 1:
+            for running in self._running:
+                running.was_alone = False
         ticket.state = _gate_load.TicketState.RUNNING
         ticket.started_at_s = trio.current_time()
         ticket.decided.set()
--- a/siskinmount/sidecar/_gate_load.py
+++ b/siskinmount/sidecar/_gate_load.py
@@ -42,6 +42,7 @@
         started_at_s: Monotonic time of its admission.
         refusal: Why it was not admitted.
         decided: Set once it is admitted or refused.
+        was_alone: Whether it has been alone at the upstream all the time.
     """
 
     __slots__ = (
@@ -57,6 +58,7 @@
         'started_at_s',
         'refusal',
         'decided',
+        'was_alone',
     )
 
     def __init__(
@@ -78,6 +80,7 @@
         self.bound_here = bound_here
         self.preempt = preempt
         self.emitted_tokens = 0
+        self.was_alone = True
         self.state = TicketState.WAITING
         self.started_at_s = math.inf
         self.refusal: results.Failure | None = None
--- a/siskinmount/sidecar/_request_runner.py
+++ b/siskinmount/sidecar/_request_runner.py
@@ -7,6 +7,7 @@
 
 from siskinmount import relay
 from siskinmount import results
+from siskinmount.sidecar import _death_memory
 from siskinmount.sidecar import _gate
 from siskinmount.sidecar import _gate_load
 from siskinmount.sidecar import _request_registry
@@ -27,6 +28,12 @@
     results.ResultCode.UPSTREAM_SILENT,
 )
 
+#: Failures that are evidence of the end of the upstream's process.
+_DEATH_CODES = (
+    results.ResultCode.UPSTREAM_LOST,
+    results.ResultCode.REQUEST_SUSPECT,
+)
+
 
 class RequestRunner:
     """Takes requests through the gate and to the upstream.
@@ -43,6 +50,7 @@
         '_model_upstream',
         '_plain_upstream',
         '_note_gap',
+        '_deaths',
     )
 
     def __init__(
@@ -62,6 +70,7 @@
         self._model_upstream = model_upstream
         self._plain_upstream = plain_upstream
         self._note_gap = note_gap
+        self._deaths = _death_memory.DeathMemory()
 
     async def run(self, running: _running_request.RunningRequest) -> None:
         """Runs a request to its last frame."""
@@ -86,9 +95,14 @@
                 _describe_run_state(running),
             )
         if not running.ended:
-            running.append(
-                _describe_end(running, failure or _describe_stop(running))
-            )
+            frame = _describe_end(running, failure or _describe_stop(running))
+            if frame.failure.code is results.ResultCode.UPSTREAM_LOST:
+                self._deaths.note(
+                    running.request.fingerprint,
+                    frame.upstream_generation,
+                    frame.was_alone,
+                )
+            running.append(frame)
         self._registry.settle(running)
 
     async def _run_through_gate(
@@ -106,8 +120,15 @@
                 )
             if isinstance(running.request.body, _run_request.PlainBody):
                 return await self._run_plain(running, running.request.body)
+            death = self._deaths.find(running.request.fingerprint)
+            if death is not None:
+                running.upstream_generation = death.generation
+                running.was_alone = death.was_alone
+                return _suspect()
             return await self._run_model(running, running.request.body, ticket)
         finally:
+            if running.sent_to_upstream:
+                running.was_alone = ticket.was_alone
             await self._stop_at_upstream(running)
             self._gate.release(ticket)
 
@@ -333,11 +354,20 @@
     running: _running_request.RunningRequest, failure: results.Failure
 ) -> relay.FailureFrame:
     """Returns the last frame of a request that has failed."""
-    if failure.code is results.ResultCode.UPSTREAM_LOST:
-        return relay.FailureFrame(failure, running.upstream_generation)
+    if failure.code in _DEATH_CODES:
+        return relay.FailureFrame(
+            failure, running.upstream_generation, running.was_alone
+        )
     return relay.FailureFrame(failure)
 
 
+def _suspect() -> results.Failure:
+    return results.Failure(
+        results.ResultCode.REQUEST_SUSPECT,
+        'a process of the upstream here has ended with this request',
+    )
+
+
 def _describe_run_state(
     running: _running_request.RunningRequest,
 ) -> results.RunState:
--- a/siskinmount/sidecar/_run_handler.py
+++ b/siskinmount/sidecar/_run_handler.py
@@ -188,7 +188,12 @@
             failure is not None
             and failure.run_state is results.RunState.NOT_RUN
         ):
-            await self._refuse(exchange, failure)
+            await self._refuse_with(
+                exchange,
+                relay.FailureFrame(
+                    failure, running.upstream_generation, running.was_alone
+                ),
+            )
             return
         from_token = _find_from_token(exchange.head, running)
         await exchange.start_stream(200, self._answer_headers())
@@ -218,6 +223,13 @@
         self, exchange: transport.ServerExchange, failure: results.Failure
     ) -> None:
         """Answers a request that is not run."""
+        await self._refuse_with(exchange, relay.FailureFrame(failure))
+
+    async def _refuse_with(
+        self, exchange: transport.ServerExchange, frame: relay.FailureFrame
+    ) -> None:
+        """Answers a request that is not run, with evidence of a death."""
+        failure = frame.failure
         status = 503
         if failure.code in (
             results.ResultCode.NO_SUCH_REQUEST,
@@ -231,15 +243,7 @@
             status = 400
         await exchange.send_json(
             status,
-            {
-                'error': {
-                    'code': int(failure.code),
-                    'name': failure.code.name,
-                    'reason': failure.reason,
-                    'run_state': failure.run_state.value,
-                    'retry_after_ms': failure.retry_after_ms,
-                }
-            },
+            {'error': relay.encode_failure(frame)},
             self._answer_headers(),
         )
 
--- a/siskinmount/sidecar/_running_request.py
+++ b/siskinmount/sidecar/_running_request.py
@@ -46,6 +46,7 @@
             longer runs the request.
         upstream_generation: Number of the upstream's process that it was sent
             to; 0 before.
+        was_alone: Whether no other request ran at that process meanwhile.
         ended: Whether the last frame is there.
         ended_at_s: Monotonic time of the end.
         reader_count: Readers attached now.
@@ -62,6 +63,7 @@
         'sent_to_upstream',
         'stopped_at_upstream',
         'upstream_generation',
+        'was_alone',
         'ended',
         'ended_at_s',
         'reader_count',
@@ -79,6 +81,7 @@
         self.sent_to_upstream = False
         self.stopped_at_upstream = False
         self.upstream_generation = 0
+        self.was_alone = False
         self.ended = False
         self.ended_at_s = math.inf
         self.reader_count = 0
--- /dev/null
+++ b/siskinmount/sidecar/tests/test_death_memory.py
@@ -0,0 +1,35 @@
+"""Tests of the memory of deaths."""
+
+import testtools
+import trio
+import trio.testing
+
+from siskinmount.sidecar import _death_memory
+
+
+class DeathMemoryTest(testtools.TestCase):
+
+    def test_remembers_the_newest_for_a_while(self):
+        async def main():
+            memory = _death_memory.DeathMemory()
+            memory.note('f', 1, False)
+            memory.note('f', 2, True)
+            memory.note('', 3, True)
+            death = memory.find('f')
+            self.assertEqual((2, True), (death.generation, death.was_alone))
+            self.assertIsNone(memory.find(''))
+            self.assertIsNone(memory.find('g'))
+            await trio.sleep(_death_memory.REMEMBER_S + 1)
+            self.assertIsNone(memory.find('f'))
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_is_bounded(self):
+        async def main():
+            memory = _death_memory.DeathMemory()
+            for number in range(_death_memory.MAX_REMEMBERED + 1):
+                memory.note(f'f{number}', 1, False)
+            self.assertIsNone(memory.find('f0'))
+            self.assertIsNotNone(memory.find('f1'))
+
+        trio.run(main)
