Give up waiting copies of a request as soon as it is convicted

Cause: copies of a suspect were spread by load over several upstreams, and one that waited alone at a gate still ran after its entry knew better. Suspects now go to the first live upstream in their fingerprint's order, whatever its load, and a run that waits is cancelled when the evidence arrives. The test of a waiting copy fails without it (it would wait for ever).

--- a/siskinmount/entry/_answer_run.py
+++ b/siskinmount/entry/_answer_run.py
@@ -1,6 +1,10 @@
 """Obtains one whole answer, over as many upstreams as that takes."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
+import functools
 import logging
+from typing import TypeVar
 
 import trio
 
@@ -22,6 +26,8 @@
 REATTACH_PAUSE_S = 0.05
 MAX_ERROR_BYTES = 64 * 1024
 
+_Result = TypeVar('_Result')
+
 
 class AnswerRun:
     """Reads one answer's frames and moves between upstreams when one is lost.
@@ -99,7 +105,7 @@
                 failure = await self._open()
                 if failure is not None:
                     return failure
-            frames = await self._read()
+            frames = await self._unless_convicted(self._read)
             if isinstance(frames, results.Failure):
                 failure = await self._leave_upstream(frames)
                 if failure is not None:
@@ -128,7 +134,9 @@
                 failure = self._choose_upstream()
                 if failure is not None:
                     return failure
-            failure = await self._send(attach_only=False)
+            failure = await self._unless_convicted(
+                functools.partial(self._send, attach_only=False)
+            )
             if failure is None:
                 return None
             failure = await self._leave_upstream(failure)
@@ -185,17 +193,7 @@
         # there would stop all of them.
         is_model = request.service.kind is configuration.ServiceKind.MODEL
         self._solo = is_model and access.is_suspect(request.fingerprint)
-        # Copies of a suspect meet at one upstream, whichever entry sends them,
-        # so that the first to run alone there decides about all.
-        affinity_key = (
-            request.fingerprint if self._solo else request.affinity_key
-        )
-        choice = access.router.choose(
-            request.service.name,
-            affinity_key,
-            self._excluded_vms,
-            request.request_class,
-        )
+        choice = self._choose()
         if isinstance(choice, results.Failure):
             return self._final(self._last_refusal or choice)
         self._choice = choice
@@ -205,6 +203,62 @@
         self.attempt += 1
         return None
 
+    def _choose(self) -> routing.Choice | results.Failure:
+        """Returns the upstream for the next attempt.
+
+        Copies of a suspect meet at one upstream, whichever entry sends them,
+        so that the first to run alone there decides about all.
+        """
+        request = self._request
+        router = self._access.router
+        if self._solo:
+            return router.choose_exactly(
+                request.service.name, request.fingerprint, self._excluded_vms
+            )
+        return router.choose(
+            request.service.name,
+            request.affinity_key,
+            self._excluded_vms,
+            request.request_class,
+        )
+
+    async def _unless_convicted(
+        self, operation: Callable[[], Awaitable[_Result]]
+    ) -> _Result | results.Failure:
+        """Runs an operation, given up when a suspect is convicted meanwhile.
+
+        A suspect can wait long until it may run alone, and a copy of it may
+        have run elsewhere.
+        """
+        if not self._solo or self.token_texts:
+            return await operation()
+        outcome: _Result | results.Failure = _convicted()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                self._cancel_when_convicted, nursery.cancel_scope
+            )
+            outcome = await operation()
+            nursery.cancel_scope.cancel()
+        if isinstance(outcome, results.Failure):
+            if outcome.code is results.ResultCode.REQUEST_CONVICTED:
+                await self._cancel_at_sidecar()
+        return outcome
+
+    async def _cancel_when_convicted(self, scope: trio.CancelScope) -> None:
+        """Cancels a scope once the request has been convicted."""
+        await self._access.wait_convicted(self._request.fingerprint)
+        scope.cancel()
+
+    async def _cancel_at_sidecar(
+        self,
+    ) -> transport.ClientExchange | results.Failure:
+        """Tells the sidecar that the request must not run or go on."""
+        return await self._access.find_client(self._find_member()).send(
+            transport.ClientRequest(
+                'POST', f'/cancel/{self._request.request_id}'
+            )
+        )
+
     async def _send(self, attach_only: bool) -> results.Failure | None:
         """Posts the run to the chosen sidecar."""
         member = self._find_member()
@@ -327,6 +381,8 @@
         if self._exchange is not None:
             self._exchange.close()
             self._exchange = None
+        if failure.code is results.ResultCode.REQUEST_CONVICTED:
+            return self._final(failure)
         failure_frame = self._failure_frame
         self._failure_frame = None
         if failure_frame is None and await self._reattach(failure):
@@ -390,11 +446,7 @@
         if self._request.idempotent or not unknown:
             return False
         member = self._find_member()
-        exchange = await self._access.find_client(member).send(
-            transport.ClientRequest(
-                'POST', f'/cancel/{self._request.request_id}'
-            )
-        )
+        exchange = await self._cancel_at_sidecar()
         if isinstance(exchange, results.Failure):
             return False
         incarnation = exchange.find_header(relay.RelayHeader.INCARNATION)
@@ -414,8 +466,6 @@
         self._refusals += 1
         self._last_refusal = failure
         self.attempt -= 1
-        if failure.code is results.ResultCode.REQUEST_CONVICTED:
-            return self._final(failure)
         if self._refusals >= MAX_REFUSALS:
             return self._final(failure)
         return None
--- a/siskinmount/entry/tests/scripted_sidecar.py
+++ b/siskinmount/entry/tests/scripted_sidecar.py
@@ -27,6 +27,7 @@
     """
 
     CUT = object()
+    WAIT = object()
 
     def __init__(self, vm, *scripts):
         self.vm = vm
@@ -73,6 +74,8 @@
             return
         await exchange.start_stream(200, self._headers())
         for frame in script:
+            if frame is self.WAIT:
+                await trio.sleep_forever()
             if frame is self.CUT:
                 raise trio.BrokenResourceError
             await exchange.send_chunk(relay.encode_frame(frame))
@@ -118,7 +121,7 @@
     convictions = state.create_conviction_stream(
         platform.create_log_client(transport.Address('127.0.0.1', 1))
     )
-    return _upstream_access.UpstreamAccess(
+    return _TestAccess(
         routing.create_router(table),
         routing.create_retry_budgets(),
         convictions,
@@ -126,6 +129,13 @@
     )
 
 
+class _TestAccess(_upstream_access.UpstreamAccess):
+    """Lets a test add evidence as the log would bring it."""
+
+    def note_test_death(self, vm, alone):
+        self._convictions.record_death('f', vm, 1, alone=alone)
+
+
 class PromptModel:
     """Stands for a parsed model request."""
 
--- a/siskinmount/entry/tests/test_answer_run.py
+++ b/siskinmount/entry/tests/test_answer_run.py
@@ -38,7 +38,7 @@
 
 class AnswerRunTest(testtools.TestCase):
 
-    def run_request(self, sidecars, check=None, **request_fields):
+    def run_request(self, sidecars, deaths_meanwhile=0, **request_fields):
         """Returns the token texts, the failure and the access used."""
         outcome = {}
 
@@ -58,6 +58,9 @@
                     access,
                     scripted_sidecar.create_run_request(**request_fields),
                 )
+                if deaths_meanwhile:
+                    access.note_test_death('x', alone=False)
+                    nursery.start_soon(self._add_deaths, access)
                 with trio.fail_after(20):
                     outcome['frames'], outcome['failure'] = await self._drain(
                         run
@@ -70,6 +73,10 @@
         trio.run(main)
         return outcome
 
+    async def _add_deaths(self, access):
+        await trio.sleep(0.2)
+        access.note_test_death('y', alone=True)
+
     async def _drain(self, run):
         received = []
         while True:
@@ -184,6 +191,16 @@
         )
         self.assertEqual(1, len(shared))
 
+    def test_waiting_copy_is_given_up_when_a_copy_elsewhere_is_convicted(self):
+        """The copy waits at a gate while two upstreams die elsewhere."""
+        sidecar = scripted_sidecar.ScriptedSidecar('a')
+        sidecar.scripts = [[scripted_sidecar.ScriptedSidecar.WAIT]]
+        outcome = self.run_request([sidecar], deaths_meanwhile=2)
+        self.assertEqual(
+            results.ResultCode.REQUEST_CONVICTED, outcome['failure'].code
+        )
+        self.assertEqual(['r1'], sidecar.cancels)
+
     def test_reattach_joins_the_run_and_skips_what_the_caller_has(self):
         sidecars = [
             scripted_sidecar.ScriptedSidecar('a'),
--- a/siskinmount/routing/_router.py
+++ b/siskinmount/routing/_router.py
@@ -92,11 +92,7 @@
         if not candidates and is_online:
             candidates = _list_last_resort(sidecars)
         if not candidates:
-            return results.Failure(
-                results.ResultCode.NO_UPSTREAM,
-                f'no upstream of {service} can take the request',
-                retry_after_ms=NO_UPSTREAM_RETRY_AFTER_MS,
-            )
+            return _no_upstream(service)
         if affinity_key is None:
             return self._begin(self._choose_of_two(candidates), False)
         return self._choose_by_affinity(affinity_key, candidates)
@@ -114,6 +110,20 @@
         ranked = membership.rank_by_rendezvous(affinity_key or '', by_vm)
         return [by_vm[vm] for vm in ranked]
 
+    def choose_exactly(
+        self, service: str, key: str, excluded_vms: Collection[str] = _NOTHING
+    ) -> _choice.Choice | results.Failure:
+        """Chooses the first live upstream in a key's order, however loaded.
+
+        All entries choose the same one while they know the same members.
+        """
+        for sidecar in self.list_in_order(service, key):
+            if sidecar.vm in excluded_vms:
+                continue
+            if sidecar.state is membership.MemberState.LIVE:
+                return self._begin(sidecar, True)
+        return _no_upstream(service)
+
     def choose_member(self, member: membership.Member) -> _choice.Choice:
         """Counts an attempt at a sidecar that the caller has chosen."""
         return self._begin(member, False)
@@ -286,6 +296,14 @@
     return remaining
 
 
+def _no_upstream(service: str) -> results.Failure:
+    return results.Failure(
+        results.ResultCode.NO_UPSTREAM,
+        f'no upstream of {service} can take the request',
+        retry_after_ms=NO_UPSTREAM_RETRY_AFTER_MS,
+    )
+
+
 def create_router(
     table: membership.MemberTable,
     failure_domain: str = '',
--- a/siskinmount/state/_conviction_stream.py
+++ b/siskinmount/state/_conviction_stream.py
@@ -37,6 +37,7 @@
         '_deaths',
         '_own_deaths',
         '_own_added',
+        '_changed',
     )
 
     def __init__(
@@ -54,6 +55,7 @@
         ] = {}
         self._own_deaths: list[records_pb2.UpstreamDeath] = []
         self._own_added = trio.Event()
+        self._changed = trio.Event()
 
     @property
     def read_offset(self) -> int:
@@ -97,6 +99,11 @@
             death.alone for death in deaths
         )
 
+    async def wait_convicted(self, fingerprint: str) -> None:
+        """Returns once a request must not be sent again."""
+        while not self.is_convicted(fingerprint):
+            await self._changed.wait()
+
     async def run(self) -> None:
         """Follows the stream and appends own evidence, for ever."""
         async with trio.open_nursery() as nursery:
@@ -125,6 +132,8 @@
         known = deaths.setdefault((death.vm, death.incarnation), death)
         if death.alone:
             known.alone = True
+        changed, self._changed = self._changed, trio.Event()
+        changed.set()
 
     async def _append_own(self) -> None:
         """Appends own evidence in order, however long the log is down."""
