Discard what a stand-in sends on a silent connection

Cause: each request spoilt silently slept for ever and kept its socket, also after the client had gone, and a handler that was cut in mid answer never came to its end.

--- a/standins/faults.py
+++ b/standins/faults.py
@@ -122,11 +122,20 @@
 class FaultableExchange:
     """A server exchange whose answer may be spoilt by the faults in force.
 
+    What is sent on a silent connection is discarded: to the handler it looks
+    sent, and the client sees nothing.
+
     Attributes:
         head: The request's line and headers.
     """
 
-    __slots__ = ('head', '_exchange', '_faults', '_first_cut_count')
+    __slots__ = (
+        'head',
+        '_exchange',
+        '_faults',
+        '_first_cut_count',
+        '_answer_lost',
+    )
 
     def __init__(
         self,
@@ -138,6 +147,20 @@
         self._exchange = exchange
         self._faults = faults
         self._first_cut_count = first_cut_count
+        self._answer_lost = False
+
+    def is_silent(self) -> bool:
+        """Tells whether nothing reaches the client any more."""
+        return self._answer_lost or self.is_cut()
+
+    async def wait_out_silence(self) -> None:
+        """Keeps a silent connection open until the client gives it up.
+
+        Raises:
+            trio.BrokenResourceError: Then, to make the server close it.
+        """
+        await self._exchange.wait_disconnected()
+        raise trio.BrokenResourceError('the connection was silent')
 
     def is_cut(self) -> bool:
         """Tells whether the connection has gone silent for good."""
@@ -158,15 +181,15 @@
         self, status: int, headers: transport.Headers, body: bytes
     ) -> None:
         """Sends a response with a known length."""
-        await self._pass_head()
-        await self._exchange.send_whole(status, headers, body)
+        if await self._may_begin():
+            await self._exchange.send_whole(status, headers, body)
 
     async def send_json(
         self, status: int, document: object, headers: transport.Headers = ()
     ) -> None:
         """Sends a JSON response."""
-        await self._pass_head()
-        await self._exchange.send_json(status, document, headers)
+        if await self._may_begin():
+            await self._exchange.send_json(status, document, headers)
 
     async def refuse(self, status: int, failure: results.Failure) -> None:
         """Answers that a request cannot be served."""
@@ -176,18 +199,18 @@
         self, status: int, headers: transport.Headers
     ) -> None:
         """Sends the head of a response whose length is not known."""
-        await self._pass_head()
-        await self._exchange.start_stream(status, headers)
+        if await self._may_begin():
+            await self._exchange.start_stream(status, headers)
 
     async def send_chunk(self, chunk: bytes) -> None:
         """Sends a part of the response's body."""
-        await self._pass()
-        await self._exchange.send_chunk(chunk)
+        if await self._may_send():
+            await self._exchange.send_chunk(chunk)
 
     async def finish(self) -> None:
         """Ends a response that `start_stream` began."""
-        await self._pass()
-        await self._exchange.finish()
+        if await self._may_send():
+            await self._exchange.finish()
 
     async def wait_disconnected(self) -> None:
         """Returns when the client has gone; never on a cut connection."""
@@ -195,18 +218,26 @@
         if self.is_cut():
             await trio.sleep_forever()
 
-    async def _pass_head(self) -> None:
-        """Waits until the response may start, if it may."""
-        await self._pass()
+    async def _may_begin(self) -> bool:
+        """Waits until the response may start; tells whether it is sent.
+
+        Raises:
+            trio.BrokenResourceError: The connection is to be closed instead.
+        """
+        if not await self._may_send():
+            return False
         mode = self._faults.take_lost_answer(self.head.method)
-        if mode is not None:
-            await _spoil(mode)
+        if mode is None:
+            return True
+        if mode is not FaultMode.SILENT:
+            raise trio.BrokenResourceError('the answer is lost on purpose')
+        self._answer_lost = True
+        return False
 
-    async def _pass(self) -> None:
-        """Waits until something may be sent; for ever after a silent cut."""
+    async def _may_send(self) -> bool:
+        """Waits until the stand-in is not frozen; tells whether to send."""
         await self._faults.wait_unfrozen()
-        if self.is_cut():
-            await trio.sleep_forever()
+        return not self.is_silent()
 
 
 StandinHandler = Callable[[FaultableExchange], Awaitable[None]]
@@ -256,30 +287,23 @@
         _first_cut_count.set(first_cut_count)
     faultable = FaultableExchange(exchange, faults, first_cut_count)
     if faultable.is_cut():
-        await trio.sleep_forever()
+        await faultable.wait_out_silence()
     await faults.wait_unfrozen()
     await faults.wait_slowness()
     outage = faults.find_outage()
-    if outage is FaultMode.REFUSE:
-        retry_after = str(OUTAGE_RETRY_AFTER_S).encode('ascii')
-        await exchange.send_json(
-            503, {'error': 'outage'}, [(b'retry-after', retry_after)]
-        )
+    if outage is None:
+        await handler(faultable)
+        if faultable.is_silent():
+            await faultable.wait_out_silence()
         return
-    if outage is not None:
-        await _spoil(outage)
-    await handler(faultable)
-
-
-async def _spoil(mode: FaultMode) -> None:
-    """Ends a request without an answer.
-
-    Raises:
-        trio.BrokenResourceError: To make the server close the connection.
-    """
-    if mode is FaultMode.SILENT:
-        await trio.sleep_forever()
-    raise trio.BrokenResourceError('the answer is lost on purpose')
+    if outage is FaultMode.SILENT:
+        await faultable.wait_out_silence()
+    if outage is FaultMode.CLOSE:
+        raise trio.BrokenResourceError('closed on purpose')
+    retry_after = str(OUTAGE_RETRY_AFTER_S).encode('ascii')
+    await exchange.send_json(
+        503, {'error': 'outage'}, [(b'retry-after', retry_after)]
+    )
 
 
 async def _handle_fault_control(
--- a/standins/tests/test_platform.py
+++ b/standins/tests/test_platform.py
@@ -151,8 +151,11 @@
             impatient = http_harness.Caller(
                 caller.address, transport.ClientLimits(silence_timeout_ms=50)
             )
-            answer = await impatient.call('GET', '/streams/s')
-            self.assertEqual(results.ResultCode.UPSTREAM_SILENT, answer.code)
+            for _ in range(3):
+                answer = await impatient.call('GET', '/streams/s')
+                self.assertEqual(
+                    results.ResultCode.UPSTREAM_SILENT, answer.code
+                )
 
         self.run_log(check)
 
