Go on with the experiment when one arm fails, and name it

Cause: a port taken by another process ended a whole run of many minutes. The failed arm and its reason now stand in the output and the results file, and the exit status is 1.

--- a/tools/bench/__init__.py
+++ b/tools/bench/__init__.py
@@ -8,6 +8,8 @@
 from tools.bench._deployment import Deployment
 from tools.bench._deployment import open_deployment
 from tools.bench._engine_feeder import EngineFeeder
+from tools.bench._experiment import Experiment
+from tools.bench._experiment import run_experiment
 from tools.bench._job_source import JobError
 from tools.bench._job_source import JobSource
 from tools.bench._plan import BatchSourceKind
--- a/tools/bench/__main__.py
+++ b/tools/bench/__main__.py
@@ -1,14 +1,9 @@
 """Runs the experiment: all arms take turns in several rounds."""
 
-from collections.abc import AsyncIterator
 import pathlib
-import random
-import signal
-import time
 
 from absl import app
 from absl import flags
-import trio
 
 from tools import bench
 from tools.bench import _plot
@@ -47,67 +42,19 @@
 QUICK_WARM_UP_S = 1.0
 
 
-async def run_experiment(
-    setting: bench.BenchSetting, plan: bench.BenchPlan, arms: list[bench.Arm]
-) -> list[bench.ArmResult]:
-    """Runs every arm once in each round, in an order drawn for the round."""
-    source = random.Random(plan.seed)
-    found: list[bench.ArmResult] = []
-    for round_number in range(plan.rounds):
-        for arm in source.sample(arms, len(arms)):
-            began_s = time.monotonic()
-            result = await bench.run_arm(setting, plan, arm, round_number)
-            found.append(result)
-            print(
-                f'{setting.name} round {round_number} {arm.value}:'
-                f' {time.monotonic() - began_s:.1f} s,'
-                f' {sum(result.online.outcomes.values())} online requests,'
-                f' {result.batch.done_items} batch items',
-                flush=True,
-            )
-    return found
-
-
-async def _run_until_signal(
-    setting: bench.BenchSetting,
-    plan: bench.BenchPlan,
-    arms: list[bench.Arm],
-) -> list[bench.ArmResult]:
-    """Runs the experiment; a signal to stop ends its processes first."""
-    finished = False
-    results: list[bench.ArmResult] = []
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(_cancel_at_signal, signals, nursery.cancel_scope)
-            results = await run_experiment(setting, plan, arms)
-            finished = True
-            nursery.cancel_scope.cancel()
-    if not finished:
-        raise SystemExit('stopped by a signal')
-    return results
-
-
-async def _cancel_at_signal(
-    signals: AsyncIterator[int], scope: trio.CancelScope
-) -> None:
-    """Cancels a scope at the first signal."""
-    await anext(signals)
-    scope.cancel()
-
-
 def run_setting(
     setting: bench.BenchSetting, plan: bench.BenchPlan, arms: list[bench.Arm]
 ) -> bool:
-    """Runs one setting and writes its results; tells if answers were right."""
-    results = trio.run(_run_until_signal, setting, plan, arms)
-    summaries = bench.summarize(setting, results)
+    """Runs one setting and writes its results; tells if all went well."""
+    experiment = bench.run_experiment(setting, plan, arms)
+    summaries = bench.summarize(setting, experiment.results)
     out_dir = pathlib.Path(_OUT_DIR.value)
     path = out_dir / f'{setting.name}.json'
     print('\n'.join(bench.format_summaries(summaries)))
     if _COMPARE_WITH.value:
         earlier = pathlib.Path(_COMPARE_WITH.value) / path.name
         print('\n'.join(bench.compare_with_earlier(earlier, summaries)))
-    bench.write_results(path, setting, plan, results, summaries)
+    bench.write_results(path, setting, plan, experiment, summaries)
     _plot.draw_summaries(path.with_suffix('.png'), setting, summaries)
     print(f'results: {path}')
     wrong = [
@@ -117,11 +64,19 @@
     ]
     if wrong:
         print(f'wrong answers in: {", ".join(wrong)}')
-    return not wrong
+    for failure in experiment.failures:
+        print(f'not run: {failure}')
+    if not experiment.finished:
+        raise SystemExit('stopped by a signal')
+    return not wrong and not experiment.failures
 
 
 def main(unused_argv: list[str]) -> int:
-    """Runs the chosen settings; the exit status is 1 after wrong answers."""
+    """Runs the chosen settings.
+
+    Returns:
+        The exit status: 1 after wrong answers or arms that failed.
+    """
     names = list(bench.SETTINGS)
     if _SETTING.value != 'all':
         names = [_SETTING.value]
--- a/tools/bench/_results_file.py
+++ b/tools/bench/_results_file.py
@@ -4,7 +4,7 @@
 
 import orjson
 
-from tools.bench import _arm_run
+from tools.bench import _experiment
 from tools.bench import _plan
 from tools.bench import _settings
 from tools.bench import _summary
@@ -16,7 +16,7 @@
     path: pathlib.Path,
     setting: _settings.BenchSetting,
     plan: _plan.BenchPlan,
-    results: list[_arm_run.ArmResult],
+    experiment: _experiment.Experiment,
     summaries: list[_summary.ArmSummary],
 ) -> None:
     """Writes all results as JSON."""
@@ -32,7 +32,8 @@
             'fault': plan.fault.value,
         },
         'summaries': [summary.to_json() for summary in summaries],
-        'runs': [result.to_json() for result in results],
+        'runs': [result.to_json() for result in experiment.results],
+        'failures': experiment.failures,
     }
     path.parent.mkdir(parents=True, exist_ok=True)
     path.write_bytes(orjson.dumps(document, option=orjson.OPT_INDENT_2))
--- a/tools/bench/tests/test_arm_run.py
+++ b/tools/bench/tests/test_arm_run.py
@@ -33,3 +33,16 @@
         self.assertEqual(0, result.batch.wrong_items)
         self.assertGreater(result.generated_tokens, 0)
         self.assertEqual(6, len(result.cpu_cores))
+
+    def test_failed_arm_is_noted_and_others_go_on(self):
+        plan = bench.BenchPlan(rounds=2, warm_up_s=0.0, measured_s=0.1, seed=3)
+        setting = bench.SETTINGS['swapnest']()
+        # Engines that don't start.
+        setting.engine_settings.crash_marker = '\0'
+        experiment = bench.run_experiment(
+            setting, plan, [bench.Arm.ONLINE_ALONE]
+        )
+        self.assertTrue(experiment.finished)
+        self.assertEqual([], experiment.results)
+        self.assertEqual(2, len(experiment.failures))
+        self.assertIn('swapnest round 0', experiment.failures[0])
--- a/tools/bench/tests/test_bench.py
+++ b/tools/bench/tests/test_bench.py
@@ -134,7 +134,9 @@
         plan = bench.BenchPlan(rounds=1, warm_up_s=0.0, measured_s=10.0, seed=1)
         with tempfile.TemporaryDirectory() as directory:
             path = pathlib.Path(directory) / 'sub' / 'roadhaven.json'
-            bench.write_results(path, _SETTING, plan, arm_results, summaries)
+            experiment = bench.Experiment()
+            experiment.results = arm_results
+            bench.write_results(path, _SETTING, plan, experiment, summaries)
             lines = bench.compare_with_earlier(path, summaries)
             document = orjson.loads(path.read_bytes())
         self.assertIn('  first_token p99 ratio: 1.500 -> 1.500', lines)
