Run an arm again when the machine made the load generator late

Cause: in a trial on a busy machine online alone itself went from a p50 to first token of 44 ms to 234 ms between rounds, with sends up to 144 ms late at p99; ratios over such rounds mean nothing. Ruled out: dropping disturbed rounds silently.

--- a/tools/bench/__main__.py
+++ b/tools/bench/__main__.py
@@ -31,6 +31,9 @@
     bench.FaultKind,
     'What goes wrong in the middle of every arm.',
 )
+_MAX_SEND_LAG_MS = flags.DEFINE_float(
+    'max_send_lag_ms', 20.0, 'An arm is run again if sending lags more at p99.'
+)
 _OUT_DIR = flags.DEFINE_string('out_dir', 'out/bench', 'Where results go.')
 _COMPARE_WITH = flags.DEFINE_string(
     'compare_with', '', 'Directory with the results of an earlier run.'
@@ -64,6 +67,7 @@
     ]
     if wrong:
         print(f'wrong answers in: {", ".join(wrong)}')
+    print(f'runs repeated because of send lag: {len(experiment.disturbed)}')
     for failure in experiment.failures:
         print(f'not run: {failure}')
     if not experiment.finished:
@@ -89,6 +93,7 @@
         seed=_SEED.value,
         batch_source=_BATCH_SOURCE.value,
         fault=_FAULT.value,
+        max_send_lag_ms=_MAX_SEND_LAG_MS.value,
     )
     arms = [bench.Arm(name) for name in _ARMS.value]
     all_right = True
--- a/tools/bench/_experiment.py
+++ b/tools/bench/_experiment.py
@@ -12,6 +12,9 @@
 from tools.bench import _settings
 
 MAX_REASON_CHARACTERS = 2000
+#: Runs of an arm in one round, while the machine disturbs them.
+MAX_RUNS_OF_TURN = 3
+SEND_LAG_PERCENTILE = 99.0
 
 
 class Experiment:
@@ -19,14 +22,17 @@
 
     Attributes:
         results: Results of the arms that ran.
+        disturbed: Results that were replaced by another run of the arm,
+            because the load generator itself fell behind.
         failures: Why the others did not, one text each.
         finished: Whether every arm had its turn in every round.
     """
 
-    __slots__ = ('results', 'failures', 'finished')
+    __slots__ = ('results', 'disturbed', 'failures', 'finished')
 
     def __init__(self) -> None:
         self.results: list[_arm_run.ArmResult] = []
+        self.disturbed: list[_arm_run.ArmResult] = []
         self.failures: list[str] = []
         self.finished = False
 
@@ -77,24 +83,42 @@
     source = random.Random(plan.seed)
     for round_number in range(plan.rounds):
         for arm in source.sample(arms, len(arms)):
-            name = f'{setting.name} round {round_number} {arm.value}'
-            began_s = time.monotonic()
-            try:
-                result = await _arm_run.run_arm(
-                    setting, plan, arm, round_number
-                )
-            except Exception as error:
-                reason = _describe(error)[:MAX_REASON_CHARACTERS]
-                experiment.failures.append(f'{name}: {reason}')
-                print(f'{name}: FAILED: {reason}', flush=True)
-                continue
-            experiment.results.append(result)
-            print(
-                f'{name}: {time.monotonic() - began_s:.1f} s,'
-                f' {result.online.outcomes.total()} online requests,'
-                f' {result.batch.done_items} batch items',
-                flush=True,
-            )
+            await _run_turn(experiment, setting, plan, arm, round_number)
+
+
+async def _run_turn(
+    experiment: Experiment,
+    setting: _settings.BenchSetting,
+    plan: _plan.BenchPlan,
+    arm: _settings.Arm,
+    round_number: int,
+) -> None:
+    """Runs an arm, again while the load generator falls behind."""
+    name = f'{setting.name} round {round_number} {arm.value}'
+    for run_number in range(1, MAX_RUNS_OF_TURN + 1):
+        began_s = time.monotonic()
+        try:
+            result = await _arm_run.run_arm(setting, plan, arm, round_number)
+        except Exception as error:
+            reason = _describe(error)[:MAX_REASON_CHARACTERS]
+            experiment.failures.append(f'{name}: {reason}')
+            print(f'{name}: FAILED: {reason}', flush=True)
+            return
+        send_lag_ms = result.online.send_lag.find_percentile_ms(
+            SEND_LAG_PERCENTILE
+        )
+        print(
+            f'{name}: {time.monotonic() - began_s:.1f} s,'
+            f' {result.online.outcomes.total()} online requests,'
+            f' {result.batch.done_items} batch items,'
+            f' send lag p99 {send_lag_ms:.1f} ms',
+            flush=True,
+        )
+        if send_lag_ms <= plan.max_send_lag_ms:
+            break
+        if run_number < MAX_RUNS_OF_TURN:
+            experiment.disturbed.append(result)
+    experiment.results.append(result)
 
 
 def _describe(error: BaseException) -> str:
--- a/tools/bench/_plan.py
+++ b/tools/bench/_plan.py
@@ -39,6 +39,8 @@
         seed: Decides loads and the order of arms.
         batch_source: How batch items reach the sidecars.
         fault: What goes wrong in every arm.
+        max_send_lag_ms: An arm is run again if the load generator sent
+            requests later than this at p99.
     """
 
     __slots__ = (
@@ -48,6 +50,7 @@
         'seed',
         'batch_source',
         'fault',
+        'max_send_lag_ms',
     )
 
     def __init__(
@@ -59,6 +62,7 @@
         seed: int,
         batch_source: BatchSourceKind = BatchSourceKind.JOBS,
         fault: FaultKind = FaultKind.NONE,
+        max_send_lag_ms: float = 20.0,
     ) -> None:
         self.rounds = rounds
         self.warm_up_s = warm_up_s
@@ -66,3 +70,4 @@
         self.seed = seed
         self.batch_source = batch_source
         self.fault = fault
+        self.max_send_lag_ms = max_send_lag_ms
--- a/tools/bench/_results_file.py
+++ b/tools/bench/_results_file.py
@@ -30,9 +30,11 @@
             'seed': plan.seed,
             'batch_source': plan.batch_source.value,
             'fault': plan.fault.value,
+            'max_send_lag_ms': plan.max_send_lag_ms,
         },
         'summaries': [summary.to_json() for summary in summaries],
         'runs': [result.to_json() for result in experiment.results],
+        'disturbed_runs': [result.to_json() for result in experiment.disturbed],
         'failures': experiment.failures,
     }
     path.parent.mkdir(parents=True, exist_ok=True)
--- a/tools/bench/_summary.py
+++ b/tools/bench/_summary.py
@@ -44,6 +44,8 @@
             percentile.
         online_outcomes: Online requests by outcome. The latencies cover only
             answered ones, so an arm that refuses many looks fast.
+        send_lag_ms: How late the load generator sent requests at p99. Where
+            it is large, the machine was too busy for a comparison.
         answered_share: Online requests with the right answer, as a share.
         refusal_codes: Online requests without an answer, by result code.
         online_tokens_per_s: Tokens of online requests.
@@ -63,6 +65,7 @@
         'latency_ms',
         'latency_ratio',
         'online_outcomes',
+        'send_lag_ms',
         'answered_share',
         'refusal_codes',
         'online_tokens_per_s',
@@ -82,6 +85,7 @@
         self.latency_ms: dict[str, dict[str, Spread]] = {}
         self.latency_ratio: dict[str, dict[str, Spread]] = {}
         self.online_outcomes: dict[str, int] = {}
+        self.send_lag_ms: Spread | None = None
         self.answered_share: Spread | None = None
         self.refusal_codes: dict[str, int] = {}
         self.online_tokens_per_s: Spread | None = None
@@ -241,6 +245,7 @@
             total = summary.refusal_codes.get(code, 0) + count
             summary.refusal_codes[code] = total
     summary.answered_share = _spread(rounds, _answered_share)
+    summary.send_lag_ms = _find_latency(rounds, 'send_lag', 99.0)
     summary.online_tokens_per_s = _spread(rounds, _online_tokens_per_s)
     for measure in MEASURES:
         summary.latency_ms[measure] = {}
@@ -359,7 +364,8 @@
         return []
     lines = [
         f'  online: {summary.online_outcomes} {summary.refusal_codes or ""},'
-        f' answered share {summary.answered_share}'
+        f' answered share {summary.answered_share}',
+        f'  send lag of the load generator p99 {summary.send_lag_ms} ms',
     ]
     for measure in MEASURES:
         for name, latency in summary.latency_ms[measure].items():
