Bound batch prompts in computation, stop them when an online request comes

Cause: when a gap opens, batch refills all slots at once and the engine computes those prompts before that of the next online request.

Change: batch prompts in computation are bounded also without online requests, and stopped on an online arrival; a prompt's length is estimated by the ratio that answers tell; resumed prompts count as cached.

--- a/siskinmount/sidecar/_batch_item.py
+++ b/siskinmount/sidecar/_batch_item.py
@@ -136,6 +136,7 @@
             fingerprint=self.fingerprint,
             solo=self.solo,
             once=not self.idempotent,
+            prompt_cached=self.was_sent,
             bound_here=self.is_bound_here,
             may_start=self._may_start,
         )
--- a/siskinmount/sidecar/_gate.py
+++ b/siskinmount/sidecar/_gate.py
@@ -303,6 +303,7 @@
         load.batch_running = 0
         load.batch_yielding = 0
         load.batch_prefilling = 0
+        load.batch_prefilling_tokens = 0
         load.solo_running = 0
         for ticket in self._running:
             load.solo_running += ticket.solo
@@ -312,7 +313,9 @@
             load.batch_running += 1
             yielding = ticket.state is _gate_load.TicketState.YIELDING
             load.batch_yielding += yielding
-            load.batch_prefilling += ticket.is_prefilling
+            if ticket.is_prefilling:
+                load.batch_prefilling += 1
+                load.batch_prefilling_tokens += ticket.prompt_tokens
         load.online_waiting = 0
         load.solo_waiting = 0
         load.online_solo_waiting = 0
--- a/siskinmount/sidecar/_gate_load.py
+++ b/siskinmount/sidecar/_gate_load.py
@@ -104,11 +104,13 @@
         online_slots: Slots that a static split keeps for online requests, or
             None for its default.
         online_reserve_slots: Slots that batch leaves free.
-        batch_prefill_tokens: Longest batch prompt beside online requests.
+        batch_prefill_tokens: Longest batch prompt beside online requests, and
+            most tokens of batch prompts computed at once without them.
         online_running: Online requests at the upstream.
         batch_running: Batch requests at the upstream, yielding ones included.
         batch_yielding: Batch requests told to make room.
         batch_prefilling: Batch requests without a first token.
+        batch_prefilling_tokens: Tokens of their prompts.
         online_waiting: Online requests in the gate.
         solo_waiting: Solo requests in the gate, of both classes.
         online_solo_waiting: Solo online requests in the gate.
@@ -128,6 +130,7 @@
         'batch_running',
         'batch_yielding',
         'batch_prefilling',
+        'batch_prefilling_tokens',
         'online_waiting',
         'solo_waiting',
         'online_solo_waiting',
@@ -153,6 +156,7 @@
         self.batch_running = 0
         self.batch_yielding = 0
         self.batch_prefilling = 0
+        self.batch_prefilling_tokens = 0
         self.online_waiting = 0
         self.solo_waiting = 0
         self.online_solo_waiting = 0
--- a/siskinmount/sidecar/_online_first_policy.py
+++ b/siskinmount/sidecar/_online_first_policy.py
@@ -47,8 +47,8 @@
     ) -> list[_gate_load.Ticket]:
         """Returns those that lose least by being resumed later.
 
-        Prompts that would not have been admitted beside an online request are
-        stopped in any case.
+        Batch prompts that are being computed are stopped in any case: the
+        engine would compute them before the prompt of the online request.
         """
         if not ticket.online:
             return []
@@ -59,10 +59,10 @@
             load.online_running + batch + 1 - load.slots,
             batch - load.batch_slots_beside_online,
         )
-        ranked = sorted(candidates, key=lambda each: _rank(each, load))
+        ranked = sorted(candidates, key=_rank)
         chosen: list[_gate_load.Ticket] = []
         for candidate in ranked:
-            if len(chosen) >= over and not _is_long_prefill(candidate, load):
+            if len(chosen) >= over and not candidate.is_prefilling:
                 break
             chosen.append(candidate)
         return chosen
@@ -81,25 +81,21 @@
         return max(0, idle)
 
 
-def _is_long_prefill(
-    ticket: _gate_load.Ticket, load: _gate_load.GateLoad
-) -> bool:
-    """Tells whether a long prompt is being computed."""
-    is_long = ticket.prompt_tokens > load.batch_prefill_tokens
-    return is_long and ticket.is_prefilling
-
-
-def _rank(
-    ticket: _gate_load.Ticket, load: _gate_load.GateLoad
-) -> tuple[bool, int]:
+def _rank(ticket: _gate_load.Ticket) -> tuple[bool, int]:
     """Orders by what is lost when a request is stopped."""
-    return (not _is_long_prefill(ticket, load), ticket.resume_cost_tokens)
+    return (not ticket.is_prefilling, ticket.resume_cost_tokens)
 
 
 def _may_prefill(ticket: _gate_load.Ticket, load: _gate_load.GateLoad) -> bool:
-    """Tells whether a batch prompt may be computed beside running requests."""
+    """Tells whether a batch prompt may be computed now.
+
+    The engine computes prompts in order of arrival, so that those of batch
+    requests delay the first token of an online request that comes later.
+    """
     if load.online_running == 0:
-        return True
+        computed = load.batch_prefilling_tokens + ticket.prompt_tokens
+        alone = load.batch_prefilling == 0
+        return alone or computed <= load.batch_prefill_tokens
     if ticket.prompt_tokens > load.batch_prefill_tokens:
         return False
     if load.batch_prefilling:
--- /dev/null
+++ b/siskinmount/sidecar/_prompt_size.py
@@ -0,0 +1,55 @@
+"""Estimates how many tokens a prompt has, before the engine tells."""
+
+import orjson
+
+from siskinmount.sidecar import _run_request
+
+INITIAL_CHARACTERS_PER_TOKEN = 4.0
+SMOOTHING = 0.1
+MIN_CHARACTERS = 32
+CACHED_PROMPT_TOKENS = 16
+
+
+class PromptSizeEstimator:
+    """Learns the ratio of characters to tokens from answers.
+
+    Attributes:
+        characters_per_token: The ratio.
+    """
+
+    __slots__ = ('characters_per_token',)
+
+    def __init__(self) -> None:
+        self.characters_per_token = INITIAL_CHARACTERS_PER_TOKEN
+
+    def estimate(self, request: _run_request.RunRequest) -> int:
+        """Returns about how many tokens the engine must prefill."""
+        body = request.body
+        if isinstance(body, _run_request.PlainBody):
+            return 0
+        if request.prompt_cached:
+            return CACHED_PROMPT_TOKENS + len(body.resume_tokens)
+        prompt_tokens = _count_characters(body) / self.characters_per_token
+        return int(prompt_tokens) + len(body.resume_tokens)
+
+    def learn(
+        self, request: _run_request.RunRequest, prompt_tokens: int
+    ) -> None:
+        """Takes the number of tokens that the engine has counted."""
+        body = request.body
+        if isinstance(body, _run_request.PlainBody) or prompt_tokens < 1:
+            return
+        characters = _count_characters(body)
+        if characters < MIN_CHARACTERS:
+            return
+        ratio = characters / prompt_tokens
+        self.characters_per_token += SMOOTHING * (
+            ratio - self.characters_per_token
+        )
+
+
+def _count_characters(body: _run_request.ModelBody) -> int:
+    """Returns the length of a prompt or a conversation."""
+    if body.prompt is not None:
+        return len(body.prompt)
+    return len(orjson.dumps(body.messages))
--- a/siskinmount/sidecar/_request_runner.py
+++ b/siskinmount/sidecar/_request_runner.py
@@ -9,6 +9,7 @@
 from siskinmount import results
 from siskinmount.sidecar import _gate
 from siskinmount.sidecar import _gate_load
+from siskinmount.sidecar import _prompt_size
 from siskinmount.sidecar import _request_registry
 from siskinmount.sidecar import _run_request
 from siskinmount.sidecar import _running_request
@@ -43,6 +44,7 @@
         '_model_upstream',
         '_plain_upstream',
         '_note_gap',
+        '_prompt_sizes',
     )
 
     def __init__(
@@ -62,6 +64,7 @@
         self._model_upstream = model_upstream
         self._plain_upstream = plain_upstream
         self._note_gap = note_gap
+        self._prompt_sizes = _prompt_size.PromptSizeEstimator()
 
     async def run(self, running: _running_request.RunningRequest) -> None:
         """Runs a request to its last frame."""
@@ -95,7 +98,7 @@
         self, running: _running_request.RunningRequest
     ) -> results.Failure | None:
         """Waits for admission, then runs; returns why there is no answer."""
-        ticket = _create_ticket(running)
+        ticket = self._create_ticket(running)
         refusal = await self._gate.admit(ticket)
         if refusal is not None:
             return refusal
@@ -111,6 +114,26 @@
             await self._stop_at_upstream(running)
             self._gate.release(ticket)
 
+    def _create_ticket(
+        self, running: _running_request.RunningRequest
+    ) -> _gate_load.Ticket:
+        """Returns what the gate must know about a request."""
+        request = running.request
+        resumed = False
+        preemptible = False
+        if isinstance(request.body, _run_request.ModelBody):
+            resumed = bool(request.body.resume_tokens)
+            preemptible = not request.is_online
+        return _gate_load.Ticket(
+            online=request.is_online,
+            solo=request.solo,
+            prompt_tokens=self._prompt_sizes.estimate(request),
+            resumed=resumed,
+            preemptible=preemptible,
+            bound_here=request.bound_here,
+            preempt=lambda: running.stop(_running_request.StopReason.PREEMPTED),
+        )
+
     async def _stop_at_upstream(
         self, running: _running_request.RunningRequest
     ) -> None:
@@ -248,6 +271,7 @@
                     count += 1
                 running.append(frame)
             if running.ended:
+                self._learn_prompt_size(running)
                 return None
             if not count:
                 continue
@@ -257,6 +281,14 @@
             received_at_s = now_s
             self._gate.note_tokens(ticket, count)
 
+    def _learn_prompt_size(
+        self, running: _running_request.RunningRequest
+    ) -> None:
+        """Takes what the engine says of a prompt's length."""
+        end = running.last_frame
+        if isinstance(end, relay.EndFrame):
+            self._prompt_sizes.learn(running.request, end.prompt_tokens)
+
     async def _run_plain(
         self,
         running: _running_request.RunningRequest,
@@ -306,29 +338,6 @@
         return None
 
 
-def _create_ticket(
-    running: _running_request.RunningRequest,
-) -> _gate_load.Ticket:
-    """Returns what the gate must know about a request."""
-    request = running.request
-    prompt_tokens = 0
-    resumed = False
-    preemptible = False
-    if isinstance(request.body, _run_request.ModelBody):
-        resumed = bool(request.body.resume_tokens)
-        prompt_tokens = request.body.estimate_prompt_tokens()
-        preemptible = not request.is_online
-    return _gate_load.Ticket(
-        online=request.is_online,
-        solo=request.solo,
-        prompt_tokens=prompt_tokens,
-        resumed=resumed,
-        preemptible=preemptible,
-        bound_here=request.bound_here,
-        preempt=lambda: running.stop(_running_request.StopReason.PREEMPTED),
-    )
-
-
 def _describe_end(
     running: _running_request.RunningRequest, failure: results.Failure
 ) -> relay.FailureFrame:
--- a/siskinmount/sidecar/_run_request.py
+++ b/siskinmount/sidecar/_run_request.py
@@ -10,7 +10,6 @@
 from siskinmount import results
 from siskinmount import transport
 
-CHARACTERS_PER_TOKEN = 4
 DEFAULT_MAX_TOKENS = 256
 
 
@@ -39,14 +38,6 @@
         self.max_tokens = max_tokens
         self.resume_tokens = resume_tokens or []
 
-    def estimate_prompt_tokens(self) -> int:
-        """Returns about how many tokens the engine must prefill."""
-        if self.prompt is not None:
-            characters = len(self.prompt)
-        else:
-            characters = len(orjson.dumps(self.messages))
-        return characters // CHARACTERS_PER_TOKEN + len(self.resume_tokens)
-
 
 class PlainBody:
     """A request to a plain service.
@@ -86,6 +77,8 @@
         fingerprint: Hash of service and content.
         solo: Whether no other request may run beside it.
         once: Whether no part of it may run twice.
+        prompt_cached: Whether the engine has computed the prompt a short
+            while ago.
         bound_here: Whether it has begun here and may not be run elsewhere.
         may_start: Asked at the last moment before the first byte is sent.
     """
@@ -99,6 +92,7 @@
         'fingerprint',
         'solo',
         'once',
+        'prompt_cached',
         'bound_here',
         'may_start',
     )
@@ -114,6 +108,7 @@
         fingerprint: str = '',
         solo: bool = False,
         once: bool = False,
+        prompt_cached: bool = False,
         bound_here: bool = False,
         may_start: Callable[[], bool] = lambda: True,
     ) -> None:
@@ -125,6 +120,7 @@
         self.fingerprint = fingerprint
         self.solo = solo
         self.once = once
+        self.prompt_cached = prompt_cached
         self.bound_here = bound_here
         self.may_start = may_start
 
--- a/siskinmount/sidecar/_sidecar.py
+++ b/siskinmount/sidecar/_sidecar.py
@@ -281,6 +281,7 @@
             'batch_slots_beside_online': (
                 self.gate.load.batch_slots_beside_online
             ),
+            'step_times_ms': self.slot_controller.model.describe(),
             'batch_items_held': self.puller.held_count,
             'batch_items_pulled': self.puller.pulled_count,
             'batch_items_done': self.puller.done_count,
--- a/siskinmount/sidecar/_step_time_model.py
+++ b/siskinmount/sidecar/_step_time_model.py
@@ -75,6 +75,13 @@
         allowed = int((max_slowdown - 1) * alone_ms / per_request_ms)
         return max(0, min(limit, allowed, max(1, explored)))
 
+    def describe(self) -> dict[str, float]:
+        """Returns the measured times by number of requests, for operators."""
+        return {
+            str(running): round(self._estimates[running].time_ms, 2)
+            for running in sorted(self._list_known())
+        }
+
     def _list_known(self) -> list[int]:
         """Returns the numbers of requests with enough samples."""
         return [
