--- a/siskinmount/platform/tests/faulty_log.py
+++ b/siskinmount/platform/tests/faulty_log.py
@@ -22,7 +22,8 @@
 
     def freeze(self):
         """Makes all calls wait, those under way included."""
-        self._running = trio.Event()
+        if self._running.is_set():
+            self._running = trio.Event()
 
     def thaw(self):
         self._running.set()
--- a/siskinmount/state/tests/stream_fixtures.py
+++ b/siskinmount/state/tests/stream_fixtures.py
@@ -63,7 +63,8 @@
         self._running.set()
 
     def freeze(self):
-        self._running = trio.Event()
+        if self._running.is_set():
+            self._running = trio.Event()
 
     def thaw(self):
         self._running.set()
--- a/siskinmount/state/tests/test_configuration_stream.py
+++ b/siskinmount/state/tests/test_configuration_stream.py
@@ -13,6 +13,7 @@
 from siskinmount import state
 from siskinmount.platform.tests import fake_log
 from siskinmount.platform.tests import faulty_log
+from siskinmount.platform.tests import seeded_run
 from siskinmount.state import _configuration_rules
 from siskinmount.state import records_pb2
 from siskinmount.state.tests import stream_fixtures
@@ -196,7 +197,7 @@
     @hypothesis.given(strategies.integers(0, 1 << 32))
     def test_racing_publishers_are_told_the_truth(self, seed):
         run = _PublishRun(seed)
-        trio.run(run.main, clock=trio.testing.MockClock(autojump_threshold=0))
+        seeded_run.run(seed, run.main)
         for followed in run.followed:
             self.assertEqual(sorted(set(followed)), followed)
         in_force = {version for one in run.followed for version in one}
--- a/siskinmount/state/tests/test_key_table.py
+++ b/siskinmount/state/tests/test_key_table.py
@@ -12,6 +12,7 @@
 from siskinmount import state
 from siskinmount.platform.tests import fake_log
 from siskinmount.platform.tests import faulty_log
+from siskinmount.platform.tests import seeded_run
 from siskinmount.state.tests import stream_fixtures
 
 
@@ -164,7 +165,7 @@
     @hypothesis.given(strategies.integers(0, 1 << 32))
     def test_requests_run_at_most_once(self, seed):
         run = _ResendRun(seed)
-        trio.run(run.main, clock=trio.testing.MockClock(autojump_threshold=0))
+        seeded_run.run(seed, run.main)
         for key, effects in run.effects.items():
             self.assertTrue(len(effects) <= 1, (key, effects))
         for key, outcome in run.known:
--- a/siskinmount/state/tests/test_state_stream_properties.py
+++ b/siskinmount/state/tests/test_state_stream_properties.py
@@ -12,6 +12,7 @@
 from siskinmount import state
 from siskinmount.platform.tests import fake_log
 from siskinmount.platform.tests import faulty_log
+from siskinmount.platform.tests import seeded_run
 from siskinmount.state import records_pb2
 from siskinmount.state.tests import stream_fixtures
 
@@ -130,7 +131,7 @@
     @hypothesis.given(strategies.integers(0, 1 << 32))
     def test_what_was_said_of_a_commit_holds(self, seed):
         run = _Run(seed)
-        trio.run(run.main, clock=trio.testing.MockClock(autojump_threshold=0))
+        seeded_run.run(seed, run.main)
         texts = trio.run(
             self.replay,
             run.log,
