Let a stopped non-idempotent item go on; free keys whose intent came late

A non-idempotent item that yields with its output so far keeps it in the log and goes on from there, also at a new owner; before, it ended as unknown.

--- a/siskinmount/batch/_item_handout.py
+++ b/siskinmount/batch/_item_handout.py
@@ -56,7 +56,7 @@
             for job, lease in reserved:
                 held = owner.leases.find(job.job_id, lease.index)
                 if held is lease and not lease.is_handed_out:
-                    owner.return_unsent(job, lease)
+                    owner.return_item(job, lease)
         return _pull_messages.PullReply(items)
 
     def rate_per_s(self, service: str) -> float:
@@ -208,6 +208,9 @@
         attempt = job.attempts.get(lease.index)
         body: dict[str, Any] = orjson.loads(text)
         tokens = owner.resume_tokens.get(job.job_id, lease.index)
+        stopped = job.stopped.get(lease.index)
+        if stopped is not None:
+            tokens = list(stopped.resume_tokens)
         if tokens:
             body['resume_tokens'] = tokens
         return _pull_messages.PulledItem(
--- a/siskinmount/batch/_item_reports.py
+++ b/siskinmount/batch/_item_reports.py
@@ -222,18 +222,16 @@
         self, job: _job.Job, report: _report_messages.ItemReport
     ) -> state.PendingRecord | results.Failure | None:
         """Puts an item back that has made way for online requests."""
-        owner = self._state
-        if report.output is not None and not job.submitted.idempotent:
-            return self._take_unknown(job, report)
-        lease = owner.leases.find(job.job_id, report.index)
-        tokens = (report.output or {}).get('resume_tokens')
-        if isinstance(tokens, list) and tokens:
-            texts = [str(token) for token in tokens]
-            if not owner.resume_tokens.put(job.job_id, report.index, texts):
-                self.wasted_tokens += len(texts)
+        tokens: list[str] = []
+        if report.output is not None:
+            given = report.output.get('resume_tokens')
+            if not isinstance(given, list):
+                return self._take_unknown(job, report)
+            tokens = [str(token) for token in given]
+        lease = self._state.leases.find(job.job_id, report.index)
         if lease is None:
             return None
-        return owner.return_unsent(job, lease)
+        return self._state.return_item(job, lease, tokens)
 
     def _take_failed(
         self, job: _job.Job, report: _report_messages.ItemReport
--- a/siskinmount/batch/_job.py
+++ b/siskinmount/batch/_job.py
@@ -24,6 +24,8 @@
         counts: Number of items by outcome, `OPEN` included.
         attempts: Items of which an attempt failed, with the newest count.
         started: Non-idempotent items that were handed out and are open.
+        stopped: Non-idempotent items that were stopped and are open, with the
+            output from which they go on.
     """
 
     __slots__ = (
@@ -33,6 +35,7 @@
         'counts',
         'attempts',
         'started',
+        'stopped',
         '_outcomes',
         '_result_offsets',
         '_result_positions',
@@ -49,6 +52,7 @@
         self.counts = [submitted.item_count, 0, 0, 0]
         self.attempts: dict[int, records_pb2.ItemAttemptFailed] = {}
         self.started: dict[int, records_pb2.ItemStarted] = {}
+        self.stopped: dict[int, records_pb2.ItemReturned] = {}
         self._outcomes = bytearray(submitted.item_count)
         self._result_offsets = array.array('Q', bytes(8 * submitted.item_count))
         self._result_positions = array.array(
@@ -121,6 +125,7 @@
         self._place(index, position)
         self.attempts.pop(index, None)
         self.started.pop(index, None)
+        self.stopped.pop(index, None)
         if not self.counts[OPEN]:
             self.finished_at_ms = ended.at_ms
         return True
@@ -138,6 +143,7 @@
         self.finished_at_ms = at_ms
         self.attempts.clear()
         self.started.clear()
+        self.stopped.clear()
 
     def results_before(self, offset: int) -> Iterator[int]:
         """Yields the items whose results stand before an offset."""
@@ -183,6 +189,8 @@
             self.attempts[attempt.index] = attempt
         for started in part.started:
             self.started[started.index] = started
+        for stopped in part.stopped:
+            self.stopped[stopped.index] = stopped
         for outcome in range(1, len(self.counts)):
             count = part.outcomes.count(outcome)
             self.counts[outcome] += count
@@ -211,6 +219,11 @@
                 for index, started in self.started.items()
                 if first <= index < end
             ],
+            stopped=[
+                stopped
+                for index, stopped in self.stopped.items()
+                if first <= index < end
+            ],
         )
 
 
--- a/siskinmount/batch/_job_table.py
+++ b/siskinmount/batch/_job_table.py
@@ -16,7 +16,7 @@
         jobs: Accepted jobs by identifier.
         on_begin_tenure: Called when this process owns the stream.
         on_item_returned: Called with job and index when a non-idempotent item
-            has come back without having been sent.
+            has come back and may be handed out again.
     """
 
     kinds = frozenset(
@@ -168,6 +168,8 @@
             if started.lease != returned.lease:
                 return
             del job.started[returned.index]
+            if returned.resume_tokens:
+                job.stopped[returned.index] = returned
         if self.on_item_returned is not None:
             self.on_item_returned(job, returned.index)
 
--- a/siskinmount/batch/_owner_state.py
+++ b/siskinmount/batch/_owner_state.py
@@ -189,7 +189,7 @@
                 self.leases.remove(lease)
             return
         if not lease.is_handed_out:
-            self.return_unsent(job, lease)
+            self.return_item(job, lease)
             return
         self.end_item(
             job,
@@ -199,22 +199,31 @@
             reason='the item may have run; its upstream was lost',
         )
 
-    def return_unsent(
-        self, job: _job.Job, lease: _lease_table.Lease
+    def return_item(
+        self,
+        job: _job.Job,
+        lease: _lease_table.Lease,
+        resume_tokens: list[str] | None = None,
     ) -> state.PendingRecord | results.Failure | None:
-        """Takes back an item that was certainly not sent to an upstream.
+        """Takes back an item that was not sent, or stopped and can go on.
 
         The start of a non-idempotent item may be in the log or on its way, so
-        that item is available again only when its return has followed it.
+        that item is available again only when its return has followed it, with
+        the output from which it goes on: it is never begun a second time.
         """
         if job.submitted.idempotent:
+            if resume_tokens:
+                self.resume_tokens.put(job.job_id, lease.index, resume_tokens)
             self.leases.remove(lease)
             self.put_back(job, lease.index)
             return None
         return self.stream.enqueue(
             records_pb2.Record(
                 item_returned=records_pb2.ItemReturned(
-                    job=job.job_id, index=lease.index, lease=lease.lease_id
+                    job=job.job_id,
+                    index=lease.index,
+                    lease=lease.lease_id,
+                    resume_tokens=resume_tokens or [],
                 )
             )
         )
@@ -317,14 +326,13 @@
         self._tokens_by_item: dict[tuple[str, int], list[str]] = {}
         self._token_count = 0
 
-    def put(self, job_id: str, index: int, tokens: list[str]) -> bool:
-        """Keeps an item's tokens; False if there is no room for them."""
+    def put(self, job_id: str, index: int, tokens: list[str]) -> None:
+        """Keeps an item's tokens if there is room for them."""
         self.pop(job_id, index)
         if self._token_count + len(tokens) > self._max_tokens:
-            return False
+            return
         self._tokens_by_item[(job_id, index)] = tokens
         self._token_count += len(tokens)
-        return True
 
     def get(self, job_id: str, index: int) -> list[str]:
         """Returns an item's tokens."""
--- a/siskinmount/batch/tests/test_non_idempotent_items.py
+++ b/siskinmount/batch/tests/test_non_idempotent_items.py
@@ -120,6 +120,26 @@
 
         self.run_with_job(check)
 
+    def test_stopped_item_goes_on_where_it_was_also_at_a_new_owner(self):
+        async def check(log, nursery, owner):
+            [item] = (await owner.batch.pull(batch_fixtures.pull())).items
+            await owner.batch.report(
+                batch_fixtures.report(
+                    item,
+                    batch.ReportedOutcome.YIELDED,
+                    output={'resume_tokens': ['a', 'b']},
+                )
+            )
+            owner.stream.resign()
+            await owner.ended.wait()
+            successor = await batch_fixtures.start_owner(log, nursery, 'vm-b')
+            [again] = (await successor.batch.pull(batch_fixtures.pull())).items
+            self.assertEqual(['a', 'b'], again.body['resume_tokens'])
+            await successor.batch.report(batch_fixtures.report(again))
+            self.assertEqual((1, 0, 0), self.counts(successor))
+
+        self.run_with_job(check)
+
     def test_new_owner_waits_for_the_holder_and_takes_its_result(self):
         async def check(log, nursery, owner):
             items = (await owner.batch.pull(batch_fixtures.pull())).items
--- a/siskinmount/state/_key_table.py
+++ b/siskinmount/state/_key_table.py
@@ -1,7 +1,6 @@
 """Idempotency keys: at most one run of a request, and its outcome kept."""
 
 from collections.abc import Iterable
-import logging
 import uuid
 
 import trio
@@ -12,8 +11,6 @@
 from siskinmount.state import _state_stream
 from siskinmount.state import records_pb2
 
-_LOGGER = logging.getLogger(__name__)
-
 DEFAULT_KEY_RETENTION_MS = 24 * 3600 * 1000
 DEFAULT_MAX_RUN_MS = 10 * 60 * 1000
 SWEEP_INTERVAL_MS = 10_000
@@ -99,6 +96,7 @@
         '_holders',
         '_beginning',
         '_abandoned',
+        '_freeing',
     )
 
     def __init__(
@@ -117,6 +115,8 @@
         self._beginning: dict[tuple[str, str], str] = {}
         # Attempts that were given up while their intent was on its way.
         self._abandoned: set[str] = set()
+        # Attempts that were given up, whose keys are about to be free.
+        self._freeing: set[str] = set()
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -178,9 +178,12 @@
             # will be.
             committed.run_state = results.RunState.NOT_RUN
             return committed
-        entry = self._entries[name]
-        self._assert_first(entry, attempt)
-        return Started(attempt)
+        entry = self._entries.get(name)
+        if entry is not None and entry.intent.attempt == attempt:
+            return Started(attempt)
+        # An intent that was given up had reached the log before this one.
+        self._holders.pop(attempt, None)
+        return self._find(name, fingerprint) or self._being_freed(key)
 
     async def finish(
         self, key: str, caller: str, attempt: str, outcome: bytes
@@ -291,6 +294,8 @@
             return _reused(name[1])
         if entry.outcome is not None:
             return KnownOutcome(entry.outcome)
+        if entry.intent.attempt in self._freeing:
+            return self._being_freed(name[1])
         run_ms = self._stream.now_ms() - entry.intent.at_ms
         if entry.intent.attempt in self._holders and run_ms < self._max_run_ms:
             return InProgress()
@@ -310,6 +315,7 @@
         """Notes the first outcome of the attempt that a key belongs to."""
         name = (outcome.caller, outcome.key)
         self._holders.pop(outcome.attempt, None)
+        self._freeing.discard(outcome.attempt)
         entry = self._entries.get(name)
         if entry is None or entry.intent.attempt != outcome.attempt:
             return
@@ -342,7 +348,7 @@
     def _enqueue_not_run(self, name: tuple[str, str], attempt: str) -> None:
         """Queues the record that frees a key; without it, it stays unknown."""
         caller, key = name
-        self._stream.enqueue(
+        queued = self._stream.enqueue(
             records_pb2.Record(
                 key_outcome=records_pb2.KeyOutcome(
                     caller=caller,
@@ -353,6 +359,8 @@
                 )
             )
         )
+        if not isinstance(queued, results.Failure):
+            self._freeing.add(attempt)
 
     async def _settle(
         self, outcome: records_pb2.KeyOutcome
@@ -398,19 +406,12 @@
             retry_after_ms=self._stream.limits.claim_wait_ms,
         )
 
-    def _assert_first(self, entry: _Entry, attempt: str) -> None:
-        """Asserts that a started request holds its key."""
-        if entry.intent.attempt == attempt:
-            return
-        _LOGGER.critical(
-            'invariant_broken',
-            extra={
-                'code': int(results.ResultCode.INVARIANT_BROKEN),
-                'invariant': 'a key has one attempt that is started',
-                'stream': self._stream.name,
-            },
+    def _being_freed(self, key: str) -> results.Failure:
+        return results.Failure(
+            results.ResultCode.LOG_UNAVAILABLE,
+            f'an attempt under key {key!r} that was given up is being undone',
+            retry_after_ms=self._stream.limits.max_backoff_ms,
         )
-        raise AssertionError('a second attempt was started under one key')
 
 
 def _reused(key: str) -> results.Failure:
--- a/siskinmount/state/tests/test_key_table.py
+++ b/siskinmount/state/tests/test_key_table.py
@@ -148,6 +148,27 @@
 
         self.run_with_log(check)
 
+    def test_resend_while_an_intent_is_under_way_is_not_run_or_started(self):
+        async def check(log, nursery):
+            owner = await _start(log, nursery)
+            log.held = trio.Event()
+            answers = []
+
+            async def begin():
+                answers.append(await owner.keys.begin('k', 'c', 'f'))
+
+            await begin()
+            nursery.start_soon(begin)
+            await trio.sleep(1)
+            log.held.set()
+            await trio.sleep(10)
+            await begin()
+            for answer in answers[:2]:
+                self.assertIs(results.RunState.NOT_RUN, answer.run_state)
+            self.assertIsInstance(answers[2], state.Started)
+
+        self.run_with_log(check)
+
     def test_keys_are_dropped_after_their_retention(self):
         async def check(log, nursery):
             owner = await _start(log, nursery)
