Judge no first publication where older versions may have expired

A reader that started after records had expired took a publication on base 0 that had lost its race for the first one, and then held a version that nobody else had. Found when the test carried versions that were not the newest; the older form of the test missed it. Such a publication now counts only if its publisher had read that nothing is in force.

--- a/siskinmount/batch/_item_handout.py
+++ b/siskinmount/batch/_item_handout.py
@@ -8,6 +8,7 @@
 
 from siskinmount import relay
 from siskinmount import results
+from siskinmount import state
 from siskinmount.batch import _crash_evidence
 from siskinmount.batch import _dispatch_order
 from siskinmount.batch import _job
@@ -158,10 +159,9 @@
             item = await self._load(job, lease)
             if item is not None:
                 ready.append((job, lease, item))
-        async with trio.open_nursery() as nursery:
-            for job, lease, _ in ready:
-                if not job.submitted.idempotent:
-                    nursery.start_soon(self._record_start, job, lease)
+        await self._record_starts(
+            [lease for job, lease, _ in ready if not job.submitted.idempotent]
+        )
         items: list[_pull_messages.PulledItem] = []
         for job, lease, item in ready:
             if not self._may_hand_out(job, lease):
@@ -240,20 +240,28 @@
             reason=failure.reason,
         )
 
-    async def _record_start(
-        self, job: _job.Job, lease: _lease_table.Lease
-    ) -> None:
-        """Records that a non-idempotent item is about to be handed out."""
-        await self._state.stream.commit(
-            records_pb2.Record(
-                item_started=records_pb2.ItemStarted(
-                    job=job.job_id,
-                    index=lease.index,
-                    lease=lease.lease_id,
-                    vm=lease.vm,
-                    incarnation=lease.incarnation,
+    async def _record_starts(self, leases: list[_lease_table.Lease]) -> None:
+        """Records that non-idempotent items are about to be handed out."""
+        stream = self._state.stream
+        if not leases or stream.is_log_failing:
+            return
+        pending: list[state.PendingRecord] = []
+        for lease in leases:
+            queued = stream.enqueue(
+                records_pb2.Record(
+                    item_started=records_pb2.ItemStarted(
+                        job=lease.job_id,
+                        index=lease.index,
+                        lease=lease.lease_id,
+                        vm=lease.vm,
+                        incarnation=lease.incarnation,
+                    )
                 )
             )
+            if isinstance(queued, state.PendingRecord):
+                pending.append(queued)
+        await _owner_state.wait_settled(
+            pending, stream.limits.commit_timeout_ms
         )
 
 
--- a/siskinmount/state/_configuration_rules.py
+++ b/siskinmount/state/_configuration_rules.py
@@ -24,8 +24,8 @@
     #: Its document is invalid.
     INVALID = 'invalid'
 
-    #: A copy of a record that was judged before.
-    REPEATED = 'repeated'
+    #: It stands before the version in force, which a peer told.
+    PASSED = 'passed'
 
     #: Its document needs a newer release to be judged; so do those after it.
     NOT_JUDGED = 'not_judged'
@@ -109,6 +109,11 @@
         self._is_start_known = False
         self._unjudged: list[tuple[int, records_pb2.ConfigurationRecord]] = []
 
+    @property
+    def is_start_known(self) -> bool:
+        """Whether no version can have expired unread."""
+        return self._is_start_known
+
     @property
     def version(self) -> int:
         """Version in force; 0 if there is none."""
@@ -159,15 +164,10 @@
     ) -> PublicationVerdict:
         """Judges a publication."""
         if offset <= self.version:
-            return PublicationVerdict.REPEATED
+            return PublicationVerdict.PASSED
         if self._is_blocked:
             return PublicationVerdict.NOT_JUDGED
-        in_force = self.in_force
-        if in_force is not None and (
-            in_force.publication == record.publication
-        ):
-            return PublicationVerdict.REPEATED
-        if record.base_version != self.version:
+        if not self._is_on_version_in_force(record):
             return PublicationVerdict.LOST_RACE
         if record.grammar > self._grammar:
             self._is_blocked = True
@@ -176,10 +176,21 @@
         if isinstance(document, results.Failure):
             return PublicationVerdict.INVALID
         self.in_force = ConfigurationVersion(offset, document, record)
+        self._is_start_known = True
         self.newest_offset = offset
         self.written_at_ms = record.written_at_ms
         return PublicationVerdict.IN_FORCE
 
+    def _is_on_version_in_force(
+        self, record: records_pb2.ConfigurationRecord
+    ) -> bool:
+        """Tells whether a publication was made from the version in force."""
+        if record.none_before_offset:
+            return self.version < record.none_before_offset
+        if self.version == 0 and not self._is_start_known:
+            return False
+        return record.base_version == self.version
+
     def _take_carried(
         self, record: records_pb2.ConfigurationRecord, offset: int
     ) -> None:
--- a/siskinmount/state/_configuration_stream.py
+++ b/siskinmount/state/_configuration_stream.py
@@ -57,27 +57,28 @@
 
     Attributes:
         publication: Its identifier.
+        rules: Judge the stream.
         outcome: The verdict on its first copy in the log, or None.
     """
 
-    __slots__ = ('publication', 'outcome', '_rules')
+    __slots__ = ('publication', 'rules', 'outcome')
 
     def __init__(
         self, publication: str, rules: _configuration_rules.ConfigurationRules
     ) -> None:
         self.publication = publication
+        self.rules = rules
         self.outcome: Accepted | Lost | results.Failure | None = None
-        self._rules = rules
 
     def take(self, log_record: platform.LogRecord) -> None:
         """Judges one record of the stream."""
-        record, verdict = self._rules.take(log_record)
+        record, verdict = self.rules.take(log_record)
         if self.outcome is not None or record.publication != self.publication:
             return
         if verdict is _configuration_rules.PublicationVerdict.IN_FORCE:
             self.outcome = Accepted(log_record.offset)
         elif verdict is _configuration_rules.PublicationVerdict.LOST_RACE:
-            self.outcome = Lost(self._rules.in_force)
+            self.outcome = Lost(self.rules.in_force)
         elif verdict is _configuration_rules.PublicationVerdict.NOT_JUDGED:
             self.outcome = results.Failure(
                 results.ResultCode.DOCUMENT_INVALID,
@@ -293,6 +294,7 @@
         backoff = _backoff.Backoff(
             _log_tail.FIRST_BACKOFF_MS, _log_tail.MAX_BACKOFF_MS
         )
+        await self._read_to_tail(backoff)
         data = self._record.SerializeToString()
         while True:
             answer = await self._log.append(
@@ -308,6 +310,28 @@
             await backoff.pause(answer.retry_after_ms)
         return await self._read_verdict(backoff)
 
+    async def _read_to_tail(self, backoff: _backoff.Backoff) -> None:
+        """Reads what there is, to learn whether any version is in force."""
+        while True:
+            held = await self._log.stream_range(
+                _stream_names.CONFIGURATION_STREAM
+            )
+            if not isinstance(held, results.Failure):
+                break
+            await backoff.pause(held.retry_after_ms)
+        while self._tail.next_offset < held.next_offset:
+            failure = await self._tail.read_once(self._publication.take, 0)
+            if failure is not None:
+                await backoff.pause(failure.retry_after_ms)
+        rules = self._publication.rules
+        if (
+            self._record.base_version == 0
+            and rules.version == 0
+            and not rules.is_start_known
+            and held.next_offset > 1
+        ):
+            self._record.none_before_offset = self._tail.next_offset
+
     def timed_out(self) -> results.Failure:
         """Returns what is known when there is no more time."""
         if not self._is_sent:
--- a/siskinmount/state/tests/test_configuration_stream.py
+++ b/siskinmount/state/tests/test_configuration_stream.py
@@ -127,6 +127,26 @@
 
         self.run_with_log(check)
 
+    def test_first_publication_after_all_has_expired_is_in_force(self):
+        async def check(log, nursery):
+            old = create(log, is_carrier=lambda: False)
+            nursery.start_soon(old.run)
+            await old.publish('lost', 0, 'ann')
+            await trio.sleep(1)
+            log.append_now('config', _record(2, 0, 'void').data)
+            log.expire_before('config', 2)
+            winner = await create(log).publish('new', 0, 'ann')
+            loser = await create(log).publish('later', 0, 'bob')
+            self.assertEqual(3, winner.version)
+            self.assertEqual(3, loser.winner.version)
+            newcomer = create(log)
+            nursery.start_soon(newcomer.run)
+            for reader in (old, newcomer):
+                in_force = await reader.wait_newer(1)
+                self.assertEqual('NEW', in_force.document)
+
+        self.run_with_log(check)
+
     def test_adopts_only_higher_versions_from_peers(self):
         async def check(log, nursery):
             configuration = create(log)
@@ -173,13 +193,21 @@
     def test_readers_agree_wherever_they_start(self, steps, start):
         full = _configuration_rules.ConfigurationRules(parse, 1)
         records = []
-        carried_at = 0
+        versions = [0]
+        texts = {}
+        agrees = False
+        is_carried = False
         for offset, (lag, action) in enumerate(steps, start=1):
-            if action == 'carry' and full.version:
-                record = _record(
-                    offset, 0, full.in_force.text, carried=full.version
-                )
-                carried_at = offset
+            # A version may be carried by one that has not read the newest.
+            carried = versions[-1 - lag % len(versions)]
+            if action == 'carry' and carried:
+                record = _record(offset, 0, texts[carried], carried=carried)
+                if offset >= start and not is_carried:
+                    is_carried = True
+                    agrees = all(
+                        version <= carried or version >= start
+                        for version in versions
+                    )
             elif action == 'copy' and records:
                 record = platform.LogRecord(offset, records[-1].data)
             else:
@@ -187,10 +215,13 @@
                 record = _record(offset, base, f'{action} {offset}')
             full.take(record)
             records.append(record)
+            versions.append(full.version)
+            if full.version:
+                texts[full.version] = full.in_force.text
         late = _configuration_rules.ConfigurationRules(parse, 1)
         for record in records[start - 1 :]:
             late.take(record)
-        if 0 < start <= carried_at:
+        if agrees:
             self.assertEqual(full.version, late.version)
 
     @hypothesis.settings(derandomize=True, deadline=None, max_examples=40)
--- /dev/null
+++ b/tools/slopes/state_slopes.py
@@ -0,0 +1,229 @@
+"""Measures state streams and batch jobs against a log in memory.
+
+Prints one JSON line per figure: what an item costs its owner in processor
+time, log appends, log bytes and memory, and what replay costs.
+"""
+
+import gc
+import time
+
+from absl import app
+from absl import flags
+import orjson
+import trio
+
+from siskinmount import batch
+from siskinmount import results
+from siskinmount import state
+from siskinmount.platform.tests import fake_log
+
+_ITEMS = flags.DEFINE_integer('items', 50_000, 'Items of the measured job.')
+_SIDECARS = flags.DEFINE_integer('sidecars', 8, 'Sidecars that pull at once.')
+_CREDIT = flags.DEFINE_integer('credit', 64, 'Items that one pull asks for.')
+
+STREAM = 'state-0'
+CALLER = 'caller'
+SERVICE = 'service'
+PROMPT = 'Match this swap offer with the families that asked for one. ' * 8
+ANSWER = 'The family of four near the beach would suit this offer well. ' * 8
+DUE_MS = 8 * 3600 * 1000
+PAGE_RESULTS = 1000
+
+
+def _report(figure: str, value: float, unit: str) -> None:
+    """Prints one figure."""
+    document = {'figure': figure, 'value': round(value, 4), 'unit': unit}
+    print(orjson.dumps(document).decode('ascii'), flush=True)
+
+
+def _read_resident_bytes() -> int:
+    """Returns this process's resident memory."""
+    gc.collect()
+    with open('/proc/self/statm', encoding='ascii') as file:
+        pages = int(file.read().split()[1])
+    return pages * 4096
+
+
+def _create_shard(log: fake_log.FakeLog, vm: str) -> batch.BatchShard:
+    """Creates a shard with the limits of the product."""
+    return batch.create_batch_shard(
+        STREAM,
+        log,
+        state.Writer(vm, 1),
+        is_live=lambda other: False,
+        batch_limits=batch.BatchLimits(adoption_ms=0),
+    )
+
+
+class _Costs:
+    """Differences of the counters since the last call.
+
+    Attributes:
+        log: The log whose appends are counted.
+    """
+
+    __slots__ = ('log', '_cpu_s', '_appends', '_bytes')
+
+    def __init__(self, log: fake_log.FakeLog) -> None:
+        self.log = log
+        self._cpu_s = time.process_time()
+        self._appends = log.append_count
+        self._bytes = log.appended_bytes
+
+    def report(self, phase: str, item_count: int) -> None:
+        """Prints what a phase cost for each item, and starts the next."""
+        cpu_s = time.process_time() - self._cpu_s
+        appends = self.log.append_count - self._appends
+        size_bytes = self.log.appended_bytes - self._bytes
+        _report(f'{phase}_cpu', cpu_s / item_count * 1e6, 'us/item')
+        _report(f'{phase}_appends', appends / item_count, 'appends/item')
+        _report(f'{phase}_log_bytes', size_bytes / item_count, 'bytes/item')
+        self._cpu_s = time.process_time()
+        self._appends = self.log.append_count
+        self._bytes = self.log.appended_bytes
+
+
+async def _submit(
+    owner: batch.BatchOwner, job: str, *, idempotent: bool
+) -> None:
+    """Submits a job with the measured number of items."""
+    upload = owner.open_upload(
+        batch.JobRequest(
+            job=job,
+            caller=CALLER,
+            service=SERVICE,
+            due_at_ms=state.wall_clock_ms() + DUE_MS,
+            idempotent=idempotent,
+        )
+    )
+    if isinstance(upload, results.Failure):
+        raise RuntimeError(repr(upload))
+    for number in range(_ITEMS.value):
+        body = {'prompt': f'{number} {PROMPT}', 'max_tokens': 100}
+        failure = await upload.add(orjson.dumps(body))
+        if failure is not None:
+            raise RuntimeError(repr(failure))
+    status = await owner.finish_upload(upload)
+    if isinstance(status, results.Failure):
+        raise RuntimeError(repr(status))
+
+
+async def _work(owner: batch.BatchOwner, vm: str) -> None:
+    """Pulls items and reports them done until there are none left."""
+    while True:
+        reply = await owner.pull(
+            batch.PullRequest(vm, 1, SERVICE, _CREDIT.value)
+        )
+        if isinstance(reply, results.Failure):
+            raise RuntimeError(repr(reply))
+        if not reply.items:
+            return
+        await owner.report(
+            batch.ReportRequest(
+                vm,
+                1,
+                [
+                    batch.ItemReport(
+                        item.job,
+                        item.index,
+                        item.lease,
+                        batch.ReportedOutcome.DONE,
+                        {'text': ANSWER},
+                    )
+                    for item in reply.items
+                ],
+            )
+        )
+
+
+async def _run_items(owner: batch.BatchOwner) -> None:
+    """Runs all waiting items on the sidecars."""
+    async with trio.open_nursery() as nursery:
+        for number in range(_SIDECARS.value):
+            nursery.start_soon(_work, owner, f'vm-{number}')
+
+
+async def _read_results(owner: batch.BatchOwner, job: str) -> int:
+    """Reads all results; returns their number."""
+    after = -1
+    count = 0
+    while True:
+        page = await owner.results_page(job, CALLER, after, PAGE_RESULTS)
+        if isinstance(page, results.Failure):
+            raise RuntimeError(repr(page))
+        count += len(page.results)
+        after = page.next_after
+        if not page.has_more:
+            return count
+
+
+async def _run_owner(log: fake_log.FakeLog) -> None:
+    """Measures the life of one job of each kind."""
+    shard = _create_shard(log, 'vm-a')
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(shard.stream.run)
+        await shard.stream.wait_owned()
+        nursery.start_soon(shard.run)
+        for job, idempotent in (('idempotent', True), ('once', False)):
+            costs = _Costs(log)
+            await _submit(shard.batch, job, idempotent=idempotent)
+            costs.report(f'{job}_submit', _ITEMS.value)
+            started_s = time.monotonic()
+            await _run_items(shard.batch)
+            elapsed_s = time.monotonic() - started_s
+            costs.report(f'{job}_run', _ITEMS.value)
+            _report(f'{job}_rate', _ITEMS.value / elapsed_s, 'items/s')
+            count = await _read_results(shard.batch, job)
+            costs.report(f'{job}_read', count)
+        nursery.cancel_scope.cancel()
+
+
+async def _replay(log: fake_log.FakeLog, phase: str) -> None:
+    """Measures a new owner's replay to its claim."""
+    before_bytes = _read_resident_bytes()
+    started_s = time.process_time()
+    shard = _create_shard(log, f'vm-{phase}')
+    item_count = 2 * _ITEMS.value
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(shard.stream.run)
+        await shard.stream.wait_owned()
+        cpu_s = time.process_time() - started_s
+        _report(f'{phase}_cpu', cpu_s / item_count * 1e6, 's/million items')
+        grown_bytes = _read_resident_bytes() - before_bytes
+        _report(f'{phase}_memory', grown_bytes / item_count, 'bytes/item')
+        await _write_snapshot(shard, log)
+        nursery.cancel_scope.cancel()
+
+
+async def _write_snapshot(
+    shard: batch.BatchShard, log: fake_log.FakeLog
+) -> None:
+    """Has a snapshot written, and measures the longest pause for it."""
+    before_bytes = log.appended_bytes
+    started_s = time.process_time()
+    shard.stream.limits.snapshot_after_records = 0
+    await trio.sleep(2.5)
+    shard.stream.limits.snapshot_after_records = 1 << 60
+    cpu_s = time.process_time() - started_s
+    size_bytes = log.appended_bytes - before_bytes
+    item_count = 2 * _ITEMS.value
+    _report('snapshots_bytes', size_bytes / item_count, 'bytes/item, all')
+    _report('snapshots_cpu', cpu_s / item_count * 1e6, 'us/item, all')
+
+
+async def _main() -> None:
+    """Measures everything in turn."""
+    log = fake_log.FakeLog()
+    await _run_owner(log)
+    await _replay(log, 'replay_records')
+    await _replay(log, 'replay_snapshot')
+
+
+def main(arguments: list[str]) -> None:
+    """Runs the measurements."""
+    del arguments
+    trio.run(_main)
+
+
+if __name__ == '__main__':
+    app.run(main)
