End with numbered codes when a daemon or a command fails

An exception in a command ended with status 1, which means a negative answer; it is 70 now, with code 9002. An address in use ended an entry with status 4, which says that the platform is away; it is 3 now. Racing publishes from four threads, an unknown outcome and an unreachable log are tested at the command.

--- a/siskinmount/commands/_command_line.py
+++ b/siskinmount/commands/_command_line.py
@@ -1,6 +1,7 @@
 """Finds the command that a command line names, and runs it."""
 
 import sys
+import traceback
 from typing import TextIO
 
 from absl import flags
@@ -98,7 +99,13 @@
         wanted = ' '.join(command.argument_names) or 'no arguments'
         return _refuse_usage(errors, f'{command.name} takes {wanted}')
     invocation = _command.Invocation(flag_values, rest, output, errors)
-    return command.run(invocation)
+    try:
+        return command.run(invocation)
+    except Exception:
+        code = results.ResultCode.INTERNAL
+        errors.write(traceback.format_exc())
+        errors.write(f'{_PROGRAM}: {int(code)} {code.name}\n')
+        return _exit_status.ExitStatus.INTERNAL
 
 
 def _refuse_usage(errors: TextIO, reason: str) -> _exit_status.ExitStatus:
--- a/siskinmount/commands/_daemon_start.py
+++ b/siskinmount/commands/_daemon_start.py
@@ -62,7 +62,14 @@
         role,
         identity.failure_domain,
     )
-    return _report_end(trio.run(import_daemon(), settings))
+    try:
+        failure = trio.run(import_daemon(), settings)
+    except Exception:
+        _LOGGER.exception(
+            'daemon_failed', extra={'code': int(results.ResultCode.INTERNAL)}
+        )
+        return _exit_status.ExitStatus.INTERNAL
+    return _report_end(failure)
 
 
 def _report_end(failure: results.Failure | None) -> _exit_status.ExitStatus:
@@ -73,4 +80,6 @@
         'daemon_failed',
         extra={'code': int(failure.code), 'reason': failure.reason},
     )
+    if failure.code is results.ResultCode.SETTINGS_INVALID:
+        return _exit_status.ExitStatus.SETTINGS_INVALID
     return _exit_status.ExitStatus.UNAVAILABLE
--- a/siskinmount/commands/tests/test_command_line.py
+++ b/siskinmount/commands/tests/test_command_line.py
@@ -5,6 +5,7 @@
 import testtools
 
 from siskinmount import commands
+from siskinmount import configuration
 from siskinmount.commands.tests import background
 
 _EXAMPLE = pathlib.Path(__file__).parents[3] / 'examples' / 'swapnest.ini'
@@ -54,3 +55,13 @@
             )
             self.assertEqual(commands.ExitStatus.NEGATIVE, status)
             self.assertEqual(3, len(orjson.loads(text)['faults']))
+
+    def test_fault_of_a_command(self):
+        def fail(text):
+            raise ValueError('broken')
+
+        self.patch(configuration, 'parse_document', fail)
+        status, _, errors = background.run_command('check', str(_EXAMPLE))
+        self.assertEqual(commands.ExitStatus.INTERNAL, status)
+        self.assertIn('ValueError: broken', errors)
+        self.assertTrue(errors.endswith('siskinmount: 9002 INTERNAL\n'))
--- a/siskinmount/commands/tests/test_publish_command.py
+++ b/siskinmount/commands/tests/test_publish_command.py
@@ -1,3 +1,4 @@
+import concurrent.futures
 import pathlib
 import tempfile
 
@@ -7,6 +8,7 @@
 from siskinmount import commands
 from siskinmount import transport
 from siskinmount.commands.tests import background
+from siskinmount.state import _configuration_stream
 from standins import faults as faults_module
 from standins import log_service
 from standins import serving
@@ -79,6 +81,53 @@
             self.assertEqual(commands.ExitStatus.OK, status)
             self.assertEqual('accepted: version 1\n', text)
 
+    def test_race(self):
+        owners = ['a', 'b', 'c', 'd']
+        paths = [self._write(owner) for owner in owners]
+        with (
+            background.serve(self._start) as log,
+            concurrent.futures.ThreadPoolExecutor(len(paths)) as pool,
+        ):
+            outcomes = list(
+                pool.map(lambda path: self._publish(log, path, 0), paths)
+            )
+        statuses = [status for status, _, _ in outcomes]
+        self.assertEqual(1, statuses.count(commands.ExitStatus.OK))
+        self.assertEqual(3, statuses.count(commands.ExitStatus.NEGATIVE))
+        winner = owners[statuses.index(commands.ExitStatus.OK)]
+        for status, text, _ in outcomes:
+            if status is commands.ExitStatus.NEGATIVE:
+                self.assertIn(f'by {winner} is in force', text)
+
+    def test_unknown(self):
+        self.patch(_configuration_stream, 'PUBLISH_TIMEOUT_MS', 500)
+
+        async def handle(exchange):
+            # Appends succeed, and then nothing can be read.
+            if exchange.head.method == 'POST':
+                await exchange.read_body()
+                await exchange.send_json(200, {'offset': 1})
+            else:
+                await exchange.send_json(503, {})
+
+        async def start(nursery):
+            server = transport.create_http_server(handle)
+            return await nursery.start(
+                server.run, transport.Address('127.0.0.1', 0)
+            )
+
+        with background.serve(start) as log:
+            status, text, errors = self._publish(log, self._write('a'), 0)
+        self.assertEqual((commands.ExitStatus.UNKNOWN, ''), (status, text))
+        self.assertIn('4002 LOG_APPEND_UNKNOWN', errors)
+
+    def test_no_log(self):
+        self.patch(_configuration_stream, 'PUBLISH_TIMEOUT_MS', 500)
+        address = transport.Address('127.0.0.1', 1)
+        status, _, errors = self._publish(address, self._write('a'), 0)
+        self.assertEqual(commands.ExitStatus.UNAVAILABLE, status)
+        self.assertIn('4001 LOG_UNAVAILABLE', errors)
+
     def test_wrong_base(self):
         with background.serve(self._start) as log:
             status, text, _ = self._publish(log, self._write('a'), 7)
