--- a/siskinmount/commands/_common_flags.py
+++ b/siskinmount/commands/_common_flags.py
@@ -43,7 +43,7 @@
     invocation: _command.Invocation,
 ) -> list[transport.Address] | None:
     """Returns the value of `--entries`, or None after a complaint."""
-    texts: list[str] = invocation.flag_values['entries'].value
+    texts: list[str] = invocation.flag_values['entries'].value or []
     if not texts:
         invocation.write_error('--entries ADDRESS,... is required')
         return None
--- a/siskinmount/telemetry/_histograms.py
+++ b/siskinmount/telemetry/_histograms.py
@@ -447,7 +447,7 @@
 
 
 def _get_quantile_ms(histogram: hdr.HdrHistogram, percentile: float) -> float:
-    return histogram.get_value_at_percentile(percentile) / _US_PER_MS
+    return float(histogram.get_value_at_percentile(percentile)) / _US_PER_MS
 
 
 def _drop_before(
--- a/tools/binary/binary_start.py
+++ b/tools/binary/binary_start.py
@@ -50,7 +50,9 @@
             return None
         loader = _ExtensionLoader(fullname, self._archive, archive_path)
         return importlib.machinery.ModuleSpec(
-            fullname, loader, origin=archive_path
+            fullname,
+            loader,  # type: ignore[arg-type]
+            origin=archive_path,
         )
 
 
