--- a/siskinmount/configuration/_document_parser.py
+++ b/siskinmount/configuration/_document_parser.py
@@ -23,6 +23,8 @@
 _MAX_SLOTS = 4096
 _MAX_PERIOD_DAYS = 28
 _MAX_RATE_PER_S = 1_000_000.0
+_MIN_BATCH_SLOWDOWN = 1.01
+_MAX_BATCH_SLOWDOWN = 10.0
 _MIN_SHARE = 0.5
 _MAX_SHARE = 0.999999
 
@@ -36,6 +38,7 @@
     'model',
     'model_version',
     'batch_prefill_tokens',
+    'max_batch_slowdown',
     'max_changing',
     'orders_fenced',
 )
@@ -204,6 +207,12 @@
             batch_prefill_tokens=reader.read_whole_number(
                 'batch_prefill_tokens', 1, _MAX_COUNT, 2048
             ),
+            max_batch_slowdown=reader.read_decimal_number(
+                'max_batch_slowdown',
+                _MIN_BATCH_SLOWDOWN,
+                _MAX_BATCH_SLOWDOWN,
+                1.3,
+            ),
             max_changing=reader.read_whole_number(
                 'max_changing', 1, _MAX_COUNT, 1
             ),
--- a/siskinmount/configuration/_service_document.py
+++ b/siskinmount/configuration/_service_document.py
@@ -55,6 +55,8 @@
         online_reserve_slots: Slots per upstream that batch never takes.
         batch_prefill_tokens: Longest batch prompt admitted beside running
             online requests, in tokens.
+        max_batch_slowdown: How much longer batch may make the time between an
+            online request's tokens, as a multiple of that without batch.
         max_changing: Upstreams that may change their version at once.
         orders_fenced: Whether the upstreams refuse orders with an old fencing
             number.
@@ -74,6 +76,7 @@
         'slots_per_upstream',
         'online_reserve_slots',
         'batch_prefill_tokens',
+        'max_batch_slowdown',
         'max_changing',
         'orders_fenced',
         'deadline_ms',
@@ -93,6 +96,7 @@
         slots_per_upstream: int = 8,
         online_reserve_slots: int = 1,
         batch_prefill_tokens: int = 2048,
+        max_batch_slowdown: float = 1.3,
         max_changing: int = 1,
         orders_fenced: bool = False,
         deadline_ms: int = 120_000,
@@ -108,6 +112,7 @@
         self.slots_per_upstream = slots_per_upstream
         self.online_reserve_slots = online_reserve_slots
         self.batch_prefill_tokens = batch_prefill_tokens
+        self.max_batch_slowdown = max_batch_slowdown
         self.max_changing = max_changing
         self.orders_fenced = orders_fenced
         self.deadline_ms = deadline_ms
--- a/siskinmount/configuration/tests/test_document_parser.py
+++ b/siskinmount/configuration/tests/test_document_parser.py
@@ -68,6 +68,8 @@
     ('owner = team', 'owner = te\x00am', [('document', 'owner', 1), ('document', '', 3)]),
     ('owner = team', 'owner = team\n  more', [('document', 'owner', 3)]),
     ('slots_per_upstream = 4', 'online_reserve_slots = 8', [('service lm', 'online_reserve_slots', 9)]),
+    ('slots_per_upstream = 4', 'max_batch_slowdown = 1', [('service lm', 'max_batch_slowdown', 9)]),
+    ('kind = plain', 'kind = plain\nmax_batch_slowdown = 2', [('service desk', 'max_batch_slowdown', 13)]),
     ('owner = team', 'owner = team # us', [('document', 'owner', 3)]),
     ('model_version = 1', 'model_version = ; 1', [('service lm', 'model_version', 8)]),
     ('[route /desk/]', '[route /desk/]\nmethods = GET # only', [('route /desk/', 'methods', 15)]),
