Keep counts of objectives in the log beyond their VMs

Keeping whole histograms was ruled out by their size. Carrying old records forward was ruled out by the log's rate.

--- a/siskinmount/commands/_burn_report.py
+++ b/siskinmount/commands/_burn_report.py
@@ -1,11 +1,14 @@
 """Gathers what the burn report shows."""
 
+import enum
 import time
 
 import trio
 
 from siskinmount import configuration
 from siskinmount import membership
+from siskinmount import objectives
+from siskinmount import platform
 from siskinmount import results
 from siskinmount import rpc
 from siskinmount import telemetry
@@ -17,6 +20,19 @@
 _DAYS_PLOT_S = telemetry.THREE_DAYS_WINDOW_S
 
 
+class ArchiveState(enum.Enum):
+    """What became of the counts that lost daemons left in the log."""
+
+    #: The log was not to be asked.
+    NOT_ASKED = 'not_asked'
+
+    #: They are in the report.
+    READ = 'read'
+
+    #: The log did not answer.
+    UNAVAILABLE = 'unavailable'
+
+
 class ObjectiveBurn:
     """The burn of one objective.
 
@@ -74,6 +90,7 @@
         jobs: Batch jobs, first due first.
         daemon_count: Daemons whose histograms are in the report.
         unreachable: Daemons that did not answer.
+        archive: Whether the log was asked for what lost daemons measured.
     """
 
     __slots__ = (
@@ -84,6 +101,7 @@
         'jobs',
         'daemon_count',
         'unreachable',
+        'archive',
     )
 
     def __init__(
@@ -96,6 +114,7 @@
         jobs: list[_job_view.JobView],
         daemon_count: int,
         unreachable: list[_fleet_client.UnreachableDaemon],
+        archive: ArchiveState,
     ) -> None:
         self.now_s = now_s
         self.version = version
@@ -104,6 +123,7 @@
         self.jobs = jobs
         self.daemon_count = daemon_count
         self.unreachable = unreachable
+        self.archive = archive
 
     def list_risky_jobs(self) -> list[_job_view.JobView]:
         """Returns the jobs that miss their due time or will."""
@@ -113,11 +133,13 @@
 
 async def gather_burn_report(
     seeds: list[transport.Address],
+    log_address: transport.Address | None,
 ) -> BurnReport | results.Failure:
     """Asks the fleet and computes the report.
 
     Args:
         seeds: Control addresses of some entries.
+        log_address: The log service, to count what lost daemons measured.
     """
     reply = await _fleet_client.pull_configuration(seeds)
     if isinstance(reply, results.Failure):
@@ -136,33 +158,51 @@
             # Entries measure what callers see.
             if member.role is membership.MemberRole.ENTRY:
                 nursery.start_soon(collection.visit, member, unreachable)
+    archive_state = await _add_archive(collection, log_address)
     now_s = time.time()
-    objectives: list[ObjectiveBurn] = []
+    burns: list[ObjectiveBurn] = []
     for objective in document.objectives:
         snapshots = collection.find(objective)
-        objectives.append(ObjectiveBurn(objective, snapshots, now_s))
+        burns.append(ObjectiveBurn(objective, snapshots, now_s))
     return BurnReport(
         now_s=now_s,
         version=reply.version,
         owner=document.owner,
-        objectives=objectives,
+        objectives=burns,
         jobs=_job_view.list_jobs(view, now_s),
-        daemon_count=collection.daemon_count,
+        daemon_count=len(collection.processes),
         unreachable=unreachable,
+        archive=archive_state,
     )
 
 
+async def _add_archive(
+    collection: '_HistogramCollection', log_address: transport.Address | None
+) -> ArchiveState:
+    """Adds the counts of daemons that did not answer themselves."""
+    if log_address is None:
+        return ArchiveState.NOT_ASKED
+    archive = await objectives.read_archive(
+        platform.create_log_client(log_address)
+    )
+    if isinstance(archive, results.Failure):
+        return ArchiveState.UNAVAILABLE
+    for window in archive.list_windows(collection.processes):
+        collection.add(window)
+    return ArchiveState.READ
+
+
 class _HistogramCollection:
     """Windows of all daemons, by service and objective.
 
     Attributes:
-        daemon_count: Daemons that have answered.
+        processes: VM and incarnation of the daemons that have answered.
     """
 
-    __slots__ = ('daemon_count', '_snapshots')
+    __slots__ = ('processes', '_snapshots')
 
     def __init__(self) -> None:
-        self.daemon_count = 0
+        self.processes: set[tuple[str, int]] = set()
         self._snapshots: dict[
             tuple[str, str], list[telemetry.WindowSnapshot]
         ] = {}
@@ -189,7 +229,7 @@
                     _fleet_client.UnreachableDaemon(address, reply)
                 )
             return
-        self.daemon_count += 1
+        self.processes.add((reply.vm, reply.incarnation))
         for message in reply.histograms:
             snapshot = telemetry.WindowSnapshot(
                 service=message.service,
@@ -200,5 +240,9 @@
                 bad=message.bad,
                 histogram=message.histogram,
             )
-            key = (snapshot.service, snapshot.objective)
-            self._snapshots.setdefault(key, []).append(snapshot)
+            self.add(snapshot)
+
+    def add(self, snapshot: telemetry.WindowSnapshot) -> None:
+        """Adds one window."""
+        key = (snapshot.service, snapshot.objective)
+        self._snapshots.setdefault(key, []).append(snapshot)
--- a/siskinmount/commands/_burn_text.py
+++ b/siskinmount/commands/_burn_text.py
@@ -30,7 +30,8 @@
         f'{report.owner}, configuration version {report.version},'
         f' {_jobs_command.format_time_ms(int(report.now_s * _MS_PER_S))} UTC,'
         f' {report.daemon_count} entries answered,'
-        f' {len(report.unreachable)} did not',
+        f' {len(report.unreachable)} did not,'
+        f' log: {report.archive.value}',
         '',
     ]
     names = [name_window(window_s) for window_s in telemetry.REPORT_WINDOWS_S]
@@ -60,6 +61,7 @@
         'configuration_version': report.version,
         'time_s': int(report.now_s),
         'entry_count': report.daemon_count,
+        'archive': report.archive.value,
         'unreachable': [
             {
                 'address': str(daemon.address),
--- a/siskinmount/commands/_report_burn_command.py
+++ b/siskinmount/commands/_report_burn_command.py
@@ -8,6 +8,7 @@
 
 from siskinmount import results
 from siskinmount import telemetry
+from siskinmount import transport
 from siskinmount.commands import _burn_page
 from siskinmount.commands import _burn_report
 from siskinmount.commands import _burn_text
@@ -34,6 +35,13 @@
         'File to write the report to as one HTML page, besides the text.',
         flag_values=flag_values,
     )
+    flags.DEFINE_string(
+        'log',
+        None,
+        'Address of the log service, to count what entries measured that are'
+        ' gone.',
+        flag_values=flag_values,
+    )
     _common_flags.define_fleet_flags(flag_values)
 
 
@@ -41,7 +49,15 @@
     seeds = _common_flags.get_entries(invocation)
     if seeds is None:
         return _exit_status.ExitStatus.USAGE
-    report = trio.run(_burn_report.gather_burn_report, seeds)
+    log_address: transport.Address | None = None
+    log_text = invocation.flag_values['log'].value
+    if log_text:
+        log_address = _common_flags.parse_address_flag(
+            invocation, 'log', log_text
+        )
+        if log_address is None:
+            return _exit_status.ExitStatus.USAGE
+    report = trio.run(_burn_report.gather_burn_report, seeds, log_address)
     if isinstance(report, results.Failure):
         # Nothing was to be changed, so nothing is unknown.
         report.run_state = results.RunState.NOT_RUN
--- a/siskinmount/commands/tests/test_fleet_commands.py
+++ b/siskinmount/commands/tests/test_fleet_commands.py
@@ -6,11 +6,16 @@
 import testtools
 
 from siskinmount import commands
+from siskinmount import objectives
+from siskinmount import platform
 from siskinmount import results
 from siskinmount import rpc
 from siskinmount import telemetry
 from siskinmount import transport
 from siskinmount.commands.tests import background
+from standins import faults as faults_module
+from standins import log_service
+from standins import serving
 
 _TEXT = """\
 [document]
@@ -228,6 +233,40 @@
         for outside in ('http:', 'https:', '<script', 'src='):
             self.assertNotIn(outside, page)
 
+    def test_report_burn_with_entries_that_are_gone(self):
+        self._record(good=10, bad=0)
+        gone = _Entry('e1', [])
+        for _ in range(5):
+            gone.histograms.record('lm', 'first_token', 200)
+
+        async def start(nursery):
+            log = await nursery.start(
+                serving.serve,
+                _LOCALHOST,
+                log_service.create_log_service().handle,
+                faults_module.Faults(),
+            )
+            writer = objectives.create_archive_writer(
+                platform.create_log_client(log), gone.histograms, 'e1', 0
+            )
+            await writer.append_rest()
+            return await self._start(nursery), log
+
+        with background.serve(start) as (address, log):
+            for words, archive, bad in (
+                ([], 'not_asked', 0),
+                (['--log', str(log)], 'read', 5),
+                (['--log', '127.0.0.1:1'], 'unavailable', 0),
+            ):
+                _, text, _ = background.run_command(
+                    *('report', 'burn', '--json', *words),
+                    *('--entries', str(address)),
+                )
+                report = orjson.loads(text)
+                self.assertEqual(archive, report['archive'])
+                for window in report['objectives'][0]['windows']:
+                    self.assertEqual(bad, window['bad'])
+
     def test_report_burn_without_any_status(self):
         async def fail(request):
             return results.Failure(results.ResultCode.INTERNAL, 'failed')
--- /dev/null
+++ b/siskinmount/objectives/__init__.py
@@ -0,0 +1,15 @@
+"""Counts of objectives kept in the log, so that they outlive their VMs.
+
+Public API:
+    create_archive_writer(log, histograms, vm, incarnation): An
+        `ArchiveWriter` for one entry; `run()` appends each hour after its end,
+        `append_rest()` appends what is left before a planned stop.
+    read_archive(log): An `Archive`, or a failure. `list_windows(live)` returns
+        what processes measured that cannot be asked any more.
+"""
+
+from siskinmount.objectives._archive_reader import Archive
+from siskinmount.objectives._archive_reader import read_archive
+from siskinmount.objectives._archive_record import ARCHIVE_STREAM
+from siskinmount.objectives._archive_writer import ArchiveWriter
+from siskinmount.objectives._archive_writer import create_archive_writer
--- /dev/null
+++ b/siskinmount/objectives/_archive_reader.py
@@ -0,0 +1,80 @@
+"""Reads what entries that are gone have measured."""
+
+from siskinmount import platform
+from siskinmount import results
+from siskinmount import telemetry
+from siskinmount.objectives import _archive_record
+
+_PAGE_BYTES = 1 << 20
+
+
+class Archive:
+    """Counts that the log holds.
+
+    Attributes:
+        invalid_count: Records that could not be read.
+    """
+
+    __slots__ = ('invalid_count', '_windows')
+
+    def __init__(self) -> None:
+        self.invalid_count = 0
+        # The newest copy of each window, by process and then by window.
+        self._windows: dict[
+            tuple[str, int],
+            dict[tuple[str, str, int, int], telemetry.WindowSnapshot],
+        ] = {}
+
+    def add(self, data: bytes) -> None:
+        """Adds one record; a window that is there already is replaced."""
+        record = _archive_record.decode_record(data)
+        if isinstance(record, results.Failure):
+            self.invalid_count += 1
+            return
+        process = (record.vm, record.incarnation)
+        windows = self._windows.setdefault(process, {})
+        for window in record.windows:
+            key = (
+                window.service,
+                window.objective,
+                window.window_start_s,
+                window.window_s,
+            )
+            windows[key] = window
+
+    def list_windows(
+        self, live_processes: set[tuple[str, int]]
+    ) -> list[telemetry.WindowSnapshot]:
+        """Returns the windows of processes that cannot be asked any more.
+
+        Args:
+            live_processes: VM and incarnation of those that were asked.
+        """
+        found: list[telemetry.WindowSnapshot] = []
+        for process, windows in self._windows.items():
+            if process not in live_processes:
+                found.extend(windows.values())
+        return found
+
+
+async def read_archive(log: platform.LogService) -> Archive | results.Failure:
+    """Reads all records that the log holds now."""
+    stream = _archive_record.ARCHIVE_STREAM
+    held = await log.stream_range(stream)
+    if isinstance(held, results.Failure):
+        return held
+    archive = Archive()
+    offset = held.first_offset
+    while offset < held.next_offset:
+        page = await log.read(stream, offset, max_bytes=_PAGE_BYTES)
+        if isinstance(page, results.Failure):
+            return page
+        if isinstance(page, platform.LogExpired):
+            offset = page.first_offset
+            continue
+        if not page.records:
+            break
+        for record in page.records:
+            archive.add(record.data)
+        offset = page.records[-1].offset + 1
+    return archive
--- /dev/null
+++ b/siskinmount/telemetry/tests/manual_clock.py
@@ -0,0 +1,12 @@
+"""A clock of seconds since the Unix epoch that a test moves."""
+
+START_S = 1_000_000 * 3600
+
+
+class ManualClock:
+
+    def __init__(self):
+        self.now_s = START_S
+
+    def __call__(self):
+        return self.now_s
--- a/siskinmount/telemetry/tests/test_histograms.py
+++ b/siskinmount/telemetry/tests/test_histograms.py
@@ -1,17 +1,7 @@
 import testtools
 
 from siskinmount import telemetry
-
-_START_S = 1_000_000 * 3600
-
-
-class _Clock:
-
-    def __init__(self):
-        self.now_s = _START_S
-
-    def __call__(self):
-        return self.now_s
+from siskinmount.telemetry.tests import manual_clock
 
 
 def _create(clock):
@@ -24,7 +14,7 @@
 class HistogramsTest(testtools.TestCase):
 
     def test_good_and_bad(self):
-        histograms = _create(_Clock())
+        histograms = _create(manual_clock.ManualClock())
         for value_ms in (1, 100, 101):
             histograms.record('lm', 'first_token', value_ms)
         minute, hour = histograms.take_snapshots()
@@ -34,21 +24,21 @@
         self.assertEqual(3, merged.total_count)
 
     def test_value_without_objective(self):
-        histograms = _create(_Clock())
+        histograms = _create(manual_clock.ManualClock())
         histograms.record('lm', 'whole_answer', 5)
         snapshot = histograms.take_snapshots()[0]
         self.assertEqual('whole_answer', snapshot.objective)
         self.assertEqual((0, 0), (snapshot.good, snapshot.bad))
 
     def test_outcomes(self):
-        histograms = _create(_Clock())
+        histograms = _create(manual_clock.ManualClock())
         histograms.record_outcome('lm', 'availability', True)
         histograms.record_outcome('lm', 'availability', False)
         snapshot = histograms.take_snapshots()[0]
         self.assertEqual((1, 1), (snapshot.good, snapshot.bad))
 
     def test_windows_are_kept_for_their_time(self):
-        clock = _Clock()
+        clock = manual_clock.ManualClock()
         histograms = _create(clock)
         # One value a minute for 31 days.
         minute_count = 31 * 24 * 60
@@ -63,21 +53,21 @@
         self.assertTrue(all(len(s.histogram) < 200 for s in snapshots))
 
     def test_hours_and_minutes_agree(self):
-        clock = _Clock()
+        clock = manual_clock.ManualClock()
         histograms = _create(clock)
         for _ in range(60):
             histograms.record('lm', 'first_token', 1)
             clock.now_s += 60
         histograms.record('lm', 'first_token', 1)
         windows = [
-            (s.window_start_s - _START_S, s.good)
+            (s.window_start_s - manual_clock.START_S, s.good)
             for s in histograms.take_snapshots()
             if s.window_s == 3600
         ]
         self.assertEqual([(0, 60), (3600, 1)], windows)
 
     def test_clock_set_back(self):
-        clock = _Clock()
+        clock = manual_clock.ManualClock()
         histograms = _create(clock)
         histograms.record('lm', 'first_token', 1)
         clock.now_s -= 7200
@@ -85,12 +75,12 @@
         self.assertEqual([2, 2], [s.good for s in histograms.take_snapshots()])
 
     def test_long_value(self):
-        histograms = _create(_Clock())
+        histograms = _create(manual_clock.ManualClock())
         histograms.record('lm', 'first_token', 1e9)
         self.assertEqual(1, histograms.take_snapshots()[0].bad)
 
     def test_series_are_bounded(self):
-        histograms = _create(_Clock())
+        histograms = _create(manual_clock.ManualClock())
         for number in range(300):
             histograms.record(f's{number}', 'first_token', 1)
         self.assertEqual(44, histograms.dropped_count)
--- a/tools/tests/test_import_direction.py
+++ b/tools/tests/test_import_direction.py
@@ -13,7 +13,7 @@
     ('results',),
     ('supervision', 'transport', 'telemetry'),
     ('relay', 'configuration', 'platform', 'rpc'),
-    ('membership', 'state'),
+    ('membership', 'state', 'objectives'),
     ('routing', 'admission', 'batch'),
     ('sidecar', 'entry'),
     ('commands',),
