--- a/tools/chaos/_check_plain.py
+++ b/tools/chaos/_check_plain.py
@@ -35,6 +35,14 @@
                 _violation.ViolationKind.LOST_EFFECT, call.name
             )
         )
+    if not call.is_settled:
+        violations.append(
+            _violation.Violation(
+                _violation.ViolationKind.UNANSWERED,
+                f'{call.name}: {len(call.failures)} failures, the last'
+                f' {call.failures[-1:]}',
+            )
+        )
     bodies = {(answer.status, answer.body) for answer in call.answers}
     if len(bodies) > 1:
         violations.append(
--- a/tools/chaos/_observations.py
+++ b/tools/chaos/_observations.py
@@ -93,15 +93,17 @@
         answers: Answers of the upstream, the first and those to resends.
         failures: Failures that the system gave, in order.
         lost_count: Connections that ended without an answer.
+        is_settled: Whether its caller has nothing more to ask.
     """
 
-    __slots__ = ('name', 'answers', 'failures', 'lost_count')
+    __slots__ = ('name', 'answers', 'failures', 'lost_count', 'is_settled')
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.answers: list[PlainAnswer] = []
         self.failures: list[results.Failure] = []
         self.lost_count = 0
+        self.is_settled = False
 
 
 class ItemResult:
--- a/tools/chaos/_plain_caller.py
+++ b/tools/chaos/_plain_caller.py
@@ -61,6 +61,11 @@
 
     async def run(self) -> None:
         """Returns once the outcome is known or asking has no sense."""
+        await self._ask()
+        self.call.is_settled = True
+
+    async def _ask(self) -> None:
+        """Sends the call until nothing more can be learned."""
         wanted = 2 if self._habits.asks_again else 1
         while len(self.call.answers) < wanted:
             failure = await self._send()
--- a/tools/chaos/tests/test_checker.py
+++ b/tools/chaos/tests/test_checker.py
@@ -30,6 +30,7 @@
         call.answers.append(_observations.PlainAnswer(201, b'{}'))
     call.failures.extend(failures)
     call.lost_count = lost_count
+    call.is_settled = True
     return call
 
 
@@ -157,6 +158,11 @@
                 expected, self.find_kinds(plain=[call], effects=effects)
             )
 
+    def test_plain_call_that_is_never_settled(self):
+        call = _create_plain(0, [UNKNOWN])
+        call.is_settled = False
+        self.assertEqual([KINDS.UNANSWERED], self.find_kinds(plain=[call]))
+
     def test_plain_outcome_that_changes(self):
         call = _create_plain()
         call.answers.append(_observations.PlainAnswer(201, b'{"other": 1}'))
