--- a/siskinmount/sidecar/_gate_load.py
+++ b/siskinmount/sidecar/_gate_load.py
@@ -34,12 +34,15 @@
         prompt_tokens: What the upstream must prefill, estimated.
         resumed: Whether it continues an output that exists already.
         preemptible: Whether it can be stopped and resumed later.
+        bound_here: Whether it must come to its end here, since it may not be
+            run elsewhere.
         preempt: Stops the request.
         emitted_tokens: Tokens that came out since it was admitted.
         state: Where the request is.
         started_at_s: Monotonic time of its admission.
         refusal: Why it was not admitted.
         decided: Set once it is admitted or refused.
+        was_alone: Whether it has been alone at the upstream all the time.
     """
 
     __slots__ = (
@@ -48,12 +51,14 @@
         'prompt_tokens',
         'resumed',
         'preemptible',
+        'bound_here',
         'preempt',
         'emitted_tokens',
         'state',
         'started_at_s',
         'refusal',
         'decided',
+        'was_alone',
     )
 
     def __init__(
@@ -64,6 +69,7 @@
         prompt_tokens: int = 0,
         resumed: bool = False,
         preemptible: bool = False,
+        bound_here: bool = False,
         preempt: Callable[[], None] = lambda: None,
     ) -> None:
         self.online = online
@@ -71,8 +77,10 @@
         self.prompt_tokens = prompt_tokens
         self.resumed = resumed
         self.preemptible = preemptible
+        self.bound_here = bound_here
         self.preempt = preempt
         self.emitted_tokens = 0
+        self.was_alone = True
         self.state = TicketState.WAITING
         self.started_at_s = math.inf
         self.refusal: results.Failure | None = None
--- a/siskinmount/sidecar/_running_request.py
+++ b/siskinmount/sidecar/_running_request.py
@@ -42,8 +42,11 @@
         scope: Cancelling it stops the request.
         stop_reason: Why it is stopped, or None.
         sent_to_upstream: Whether a byte can have reached the upstream.
+        stopped_at_upstream: Whether the upstream has confirmed that it no
+            longer runs the request.
         upstream_generation: Number of the upstream's process that it was sent
             to; 0 before.
+        was_alone: Whether no other request ran at that process meanwhile.
         ended: Whether the last frame is there.
         ended_at_s: Monotonic time of the end.
         reader_count: Readers attached now.
@@ -58,7 +61,9 @@
         'scope',
         'stop_reason',
         'sent_to_upstream',
+        'stopped_at_upstream',
         'upstream_generation',
+        'was_alone',
         'ended',
         'ended_at_s',
         'reader_count',
@@ -74,7 +79,9 @@
         self.scope = trio.CancelScope()
         self.stop_reason: StopReason | None = None
         self.sent_to_upstream = False
+        self.stopped_at_upstream = False
         self.upstream_generation = 0
+        self.was_alone = False
         self.ended = False
         self.ended_at_s = math.inf
         self.reader_count = 0
