--- a/siskinmount/entry/_entry.py
+++ b/siskinmount/entry/_entry.py
@@ -10,6 +10,7 @@
 from siskinmount import batch
 from siskinmount import configuration
 from siskinmount import membership
+from siskinmount import objectives
 from siskinmount import platform
 from siskinmount import results
 from siskinmount import routing
@@ -69,6 +70,7 @@
         '_log',
         '_writer',
         '_histograms',
+        '_archive',
         '_admission',
         '_access',
         '_heartbeats',
@@ -107,6 +109,9 @@
             self._create_shard,
         )
         self._histograms = telemetry.create_histograms([])
+        self._archive = objectives.create_archive_writer(
+            self._log, self._histograms, identity.vm, self.own.incarnation
+        )
         router = routing.create_router(self.members, identity.failure_domain)
         self._admission = admission.create_admission(router)
         self._access = _upstream_access.UpstreamAccess(
@@ -267,6 +272,7 @@
                 self._callers_server.begin_draining()
                 await trio.sleep(LEAVING_NOTICE_S)
                 self._callers_server.stop()
+            await self._archive.append_rest()
             # No caller is left; the state streams go to their next owners.
             self.streams.stop()
             await self._released.wait()
@@ -290,6 +296,7 @@
             supervision.Child('heartbeats', self._heartbeats.run),
             supervision.Child('vm_list', self._vm_list_watcher.run),
             supervision.Child('streams', self._run_streams),
+            supervision.Child('objectives', self._archive.run),
             supervision.Child('upkeep', self._run_upkeep),
         ]
 
