--- a/siskinmount/sidecar/_gate_load.py
+++ b/siskinmount/sidecar/_gate_load.py
@@ -104,8 +104,7 @@
         online_slots: Slots that a static split keeps for online requests, or
             None for its default.
         online_reserve_slots: Slots that batch leaves free.
-        batch_prefill_tokens: Longest batch prompt beside online requests, and
-            most tokens of batch prompts computed at once without them.
+        batch_prefill_tokens: Longest batch prompt beside online requests.
         online_running: Online requests at the upstream.
         batch_running: Batch requests at the upstream, yielding ones included.
         batch_yielding: Batch requests told to make room.
