--- a/siskinmount/sidecar/_request_runner.py
+++ b/siskinmount/sidecar/_request_runner.py
@@ -7,6 +7,7 @@
 
 from siskinmount import relay
 from siskinmount import results
+from siskinmount.sidecar import _death_memory
 from siskinmount.sidecar import _gate
 from siskinmount.sidecar import _gate_load
 from siskinmount.sidecar import _prompt_size
@@ -28,6 +29,12 @@
     results.ResultCode.UPSTREAM_SILENT,
 )
 
+#: Failures that are evidence of the end of the upstream's process.
+_DEATH_CODES = (
+    results.ResultCode.UPSTREAM_LOST,
+    results.ResultCode.REQUEST_SUSPECT,
+)
+
 
 class RequestRunner:
     """Takes requests through the gate and to the upstream.
@@ -45,6 +52,7 @@
         '_plain_upstream',
         '_note_gap',
         '_prompt_sizes',
+        '_deaths',
     )
 
     def __init__(
@@ -65,6 +73,7 @@
         self._plain_upstream = plain_upstream
         self._note_gap = note_gap
         self._prompt_sizes = _prompt_size.PromptSizeEstimator()
+        self._deaths = _death_memory.DeathMemory()
 
     async def run(self, running: _running_request.RunningRequest) -> None:
         """Runs a request to its last frame."""
@@ -89,9 +98,14 @@
                 _describe_run_state(running),
             )
         if not running.ended:
-            running.append(
-                _describe_end(running, failure or _describe_stop(running))
-            )
+            frame = _describe_end(running, failure or _describe_stop(running))
+            if frame.failure.code is results.ResultCode.UPSTREAM_LOST:
+                self._deaths.note(
+                    running.request.fingerprint,
+                    frame.upstream_generation,
+                    frame.was_alone,
+                )
+            running.append(frame)
         self._registry.settle(running)
 
     async def _run_through_gate(
@@ -109,8 +123,15 @@
                 )
             if isinstance(running.request.body, _run_request.PlainBody):
                 return await self._run_plain(running, running.request.body)
+            death = self._deaths.find(running.request.fingerprint)
+            if death is not None:
+                running.upstream_generation = death.generation
+                running.was_alone = death.was_alone
+                return _suspect()
             return await self._run_model(running, running.request.body, ticket)
         finally:
+            if running.sent_to_upstream:
+                running.was_alone = ticket.was_alone
             await self._stop_at_upstream(running)
             self._gate.release(ticket)
 
@@ -342,11 +363,20 @@
     running: _running_request.RunningRequest, failure: results.Failure
 ) -> relay.FailureFrame:
     """Returns the last frame of a request that has failed."""
-    if failure.code is results.ResultCode.UPSTREAM_LOST:
-        return relay.FailureFrame(failure, running.upstream_generation)
+    if failure.code in _DEATH_CODES:
+        return relay.FailureFrame(
+            failure, running.upstream_generation, running.was_alone
+        )
     return relay.FailureFrame(failure)
 
 
+def _suspect() -> results.Failure:
+    return results.Failure(
+        results.ResultCode.REQUEST_SUSPECT,
+        'a process of the upstream here has ended with this request',
+    )
+
+
 def _describe_run_state(
     running: _running_request.RunningRequest,
 ) -> results.RunState:
