--- a/siskinmount/sidecar/_online_first_policy.py
+++ b/siskinmount/sidecar/_online_first_policy.py
@@ -12,6 +12,7 @@
     __slots__ = ()
 
     puts_online_first = True
+    bounds_waiting = True
     bounds_running = True
 
     def arrange(
--- a/siskinmount/sidecar/_pass_through_policy.py
+++ b/siskinmount/sidecar/_pass_through_policy.py
@@ -9,6 +9,7 @@
     __slots__ = ()
 
     puts_online_first = False
+    bounds_waiting = False
     bounds_running = False
 
     def arrange(
--- a/siskinmount/sidecar/_request_runner.py
+++ b/siskinmount/sidecar/_request_runner.py
@@ -51,8 +51,8 @@
         '_model_upstream',
         '_plain_upstream',
         '_note_gap',
-        '_prompt_sizes',
         '_deaths',
+        '_prompt_sizes',
     )
 
     def __init__(
@@ -72,8 +72,8 @@
         self._model_upstream = model_upstream
         self._plain_upstream = plain_upstream
         self._note_gap = note_gap
-        self._prompt_sizes = _prompt_size.PromptSizeEstimator()
         self._deaths = _death_memory.DeathMemory()
+        self._prompt_sizes = _prompt_size.PromptSizeEstimator()
 
     async def run(self, running: _running_request.RunningRequest) -> None:
         """Runs a request to its last frame."""
