--- a/tools/chaos/_check_configuration.py
+++ b/tools/chaos/_check_configuration.py
@@ -65,7 +65,7 @@
     """
     violations: list[_violation.Violation] = []
     for publication in seen.publications:
-        late_vms: set[str] = set()
+        late_s_by_vm: dict[str, float] = {}
         for sighting in seen.sightings:
             if sighting.version >= publication.version:
                 continue
@@ -80,12 +80,14 @@
                     continue
                 due_s = max(due_s, span.end_s + IN_FORCE_WITHIN_S)
             if sighting.at_s > due_s:
-                late_vms.add(sighting.vm)
-        if late_vms:
+                late_s_by_vm[sighting.vm] = sighting.at_s - publication.at_s
+        if late_s_by_vm:
+            slowest_s = max(late_s_by_vm.values())
             violations.append(
                 _violation.Violation(
                     _KIND,
-                    f'{publication.version} late at {sorted(late_vms)}',
+                    f'{publication.version} late at {sorted(late_s_by_vm)},'
+                    f' up to {slowest_s:.1f} s',
                 )
             )
     return violations
--- a/tools/chaos/_check_leaving.py
+++ b/tools/chaos/_check_leaving.py
@@ -1,5 +1,6 @@
 """Checks that an upstream that leaves gets no new work."""
 
+from standins import engine
 from tools.chaos import _observations
 from tools.chaos import _violation
 
@@ -10,18 +11,37 @@
     seen: _observations.Observations,
 ) -> list[_violation.Violation]:
     """Returns starts on upstreams that had been leaving for a while."""
+    batch_fingerprints: set[str] = set()
+    for job in seen.jobs:
+        for prompt in job.prompts:
+            batch_fingerprints.add(engine.fingerprint_content(prompt))
     violations: list[_violation.Violation] = []
     for span in seen.leaving:
-        for start in seen.starts:
-            if start.vm != span.vm:
-                continue
-            late_s = start.at_s - span.start_s
-            if late_s <= LEAVING_GRACE_S or start.at_s >= span.end_s:
-                continue
-            violations.append(
-                _violation.Violation(
-                    _violation.ViolationKind.WORK_AFTER_LEAVING,
-                    f'{span.vm} took work {late_s:.1f} s after',
-                )
+        late = _find_late_starts(seen, span)
+        if not late:
+            continue
+        last_s = max(start.at_s for start in late) - span.start_s
+        batch_count = sum(
+            start.fingerprint in batch_fingerprints for start in late
+        )
+        violations.append(
+            _violation.Violation(
+                _violation.ViolationKind.WORK_AFTER_LEAVING,
+                f'{span.vm} took {len(late)} requests, {batch_count} of them'
+                f' batch items, up to {last_s:.1f} s after',
             )
+        )
     return violations
+
+
+def _find_late_starts(
+    seen: _observations.Observations, span: _observations.Span
+) -> list[_observations.Start]:
+    """Returns the requests that a leaving upstream took too late."""
+    late: list[_observations.Start] = []
+    for start in seen.starts:
+        if start.vm != span.vm:
+            continue
+        if span.start_s + LEAVING_GRACE_S < start.at_s < span.end_s:
+            late.append(start)
+    return late
