--- a/tools/chaos/_chaos_run.py
+++ b/tools/chaos/_chaos_run.py
@@ -58,6 +58,11 @@
             plain_services=[PLAIN_SERVICE],
             callers=[caller],
         )
+        # Items of the plain service are calls that may run at most once.
+        text = text.replace(
+            f'[service {PLAIN_SERVICE}]\n',
+            f'[service {PLAIN_SERVICE}]\nbatch_idempotent = false\n',
+        )
         version = await fleet.publish_document(plan.log_address, text, 0)
         await running.wait_ready()
         client = _entry_client.EntryClient(plan.entries, caller)
--- a/tools/chaos/_check_jobs.py
+++ b/tools/chaos/_check_jobs.py
@@ -17,6 +17,7 @@
     """Returns what is wrong with the jobs."""
     violations: list[_violation.Violation] = []
     starts: dict[str, list[float]] = collections.defaultdict(list)
+    effect_counts = collections.Counter(effect.name for effect in seen.effects)
     for start in seen.starts:
         starts[start.fingerprint].append(start.at_s)
     for job in seen.jobs:
@@ -36,6 +37,32 @@
         for reading in job.readings:
             violations.extend(_check_results(job, reading))
         violations.extend(_check_readings_agree(job))
+        violations.extend(_check_effects(job, effect_counts))
+    return violations
+
+
+def _check_effects(
+    job: _observations.JobObservation,
+    effect_counts: collections.Counter[str],
+) -> list[_violation.Violation]:
+    """Looks for items that ran twice, or not though they are done."""
+    if not job.is_plain:
+        return []
+    violations: list[_violation.Violation] = []
+    for name in job.prompts:
+        if effect_counts[name] > 1:
+            violations.append(
+                _violation.Violation(
+                    _violation.ViolationKind.DOUBLED_EFFECT,
+                    f'{name}: {effect_counts[name]} effects',
+                )
+            )
+    for result in job.readings[-1] if job.readings else []:
+        name = job.prompts[result.index]
+        if result.state == 'done' and not effect_counts[name]:
+            violations.append(
+                _violation.Violation(_violation.ViolationKind.LOST_EFFECT, name)
+            )
     return violations
 
 
@@ -100,6 +127,9 @@
                 )
             )
     for result in reading:
+        if job.is_plain:
+            # It may have been lost with its upstream, and is not repeated.
+            continue
         expected = ''.join(
             engine.expected_tokens(
                 job.prompts[result.index], None, job.max_tokens
--- a/tools/chaos/_fault_injector.py
+++ b/tools/chaos/_fault_injector.py
@@ -50,6 +50,7 @@
             kinds.KILL_ENTRY: self._kill_daemon,
             kinds.FREEZE_UPSTREAM: self._freeze_upstream,
             kinds.FREEZE_SIDECAR: self._freeze_daemon,
+            kinds.FREEZE_SIDECAR_LONG: self._freeze_daemon,
             kinds.FREEZE_ENTRY: self._freeze_daemon,
             kinds.CUT_UPSTREAM: self._cut_upstream,
             kinds.CUT_LOG: self._cut_log,
--- a/tools/chaos/_fault_schedule.py
+++ b/tools/chaos/_fault_schedule.py
@@ -22,6 +22,7 @@
     FREEZE_UPSTREAM = 'freeze_upstream'
     FREEZE_SIDECAR = 'freeze_sidecar'
     FREEZE_ENTRY = 'freeze_entry'
+    FREEZE_SIDECAR_LONG = 'freeze_sidecar_long'
     CUT_UPSTREAM = 'cut_upstream'
     CUT_LOG = 'cut_log'
     LOG_OUTAGE = 'log_outage'
@@ -103,15 +104,19 @@
 _WEIGHTS = {
     FaultKind.RACING_PUBLISHES: 3.0,
     FaultKind.LIST_AS_LEAVING: 0.7,
+    FaultKind.FREEZE_SIDECAR_LONG: 0.5,
     FaultKind.POISON: 0.7,
 }
 _LEAST_DURATION_S = {
     FaultKind.LIST_AS_LEAVING: 9.0,
     FaultKind.LOSE_LOG_ANSWERS: 0.0,
+    # Longer than the lease of a batch item.
+    FaultKind.FREEZE_SIDECAR_LONG: 33.0,
 }
 _MOST_DURATION_S = {
     FaultKind.LIST_AS_LEAVING: 14.0,
     FaultKind.LOG_OUTAGE: 8.0,
+    FaultKind.FREEZE_SIDECAR_LONG: 36.0,
     FaultKind.FREEZE_ENTRY: 9.0,
     FaultKind.FREEZE_SIDECAR: 9.0,
     FaultKind.FREEZE_UPSTREAM: 9.0,
--- a/tools/chaos/_observations.py
+++ b/tools/chaos/_observations.py
@@ -132,8 +132,9 @@
 
     Attributes:
         name: The job's idempotency key.
-        prompts: Prompts of its items.
+        prompts: Prompts of its items; names of their effects if it is plain.
         max_tokens: Bound on each answer.
+        is_plain: Whether its items are calls that may run at most once.
         job_id: Its id; empty if it was never accepted.
         is_given_up: Whether the caller stopped before it was accepted.
         cancelled_at_s: When its cancellation was acknowledged, or None.
@@ -146,6 +147,7 @@
         'name',
         'prompts',
         'max_tokens',
+        'is_plain',
         'job_id',
         'is_given_up',
         'cancelled_at_s',
@@ -154,10 +156,17 @@
         'last_status',
     )
 
-    def __init__(self, name: str, prompts: list[str], max_tokens: int) -> None:
+    def __init__(
+        self,
+        name: str,
+        prompts: list[str],
+        max_tokens: int,
+        is_plain: bool = False,
+    ) -> None:
         self.name = name
         self.prompts = prompts
         self.max_tokens = max_tokens
+        self.is_plain = is_plain
         self.job_id = ''
         self.is_given_up = False
         self.cancelled_at_s: float | None = None
--- a/tools/chaos/tests/test_checker.py
+++ b/tools/chaos/tests/test_checker.py
@@ -192,6 +192,22 @@
             found = self.find_kinds(jobs=[_create_job(**changes)])
             self.assertEqual(expected, found, changes)
 
+    def test_items_that_may_run_once(self):
+        done = _observations.ItemResult(0, 'done', '')
+        lost = _observations.ItemResult(1, 'unknown', '')
+        for counts, expected in (
+            ((1, 1), []),
+            ((1, 0), []),
+            ((0, 0), [KINDS.LOST_EFFECT]),
+            ((1, 2), [KINDS.DOUBLED_EFFECT]),
+        ):
+            job = _create_job(is_plain=True, readings=[[done, lost]])
+            effects = []
+            for name, count in zip(job.prompts, counts, strict=True):
+                effects += [_observations.Effect('p1', name)] * count
+            found = self.find_kinds(jobs=[job], effects=effects)
+            self.assertEqual(expected, found, counts)
+
     def test_cancelled_job(self):
         job = _create_job(cancelled_at_s=10.0, readings=[], is_finished=False)
         for at_s, expected in (
