--- a/siskinmount/sidecar/_batch_puller.py
+++ b/siskinmount/sidecar/_batch_puller.py
@@ -27,6 +27,7 @@
 MIN_RENEW_INTERVAL_S = 0.2
 MAX_UNSETTLED_REPORTS = 1000
 GIVE_BACK_S = 5.0
+SUSPECT_PAUSE_S = 3.0
 
 ListEntries = Callable[[], list[_entry_link.EntryPeer]]
 RunRequest = Callable[[_running_request.RunningRequest], Awaitable[None]]
@@ -267,6 +268,9 @@
             await self._run(running)
             running.fully_read = True
             item.was_sent = item.was_sent or running.sent_to_upstream
+            if _is_suspect_here(running):
+                # Given back at once, it would come here again at once.
+                await trio.sleep(SUSPECT_PAUSE_S)
             if not self._may_resume(item):
                 break
             item.keep_output(running.collect_tokens())
@@ -387,3 +391,12 @@
             self._notify()
             if not all(reply.accepted):
                 await trio.sleep(RETRY_PAUSE_S)
+
+
+def _is_suspect_here(running: _running_request.RunningRequest) -> bool:
+    """Tells whether a run was refused because the upstream died with it."""
+    failure = running.failure
+    return (
+        failure is not None
+        and failure.code is results.ResultCode.REQUEST_SUSPECT
+    )
--- a/siskinmount/sidecar/_gate.py
+++ b/siskinmount/sidecar/_gate.py
@@ -72,7 +72,7 @@
         refusal = self.find_refusal()
         if refusal is not None and not ticket.bound_here:
             return refusal
-        if ticket.online and self._count_waiting_online() >= self._queue_bound:
+        if ticket.online and self._is_queue_full():
             self.refused_count += 1
             return _overloaded('too many requests wait')
         self._waiting.append(ticket)
@@ -192,17 +192,16 @@
             if may_start:
                 self._start(ticket)
 
-    @property
-    def _queue_bound(self) -> int:
-        return WAITING_PER_SLOT * self.load.slots
-
-    def _count_waiting_online(self) -> int:
-        return sum(ticket.online for ticket in self._waiting)
+    def _is_queue_full(self) -> bool:
+        """Tells whether too many online requests wait."""
+        waiting = sum(ticket.online for ticket in self._waiting)
+        bound = WAITING_PER_SLOT * self.load.slots
+        return self._policy.bounds_waiting and waiting >= bound
 
     async def _wait_decided(self, ticket: _gate_load.Ticket) -> None:
         """Waits until a ticket is admitted or refused."""
         limit_s = math.inf
-        if ticket.online:
+        if ticket.online and self._policy.bounds_waiting:
             wait_ms = SOLO_WAIT_MS if ticket.solo else ONLINE_WAIT_MS
             limit_s = trio.current_time() + wait_ms / 1000
         while not ticket.decided.is_set():
--- a/siskinmount/sidecar/_sidecar.py
+++ b/siskinmount/sidecar/_sidecar.py
@@ -178,6 +178,7 @@
             load.slots = service.slots_per_upstream
         load.online_reserve_slots = service.online_reserve_slots
         load.batch_prefill_tokens = service.batch_prefill_tokens
+        self.slot_controller.max_slowdown = service.max_batch_slowdown
         self.configuration_version = configuration_version
         if service.kind is configuration.ServiceKind.MODEL:
             self.changer.set_wanted(
