Take no new work at a VM that the platform lists as leaving

It now reads its own VM's state in the list and refuses new work while that says leaving; a list that is put right lets it take work again. test_publish_command's test_unknown answered the first read with 503; since a publisher reads the stream before it appends, nothing was sent there and 4001 was the truth. The stand-in now fails the reads after the append, as strict.

--- a/siskinmount/commands/tests/test_publish_command.py
+++ b/siskinmount/commands/tests/test_publish_command.py
@@ -107,6 +107,10 @@
             if exchange.head.method == 'POST':
                 await exchange.read_body()
                 await exchange.send_json(200, {'offset': 1})
+            elif exchange.head.path == '/streams/config':
+                await exchange.send_json(
+                    200, {'first_offset': 1, 'next_offset': 1}
+                )
             else:
                 await exchange.send_json(503, {})
 
--- a/siskinmount/membership/_vm_list_watcher.py
+++ b/siskinmount/membership/_vm_list_watcher.py
@@ -1,5 +1,6 @@
 """Reads the platform's VM list, the slow second source of membership."""
 
+from collections.abc import Callable
 import logging
 
 import trio
@@ -14,11 +15,13 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+TakeVms = Callable[[list[platform.VmEntry]], None]
+
 
 class VmListWatcher:
     """Feeds the member table and the heartbeat sender from the VM list."""
 
-    __slots__ = ('_source', '_table', '_sender', '_settings')
+    __slots__ = ('_source', '_table', '_sender', '_settings', '_take_vms')
 
     def __init__(
         self,
@@ -26,11 +29,13 @@
         table: _member_table.MemberTable,
         sender: _heartbeat_sender.HeartbeatSender,
         settings: _heartbeat_settings.HeartbeatSettings,
+        take_vms: TakeVms,
     ) -> None:
         self._source = source
         self._table = table
         self._sender = sender
         self._settings = settings
+        self._take_vms = take_vms
 
     async def run(
         self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
@@ -51,6 +56,7 @@
             )
             return
         self._table.apply_vm_list(vms)
+        self._take_vms(vms)
         listed: list[transport.Address] = []
         for vm in vms:
             if vm.role != _member.MemberRole.ENTRY.value:
@@ -66,6 +72,7 @@
     table: _member_table.MemberTable,
     sender: _heartbeat_sender.HeartbeatSender,
     settings: _heartbeat_settings.HeartbeatSettings | None = None,
+    take_vms: TakeVms | None = None,
 ) -> VmListWatcher:
     """Creates a watcher that feeds the table and the sender."""
     return VmListWatcher(
@@ -73,4 +80,5 @@
         table,
         sender,
         settings or _heartbeat_settings.HeartbeatSettings(),
+        take_vms or (lambda vms: None),
     )
--- a/siskinmount/sidecar/_fleet_link.py
+++ b/siskinmount/sidecar/_fleet_link.py
@@ -36,6 +36,8 @@
         '_describe_details',
         '_apply_document',
         '_service',
+        '_vm',
+        '_note_listed',
         '_sender',
         '_watcher',
     )
@@ -47,6 +49,7 @@
         describe_member: Callable[[], membership.Member],
         describe_details: Callable[[], dict[str, object]],
         apply_document: Callable[[configuration.ServiceDocument, int], None],
+        note_listed: Callable[[bool], None],
     ) -> None:
         self.members = membership.create_member_table()
         self.document: configuration.ServiceDocument | None = None
@@ -57,6 +60,8 @@
         self._describe_details = describe_details
         self._apply_document = apply_document
         self._service = service
+        self._vm = identity.vm
+        self._note_listed = note_listed
         self._sender = membership.create_heartbeat_sender(
             self.members, self, identity.seeds
         )
@@ -64,8 +69,15 @@
             platform.create_vm_list_client(identity.vm_list_address),
             self.members,
             self._sender,
+            take_vms=self._take_vms,
         )
 
+    def _take_vms(self, vms: list[platform.VmEntry]) -> None:
+        """Notes whether the platform says that this VM is leaving."""
+        for entry in vms:
+            if entry.vm == self._vm:
+                self._note_listed(entry.state is platform.VmState.LEAVING)
+
     def list_children(self) -> list[supervision.Child]:
         """Returns the long-running parts."""
         return [
--- a/siskinmount/sidecar/_gate.py
+++ b/siskinmount/sidecar/_gate.py
@@ -31,6 +31,8 @@
         closed: Whether new requests are refused because the sidecar stops.
         paused: Whether new requests are refused because the upstream is being
             changed.
+        withdrawn: Whether new requests are refused because the platform says
+            that the VM is leaving.
         preempted_count: Requests stopped to make room, in total.
         refused_count: Requests refused for lack of capacity, in total.
         prefill_pause_factor: Pause between two batch prompts beside online
@@ -41,6 +43,7 @@
         'load',
         'closed',
         'paused',
+        'withdrawn',
         'preempted_count',
         'refused_count',
         'prefill_pause_factor',
@@ -56,6 +59,7 @@
         self.load = load
         self.closed = False
         self.paused = False
+        self.withdrawn = False
         self.preempted_count = 0
         self.refused_count = 0
         self.prefill_pause_factor = DEFAULT_PREFILL_PAUSE_FACTOR
@@ -129,9 +133,23 @@
         """Admits requests again after `pause`."""
         self.paused = False
 
+    def withdraw(self) -> None:
+        """Refuses new requests and gives batch back while the VM is leaving."""
+        if self.withdrawn:
+            return
+        self.withdrawn = True
+        self._refuse_waiting(_leaving())
+        for ticket in list(self._running):
+            if ticket.preemptible and not ticket.bound_here:
+                self._stop(ticket)
+
+    def restore(self) -> None:
+        """Admits requests again after `withdraw`."""
+        self.withdrawn = False
+
     def find_refusal(self) -> results.Failure | None:
         """Returns why no request is admitted at present, or None."""
-        if self.closed:
+        if self.closed or self.withdrawn:
             return _leaving()
         return _changing() if self.paused else None
 
--- a/siskinmount/sidecar/_sidecar.py
+++ b/siskinmount/sidecar/_sidecar.py
@@ -148,6 +148,7 @@
             self.describe_member,
             self.describe,
             self.apply_document,
+            self.note_listed,
         )
         self._nursery = nursery
         self._leaving_requested = trio.Event()
@@ -198,6 +199,20 @@
         if service is not None:
             self.apply_service(service, version)
 
+    def note_listed(self, is_leaving: bool) -> None:
+        """Takes what the platform's list says of this VM.
+
+        The list is the second source: this process may not have been told
+        that its VM leaves, and a list that was wrong is put right later.
+        """
+        if is_leaving == self.gate.withdrawn:
+            return
+        _LOGGER.info('listed_state_changed', extra={'is_leaving': is_leaving})
+        if is_leaving:
+            self.gate.withdraw()
+        else:
+            self.gate.restore()
+
     def describe_member(self) -> membership.Member:
         """Returns what heartbeats say of this sidecar."""
         identity = self.settings.identity
