--- a/siskinmount/sidecar/_gate.py
+++ b/siskinmount/sidecar/_gate.py
@@ -31,6 +31,8 @@
         closed: Whether new requests are refused because the sidecar stops.
         paused: Whether new requests are refused because the upstream is being
             changed.
+        withdrawn: Whether new requests are refused because the platform says
+            that the VM is leaving.
         preempted_count: Requests stopped to make room, in total.
         refused_count: Requests refused for lack of capacity, in total.
         prefill_pause_factor: Pause between two batch prompts beside online
@@ -41,6 +43,7 @@
         'load',
         'closed',
         'paused',
+        'withdrawn',
         'preempted_count',
         'refused_count',
         'prefill_pause_factor',
@@ -56,6 +59,7 @@
         self.load = load
         self.closed = False
         self.paused = False
+        self.withdrawn = False
         self.preempted_count = 0
         self.refused_count = 0
         self.prefill_pause_factor = DEFAULT_PREFILL_PAUSE_FACTOR
@@ -72,7 +76,7 @@
         refusal = self.find_refusal()
         if refusal is not None and not ticket.bound_here:
             return refusal
-        if ticket.online and self._count_waiting_online() >= self._queue_bound:
+        if ticket.online and self._is_queue_full():
             self.refused_count += 1
             return _overloaded('too many requests wait')
         self._waiting.append(ticket)
@@ -129,9 +133,23 @@
         """Admits requests again after `pause`."""
         self.paused = False
 
+    def withdraw(self) -> None:
+        """Refuses new requests and gives batch back while the VM is leaving."""
+        if self.withdrawn:
+            return
+        self.withdrawn = True
+        self._refuse_waiting(_leaving())
+        for ticket in list(self._running):
+            if ticket.preemptible and not ticket.bound_here:
+                self._stop(ticket)
+
+    def restore(self) -> None:
+        """Admits requests again after `withdraw`."""
+        self.withdrawn = False
+
     def find_refusal(self) -> results.Failure | None:
         """Returns why no request is admitted at present, or None."""
-        if self.closed:
+        if self.closed or self.withdrawn:
             return _leaving()
         return _changing() if self.paused else None
 
@@ -192,17 +210,16 @@
             if may_start:
                 self._start(ticket)
 
-    @property
-    def _queue_bound(self) -> int:
-        return WAITING_PER_SLOT * self.load.slots
-
-    def _count_waiting_online(self) -> int:
-        return sum(ticket.online for ticket in self._waiting)
+    def _is_queue_full(self) -> bool:
+        """Tells whether too many online requests wait."""
+        waiting = sum(ticket.online for ticket in self._waiting)
+        bound = WAITING_PER_SLOT * self.load.slots
+        return self._policy.bounds_waiting and waiting >= bound
 
     async def _wait_decided(self, ticket: _gate_load.Ticket) -> None:
         """Waits until a ticket is admitted or refused."""
         limit_s = math.inf
-        if ticket.online:
+        if ticket.online and self._policy.bounds_waiting:
             wait_ms = SOLO_WAIT_MS if ticket.solo else ONLINE_WAIT_MS
             limit_s = trio.current_time() + wait_ms / 1000
         while not ticket.decided.is_set():
@@ -306,6 +323,7 @@
         load.batch_running = 0
         load.batch_yielding = 0
         load.batch_prefilling = 0
+        load.batch_prefilling_tokens = 0
         load.solo_running = 0
         for ticket in self._running:
             load.solo_running += ticket.solo
@@ -315,7 +333,9 @@
             load.batch_running += 1
             yielding = ticket.state is _gate_load.TicketState.YIELDING
             load.batch_yielding += yielding
-            load.batch_prefilling += ticket.is_prefilling
+            if ticket.is_prefilling:
+                load.batch_prefilling += 1
+                load.batch_prefilling_tokens += ticket.prompt_tokens
         load.online_waiting = 0
         load.solo_waiting = 0
         load.online_solo_waiting = 0
--- a/siskinmount/sidecar/_gate_policy.py
+++ b/siskinmount/sidecar/_gate_policy.py
@@ -13,10 +13,12 @@
     Attributes:
         puts_online_first: Whether batch requests never start while an online
             request waits, and make room for it.
+        bounds_waiting: Whether online requests wait for a short time only.
         bounds_running: Whether no more run than there are slots.
     """
 
     puts_online_first: bool
+    bounds_waiting: bool
     bounds_running: bool
 
     def arrange(
--- a/siskinmount/sidecar/_sidecar.py
+++ b/siskinmount/sidecar/_sidecar.py
@@ -148,6 +148,7 @@
             self.describe_member,
             self.describe,
             self.apply_document,
+            self.note_listed,
         )
         self._nursery = nursery
         self._leaving_requested = trio.Event()
@@ -178,6 +179,7 @@
             load.slots = service.slots_per_upstream
         load.online_reserve_slots = service.online_reserve_slots
         load.batch_prefill_tokens = service.batch_prefill_tokens
+        self.slot_controller.max_slowdown = service.max_batch_slowdown
         self.configuration_version = configuration_version
         if service.kind is configuration.ServiceKind.MODEL:
             self.changer.set_wanted(
@@ -197,6 +199,20 @@
         if service is not None:
             self.apply_service(service, version)
 
+    def note_listed(self, is_leaving: bool) -> None:
+        """Takes what the platform's list says of this VM.
+
+        The list is the second source: this process may not have been told
+        that its VM leaves, and a list that was wrong is put right later.
+        """
+        if is_leaving == self.gate.withdrawn:
+            return
+        _LOGGER.info('listed_state_changed', extra={'is_leaving': is_leaving})
+        if is_leaving:
+            self.gate.withdraw()
+        else:
+            self.gate.restore()
+
     def describe_member(self) -> membership.Member:
         """Returns what heartbeats say of this sidecar."""
         identity = self.settings.identity
@@ -281,6 +297,7 @@
             'batch_slots_beside_online': (
                 self.gate.load.batch_slots_beside_online
             ),
+            'step_times_ms': self.slot_controller.model.describe(),
             'batch_items_held': self.puller.held_count,
             'batch_items_pulled': self.puller.pulled_count,
             'batch_items_done': self.puller.done_count,
--- a/tools/chaos/tests/test_checker.py
+++ b/tools/chaos/tests/test_checker.py
@@ -30,6 +30,7 @@
         call.answers.append(_observations.PlainAnswer(201, b'{}'))
     call.failures.extend(failures)
     call.lost_count = lost_count
+    call.is_settled = True
     return call
 
 
@@ -157,6 +158,11 @@
                 expected, self.find_kinds(plain=[call], effects=effects)
             )
 
+    def test_plain_call_that_is_never_settled(self):
+        call = _create_plain(0, [UNKNOWN])
+        call.is_settled = False
+        self.assertEqual([KINDS.UNANSWERED], self.find_kinds(plain=[call]))
+
     def test_plain_outcome_that_changes(self):
         call = _create_plain()
         call.answers.append(_observations.PlainAnswer(201, b'{"other": 1}'))
@@ -186,6 +192,22 @@
             found = self.find_kinds(jobs=[_create_job(**changes)])
             self.assertEqual(expected, found, changes)
 
+    def test_items_that_may_run_once(self):
+        done = _observations.ItemResult(0, 'done', '')
+        lost = _observations.ItemResult(1, 'unknown', '')
+        for counts, expected in (
+            ((1, 1), []),
+            ((1, 0), []),
+            ((0, 0), [KINDS.LOST_EFFECT]),
+            ((1, 2), [KINDS.DOUBLED_EFFECT]),
+        ):
+            job = _create_job(is_plain=True, readings=[[done, lost]])
+            effects = []
+            for name, count in zip(job.prompts, counts, strict=True):
+                effects += [_observations.Effect('p1', name)] * count
+            found = self.find_kinds(jobs=[job], effects=effects)
+            self.assertEqual(expected, found, counts)
+
     def test_cancelled_job(self):
         job = _create_job(cancelled_at_s=10.0, readings=[], is_finished=False)
         for at_s, expected in (
