--- a/tools/bench/__main__.py
+++ b/tools/bench/__main__.py
@@ -1,5 +1,6 @@
 """Runs the experiment: all arms take turns in several rounds."""
 
+import math
 import pathlib
 
 from absl import app
@@ -93,7 +94,7 @@
         seed=_SEED.value,
         batch_source=_BATCH_SOURCE.value,
         fault=_FAULT.value,
-        max_send_lag_ms=_MAX_SEND_LAG_MS.value,
+        max_send_lag_ms=math.inf if _QUICK.value else _MAX_SEND_LAG_MS.value,
     )
     arms = [bench.Arm(name) for name in _ARMS.value]
     all_right = True
--- a/tools/bench/tests/test_experiment.py
+++ b/tools/bench/tests/test_experiment.py
@@ -56,6 +56,7 @@
             ([5.0], 5, 0),
             ([50.0, 5.0], 5, 1),
             ([50.0, 60.0, 70.0], 70, 2),
+            ([50.0, None], 50, 0),
         ):
             experiment, turns = self.run_with_lags(
                 lags_ms, [bench.Arm.ONLINE_ALONE]
