--- a/siskinmount/entry/_entry.py
+++ b/siskinmount/entry/_entry.py
@@ -39,6 +39,8 @@
 #: and the peers notice before they are refused.
 LEAVING_NOTICE_S = 3.0
 UPKEEP_INTERVAL_S = 1.0
+#: How long a leaving entry tries to record the outcomes that are left.
+KEYS_SETTLE_S = 5.0
 #: How long a new entry hears of others before it claims streams.
 SETTLE_S = 2.5
 #: How long a new entry waits for the upstreams of all services.
@@ -79,6 +81,7 @@
         '_peers_server',
         '_control_server',
         '_job_peers',
+        '_keys',
         '_started_s',
         '_stopping',
         '_released',
@@ -145,6 +148,7 @@
             self.settings.stream_count,
         )
         keys = _key_access.KeyAccess(calls, self.own.holder())
+        self._keys = keys
         self.batch_service = batch.create_batch_service(
             self.streams,
             self.own.identity.vm,
@@ -272,6 +276,8 @@
                 self._callers_server.begin_draining()
                 await trio.sleep(LEAVING_NOTICE_S)
                 self._callers_server.stop()
+            with trio.move_on_after(KEYS_SETTLE_S):
+                await self._keys.wait_settled()
             await self._archive.append_rest()
             # No caller is left; the state streams go to their next owners.
             self.streams.stop()
@@ -297,6 +303,7 @@
             supervision.Child('vm_list', self._vm_list_watcher.run),
             supervision.Child('streams', self._run_streams),
             supervision.Child('objectives', self._archive.run),
+            supervision.Child('keys', self._keys.run),
             supervision.Child('upkeep', self._run_upkeep),
         ]
 
--- a/siskinmount/entry/_key_access.py
+++ b/siskinmount/entry/_key_access.py
@@ -1,14 +1,23 @@
 """Idempotency keys, wherever the owner of their stream is."""
 
+import collections
+import logging
 import uuid
 
+import trio
+
 from siskinmount import results
 from siskinmount import state
 from siskinmount import transport
 from siskinmount.entry import _key_messages
 from siskinmount.entry import _owner_calls
 
+_LOGGER = logging.getLogger(__name__)
+
 KEYS_PATH = '/keys'
+MAX_UNSETTLED = 10_000
+SETTLE_PAUSE_S = 0.5
+SETTLED_POLL_S = 0.05
 
 
 class KeyAccess:
@@ -18,11 +27,15 @@
         holder: Names this process in intents.
     """
 
-    __slots__ = ('holder', '_calls')
+    __slots__ = ('holder', '_calls', '_unsettled', '_unsettled_added')
 
     def __init__(self, calls: _owner_calls.OwnerCalls, holder: str) -> None:
         self.holder = holder
         self._calls = calls
+        self._unsettled: collections.deque[_key_messages.KeyCall] = (
+            collections.deque(maxlen=MAX_UNSETTLED)
+        )
+        self._unsettled_added = trio.Event()
 
     async def begin(
         self, caller: str, key: str, fingerprint: str
@@ -49,9 +62,13 @@
 
     async def finish(
         self, caller: str, key: str, attempt: str, outcome: bytes
-    ) -> results.Failure | None:
-        """Records the outcome of a request."""
-        answer = await self._send(
+    ) -> None:
+        """Records the outcome of a request.
+
+        An outcome that could not be recorded now is brought to the owner
+        later; until then a resend is told that the request is running.
+        """
+        await self._settle(
             _key_messages.KeyCall(
                 operation=_key_messages.KeyOperation.FINISH,
                 stream=self._find_stream(caller, key),
@@ -61,13 +78,10 @@
                 outcome=outcome,
             )
         )
-        return answer if isinstance(answer, results.Failure) else None
 
-    async def abandon(
-        self, caller: str, key: str, attempt: str
-    ) -> results.Failure | None:
+    async def abandon(self, caller: str, key: str, attempt: str) -> None:
         """Frees the key of a request that was certainly not sent."""
-        answer = await self._send(
+        await self._settle(
             _key_messages.KeyCall(
                 operation=_key_messages.KeyOperation.ABANDON,
                 stream=self._find_stream(caller, key),
@@ -76,7 +90,25 @@
                 attempt=attempt,
             )
         )
-        return answer if isinstance(answer, results.Failure) else None
+
+    async def run(self) -> None:
+        """Brings outcomes that could not be recorded to the owners, for ever."""
+        while True:
+            while not self._unsettled:
+                self._unsettled_added = trio.Event()
+                await self._unsettled_added.wait()
+            answer = await self._send(self._unsettled[0])
+            if isinstance(answer, results.Failure):
+                # Another stream may have an owner, so the next one goes first.
+                self._unsettled.rotate(-1)
+                await trio.sleep(SETTLE_PAUSE_S)
+                continue
+            self._unsettled.popleft()
+
+    async def wait_settled(self) -> None:
+        """Returns once no outcome is left to be recorded."""
+        while self._unsettled:  # noqa: ASYNC110
+            await trio.sleep(SETTLED_POLL_S)
 
     async def serve(self, exchange: transport.ServerExchange) -> None:
         """Answers a call of another entry."""
@@ -94,6 +126,18 @@
             return
         await exchange.send_whole(200, [], answer)
 
+    async def _settle(self, call: _key_messages.KeyCall) -> None:
+        """Executes a call now, or keeps it for later."""
+        answer = await self._send(call)
+        if not isinstance(answer, results.Failure):
+            return
+        _LOGGER.warning(
+            'key_settled_later',
+            extra={'code': int(answer.code), 'reason': answer.reason},
+        )
+        self._unsettled.append(call)
+        self._unsettled_added.set()
+
     async def _send(
         self, call: _key_messages.KeyCall
     ) -> bytes | results.Failure:
--- /dev/null
+++ b/siskinmount/entry/tests/test_key_access.py
@@ -0,0 +1,68 @@
+"""Tests of idempotency keys at an entry."""
+
+import testtools
+import trio
+import trio.testing
+
+from siskinmount import results
+from siskinmount import state
+from siskinmount.entry import _key_access
+
+
+class _Keys:
+    """Stands for the keys of an owned stream, down for the first calls."""
+
+    def __init__(self, failures):
+        self.failures = failures
+        self.finished = []
+
+    async def begin(self, key, caller, fingerprint, holder, attempt):
+        return state.Started(attempt)
+
+    async def finish(self, key, caller, attempt, outcome):
+        if self.failures:
+            self.failures -= 1
+            return results.Failure(
+                results.ResultCode.LOG_APPEND_UNKNOWN, 'the log is down'
+            )
+        self.finished.append((caller, key, attempt, outcome))
+        return None
+
+
+class _Shard:
+
+    def __init__(self, keys):
+        self.keys = keys
+
+
+class _Calls:
+    """Stands for streams that are all owned here."""
+
+    def __init__(self, keys):
+        self._shard = _Shard(keys)
+
+    def find_stream(self, key):
+        return 'state-0'
+
+    def find_local(self, stream):
+        return self._shard
+
+
+class KeyAccessTest(testtools.TestCase):
+
+    def test_outcome_that_could_not_be_recorded_is_recorded_later(self):
+        async def main():
+            keys = _Keys(failures=3)
+            access = _key_access.KeyAccess(_Calls(keys), 'vm/1')
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(access.run)
+                begun = await access.begin('c', 'k', 'f')
+                await access.finish('c', 'k', begun.attempt, b'answer')
+                self.assertEqual([], keys.finished)
+                await access.wait_settled()
+                nursery.cancel_scope.cancel()
+            self.assertEqual(
+                [('c', 'k', begun.attempt, b'answer')], keys.finished
+            )
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
