Note in the log how far a job was handed out; hold only what may be out

A new owner held all items of an inherited job for the time in which sidecars renew their leases; now it hands out at once what is beyond the mark.

--- a/siskinmount/batch/_batch_owner.py
+++ b/siskinmount/batch/_batch_owner.py
@@ -176,18 +176,18 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._sweep)
             nursery.start_soon(self._carry_forward)
-            nursery.start_soon(self._release_held)
+            nursery.start_soon(self._include_inherited)
 
     def _describe(self, job: _job.Job) -> _job_messages.JobStatus:
         return _job_results.describe_status(
             self._state, job, self._handout.is_at_risk(job)
         )
 
-    async def _release_held(self) -> None:
-        """Hands out inherited jobs once sidecars had time to renew."""
+    async def _include_inherited(self) -> None:
+        """Hands out inherited items once sidecars had time to renew."""
         await trio.sleep(self._state.limits.adoption_ms / 1000)
         for dispatch in self._state.dispatches.values():
-            dispatch.is_held = False
+            dispatch.include_inherited()
         self._state.on_ready()
 
     async def _sweep(self) -> None:
--- a/siskinmount/batch/_item_handout.py
+++ b/siskinmount/batch/_item_handout.py
@@ -12,11 +12,15 @@
 from siskinmount.batch import _crash_evidence
 from siskinmount.batch import _dispatch_order
 from siskinmount.batch import _job
+from siskinmount.batch import _job_dispatch
 from siskinmount.batch import _lease_table
 from siskinmount.batch import _owner_state
 from siskinmount.batch import _pull_messages
 from siskinmount.state import records_pb2
 
+# Items between two marks of how far a job has been handed out.
+MARK_STRIDE_ITEMS = 256
+
 
 def item_fingerprint(service: str, text: bytes) -> str:
     """Returns a digest of an item's service and content."""
@@ -117,10 +121,32 @@
             job = dispatch.job
             if (job.job_id, index) in owner.ending:
                 continue
+            self._mark_handed_out(dispatch, index)
             reserved.append((job, self._lease(request, job, index)))
             order.note_served(caller, self.is_at_risk(job))
         return reserved
 
+    def _mark_handed_out(
+        self, dispatch: _job_dispatch.JobDispatch, index: int
+    ) -> None:
+        """Notes in the log, in strides, how far a job has been handed out.
+
+        A new owner hands out what is beyond the mark at once. A mark that is
+        lost costs repeated work on idempotent items and nothing else, so it
+        is not waited for.
+        """
+        job = dispatch.job
+        if index < dispatch.marked_below or not job.submitted.idempotent:
+            return
+        dispatch.marked_below = index + MARK_STRIDE_ITEMS
+        self._state.stream.enqueue(
+            records_pb2.Record(
+                job_handed_out=records_pb2.JobHandedOut(
+                    job=job.job_id, below_index=dispatch.marked_below
+                )
+            )
+        )
+
     def is_at_risk(self, job: _job.Job) -> bool:
         """Whether a job will be late at the present rate."""
         if not job.is_active:
--- a/siskinmount/batch/_job.py
+++ b/siskinmount/batch/_job.py
@@ -22,6 +22,8 @@
         finished_at_ms: When its last item ended or it was cancelled,
             milliseconds since the Unix epoch; 0 before.
         counts: Number of items by outcome, `OPEN` included.
+        handed_out_below: Index from which on no item has been handed out, as
+            far as the log tells.
         attempts: Items of which an attempt failed, with the newest count.
         started: Non-idempotent items that were handed out and are open.
         stopped: Non-idempotent items that were stopped and are open, with the
@@ -33,6 +35,7 @@
         'is_cancelled',
         'finished_at_ms',
         'counts',
+        'handed_out_below',
         'attempts',
         'started',
         'stopped',
@@ -50,6 +53,7 @@
         self.is_cancelled = False
         self.finished_at_ms = 0
         self.counts = [submitted.item_count, 0, 0, 0]
+        self.handed_out_below = 0
         self.attempts: dict[int, records_pb2.ItemAttemptFailed] = {}
         self.started: dict[int, records_pb2.ItemStarted] = {}
         self.stopped: dict[int, records_pb2.ItemReturned] = {}
@@ -162,6 +166,7 @@
                 submitted=self.submitted,
                 cancelled=self.is_cancelled,
                 finished_at_ms=self.finished_at_ms,
+                handed_out_below=self.handed_out_below,
                 accepted=True,
                 text_first_indexes=self._texts.first_indexes,
                 text_offsets=self._texts.offsets,
--- a/siskinmount/batch/_job_dispatch.py
+++ b/siskinmount/batch/_job_dispatch.py
@@ -14,20 +14,33 @@
 
     Attributes:
         job: The job.
-        is_held: Whether nothing is handed out yet, since sidecars may hold
-            items of it from the stream's last owner.
+        marked_below: Index from which on no item has been handed out.
     """
 
-    __slots__ = ('job', 'is_held', '_cursor', '_returned', '_queued')
+    __slots__ = ('job', 'marked_below', '_cursor', '_returned', '_queued')
 
-    def __init__(self, job: _job.Job) -> None:
+    def __init__(self, job: _job.Job, *, is_inherited: bool = False) -> None:
+        """Starts with all open items.
+
+        Args:
+            job: The job.
+            is_inherited: Whether sidecars may hold items of it from the
+                stream's last owner; those are left out until
+                `include_inherited`.
+        """
         self.job = job
-        self.is_held = False
-        self._cursor = 0
+        self.marked_below = job.handed_out_below
+        self._cursor = job.handed_out_below
         # Items that came back: when each may be taken, and its index.
         self._returned: list[tuple[int, int]] = []
         self._queued: set[int] = set()
-        for index, attempt in job.attempts.items():
+        if not is_inherited:
+            self.include_inherited()
+
+    def include_inherited(self) -> None:
+        """Takes open items also among those that were handed out before."""
+        self._cursor = 0
+        for index, attempt in self.job.attempts.items():
             self.put_back(index, attempt.retry_at_ms)
 
     def put_back(self, index: int, not_before_ms: int) -> None:
@@ -39,7 +52,7 @@
 
     def take(self, leases: _lease_table.LeaseTable, now_ms: int) -> int | None:
         """Returns an item to hand out now, or None."""
-        if self.is_held or not self.job.is_active:
+        if not self.job.is_active:
             return None
         while self._returned and self._returned[0][0] <= now_ms:
             _, index = heapq.heappop(self._returned)
@@ -57,7 +70,7 @@
 
     def has_ready(self, now_ms: int) -> bool:
         """Whether `take` would probably return an item."""
-        if self.is_held or not self.job.is_active:
+        if not self.job.is_active:
             return False
         if self._returned and self._returned[0][0] <= now_ms:
             return True
--- a/siskinmount/batch/_job_table.py
+++ b/siskinmount/batch/_job_table.py
@@ -32,6 +32,7 @@
             'item_results_moved',
             'job_entry',
             'job_entry_part',
+            'job_handed_out',
         }
     )
 
@@ -59,6 +60,7 @@
             'item_attempt_failed': self._take_attempt_failed,
             'item_ended': self._take_ended,
             'item_results_moved': self._take_results_moved,
+            'job_handed_out': self._take_handed_out,
         }
 
     def apply(
@@ -107,6 +109,7 @@
         job = _job.Job(submitted, texts)
         job.is_cancelled = entry.cancelled
         job.finished_at_ms = entry.finished_at_ms
+        job.handed_out_below = entry.handed_out_below
         self.jobs[job.job_id] = job
 
     def drop_upload(self, job_id: str, upload: str) -> None:
@@ -157,6 +160,15 @@
             return
         job.started.setdefault(started.index, started)
 
+    def _take_handed_out(
+        self, handed_out: records_pb2.JobHandedOut, position: state.Position
+    ) -> None:
+        job = self.jobs.get(handed_out.job)
+        if job is not None:
+            job.handed_out_below = max(
+                job.handed_out_below, handed_out.below_index
+            )
+
     def _take_returned(
         self, returned: records_pb2.ItemReturned, position: state.Position
     ) -> None:
--- a/siskinmount/batch/_owner_state.py
+++ b/siskinmount/batch/_owner_state.py
@@ -295,7 +295,9 @@
         for job in self.table.jobs.values():
             if not job.is_active:
                 continue
-            self.dispatch_of(job).is_held = job.submitted.idempotent
+            self.dispatches[job.job_id] = _job_dispatch.JobDispatch(
+                job, is_inherited=job.submitted.idempotent
+            )
             for started in job.started.values():
                 lease = _lease_table.Lease(
                     started.lease,
--- a/siskinmount/batch/tests/test_batch_owner.py
+++ b/siskinmount/batch/tests/test_batch_owner.py
@@ -98,6 +98,35 @@
 
         self.run_with_log(check)
 
+    def test_new_owner_leaves_items_that_sidecars_may_hold(self):
+        async def check(log, nursery):
+            first = await batch_fixtures.start_owner(log, nursery)
+            await first.batch.submit(
+                batch_fixtures.request(), batch_fixtures.bodies(600)
+            )
+            held = (await first.batch.pull(batch_fixtures.pull(300))).items
+            await trio.sleep(1)
+            first.stream.resign()
+            await first.ended.wait()
+            second = await batch_fixtures.start_owner(log, nursery, 'vm-b')
+            early = (await second.batch.pull(batch_fixtures.pull(600))).items
+            self.assertEqual(
+                list(range(512, 600)), [item.index for item in early]
+            )
+            kept = [
+                batch.LeaseName('job', item.index, item.lease)
+                for item in held[:200]
+            ]
+            renewed = second.batch.renew(batch.RenewRequest('vm-s', 1, kept))
+            self.assertEqual([], renewed.cancelled)
+            await trio.sleep(20)
+            later = (await second.batch.pull(batch_fixtures.pull(600))).items
+            self.assertEqual(
+                list(range(200, 512)), [item.index for item in later]
+            )
+
+        self.run_with_log(check)
+
     def test_cancelled_job_stops(self):
         async def check(log, nursery):
             owner = await batch_fixtures.start_owner(log, nursery)
--- a/siskinmount/state/tests/test_configuration_stream.py
+++ b/siskinmount/state/tests/test_configuration_stream.py
@@ -190,6 +190,8 @@
         ),
         strategies.integers(1, 30),
     )
+    @hypothesis.example([(0, 'valid'), (0, 'valid'), (1, 'carry')], 2)
+    @hypothesis.example([(0, 'valid'), (1, 'valid'), (0, 'carry')], 2)
     def test_readers_agree_wherever_they_start(self, steps, start):
         full = _configuration_rules.ConfigurationRules(parse, 1)
         records = []
--- a/siskinmount/state/tests/test_replay.py
+++ b/siskinmount/state/tests/test_replay.py
@@ -76,6 +76,7 @@
             self._snapshot = _snapshot_writer.SnapshotWriter(
                 self.replay, self._snapshot_count, 16
             )
+            return
         envelope = self._snapshot.take_next()
         envelope.epoch = self.replay.filter.epoch
         self.append(envelope)
