Answer a cancellation once the holders of the job's items have been told

The owner now keeps their leases until a renewal or a report has told the sidecar, and answers then, after 3 s at the latest.

--- a/siskinmount/batch/_batch_limits.py
+++ b/siskinmount/batch/_batch_limits.py
@@ -8,6 +8,8 @@
         lease_ms: How long a lease lasts without renewal.
         adoption_ms: How long a new owner waits for renewals of leases that
             the last owner gave, before it hands out the same items again.
+        cancel_wait_ms: How long the answer to a cancellation waits until all
+            sidecars that hold items of the job have been told.
         first_retry_ms: Pause before an item's second attempt; it doubles.
         max_retry_ms: Longest pause between two attempts.
         max_losses: Attempts at one item that may be lost with their upstream.
@@ -22,6 +24,7 @@
     __slots__ = (
         'lease_ms',
         'adoption_ms',
+        'cancel_wait_ms',
         'first_retry_ms',
         'max_retry_ms',
         'max_losses',
@@ -38,6 +41,7 @@
         *,
         lease_ms: int = 30_000,
         adoption_ms: int = 15_000,
+        cancel_wait_ms: int = 3000,
         first_retry_ms: int = 1000,
         max_retry_ms: int = 60_000,
         max_losses: int = 10,
@@ -50,6 +54,7 @@
     ) -> None:
         self.lease_ms = lease_ms
         self.adoption_ms = adoption_ms
+        self.cancel_wait_ms = cancel_wait_ms
         self.first_retry_ms = first_retry_ms
         self.max_retry_ms = max_retry_ms
         self.max_losses = max_losses
--- a/siskinmount/batch/_batch_owner.py
+++ b/siskinmount/batch/_batch_owner.py
@@ -104,7 +104,11 @@
     async def cancel(
         self, job_id: str, caller: str
     ) -> _job_messages.JobStatus | results.Failure:
-        """Cancels a caller's job; a job that has ended stays as it is."""
+        """Cancels a caller's job; a job that has ended stays as it is.
+
+        The answer waits a while for the sidecars that hold items of the job,
+        so that none starts after it.
+        """
         owner = self._state
         job = owner.find_job(job_id, caller)
         if isinstance(job, results.Failure):
@@ -119,7 +123,7 @@
             )
             if isinstance(committed, results.Failure):
                 return committed
-            self._drop_leases_of_ended_jobs()
+            await self._wait_told(job)
         return self._describe(job)
 
     async def results_page(
@@ -178,6 +182,13 @@
             nursery.start_soon(self._carry_forward)
             nursery.start_soon(self._include_inherited)
 
+    async def _wait_told(self, job: _job.Job) -> None:
+        """Waits until no sidecar holds an item of a cancelled job."""
+        owner = self._state
+        with trio.move_on_after(owner.limits.cancel_wait_ms / 1000):
+            while owner.leases.count_of(job.job_id):
+                await owner.leases.wait_removed()
+
     def _describe(self, job: _job.Job) -> _job_messages.JobStatus:
         return _job_results.describe_status(
             self._state, job, self._handout.is_at_risk(job)
@@ -194,7 +205,7 @@
         """Ends leases that have lapsed and forgets jobs past retention."""
         while self._state.stream.is_owned:
             await trio.sleep(SWEEP_INTERVAL_MS / 1000)
-            self._drop_leases_of_ended_jobs()
+            self._drop_ended_dispatches()
             now_s = trio.current_time()
             for lease in self._state.leases.all():
                 if lease.expires_at_s <= now_s:
@@ -210,12 +221,8 @@
             await trio.sleep(CARRY_CHECK_INTERVAL_MS / 1000)
             await _carry_forward.carry_forward(self._state)
 
-    def _drop_leases_of_ended_jobs(self) -> None:
+    def _drop_ended_dispatches(self) -> None:
         owner = self._state
-        for lease in owner.leases.all():
-            job = owner.table.jobs.get(lease.job_id)
-            if job is None or not job.is_active:
-                owner.leases.remove(lease)
         for job_id in list(owner.dispatches):
             job = owner.table.jobs.get(job_id)
             if job is None or not job.is_active:
--- a/siskinmount/batch/_item_reports.py
+++ b/siskinmount/batch/_item_reports.py
@@ -112,6 +112,7 @@
         owner = self._state
         job = owner.table.jobs.get(name.job)
         if job is None or not job.is_active or not job.is_open(name.index):
+            self._drop_lease(name.job, name.index, name.lease)
             return False
         if (name.job, name.index) in owner.ending:
             return False
@@ -124,6 +125,13 @@
             return True
         return self._adopt(job, name, vm, incarnation, expires_at_s)
 
+    def _drop_lease(self, job_id: str, index: int, lease_id: str) -> None:
+        """Removes the lease of an item of which nothing is wanted."""
+        leases = self._state.leases
+        lease = leases.find(job_id, index)
+        if lease is not None and lease.lease_id == lease_id:
+            leases.remove(lease)
+
     def _adopt(
         self,
         job: _job.Job,
@@ -176,6 +184,7 @@
         owner = self._state
         job = owner.table.jobs.get(report.job)
         if job is None or job.is_cancelled or not job.is_open(report.index):
+            self._drop_lease(report.job, report.index, report.lease)
             return None
         pending = owner.ending.get((report.job, report.index))
         if pending is not None:
--- a/siskinmount/batch/_lease_table.py
+++ b/siskinmount/batch/_lease_table.py
@@ -1,5 +1,7 @@
 """Which items are held by which sidecars."""
 
+import trio
+
 from siskinmount import results
 
 
@@ -47,12 +49,13 @@
 class LeaseTable:
     """The leases of one owner, in memory only."""
 
-    __slots__ = ('_by_item', '_count_by_job', '_incarnations')
+    __slots__ = ('_by_item', '_count_by_job', '_incarnations', '_removed')
 
     def __init__(self) -> None:
         self._by_item: dict[tuple[str, int], Lease] = {}
         self._count_by_job: dict[str, int] = {}
         self._incarnations: dict[str, int] = {}
+        self._removed = trio.Event()
 
     def __len__(self) -> int:
         return len(self._by_item)
@@ -79,8 +82,14 @@
             self._count_by_job[lease.job_id] = count
         else:
             del self._count_by_job[lease.job_id]
+        removed, self._removed = self._removed, trio.Event()
+        removed.set()
         return True
 
+    async def wait_removed(self) -> None:
+        """Waits until some lease is removed."""
+        await self._removed.wait()
+
     def count_of(self, job_id: str) -> int:
         """Returns how many items of a job are leased."""
         return self._count_by_job.get(job_id, 0)
--- a/siskinmount/batch/tests/test_batch_owner.py
+++ b/siskinmount/batch/tests/test_batch_owner.py
@@ -134,8 +134,16 @@
                 batch_fixtures.request(), batch_fixtures.bodies(10)
             )
             held, late = (await owner.batch.pull(batch_fixtures.pull(2))).items
-            status = await owner.batch.cancel('job', 'swapnest')
-            self.assertIs(batch.JobState.CANCELLED, status.state)
+            told = []
+
+            async def cancel():
+                status = await owner.batch.cancel('job', 'swapnest')
+                self.assertIs(batch.JobState.CANCELLED, status.state)
+                told.append(trio.current_time())
+
+            started_s = trio.current_time()
+            nursery.start_soon(cancel)
+            await trio.sleep(1)
             reply = await owner.batch.pull(batch_fixtures.pull())
             self.assertEqual([], reply.items)
             renewed = owner.batch.renew(
@@ -144,8 +152,12 @@
                 )
             )
             self.assertEqual(1, len(renewed.cancelled))
+            self.assertEqual([], told)
             reported = await owner.batch.report(batch_fixtures.report(late))
             self.assertEqual(1, len(reported.cancelled))
+            await trio.sleep(0.1)
+            self.assertEqual(1, len(told))
+            self.assertTrue(told[0] - started_s < 2)
             status = owner.batch.status('job', 'swapnest')
             self.assertEqual(0, status.done_count)
 
