--- a/tools/slopes/state_slopes.py
+++ b/tools/slopes/state_slopes.py
@@ -6,6 +6,7 @@
 
 import gc
 import time
+import tracemalloc
 
 from absl import app
 from absl import flags
@@ -28,6 +29,7 @@
 ANSWER = 'The family of four near the beach would suit this offer well. ' * 8
 DUE_MS = 8 * 3600 * 1000
 PAGE_RESULTS = 1000
+NEVER = 1 << 60
 
 
 def _report(figure: str, value: float, unit: str) -> None:
@@ -36,21 +38,16 @@
     print(orjson.dumps(document).decode('ascii'), flush=True)
 
 
-def _read_resident_bytes() -> int:
-    """Returns this process's resident memory."""
-    gc.collect()
-    with open('/proc/self/statm', encoding='ascii') as file:
-        pages = int(file.read().split()[1])
-    return pages * 4096
-
-
 def _create_shard(log: fake_log.FakeLog, vm: str) -> batch.BatchShard:
-    """Creates a shard with the limits of the product."""
+    """Creates a shard that writes no snapshot of itself."""
     return batch.create_batch_shard(
         STREAM,
         log,
         state.Writer(vm, 1),
         is_live=lambda other: False,
+        stream_limits=state.StreamLimits(
+            snapshot_after_records=NEVER, snapshot_after_bytes=NEVER
+        ),
         batch_limits=batch.BatchLimits(adoption_ms=0),
     )
 
@@ -180,7 +177,6 @@
 
 async def _replay(log: fake_log.FakeLog, phase: str) -> None:
     """Measures a new owner's replay to its claim."""
-    before_bytes = _read_resident_bytes()
     started_s = time.process_time()
     shard = _create_shard(log, f'vm-{phase}')
     item_count = 2 * _ITEMS.value
@@ -189,12 +185,24 @@
         await shard.stream.wait_owned()
         cpu_s = time.process_time() - started_s
         _report(f'{phase}_cpu', cpu_s / item_count * 1e6, 's/million items')
-        grown_bytes = _read_resident_bytes() - before_bytes
-        _report(f'{phase}_memory', grown_bytes / item_count, 'bytes/item')
         await _write_snapshot(shard, log)
         nursery.cancel_scope.cancel()
 
 
+async def _measure_memory(log: fake_log.FakeLog) -> None:
+    """Measures what a replayed state holds in memory."""
+    tracemalloc.start()
+    shard = _create_shard(log, 'vm-memory')
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(shard.stream.run)
+        await shard.stream.wait_owned()
+        gc.collect()
+        held_bytes, _ = tracemalloc.get_traced_memory()
+        _report('memory', held_bytes / (2 * _ITEMS.value), 'bytes/item')
+        nursery.cancel_scope.cancel()
+    tracemalloc.stop()
+
+
 async def _write_snapshot(
     shard: batch.BatchShard, log: fake_log.FakeLog
 ) -> None:
@@ -203,7 +211,7 @@
     started_s = time.process_time()
     shard.stream.limits.snapshot_after_records = 0
     await trio.sleep(2.5)
-    shard.stream.limits.snapshot_after_records = 1 << 60
+    shard.stream.limits.snapshot_after_records = NEVER
     cpu_s = time.process_time() - started_s
     size_bytes = log.appended_bytes - before_bytes
     item_count = 2 * _ITEMS.value
@@ -217,6 +225,7 @@
     await _run_owner(log)
     await _replay(log, 'replay_records')
     await _replay(log, 'replay_snapshot')
+    await _measure_memory(log)
 
 
 def main(arguments: list[str]) -> None:
