--- a/siskinmount/sidecar/_static_split_policy.py
+++ b/siskinmount/sidecar/_static_split_policy.py
@@ -13,6 +13,7 @@
     __slots__ = ()
 
     puts_online_first = False
+    bounds_waiting = False
     bounds_running = True
 
     def arrange(
--- a/siskinmount/sidecar/tests/test_batch_puller.py
+++ b/siskinmount/sidecar/tests/test_batch_puller.py
@@ -270,6 +270,20 @@
 
         self.run_puller(check)
 
+    def test_suspect_is_not_pulled_again_at_once(self):
+        async def check(bench, puller, entries, start_online):
+            entries[0].add(1, tokens=50)
+            await trio.sleep(1)
+            bench.upstream.die()
+            bench.upstream.alive = True
+            for _ in range(20):
+                await trio.sleep(0.5)
+                if not entries[0].waiting:
+                    entries[0].add(1, tokens=50)
+            self.assertLess(puller.pulled_count, 15)
+
+        self.run_puller(check)
+
     def test_item_that_may_still_run_is_not_resumed(self):
         async def check(bench, puller, entries, start_online):
             entries[0].add(1, tokens=20, idempotent=False)
