Wake readers by one timer for all instead of one for each wait

Profile of a relayed token: a third of its time went into cancel scopes, one of the three in the reader's loop.

Checked: 70 tests of the sidecar pass, with one more for keep-alives.

--- a/siskinmount/sidecar/_request_registry.py
+++ b/siskinmount/sidecar/_request_registry.py
@@ -12,6 +12,7 @@
 KEEP_ENDED_S = 60.0
 MAX_ENDED_BYTES = 64 * 1024 * 1024
 MAX_CANCELLED_IDS = 10_000
+WAKE_INTERVAL_S = 0.25
 
 
 class RequestRegistry:
@@ -110,6 +111,16 @@
             running for running in self._requests.values() if not running.ended
         ]
 
+    async def wake_readers(self) -> None:
+        """Wakes all readers from time to time, for ever.
+
+        One timer for all costs less than one for each wait of each reader.
+        """
+        while True:
+            await trio.sleep(WAKE_INTERVAL_S)
+            for running in self.list_running():
+                running.wake()
+
     def _expire(self) -> None:
         """Drops ended requests that are too old or take too much memory."""
         now_s = trio.current_time()
--- a/siskinmount/sidecar/_run_handler.py
+++ b/siskinmount/sidecar/_run_handler.py
@@ -20,6 +20,8 @@
 FRAMES_PER_CHUNK = 256
 UNREACHABLE_RETRY_AFTER_MS = 1000
 
+_KEEP_ALIVE = relay.encode_frame(relay.KeepAliveFrame())
+
 StartTask = Callable[..., None]
 
 
@@ -180,8 +182,8 @@
         Raises:
             trio.BrokenResourceError: The reader has gone or does not read.
         """
-        if not running.frames:
-            with trio.move_on_after(FIRST_FRAME_WAIT_S):
+        with trio.move_on_after(FIRST_FRAME_WAIT_S):
+            while not running.frames:
                 await running.wait_change()
         failure = running.failure
         if (
@@ -200,6 +202,7 @@
         for frame in running.list_frames_before_start(from_token):
             await exchange.send_chunk(relay.encode_frame(frame))
         position = running.find_position(from_token)
+        sent_at_s = trio.current_time()
         while True:
             frames = running.frames[position : position + FRAMES_PER_CHUNK]
             if frames:
@@ -207,15 +210,16 @@
                 await exchange.send_chunk(
                     b''.join([relay.encode_frame(frame) for frame in frames])
                 )
+                sent_at_s = trio.current_time()
                 continue
             if running.ended:
                 break
-            with trio.move_on_after(KEEP_ALIVE_INTERVAL_S) as scope:
-                await running.wait_change()
-            if scope.cancelled_caught:
-                await exchange.send_chunk(
-                    relay.encode_frame(relay.KeepAliveFrame())
-                )
+            await running.wait_change()
+            now_s = trio.current_time()
+            is_quiet = position == len(running.frames)
+            if is_quiet and now_s - sent_at_s >= KEEP_ALIVE_INTERVAL_S:
+                await exchange.send_chunk(_KEEP_ALIVE)
+                sent_at_s = now_s
         await exchange.finish()
         running.fully_read = True
 
--- a/siskinmount/sidecar/_running_request.py
+++ b/siskinmount/sidecar/_running_request.py
@@ -120,6 +120,10 @@
             self.ended = isinstance(frame, relay.EndFrame | relay.FailureFrame)
         if self.ended:
             self.ended_at_s = trio.current_time()
+        self.wake()
+
+    def wake(self) -> None:
+        """Wakes all that wait for a change."""
         if self._changed is not None:
             self._changed.set()
             self._changed = None
@@ -132,7 +136,7 @@
         self.scope.cancel()
 
     async def wait_change(self) -> None:
-        """Returns after the next frame was added."""
+        """Returns after the next frame was added, or after `wake`."""
         if self._changed is None:
             self._changed = trio.Event()
         await self._changed.wait()
--- a/siskinmount/sidecar/_sidecar.py
+++ b/siskinmount/sidecar/_sidecar.py
@@ -419,6 +419,9 @@
                 supervision.Child(
                     'slot_controller', sidecar.slot_controller.run
                 ),
+                supervision.Child(
+                    'reader_wake_ups', sidecar.registry.wake_readers
+                ),
                 supervision.Child('batch_puller', sidecar.puller.run),
                 supervision.Child('model_changer', sidecar.changer.run),
                 supervision.Child(
--- a/siskinmount/sidecar/tests/test_sidecar.py
+++ b/siskinmount/sidecar/tests/test_sidecar.py
@@ -129,6 +129,19 @@
 
         self.run_with_sidecar(check)
 
+    def test_quiet_seconds_bring_keep_alives(self):
+        async def check(engine, daemon, client):
+            engine.allow(1)
+            reader = relay.FrameReader()
+            kinds = []
+            with await client.send(_run_request('a')) as exchange:
+                while kinds.count('KeepAliveFrame') < 2:
+                    frames = reader.feed(await exchange.receive_chunk())
+                    kinds.extend(type(frame).__name__ for frame in frames)
+            self.assertEqual(['TokenFrame'] + ['KeepAliveFrame'] * 2, kinds)
+
+        self.run_with_sidecar(check)
+
     def test_slow_reader_holds_nothing_of_others(self):
         async def check(engine, daemon, client):
             engine.padding = 'x' * 100_000
