Give a paused item that must not repeat back with its tokens

Cause: the owner now keeps the output of such an item in the log, so it need not wait here for the end of a long burst. It is given back only if the engine has confirmed that it stopped; one that runs when the sidecar leaves or the model changes comes to its end.

Found on the way: an item whose lease had lapsed was refused as yielded and tried again at once, without a checkpoint, and the process hung; it now ends with another code.

--- a/siskinmount/sidecar/_batch_item.py
+++ b/siskinmount/sidecar/_batch_item.py
@@ -113,9 +113,16 @@
         return f'{self.key.job}/{self.key.index}'
 
     @property
-    def is_bound_here(self) -> bool:
-        """Whether it may be run nowhere else: it must not be repeated."""
-        return self.was_sent and not self.idempotent
+    def may_continue(self) -> bool:
+        """Whether another run may go on from the output so far.
+
+        An item that must not be repeated may not as long as the upstream has
+        not confirmed that it stopped.
+        """
+        running = self.running
+        if self.idempotent or running is None:
+            return True
+        return running.stopped_at_upstream or not running.sent_to_upstream
 
     @property
     def lease_is_valid(self) -> bool:
@@ -137,7 +144,6 @@
             solo=self.solo,
             once=not self.idempotent,
             prompt_cached=self.was_sent,
-            bound_here=self.is_bound_here,
             may_start=self._may_start,
         )
 
@@ -147,7 +153,7 @@
         After a pause of this process the entry may have written off an item
         that must not be repeated.
         """
-        return self.idempotent or self.was_sent or self.lease_is_valid
+        return self.idempotent or self.lease_is_valid
 
     def keep_output(self, tokens: list[str]) -> None:
         """Makes the next run continue after `tokens`."""
@@ -197,10 +203,10 @@
         return _create_answer_report(item, running)
     not_run = failure.run_state is results.RunState.NOT_RUN
     yielded = not_run or failure.code is results.ResultCode.BATCH_YIELDED
-    if yielded and not item.is_bound_here and not item.cancelled:
+    if yielded and item.may_continue and not item.cancelled:
         return _create_yield_report(item, failure.reason)
     outcome = batch.ReportedOutcome.FAILED
-    if item.is_bound_here:
+    if item.was_sent and not item.idempotent:
         outcome = batch.ReportedOutcome.UNKNOWN
     return _create_report(
         item,
--- a/siskinmount/sidecar/_batch_puller.py
+++ b/siskinmount/sidecar/_batch_puller.py
@@ -284,9 +284,9 @@
         yielded = running.failure.code is results.ResultCode.BATCH_YIELDED
         if not yielded or item.cancelled:
             return False
-        if item.is_bound_here:
-            return running.stopped_at_upstream or not running.sent_to_upstream
-        return not item.give_back and not self._leaving
+        if item.give_back or self._leaving:
+            return False
+        return item.may_continue
 
     def _finish(self, item: _batch_item.BatchItem) -> None:
         """Reports on an item and forgets it."""
@@ -305,13 +305,12 @@
         item: _batch_item.BatchItem,
         reason: _running_request.StopReason,
     ) -> None:
-        """Stops an item for good, unless it must come to its end here."""
+        """Stops an item for good, unless it runs and must not be repeated."""
         item.give_back = True
         running = item.running
         if running is None:
             return
-        sent = item.was_sent or running.sent_to_upstream
-        if item.idempotent or not sent:
+        if item.idempotent or not running.sent_to_upstream:
             running.stop(reason)
 
     def _give_back_overdue(self) -> None:
--- a/siskinmount/sidecar/_gate.py
+++ b/siskinmount/sidecar/_gate.py
@@ -74,7 +74,7 @@
         An admitted ticket must be given back with `release`.
         """
         refusal = self.find_refusal()
-        if refusal is not None and not ticket.bound_here:
+        if refusal is not None:
             return refusal
         if ticket.online and self._is_queue_full():
             self.refused_count += 1
@@ -125,9 +125,7 @@
             return
         self.paused = True
         self._refuse_waiting(_changing())
-        for ticket in list(self._running):
-            if ticket.preemptible and not ticket.bound_here:
-                self._stop(ticket)
+        self._stop_batch()
 
     def resume(self) -> None:
         """Admits requests again after `pause`."""
@@ -139,9 +137,7 @@
             return
         self.withdrawn = True
         self._refuse_waiting(_leaving())
-        for ticket in list(self._running):
-            if ticket.preemptible and not ticket.bound_here:
-                self._stop(ticket)
+        self._stop_batch()
 
     def restore(self) -> None:
         """Admits requests again after `withdraw`."""
@@ -154,8 +150,8 @@
         return _changing() if self.paused else None
 
     async def wait_empty(self) -> None:
-        """Returns once nothing is or must come to the upstream."""
-        while self._running or self._waiting:
+        """Returns once nothing is at the upstream."""
+        while self._running:
             await self._changed.wait()
 
     async def wait_capacity(self) -> None:
@@ -268,10 +264,18 @@
         self._changed = trio.Event()
 
     def _refuse_waiting(self, failure: results.Failure) -> None:
-        """Refuses all that wait and may run elsewhere."""
+        """Refuses all that wait."""
         for ticket in list(self._waiting):
-            if not ticket.bound_here:
-                self._refuse(ticket, failure)
+            self._refuse(ticket, failure)
+
+    def _stop_batch(self) -> None:
+        """Stops batch requests, but for those that must not run twice.
+
+        There is time to let these come to their end.
+        """
+        for ticket in list(self._running):
+            if ticket.preemptible and not ticket.once:
+                self._stop(ticket)
 
     def _withdraw(self, ticket: _gate_load.Ticket) -> None:
         """Forgets a ticket whose request was stopped while it waited."""
--- a/siskinmount/sidecar/_gate_load.py
+++ b/siskinmount/sidecar/_gate_load.py
@@ -34,8 +34,7 @@
         prompt_tokens: What the upstream must prefill, estimated.
         resumed: Whether it continues an output that exists already.
         preemptible: Whether it can be stopped and resumed later.
-        bound_here: Whether it must come to its end here, since it may not be
-            run elsewhere.
+        once: Whether no part of it may run twice.
         preempt: Stops the request.
         emitted_tokens: Tokens that came out since it was admitted.
         state: Where the request is.
@@ -51,7 +50,7 @@
         'prompt_tokens',
         'resumed',
         'preemptible',
-        'bound_here',
+        'once',
         'preempt',
         'emitted_tokens',
         'state',
@@ -69,7 +68,7 @@
         prompt_tokens: int = 0,
         resumed: bool = False,
         preemptible: bool = False,
-        bound_here: bool = False,
+        once: bool = False,
         preempt: Callable[[], None] = lambda: None,
     ) -> None:
         self.online = online
@@ -77,7 +76,7 @@
         self.prompt_tokens = prompt_tokens
         self.resumed = resumed
         self.preemptible = preemptible
-        self.bound_here = bound_here
+        self.once = once
         self.preempt = preempt
         self.emitted_tokens = 0
         self.was_alone = True
--- a/siskinmount/sidecar/_request_runner.py
+++ b/siskinmount/sidecar/_request_runner.py
@@ -119,7 +119,7 @@
         try:
             if not running.request.may_start():
                 return results.Failure(
-                    results.ResultCode.BATCH_YIELDED, 'the lease has lapsed'
+                    results.ResultCode.OWNERSHIP_LOST, 'the lease has lapsed'
                 )
             if isinstance(running.request.body, _run_request.PlainBody):
                 return await self._run_plain(running, running.request.body)
@@ -151,7 +151,7 @@
             prompt_tokens=self._prompt_sizes.estimate(request),
             resumed=resumed,
             preemptible=preemptible,
-            bound_here=request.bound_here,
+            once=request.once,
             preempt=lambda: running.stop(_running_request.StopReason.PREEMPTED),
         )
 
--- a/siskinmount/sidecar/_run_request.py
+++ b/siskinmount/sidecar/_run_request.py
@@ -79,7 +79,6 @@
         once: Whether no part of it may run twice.
         prompt_cached: Whether the engine has computed the prompt a short
             while ago.
-        bound_here: Whether it has begun here and may not be run elsewhere.
         may_start: Asked at the last moment before the first byte is sent.
     """
 
@@ -93,7 +92,6 @@
         'solo',
         'once',
         'prompt_cached',
-        'bound_here',
         'may_start',
     )
 
@@ -109,7 +107,6 @@
         solo: bool = False,
         once: bool = False,
         prompt_cached: bool = False,
-        bound_here: bool = False,
         may_start: Callable[[], bool] = lambda: True,
     ) -> None:
         self.request_id = request_id
@@ -121,7 +118,6 @@
         self.solo = solo
         self.once = once
         self.prompt_cached = prompt_cached
-        self.bound_here = bound_here
         self.may_start = may_start
 
     @property
