Trim batch beside online requests little by little

Cause: the first online request of a burst stopped all batch over the bound at once; a dozen cancellations at sidecar and engine delayed its first token.

Checked: the sidecar's 74 tests pass.

--- a/siskinmount/sidecar/_batch_slot_controller.py
+++ b/siskinmount/sidecar/_batch_slot_controller.py
@@ -67,5 +67,5 @@
         # online requests down.
         share = max(MIN_PAUSE_SHARE, self.max_slowdown - 1)
         self._gate.prefill_pause_factor = min(MAX_PAUSE_FACTOR, 1 / share)
-        self._gate.preempt_excess()
+        self._gate.trim_batch()
         self._gate.admit_waiting()
--- a/siskinmount/sidecar/_gate.py
+++ b/siskinmount/sidecar/_gate.py
@@ -17,6 +17,8 @@
 SOLO_WAIT_MS = 10_000
 WAITING_PER_SLOT = 2
 RETRY_AFTER_MS = 500
+TRIM_TOLERANCE = 1
+TRIM_DIVISOR = 3
 CHANGE_RETRY_AFTER_MS = 1000
 DEFAULT_PREFILL_PAUSE_FACTOR = 3.0
 
@@ -162,16 +164,25 @@
         """Tells whether any request has not emitted its first token."""
         return any(ticket.is_prefilling for ticket in self._running)
 
-    def preempt_excess(self) -> None:
-        """Stops batch requests over the bound beside online requests."""
+    def trim_batch(self) -> None:
+        """Stops some of the batch over the bound beside online requests.
+
+        Called from time to time; one over the bound is left, so that a bound
+        that wavers does not stop and start requests all the time.
+        """
         self._count()
         load = self.load
         if not load.online_running or not self._policy.puts_online_first:
             return
         batch = load.batch_running - load.batch_yielding
-        if batch <= load.batch_slots_beside_online:
+        excess = batch - load.batch_slots_beside_online
+        if excess <= TRIM_TOLERANCE:
             return
-        self._preempt_for(_gate_load.Ticket(online=True))
+        candidates = sorted(
+            self._list_preemptible(), key=lambda each: each.resume_cost_tokens
+        )
+        for ticket in candidates[: max(1, excess // TRIM_DIVISOR)]:
+            self._stop(ticket)
 
     def count_idle_batch_slots(self) -> int:
         """Returns how many more batch requests could start now."""
@@ -298,13 +309,17 @@
         ticket.decided.set()
         self._notify()
 
-    def _preempt_for(self, ticket: _gate_load.Ticket) -> None:
-        """Stops the batch requests that must make room for a request."""
-        candidates = [
+    def _list_preemptible(self) -> list[_gate_load.Ticket]:
+        """Returns the batch requests that can be told to make room."""
+        return [
             each
             for each in self._running
             if each.preemptible and each.state is _gate_load.TicketState.RUNNING
         ]
+
+    def _preempt_for(self, ticket: _gate_load.Ticket) -> None:
+        """Stops the batch requests that must make room for a request."""
+        candidates = self._list_preemptible()
         if not candidates:
             return
         chosen = self._policy.choose_to_preempt(ticket, self.load, candidates)
--- a/siskinmount/sidecar/_online_first_policy.py
+++ b/siskinmount/sidecar/_online_first_policy.py
@@ -51,7 +51,9 @@
     ) -> list[_gate_load.Ticket]:
         """Returns those that lose least by being resumed later.
 
-        Batch prompts that are being computed are stopped in any case: the
+        Batch over the bound beside online requests is not stopped at once,
+        but little by little by `Gate.trim_batch`: stopping many streams in
+        the moment of an arrival delays its first token. Batch prompts that are being computed are stopped in any case: the
         engine would compute them before the prompt of the online request.
         """
         if not ticket.online:
@@ -59,10 +61,7 @@
         if ticket.solo or load.solo_running:
             return list(candidates)
         batch = load.batch_running - load.batch_yielding
-        over = max(
-            load.online_running + batch + 1 - load.slots,
-            batch - load.batch_slots_beside_online,
-        )
+        over = load.online_running + batch + 1 - load.slots
         ranked = sorted(candidates, key=_rank)
         chosen: list[_gate_load.Ticket] = []
         for candidate in ranked:
