--- a/tools/chaos/_chaos_fleet.py
+++ b/tools/chaos/_chaos_fleet.py
@@ -130,12 +130,12 @@
         code = document.get('code')
         text = f'{vm}: {_describe_fault(document)}'
         if code == int(results.ResultCode.INVARIANT_BROKEN):
-            _add_once(self.seen.invariant_lines, text)
+            add_once(self.seen.invariant_lines, text)
         if code in _FAULT_CODES:
-            _add_once(self.seen.fault_lines, text)
+            add_once(self.seen.fault_lines, text)
 
 
-def _add_once(texts: list[str], text: str) -> None:
+def add_once(texts: list[str], text: str) -> None:
     """Adds a text that is not there yet."""
     if text not in texts:
         texts.append(text)
--- a/tools/chaos/_chaos_run.py
+++ b/tools/chaos/_chaos_run.py
@@ -20,6 +20,7 @@
 ENTRY_COUNT = 3
 ENGINE_COUNT = 4
 PLAIN_COUNT = 2
+PLAIN_DEADLINE_MS = 15_000
 #: Time for callers to get their answers after the last fault.
 SETTLE_S = 60.0
 READ_ATTEMPTS = 20
@@ -58,10 +59,13 @@
             plain_services=[PLAIN_SERVICE],
             callers=[caller],
         )
-        # Items of the plain service are calls that may run at most once.
+        # Items of the plain service are calls that may run at most once. Its
+        # calls end well before the run does, also on silent connections.
         text = text.replace(
             f'[service {PLAIN_SERVICE}]\n',
-            f'[service {PLAIN_SERVICE}]\nbatch_idempotent = false\n',
+            f'[service {PLAIN_SERVICE}]\n'
+            f'batch_idempotent = false\n'
+            f'deadline_ms = {PLAIN_DEADLINE_MS}\n',
         )
         version = await fleet.publish_document(plan.log_address, text, 0)
         await running.wait_ready()
--- a/tools/chaos/_process_watcher.py
+++ b/tools/chaos/_process_watcher.py
@@ -56,6 +56,7 @@
         return process.pid in self._fleet.planned_ends
 
     def _note_end(self, name: str, process: processes.ManagedProcess) -> None:
-        self._fleet.seen.fault_lines.append(
-            f'{name} ended by itself with status {process.exit_status}'
+        _chaos_fleet.add_once(
+            self._fleet.seen.fault_lines,
+            f'{name} ended by itself with status {process.exit_status}',
         )
