--- a/tools/fleet/_fleet_plan.py
+++ b/tools/fleet/_fleet_plan.py
@@ -1,11 +1,15 @@
 """Which processes a fleet has and where they listen."""
 
+import random
 import socket
 
 from siskinmount import transport
 
 REGION = 'region-1'
 
+_LOWEST_PORT = 10_000
+_HIGHEST_PORT = 30_000
+
 
 class EntryPlan:
     """One entry.
@@ -171,15 +175,24 @@
 
 def _find_free_addresses(count: int) -> list[transport.Address]:
     """Returns loopback addresses with ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        addresses: list[transport.Address] = []
-        for holder in sockets:
-            holder.bind(('127.0.0.1', 0))
-            addresses.append(
-                transport.Address('127.0.0.1', holder.getsockname()[1])
-            )
-        return addresses
-    finally:
-        for holder in sockets:
-            holder.close()
+    addresses: list[transport.Address] = []
+    taken: set[int] = set()
+    # The system draws the ports of outgoing connections from a higher range,
+    # so none of them can take a port before its process has started.
+    while len(addresses) < count:
+        port = random.randrange(_LOWEST_PORT, _HIGHEST_PORT)
+        if port in taken or not _is_free(port):
+            continue
+        taken.add(port)
+        addresses.append(transport.Address('127.0.0.1', port))
+    return addresses
+
+
+def _is_free(port: int) -> bool:
+    """Tells whether a loopback port can be listened on."""
+    with socket.socket() as holder:
+        try:
+            holder.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
