--- a/siskinmount/entry/_control_service.py
+++ b/siskinmount/entry/_control_service.py
@@ -7,6 +7,7 @@
 from siskinmount import membership
 from siskinmount import results
 from siskinmount import rpc
+from siskinmount import state
 from siskinmount import telemetry
 from siskinmount.entry import _configuration_in_force
 from siskinmount.entry import _self_description
@@ -20,6 +21,7 @@
         '_members',
         '_in_force',
         '_histograms',
+        '_convictions',
         '_list_backlogs',
         '_describe_details',
     )
@@ -30,6 +32,7 @@
         members: membership.MemberTable,
         in_force: _configuration_in_force.ConfigurationInForce,
         histograms: telemetry.Histograms,
+        convictions: state.ConvictionStream,
         list_backlogs: Callable[[], list[rpc.Backlog]],
         describe_details: Callable[[], dict[str, object]],
     ) -> None:
@@ -37,6 +40,7 @@
         self._members = members
         self._in_force = in_force
         self._histograms = histograms
+        self._convictions = convictions
         self._list_backlogs = list_backlogs
         self._describe_details = describe_details
 
@@ -50,6 +54,13 @@
         stale = self._members.apply_heartbeat(sender)
         if stale is not None:
             return stale
+        for death in request.deaths:
+            self._convictions.note_death(
+                death.fingerprint,
+                sender.vm,
+                sender.incarnation + death.generation,
+                alone=death.was_alone,
+            )
         reply = rpc.HeartbeatReply(
             replier=membership.encode_member(self._own.describe()),
             backlogs=self._list_backlogs(),
--- a/siskinmount/entry/_entry.py
+++ b/siskinmount/entry/_entry.py
@@ -185,6 +185,7 @@
                 self.members,
                 self.in_force,
                 self._histograms,
+                self.convictions,
                 self.list_backlogs,
                 self.describe_details,
             )
--- a/siskinmount/entry/_heartbeat_observer.py
+++ b/siskinmount/entry/_heartbeat_observer.py
@@ -23,6 +23,10 @@
         """Returns this entry as it is now."""
         return self._own.describe()
 
+    def list_deaths(self) -> list[rpc.UpstreamDeath]:
+        """Returns nothing: an entry has no upstream."""
+        return []
+
     async def receive_configuration(self, version: int, text: str) -> None:
         """Takes a newer configuration that a peer holds."""
         self._configuration.adopt(version, text)
--- a/siskinmount/membership/_heartbeat_observer.py
+++ b/siskinmount/membership/_heartbeat_observer.py
@@ -13,6 +13,10 @@
         """Returns this daemon as it is now."""
         ...
 
+    def list_deaths(self) -> list[rpc.UpstreamDeath]:
+        """Returns the recent deaths of this daemon's upstream."""
+        ...
+
     async def receive_configuration(self, version: int, text: str) -> None:
         """Takes a newer configuration that a peer holds."""
         ...
--- a/siskinmount/membership/_heartbeat_sender.py
+++ b/siskinmount/membership/_heartbeat_sender.py
@@ -156,7 +156,10 @@
         own = self._observer.describe_self()
         self.sent_count += 1
         reply = await client.heartbeat(
-            rpc.HeartbeatRequest(sender=_member_message.encode_member(own))
+            rpc.HeartbeatRequest(
+                sender=_member_message.encode_member(own),
+                deaths=self._observer.list_deaths(),
+            )
         )
         if isinstance(reply, results.Failure):
             self._note_failure(client.address, reply)
--- a/siskinmount/membership/tests/test_heartbeats.py
+++ b/siskinmount/membership/tests/test_heartbeats.py
@@ -41,6 +41,9 @@
     def describe_self(self):
         return self.member
 
+    def list_deaths(self):
+        return []
+
     async def receive_configuration(self, version, text):
         self.member.configuration_version = version
         self.received.append((version, text))
--- a/siskinmount/rpc/__init__.py
+++ b/siskinmount/rpc/__init__.py
@@ -16,4 +16,5 @@
 from siskinmount.rpc.control_pb2 import Member
 from siskinmount.rpc.control_pb2 import StatusReply
 from siskinmount.rpc.control_pb2 import StatusRequest
+from siskinmount.rpc.control_pb2 import UpstreamDeath
 from siskinmount.rpc.control_pb2 import WindowedHistogram
--- a/siskinmount/sidecar/_death_memory.py
+++ b/siskinmount/sidecar/_death_memory.py
@@ -48,6 +48,17 @@
         if len(self._deaths) > MAX_REMEMBERED:
             self._deaths.popitem(last=False)
 
+    def list_recent(self, limit: int) -> list[tuple[str, Death]]:
+        """Returns the newest deaths with their fingerprints."""
+        limit_s = trio.current_time() - REMEMBER_S
+        recent: list[tuple[str, Death]] = []
+        for fingerprint in reversed(self._deaths):
+            death = self._deaths[fingerprint]
+            if death.at_s < limit_s or len(recent) == limit:
+                break
+            recent.append((fingerprint, death))
+        return recent
+
     def find(self, fingerprint: str) -> Death | None:
         """Returns the newest death with a request, if it is recent."""
         death = self._deaths.get(fingerprint)
--- a/siskinmount/sidecar/_fleet_link.py
+++ b/siskinmount/sidecar/_fleet_link.py
@@ -38,6 +38,7 @@
         '_service',
         '_vm',
         '_note_listed',
+        '_list_deaths',
         '_sender',
         '_watcher',
     )
@@ -50,6 +51,7 @@
         describe_details: Callable[[], dict[str, object]],
         apply_document: Callable[[configuration.ServiceDocument, int], None],
         note_listed: Callable[[bool], None],
+        list_deaths: Callable[[], list[rpc.UpstreamDeath]],
     ) -> None:
         self.members = membership.create_member_table()
         self.document: configuration.ServiceDocument | None = None
@@ -62,6 +64,7 @@
         self._service = service
         self._vm = identity.vm
         self._note_listed = note_listed
+        self._list_deaths = list_deaths
         self._sender = membership.create_heartbeat_sender(
             self.members, self, identity.seeds
         )
@@ -95,6 +98,10 @@
         member.configuration_version = self.configuration_version
         return member
 
+    def list_deaths(self) -> list[rpc.UpstreamDeath]:
+        """Returns the recent deaths of the upstream beside this sidecar."""
+        return self._list_deaths()
+
     async def receive_configuration(self, version: int, text: str) -> None:
         """Puts a newer document in force."""
         if version <= self.configuration_version:
--- a/siskinmount/sidecar/_request_runner.py
+++ b/siskinmount/sidecar/_request_runner.py
@@ -41,6 +41,7 @@
 
     Attributes:
         reconnect_count: Streams taken up again over a new connection.
+        deaths: Requests that were at the upstream when its process ended.
     """
 
     __slots__ = (
@@ -51,7 +52,7 @@
         '_model_upstream',
         '_plain_upstream',
         '_note_gap',
-        '_deaths',
+        'deaths',
         '_prompt_sizes',
     )
 
@@ -72,7 +73,7 @@
         self._model_upstream = model_upstream
         self._plain_upstream = plain_upstream
         self._note_gap = note_gap
-        self._deaths = _death_memory.DeathMemory()
+        self.deaths = _death_memory.DeathMemory()
         self._prompt_sizes = _prompt_size.PromptSizeEstimator()
 
     async def run(self, running: _running_request.RunningRequest) -> None:
@@ -100,7 +101,7 @@
         if not running.ended:
             frame = _describe_end(running, failure or _describe_stop(running))
             if frame.failure.code is results.ResultCode.UPSTREAM_LOST:
-                self._deaths.note(
+                self.deaths.note(
                     running.request.fingerprint,
                     frame.upstream_generation,
                     frame.was_alone,
@@ -123,7 +124,7 @@
                 )
             if isinstance(running.request.body, _run_request.PlainBody):
                 return await self._run_plain(running, running.request.body)
-            death = self._deaths.find(running.request.fingerprint)
+            death = self.deaths.find(running.request.fingerprint)
             if death is not None:
                 running.upstream_generation = death.generation
                 running.was_alone = death.was_alone
--- a/siskinmount/sidecar/_sidecar.py
+++ b/siskinmount/sidecar/_sidecar.py
@@ -13,6 +13,7 @@
 from siskinmount import platform
 from siskinmount import relay
 from siskinmount import results
+from siskinmount import rpc
 from siskinmount import supervision
 from siskinmount import telemetry
 from siskinmount import transport
@@ -40,6 +41,7 @@
 LEAVING_NOTICE_S = 3.0
 UNREAD_GRACE_S = 10.0
 LEAVING_POLL_S = 0.05
+MAX_TOLD_DEATHS = 32
 
 _RUN_PREFIX = '/run/'
 _CANCEL_PREFIX = '/cancel/'
@@ -149,6 +151,7 @@
             self.describe,
             self.apply_document,
             self.note_listed,
+            self.list_deaths,
         )
         self._nursery = nursery
         self._leaving_requested = trio.Event()
@@ -199,6 +202,21 @@
         if service is not None:
             self.apply_service(service, version)
 
+    def list_deaths(self) -> list[rpc.UpstreamDeath]:
+        """Returns the recent deaths of the upstream, for heartbeats."""
+        deaths: list[rpc.UpstreamDeath] = []
+        for fingerprint, death in self.runner.deaths.list_recent(
+            MAX_TOLD_DEATHS
+        ):
+            deaths.append(
+                rpc.UpstreamDeath(
+                    fingerprint=fingerprint,
+                    generation=death.generation,
+                    was_alone=death.was_alone,
+                )
+            )
+        return deaths
+
     def note_listed(self, is_leaving: bool) -> None:
         """Takes what the platform's list says of this VM.
 
--- a/siskinmount/sidecar/tests/test_death_memory.py
+++ b/siskinmount/sidecar/tests/test_death_memory.py
@@ -24,6 +24,20 @@
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
+    def test_lists_the_newest_first(self):
+        async def main():
+            memory = _death_memory.DeathMemory()
+            memory.note('old', 1, False)
+            await trio.sleep(_death_memory.REMEMBER_S + 1)
+            for number, fingerprint in enumerate(('a', 'b', 'c')):
+                memory.note(fingerprint, number, False)
+            listed = [name for name, _ in memory.list_recent(2)]
+            self.assertEqual(['c', 'b'], listed)
+            listed = [name for name, _ in memory.list_recent(9)]
+            self.assertEqual(['c', 'b', 'a'], listed)
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
     def test_is_bounded(self):
         async def main():
             memory = _death_memory.DeathMemory()
--- a/siskinmount/state/_conviction_stream.py
+++ b/siskinmount/state/_conviction_stream.py
@@ -77,16 +77,27 @@
                 several reports of one death count once.
             alone: Whether it was the only request in progress there.
         """
-        death = records_pb2.UpstreamDeath(
+        death = self._create(fingerprint, vm, incarnation, alone)
+        self._note(death)
+        self._own_deaths.append(death)
+        self._own_added.set()
+
+    def note_death(
+        self, fingerprint: str, vm: str, incarnation: int, *, alone: bool
+    ) -> None:
+        """Takes evidence that another process brings to the log."""
+        self._note(self._create(fingerprint, vm, incarnation, alone))
+
+    def _create(
+        self, fingerprint: str, vm: str, incarnation: int, alone: bool
+    ) -> records_pb2.UpstreamDeath:
+        return records_pb2.UpstreamDeath(
             fingerprint=fingerprint,
             vm=vm,
             incarnation=incarnation,
             alone=alone,
             at_ms=self._clock_ms(),
         )
-        self._note(death)
-        self._own_deaths.append(death)
-        self._own_added.set()
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Whether the request may have made an upstream die."""
--- a/siskinmount/transport/_http_client.py
+++ b/siskinmount/transport/_http_client.py
@@ -6,6 +6,7 @@
 from siskinmount import results
 from siskinmount.transport import _address
 from siskinmount.transport import _client_exchange
+from siskinmount.transport import _keep_alive
 from siskinmount.transport import _limits
 
 
@@ -89,6 +90,7 @@
             return self._unreachable(str(error))
         if scope.cancelled_caught:
             return self._unreachable('the connection was not opened in time')
+        _keep_alive.watch_connection(stream)
         return _client_exchange.ClientConnection(stream)
 
     def _unreachable(self, reason: str) -> results.Failure:
--- a/siskinmount/transport/_http_server.py
+++ b/siskinmount/transport/_http_server.py
@@ -11,6 +11,7 @@
 
 from siskinmount import results
 from siskinmount.transport import _address
+from siskinmount.transport import _keep_alive
 from siskinmount.transport import _limits
 from siskinmount.transport import _server_exchange
 
@@ -99,6 +100,7 @@
         """Serves the requests of one connection, one after the other."""
         try:
             host = stream.socket.getpeername()[0]
+            _keep_alive.watch_connection(stream)
         except OSError:
             await trio.aclose_forcefully(stream)
             return
