--- a/tools/fleet/_document_text.py
+++ b/tools/fleet/_document_text.py
@@ -37,7 +37,7 @@
             'measure = availability\nshare = 0.999\n'
         )
     for name in plain_services:
-        parts.append(f'[service {name}]\nkind = plain\ndeadline_ms = 10000\n')
+        parts.append(f'[service {name}]\nkind = plain\n')
         parts.append(
             f'[route /{name}/]\nservice = {name}\n'
             'methods = GET, POST\nidempotent = false\n'
