Keep what is needed also where the log bounds the number of records

Now the older half of what the log holds, or of a configured number of records, is written again too, looked at once a second.

--- a/siskinmount/batch/_batch_owner.py
+++ b/siskinmount/batch/_batch_owner.py
@@ -22,7 +22,7 @@
 from siskinmount.state import records_pb2
 
 SWEEP_INTERVAL_MS = 1000
-CARRY_CHECK_INTERVAL_MS = 10_000
+CARRY_CHECK_INTERVAL_MS = 1000
 
 
 class BatchOwner:
--- a/siskinmount/batch/_carry_forward.py
+++ b/siskinmount/batch/_carry_forward.py
@@ -18,7 +18,9 @@
     """
     stream = owner.stream
     limit_ms = stream.now_ms() - stream.limits.carry_after_ms
-    before_offset = stream.age_marks.first_offset_after(limit_ms)
+    before_offset = max(
+        stream.age_marks.first_offset_after(limit_ms), stream.ageing_below
+    )
     if before_offset == 0:
         return 0
     written_count = 0
@@ -36,14 +38,18 @@
     owner: _owner_state.OwnerState, job: _job.Job, before_offset: int
 ) -> int:
     """Writes the texts of open items again."""
+    if job.texts.oldest_needed >= before_offset:
+        return 0
     written_count = 0
+    oldest_needed = owner.stream.next_offset
     for chunk in range(len(job.texts.first_indexes)):
         position = job.texts.position_of(chunk)
         indexes = job.texts.chunk_range(chunk)
-        if position.offset >= before_offset:
-            continue
         if not any(job.is_open(index) for index in indexes):
             continue
+        if position.offset >= before_offset:
+            oldest_needed = min(oldest_needed, position.offset)
+            continue
         group = await owner.reader.fetch(position.offset)
         if isinstance(group, results.Failure):
             continue
@@ -60,8 +66,9 @@
             )
         )
         if not isinstance(await owner.stream.commit(record), state.Committed):
-            break
+            return written_count
         written_count += 1
+    job.texts.oldest_needed = oldest_needed
     return written_count
 
 
--- a/siskinmount/batch/_job.py
+++ b/siskinmount/batch/_job.py
@@ -240,11 +240,19 @@
         offsets: Offset of the record that holds the chunk.
         positions: Position among the records committed together.
         end_index: Index after the last item.
+        oldest_needed: At or below the offset of each chunk that is needed.
     """
 
-    __slots__ = ('first_indexes', 'offsets', 'positions', 'end_index')
+    __slots__ = (
+        'first_indexes',
+        'offsets',
+        'positions',
+        'end_index',
+        'oldest_needed',
+    )
 
     def __init__(self) -> None:
+        self.oldest_needed = 0
         self.first_indexes = array.array('I')
         self.offsets = array.array('Q')
         self.positions = array.array('I')
--- a/siskinmount/batch/tests/batch_fixtures.py
+++ b/siskinmount/batch/tests/batch_fixtures.py
@@ -5,6 +5,7 @@
 import trio.testing
 
 from siskinmount import batch
+from siskinmount.platform.tests import seeded_run
 from siskinmount.state.tests import stream_fixtures
 
 NAME = 'state-0'
@@ -104,4 +105,4 @@
                 await check(log, nursery)
                 nursery.cancel_scope.cancel()
 
-    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    seeded_run.run(0, main)
--- a/siskinmount/batch/tests/test_retention.py
+++ b/siskinmount/batch/tests/test_retention.py
@@ -33,6 +33,18 @@
         return await super().read(stream, from_offset, **options)
 
 
+class BoundedLog(fake_log.FakeLog):
+    """Holds only the newest records of a stream."""
+
+    MAX_RECORDS = 60
+
+    def append_now(self, stream, data):
+        offset = super().append_now(stream, data)
+        if offset > self.MAX_RECORDS:
+            self.expire_before(stream, offset - self.MAX_RECORDS + 1)
+        return offset
+
+
 class RetentionTest(testtools.TestCase):
 
     def limits(self):
@@ -76,6 +88,45 @@
 
         batch_fixtures.run_with_log(check, ExpiringLog)
 
+    def test_nothing_is_lost_where_the_log_bounds_the_number_of_records(self):
+        limits = stream_fixtures.limits(
+            retention_records=BoundedLog.MAX_RECORDS
+        )
+
+        async def check(log, nursery):
+            owner = await batch_fixtures.start_owner(
+                log, nursery, stream_limits=limits
+            )
+            await owner.batch.submit(
+                batch_fixtures.request(), batch_fixtures.bodies(200)
+            )
+            done = []
+            for number in range(40):
+                if number % 10 == 9:
+                    owner.stream.resign()
+                    await owner.ended.wait()
+                    owner = await batch_fixtures.start_owner(
+                        log,
+                        nursery,
+                        f'vm-{number}',
+                        stream_limits=limits,
+                    )
+                await trio.sleep(20)
+                reply = await owner.batch.pull(batch_fixtures.pull(5))
+                for item in reply.items:
+                    await owner.batch.report(batch_fixtures.report(item))
+                    done.append(item.index)
+            await trio.sleep(60)
+            self.assertEqual(list(range(200)), sorted(done))
+            self.assertTrue(log._first_offsets[batch_fixtures.NAME] > 100)
+            page = await owner.batch.results_page('job', 'swapnest')
+            outputs = [result.output for result in page.results]
+            self.assertEqual(200, len(outputs))
+            for number, output in enumerate(outputs):
+                self.assertIn(f'"item {number}"'.encode(), output)
+
+        batch_fixtures.run_with_log(check, BoundedLog)
+
     def test_item_whose_text_has_expired_ends_as_failed(self):
         async def check(log, nursery):
             owner = await batch_fixtures.start_owner(log, nursery)
--- a/siskinmount/platform/__init__.py
+++ b/siskinmount/platform/__init__.py
@@ -5,6 +5,8 @@
         from_offset, ...)` and `stream_range(stream)`.
     create_log_client(address): A `LogService` over HTTP.
     Appended, LogRecord, LogPage, LogExpired, StreamRange: What they return.
+    ageing_below(first_offset, next_offset): Where the older half of a stream
+        ends.
     VmList, create_vm_list_client(address), VmEntry, VmState: The lagging
         list of VMs.
     WeightStore, create_weight_store_client(address): Reads a model version.
@@ -14,6 +16,7 @@
 """
 
 from siskinmount.platform._log_client import create_log_client
+from siskinmount.platform._log_service import ageing_below
 from siskinmount.platform._log_service import Appended
 from siskinmount.platform._log_service import LogExpired
 from siskinmount.platform._log_service import LogPage
--- a/siskinmount/platform/_log_service.py
+++ b/siskinmount/platform/_log_service.py
@@ -80,6 +80,17 @@
         self.next_offset = next_offset
 
 
+def ageing_below(first_offset: int, next_offset: int) -> int:
+    """Returns the offset below which records have the least time left.
+
+    That is the middle of what the log holds, whatever its rule of retention,
+    or 0 while it still holds everything.
+    """
+    if first_offset <= 1:
+        return 0
+    return (first_offset + next_offset) // 2
+
+
 class LogService(Protocol):
     """An append-only log with streams, offsets and limited retention."""
 
--- a/siskinmount/state/_configuration_stream.py
+++ b/siskinmount/state/_configuration_stream.py
@@ -259,7 +259,11 @@
         if in_force is None or not self._tail.is_at_tail:
             return None
         age_ms = self._clock_ms() - self._rules.written_at_ms
-        if age_ms < self._retention_ms // 2 or not self._is_carrier():
+        is_due = (
+            age_ms >= self._retention_ms // 2
+            or self._rules.newest_offset < self._tail.ageing_below
+        )
+        if not is_due or not self._is_carrier():
             return None
         return records_pb2.ConfigurationRecord(
             base_version=in_force.base_version,
--- a/siskinmount/state/_log_tail.py
+++ b/siskinmount/state/_log_tail.py
@@ -16,13 +16,15 @@
 
     Attributes:
         next_offset: First offset that has not been read.
+        ageing_below: Offset below which the log's records expire soonest.
         is_at_tail: Whether the newest record of the last answer was read.
     """
 
-    __slots__ = ('next_offset', 'is_at_tail', '_log', '_stream')
+    __slots__ = ('next_offset', 'ageing_below', 'is_at_tail', '_log', '_stream')
 
     def __init__(self, log: platform.LogService, stream: str) -> None:
         self.next_offset = 1
+        self.ageing_below = 0
         self.is_at_tail = False
         self._log = log
         self._stream = stream
@@ -39,6 +41,9 @@
         if isinstance(page, platform.LogExpired):
             self.next_offset = max(page.first_offset, self.next_offset + 1)
             return None
+        self.ageing_below = platform.ageing_below(
+            page.first_offset, page.next_offset
+        )
         for record in page.records:
             self.next_offset = record.offset + 1
             take(record)
--- a/siskinmount/state/_state_stream.py
+++ b/siskinmount/state/_state_stream.py
@@ -57,6 +57,7 @@
         limits: Bounds and intervals.
         is_owned: Whether this process's claim is the newest that it has read.
         age_marks: When the stream's records were written.
+        ageing_below: Offset below which the log's records expire soonest.
     """
 
     __slots__ = (
@@ -64,6 +65,7 @@
         'limits',
         'is_owned',
         'age_marks',
+        'ageing_below',
         '_log',
         '_writer',
         '_is_live',
@@ -94,6 +96,7 @@
         self.limits = limits
         self.is_owned = False
         self.age_marks = _age_marks.AgeMarks(limits.retention_ms)
+        self.ageing_below = 0
         self._log = log
         self._writer = writer
         self._is_live = is_live
@@ -115,6 +118,11 @@
         """Offset of the newest claim that was read."""
         return self._replay.filter.epoch
 
+    @property
+    def next_offset(self) -> int:
+        """First offset of the stream that has not been read."""
+        return self._replay.next_offset
+
     @property
     def is_log_failing(self) -> bool:
         """Whether the last append to the log had no certain success."""
@@ -273,6 +281,7 @@
                 self._finish(TenureEnd.GAP)
                 break
             backoff.reset()
+            self._note_held(page)
             for record in page.records:
                 self._take(record)
                 if self._end is not None:
@@ -283,6 +292,17 @@
             self._notify()
         scope.cancel()
 
+    def _note_held(self, page: platform.LogPage) -> None:
+        """Notes which records the log will drop soonest."""
+        self.ageing_below = platform.ageing_below(
+            page.first_offset, page.next_offset
+        )
+        if self.limits.retention_records:
+            self.ageing_below = max(
+                self.ageing_below,
+                page.next_offset - self.limits.retention_records // 2,
+            )
+
     async def _start_replay(self) -> None:
         """Finds where to start, however long the log is down."""
         backoff = self._new_backoff()
@@ -436,16 +456,7 @@
 
     def _start_snapshot_if_due(self) -> None:
         """Describes the state for a new snapshot if the newest has aged."""
-        if self._snapshot is not None:
-            return
-        age_ms = self.now_ms() - self._replay.anchor_written_at_ms
-        if (
-            age_ms < self.limits.snapshot_after_ms
-            and self._replay.records_since_anchor
-            < self.limits.snapshot_after_records
-            and self._replay.bytes_since_anchor
-            < self.limits.snapshot_after_bytes
-        ):
+        if self._snapshot is not None or not self._is_snapshot_due():
             return
         self._snapshot_count += 1
         self._snapshot = _snapshot_writer.SnapshotWriter(
@@ -454,6 +465,17 @@
             self.limits.snapshot_chunk_bytes,
         )
 
+    def _is_snapshot_due(self) -> bool:
+        """Whether the newest snapshot is old, or replay from it long."""
+        replay = self._replay
+        age_ms = self.now_ms() - replay.anchor_written_at_ms
+        return (
+            age_ms >= self.limits.snapshot_after_ms
+            or replay.records_since_anchor >= self.limits.snapshot_after_records
+            or replay.bytes_since_anchor >= self.limits.snapshot_after_bytes
+            or replay.anchor.replay_offset < self.ageing_below
+        )
+
     async def _append(
         self, envelope: records_pb2.Envelope
     ) -> results.Failure | None:
--- a/siskinmount/state/_stream_limits.py
+++ b/siskinmount/state/_stream_limits.py
@@ -6,6 +6,8 @@
 
     Attributes:
         retention_ms: How long the log keeps a record.
+        retention_records: How many records of a stream the log keeps; 0 if
+            their number is not bounded.
         max_group_bytes: Most bytes of records committed together.
         max_queued_bytes: Most bytes of records that wait for the log.
         min_append_interval_ms: Shortest time between two appends of a stream;
@@ -26,6 +28,7 @@
 
     __slots__ = (
         'retention_ms',
+        'retention_records',
         'max_group_bytes',
         'max_queued_bytes',
         'min_append_interval_ms',
@@ -44,6 +47,7 @@
         self,
         *,
         retention_ms: int = 24 * 3600 * 1000,
+        retention_records: int = 0,
         max_group_bytes: int = 256 * 1024,
         max_queued_bytes: int = 16 * 1024 * 1024,
         min_append_interval_ms: int = 40,
@@ -58,6 +62,7 @@
         snapshot_chunk_bytes: int = 256 * 1024,
     ) -> None:
         self.retention_ms = retention_ms
+        self.retention_records = retention_records
         self.max_group_bytes = max_group_bytes
         self.max_queued_bytes = max_queued_bytes
         self.min_append_interval_ms = min_append_interval_ms
