--- a/siskinmount/state/_configuration_stream.py
+++ b/siskinmount/state/_configuration_stream.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import logging
+from typing import Any
 import uuid
 
 import trio
@@ -97,6 +98,7 @@
         '_log',
         '_parse',
         '_grammar',
+        '_grammar_of',
         '_retention_ms',
         '_is_carrier',
         '_clock_ms',
@@ -110,6 +112,7 @@
         log: platform.LogService,
         parse: _configuration_rules.Parse,
         grammar: int,
+        grammar_of: Callable[[Any], int],
         retention_ms: int,
         is_carrier: Callable[[], bool],
         clock_ms: Callable[[], int],
@@ -117,6 +120,7 @@
         self._log = log
         self._parse = parse
         self._grammar = grammar
+        self._grammar_of = grammar_of
         self._retention_ms = retention_ms
         self._is_carrier = is_carrier
         self._clock_ms = clock_ms
@@ -195,7 +199,7 @@
             base_version=base_version,
             publisher=publisher,
             publication=uuid.uuid4().hex,
-            grammar=self._grammar,
+            grammar=self._grammar_of(document),
             text=text.encode('utf-8'),
             written_at_ms=self._clock_ms(),
         )
@@ -364,6 +368,7 @@
     parse: _configuration_rules.Parse,
     *,
     grammar: int = 1,
+    grammar_of: Callable[[Any], int] | None = None,
     retention_ms: int = DEFAULT_RETENTION_MS,
     is_carrier: Callable[[], bool] | None = None,
     clock_ms: Callable[[], int] = _state_stream.wall_clock_ms,
@@ -376,6 +381,9 @@
             `results.Failure`. Its verdict on a text of one grammar must never
             change from release to release.
         grammar: Newest version of the document's rules that `parse` knows.
+        grammar_of: Returns the version of the rules that a parsed document is
+            written for, so that releases which know those can judge it;
+            without it, `grammar`.
         retention_ms: How long the log keeps a record.
         is_carrier: Whether this process carries versions forward.
         clock_ms: Milliseconds since the Unix epoch.
@@ -384,6 +392,7 @@
         log,
         parse,
         grammar,
+        grammar_of or (lambda document: grammar),
         retention_ms,
         is_carrier or (lambda: True),
         clock_ms,
--- a/siskinmount/state/tests/test_configuration_stream.py
+++ b/siskinmount/state/tests/test_configuration_stream.py
@@ -147,6 +147,21 @@
 
         self.run_with_log(check)
 
+    def test_document_is_judged_by_its_own_grammar(self):
+        async def check(log, nursery):
+            newer = create(
+                log, grammar=2, grammar_of=lambda text: 1 + ('X' in text)
+            )
+            older = create(log)
+            nursery.start_soon(older.run)
+            first = await newer.publish('a', 0, 'ann')
+            self.assertEqual(1, (await older.wait_newer(0)).version)
+            await newer.publish('x', first.version, 'ann')
+            await trio.sleep(60)
+            self.assertEqual(1, older.version)
+
+        self.run_with_log(check)
+
     def test_adopts_only_higher_versions_from_peers(self):
         async def check(log, nursery):
             configuration = create(log)
