--- a/tools/slopes/state_slopes.py
+++ b/tools/slopes/state_slopes.py
@@ -20,6 +20,7 @@
 
 _ITEMS = flags.DEFINE_integer('items', 50_000, 'Items of the measured job.')
 _SIDECARS = flags.DEFINE_integer('sidecars', 8, 'Sidecars that pull at once.')
+_KEYS = flags.DEFINE_integer('keys', 20_000, 'Idempotency keys.')
 _CREDIT = flags.DEFINE_integer('credit', 64, 'Items that one pull asks for.')
 
 STREAM = 'state-0'
@@ -30,6 +31,7 @@
 DUE_MS = 8 * 3600 * 1000
 PAGE_RESULTS = 1000
 NEVER = 1 << 60
+KEYS_AT_ONCE = 500
 
 
 def _report(figure: str, value: float, unit: str) -> None:
@@ -189,7 +191,9 @@
         nursery.cancel_scope.cancel()
 
 
-async def _measure_memory(log: fake_log.FakeLog) -> None:
+async def _measure_memory(
+    log: fake_log.FakeLog, phase: str, count: int
+) -> None:
     """Measures what a replayed state holds in memory."""
     tracemalloc.start()
     shard = _create_shard(log, 'vm-memory')
@@ -198,7 +202,7 @@
         await shard.stream.wait_owned()
         gc.collect()
         held_bytes, _ = tracemalloc.get_traced_memory()
-        _report('memory', held_bytes / (2 * _ITEMS.value), 'bytes/item')
+        _report(f'{phase}_memory', held_bytes / count, 'bytes/item')
         nursery.cancel_scope.cancel()
     tracemalloc.stop()
 
@@ -219,13 +223,44 @@
     _report('snapshots_cpu', cpu_s / item_count * 1e6, 'us/item, all')
 
 
+async def _run_key(keys: state.KeyTable, number: int) -> None:
+    """Runs one request under an idempotency key."""
+    key = f'booking-{number}'
+    started = await keys.begin(key, CALLER, f'{number:032x}')
+    if not isinstance(started, state.Started):
+        raise RuntimeError(repr(started))
+    failure = await keys.finish(
+        key, CALLER, started.attempt, ANSWER.encode('ascii')
+    )
+    if failure is not None:
+        raise RuntimeError(repr(failure))
+
+
+async def _run_keys() -> None:
+    """Measures idempotency keys, many at once."""
+    log = fake_log.FakeLog()
+    shard = _create_shard(log, 'vm-keys')
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(shard.stream.run)
+        await shard.stream.wait_owned()
+        costs = _Costs(log)
+        for first in range(0, _KEYS.value, KEYS_AT_ONCE):
+            async with trio.open_nursery() as requests:
+                for number in range(first, first + KEYS_AT_ONCE):
+                    requests.start_soon(_run_key, shard.keys, number)
+        costs.report('keys', len(shard.keys))
+        nursery.cancel_scope.cancel()
+    await _measure_memory(log, 'keys', len(shard.keys))
+
+
 async def _main() -> None:
     """Measures everything in turn."""
     log = fake_log.FakeLog()
     await _run_owner(log)
     await _replay(log, 'replay_records')
     await _replay(log, 'replay_snapshot')
-    await _measure_memory(log)
+    await _measure_memory(log, 'items', 2 * _ITEMS.value)
+    await _run_keys()
 
 
 def main(arguments: list[str]) -> None:
