--- /dev/null
+++ b/tools/slopes/_figures.py
@@ -0,0 +1,46 @@
+"""Figures as JSON lines: printed by each measurement, read by the summary."""
+
+import orjson
+
+
+class Figure:
+    """One measured number.
+
+    Attributes:
+        name: What was measured.
+        value: The number.
+        unit: Its unit.
+    """
+
+    __slots__ = ('name', 'value', 'unit')
+
+    def __init__(self, name: str, value: float, unit: str) -> None:
+        self.name = name
+        self.value = value
+        self.unit = unit
+
+
+def print_figure(name: str, value: float, unit: str) -> None:
+    """Prints one figure as a JSON line."""
+    document = {'figure': name, 'value': round(value, 4), 'unit': unit}
+    print(orjson.dumps(document).decode('ascii'), flush=True)
+
+
+def parse_figures(output: bytes) -> list[Figure]:
+    """Returns the figures among the lines of a measurement's output."""
+    figures: list[Figure] = []
+    for line in output.splitlines():
+        try:
+            document = orjson.loads(line)
+        except orjson.JSONDecodeError:
+            continue
+        if not isinstance(document, dict) or 'figure' not in document:
+            continue
+        figures.append(
+            Figure(
+                str(document['figure']),
+                float(document['value']),
+                str(document['unit']),
+            )
+        )
+    return figures
