--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test format lint demo load bench binary protos
+.PHONY: setup test format lint demo load bench slopes binary protos
 
 $(VENV)/.installed: requirements.txt requirements-dev.txt constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -38,6 +38,10 @@
 bench: setup
 	$(BIN)/python -m tools.bench $(ARGS)
 
+# Measures what each role costs: make slopes ARGS=--quick
+slopes: setup
+	$(BIN)/python -m tools.slopes $(ARGS)
+
 SEED ?= 1
 SECONDS ?= 60
 
--- /dev/null
+++ b/tools/slopes/_capacity.py
@@ -0,0 +1,470 @@
+"""Works out what each role costs at the aimed size, from measured slopes."""
+
+import math
+
+from tools.slopes import _figures
+
+SECONDS_PER_DAY = 86_400
+MS_PER_S = 1000
+US_PER_S = 1_000_000
+
+_NEEDED = {
+    'control_slopes': (
+        'client_cpu_per_call_paced',
+        'server_cpu_per_call_paced',
+        'heartbeat_request',
+        'heartbeat_reply_12_entries',
+        'choose_by_key_160_upstreams',
+        'admit_160_upstreams',
+    ),
+    'state_slopes': (
+        'idempotent_submit_cpu',
+        'idempotent_run_cpu',
+        'idempotent_submit_log_bytes',
+        'idempotent_run_log_bytes',
+        'replay_records_cpu',
+        'replay_snapshot_cpu',
+        'memory',
+    ),
+    'sidecar_slopes': (
+        'cpu_per_token',
+        'cpu_per_request',
+        'cpu_idle',
+        'resident_after',
+    ),
+    'entry_slopes': (
+        'cpu_per_token',
+        'cpu_per_request',
+        'cpu_idle',
+        'cpu_per_sidecar',
+        'cpu_per_item_run',
+        'cpu_per_change_and_caller',
+        'document_per_caller',
+        'memory_per_member',
+        'memory_per_stream',
+        'resident_after',
+        'status_bytes_per_job',
+    ),
+}
+
+
+class Aim:
+    """The size to build towards, and the settings that it is met with.
+
+    Attributes:
+        entries: Entry daemons.
+        sidecars: Engines, each with a sidecar.
+        requests_per_s: Online requests at the peak.
+        tokens_per_s: Tokens at the peak.
+        between_tokens_ms: Longest time between two tokens for most.
+        items_per_day: Batch items.
+        jobs: Batch jobs.
+        largest_job_items: Items of the largest job.
+        callers: Customers.
+        models: Model services.
+        failure_domains: Failure domains.
+        regions: Regions.
+        changes_per_day: Changes of configuration.
+        state_streams: State streams of the log.
+        stream_appends_per_s: Most appends of one stream.
+        sidecar_peers: Entries that a sidecar heartbeats to.
+        entry_peers: Entries that an entry heartbeats to.
+        heartbeat_interval_s: Time between two heartbeats to one peer.
+        result_retention_days: How long results stay readable.
+        log_retention_days: How long the log keeps a record.
+        snapshot_after_bytes: Log bytes after which a snapshot is written.
+        process_load: Share of a core that one process may be given.
+    """
+
+    __slots__ = (
+        'entries',
+        'sidecars',
+        'requests_per_s',
+        'tokens_per_s',
+        'between_tokens_ms',
+        'items_per_day',
+        'jobs',
+        'largest_job_items',
+        'callers',
+        'models',
+        'failure_domains',
+        'regions',
+        'changes_per_day',
+        'state_streams',
+        'stream_appends_per_s',
+        'sidecar_peers',
+        'entry_peers',
+        'heartbeat_interval_s',
+        'result_retention_days',
+        'log_retention_days',
+        'snapshot_after_bytes',
+        'process_load',
+    )
+
+    def __init__(
+        self,
+        *,
+        entries: int = 330,
+        sidecars: int = 1300,
+        requests_per_s: float = 6200,
+        tokens_per_s: float = 1_600_000,
+        between_tokens_ms: float = 78,
+        items_per_day: float = 110_000_000,
+        jobs: int = 1500,
+        largest_job_items: int = 390_000,
+        callers: int = 29_000,
+        models: int = 10,
+        failure_domains: int = 19,
+        regions: int = 6,
+        changes_per_day: float = 1000,
+        state_streams: int = 12,
+        stream_appends_per_s: float = 25,
+        sidecar_peers: int = 8,
+        entry_peers: int = 12,
+        heartbeat_interval_s: float = 1,
+        result_retention_days: float = 2,
+        log_retention_days: float = 1,
+        snapshot_after_bytes: float = 64 * 1024 * 1024,
+        process_load: float = 0.5,
+    ) -> None:
+        self.entries = entries
+        self.sidecars = sidecars
+        self.requests_per_s = requests_per_s
+        self.tokens_per_s = tokens_per_s
+        self.between_tokens_ms = between_tokens_ms
+        self.items_per_day = items_per_day
+        self.jobs = jobs
+        self.largest_job_items = largest_job_items
+        self.callers = callers
+        self.models = models
+        self.failure_domains = failure_domains
+        self.regions = regions
+        self.changes_per_day = changes_per_day
+        self.state_streams = state_streams
+        self.stream_appends_per_s = stream_appends_per_s
+        self.sidecar_peers = sidecar_peers
+        self.entry_peers = entry_peers
+        self.heartbeat_interval_s = heartbeat_interval_s
+        self.result_retention_days = result_retention_days
+        self.log_retention_days = log_retention_days
+        self.snapshot_after_bytes = snapshot_after_bytes
+        self.process_load = process_load
+
+    @property
+    def items_per_s(self) -> float:
+        """Batch items a second, evenly over the day."""
+        return self.items_per_day / SECONDS_PER_DAY
+
+
+class Slopes:
+    """The measured figures that the arithmetic needs.
+
+    Attributes:
+        control: Figures of `control_slopes`.
+        state: Figures of `state_slopes`.
+        sidecar: Figures of `sidecar_slopes`.
+        entry: Figures of `entry_slopes`.
+    """
+
+    __slots__ = ('control', 'state', 'sidecar', 'entry')
+
+    def __init__(
+        self,
+        control: dict[str, float],
+        state: dict[str, float],
+        sidecar: dict[str, float],
+        entry: dict[str, float],
+    ) -> None:
+        self.control = control
+        self.state = state
+        self.sidecar = sidecar
+        self.entry = entry
+
+
+def read_slopes(measured: dict[str, list[_figures.Figure]]) -> Slopes:
+    """Returns the slopes among the figures, by measurement.
+
+    Raises:
+        KeyError: A figure is missing.
+    """
+    values: dict[str, dict[str, float]] = {}
+    for measurement, names in _NEEDED.items():
+        found = {
+            figure.name: figure.value
+            for figure in measured.get(measurement, [])
+        }
+        values[measurement] = {name: found[name] for name in names}
+    return Slopes(
+        values['control_slopes'],
+        values['state_slopes'],
+        values['sidecar_slopes'],
+        values['entry_slopes'],
+    )
+
+
+def work_out(aim: Aim, slopes: Slopes) -> list[_figures.Figure]:
+    """Returns what each role costs at the aimed size."""
+    return [
+        *_work_out_entry(aim, slopes),
+        *_work_out_entry_memory(aim, slopes),
+        *_work_out_control(aim, slopes),
+        *_work_out_sidecar(aim, slopes),
+        *_work_out_log(aim, slopes),
+        *_work_out_state(aim, slopes),
+        *_work_out_configuration(aim, slopes),
+    ]
+
+
+def _work_out_entry(aim: Aim, slopes: Slopes) -> list[_figures.Figure]:
+    """Returns what requests, tokens and items cost entries."""
+    requests = aim.requests_per_s / aim.entries
+    tokens = aim.tokens_per_s / aim.entries
+    request_cores = requests * slopes.entry['cpu_per_request'] / MS_PER_S
+    token_cores = tokens * slopes.entry['cpu_per_token'] / MS_PER_S
+    data_cores = request_cores + token_cores
+    processes = math.ceil(data_cores / aim.process_load)
+    domain_load = aim.failure_domains / (aim.failure_domains - 1)
+    domains_in_region = aim.failure_domains / aim.regions
+    region_load = domains_in_region / (domains_in_region - 1)
+    choice_us = (
+        slopes.control['choose_by_key_160_upstreams']
+        + slopes.control['admit_160_upstreams']
+    )
+    return [
+        _figures.Figure('entry: requests', requests, '1/s'),
+        _figures.Figure('entry: tokens', tokens, '1/s'),
+        _figures.Figure('entry: cores for requests', request_cores, 'cores'),
+        _figures.Figure('entry: cores for tokens', token_cores, 'cores'),
+        _figures.Figure('entry: processes a VM', processes, ''),
+        _figures.Figure(
+            'entry: choice and admission, 160 upstreams',
+            requests * choice_us / US_PER_S * 100,
+            '% of a core',
+        ),
+        _figures.Figure(
+            'entry: cores after a loss of a domain, all regions share',
+            data_cores * domain_load,
+            'cores',
+        ),
+        _figures.Figure(
+            'entry: cores after a loss of a domain, its region alone',
+            data_cores * region_load,
+            'cores',
+        ),
+    ]
+
+
+def _work_out_entry_memory(aim: Aim, slopes: Slopes) -> list[_figures.Figure]:
+    """Returns the memory of an entry that owns no stream."""
+    requests = aim.requests_per_s / aim.entries
+    tokens_per_request = aim.tokens_per_s / aim.requests_per_s
+    duration_s = tokens_per_request * aim.between_tokens_ms / MS_PER_S
+    open_streams = requests * duration_s
+    stream_mb = open_streams * slopes.entry['memory_per_stream'] / 1000
+    members = aim.entries + aim.sidecars
+    member_mb = members * slopes.entry['memory_per_member'] / 1000
+    resident_mb = slopes.entry['resident_after']
+    return [
+        _figures.Figure('entry: open streams', open_streams, ''),
+        _figures.Figure('entry: memory of open streams', stream_mb, 'MB'),
+        _figures.Figure('entry: memory of all members', member_mb, 'MB'),
+        _figures.Figure(
+            'entry: memory, with no state stream',
+            resident_mb + stream_mb + member_mb,
+            'MB',
+        ),
+    ]
+
+
+def _work_out_control(aim: Aim, slopes: Slopes) -> list[_figures.Figure]:
+    """Returns what control calls cost entries."""
+    from_sidecars = (
+        aim.sidecars
+        * aim.sidecar_peers
+        / aim.entries
+        / aim.heartbeat_interval_s
+    )
+    from_entries = aim.entry_peers / aim.heartbeat_interval_s
+    received = from_sidecars + from_entries
+    cpu_ms = (
+        received * slopes.control['server_cpu_per_call_paced']
+        + from_entries * slopes.control['client_cpu_per_call_paced']
+    )
+    call_bytes = _call_bytes(slopes)
+    listed = from_entries * 12
+    return [
+        _figures.Figure('entry: heartbeats received', received, '1/s'),
+        _figures.Figure(
+            'entry: control calls', cpu_ms / MS_PER_S * 100, '% of a core'
+        ),
+        _figures.Figure(
+            "entry: sidecars' heartbeats and pulls, by the idle slope",
+            from_sidecars
+            * aim.heartbeat_interval_s
+            * slopes.entry['cpu_per_sidecar'],
+            '% of a core',
+        ),
+        _figures.Figure(
+            'entry: control bytes, both directions',
+            (received + from_entries) * call_bytes / 1000,
+            'kB/s',
+        ),
+        _figures.Figure(
+            'entry: time to hear of every entry through replies',
+            aim.entries / listed,
+            's',
+        ),
+        _figures.Figure(
+            'entry: status of all jobs',
+            aim.jobs * slopes.entry['status_bytes_per_job'] / 1000,
+            'kB',
+        ),
+    ]
+
+
+def _call_bytes(slopes: Slopes) -> float:
+    """Returns the bytes of one heartbeat with its reply."""
+    return (
+        slopes.control['heartbeat_request']
+        + slopes.control['heartbeat_reply_12_entries']
+    )
+
+
+def _work_out_sidecar(aim: Aim, slopes: Slopes) -> list[_figures.Figure]:
+    """Returns what a sidecar costs."""
+    requests = aim.requests_per_s / aim.sidecars
+    tokens = aim.tokens_per_s / aim.sidecars
+    data_ms = (
+        requests * slopes.sidecar['cpu_per_request']
+        + tokens * slopes.sidecar['cpu_per_token']
+    )
+    calls = aim.sidecar_peers / aim.heartbeat_interval_s
+    call_cpu_ms = calls * slopes.control['client_cpu_per_call_paced']
+    return [
+        _figures.Figure('sidecar: tokens', tokens, '1/s'),
+        _figures.Figure('sidecar: data', data_ms / MS_PER_S, 'cores'),
+        _figures.Figure(
+            'sidecar: heartbeats',
+            call_cpu_ms / MS_PER_S * 100,
+            '% of a core',
+        ),
+        _figures.Figure(
+            'sidecar: control bytes, both directions',
+            calls * _call_bytes(slopes) / 1000,
+            'kB/s',
+        ),
+        _figures.Figure(
+            'sidecar: memory', slopes.sidecar['resident_after'], 'MB'
+        ),
+    ]
+
+
+def _work_out_log(aim: Aim, slopes: Slopes) -> list[_figures.Figure]:
+    """Returns appends and bytes of the log."""
+    submit_bytes = slopes.state['idempotent_submit_log_bytes']
+    run_bytes = slopes.state['idempotent_run_log_bytes']
+    first_bytes = aim.items_per_s * (submit_bytes + run_bytes)
+    # A result is written again at half the log's retention, until its own
+    # retention is over.
+    writings = math.ceil(
+        aim.result_retention_days / (aim.log_retention_days / 2)
+    )
+    carried_bytes = aim.items_per_s * run_bytes * (writings - 1)
+    return [
+        _figures.Figure('log: batch items', aim.items_per_s, '1/s'),
+        _figures.Figure(
+            'log: most appends of all state streams',
+            aim.state_streams * aim.stream_appends_per_s,
+            '1/s',
+        ),
+        _figures.Figure('log: items and results', first_bytes / 1e6, 'MB/s'),
+        _figures.Figure(
+            'log: results carried forward', carried_bytes / 1e6, 'MB/s'
+        ),
+        _figures.Figure(
+            'log: bytes kept',
+            (first_bytes + carried_bytes)
+            * aim.log_retention_days
+            * SECONDS_PER_DAY
+            / 1e9,
+            'GB',
+        ),
+    ]
+
+
+def _work_out_state(aim: Aim, slopes: Slopes) -> list[_figures.Figure]:
+    """Returns what one state stream costs its owner."""
+    items_per_s = aim.items_per_s / aim.state_streams
+    kept_items = (
+        aim.items_per_day * aim.result_retention_days / aim.state_streams
+    )
+    index_bytes = kept_items * slopes.state['memory']
+    item_bytes = (
+        slopes.state['idempotent_submit_log_bytes']
+        + slopes.state['idempotent_run_log_bytes']
+    )
+    replay_items = aim.snapshot_after_bytes / item_bytes
+    replay_s = (
+        replay_items / 1e6 * slopes.state['replay_records_cpu']
+        + kept_items / 1e6 * slopes.state['replay_snapshot_cpu']
+    )
+    state_us = (
+        slopes.state['idempotent_submit_cpu']
+        + slopes.state['idempotent_run_cpu']
+    )
+    between_snapshots_s = aim.snapshot_after_bytes / (items_per_s * item_bytes)
+    return [
+        _figures.Figure('stream: items', items_per_s, '1/s'),
+        _figures.Figure(
+            'stream: items, large pulls',
+            items_per_s * state_us / US_PER_S * 100,
+            '% of a core',
+        ),
+        _figures.Figure(
+            'stream: items, as pulled in the measured fleet',
+            items_per_s * slopes.entry['cpu_per_item_run'] / MS_PER_S * 100,
+            '% of a core',
+        ),
+        _figures.Figure('stream: items kept', kept_items / 1e6, 'million'),
+        _figures.Figure('stream: index', index_bytes / 1e6, 'MB'),
+        _figures.Figure(
+            'stream: index of the largest job',
+            aim.largest_job_items * slopes.state['memory'] / 1e6,
+            'MB',
+        ),
+        _figures.Figure('stream: replay', replay_s, 's'),
+        _figures.Figure(
+            'stream: time between snapshots', between_snapshots_s, 's'
+        ),
+        _figures.Figure(
+            'stream: snapshots, of the index alone',
+            index_bytes / between_snapshots_s / 1000,
+            'kB/s',
+        ),
+    ]
+
+
+def _work_out_configuration(aim: Aim, slopes: Slopes) -> list[_figures.Figure]:
+    """Returns what changes of configuration cost a daemon."""
+    change_ms = (
+        aim.callers * slopes.entry['cpu_per_change_and_caller'] / MS_PER_S
+    )
+    document_kb = aim.callers * slopes.entry['document_per_caller'] / 1000
+    per_s = aim.changes_per_day / SECONDS_PER_DAY
+    return [
+        _figures.Figure('configuration: document', document_kb, 'kB'),
+        _figures.Figure('configuration: one change', change_ms, 'ms'),
+        _figures.Figure(
+            'configuration: all changes',
+            change_ms * per_s / MS_PER_S * 100,
+            '% of a core',
+        ),
+        _figures.Figure(
+            'configuration: bytes of a daemon', document_kb * per_s, 'kB/s'
+        ),
+        _figures.Figure(
+            'configuration: longest until in force at a sidecar',
+            aim.heartbeat_interval_s * 1.2 + change_ms / MS_PER_S,
+            's',
+        ),
+    ]
--- a/tools/slopes/_figures.py
+++ b/tools/slopes/_figures.py
@@ -19,10 +19,18 @@
         self.value = value
         self.unit = unit
 
+    def describe(self) -> dict[str, object]:
+        """Returns the figure as a JSON object."""
+        return {
+            'figure': self.name,
+            'value': round(self.value, 4),
+            'unit': self.unit,
+        }
+
 
 def print_figure(name: str, value: float, unit: str) -> None:
     """Prints one figure as a JSON line."""
-    document = {'figure': name, 'value': round(value, 4), 'unit': unit}
+    document = Figure(name, value, unit).describe()
     print(orjson.dumps(document).decode('ascii'), flush=True)
 
 
--- a/tools/slopes/entry_slopes.py
+++ b/tools/slopes/entry_slopes.py
@@ -104,8 +104,10 @@
         """Derives the cost of a sidecar's heartbeats from two idle times."""
         await trio.sleep(SETTLE_S)
         many = await self._cost.measure_idle_share(_IDLE_S.value)
-        for sidecar in extra_sidecars:
-            await self._fleet.group.processes[sidecar.vm].stop()
+        async with trio.open_nursery() as nursery:
+            for sidecar in extra_sidecars:
+                process = self._fleet.group.processes[sidecar.vm]
+                nursery.start_soon(process.stop)
         await trio.sleep(SETTLE_S)
         few = await self._cost.measure_idle_share(_IDLE_S.value)
         stopped = len(extra_sidecars)
@@ -140,9 +142,10 @@
 
         async def run_stream(number: int) -> None:
             nonlocal read_count
-            read_count += await self._calls.run_stream(
+            own_count = await self._calls.run_stream(
                 MODEL_SERVICE, f'{name} {number} {PROMPT}', tokens
             )
+            read_count += own_count
 
         await _entry_calls.run_in_parallel(
             run_stream, _REQUESTS.value, PARALLEL
@@ -244,6 +247,12 @@
         usage = await self._log.take()
         _report('job_appends', usage.append_count / _JOBS.value, 'appends/job')
         _report('job_bytes', usage.size_bytes / _JOBS.value, 'bytes/job')
+        status = await self._read_status()
+        jobs = status['jobs']
+        if not isinstance(jobs, list):
+            raise RuntimeError(f'no jobs in {status}')
+        size_bytes = len(orjson.dumps(jobs))
+        _report('status_bytes_per_job', size_bytes / len(jobs), 'bytes')
 
     async def _measure_changes(self) -> None:
         """Measures changes of a small and of a large document."""
@@ -251,6 +260,7 @@
             [f'customer-{number}' for number in range(_CALLERS.value)]
         )
         cpu_s: list[float] = []
+        sizes_bytes: list[int] = []
         for name, callers in (
             ('small', self._callers),
             ('large', [*self._callers, *others]),
@@ -263,26 +273,32 @@
                 delays_ms.append(await self._wait_in_force() * MS_PER_S)
             idle_s = idle * (time.monotonic() - started_s)
             cpu_s.append((self._cost.take_cpu_s() - idle_s) / _CHANGES.value)
-            _report(f'document_{name}', size_bytes / 1000, 'kB')
+            sizes_bytes.append(size_bytes)
             _report(f'cpu_per_change_{name}', cpu_s[-1] * MS_PER_S, 'ms')
             _report(f'in_force_{name}', max(delays_ms), 'ms, longest')
         per_caller_s = (cpu_s[1] - cpu_s[0]) / _CALLERS.value
         _report('cpu_per_change_and_caller', per_caller_s * 1e6, 'us')
+        per_caller = (sizes_bytes[1] - sizes_bytes[0]) / _CALLERS.value
+        _report('document_per_caller', per_caller, 'bytes')
 
     async def _wait_in_force(self) -> float:
         """Waits until the entry serves by the version; returns the time."""
         started_s = time.monotonic()
         while True:
-            answer = await self._fleet.send_control(
-                self._fleet.plan.entries[0].peers_address, 'GET', '/status'
-            )
-            if not isinstance(answer, bytes):
-                raise RuntimeError(repr(answer))
-            status = orjson.loads(answer)
-            if status['configuration_version'] >= self._version:
+            status = await self._read_status()
+            if status['configuration_version'] == self._version:
                 return time.monotonic() - started_s
             await trio.sleep(CHANGE_POLL_S)
 
+    async def _read_status(self) -> dict[str, object]:
+        """Returns what the entry says of itself."""
+        answer = await self._fleet.send_control(
+            self._fleet.plan.entries[0].peers_address, 'GET', '/status'
+        )
+        if not isinstance(answer, bytes):
+            raise RuntimeError(repr(answer))
+        return orjson.loads(answer)
+
 
 def _item_lines(count: int, label: str = '') -> list[bytes]:
     """Returns the items of a batch job."""
