--- a/tools/slopes/__main__.py
+++ b/tools/slopes/__main__.py
@@ -1,7 +1,6 @@
 """Runs all measurements one after the other, prints and writes the figures."""
 
 import pathlib
-import subprocess
 import sys
 
 from absl import app
@@ -50,7 +49,7 @@
     finished = await trio.run_process(
         [sys.executable, '-m', f'tools.slopes.{name}', *arguments],
         capture_stdout=True,
-        stderr=subprocess.PIPE,
+        capture_stderr=True,
         check=False,
     )
     if finished.returncode != 0:
--- a/tools/slopes/_capacity.py
+++ b/tools/slopes/_capacity.py
@@ -69,6 +69,7 @@
         stream_appends_per_s: Most appends of one stream.
         sidecar_peers: Entries that a sidecar heartbeats to.
         entry_peers: Entries that an entry heartbeats to.
+        listed_entries: Entries named in one reply.
         heartbeat_interval_s: Time between two heartbeats to one peer.
         result_retention_days: How long results stay readable.
         log_retention_days: How long the log keeps a record.
@@ -94,6 +95,7 @@
         'stream_appends_per_s',
         'sidecar_peers',
         'entry_peers',
+        'listed_entries',
         'heartbeat_interval_s',
         'result_retention_days',
         'log_retention_days',
@@ -121,6 +123,7 @@
         stream_appends_per_s: float = 25,
         sidecar_peers: int = 8,
         entry_peers: int = 12,
+        listed_entries: int = 12,
         heartbeat_interval_s: float = 1,
         result_retention_days: float = 2,
         log_retention_days: float = 1,
@@ -144,6 +147,7 @@
         self.stream_appends_per_s = stream_appends_per_s
         self.sidecar_peers = sidecar_peers
         self.entry_peers = entry_peers
+        self.listed_entries = listed_entries
         self.heartbeat_interval_s = heartbeat_interval_s
         self.result_retention_days = result_retention_days
         self.log_retention_days = log_retention_days
@@ -290,28 +294,30 @@
         received * slopes.control['server_cpu_per_call_paced']
         + from_entries * slopes.control['client_cpu_per_call_paced']
     )
-    call_bytes = _call_bytes(slopes)
-    listed = from_entries * 12
+    # The idle slope of one sidecar is one heartbeat a second and its pulls.
+    pulls_share = max(
+        0.0,
+        slopes.entry['cpu_per_sidecar']
+        - slopes.control['server_cpu_per_call_paced'] / MS_PER_S * 100,
+    )
     return [
         _figures.Figure('entry: heartbeats received', received, '1/s'),
         _figures.Figure(
             'entry: control calls', cpu_ms / MS_PER_S * 100, '% of a core'
         ),
         _figures.Figure(
-            "entry: sidecars' heartbeats and pulls, by the idle slope",
-            from_sidecars
-            * aim.heartbeat_interval_s
-            * slopes.entry['cpu_per_sidecar'],
+            'entry: idle pulls of all sidecars',
+            aim.sidecars * pulls_share,
             '% of a core',
         ),
         _figures.Figure(
             'entry: control bytes, both directions',
-            (received + from_entries) * call_bytes / 1000,
+            (received + from_entries) * _call_bytes(slopes) / 1000,
             'kB/s',
         ),
         _figures.Figure(
-            'entry: time to hear of every entry through replies',
-            aim.entries / listed,
+            'entry: time in which replies name every entry',
+            aim.entries / (from_entries * aim.listed_entries),
             's',
         ),
         _figures.Figure(
@@ -319,6 +325,26 @@
             aim.jobs * slopes.entry['status_bytes_per_job'] / 1000,
             'kB',
         ),
+        *_work_out_reach(aim),
+    ]
+
+
+def _work_out_reach(aim: Aim) -> list[_figures.Figure]:
+    """Returns how much of the fleet an entry knows through heartbeats."""
+    known = aim.sidecars * aim.sidecar_peers / aim.entries
+    entries_in_region = aim.entries / aim.regions
+    service_in_region = aim.sidecars / aim.regions / aim.models
+    hears_share = min(1.0, aim.sidecar_peers / entries_in_region)
+    return [
+        _figures.Figure('entry: upstreams known', known, ''),
+        _figures.Figure(
+            'entry: upstreams known of one model', known / aim.models, ''
+        ),
+        _figures.Figure(
+            'entry: chance to know no upstream of a model',
+            (1 - hears_share) ** service_in_region * 100,
+            '%',
+        ),
     ]
 
 
