Answer hostile and awkward requests instead of dropping them

Cause, as found by raw-socket tests of the entry and of the HTTP server: - HEAD, CONNECT, 204 and 304 answers with content broke the connection. - A large body left unread reset the connection, and the answer was lost. - A vanished reader was logged as an internal fault with a trace. - A connection over a limit was held for up to 75 s; its refusal had neither retry-after nor the fields that callers are promised. - Bytes sent behind a streamed request were buffered without bound. - The bound on headers did not hold for those that came in one read. - Plain services got a rewritten path and lost repeated or empty query fields; /route/../other reached paths of other routes. - Last-Event-ID of thousands of digits, deep JSON in batch lines, job names with control characters and batch paths that are no request targets raised exceptions, the last in the sidecar. - An upstream's header that HTTP cannot carry broke the answer. - null for optional fields and content given as text parts were refused. - A caller without a key that had gone held its slot for 10 s.

Conclusion: a caller's fault gets a numbered answer and no trace.

--- a/siskinmount/entry/_answer_run.py
+++ b/siskinmount/entry/_answer_run.py
@@ -22,6 +22,8 @@
 #: Refusals without effect that one request may collect before it is given up.
 MAX_REFUSALS = 6
 #: Attempts to reach the same process again after a connection was lost.
+#: How long a caller that has gone may hold its task while its run is ended.
+ABANDON_TIMEOUT_S = 1.0
 MAX_REATTACHES = 2
 REATTACH_PAUSE_S = 0.05
 MAX_ERROR_BYTES = 64 * 1024
@@ -121,6 +123,18 @@
             self._exchange = None
         self._release_choice()
 
+    async def abandon(self) -> None:
+        """Closes a run that nobody can come back to, and ends it at once."""
+        if self._choice is None or not self._sent_to_any:
+            self.close()
+            return
+        with trio.move_on_after(ABANDON_TIMEOUT_S) as scope:
+            scope.shield = True
+            answer = await self._cancel_at_sidecar()
+            if isinstance(answer, transport.ClientExchange):
+                answer.close()
+        self.close()
+
     async def _open(self) -> results.Failure | None:
         """Starts or continues the run at an upstream.
 
--- a/siskinmount/entry/_batch_api.py
+++ b/siskinmount/entry/_batch_api.py
@@ -1,5 +1,6 @@
 """Serves callers' batch jobs: submit, status, results, cancel."""
 
+import re
 import time
 
 from siskinmount import batch
@@ -17,6 +18,7 @@
 DEFAULT_PAGE_ITEMS = 1000
 MAX_PAGE_ITEMS = 10_000
 MAX_LINE_BYTES = 1024 * 1024
+_JOB_PATTERN = re.compile(r'[0-9a-f]{32}')
 
 
 class BatchApi:
@@ -50,6 +52,10 @@
         if not path and method == 'POST':
             return await self._submit(exchange, document, caller)
         job, _, operation = path.partition('/')
+        if job and not _JOB_PATTERN.fullmatch(job):
+            return results.Failure(
+                results.ResultCode.NO_SUCH_JOB, 'no job has this identifier'
+            )
         if job and not operation and method == 'GET':
             return await _send_json(
                 exchange, await self._jobs.read_status(job, caller.name)
--- a/siskinmount/entry/_item_bodies.py
+++ b/siskinmount/entry/_item_bodies.py
@@ -1,5 +1,7 @@
 """Turns the lines of a submitted batch job into bodies for `/run`."""
 
+import re
+
 import orjson
 
 from siskinmount import configuration
@@ -7,6 +9,9 @@
 from siskinmount.entry import _model_request
 from siskinmount.entry import _run_request
 
+_METHOD_PATTERN = re.compile(r'[A-Z]{1,32}')
+_PATH_PATTERN = re.compile(r'/[\x21-\x7e]*')
+
 
 def parse_item_line(
     document: configuration.ServiceDocument,
@@ -46,8 +51,8 @@
     if isinstance(fields, results.Failure):
         return fields
     fields['model'] = service.name
-    request = _model_request.parse_model_request(
-        document, orjson.dumps(fields), 'messages' in fields
+    request = _model_request.parse_model_fields(
+        document, fields, 'messages' in fields
     )
     if isinstance(request, results.Failure):
         return request
@@ -63,16 +68,22 @@
     path = fields.get('path')
     if not isinstance(method, str) or not isinstance(path, str):
         return _invalid('method and path must be strings')
-    if not path.startswith('/') or not path.isascii():
-        return _invalid('path must begin with a slash')
+    method = method.upper()
+    if not _METHOD_PATTERN.fullmatch(method) or method == 'CONNECT':
+        return _invalid('method must be a name in letters')
+    if not _PATH_PATTERN.fullmatch(path):
+        return _invalid('path must begin with a slash and be percent-encoded')
     content = fields.get('body', '')
-    data = (
-        content.encode('utf-8')
-        if isinstance(content, str)
-        else orjson.dumps(content)
-    )
+    try:
+        data = (
+            content.encode('utf-8')
+            if isinstance(content, str)
+            else orjson.dumps(content)
+        )
+    except orjson.JSONEncodeError as error:
+        return _invalid(f'body: {error}')
     return _run_request.PlainRequest(
-        method.upper(), path, [('content-type', 'application/json')], data
+        method, path, [('content-type', 'application/json')], data
     ).encode()
 
 
--- a/siskinmount/entry/_model_calls.py
+++ b/siskinmount/entry/_model_calls.py
@@ -50,6 +50,7 @@
     run = _answer_run.AnswerRun(access, run_request)
     answer_format = _answer_format.AnswerFormat(request, identity.request_id)
     recorder.visit_request(request.service.name)
+    ended = False
     try:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_cancel_on_disconnect, exchange, nursery)
@@ -60,8 +61,12 @@
             else:
                 await _send_whole(run, answer_format, recorder, exchange)
             nursery.cancel_scope.cancel()
+            ended = True
     finally:
-        run.close()
+        if ended or identity.key is not None:
+            run.close()
+        else:
+            await run.abandon()
         recorder.leave_request()
 
 
--- a/siskinmount/entry/_model_request.py
+++ b/siskinmount/entry/_model_request.py
@@ -1,6 +1,7 @@
 """Parses completions and chat completions."""
 
 import re
+from typing import Any
 
 import orjson
 
@@ -105,18 +106,27 @@
         )
     if not isinstance(fields, dict):
         return _invalid('the body must be a JSON object')
+    return parse_model_fields(document, fields, is_chat)
+
+
+def parse_model_fields(
+    document: configuration.ServiceDocument,
+    fields: dict[str, object],
+    is_chat: bool,
+) -> ModelRequest | results.Failure:
+    """Checks the fields of a completion or chat completion."""
     service = _find_service(document, fields.get('model'))
     if isinstance(service, results.Failure):
         return service
     max_tokens = _read_max_tokens(fields)
     if isinstance(max_tokens, results.Failure):
         return max_tokens
-    stream = fields.get('stream', False)
+    stream = _find(fields, 'stream', False)
     if not isinstance(stream, bool):
         return _invalid('stream must be a boolean')
-    if fields.get('n', 1) != 1:
+    if _find(fields, 'n', 1) != 1:
         return _invalid('n must be 1')
-    session = fields.get('user', '')
+    session = _find(fields, 'user', '')
     if not isinstance(session, str):
         return _invalid('user must be a string')
     content = _read_messages(fields) if is_chat else _read_prompt(fields)
@@ -164,9 +174,8 @@
 
 def _read_max_tokens(fields: dict) -> int | results.Failure:
     """Returns the bound on the answer's length."""
-    value = fields.get('max_completion_tokens', fields.get('max_tokens'))
-    if value is None:
-        return DEFAULT_MAX_TOKENS
+    value = _find(fields, 'max_tokens', DEFAULT_MAX_TOKENS)
+    value = _find(fields, 'max_completion_tokens', value)
     is_whole = isinstance(value, int) and not isinstance(value, bool)
     if not is_whole or not 1 <= value <= MAX_MAX_TOKENS:
         return _invalid(
@@ -192,12 +201,35 @@
         if not isinstance(message, dict):
             return _invalid('each message must be an object')
         role = message.get('role')
-        content = message.get('content')
-        if not isinstance(role, str) or not isinstance(content, str):
+        content = _join_text_parts(message.get('content'))
+        if not isinstance(role, str) or content is None:
             return _invalid('each message needs a role and a content text')
         checked.append({'role': role, 'content': content})
     return checked
 
 
+def _find(fields: dict, name: str, default: object) -> Any:
+    """Returns a field; null counts as not given, as client libraries send it."""
+    value = fields.get(name)
+    return default if value is None else value
+
+
+def _join_text_parts(content: object) -> str | None:
+    """Returns a message's text, which may be given as a list of parts."""
+    if isinstance(content, str):
+        return content
+    if not isinstance(content, list) or not content:
+        return None
+    texts: list[str] = []
+    for part in content:
+        if not isinstance(part, dict) or part.get('type') != 'text':
+            return None
+        text = part.get('text')
+        if not isinstance(text, str):
+            return None
+        texts.append(text)
+    return ''.join(texts)
+
+
 def _invalid(reason: str) -> results.Failure:
     return results.Failure(results.ResultCode.INVALID_FIELD, reason)
--- a/siskinmount/entry/_plain_answer.py
+++ b/siskinmount/entry/_plain_answer.py
@@ -1,6 +1,7 @@
 """The whole answer of a plain service."""
 
 import base64
+import re
 
 import orjson
 
@@ -23,6 +24,12 @@
     )
 )
 
+#: Headers of another form would break the answer, or forge others.
+_NAME_PATTERN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_VALUE_PATTERN = re.compile(
+    r'(?:[\x21-\x7e\x80-\xff](?:[\t -~\x80-\xff]*' r'[\x21-\x7e\x80-\xff])?)?'
+)
+
 #: Headers for the system itself, which the plain service must not see.
 _OWN_HEADERS = frozenset(('authorization', 'idempotency-key'))
 
@@ -96,4 +103,13 @@
     headers: list[tuple[str, str]],
 ) -> list[tuple[str, str]]:
     """Returns the headers of an upstream's answer that go to the caller."""
-    return [pair for pair in headers if pair[0].lower() not in _HOP_HEADERS]
+    kept: list[tuple[str, str]] = []
+    for name, value in headers:
+        if name.lower() in _HOP_HEADERS:
+            continue
+        if not _NAME_PATTERN.fullmatch(name):
+            continue
+        if not _VALUE_PATTERN.fullmatch(value):
+            continue
+        kept.append((name, value))
+    return kept
--- a/siskinmount/entry/_plain_calls.py
+++ b/siskinmount/entry/_plain_calls.py
@@ -1,7 +1,6 @@
 """Serves calls of plain services."""
 
 import logging
-import urllib.parse
 
 import orjson
 import trio
@@ -68,6 +67,11 @@
     body: bytes,
 ) -> PlainCall | results.Failure:
     """Finds the route of a call and checks it."""
+    if _has_dot_segment(head.path):
+        return results.Failure(
+            results.ResultCode.INVALID_FIELD,
+            'the path must not have segments of dots',
+        )
     route = find_route(document, head.path)
     if route is None:
         return results.Failure(
@@ -78,12 +82,9 @@
             results.ResultCode.METHOD_NOT_ALLOWED,
             f'{route.path_prefix} takes {", ".join(route.methods)}',
         )
-    target = urllib.parse.quote(head.path)
-    if head.query:
-        target += '?' + urllib.parse.urlencode(head.query)
     request = _run_request.PlainRequest(
         head.method,
-        target,
+        head.target,
         _plain_answer.keep_request_headers(head.headers),
         body,
     )
@@ -112,6 +113,12 @@
     return None
 
 
+def _has_dot_segment(path: str) -> bool:
+    """Tells whether an upstream could take a path for one of another route."""
+    segments = path.replace('\\', '/').split('/')
+    return '.' in segments or '..' in segments
+
+
 async def serve_plain_call(
     access: _upstream_access.UpstreamAccess,
     keys: _key_access.KeyAccess,
--- a/siskinmount/entry/_request_identity.py
+++ b/siskinmount/entry/_request_identity.py
@@ -9,6 +9,7 @@
 from siskinmount.entry import _model_request
 
 _ID_HEX_CHARACTERS = 32
+_MAX_EVENT_ID_DIGITS = 9
 
 
 class RequestIdentity:
@@ -56,7 +57,8 @@
         return RequestIdentity(uuid.uuid4().hex, None, 0)
     first_token = 0
     if last_event_id is not None:
-        if not last_event_id.isascii() or not last_event_id.isdigit():
+        is_number = last_event_id.isascii() and last_event_id.isdigit()
+        if not is_number or len(last_event_id) > _MAX_EVENT_ID_DIGITS:
             return _invalid('Last-Event-ID must be the id of a received event')
         first_token = int(last_event_id) + 1
     text = f'{caller.name}\0{key}\0{fingerprint}'
--- a/siskinmount/transport/_http_client.py
+++ b/siskinmount/transport/_http_client.py
@@ -103,7 +103,13 @@
         request: _client_exchange.ClientRequest,
     ) -> h11.Response | results.Failure:
         """Writes the request and reads the head of the response."""
-        data = self._encode(connection.parser, request)
+        try:
+            data = self._encode(connection.parser, request)
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+            return results.Failure(
+                results.ResultCode.MALFORMED_REQUEST,
+                f'the request cannot be sent: {error}',
+            )
         try:
             with trio.move_on_after(
                 self._limits.send_timeout_ms / 1000
--- a/siskinmount/transport/_http_server.py
+++ b/siskinmount/transport/_http_server.py
@@ -19,6 +19,11 @@
 Handler = Callable[[_server_exchange.ServerExchange], Awaitable[None]]
 
 ACCEPT_RETRY_S = 0.1
+#: How long a connection that is over a limit may take to send its request.
+REFUSED_HEADER_TIMEOUT_S = 1.0
+#: How long what a client still sends is read after its last answer: a socket
+#: closed with unread bytes would reset, and the client could lose the answer.
+LINGER_S = 2.0
 _RESOURCE_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -127,23 +132,34 @@
         )
         refusal = self._check_connection_limits(host)
         while True:
-            head = await self._receive_head(connection, stream, host)
+            with trio.CancelScope() as refusal_scope:
+                if refusal is not None:
+                    refusal_scope.deadline = (
+                        trio.current_time() + REFUSED_HEADER_TIMEOUT_S
+                    )
+                head = await self._receive_head(connection, stream, host)
+            if refusal_scope.cancelled_caught:
+                return
             if head is None:
                 return
             if isinstance(head, results.Failure):
                 await self._refuse(connection, stream, head)
                 return
             if refusal is not None:
-                await self._refuse(connection, stream, refusal)
+                await self._refuse(connection, stream, refusal, head.method)
+                return
+            if head.method == 'CONNECT':
+                await self._refuse(connection, stream, _NO_TUNNELS, head.method)
                 return
             exchange = _server_exchange.ServerExchange(
                 head, connection, stream, self._limits, self._draining
             )
             await self._handle(exchange)
             exchange.discard_received_body()
-            if connection.our_state is not h11.DONE or self._draining:
-                return
             if connection.their_state is not h11.DONE:
+                await _linger(stream)
+                return
+            if connection.our_state is not h11.DONE or self._draining:
                 return
             connection.start_next_cycle()
 
@@ -153,7 +169,9 @@
             await self._handler(exchange)
         except trio.BrokenResourceError:
             raise
-        except Exception:
+        except Exception as error:
+            if _is_connection_loss(error):
+                raise trio.BrokenResourceError('the client has gone') from error
             _LOGGER.exception(
                 'handler_failed',
                 extra={
@@ -163,16 +181,14 @@
             )
             if exchange.response_started:
                 raise trio.BrokenResourceError('handler failed') from None
-            await exchange.send_json(
+            await _send_failure(
+                exchange,
                 500,
-                {
-                    'error': {
-                        'code': int(results.ResultCode.INTERNAL),
-                        'name': results.ResultCode.INTERNAL.name,
-                        'reason': 'internal fault',
-                        'run_state': results.RunState.UNKNOWN.value,
-                    }
-                },
+                results.Failure(
+                    results.ResultCode.INTERNAL,
+                    'internal fault',
+                    results.RunState.UNKNOWN,
+                ),
             )
 
     def _check_connection_limits(self, host: str) -> results.Failure | None:
@@ -212,6 +228,9 @@
                     except h11.RemoteProtocolError as error:
                         return _describe_protocol_error(error)
                     if isinstance(event, h11.Request):
+                        # The parser bounds only what it has to wait for.
+                        if _size_bytes(event) > self._limits.max_header_bytes:
+                            return _HEADERS_TOO_LARGE
                         return _server_exchange.RequestHead(
                             event.method.decode('ascii'),
                             event.target.decode('ascii'),
@@ -242,11 +261,12 @@
         connection: h11.Connection,
         stream: trio.SocketStream,
         failure: results.Failure,
+        method: str = 'GET',
     ) -> None:
         """Answers a request that has not reached the handler."""
         if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        head = _server_exchange.RequestHead('GET', '/', [], '')
+        head = _server_exchange.RequestHead(method, '/', [], '')
         exchange = _server_exchange.ServerExchange(
             head, connection, stream, self._limits, True
         )
@@ -254,18 +274,71 @@
             results.ResultCode.HEADERS_TOO_LARGE: 431,
             results.ResultCode.REQUEST_TIMEOUT: 408,
             results.ResultCode.TOO_MANY_CONNECTIONS: 503,
+            results.ResultCode.METHOD_NOT_ALLOWED: 405,
         }.get(failure.code, 400)
-        await exchange.send_json(
-            status,
-            {
-                'error': {
-                    'code': int(failure.code),
-                    'name': failure.code.name,
-                    'reason': failure.reason,
-                    'run_state': failure.run_state.value,
-                }
-            },
-        )
+        await _send_failure(exchange, status, failure)
+        await _linger(stream)
+
+
+_HEADERS_TOO_LARGE = results.Failure(
+    results.ResultCode.HEADERS_TOO_LARGE, 'the request headers are too large'
+)
+_NO_TUNNELS = results.Failure(
+    results.ResultCode.METHOD_NOT_ALLOWED, 'CONNECT is not served'
+)
+
+
+def _size_bytes(request: h11.Request) -> int:
+    """Returns the size of a request's line and headers."""
+    size = len(request.method) + len(request.target)
+    for name, value in request.headers:
+        size += len(name) + len(value)
+    return size
+
+
+async def _send_failure(
+    exchange: _server_exchange.ServerExchange,
+    status: int,
+    failure: results.Failure,
+) -> None:
+    """Sends a failure in the shape that callers know."""
+    headers: list[tuple[bytes, bytes]] = []
+    if failure.retry_after_ms is not None:
+        seconds = max(1, -(-failure.retry_after_ms // 1000))
+        headers.append((b'retry-after', b'%d' % seconds))
+    await exchange.send_json(
+        status,
+        {
+            'error': {
+                'code': int(failure.code),
+                'name': failure.code.name,
+                'reason': failure.reason,
+                'run_state': failure.run_state.value,
+                'retry_after_ms': failure.retry_after_ms,
+                'request_id': '',
+            }
+        },
+        headers,
+    )
+
+
+async def _linger(stream: trio.SocketStream) -> None:
+    """Reads on for a while, so that the client gets its answer."""
+    with trio.move_on_after(LINGER_S):
+        try:
+            await stream.send_eof()
+            while await stream.receive_some(_server_exchange.READ_BYTES):
+                pass
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+
+
+def _is_connection_loss(error: Exception) -> bool:
+    """Tells whether nothing but a lost connection is in a group of errors."""
+    if not isinstance(error, ExceptionGroup):
+        return False
+    _, others = error.split(trio.BrokenResourceError)
+    return others is None
 
 
 def _describe_protocol_error(
@@ -273,10 +346,7 @@
 ) -> results.Failure:
     """Maps the parser's error to a numbered failure."""
     if error.error_status_hint == 431:
-        return results.Failure(
-            results.ResultCode.HEADERS_TOO_LARGE,
-            'the request headers are too large',
-        )
+        return _HEADERS_TOO_LARGE
     return results.Failure(results.ResultCode.MALFORMED_REQUEST, str(error))
 
 
--- a/siskinmount/transport/_server_exchange.py
+++ b/siskinmount/transport/_server_exchange.py
@@ -11,6 +11,7 @@
 from siskinmount.transport import _limits
 
 READ_BYTES = 64 * 1024
+_BODYLESS_STATUSES = (204, 304)
 
 
 class RequestHead:
@@ -18,13 +19,14 @@
 
     Attributes:
         method: Upper-case method.
+        target: Path and query as they were sent.
         path: Path without the query, percent-encoding undone.
         query: Query parameters; of repeated ones the first.
         headers: Header list with lower-case names.
         peer_host: IP number of the client.
     """
 
-    __slots__ = ('method', 'path', 'query', 'headers', 'peer_host')
+    __slots__ = ('method', 'target', 'path', 'query', 'headers', 'peer_host')
 
     def __init__(
         self,
@@ -34,6 +36,7 @@
         peer_host: str,
     ) -> None:
         self.method = method
+        self.target = target
         path, _, query_text = target.partition('?')
         self.path = urllib.parse.unquote(path)
         self.query: dict[str, str] = {}
@@ -67,6 +70,7 @@
         '_stream',
         '_limits',
         '_close_after',
+        '_bodyless',
     )
 
     def __init__(
@@ -83,6 +87,7 @@
         self._stream = stream
         self._limits = limits
         self._close_after = close_after
+        self._bodyless = head.method == 'HEAD'
 
     async def receive_body_chunk(self) -> bytes | results.Failure:
         """Returns the next bytes of the body, or empty bytes at its end."""
@@ -149,7 +154,8 @@
         """Sends a response with a known length."""
         all_headers = [*headers, (b'content-length', b'%d' % len(body))]
         data = self._start(status, all_headers)
-        data += self._connection.send(h11.Data(data=body)) or b''
+        if not self._bodyless:
+            data += self._connection.send(h11.Data(data=body)) or b''
         data += self._connection.send(h11.EndOfMessage()) or b''
         await self._send(data)
 
@@ -173,7 +179,8 @@
 
     async def send_chunk(self, chunk: bytes) -> None:
         """Sends a part of the response's body."""
-        await self._send(self._connection.send(h11.Data(data=chunk)))
+        if not self._bodyless:
+            await self._send(self._connection.send(h11.Data(data=chunk)))
 
     async def finish(self) -> None:
         """Ends a response that `start_stream` began."""
@@ -183,9 +190,15 @@
         """Returns when the client has closed or reset the connection.
 
         Must run only after the body was read, beside the task that writes the
-        response. Bytes of a pipelined request are kept for later.
+        response. Bytes of a pipelined request are kept for later, up to the
+        bound of a request's headers; beyond it no more are read, and a client
+        that closes shows only when it is written to.
         """
         while True:
+            if len(self._connection.trailing_data[0]) > (
+                self._limits.max_header_bytes
+            ):
+                await trio.sleep_forever()
             try:
                 data = await self._stream.receive_some(READ_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -197,6 +210,8 @@
     def _start(self, status: int, headers: _headers.Headers) -> bytes:
         """Returns the bytes of a response's head."""
         self.response_started = True
+        if status in _BODYLESS_STATUSES:
+            self._bodyless = True
         if self._close_after:
             headers = [*headers, (b'connection', b'close')]
         return self._connection.send(
