Split the answer run: attempt at one upstream, progress of the answer, run

No change of behaviour is meant but one: may-have-run is now the attempt's own, so that a withdrawn attempt cannot clear what an earlier one has said.

--- a/siskinmount/entry/_model_calls.py
+++ b/siskinmount/entry/_model_calls.py
@@ -165,7 +165,7 @@
             'request_id': request_id,
             'code': int(code),
             'upstream_vm': run.upstream_vm,
-            'attempts': run.attempt,
+            'attempts': run.attempts,
             'tokens': len(run.token_texts),
         },
     )
--- a/siskinmount/entry/_plain_calls.py
+++ b/siskinmount/entry/_plain_calls.py
@@ -183,7 +183,7 @@
             'request_id': call.identity.request_id,
             'code': int(code),
             'upstream_vm': run.upstream_vm,
-            'attempts': run.attempt,
+            'attempts': run.attempts,
         },
     )
     return answer
--- /dev/null
+++ b/siskinmount/entry/_upstream_attempt.py
@@ -0,0 +1,245 @@
+"""One attempt to run a request at one upstream."""
+
+import trio
+
+from siskinmount import membership
+from siskinmount import relay
+from siskinmount import results
+from siskinmount import transport
+from siskinmount.entry import _answer_progress
+from siskinmount.entry import _run_request
+from siskinmount.entry import _upstream_access
+
+MAX_REATTACHES = 2
+REATTACH_PAUSE_S = 0.05
+MAX_ERROR_BYTES = 64 * 1024
+
+_LOST_CODES = (
+    results.ResultCode.UPSTREAM_SILENT,
+    results.ResultCode.UPSTREAM_LOST,
+)
+
+
+class UpstreamAttempt:
+    """Speaks with the sidecar beside the chosen upstream.
+
+    Attributes:
+        member: The sidecar.
+        number: Number of the attempt, from 1.
+        solo: Whether no other request may run beside this one.
+        may_have_arrived: Whether a byte can have reached the upstream.
+        failure_frame: What the sidecar has said in place of the rest of the
+            answer, as opposed to a failure of the connection to it; or None.
+    """
+
+    __slots__ = (
+        'member',
+        'number',
+        'solo',
+        'may_have_arrived',
+        'failure_frame',
+        '_access',
+        '_request',
+        '_progress',
+        '_exchange',
+        '_reader',
+        '_reattaches',
+    )
+
+    def __init__(
+        self,
+        access: _upstream_access.UpstreamAccess,
+        request: _run_request.RunRequest,
+        progress: _answer_progress.AnswerProgress,
+        member: membership.Member,
+        number: int,
+        solo: bool,
+    ) -> None:
+        self.member = member
+        self.number = number
+        self.solo = solo
+        self.may_have_arrived = False
+        self.failure_frame: relay.FailureFrame | None = None
+        self._access = access
+        self._request = request
+        self._progress = progress
+        self._exchange: transport.ClientExchange | None = None
+        self._reader = relay.FrameReader()
+        self._reattaches = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether frames can be received."""
+        return self._exchange is not None
+
+    async def start(self) -> results.Failure | None:
+        """Runs the request, or attaches if the sidecar runs it already."""
+        return await self._send(attach_only=False)
+
+    async def attach(self) -> results.Failure | None:
+        """Attaches to the run, which must be there."""
+        return await self._send(attach_only=True)
+
+    async def receive(self) -> list[relay.Frame] | results.Failure:
+        """Returns the new frames of one read of the connection."""
+        if self.failure_frame is not None:
+            return self.failure_frame.failure
+        if self._exchange is None:
+            raise RuntimeError('no exchange is open')
+        chunk = await self._exchange.receive_chunk()
+        if isinstance(chunk, results.Failure):
+            return chunk
+        if not chunk:
+            return results.Failure(
+                results.ResultCode.UPSTREAM_SILENT,
+                'the stream ended before the answer was whole',
+                results.RunState.UNKNOWN,
+            )
+        frames = self._reader.feed(chunk)
+        if isinstance(frames, results.Failure):
+            return frames
+        return self._take_frames(frames)
+
+    async def reattach(self, failure: results.Failure) -> bool:
+        """Tries to reach the same process again over a new connection.
+
+        A connection can go silent while the process behind it works on.
+        """
+        self.close()
+        unknown = failure.run_state is results.RunState.UNKNOWN
+        if failure.code not in _LOST_CODES or not unknown:
+            return False
+        while self._reattaches < MAX_REATTACHES:
+            self._reattaches += 1
+            next_failure = await self.attach()
+            if next_failure is None:
+                return True
+            if next_failure.code is results.ResultCode.NO_SUCH_REQUEST:
+                return False
+            await trio.sleep(REATTACH_PAUSE_S)
+        return False
+
+    async def withdraw(self, failure: results.Failure) -> bool:
+        """Makes sure that a request which may be on its way is never run.
+
+        Only a request that must not run twice is worth it.
+
+        Returns:
+            Whether the sidecar has not received it and will refuse it.
+        """
+        unknown = failure.run_state is results.RunState.UNKNOWN
+        if self._request.idempotent or not unknown:
+            return False
+        exchange = await self._send_cancel()
+        if isinstance(exchange, results.Failure):
+            return False
+        incarnation = exchange.find_header(relay.RelayHeader.INCARNATION)
+        if exchange.status == 200:
+            exchange.close()
+            return False
+        refusal = await _read_refusal(exchange)
+        if refusal.failure.code is not results.ResultCode.NO_SUCH_REQUEST:
+            return False
+        # A process that has started since may have forgotten the request.
+        if incarnation != str(self.member.incarnation):
+            return False
+        self.may_have_arrived = False
+        return True
+
+    async def cancel(self) -> None:
+        """Tells the sidecar that the request must not run or go on."""
+        exchange = await self._send_cancel()
+        if isinstance(exchange, transport.ClientExchange):
+            exchange.close()
+
+    def close(self) -> None:
+        """Gives up the connection; the sidecar ends the run after a while."""
+        if self._exchange is not None:
+            self._exchange.close()
+            self._exchange = None
+
+    async def _send(self, attach_only: bool) -> results.Failure | None:
+        """Posts the run to the sidecar."""
+        exchange = await self._access.find_client(self.member).send(
+            transport.ClientRequest(
+                'POST',
+                f'/run/{self._request.service.name}',
+                self._create_headers(attach_only),
+                self._request.encode_body(self._progress.token_texts),
+            )
+        )
+        if isinstance(exchange, results.Failure):
+            if exchange.run_state is not results.RunState.NOT_RUN:
+                self.may_have_arrived = True
+            return exchange
+        self._access.note_answer(self.member, exchange)
+        if exchange.status != 200:
+            refusal = await _read_refusal(exchange)
+            self._access.record_death(
+                self._request.fingerprint, self.member, refusal
+            )
+            return refusal.failure
+        self.may_have_arrived = True
+        self._exchange = exchange
+        self._reader = relay.FrameReader()
+        self._progress.begin_stream()
+        return None
+
+    async def _send_cancel(
+        self,
+    ) -> transport.ClientExchange | results.Failure:
+        """Posts the cancellation to the sidecar."""
+        return await self._access.find_client(self.member).send(
+            transport.ClientRequest(
+                'POST', f'/cancel/{self._request.request_id}'
+            )
+        )
+
+    def _create_headers(self, attach_only: bool) -> transport.Headers:
+        """Returns the headers of a run."""
+        request = self._request
+        names = relay.RelayHeader
+        left_ms = max(1, int((request.deadline_s - trio.current_time()) * 1000))
+        next_token = len(self._progress.token_texts)
+        headers = [
+            (names.REQUEST_ID, request.request_id.encode('ascii')),
+            (names.ATTEMPT, b'%d' % self.number),
+            (names.DEADLINE_MS, b'%d' % left_ms),
+            (names.CLASS, request.request_class.value.encode('ascii')),
+            (names.FINGERPRINT, request.fingerprint.encode('ascii')),
+            (names.FROM_TOKEN, b'%d' % next_token),
+            (names.CALLER, request.caller.encode('utf-8')),
+        ]
+        if self.solo:
+            headers.append((names.SOLO, b'1'))
+        if attach_only:
+            headers.append((names.ATTACH_ONLY, b'1'))
+        return headers
+
+    def _take_frames(
+        self, frames: list[relay.Frame]
+    ) -> list[relay.Frame] | results.Failure:
+        """Returns the frames that are new to the caller."""
+        kept: list[relay.Frame] = []
+        for frame in frames:
+            if isinstance(frame, relay.FailureFrame):
+                self.failure_frame = frame
+                # Tokens before the failure are handed out first.
+                return kept if kept else frame.failure
+            accepted = self._progress.accept(frame)
+            if isinstance(accepted, results.Failure):
+                return accepted
+            if accepted is not None:
+                kept.append(accepted)
+        return kept
+
+
+async def _read_refusal(
+    exchange: transport.ClientExchange,
+) -> relay.FailureFrame:
+    """Reads the failure that a sidecar answered with."""
+    with exchange:
+        body = await exchange.read_body(MAX_ERROR_BYTES)
+    if isinstance(body, results.Failure):
+        return relay.FailureFrame(body)
+    return _upstream_access.parse_error_body(body)
--- a/siskinmount/entry/tests/test_answer_run.py
+++ b/siskinmount/entry/tests/test_answer_run.py
@@ -132,7 +132,7 @@
             sidecar.scripts = shared
         outcome = self.run_request(sidecars)
         self.assert_whole(outcome)
-        self.assertEqual(1, outcome['run'].attempt)
+        self.assertEqual(1, outcome['run'].attempts)
 
     def test_refused_everywhere_is_not_run_and_says_why(self):
         sidecar = scripted_sidecar.ScriptedSidecar('a', _LEAVING)
