Let max_batch_slowdown set how much batch prompt is computed at once

Cause: with one window for all, a gap was refilled one prompt at a time also where batch throughput weighs more.

Checked: the sidecar's 74 tests pass.

--- a/siskinmount/sidecar/_batch_slot_controller.py
+++ b/siskinmount/sidecar/_batch_slot_controller.py
@@ -13,6 +13,7 @@
 DEFAULT_MAX_SLOWDOWN = 1.3
 MIN_PAUSE_SHARE = 0.02
 MAX_PAUSE_FACTOR = 50.0
+PREFILL_WINDOW_TOKENS = 1024
 
 
 class BatchSlotController:
@@ -67,5 +68,7 @@
         # online requests down.
         share = max(MIN_PAUSE_SHARE, self.max_slowdown - 1)
         self._gate.prefill_pause_factor = min(MAX_PAUSE_FACTOR, 1 / share)
+        # What is in computation when an online request arrives delays it.
+        load.prefill_window_tokens = int(share * PREFILL_WINDOW_TOKENS)
         self._gate.trim_batch()
         self._gate.admit_waiting()
--- a/siskinmount/sidecar/_gate_load.py
+++ b/siskinmount/sidecar/_gate_load.py
@@ -107,6 +107,8 @@
             None for its default.
         online_reserve_slots: Slots that batch leaves free.
         batch_prefill_tokens: Longest batch prompt beside online requests.
+        prefill_window_tokens: Most tokens of batch prompts computed at once
+            without online requests.
         online_running: Online requests at the upstream.
         batch_running: Batch requests at the upstream, yielding ones included.
         batch_yielding: Batch requests told to make room.
@@ -127,6 +129,7 @@
         'online_slots',
         'online_reserve_slots',
         'batch_prefill_tokens',
+        'prefill_window_tokens',
         'online_running',
         'batch_running',
         'batch_yielding',
@@ -153,6 +156,7 @@
         self.online_slots = online_slots
         self.online_reserve_slots = online_reserve_slots
         self.batch_prefill_tokens = batch_prefill_tokens
+        self.prefill_window_tokens = batch_prefill_tokens
         self.online_running = 0
         self.batch_running = 0
         self.batch_yielding = 0
--- a/siskinmount/sidecar/_online_first_policy.py
+++ b/siskinmount/sidecar/_online_first_policy.py
@@ -2,9 +2,6 @@
 
 from siskinmount.sidecar import _gate_load
 
-#: Most tokens of batch prompts computed at once without online requests.
-MAX_PREFILL_IN_PROGRESS_TOKENS = 256
-
 
 class OnlineFirstPolicy:
     """Batch takes idle slots beyond a reserve and yields to online requests."""
@@ -98,9 +95,7 @@
     if load.online_running == 0:
         computed = load.batch_prefilling_tokens + ticket.prompt_tokens
         alone = load.batch_prefilling == 0
-        return alone or computed <= min(
-            MAX_PREFILL_IN_PROGRESS_TOKENS, load.batch_prefill_tokens
-        )
+        return alone or computed <= load.prefill_window_tokens
     if ticket.prompt_tokens > load.batch_prefill_tokens:
         return False
     if load.batch_prefilling:
