Probe a model engine by a request, not by a connection alone

Cause: the daemon probed every upstream by opening a connection, which the kernel accepts also for a frozen process; a frozen engine was given up only after two reconnects. Found on reading.

One slow probe alone does not refuse requests.

--- a/siskinmount/sidecar/_request_runner.py
+++ b/siskinmount/sidecar/_request_runner.py
@@ -189,7 +189,7 @@
                 return failure
             failure = await self._explain(failure, running)
             process_ended = failure.code is results.ResultCode.UPSTREAM_LOST
-            if process_ended or not self._monitor.reachable:
+            if process_ended or not self._monitor.is_answering:
                 return failure
             if reconnects == MAX_RECONNECTS:
                 return failure
--- a/siskinmount/sidecar/_sidecar.py
+++ b/siskinmount/sidecar/_sidecar.py
@@ -80,6 +80,7 @@
         'configuration_version',
         'fleet',
         'control_address',
+        '_model_upstream',
         '_handler',
         '_server',
         '_nursery',
@@ -97,7 +98,7 @@
         self.incarnation = time.time_ns()
         self.gate = gate
         self.registry = _request_registry.RequestRegistry()
-        model_upstream = _http_model_upstream.create_http_model_upstream(
+        self._model_upstream = _http_model_upstream.create_http_model_upstream(
             settings.upstream_address
         )
         plain_upstream = _http_plain_upstream.create_http_plain_upstream(
@@ -109,7 +110,7 @@
             gate=gate,
             registry=self.registry,
             monitor=self.monitor,
-            model_upstream=model_upstream,
+            model_upstream=self._model_upstream,
             plain_upstream=plain_upstream,
             note_gap=self.slot_controller.note_gap,
         )
@@ -182,6 +183,7 @@
         self.slot_controller.max_slowdown = service.max_batch_slowdown
         self.configuration_version = configuration_version
         if service.kind is configuration.ServiceKind.MODEL:
+            self.monitor.watch(self._model_upstream)
             self.changer.set_wanted(
                 _model_changer.WantedModel(
                     model=service.model,
--- a/siskinmount/sidecar/_upstream_monitor.py
+++ b/siskinmount/sidecar/_upstream_monitor.py
@@ -10,7 +10,8 @@
 _LOGGER = logging.getLogger(__name__)
 
 PROBE_INTERVAL_S = 1.0
-PROBE_DEADLINE_S = 2.5
+PROBE_DEADLINE_S = 3.0
+MAX_SILENT_PROBES = 2
 WITNESS_AGE_S = 20.0
 WITNESS_SETTLE_S = 0.02
 
@@ -31,6 +32,7 @@
         '_upstream',
         '_witness',
         '_lock',
+        '_silent_probes',
     )
 
     def __init__(self, upstream: _upstreams.WatchedUpstream) -> None:
@@ -40,12 +42,25 @@
         self._upstream = upstream
         self._witness: _upstreams.Witness | None = None
         self._lock = trio.Lock()
+        self._silent_probes = 0
 
     @property
     def reachable(self) -> bool:
         """Whether the last probe or request reached the upstream."""
         return self.became_reachable.is_set()
 
+    @property
+    def is_answering(self) -> bool:
+        """Whether the last probe was answered."""
+        return self.reachable and self._silent_probes == 0
+
+    def watch(self, upstream: _upstreams.WatchedUpstream) -> None:
+        """Probes in another way from now on, once the upstream's kind is known.
+
+        A connection alone does not show that a frozen process has stopped.
+        """
+        self._upstream = upstream
+
     async def run(self) -> None:
         """Probes for ever."""
         while True:
@@ -62,8 +77,9 @@
         async with self._lock:
             failure = await self._check()
         if failure is not None:
-            self.note_unreachable(failure)
+            self._note_failed_probe(failure)
             return failure
+        self._silent_probes = 0
         if not self.reachable:
             _LOGGER.info(
                 'upstream_reachable', extra={'generation': self.generation}
@@ -71,6 +87,14 @@
             self.became_reachable.set()
         return None
 
+    def _note_failed_probe(self, failure: results.Failure) -> None:
+        """Gives the upstream up, but not for one slow answer."""
+        if failure.code is not results.ResultCode.UPSTREAM_UNREACHABLE:
+            self._silent_probes += 1
+            if self._silent_probes < MAX_SILENT_PROBES:
+                return
+        self.note_unreachable(failure)
+
     def note_unreachable(self, failure: results.Failure) -> None:
         """Notes that the upstream could not be reached."""
         if not self.reachable:
--- a/siskinmount/sidecar/tests/test_request_runner.py
+++ b/siskinmount/sidecar/tests/test_request_runner.py
@@ -115,6 +115,23 @@
             ['t0', 'UPSTREAM_SILENT:ran'], self.run_fault(3, freeze)
         )
 
+    def test_one_slow_probe_does_not_refuse_requests(self):
+        async def check(bench, start):
+            bench.upstream.frozen = True
+            reachable = []
+            for _ in range(2):
+                await bench.monitor.check()
+                reachable.append(bench.monitor.reachable)
+            bench.upstream.frozen = False
+            await bench.monitor.check()
+            reachable.append(bench.monitor.reachable)
+            bench.upstream.die()
+            await bench.monitor.check()
+            reachable.append(bench.monitor.reachable)
+            self.assertEqual([True, False, True, False], reachable)
+
+        self.run_bench(check)
+
     def test_deadline(self):
         frames = self.run_fault(9, lambda bench, running: None, deadline_ms=250)
         self.assertEqual(['t0', 't1', 'DEADLINE_EXCEEDED:ran'], frames)
--- a/siskinmount/sidecar/tests/test_with_engine.py
+++ b/siskinmount/sidecar/tests/test_with_engine.py
@@ -4,6 +4,7 @@
 import testtools
 import trio
 
+from siskinmount import configuration
 from siskinmount import relay
 from siskinmount import sidecar
 from siskinmount import transport
@@ -99,6 +100,25 @@
 
         self.run_with_engine(check)
 
+    def test_frozen_engine_is_given_up(self):
+        async def check(standin, faults, daemon):
+            service = configuration.Service(
+                name='model-service', kind=configuration.ServiceKind.MODEL
+            )
+            daemon.apply_service(service, 1)
+            async with trio.open_nursery() as nursery:
+
+                async def freeze():
+                    await trio.sleep(0.1)
+                    faults.freeze(60_000)
+
+                nursery.start_soon(freeze)
+                answer = await self.read_answer(daemon, 'a', 'words', 80)
+            self.assertEqual('UPSTREAM_SILENT:ran', answer[-1])
+            self.assertEqual(0, daemon.runner.reconnect_count)
+
+        self.run_with_engine(check)
+
     def test_online_preempts_batch_at_the_engine(self):
         async def check(standin, faults, daemon):
             batch = [(relay.RelayHeader.CLASS, b'batch')]
