--- a/siskinmount/sidecar/_batch_puller.py
+++ b/siskinmount/sidecar/_batch_puller.py
@@ -11,6 +11,7 @@
 from siskinmount.sidecar import _batch_item
 from siskinmount.sidecar import _entry_link
 from siskinmount.sidecar import _gate
+from siskinmount.sidecar import _item_report
 from siskinmount.sidecar import _report_queue
 from siskinmount.sidecar import _request_registry
 from siskinmount.sidecar import _running_request
@@ -290,7 +291,7 @@
 
     def _finish(self, item: _batch_item.BatchItem) -> None:
         """Reports on an item and forgets it."""
-        report = _batch_item.create_report(item)
+        report = _item_report.create_report(item)
         if report.outcome is batch.ReportedOutcome.DONE:
             self.done_count += 1
         if report.outcome is batch.ReportedOutcome.YIELDED:
--- /dev/null
+++ b/siskinmount/sidecar/_request_endings.py
@@ -0,0 +1,91 @@
+"""How a request that has no whole answer ends."""
+
+from siskinmount import relay
+from siskinmount import results
+from siskinmount.sidecar import _running_request
+
+#: Failures that are evidence of the end of the upstream's process.
+_DEATH_CODES = (
+    results.ResultCode.UPSTREAM_LOST,
+    results.ResultCode.REQUEST_SUSPECT,
+)
+
+
+def describe_end(
+    running: _running_request.RunningRequest, failure: results.Failure
+) -> relay.FailureFrame:
+    """Returns the last frame of a request that has failed."""
+    if failure.code in _DEATH_CODES:
+        return relay.FailureFrame(
+            failure, running.upstream_generation, running.was_alone
+        )
+    return relay.FailureFrame(failure)
+
+
+def describe_suspect() -> results.Failure:
+    """Returns why a request is refused after a death with it."""
+    return results.Failure(
+        results.ResultCode.REQUEST_SUSPECT,
+        'a process of the upstream here has ended with this request',
+    )
+
+
+def describe_run_state(
+    running: _running_request.RunningRequest,
+) -> results.RunState:
+    """Returns whether a request that ends now was executed."""
+    if not running.sent_to_upstream:
+        return results.RunState.NOT_RUN
+    if running.frames:
+        return results.RunState.RAN
+    return results.RunState.UNKNOWN
+
+
+def describe_stop(
+    running: _running_request.RunningRequest,
+) -> results.Failure:
+    """Returns why a stopped request has no whole answer."""
+    run_state = describe_run_state(running)
+    reason = running.stop_reason
+    if reason is None:
+        return results.Failure(
+            results.ResultCode.DEADLINE_EXCEEDED,
+            'the deadline has passed',
+            run_state,
+        )
+    if reason in (
+        _running_request.StopReason.PREEMPTED,
+        _running_request.StopReason.LEAVING,
+    ):
+        return results.Failure(
+            results.ResultCode.BATCH_YIELDED,
+            f'the batch request was stopped: {reason.value}',
+            run_state,
+            retry_after_ms=0,
+        )
+    return results.Failure(
+        results.ResultCode.REQUEST_CANCELLED,
+        f'the request was stopped: {reason.value}',
+        run_state,
+    )
+
+
+def correct_run_state(
+    failure: results.Failure, running: _running_request.RunningRequest
+) -> results.Failure:
+    """Corrects `NOT_RUN` of a later try for what an earlier one has sent."""
+    return results.Failure(
+        failure.code,
+        failure.reason,
+        describe_run_state(running),
+        failure.retry_after_ms,
+    )
+
+
+def describe_gap(expected_index: int, index: int) -> results.Failure:
+    """Returns why a stream that skips tokens is given up."""
+    return results.Failure(
+        results.ResultCode.UPSTREAM_ERROR,
+        f'token {expected_index} is missing before token {index}',
+        results.RunState.RAN,
+    )
--- a/siskinmount/sidecar/_request_runner.py
+++ b/siskinmount/sidecar/_request_runner.py
@@ -11,6 +11,7 @@
 from siskinmount.sidecar import _gate
 from siskinmount.sidecar import _gate_load
 from siskinmount.sidecar import _prompt_size
+from siskinmount.sidecar import _request_endings
 from siskinmount.sidecar import _request_registry
 from siskinmount.sidecar import _run_request
 from siskinmount.sidecar import _running_request
@@ -29,12 +30,6 @@
     results.ResultCode.UPSTREAM_SILENT,
 )
 
-#: Failures that are evidence of the end of the upstream's process.
-_DEATH_CODES = (
-    results.ResultCode.UPSTREAM_LOST,
-    results.ResultCode.REQUEST_SUSPECT,
-)
-
 
 class RequestRunner:
     """Takes requests through the gate and to the upstream.
@@ -96,10 +91,12 @@
             failure = results.Failure(
                 results.ResultCode.INTERNAL,
                 'internal fault',
-                _describe_run_state(running),
+                _request_endings.describe_run_state(running),
             )
         if not running.ended:
-            frame = _describe_end(running, failure or _describe_stop(running))
+            frame = _request_endings.describe_end(
+                running, failure or _request_endings.describe_stop(running)
+            )
             if frame.failure.code is results.ResultCode.UPSTREAM_LOST:
                 self.deaths.note(
                     running.request.fingerprint,
@@ -128,7 +125,7 @@
             if death is not None:
                 running.upstream_generation = death.generation
                 running.was_alone = death.was_alone
-                return _suspect()
+                return _request_endings.describe_suspect()
             return await self._run_model(running, running.request.body, ticket)
         finally:
             if running.sent_to_upstream:
@@ -185,7 +182,7 @@
                 return None
             if failure.run_state is results.RunState.NOT_RUN:
                 self._monitor.note_unreachable(failure)
-                return _settle_run_state(failure, running)
+                return _request_endings.correct_run_state(failure, running)
             if failure.code not in _CONNECTION_FAULTS:
                 return failure
             failure = await self._explain(failure, running)
@@ -219,7 +216,7 @@
             has ended since the request was sent.
         """
         found = await self._monitor.check_after_loss()
-        run_state = _describe_run_state(running)
+        run_state = _request_endings.describe_run_state(running)
         unreachable = (
             found is not None
             and found.code is results.ResultCode.UPSTREAM_UNREACHABLE
@@ -288,7 +285,9 @@
                     if frame.index < next_index:
                         continue
                     if frame.index > next_index:
-                        return _gap(next_index, frame.index)
+                        return _request_endings.describe_gap(
+                            next_index, frame.index
+                        )
                     next_index += 1
                     count += 1
                 running.append(frame)
@@ -358,81 +357,3 @@
         finally:
             stream.close()
         return None
-
-
-def _describe_end(
-    running: _running_request.RunningRequest, failure: results.Failure
-) -> relay.FailureFrame:
-    """Returns the last frame of a request that has failed."""
-    if failure.code in _DEATH_CODES:
-        return relay.FailureFrame(
-            failure, running.upstream_generation, running.was_alone
-        )
-    return relay.FailureFrame(failure)
-
-
-def _suspect() -> results.Failure:
-    return results.Failure(
-        results.ResultCode.REQUEST_SUSPECT,
-        'a process of the upstream here has ended with this request',
-    )
-
-
-def _describe_run_state(
-    running: _running_request.RunningRequest,
-) -> results.RunState:
-    """Returns whether a request that ends now was executed."""
-    if not running.sent_to_upstream:
-        return results.RunState.NOT_RUN
-    if running.frames:
-        return results.RunState.RAN
-    return results.RunState.UNKNOWN
-
-
-def _describe_stop(
-    running: _running_request.RunningRequest,
-) -> results.Failure:
-    """Returns why a stopped request has no whole answer."""
-    run_state = _describe_run_state(running)
-    reason = running.stop_reason
-    if reason is None:
-        return results.Failure(
-            results.ResultCode.DEADLINE_EXCEEDED,
-            'the deadline has passed',
-            run_state,
-        )
-    if reason in (
-        _running_request.StopReason.PREEMPTED,
-        _running_request.StopReason.LEAVING,
-    ):
-        return results.Failure(
-            results.ResultCode.BATCH_YIELDED,
-            f'the batch request was stopped: {reason.value}',
-            run_state,
-            retry_after_ms=0,
-        )
-    return results.Failure(
-        results.ResultCode.REQUEST_CANCELLED,
-        f'the request was stopped: {reason.value}',
-        run_state,
-    )
-
-
-def _settle_run_state(
-    failure: results.Failure, running: _running_request.RunningRequest
-) -> results.Failure:
-    """Corrects `NOT_RUN` of a later try for what an earlier one has sent."""
-    return results.Failure(
-        failure.code,
-        failure.reason,
-        _describe_run_state(running),
-        failure.retry_after_ms,
-    )
-
-
-def _gap(expected_index: int, index: int) -> results.Failure:
-    return results.Failure(
-        results.ResultCode.UPSTREAM_ERROR,
-        f'token {expected_index} is missing before token {index}',
-        results.RunState.RAN,
-    )
