--- a/siskinmount/transport/_http_client.py
+++ b/siskinmount/transport/_http_client.py
@@ -6,6 +6,7 @@
 from siskinmount import results
 from siskinmount.transport import _address
 from siskinmount.transport import _client_exchange
+from siskinmount.transport import _keep_alive
 from siskinmount.transport import _limits
 
 
@@ -89,6 +90,7 @@
             return self._unreachable(str(error))
         if scope.cancelled_caught:
             return self._unreachable('the connection was not opened in time')
+        _keep_alive.watch_connection(stream)
         return _client_exchange.ClientConnection(stream)
 
     def _unreachable(self, reason: str) -> results.Failure:
@@ -103,7 +105,13 @@
         request: _client_exchange.ClientRequest,
     ) -> h11.Response | results.Failure:
         """Writes the request and reads the head of the response."""
-        data = self._encode(connection.parser, request)
+        try:
+            data = self._encode(connection.parser, request)
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+            return results.Failure(
+                results.ResultCode.MALFORMED_REQUEST,
+                f'the request cannot be sent: {error}',
+            )
         try:
             with trio.move_on_after(
                 self._limits.send_timeout_ms / 1000
