Refuse messages of peers whose numbers no record can hold

Cause: found by drawn messages to /keys, /batch and /jobs of an entry over a real owner: texts and huge numbers in a results query, times and attempts beyond 64 bits in a job, outputs that JSON can read but not write, and tokens that are no texts raised exceptions; a report with such an output would have been sent again for ever.

--- a/siskinmount/batch/_item_reports.py
+++ b/siskinmount/batch/_item_reports.py
@@ -220,11 +220,22 @@
     def _take_done(
         self, job: _job.Job, report: _report_messages.ItemReport
     ) -> state.PendingRecord | results.Failure:
+        try:
+            output = orjson.dumps(report.output)
+        except TypeError:
+            # JSON that can be read may be nested too deeply to be written.
+            return self._state.end_item(
+                job,
+                report.index,
+                records_pb2.ITEM_OUTCOME_FAILED,
+                code=results.ResultCode.ITEM_FAILED,
+                reason='the output is nested too deeply',
+            )
         return self._state.end_item(
             job,
             report.index,
             records_pb2.ITEM_OUTCOME_DONE,
-            output=orjson.dumps(report.output),
+            output=output,
         )
 
     def _take_yielded(
@@ -236,7 +247,9 @@
             given = report.output.get('resume_tokens')
             if not isinstance(given, list):
                 return self._take_unknown(job, report)
-            tokens = [str(token) for token in given]
+            if not all(isinstance(token, str) for token in given):
+                return self._take_unknown(job, report)
+            tokens = given
         lease = self._state.leases.find(job.job_id, report.index)
         if lease is None:
             return None
--- a/siskinmount/batch/_json_fields.py
+++ b/siskinmount/batch/_json_fields.py
@@ -6,6 +6,9 @@
 
 from siskinmount import results
 
+#: The sum of two numbers still fits in a record.
+MAX_NUMBER = 2**63 - 1
+
 
 class FieldFaultError(Exception):
     """A field is missing or has another type; caught within this package."""
@@ -43,10 +46,12 @@
 
 
 def read_number(document: dict[str, Any], name: str, default: int = -1) -> int:
-    """Returns a field that must be a whole number, not negative."""
+    """Returns a field that must be a whole number from 0 to `MAX_NUMBER`."""
     value = document.get(name, default)
-    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+    if not isinstance(value, int) or isinstance(value, bool):
         raise FieldFaultError(f'{name} is not a whole number')
+    if not 0 <= value <= MAX_NUMBER:
+        raise FieldFaultError(f'{name} is out of range')
     return value
 
 
--- a/siskinmount/entry/_batch_api.py
+++ b/siskinmount/entry/_batch_api.py
@@ -11,12 +11,11 @@
 from siskinmount.entry import _item_bodies
 from siskinmount.entry import _job_access
 from siskinmount.entry import _model_request
+from siskinmount.entry import _query_number
 
 BATCHES_PATH = '/v1/batches'
 DEFAULT_DUE_S = 24 * 3600
 MAX_DUE_S = 30 * 24 * 3600
-DEFAULT_PAGE_ITEMS = 1000
-MAX_PAGE_ITEMS = 10_000
 MAX_LINE_BYTES = 1024 * 1024
 _JOB_PATTERN = re.compile(r'[0-9a-f]{32}')
 
@@ -99,9 +98,15 @@
         caller: configuration.CallerPolicy,
     ) -> results.Failure | None:
         """Sends one page of results as JSON lines."""
-        after = _read_number(exchange.head, 'after', -1, -1, 10**9)
-        limit = _read_number(
-            exchange.head, 'limit', DEFAULT_PAGE_ITEMS, 1, MAX_PAGE_ITEMS
+        after = _query_number.read_query_number(
+            exchange.head.query, 'after', -1, -1, _job_access.MAX_AFTER
+        )
+        limit = _query_number.read_query_number(
+            exchange.head.query,
+            'limit',
+            _job_access.DEFAULT_PAGE_ITEMS,
+            1,
+            _job_access.MAX_PAGE_ITEMS,
         )
         if isinstance(after, results.Failure):
             return after
@@ -176,7 +181,9 @@
         return results.Failure(
             results.ResultCode.NO_SUCH_SERVICE, f'no service {name!r}'
         )
-    due_s = _read_number(head, 'due_s', DEFAULT_DUE_S, 1, MAX_DUE_S)
+    due_s = _query_number.read_query_number(
+        head.query, 'due_s', DEFAULT_DUE_S, 1, MAX_DUE_S
+    )
     if isinstance(due_s, results.Failure):
         return due_s
     key = _model_request.check_idempotency_key(
@@ -195,28 +202,6 @@
     )
 
 
-def _read_number(
-    head: transport.RequestHead,
-    name: str,
-    default: int,
-    least: int,
-    most: int,
-) -> int | results.Failure:
-    """Returns a whole number from the query."""
-    text = head.query.get(name)
-    if text is None:
-        return default
-    digits = text.removeprefix('-')
-    if digits.isascii() and digits.isdigit() and len(digits) < 12:
-        value = int(text)
-        if least <= value <= most:
-            return value
-    return results.Failure(
-        results.ResultCode.INVALID_FIELD,
-        f'{name} must be a whole number from {least} to {most}',
-    )
-
-
 async def _send_json(
     exchange: transport.ServerExchange,
     answer: bytes | results.Failure,
--- a/siskinmount/entry/_job_access.py
+++ b/siskinmount/entry/_job_access.py
@@ -9,7 +9,11 @@
 from siskinmount import transport
 from siskinmount.entry import _job_messages
 from siskinmount.entry import _owner_calls
+from siskinmount.entry import _query_number
 
+DEFAULT_PAGE_ITEMS = 1000
+MAX_PAGE_ITEMS = 10_000
+MAX_AFTER = 10**9
 JOBS_PREFIX = '/jobs/'
 #: Bytes of items that are sent to a remote owner together.
 CHUNK_BYTES = 256 * 1024
@@ -209,9 +213,17 @@
     elif operation == 'cancel':
         status = await owner.cancel(job, caller)
     elif operation == 'results':
-        page = await owner.results_page(
-            job, caller, int(query['after']), int(query['limit'])
+        after = _query_number.read_query_number(
+            query, 'after', -1, -1, MAX_AFTER
         )
+        limit = _query_number.read_query_number(
+            query, 'limit', DEFAULT_PAGE_ITEMS, 1, MAX_PAGE_ITEMS
+        )
+        if isinstance(after, results.Failure):
+            return after
+        if isinstance(limit, results.Failure):
+            return limit
+        page = await owner.results_page(job, caller, after, limit)
         if isinstance(page, results.Failure):
             return page
         return _job_messages.encode_results_answer(page)
--- a/siskinmount/entry/_job_messages.py
+++ b/siskinmount/entry/_job_messages.py
@@ -5,6 +5,9 @@
 from siskinmount import batch
 from siskinmount import results
 
+MAX_TIME_MS = 2**53
+MAX_ATTEMPTS = 1000
+
 
 class ResultsAnswer:
     """One page of results on its way to a caller.
@@ -67,7 +70,7 @@
     """Parses a job request."""
     try:
         fields = orjson.loads(data)
-        return batch.JobRequest(
+        request = batch.JobRequest(
             job=str(fields['job']),
             caller=str(fields['caller']),
             service=str(fields['service']),
@@ -76,8 +79,22 @@
             max_attempts=int(fields['max_attempts']),
             result_retention_ms=int(fields['result_retention_ms']),
         )
+        _check_number(request.due_at_ms, MAX_TIME_MS)
+        _check_number(request.max_attempts, MAX_ATTEMPTS)
+        _check_number(request.result_retention_ms, MAX_TIME_MS)
+        return request
     except (ValueError, KeyError, TypeError) as error:
         return results.Failure(
             results.ResultCode.MALFORMED_REQUEST,
             f'invalid job request: {error}',
         )
+
+
+def _check_number(value: int, most: int) -> None:
+    """Checks that a number is one that records can hold.
+
+    Raises:
+        ValueError: It is not.
+    """
+    if not 0 <= value <= most:
+        raise ValueError(f'{value} is not from 0 to {most}')
--- /dev/null
+++ b/siskinmount/entry/_query_number.py
@@ -0,0 +1,31 @@
+"""Reads whole numbers from a query."""
+
+from siskinmount import results
+
+_MAX_DIGITS = 11
+
+
+def read_query_number(
+    query: dict[str, str], name: str, default: int, least: int, most: int
+) -> int | results.Failure:
+    """Returns a whole number from a query.
+
+    Args:
+        query: Query parameters.
+        name: Name of the parameter.
+        default: Value if it is not given.
+        least: Lower bound, inclusive.
+        most: Upper bound, inclusive.
+    """
+    text = query.get(name)
+    if text is None:
+        return default
+    digits = text.removeprefix('-')
+    if digits.isascii() and digits.isdigit() and len(digits) <= _MAX_DIGITS:
+        value = int(text)
+        if least <= value <= most:
+            return value
+    return results.Failure(
+        results.ResultCode.INVALID_FIELD,
+        f'{name} must be a whole number from {least} to {most}',
+    )
