--- a/siskinmount/platform/_log_client.py
+++ b/siskinmount/platform/_log_client.py
@@ -10,9 +10,9 @@
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 CONNECT_TIMEOUT_MS = 1000
-APPEND_TIMEOUT_MS = 5000
-READ_TIMEOUT_MS = 15_000
-MAX_WAIT_MS = READ_TIMEOUT_MS - 5000
+APPEND_TIMEOUT_MS = 3000
+READ_TIMEOUT_MS = 2000
+MAX_WAIT_MS = 2000
 
 _CODE = results.ResultCode.LOG_UNAVAILABLE
 
@@ -22,24 +22,19 @@
 
 
 class HttpLogService:
-    """Implements `LogService`; reads and appends use separate connections."""
+    """Implements `LogService` over HTTP.
 
-    __slots__ = ('_append_client', '_read_client')
+    Appends, reads, and reads that wait have connections of their own, each
+    with its own bound on silence.
+    """
+
+    __slots__ = ('_append_client', '_read_client', '_wait_client')
 
     def __init__(self, address: transport.Address) -> None:
-        self._append_client = transport.create_http_client(
-            address,
-            transport.ClientLimits(
-                connect_timeout_ms=CONNECT_TIMEOUT_MS,
-                silence_timeout_ms=APPEND_TIMEOUT_MS,
-            ),
-        )
-        self._read_client = transport.create_http_client(
-            address,
-            transport.ClientLimits(
-                connect_timeout_ms=CONNECT_TIMEOUT_MS,
-                silence_timeout_ms=READ_TIMEOUT_MS,
-            ),
+        self._append_client = _create_client(address, APPEND_TIMEOUT_MS)
+        self._read_client = _create_client(address, READ_TIMEOUT_MS)
+        self._wait_client = _create_client(
+            address, MAX_WAIT_MS + READ_TIMEOUT_MS
         )
 
     async def append(
@@ -49,9 +44,7 @@
         request = transport.ClientRequest(
             'POST', f'{_path(stream)}/records', [], data
         )
-        answer = await _http_call.call(
-            self._append_client, request, _CODE, MAX_ANSWER_BYTES
-        )
+        answer = await _call(self._append_client, request)
         if isinstance(answer, results.Failure):
             if answer.run_state is results.RunState.UNKNOWN:
                 answer.code = results.ResultCode.LOG_APPEND_UNKNOWN
@@ -93,9 +86,8 @@
         request = transport.ClientRequest(
             'GET', f'{_path(stream)}/records?{query}'
         )
-        answer = await _http_call.call(
-            self._read_client, request, _CODE, MAX_ANSWER_BYTES
-        )
+        client = self._wait_client if wait_ms else self._read_client
+        answer = await _call(client, request)
         if isinstance(answer, results.Failure):
             return answer
         if answer.status == 410:
@@ -108,11 +100,8 @@
         self, stream: str
     ) -> _log_service.StreamRange | results.Failure:
         """Returns which offsets of a stream are held."""
-        answer = await _http_call.call(
-            self._read_client,
-            transport.ClientRequest('GET', _path(stream)),
-            _CODE,
-            MAX_ANSWER_BYTES,
+        answer = await _call(
+            self._read_client, transport.ClientRequest('GET', _path(stream))
         )
         if isinstance(answer, results.Failure):
             return answer
@@ -127,6 +116,32 @@
             return _malformed(error)
 
 
+def _create_client(
+    address: transport.Address, silence_timeout_ms: int
+) -> transport.HttpClient:
+    return transport.create_http_client(
+        address,
+        transport.ClientLimits(
+            connect_timeout_ms=CONNECT_TIMEOUT_MS,
+            silence_timeout_ms=silence_timeout_ms,
+        ),
+    )
+
+
+async def _call(
+    client: transport.HttpClient, request: transport.ClientRequest
+) -> _http_call.Answer | results.Failure:
+    """Calls the log service; after a failure, new connections are used.
+
+    A connection that went silent is seldom alone, and the others would each
+    cost a time-out too.
+    """
+    answer = await _http_call.call(client, request, _CODE, MAX_ANSWER_BYTES)
+    if isinstance(answer, results.Failure):
+        client.close()
+    return answer
+
+
 def _path(stream: str) -> str:
     return f'/streams/{urllib.parse.quote(stream, safe="")}'
 
--- a/siskinmount/state/_log_tail.py
+++ b/siskinmount/state/_log_tail.py
@@ -6,7 +6,7 @@
 from siskinmount import results
 from siskinmount.state import _backoff
 
-TAIL_WAIT_MS = 5000
+TAIL_WAIT_MS = 2000
 FIRST_BACKOFF_MS = 50
 MAX_BACKOFF_MS = 2000
 
--- a/siskinmount/state/_state_stream.py
+++ b/siskinmount/state/_state_stream.py
@@ -76,6 +76,7 @@
         '_changed',
         '_is_at_tail',
         '_is_log_failing',
+        '_read_scope',
         '_resign_asked',
         '_end',
         '_snapshot',
@@ -107,6 +108,8 @@
         self._changed = trio.Event()
         self._is_at_tail = False
         self._is_log_failing = False
+        # Around the read in progress, which may have gone silent.
+        self._read_scope = trio.CancelScope()
         self._resign_asked = False
         self._end: TenureEnd | None = None
         self._snapshot: _snapshot_writer.SnapshotWriter | None = None
@@ -268,12 +271,15 @@
         await self._start_replay()
         backoff = self._new_backoff()
         while self._end is None:
-            page = await self._log.read(
-                self.name,
-                self._replay.next_offset,
-                # Replay must learn at once that it has reached the tail.
-                wait_ms=self.limits.tail_wait_ms if self._is_at_tail else 0,
-            )
+            with trio.CancelScope() as self._read_scope:
+                page = await self._log.read(
+                    self.name,
+                    self._replay.next_offset,
+                    # Replay must learn at once that it has reached the tail.
+                    wait_ms=self.limits.tail_wait_ms if self._is_at_tail else 0,
+                )
+            if self._read_scope.cancelled_caught:
+                continue
             if isinstance(page, results.Failure):
                 await backoff.pause(page.retry_after_ms)
                 continue
@@ -510,8 +516,13 @@
 
     async def _wait_read(self, offset: int) -> None:
         """Waits until the record at an offset has been read and applied."""
+        patience_ms = self.limits.read_back_ms
         while self._replay.next_offset <= offset:
-            await self._changed.wait()
+            with trio.move_on_after(patience_ms / 1000) as scope:
+                await self._changed.wait()
+            if scope.cancelled_caught:
+                self._read_scope.cancel()
+                patience_ms *= 2
 
     def _new_backoff(self) -> _backoff.Backoff:
         return _backoff.Backoff(
--- a/siskinmount/state/tests/stream_fixtures.py
+++ b/siskinmount/state/tests/stream_fixtures.py
@@ -84,6 +84,22 @@
         return await self._log.stream_range(stream)
 
 
+class SilentReads:
+    """A log whose connections may go silent: a read never returns."""
+
+    def __init__(self, log):
+        self.silence_next_read = False
+        self._log = log
+        self.append = log.append
+        self.stream_range = log.stream_range
+
+    async def read(self, stream, from_offset, **options):
+        if self.silence_next_read:
+            self.silence_next_read = False
+            await trio.sleep_forever()
+        return await self._log.read(stream, from_offset, **options)
+
+
 def limits(**changes):
     return state.StreamLimits(**{'min_append_interval_ms': 1, **changes})
 
--- a/siskinmount/state/tests/test_state_stream.py
+++ b/siskinmount/state/tests/test_state_stream.py
@@ -144,6 +144,19 @@
 
         self.run_with_log(check)
 
+    def test_read_that_goes_silent_does_not_hold_commits(self):
+        async def check(log, nursery):
+            view = stream_fixtures.SilentReads(log)
+            owner = await stream_fixtures.start_owner(view, nursery, 'vm-a')
+            for number in range(3):
+                await trio.sleep(10)
+                view.silence_next_read = True
+                await trio.sleep(10)
+                outcome = await owner.stream.commit(_record(str(number)))
+                self.assertIsInstance(outcome, state.Committed)
+
+        self.run_with_log(check)
+
     def test_replays_from_snapshot_after_expiry(self):
         async def check(log, nursery):
             limits = stream_fixtures.limits(snapshot_after_records=20)
