Hold members, runs and log records against drawn nonsense

Cause: an address whose port has thousands of digits raised in the reader of a peer's heartbeat; max_tokens beyond 64 bits faulted a run at the sidecar. Ruled out: arbitrary bytes and records of every kind with any values in the state, configuration and conviction streams, and any body or header of /run, stop no reader and no daemon.

--- a/siskinmount/sidecar/_run_request.py
+++ b/siskinmount/sidecar/_run_request.py
@@ -11,6 +11,7 @@
 from siskinmount import transport
 
 DEFAULT_MAX_TOKENS = 256
+MAX_MAX_TOKENS = 2**31 - 1
 
 
 class ModelBody:
@@ -178,10 +179,13 @@
     messages = document.get('messages')
     if not isinstance(prompt, str) and not isinstance(messages, list):
         raise ValueError('neither prompt nor messages')
+    max_tokens = int(document.get('max_tokens', DEFAULT_MAX_TOKENS))
+    if not 0 <= max_tokens <= MAX_MAX_TOKENS:
+        raise ValueError('max_tokens is out of range')
     return ModelBody(
         prompt=prompt,
         messages=messages,
-        max_tokens=int(document.get('max_tokens', DEFAULT_MAX_TOKENS)),
+        max_tokens=max_tokens,
         resume_tokens=[str(text) for text in document.get('resume_tokens', ())],
     )
 
--- a/siskinmount/transport/_address.py
+++ b/siskinmount/transport/_address.py
@@ -3,6 +3,7 @@
 from siskinmount import results
 
 MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
 
 
 class Address:
@@ -37,7 +38,9 @@
     host, separator, port_text = text.strip().rpartition(':')
     if not separator or not host or not port_text.isascii():
         return _invalid(text)
-    if not port_text.isdigit() or int(port_text) > MAX_PORT:
+    if not port_text.isdigit() or len(port_text) > MAX_PORT_DIGITS:
+        return _invalid(text)
+    if int(port_text) > MAX_PORT:
         return _invalid(text)
     return Address(host, int(port_text))
 
