Drop idle connections with one that went silent; renew leases each second

Now one silence drops those that were idle before it. Items of a cancelled job could start up to a third of a lease (10 s) later, since sidecars learn of cancellations by renewals; these now come each second.

--- a/siskinmount/sidecar/_batch_puller.py
+++ b/siskinmount/sidecar/_batch_puller.py
@@ -26,6 +26,8 @@
 IDLE_MEMORY_S = 10.0
 RENEWALS_PER_LEASE = 3
 MIN_RENEW_INTERVAL_S = 0.2
+#: Renewals tell which items were cancelled, so they must be frequent.
+MAX_RENEW_INTERVAL_S = 1.0
 MAX_UNSETTLED_REPORTS = 1000
 GIVE_BACK_S = 5.0
 SUSPECT_PAUSE_S = 3.0
@@ -347,7 +349,9 @@
                 continue
             lease_ms = min(item.lease_ms for item in items)
             interval_s = lease_ms / 1000 / RENEWALS_PER_LEASE
-            await trio.sleep(max(MIN_RENEW_INTERVAL_S, interval_s))
+            await trio.sleep(
+                min(MAX_RENEW_INTERVAL_S, max(MIN_RENEW_INTERVAL_S, interval_s))
+            )
             held = [item for item in items if item.key in self._items]
             if held:
                 await self._renew(link, held)
--- a/siskinmount/transport/_client_exchange.py
+++ b/siskinmount/transport/_client_exchange.py
@@ -46,15 +46,26 @@
         parser: The protocol state.
         idle_since_s: Monotonic time of the last use.
         reused: Whether a request has been served on it before.
+        is_silent: Whether a response did not come in time.
+        request_at_s: Monotonic time at which its last request was sent.
     """
 
-    __slots__ = ('stream', 'parser', 'idle_since_s', 'reused')
+    __slots__ = (
+        'stream',
+        'parser',
+        'idle_since_s',
+        'reused',
+        'is_silent',
+        'request_at_s',
+    )
 
     def __init__(self, stream: trio.SocketStream) -> None:
         self.stream = stream
         self.parser = h11.Connection(h11.CLIENT)
         self.idle_since_s = trio.current_time()
         self.reused = False
+        self.is_silent = False
+        self.request_at_s = self.idle_since_s
 
     def is_quiet(self) -> bool:
         """Tells whether an idle connection has neither closed nor sent."""
@@ -162,6 +173,7 @@
     except trio.BrokenResourceError as error:
         return _lost(str(error))
     if scope.cancelled_caught:
+        connection.is_silent = True
         return results.Failure(
             results.ResultCode.UPSTREAM_SILENT,
             f'no byte for {limits.silence_timeout_ms} ms',
--- a/siskinmount/transport/_http_client.py
+++ b/siskinmount/transport/_http_client.py
@@ -45,6 +45,7 @@
             if isinstance(connected, results.Failure):
                 return connected
             connection = connected
+            connection.request_at_s = trio.current_time()
             response = await self._exchange(connection, request)
             if isinstance(response, results.Failure):
                 return response
@@ -61,7 +62,7 @@
             if exchange is None:
                 self._slots.release()
                 if connection is not None:
-                    _drop(connection)
+                    self._discard(connection)
 
     def close(self) -> None:
         """Closes all idle connections."""
@@ -161,6 +162,23 @@
         data += parser.send(h11.EndOfMessage())
         return data
 
+    def _discard(self, connection: _client_exchange.ClientConnection) -> None:
+        """Closes a connection, and those that may have gone silent with it.
+
+        What makes one connection go silent often takes its neighbours too, and
+        each would cost another wait. Those that have served since are kept.
+        """
+        _drop(connection)
+        if not connection.is_silent:
+            return
+        kept: list[_client_exchange.ClientConnection] = []
+        for idle in self._idle:
+            if idle.idle_since_s >= connection.request_at_s:
+                kept.append(idle)
+                continue
+            _drop(idle)
+        self._idle = kept
+
     def _release(
         self, connection: _client_exchange.ClientConnection, reusable: bool
     ) -> None:
@@ -168,7 +186,7 @@
         self.in_use_count -= 1
         self._slots.release()
         if not reusable:
-            _drop(connection)
+            self._discard(connection)
             return
         connection.parser.start_next_cycle()
         connection.idle_since_s = trio.current_time()
--- a/siskinmount/transport/tests/test_http.py
+++ b/siskinmount/transport/tests/test_http.py
@@ -166,6 +166,31 @@
 
         self.run_with_server(check)
 
+    def test_silence_takes_idle_connections_along(self):
+        """Connections that were idle before may have gone silent too."""
+
+        async def check(address, server):
+            client = transport.create_http_client(
+                address, transport.ClientLimits(silence_timeout_ms=100)
+            )
+            exchanges = []
+            for _ in range(3):
+                exchanges.append(
+                    await client.send(transport.ClientRequest('GET', '/'))
+                )
+            for exchange in exchanges:
+                await exchange.read_body(10)
+                exchange.close()
+            self.assertEqual(3, server.connection_count)
+            failure = await client.send(transport.ClientRequest('GET', '/hang'))
+            self.assertEqual(results.ResultCode.UPSTREAM_SILENT, failure.code)
+            with trio.fail_after(5):
+                while server.connection_count > 1:
+                    await trio.sleep(0.01)
+            client.close()
+
+        self.run_with_server(check)
+
     def test_parses_addresses(self):
         for text, expected in (
             ('127.0.0.1:80', '127.0.0.1:80'),
