--- a/siskinmount/transport/tests/test_http.py
+++ b/siskinmount/transport/tests/test_http.py
@@ -185,7 +185,7 @@
             failure = await client.send(transport.ClientRequest('GET', '/hang'))
             self.assertEqual(results.ResultCode.UPSTREAM_SILENT, failure.code)
             with trio.fail_after(5):
-                while server.connection_count > 1:
+                while server.connection_count > 1:  # noqa: ASYNC110
                     await trio.sleep(0.01)
             client.close()
 
