--- a/siskinmount/entry/_key_access.py
+++ b/siskinmount/entry/_key_access.py
@@ -41,17 +41,22 @@
         self, caller: str, key: str, fingerprint: str
     ) -> state.BeginOutcome:
         """Records the intent to run a request, unless it is known already."""
-        answer = await self._send(
-            _key_messages.KeyCall(
-                operation=_key_messages.KeyOperation.BEGIN,
-                stream=self._find_stream(caller, key),
-                caller=caller,
-                key=key,
-                attempt=uuid.uuid4().hex,
-                fingerprint=fingerprint,
-                holder=self.holder,
-            )
+        call = _key_messages.KeyCall(
+            operation=_key_messages.KeyOperation.BEGIN,
+            stream=self._find_stream(caller, key),
+            caller=caller,
+            key=key,
+            attempt=uuid.uuid4().hex,
+            fingerprint=fingerprint,
+            holder=self.holder,
         )
+        answer: bytes | results.Failure | None = None
+        try:
+            answer = await self._send(call)
+        finally:
+            if not isinstance(answer, bytes):
+                # The intent may have been recorded, and nothing will be sent.
+                self._settle_later(_key_messages.create_abandon_call(call))
         if isinstance(answer, results.Failure):
             # Whether or not the intent was recorded, nothing was sent.
             answer.run_state = results.RunState.NOT_RUN
@@ -135,6 +140,10 @@
             'key_settled_later',
             extra={'code': int(answer.code), 'reason': answer.reason},
         )
+        self._settle_later(call)
+
+    def _settle_later(self, call: _key_messages.KeyCall) -> None:
+        """Keeps a call that must reach the owner."""
         self._unsettled.append(call)
         self._unsettled_added.set()
 
--- a/siskinmount/entry/_key_messages.py
+++ b/siskinmount/entry/_key_messages.py
@@ -70,6 +70,17 @@
         self.outcome = outcome
 
 
+def create_abandon_call(begin: KeyCall) -> KeyCall:
+    """Returns the call that takes an intent back."""
+    return KeyCall(
+        operation=KeyOperation.ABANDON,
+        stream=begin.stream,
+        caller=begin.caller,
+        key=begin.key,
+        attempt=begin.attempt,
+    )
+
+
 def encode_key_call(call: KeyCall) -> bytes:
     """Returns a call as JSON."""
     return orjson.dumps(
--- a/siskinmount/entry/tests/test_key_access.py
+++ b/siskinmount/entry/tests/test_key_access.py
@@ -15,10 +15,18 @@
     def __init__(self, failures):
         self.failures = failures
         self.finished = []
+        self.begin_delay_s = 0
+        self.begun = []
+        self.abandoned = []
 
     async def begin(self, key, caller, fingerprint, holder, attempt):
+        self.begun.append(attempt)
+        await trio.sleep(self.begin_delay_s)
         return state.Started(attempt)
 
+    async def abandon(self, key, caller, attempt):
+        self.abandoned.append(attempt)
+
     async def finish(self, key, caller, attempt, outcome):
         if self.failures:
             self.failures -= 1
@@ -66,3 +74,19 @@
             )
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_intent_of_a_caller_that_left_is_taken_back(self):
+        async def main():
+            keys = _Keys(failures=0)
+            keys.begin_delay_s = 5
+            access = _key_access.KeyAccess(_Calls(keys), 'vm/1')
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(access.run)
+                with trio.move_on_after(1):
+                    await access.begin('c', 'k', 'f')
+                await access.wait_settled()
+                nursery.cancel_scope.cancel()
+            self.assertEqual(keys.begun, keys.abandoned)
+            self.assertEqual(1, len(keys.begun))
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
