Clear a suspect that has run alone to its end

Cause: the evidence of one death stood for 12 hours, so content that merely ran beside a fatal request had to run alone for that long, each time it was asked.

--- a/siskinmount/batch/_crash_evidence.py
+++ b/siskinmount/batch/_crash_evidence.py
@@ -12,6 +12,10 @@
         """Notes that an upstream died with a request in progress."""
         ...
 
+    def record_survival(self, fingerprint: str) -> None:
+        """Notes that a suspect has run alone to its end."""
+        ...
+
     def is_suspect(self, fingerprint: str) -> bool:
         """Tells whether a request must run alone."""
         ...
@@ -31,6 +35,9 @@
     ) -> None:
         """Forgets the death."""
 
+    def record_survival(self, fingerprint: str) -> None:
+        """Forgets the survival."""
+
     def is_suspect(self, fingerprint: str) -> bool:
         """Suspects nothing."""
         return False
--- a/siskinmount/batch/_item_reports.py
+++ b/siskinmount/batch/_item_reports.py
@@ -157,8 +157,13 @@
         request: _report_messages.ReportRequest,
         report: _report_messages.ItemReport,
     ) -> None:
-        """Notes that an upstream died while it ran an item."""
-        if not report.upstream_generation or not report.fingerprint:
+        """Notes how an upstream fared that ran a suspect."""
+        if not report.fingerprint:
+            return
+        if report.outcome is _report_messages.ReportedOutcome.DONE:
+            self._evidence.record_survival(report.fingerprint)
+            return
+        if not report.upstream_generation:
             return
         self._evidence.record_death(
             report.fingerprint,
--- a/siskinmount/batch/_report_messages.py
+++ b/siskinmount/batch/_report_messages.py
@@ -34,7 +34,8 @@
         code: Result code of a failure, else 0.
         reason: Reason of a failure.
         wasted_tokens: Tokens generated that cannot be used.
-        fingerprint: The item's fingerprint; empty if no upstream died.
+        fingerprint: The item's fingerprint, if an upstream died with it or if
+            it has run alone; else empty.
         upstream_generation: Number of the upstream's process that ended while
             it ran the item; 0 if none did.
         was_alone: Whether no other request ran at that process meanwhile.
--- a/siskinmount/entry/_answer_run.py
+++ b/siskinmount/entry/_answer_run.py
@@ -90,8 +90,11 @@
                 if failure is not None:
                     return failure
                 continue
-            if frames:
-                return frames
+            if not frames:
+                continue
+            if attempt.solo and isinstance(frames[-1], relay.EndFrame):
+                self._access.record_survival(self._request.fingerprint)
+            return frames
 
     def close(self) -> None:
         """Gives up the run; the sidecar cancels it after a while."""
--- a/siskinmount/entry/_upstream_access.py
+++ b/siskinmount/entry/_upstream_access.py
@@ -71,6 +71,10 @@
         """Tells whether a request must not run again."""
         return self._convictions.is_convicted(fingerprint)
 
+    def record_survival(self, fingerprint: str) -> None:
+        """Records that a suspect has run alone to its end."""
+        self._convictions.record_survival(fingerprint)
+
     async def wait_convicted(self, fingerprint: str) -> None:
         """Returns once a request must not run again."""
         await self._convictions.wait_convicted(fingerprint)
--- a/siskinmount/entry/tests/scripted_sidecar.py
+++ b/siskinmount/entry/tests/scripted_sidecar.py
@@ -35,6 +35,7 @@
         self.scripts = list(scripts)
         self.runs = []
         self.attaches = []
+        self.solos = []
         self.cancels = []
         self.attach_scripts = []
 
@@ -65,6 +66,7 @@
                 )
             )
         else:
+            self.solos.append(head.find_header(relay.RelayHeader.SOLO))
             self.runs.append(
                 (orjson.loads(body).get('resume_tokens'), from_token)
             )
--- a/siskinmount/sidecar/_item_report.py
+++ b/siskinmount/sidecar/_item_report.py
@@ -56,6 +56,8 @@
         reason=reason,
         wasted_tokens=wasted_tokens,
     )
+    if item.solo and outcome is batch.ReportedOutcome.DONE:
+        report.fingerprint = item.fingerprint
     last = item.running.last_frame if item.running is not None else None
     if isinstance(last, relay.FailureFrame) and last.upstream_generation:
         report.fingerprint = item.fingerprint
--- a/siskinmount/state/_conviction_stream.py
+++ b/siskinmount/state/_conviction_stream.py
@@ -23,7 +23,8 @@
 
     A request is a suspect after one death. It is convicted by two deaths of
     which one at least befell it alone, so that a request that twice happened
-    to run beside a fatal one is not.
+    to run beside a fatal one is not. A suspect that runs alone to its end is
+    cleared of the deaths that were known then.
 
     Attributes:
         read_offset: Newest offset that has been read.
@@ -35,6 +36,7 @@
         '_clock_ms',
         '_tail',
         '_deaths',
+        '_cleared',
         '_own_deaths',
         '_own_added',
         '_changed',
@@ -53,6 +55,7 @@
         self._deaths: dict[
             str, dict[tuple[str, int], records_pb2.UpstreamDeath]
         ] = {}
+        self._cleared: dict[str, dict[tuple[str, int], int]] = {}
         self._own_deaths: list[records_pb2.UpstreamDeath] = []
         self._own_added = trio.Event()
         self._changed = trio.Event()
@@ -82,6 +85,20 @@
         self._own_deaths.append(death)
         self._own_added.set()
 
+    def record_survival(self, fingerprint: str) -> None:
+        """Notes that a suspect has run alone to its end."""
+        known = self._deaths.get(fingerprint, {})
+        if not known or self.is_convicted(fingerprint):
+            return
+        survival = records_pb2.UpstreamDeath(
+            fingerprint=fingerprint, at_ms=self._clock_ms()
+        )
+        for vm, incarnation in known:
+            survival.cleared.add(vm=vm, incarnation=incarnation)
+        self._note(survival)
+        self._own_deaths.append(survival)
+        self._own_added.set()
+
     def note_death(
         self, fingerprint: str, vm: str, incarnation: int, *, alone: bool
     ) -> None:
@@ -139,6 +156,12 @@
 
     def _note(self, death: records_pb2.UpstreamDeath) -> None:
         """Notes a death once, however often it is reported."""
+        if death.cleared:
+            self._clear(death)
+            return
+        cleared = self._cleared.get(death.fingerprint, {})
+        if (death.vm, death.incarnation) in cleared:
+            return
         deaths = self._deaths.setdefault(death.fingerprint, {})
         known = deaths.setdefault((death.vm, death.incarnation), death)
         if death.alone:
@@ -146,6 +169,17 @@
         changed, self._changed = self._changed, trio.Event()
         changed.set()
 
+    def _clear(self, survival: records_pb2.UpstreamDeath) -> None:
+        """Takes back the deaths that a survival names."""
+        deaths = self._deaths.get(survival.fingerprint, {})
+        cleared = self._cleared.setdefault(survival.fingerprint, {})
+        for death in survival.cleared:
+            name = (death.vm, death.incarnation)
+            cleared[name] = survival.at_ms
+            deaths.pop(name, None)
+        if not deaths:
+            self._deaths.pop(survival.fingerprint, None)
+
     async def _append_own(self) -> None:
         """Appends own evidence in order, however long the log is down."""
         while True:
@@ -168,6 +202,10 @@
             for fingerprint in list(self._deaths):
                 if not self._live_deaths(fingerprint):
                     del self._deaths[fingerprint]
+            limit_ms = self._clock_ms() - self._expiry_ms
+            for fingerprint, cleared in list(self._cleared.items()):
+                if max(cleared.values()) <= limit_ms:
+                    del self._cleared[fingerprint]
 
 
 def create_conviction_stream(
--- a/siskinmount/state/tests/test_conviction_stream.py
+++ b/siskinmount/state/tests/test_conviction_stream.py
@@ -68,3 +68,32 @@
             self.assertFalse(there.is_suspect('f'))
 
         self.run_with_log(check)
+
+    def test_suspect_that_runs_alone_to_its_end_is_cleared_everywhere(self):
+        async def check(log, nursery):
+            here = self.create(log, nursery)
+            there = self.create(log, nursery)
+            here.record_death('f', 'a', 1, alone=False)
+            await trio.sleep(60)
+            self.assertTrue(there.is_suspect('f'))
+            there.record_survival('f')
+            await trio.sleep(60)
+            for stream in (here, there):
+                self.assertFalse(stream.is_suspect('f'))
+                # The same death, told again by a heartbeat.
+                stream.note_death('f', 'a', 1, alone=False)
+                self.assertFalse(stream.is_suspect('f'))
+                stream.note_death('f', 'a', 2, alone=False)
+                self.assertTrue(stream.is_suspect('f'))
+
+        self.run_with_log(check)
+
+    def test_convicted_request_is_not_cleared(self):
+        async def check(log, nursery):
+            stream = self.create(log, nursery)
+            stream.record_death('f', 'a', 1, alone=False)
+            stream.record_death('f', 'b', 1, alone=True)
+            stream.record_survival('f')
+            self.assertTrue(stream.is_convicted('f'))
+
+        self.run_with_log(check)
