--- a/siskinmount/state/_conviction_stream.py
+++ b/siskinmount/state/_conviction_stream.py
@@ -7,6 +7,7 @@
 
 from siskinmount import platform
 from siskinmount import results
+from siskinmount.state import _backoff
 from siskinmount.state import _log_tail
 from siskinmount.state import _state_stream
 from siskinmount.state import _stream_names
@@ -148,6 +149,9 @@
 
     async def _append_own(self) -> None:
         """Appends own evidence in order, however long the log is down."""
+        backoff = _backoff.Backoff(
+            _log_tail.FIRST_BACKOFF_MS, _log_tail.MAX_BACKOFF_MS
+        )
         while True:
             if not self._own_deaths:
                 self._own_added = trio.Event()
@@ -157,8 +161,9 @@
                 _stream_names.CONVICTIONS_STREAM, death.SerializeToString()
             )
             if isinstance(answer, results.Failure):
-                await trio.sleep(_log_tail.MAX_BACKOFF_MS / 1000)
+                await backoff.pause()
                 continue
+            backoff.reset()
             del self._own_deaths[0]
 
     async def _drop_expired(self) -> None:
