--- a/siskinmount/sidecar/_batch_puller.py
+++ b/siskinmount/sidecar/_batch_puller.py
@@ -11,6 +11,7 @@
 from siskinmount.sidecar import _batch_item
 from siskinmount.sidecar import _entry_link
 from siskinmount.sidecar import _gate
+from siskinmount.sidecar import _item_report
 from siskinmount.sidecar import _report_queue
 from siskinmount.sidecar import _request_registry
 from siskinmount.sidecar import _running_request
@@ -25,6 +26,8 @@
 IDLE_MEMORY_S = 10.0
 RENEWALS_PER_LEASE = 3
 MIN_RENEW_INTERVAL_S = 0.2
+#: Renewals tell which items were cancelled, so they must be frequent.
+MAX_RENEW_INTERVAL_S = 1.0
 MAX_UNSETTLED_REPORTS = 1000
 GIVE_BACK_S = 5.0
 SUSPECT_PAUSE_S = 3.0
@@ -290,7 +293,7 @@
 
     def _finish(self, item: _batch_item.BatchItem) -> None:
         """Reports on an item and forgets it."""
-        report = _batch_item.create_report(item)
+        report = _item_report.create_report(item)
         if report.outcome is batch.ReportedOutcome.DONE:
             self.done_count += 1
         if report.outcome is batch.ReportedOutcome.YIELDED:
@@ -346,7 +349,9 @@
                 continue
             lease_ms = min(item.lease_ms for item in items)
             interval_s = lease_ms / 1000 / RENEWALS_PER_LEASE
-            await trio.sleep(max(MIN_RENEW_INTERVAL_S, interval_s))
+            await trio.sleep(
+                min(MAX_RENEW_INTERVAL_S, max(MIN_RENEW_INTERVAL_S, interval_s))
+            )
             held = [item for item in items if item.key in self._items]
             if held:
                 await self._renew(link, held)
