--- a/tools/slopes/entry_slopes.py
+++ b/tools/slopes/entry_slopes.py
@@ -15,6 +15,7 @@
 import orjson
 import trio
 
+from siskinmount import configuration
 from siskinmount import membership
 from siskinmount import platform
 from siskinmount import transport
@@ -209,6 +210,7 @@
     async def _measure_items(self) -> None:
         """Measures one job with many items, then many with one."""
         items = _ITEMS.value
+        idle = await self._cost.measure_idle_share(SETTLE_S)
         await self._log.take()
         self._cost.take_cpu_s()
         started_s = time.monotonic()
@@ -216,8 +218,9 @@
         submit_s = self._cost.take_cpu_s()
         _report('cpu_per_item_submit', submit_s / items * MS_PER_S, 'ms')
         await self._calls.wait_finished(job)
-        rate = items / (time.monotonic() - started_s)
-        run_s = self._cost.take_cpu_s()
+        elapsed_s = time.monotonic() - started_s
+        rate = items / elapsed_s
+        run_s = self._cost.take_cpu_s() - idle * elapsed_s
         _report('cpu_per_item_run', run_s / items * MS_PER_S, 'ms')
         _report('rate_items', rate, 'items/s')
         usage = await self._log.take()
@@ -313,6 +316,23 @@
     ]
 
 
+def _measure_document(caller_count: int) -> None:
+    """Measures the memory of a document that has been parsed."""
+    callers = fleet.create_callers(
+        [f'customer-{number}' for number in range(caller_count)]
+    )
+    text = fleet.format_document(
+        model_services=[MODEL_SERVICE], plain_services=[], callers=callers
+    )
+    tracemalloc.start()
+    document = configuration.parse_document(text)
+    held_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    if isinstance(document, list):
+        raise RuntimeError(f'the document has {len(document)} faults')
+    _report('memory_per_caller', held_bytes / caller_count / 1000, 'kB')
+
+
 def _measure_members() -> None:
     """Measures the memory of a member in an entry's table."""
     tracemalloc.start()
@@ -356,6 +376,7 @@
     """Runs all measurements."""
     logging.disable(logging.INFO)
     _measure_members()
+    _measure_document(_CALLERS.value)
     trio.run(_measure)
 
 
