Bind batch calls to routes, and tell why a sidecar cannot listen

Cause: a batch item for a plain service reached any path with any method, also those that no route lets through; a sidecar whose address was in use ended with a trace, code 9002 and status 70 in place of 5002 and 3; an entry's line did not say which address it was.

Change: items pass the same check of route and method as calls; both daemons report the listen error's own words. Each has a test.

--- a/siskinmount/commands/tests/test_daemon_start.py
+++ b/siskinmount/commands/tests/test_daemon_start.py
@@ -106,10 +106,26 @@
             taken.bind(('127.0.0.1', 0))
             taken.listen()
             address = f'127.0.0.1:{taken.getsockname()[1]}'
-            status, lines = self._run_entry(
-                _SETTINGS.format(callers_address=address)
-            )
-        self.assertEqual(commands.ExitStatus.SETTINGS_INVALID, status)
-        last = lines[-1]
-        self.assertEqual(('daemon_failed', 5002), (last['event'], last['code']))
-        self.assertIn('cannot be listened on', last['reason'])
+            for command, text in (
+                ('entry', _SETTINGS.format(callers_address=address)),
+                (
+                    'sidecar',
+                    _SETTINGS.replace(
+                        'peers_address = 127.0.0.1:0',
+                        f'peers_address = {address}',
+                    ).replace('callers_address = {callers_address}\n', '')
+                    + _SIDECAR_SECTION,
+                ),
+            ):
+                status, lines = self._run_daemon(
+                    ['-m', 'siskinmount'], command, text
+                )
+                self.assertEqual(
+                    commands.ExitStatus.SETTINGS_INVALID, status, lines
+                )
+                last = lines[-1]
+                self.assertEqual(
+                    ('daemon_failed', 5002), (last['event'], last['code'])
+                )
+                self.assertIn('cannot be listened on', last['reason'])
+                self.assertIn('in use', last['reason'])
--- a/siskinmount/entry/_entry.py
+++ b/siskinmount/entry/_entry.py
@@ -400,11 +400,8 @@
     try:
         await entry.run(task_status)
     except ExceptionGroup as group:
-        listen_errors, others = group.split(OSError)
-        if others is not None or listen_errors is None:
+        failure = transport.find_listen_failure(group)
+        if failure is None:
             raise
-        return results.Failure(
-            results.ResultCode.SETTINGS_INVALID,
-            f'an address cannot be listened on: {listen_errors}',
-        )
+        return failure
     return None
--- a/siskinmount/entry/_item_bodies.py
+++ b/siskinmount/entry/_item_bodies.py
@@ -1,12 +1,14 @@
 """Turns the lines of a submitted batch job into bodies for `/run`."""
 
 import re
+import urllib.parse
 
 import orjson
 
 from siskinmount import configuration
 from siskinmount import results
 from siskinmount.entry import _model_request
+from siskinmount.entry import _plain_calls
 from siskinmount.entry import _run_request
 
 _METHOD_PATTERN = re.compile(r'[A-Z]{1,32}')
@@ -32,7 +34,7 @@
     if service.kind is configuration.ServiceKind.MODEL:
         body = _parse_model_item(document, service, line)
     else:
-        body = _parse_plain_item(line)
+        body = _parse_plain_item(document, service, line)
     if isinstance(body, results.Failure):
         return results.Failure(
             results.ResultCode.ITEM_INVALID,
@@ -59,8 +61,12 @@
     return request.encode_run_body([])
 
 
-def _parse_plain_item(line: bytes) -> bytes | results.Failure:
-    """Returns the body of a call."""
+def _parse_plain_item(
+    document: configuration.ServiceDocument,
+    service: configuration.Service,
+    line: bytes,
+) -> bytes | results.Failure:
+    """Returns the body of a call; it may be one that a route lets through."""
     fields = _parse_object(line)
     if isinstance(fields, results.Failure):
         return fields
@@ -73,6 +79,13 @@
         return _invalid('method must be a name in letters')
     if not _PATH_PATTERN.fullmatch(path):
         return _invalid('path must begin with a slash and be percent-encoded')
+    route = _plain_calls.find_allowed_route(
+        document, method, urllib.parse.unquote(path.partition('?')[0])
+    )
+    if isinstance(route, results.Failure):
+        return route
+    if route.service != service.name:
+        return _invalid(f'{path} belongs to service {route.service}')
     content = fields.get('body', '')
     try:
         data = (
--- a/siskinmount/entry/_plain_calls.py
+++ b/siskinmount/entry/_plain_calls.py
@@ -67,21 +67,9 @@
     body: bytes,
 ) -> PlainCall | results.Failure:
     """Finds the route of a call and checks it."""
-    if _has_dot_segment(head.path):
-        return results.Failure(
-            results.ResultCode.INVALID_FIELD,
-            'the path must not have segments of dots',
-        )
-    route = find_route(document, head.path)
-    if route is None:
-        return results.Failure(
-            results.ResultCode.NO_SUCH_ROUTE, f'no route for {head.path}'
-        )
-    if head.method not in route.methods:
-        return results.Failure(
-            results.ResultCode.METHOD_NOT_ALLOWED,
-            f'{route.path_prefix} takes {", ".join(route.methods)}',
-        )
+    route = find_allowed_route(document, head.method, head.path)
+    if isinstance(route, results.Failure):
+        return route
     request = _run_request.PlainRequest(
         head.method,
         head.target,
@@ -101,6 +89,28 @@
     )
 
 
+def find_allowed_route(
+    document: configuration.ServiceDocument, method: str, path: str
+) -> configuration.Route | results.Failure:
+    """Returns the route that lets a call through."""
+    if _has_dot_segment(path):
+        return results.Failure(
+            results.ResultCode.INVALID_FIELD,
+            'the path must not have segments of dots',
+        )
+    route = find_route(document, path)
+    if route is None:
+        return results.Failure(
+            results.ResultCode.NO_SUCH_ROUTE, f'no route for {path}'
+        )
+    if method not in route.methods:
+        return results.Failure(
+            results.ResultCode.METHOD_NOT_ALLOWED,
+            f'{route.path_prefix} takes {", ".join(route.methods)}',
+        )
+    return route
+
+
 def find_route(
     document: configuration.ServiceDocument, path: str
 ) -> configuration.Route | None:
--- a/siskinmount/entry/tests/test_callers_api.py
+++ b/siskinmount/entry/tests/test_callers_api.py
@@ -377,8 +377,12 @@
                 ('desk', b'{"path": "/a b"}'),
                 ('desk', b'{"path": "/a\\r\\nx: y"}'),
                 ('desk', b'{"path": "x"}'),
-                ('desk', b'{"path": "/x", "method": "GET /y"}'),
-                ('desk', b'{"path": "/x", "body": %b}' % deep),
+                ('desk', b'{"path": "/other/x"}'),
+                ('desk', b'{"path": "/desk/%2e%2e/x"}'),
+                ('desk', b'{"path": "/desk/x", "method": "DELETE"}'),
+                ('desk', b'{"path": "/desk/x", "method": "G"}'),
+                ('desk', b'{"path": "/desk/x", "method": "GET /y"}'),
+                ('desk', b'{"path": "/desk/x", "body": %b}' % deep),
             ):
                 answer = await harness.request(
                     'POST', f'/v1/batches?service={service}', line
@@ -387,12 +391,14 @@
                     (line[:40], 400, 'ITEM_INVALID'),
                     (line[:40], answer.status, answer.error()['name']),
                 )
-            accepted = await harness.request(
-                'POST',
-                '/v1/batches?service=lm',
-                b'{"prompt": "a", "x": %b}' % deep,
-            )
-            self.assertEqual(202, accepted.status)
+            for service, line in (
+                ('lm', b'{"prompt": "a", "x": %b}' % deep),
+                ('desk', b'{"path": "/desk/a%20b?c=/../d", "body": {}}'),
+            ):
+                accepted = await harness.request(
+                    'POST', f'/v1/batches?service={service}', line
+                )
+                self.assertEqual(202, accepted.status)
 
         callers_harness.run_with_entry(check)
 
--- a/siskinmount/sidecar/_sidecar.py
+++ b/siskinmount/sidecar/_sidecar.py
@@ -434,6 +434,21 @@
     Returns:
         None after a planned stop, or why the sidecar cannot start.
     """
+    try:
+        await _run_until_left(settings, task_status)
+    except ExceptionGroup as group:
+        failure = transport.find_listen_failure(group)
+        if failure is None:
+            raise
+        return failure
+    return None
+
+
+async def _run_until_left(
+    settings: configuration.SidecarSettings,
+    task_status: trio.TaskStatus,
+) -> None:
+    """Runs a sidecar until its planned stop has come to its end."""
     load = _gate_load.GateLoad(
         slots=settings.slots or DEFAULT_SLOTS,
         online_slots=settings.online_slots,
@@ -479,4 +494,3 @@
         await sidecar.wait_left()
         nursery.cancel_scope.cancel()
     _LOGGER.info('sidecar_left', extra={'vm': settings.identity.vm})
-    return None
--- a/siskinmount/transport/__init__.py
+++ b/siskinmount/transport/__init__.py
@@ -12,5 +12,6 @@
 from siskinmount.transport._http_server import HttpServer
 from siskinmount.transport._limits import ClientLimits
 from siskinmount.transport._limits import ServerLimits
+from siskinmount.transport._listen_failure import find_listen_failure
 from siskinmount.transport._server_exchange import RequestHead
 from siskinmount.transport._server_exchange import ServerExchange
--- /dev/null
+++ b/siskinmount/transport/_listen_failure.py
@@ -0,0 +1,30 @@
+"""Tells why a daemon could not listen."""
+
+from siskinmount import results
+
+
+def find_listen_failure(group: ExceptionGroup) -> results.Failure | None:
+    """Returns why a daemon could not start, or None if that was not all.
+
+    Args:
+        group: What ended the daemon.
+    """
+    listen_errors, others = group.split(OSError)
+    if others is not None or listen_errors is None:
+        return None
+    reasons = [str(error) for error in _list_errors(listen_errors)]
+    return results.Failure(
+        results.ResultCode.SETTINGS_INVALID,
+        f'an address cannot be listened on: {"; ".join(reasons)}',
+    )
+
+
+def _list_errors(group: ExceptionGroup) -> list[Exception]:
+    """Returns the errors of a group and of the groups within it."""
+    errors: list[Exception] = []
+    for error in group.exceptions:
+        if isinstance(error, ExceptionGroup):
+            errors.extend(_list_errors(error))
+            continue
+        errors.append(error)
+    return errors
