--- a/siskinmount/commands/_publish_command.py
+++ b/siskinmount/commands/_publish_command.py
@@ -101,6 +101,7 @@
         platform.create_log_client(log_address),
         parse_published_text,
         grammar=configuration.KNOWN_FORMAT,
+        grammar_of=lambda document: document.format,
     )
     return await stream.publish(document.text, base_version, publisher)
 
--- a/siskinmount/configuration/_daemon_settings.py
+++ b/siskinmount/configuration/_daemon_settings.py
@@ -85,10 +85,20 @@
         identity: What both daemons are told.
         callers_address: Where callers and the balancer reach this entry.
         stream_count: Number of state streams; the same at every entry.
+        log_retention_s: How long the platform's log keeps a record.
+        log_retention_records: How many records of a stream the log keeps; 0
+            if only their age counts.
         limits: Bounds on callers' connections.
     """
 
-    __slots__ = ('identity', 'callers_address', 'stream_count', 'limits')
+    __slots__ = (
+        'identity',
+        'callers_address',
+        'stream_count',
+        'log_retention_s',
+        'log_retention_records',
+        'limits',
+    )
 
     def __init__(
         self,
@@ -97,10 +107,14 @@
         callers_address: transport.Address,
         stream_count: int,
         limits: transport.ServerLimits,
+        log_retention_s: int = 86_400,
+        log_retention_records: int = 0,
     ) -> None:
         self.identity = identity
         self.callers_address = callers_address
         self.stream_count = stream_count
+        self.log_retention_s = log_retention_s
+        self.log_retention_records = log_retention_records
         self.limits = limits
 
 
--- a/siskinmount/configuration/_settings_parser.py
+++ b/siskinmount/configuration/_settings_parser.py
@@ -9,6 +9,9 @@
 from siskinmount.configuration import _section_reader
 
 _MAX_STREAMS = 256
+_MIN_RETENTION_S = 10
+_MAX_RETENTION_S = 31_536_000
+_MAX_RETENTION_RECORDS = 1_000_000_000
 _MAX_SLOTS = 4096
 _MAX_BYTES = 1 << 30
 _MAX_DURATION_MS = 3_600_000
@@ -53,6 +56,12 @@
         stream_count=source.get_reader('state').read_whole_number(
             'stream_count', 1, _MAX_STREAMS, 4
         ),
+        log_retention_s=source.get_reader('platform').read_whole_number(
+            'log_retention_s', _MIN_RETENTION_S, _MAX_RETENTION_S, 86_400
+        ),
+        log_retention_records=source.get_reader('platform').read_whole_number(
+            'log_retention_records', 0, _MAX_RETENTION_RECORDS, 0
+        ),
         limits=_read_limits(source.get_reader('limits')),
     )
     faults = source.finish()
--- a/siskinmount/entry/_entry.py
+++ b/siskinmount/entry/_entry.py
@@ -39,6 +39,7 @@
 #: and the peers notice before they are refused.
 LEAVING_NOTICE_S = 3.0
 UPKEEP_INTERVAL_S = 1.0
+CONVICTION_EXPIRY_MS = 12 * 3600 * 1000
 #: How long a leaving entry tries to record the outcomes that are left.
 KEYS_SETTLE_S = 5.0
 #: How long a new entry hears of others before it claims streams.
@@ -100,11 +101,17 @@
                 self._log,
                 _configuration_in_force.parse_published_text,
                 grammar=configuration.KNOWN_FORMAT,
+                retention_ms=settings.log_retention_s * 1000,
                 is_carrier=self._is_first_entry,
             )
         )
         self.in_force.add_listener(self._apply_document)
-        self.convictions = state.create_conviction_stream(self._log)
+        self.convictions = state.create_conviction_stream(
+            self._log,
+            expiry_ms=min(
+                CONVICTION_EXPIRY_MS, settings.log_retention_s * 1000
+            ),
+        )
         self.streams = state.create_ownership_manager(
             state.state_stream_names(settings.stream_count),
             identity.vm,
@@ -360,6 +367,10 @@
             name,
             self._log,
             self._writer,
+            stream_limits=state.StreamLimits(
+                retention_ms=self.settings.log_retention_s * 1000,
+                retention_records=self.settings.log_retention_records,
+            ),
             is_live=self._is_live_owner,
             weight_of=self._find_weight,
             evidence=self.convictions,
