--- a/tools/slopes/_capacity.py
+++ b/tools/slopes/_capacity.py
@@ -40,6 +40,7 @@
         'cpu_per_item_run',
         'cpu_per_change_and_caller',
         'document_per_caller',
+        'memory_per_caller',
         'memory_per_member',
         'memory_per_stream',
         'resident_after',
@@ -267,14 +268,16 @@
     stream_mb = open_streams * slopes.entry['memory_per_stream'] / 1000
     members = aim.entries + aim.sidecars
     member_mb = members * slopes.entry['memory_per_member'] / 1000
+    caller_mb = aim.callers * slopes.entry['memory_per_caller'] / 1000
     resident_mb = slopes.entry['resident_after']
     return [
         _figures.Figure('entry: open streams', open_streams, ''),
         _figures.Figure('entry: memory of open streams', stream_mb, 'MB'),
         _figures.Figure('entry: memory of all members', member_mb, 'MB'),
+        _figures.Figure('entry: memory of all callers', caller_mb, 'MB'),
         _figures.Figure(
             'entry: memory, with no state stream',
-            resident_mb + stream_mb + member_mb,
+            resident_mb + stream_mb + member_mb + caller_mb,
             'MB',
         ),
     ]
--- a/tools/slopes/entry_slopes.py
+++ b/tools/slopes/entry_slopes.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import gc
 import logging
 import time
 import tracemalloc
@@ -326,6 +327,7 @@
     )
     tracemalloc.start()
     document = configuration.parse_document(text)
+    gc.collect()
     held_bytes, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     if isinstance(document, list):
--- a/tools/slopes/tests/test_capacity.py
+++ b/tools/slopes/tests/test_capacity.py
@@ -41,6 +41,8 @@
     ('entry: open streams', 50.0),
     ('entry: memory of open streams', 0.05),
     ('entry: memory of all members', 0.01),
+    ('entry: memory of all callers', 3.0),
+    ('entry: memory, with no state stream', 4.06),
     ('entry: heartbeats received', 5.0),
     ('entry: control calls', 0.6),
     ('entry: idle pulls of all sidecars', 7.2),
