Say once how a listen error and a retry time are told

Cause: both daemons, and both senders of failures, had the same lines. Change: transport.run_listening and transport.retry_headers; no behaviour differs.

--- a/siskinmount/entry/_entry.py
+++ b/siskinmount/entry/_entry.py
@@ -397,11 +397,6 @@
         None after a planned stop, or why the entry cannot start.
     """
     entry = Entry(settings)
-    try:
-        await entry.run(task_status)
-    except ExceptionGroup as group:
-        failure = transport.find_listen_failure(group)
-        if failure is None:
-            raise
-        return failure
-    return None
+    return await transport.run_listening(
+        functools.partial(entry.run, task_status)
+    )
--- a/siskinmount/entry/_error_answers.py
+++ b/siskinmount/entry/_error_answers.py
@@ -75,9 +75,9 @@
     request_id: str = '',
 ) -> None:
     """Answers a request whose response has not begun with a failure."""
-    headers: transport.Headers = []
-    if failure.retry_after_ms is not None:
-        seconds = max(1, -(-failure.retry_after_ms // 1000))
-        headers.append((b'retry-after', b'%d' % seconds))
     body = ErrorBody(failure, request_id)
-    await exchange.send_json(find_status(failure.code), body.to_json(), headers)
+    await exchange.send_json(
+        find_status(failure.code),
+        body.to_json(),
+        transport.retry_headers(failure),
+    )
--- a/siskinmount/sidecar/_sidecar.py
+++ b/siskinmount/sidecar/_sidecar.py
@@ -434,14 +434,9 @@
     Returns:
         None after a planned stop, or why the sidecar cannot start.
     """
-    try:
-        await _run_until_left(settings, task_status)
-    except ExceptionGroup as group:
-        failure = transport.find_listen_failure(group)
-        if failure is None:
-            raise
-        return failure
-    return None
+    return await transport.run_listening(
+        functools.partial(_run_until_left, settings, task_status)
+    )
 
 
 async def _run_until_left(
--- a/siskinmount/transport/__init__.py
+++ b/siskinmount/transport/__init__.py
@@ -6,12 +6,13 @@
 from siskinmount.transport._client_exchange import ClientRequest
 from siskinmount.transport._headers import find_header
 from siskinmount.transport._headers import Headers
+from siskinmount.transport._headers import retry_headers
 from siskinmount.transport._http_client import create_http_client
 from siskinmount.transport._http_client import HttpClient
 from siskinmount.transport._http_server import create_http_server
 from siskinmount.transport._http_server import HttpServer
 from siskinmount.transport._limits import ClientLimits
 from siskinmount.transport._limits import ServerLimits
-from siskinmount.transport._listen_failure import find_listen_failure
+from siskinmount.transport._listen_failure import run_listening
 from siskinmount.transport._server_exchange import RequestHead
 from siskinmount.transport._server_exchange import ServerExchange
--- a/siskinmount/transport/_headers.py
+++ b/siskinmount/transport/_headers.py
@@ -1,5 +1,7 @@
 """Header lists as h11 takes and gives them."""
 
+from siskinmount import results
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -14,3 +16,11 @@
         if header_name == name:
             return value.decode('latin-1')
     return None
+
+
+def retry_headers(failure: results.Failure) -> Headers:
+    """Returns the header that says when to come back, if that is known."""
+    if failure.retry_after_ms is None:
+        return []
+    seconds = max(1, -(-failure.retry_after_ms // 1000))
+    return [(b'retry-after', b'%d' % seconds)]
--- a/siskinmount/transport/_http_server.py
+++ b/siskinmount/transport/_http_server.py
@@ -11,6 +11,7 @@
 
 from siskinmount import results
 from siskinmount.transport import _address
+from siskinmount.transport import _headers
 from siskinmount.transport import _keep_alive
 from siskinmount.transport import _limits
 from siskinmount.transport import _server_exchange
@@ -304,10 +305,6 @@
     failure: results.Failure,
 ) -> None:
     """Sends a failure in the shape that callers know."""
-    headers: list[tuple[bytes, bytes]] = []
-    if failure.retry_after_ms is not None:
-        seconds = max(1, -(-failure.retry_after_ms // 1000))
-        headers.append((b'retry-after', b'%d' % seconds))
     await exchange.send_json(
         status,
         {
@@ -320,7 +317,7 @@
                 'request_id': '',
             }
         },
-        headers,
+        _headers.retry_headers(failure),
     )
 
 
--- a/siskinmount/transport/_listen_failure.py
+++ b/siskinmount/transport/_listen_failure.py
@@ -1,14 +1,34 @@
 """Tells why a daemon could not listen."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
+
 from siskinmount import results
 
 
-def find_listen_failure(group: ExceptionGroup) -> results.Failure | None:
-    """Returns why a daemon could not start, or None if that was not all.
+async def run_listening(
+    run: Callable[[], Awaitable[None]],
+) -> results.Failure | None:
+    """Runs a daemon that listens.
 
     Args:
-        group: What ended the daemon.
+        run: Runs the daemon until its end.
+
+    Returns:
+        None after its end, or that an address cannot be listened on.
     """
+    try:
+        await run()
+    except ExceptionGroup as group:
+        failure = _find_listen_failure(group)
+        if failure is None:
+            raise
+        return failure
+    return None
+
+
+def _find_listen_failure(group: ExceptionGroup) -> results.Failure | None:
+    """Returns why a daemon could not start, or None if that was not all."""
     listen_errors, others = group.split(OSError)
     if others is not None or listen_errors is None:
         return None
