--- a/siskinmount/transport/_http_server.py
+++ b/siskinmount/transport/_http_server.py
@@ -159,11 +159,13 @@
             )
             await self._handle(exchange)
             exchange.discard_received_body()
-            if connection.their_state is not h11.DONE:
+            if connection.their_state in (h11.SEND_BODY, h11.ERROR):
                 await _linger(stream)
                 return
             if connection.our_state is not h11.DONE or self._draining:
                 return
+            if connection.their_state is not h11.DONE:
+                return
             connection.start_next_cycle()
 
     async def _handle(self, exchange: _server_exchange.ServerExchange) -> None:
