Catch up after a pause before sending; give other regions places among peers

New runs now wait, for a second at most, until the evidence that the log holds has been read. A third of an entry's peers may now be of other regions. Fleets that tools plan begin at ports of their own process: a test's daemon could not listen since two test workers had drawn the same port.

--- a/siskinmount/entry/_answer_run.py
+++ b/siskinmount/entry/_answer_run.py
@@ -115,6 +115,7 @@
         Returns:
             None if the run may go on, or the final failure.
         """
+        await self._access.pauses.wait_current()
         if self._request.first_token and not self.attempts:
             return await self._join_running()
         attempt = self._visit_upstream()
--- a/siskinmount/entry/_entry.py
+++ b/siskinmount/entry/_entry.py
@@ -312,6 +312,7 @@
             supervision.Child('streams', self._run_streams),
             supervision.Child('objectives', self._archive.run),
             supervision.Child('keys', self._keys.run),
+            supervision.Child('pauses', self._access.pauses.run),
             supervision.Child('upkeep', self._run_upkeep),
         ]
 
--- a/siskinmount/entry/_upstream_access.py
+++ b/siskinmount/entry/_upstream_access.py
@@ -8,6 +8,7 @@
 from siskinmount import routing
 from siskinmount import state
 from siskinmount import transport
+from siskinmount.entry import _pause_guard
 
 
 class UpstreamAccess:
@@ -16,9 +17,17 @@
     Attributes:
         router: Chooses upstreams.
         retries: Bounds the retries of each service.
+        pauses: Holds new runs after a pause of this process.
     """
 
-    __slots__ = ('router', 'retries', '_limits', '_clients', '_convictions')
+    __slots__ = (
+        'router',
+        'retries',
+        'pauses',
+        '_limits',
+        '_clients',
+        '_convictions',
+    )
 
     def __init__(
         self,
@@ -29,6 +38,7 @@
     ) -> None:
         self.router = router
         self.retries = retries
+        self.pauses = _pause_guard.PauseGuard(convictions.wait_read)
         self._limits = limits
         self._clients: dict[transport.Address, transport.HttpClient] = {}
         self._convictions = convictions
--- /dev/null
+++ b/siskinmount/entry/tests/test_pause_guard.py
@@ -0,0 +1,53 @@
+"""Tests of the guard against what a paused process still holds."""
+
+import testtools
+import trio
+import trio.testing
+
+from siskinmount.entry import _pause_guard
+
+
+class PauseGuardTest(testtools.TestCase):
+
+    def run_with_guard(self, check, catch_up_s=0.5):
+        caught_up = []
+
+        async def catch_up():
+            await trio.sleep(catch_up_s)
+            caught_up.append(trio.current_time())
+
+        async def main():
+            guard = _pause_guard.PauseGuard(catch_up)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(guard.run)
+                await trio.sleep(1)
+                await check(guard, caught_up)
+                nursery.cancel_scope.cancel()
+
+        self.clock = trio.testing.MockClock(autojump_threshold=0)
+        trio.run(main, clock=self.clock)
+
+    def test_lets_through_at_once_without_a_pause(self):
+        async def check(guard, caught_up):
+            before_s = trio.current_time()
+            await guard.wait_current()
+            self.assertEqual(before_s, trio.current_time())
+            self.assertEqual([], caught_up)
+
+        self.run_with_guard(check)
+
+    def test_waits_for_what_was_missed_after_a_pause(self):
+        async def check(guard, caught_up):
+            self.clock.jump(10)
+            await guard.wait_current()
+            self.assertEqual(1, len(caught_up))
+
+        self.run_with_guard(check)
+
+    def test_wait_is_bounded(self):
+        async def check(guard, caught_up):
+            self.clock.jump(10)
+            await guard.wait_current()
+            self.assertEqual([], caught_up)
+
+        self.run_with_guard(check, catch_up_s=60)
--- a/siskinmount/membership/_heartbeat_sender.py
+++ b/siskinmount/membership/_heartbeat_sender.py
@@ -18,6 +18,8 @@
 _LOGGER = logging.getLogger(__name__)
 
 REVIEW_INTERVAL_S = 0.5
+#: One in this many places of an entry's peers is for other regions.
+FAR_SHARE = 3
 
 
 class HeartbeatSender:
@@ -104,7 +106,12 @@
         for entry in self._table.list_entries():
             if entry.vm != own.vm:
                 others.append(entry)
-        chosen = _entry_subset.choose_entries(own.vm, own.region, others, limit)
+        # Entries own streams together whatever their region, so they must know
+        # of each other; a sidecar serves its region.
+        far_limit = limit // FAR_SHARE if is_entry else 0
+        chosen = _entry_subset.choose_entries(
+            own.vm, own.region, others, limit, far_limit
+        )
         wanted = {entry.control_address for entry in chosen}
         known = {entry.control_address for entry in others}
         # An address that is no known entry's may be that of one that has just
--- a/siskinmount/membership/tests/test_entry_subset.py
+++ b/siskinmount/membership/tests/test_entry_subset.py
@@ -69,3 +69,21 @@
         for entries, expected in (([far, near], [near]), ([far], [far])):
             chosen = membership.choose_entries('s1', 'r1', entries, 4)
             self.assertEqual(expected, chosen)
+
+    def test_other_regions_have_places(self):
+        near = [sample_members.create_member(f'n{n}') for n in range(6)]
+        far = [
+            sample_members.create_member(f'f{n}', region='r2') for n in range(6)
+        ]
+        for near_count, far_count, expected in (
+            (2, 1, (2, 1)),
+            (6, 6, (2, 2)),
+            (1, 6, (1, 2)),
+            (0, 6, (0, 4)),
+            (6, 0, (4, 0)),
+        ):
+            chosen = membership.choose_entries(
+                's1', 'r1', near[:near_count] + far[:far_count], 4, 2
+            )
+            found_far = sum(entry.region == 'r2' for entry in chosen)
+            self.assertEqual(expected, (len(chosen) - found_far, found_far))
--- a/siskinmount/state/_conviction_stream.py
+++ b/siskinmount/state/_conviction_stream.py
@@ -17,6 +17,7 @@
 MAX_DEATHS = 2
 DEFAULT_EXPIRY_MS = 12 * 3600 * 1000
 DROP_INTERVAL_MS = 60_000
+READ_POLL_MS = 20
 
 
 class ConvictionStream:
@@ -133,6 +134,14 @@
         while not self.is_convicted(fingerprint):
             await self._changed.wait()
 
+    async def wait_read(self) -> None:
+        """Returns once all that the log holds now has been read."""
+        held = await self._log.stream_range(_stream_names.CONVICTIONS_STREAM)
+        if isinstance(held, results.Failure):
+            return
+        while self._tail.next_offset < held.next_offset:  # noqa: ASYNC110
+            await trio.sleep(READ_POLL_MS / 1000)
+
     async def run(self) -> None:
         """Follows the stream and appends own evidence, for ever."""
         async with trio.open_nursery() as nursery:
--- a/tools/fleet/_fleet_plan.py
+++ b/tools/fleet/_fleet_plan.py
@@ -1,6 +1,7 @@
 """Which processes a fleet has and where they listen."""
 
-import random
+import itertools
+import os
 import socket
 
 from siskinmount import transport
@@ -9,6 +10,7 @@
 
 _LOWEST_PORT = 10_000
 _HIGHEST_PORT = 30_000
+_PORTS_PER_PROCESS = 64
 
 
 class EntryPlan:
@@ -175,16 +177,17 @@
 
 def _find_free_addresses(count: int) -> list[transport.Address]:
     """Returns loopback addresses with ports that are free now."""
-    addresses: list[transport.Address] = []
-    taken: set[int] = set()
     # The system draws the ports of outgoing connections from a higher range,
-    # so none of them can take a port before its process has started.
-    while len(addresses) < count:
-        port = random.randrange(_LOWEST_PORT, _HIGHEST_PORT)
-        if port in taken or not _is_free(port):
-            continue
-        taken.add(port)
-        addresses.append(transport.Address('127.0.0.1', port))
+    # and each process that plans fleets begins at ports of its own, so that
+    # nobody takes a port before its daemon has started.
+    first = os.getpid() * _PORTS_PER_PROCESS
+    addresses: list[transport.Address] = []
+    for number in itertools.count(first):
+        if len(addresses) == count:
+            break
+        port = _LOWEST_PORT + number % (_HIGHEST_PORT - _LOWEST_PORT)
+        if _is_free(port):
+            addresses.append(transport.Address('127.0.0.1', port))
     return addresses
 
 
