--- a/tools/slopes/_capacity.py
+++ b/tools/slopes/_capacity.py
@@ -24,7 +24,7 @@
         'idempotent_run_log_bytes',
         'replay_records_cpu',
         'replay_snapshot_cpu',
-        'memory',
+        'items_memory',
     ),
     'sidecar_slopes': (
         'cpu_per_token',
@@ -427,7 +427,7 @@
     kept_items = (
         aim.items_per_day * aim.result_retention_days / aim.state_streams
     )
-    index_bytes = kept_items * slopes.state['memory']
+    index_bytes = kept_items * slopes.state['items_memory']
     item_bytes = (
         slopes.state['idempotent_submit_log_bytes']
         + slopes.state['idempotent_run_log_bytes']
@@ -458,7 +458,7 @@
         _figures.Figure('stream: index', index_bytes / 1e6, 'MB'),
         _figures.Figure(
             'stream: index of the largest job',
-            aim.largest_job_items * slopes.state['memory'] / 1e6,
+            aim.largest_job_items * slopes.state['items_memory'] / 1e6,
             'MB',
         ),
         _figures.Figure('stream: replay', replay_s, 's'),
