Run items at most once where a route of their service is not idempotent

Cause: batch_idempotent is true by default, so items of a plain service whose route is not idempotent could run twice unless its document said otherwise.

--- a/siskinmount/entry/_batch_api.py
+++ b/siskinmount/entry/_batch_api.py
@@ -196,12 +196,28 @@
         caller=caller.name,
         service=service.name,
         due_at_ms=int((time.time() + due_s) * 1000),
-        idempotent=service.batch_idempotent,
+        idempotent=may_repeat_items(document, service),
         max_attempts=service.batch_max_attempts,
         result_retention_ms=service.result_retention_s * 1000,
     )
 
 
+def may_repeat_items(
+    document: configuration.ServiceDocument, service: configuration.Service
+) -> bool:
+    """Tells whether a service's items may be attempted again.
+
+    An item of a plain service is a call of one of its routes; one route that
+    is not idempotent is enough to forbid it.
+    """
+    if not service.batch_idempotent:
+        return False
+    for route in document.routes:
+        if route.service == service.name and not route.idempotent:
+            return False
+    return True
+
+
 async def _send_json(
     exchange: transport.ServerExchange,
     answer: bytes | results.Failure,
