Pull batch items only from entries whose heartbeat told of some

The heartbeat's reply already named the backlogs. A new job's first item now waits for the next heartbeat, a second at most.

--- a/siskinmount/sidecar/_batch_puller.py
+++ b/siskinmount/sidecar/_batch_puller.py
@@ -21,6 +21,7 @@
 
 WAIT_FOR_ITEMS_MS = 2000
 RETRY_PAUSE_S = 0.5
+BACKLOG_CHECK_S = 0.1
 RECONCILE_INTERVAL_S = 0.5
 HOLD_S = 5.0
 IDLE_MEMORY_S = 10.0
@@ -60,6 +61,7 @@
         '_list_entries',
         '_create_link',
         '_start_task',
+        '_has_backlog',
         '_items',
         '_owners',
         '_links',
@@ -79,6 +81,7 @@
         list_entries: ListEntries,
         create_link: CreateLink,
         start_task: StartTask,
+        has_backlog: Callable[[str], bool] = lambda vm: True,
     ) -> None:
         self.reports = _report_queue.ReportQueue()
         self.pulled_count = 0
@@ -91,6 +94,7 @@
         self._list_entries = list_entries
         self._create_link = create_link
         self._start_task = start_task
+        self._has_backlog = has_backlog
         self._items: dict[_batch_item.ItemKey, _batch_item.BatchItem] = {}
         # The entry that answers for each held item.
         self._owners: dict[_batch_item.ItemKey, str] = {}
@@ -189,6 +193,10 @@
                 with trio.move_on_after(RECONCILE_INTERVAL_S):
                     await self._gate.wait_capacity()
                 continue
+            # Heartbeats tell who has items, so that an idle fleet asks nobody.
+            if not has_items and not self._has_backlog(link.vm):
+                await trio.sleep(BACKLOG_CHECK_S)
+                continue
             # An entry that had none last time is asked for one item only, so
             # that the credit is left for the others.
             credit = needed if has_items else 1
--- a/siskinmount/sidecar/_sidecar.py
+++ b/siskinmount/sidecar/_sidecar.py
@@ -124,6 +124,7 @@
             list_entries=self._list_entries,
             create_link=self._create_link,
             start_task=self.start_task,
+            has_backlog=self._has_backlog,
         )
         self.leaving = False
         self.address = settings.identity.peers_address
@@ -273,6 +274,10 @@
                 running.stop(_running_request.StopReason.LEAVING)
         self._leaving_requested.set()
 
+    def _has_backlog(self, vm: str) -> bool:
+        """Tells whether an entry had items waiting at its last heartbeat."""
+        return bool(self.fleet.backlogs.get(vm))
+
     def _list_entries(self) -> list[membership.Member]:
         return self.fleet.list_entries()
 
--- a/siskinmount/sidecar/tests/test_batch_puller.py
+++ b/siskinmount/sidecar/tests/test_batch_puller.py
@@ -96,7 +96,7 @@
 
 class BatchPullerTest(testtools.TestCase):
 
-    def run_puller(self, check, slots=2, entry_count=1):
+    def run_puller(self, check, slots=2, entry_count=1, idle_vms=()):
         async def main():
             bench = test_request_runner.Bench(slots)
             await bench.monitor.check()
@@ -110,6 +110,7 @@
                     list_entries=lambda: list(entries),
                     create_link=lambda peer: peer,
                     start_task=nursery.start_soon,
+                    has_backlog=lambda vm: vm not in idle_vms,
                 )
                 nursery.start_soon(puller.run)
 
@@ -138,6 +139,20 @@
 
         self.run_puller(check, entry_count=2)
 
+    def test_entry_without_backlog_is_not_asked(self):
+        idle_vms = {'e0'}
+
+        async def check(bench, puller, entries, start_online):
+            await trio.sleep(10)
+            self.assertEqual([], entries[0].credits)
+            self.assertNotEqual([], entries[1].credits)
+            entries[0].add(3)
+            idle_vms.clear()
+            await trio.sleep(10)
+            self.assertEqual(['done'] * 3, entries[0].outcomes())
+
+        self.run_puller(check, entry_count=2, idle_vms=idle_vms)
+
     def test_holds_only_what_fills_the_slots_soon(self):
         async def check(bench, puller, entries, start_online):
             entries[0].add(50, tokens=100)
