--- /dev/null
+++ b/siskinmount/sidecar/_http_routes.py
@@ -0,0 +1,73 @@
+"""What a sidecar serves over HTTP, by path."""
+
+from collections.abc import Callable
+
+from siskinmount import relay
+from siskinmount import results
+from siskinmount import telemetry
+from siskinmount import transport
+from siskinmount.sidecar import _run_handler
+
+RUN_PREFIX = '/run/'
+CANCEL_PREFIX = '/cancel/'
+
+
+class HttpRoutes:
+    """Hands each request on the address for daemons to what answers it."""
+
+    __slots__ = ('_runs', '_is_ready', '_describe')
+
+    def __init__(
+        self,
+        runs: _run_handler.RunHandler,
+        is_ready: Callable[[], bool],
+        describe: Callable[[], dict[str, object]],
+    ) -> None:
+        self._runs = runs
+        self._is_ready = is_ready
+        self._describe = describe
+
+    async def handle(self, exchange: transport.ServerExchange) -> None:
+        """Answers one request."""
+        path = exchange.head.path
+        is_post = exchange.head.method == 'POST'
+        if is_post and path.startswith(RUN_PREFIX):
+            await self._runs.handle_run(exchange, path.removeprefix(RUN_PREFIX))
+            return
+        if is_post and path.startswith(CANCEL_PREFIX):
+            await self._runs.handle_cancel(
+                exchange, path.removeprefix(CANCEL_PREFIX)
+            )
+            return
+        if path == '/healthz':
+            await exchange.send_json(200, {'status': 'ok'})
+            return
+        if path == '/readyz':
+            ready = self._is_ready()
+            await exchange.send_json(200 if ready else 503, {'ready': ready})
+            return
+        if path == '/status':
+            await exchange.send_json(200, self._describe())
+            return
+        if path == '/metrics':
+            await exchange.send_whole(
+                200,
+                [(b'content-type', telemetry.CONTENT_TYPE.encode('ascii'))],
+                self._render_metrics(),
+            )
+            return
+        refusal = relay.FailureFrame(
+            results.Failure(
+                results.ResultCode.NO_SUCH_ROUTE, f'no such path: {path}'
+            )
+        )
+        await exchange.send_json(404, {'error': relay.encode_failure(refusal)})
+
+    def _render_metrics(self) -> bytes:
+        """Returns the numbers of `describe` as metrics."""
+        metrics = telemetry.create_metrics()
+        for name, value in self._describe().items():
+            if isinstance(value, int):
+                gauge = metrics.create_gauge(f'sidecar_{name}', f'{name}.')
+                gauge.set(value)
+        return telemetry.render_metrics(metrics)
--- a/siskinmount/sidecar/_sidecar.py
+++ b/siskinmount/sidecar/_sidecar.py
@@ -15,7 +15,6 @@
 from siskinmount import results
 from siskinmount import rpc
 from siskinmount import supervision
-from siskinmount import telemetry
 from siskinmount import transport
 from siskinmount.sidecar import _batch_puller
 from siskinmount.sidecar import _batch_slot_controller
@@ -27,6 +26,7 @@
 from siskinmount.sidecar import _gate_load
 from siskinmount.sidecar import _http_model_upstream
 from siskinmount.sidecar import _http_plain_upstream
+from siskinmount.sidecar import _http_routes
 from siskinmount.sidecar import _model_changer
 from siskinmount.sidecar import _request_registry
 from siskinmount.sidecar import _request_runner
@@ -43,9 +43,6 @@
 LEAVING_POLL_S = 0.05
 MAX_TOLD_DEATHS = 32
 
-_RUN_PREFIX = '/run/'
-_CANCEL_PREFIX = '/cancel/'
-
 
 class Sidecar:
     """Everything that one sidecar process holds.
@@ -167,7 +164,10 @@
             start_task=self.start_task,
             answer_headers=self.list_answer_headers,
         )
-        self._server = transport.create_http_server(self._handle)
+        routes = _http_routes.HttpRoutes(
+            self._handler, self.is_ready, self.describe
+        )
+        self._server = transport.create_http_server(routes.handle)
 
     def start_task(
         self, run: Callable[..., Awaitable[None]], *arguments: object
@@ -291,6 +291,10 @@
             self.settings.service,
         )
 
+    def is_ready(self) -> bool:
+        """Tells whether a request would be admitted now."""
+        return self.monitor.reachable and self.gate.find_refusal() is None
+
     def list_answer_headers(self) -> transport.Headers:
         """Returns the headers that every answer to an entry carries."""
         in_flight = self.gate.count_in_flight()
@@ -372,59 +376,6 @@
                 return False
         return True
 
-    def _render_metrics(self) -> bytes:
-        """Returns the numbers of `describe` as metrics."""
-        metrics = telemetry.create_metrics()
-        for name, value in self.describe().items():
-            if isinstance(value, int):
-                gauge = metrics.create_gauge(f'sidecar_{name}', f'{name}.')
-                gauge.set(value)
-        return telemetry.render_metrics(metrics)
-
-    async def _handle(self, exchange: transport.ServerExchange) -> None:
-        """Hands a request to its handler."""
-        path = exchange.head.path
-        method = exchange.head.method
-        if method == 'POST' and path.startswith(_RUN_PREFIX):
-            await self._handler.handle_run(
-                exchange, path.removeprefix(_RUN_PREFIX)
-            )
-            return
-        if method == 'POST' and path.startswith(_CANCEL_PREFIX):
-            await self._handler.handle_cancel(
-                exchange, path.removeprefix(_CANCEL_PREFIX)
-            )
-            return
-        if path == '/healthz':
-            await exchange.send_json(200, {'status': 'ok'})
-            return
-        if path == '/readyz':
-            refusal = self.gate.find_refusal()
-            ready = self.monitor.reachable and refusal is None
-            await exchange.send_json(200 if ready else 503, {'ready': ready})
-            return
-        if path == '/status':
-            await exchange.send_json(200, self.describe())
-            return
-        if path == '/metrics':
-            await exchange.send_whole(
-                200,
-                [(b'content-type', telemetry.CONTENT_TYPE.encode('ascii'))],
-                self._render_metrics(),
-            )
-            return
-        await exchange.send_json(
-            404,
-            {
-                'error': {
-                    'code': int(results.ResultCode.NO_SUCH_ROUTE),
-                    'name': results.ResultCode.NO_SUCH_ROUTE.name,
-                    'reason': f'no such path: {path}',
-                    'run_state': results.RunState.NOT_RUN.value,
-                }
-            },
-        )
-
 
 async def run_sidecar(
     settings: configuration.SidecarSettings,
