--- a/tools/demo/__main__.py
+++ b/tools/demo/__main__.py
@@ -74,9 +74,11 @@
                 },
             )
             expected = ''.join(engine.expected_tokens(prompt, None, MAX_TOKENS))
+            upstreams = await self._find_upstreams(answer.request_id)
             self._check(
                 answer.whole and answer.text == expected,
-                f'stream through {entry.vm}: {answer.event_count} tokens',
+                f'stream through {entry.vm} from {upstreams}:'
+                f' {answer.event_count} tokens',
             )
         messages = [{'role': 'user', 'content': PROMPTS[0]}]
         body = json.dumps(
@@ -99,11 +101,27 @@
         if whole.status == 200:
             choice = json.loads(whole.body)['choices'][0]
             text = choice['message']['content']
+        upstreams = await self._find_upstreams(whole.request_id)
         self._check(
             text == expected,
-            f'chat answer through {entries[0].vm}: status {whole.status}',
+            f'chat answer through {entries[0].vm} from {upstreams}:'
+            f' status {whole.status}',
         )
 
+    async def _find_upstreams(self, request_id: str) -> str:
+        """Returns the VMs whose engines have run a request."""
+        found: list[str] = []
+        for sidecar in self._fleet.plan.sidecars:
+            if not sidecar.is_model:
+                continue
+            answer = await self._fleet.send_control(
+                sidecar.upstream_address, 'GET', '/control/started'
+            )
+            for started in json.loads(answer)['started']:
+                if started['request_id'] == request_id:
+                    found.append(sidecar.vm)
+        return ', '.join(found)
+
     async def _run_plain_calls(self) -> None:
         """Sends a booking twice under one key, through different entries."""
         answers: list[_caller_client.PlainAnswer] = []
