Bound silent batch calls, start items on a fresh word, tell deaths at once

Calls without a deadline now get the service's. A sidecar now sends its heartbeats at once when its upstream has died.

--- a/siskinmount/membership/_heartbeat_sender.py
+++ b/siskinmount/membership/_heartbeat_sender.py
@@ -40,6 +40,7 @@
         '_listed',
         '_peer_scopes',
         '_pulling',
+        '_news',
     )
 
     def __init__(
@@ -57,6 +58,7 @@
         self._listed: set[transport.Address] = set()
         self._peer_scopes: dict[transport.Address, trio.CancelScope] = {}
         self._pulling = False
+        self._news = trio.Event()
 
     def replace_listed(self, addresses: list[transport.Address]) -> None:
         """Takes the control addresses of the entries on the VM list."""
@@ -74,6 +76,11 @@
                 self._review_peers(nursery)
                 await trio.sleep(REVIEW_INTERVAL_S)
 
+    def send_now(self) -> None:
+        """Sends the next heartbeat to each peer at once."""
+        news, self._news = self._news, trio.Event()
+        news.set()
+
     def list_peers(self) -> list[transport.Address]:
         """Returns the control addresses that get heartbeats now."""
         return list(self._peer_scopes)
@@ -148,7 +155,8 @@
             with scope:
                 while True:
                     await self._send_one(client)
-                    await trio.sleep(self._draw_interval_s())
+                    with trio.move_on_after(self._draw_interval_s()):
+                        await self._news.wait()
         finally:
             client.close()
 
--- a/siskinmount/sidecar/_batch_item.py
+++ b/siskinmount/sidecar/_batch_item.py
@@ -10,6 +10,9 @@
 from siskinmount.sidecar import _run_request
 from siskinmount.sidecar import _running_request
 
+#: How old an entry's word on a lease may be when its item is started.
+MAX_UNCONFIRMED_S = 2.5
+
 
 class ItemKey:
     """Identifies an item among all jobs.
@@ -146,10 +149,12 @@
     def _may_start(self) -> bool:
         """Tells whether the item may be sent to the upstream.
 
-        After a pause of this process the entry may have written off an item
-        that must not be repeated.
+        The entry must have confirmed the lease a short while ago: since then
+        the job may have been cancelled, or the item been written off after a
+        pause of this process.
         """
-        return self.idempotent or self.lease_is_valid
+        confirmed_at_s = self.leased_until_s - self.lease_ms / 1000
+        return trio.current_time() - confirmed_at_s < MAX_UNCONFIRMED_S
 
     def keep_output(self, tokens: list[str]) -> None:
         """Makes the next run continue after `tokens`."""
--- a/siskinmount/sidecar/_death_memory.py
+++ b/siskinmount/sidecar/_death_memory.py
@@ -1,6 +1,7 @@
 """Remembers which requests were at the upstream when its process ended."""
 
 import collections
+from collections.abc import Callable
 
 import trio
 
@@ -32,9 +33,10 @@
     sooner than evidence can arrive through the log.
     """
 
-    __slots__ = ('_deaths',)
+    __slots__ = ('_deaths', '_tell')
 
-    def __init__(self) -> None:
+    def __init__(self, tell: Callable[[], None] = lambda: None) -> None:
+        self._tell = tell
         self._deaths: collections.OrderedDict[str, Death] = (
             collections.OrderedDict()
         )
@@ -47,6 +49,7 @@
         self._deaths[fingerprint] = Death(generation, was_alone)
         if len(self._deaths) > MAX_REMEMBERED:
             self._deaths.popitem(last=False)
+        self._tell()
 
     def list_recent(self, limit: int) -> list[tuple[str, Death]]:
         """Returns the newest deaths with their fingerprints."""
--- a/siskinmount/sidecar/_fleet_link.py
+++ b/siskinmount/sidecar/_fleet_link.py
@@ -75,6 +75,10 @@
             take_vms=self._take_vms,
         )
 
+    def tell_now(self) -> None:
+        """Sends heartbeats at once, with what has just happened."""
+        self._sender.send_now()
+
     def _take_vms(self, vms: list[platform.VmEntry]) -> None:
         """Notes whether the platform says that this VM is leaving."""
         for entry in vms:
--- a/siskinmount/sidecar/_request_runner.py
+++ b/siskinmount/sidecar/_request_runner.py
@@ -20,6 +20,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+DEFAULT_PLAIN_TIMEOUT_MS = 120_000
 MAX_RECONNECTS = 2
 MAX_SILENCES_BEFORE_FIRST_TOKEN = 6
 CANCEL_TIMEOUT_S = 2.0
@@ -37,6 +38,7 @@
     Attributes:
         reconnect_count: Streams taken up again over a new connection.
         deaths: Requests that were at the upstream when its process ended.
+        plain_timeout_ms: Bound on a plain call that states no deadline.
     """
 
     __slots__ = (
@@ -48,6 +50,7 @@
         '_plain_upstream',
         '_note_gap',
         'deaths',
+        'plain_timeout_ms',
         '_prompt_sizes',
     )
 
@@ -59,6 +62,7 @@
         monitor: _upstream_monitor.UpstreamMonitor,
         model_upstream: _upstreams.ModelUpstream,
         plain_upstream: _upstreams.PlainUpstream,
+        tell_death: Callable[[], None] = lambda: None,
         note_gap: Callable[[float, int], None],
     ) -> None:
         self.reconnect_count = 0
@@ -68,7 +72,8 @@
         self._model_upstream = model_upstream
         self._plain_upstream = plain_upstream
         self._note_gap = note_gap
-        self.deaths = _death_memory.DeathMemory()
+        self.deaths = _death_memory.DeathMemory(tell_death)
+        self.plain_timeout_ms = DEFAULT_PLAIN_TIMEOUT_MS
         self._prompt_sizes = _prompt_size.PromptSizeEstimator()
 
     async def run(self, running: _running_request.RunningRequest) -> None:
@@ -316,6 +321,12 @@
         body: _run_request.PlainBody,
     ) -> results.Failure | None:
         """Sends a plain request, once; returns why there is no answer."""
+        if running.request.deadline_ms is None:
+            # Nothing tells a slow call from one whose connection has gone
+            # silent, and a batch item comes without a deadline.
+            running.scope.deadline = (
+                trio.current_time() + self.plain_timeout_ms / 1000
+            )
         running.upstream_generation = self._monitor.generation
         failure = await self._exchange_plain(running, body)
         if failure is None:
--- a/siskinmount/sidecar/_sidecar.py
+++ b/siskinmount/sidecar/_sidecar.py
@@ -112,6 +112,7 @@
             model_upstream=self._model_upstream,
             plain_upstream=plain_upstream,
             note_gap=self.slot_controller.note_gap,
+            tell_death=self._tell_death,
         )
         self.puller = _batch_puller.BatchPuller(
             gate=gate,
@@ -186,6 +187,7 @@
         load.batch_prefill_tokens = service.batch_prefill_tokens
         self.slot_controller.max_slowdown = service.max_batch_slowdown
         self.configuration_version = configuration_version
+        self.runner.plain_timeout_ms = service.deadline_ms
         if service.kind is configuration.ServiceKind.MODEL:
             self.monitor.watch(self._model_upstream)
             self.changer.set_wanted(
@@ -274,6 +276,10 @@
                 running.stop(_running_request.StopReason.LEAVING)
         self._leaving_requested.set()
 
+    def _tell_death(self) -> None:
+        """Tells the entries at once that the upstream has died."""
+        self.fleet.tell_now()
+
     def _has_backlog(self, vm: str) -> bool:
         """Tells whether an entry had items waiting at its last heartbeat."""
         return bool(self.fleet.backlogs.get(vm))
--- a/siskinmount/sidecar/tests/test_death_memory.py
+++ b/siskinmount/sidecar/tests/test_death_memory.py
@@ -38,6 +38,16 @@
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
+    def test_tells_of_each_death_at_once(self):
+        async def main():
+            told = []
+            memory = _death_memory.DeathMemory(lambda: told.append(1))
+            memory.note('a', 1, False)
+            memory.note('b', 1, False)
+            self.assertEqual(2, len(told))
+
+        trio.run(main)
+
     def test_is_bounded(self):
         async def main():
             memory = _death_memory.DeathMemory()
