Name the clients of the product's own interface backing_services

Cause: siskinmount/platform/ is to be the one folder that speaks the users' platform; the clients of the product's own log, VM list and weight store had that name.

--- a/siskinmount/platform/_log_client.py
+++ b/siskinmount/backing_services/_log_client.py
@@ -5,8 +5,8 @@
 
 from siskinmount import results
 from siskinmount import transport
-from siskinmount.platform import _http_call
-from siskinmount.platform import _log_service
+from siskinmount.backing_services import _http_call
+from siskinmount.backing_services import _log_service
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 CONNECT_TIMEOUT_MS = 1000
--- a/siskinmount/platform/_vm_list.py
+++ b/siskinmount/backing_services/_vm_list.py
@@ -6,7 +6,7 @@
 
 from siskinmount import results
 from siskinmount import transport
-from siskinmount.platform import _http_call
+from siskinmount.backing_services import _http_call
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
--- a/siskinmount/platform/_weight_store.py
+++ b/siskinmount/backing_services/_weight_store.py
@@ -5,7 +5,7 @@
 
 from siskinmount import results
 from siskinmount import transport
-from siskinmount.platform import _http_call
+from siskinmount.backing_services import _http_call
 
 _CODE = results.ResultCode.WEIGHT_STORE_UNAVAILABLE
 
--- a/siskinmount/platform/tests/fake_log.py
+++ b/siskinmount/backing_services/tests/fake_log.py
@@ -3,12 +3,12 @@
 import trio
 import trio.lowlevel
 
-from siskinmount import platform
+from siskinmount import backing_services
 from siskinmount import results
 
 
 class FakeLog:
-    """Implements `platform.LogService`.
+    """Implements `backing_services.LogService`.
 
     Attributes:
         is_down: Every call fails and has no effect.
@@ -43,7 +43,7 @@
         if self.answers_lost > 0:
             self.answers_lost -= 1
             return _down(results.RunState.UNKNOWN)
-        return platform.Appended(offset)
+        return backing_services.Appended(offset)
 
     def append_now(self, stream, data):
         records = self._streams.setdefault(stream, [])
@@ -69,7 +69,7 @@
                 return _down(results.RunState.NOT_RUN)
         first_offset = self._first_offsets.get(stream, 1)
         if from_offset < first_offset:
-            return platform.LogExpired(first_offset)
+            return backing_services.LogExpired(first_offset)
         page = []
         size = 0
         for offset in range(from_offset, len(records) + 1):
@@ -77,14 +77,14 @@
             size += len(data)
             if len(page) >= limit or (page and size > max_bytes):
                 break
-            page.append(platform.LogRecord(offset, data))
-        return platform.LogPage(first_offset, len(records) + 1, page)
+            page.append(backing_services.LogRecord(offset, data))
+        return backing_services.LogPage(first_offset, len(records) + 1, page)
 
     async def stream_range(self, stream):
         await trio.lowlevel.checkpoint()
         if self.is_down:
             return _down(results.RunState.NOT_RUN)
-        return platform.StreamRange(
+        return backing_services.StreamRange(
             self._first_offsets.get(stream, 1),
             len(self._streams.get(stream, [])) + 1,
         )
--- a/siskinmount/platform/tests/test_clients.py
+++ b/siskinmount/backing_services/tests/test_clients.py
@@ -6,7 +6,7 @@
 import testtools
 import trio
 
-from siskinmount import platform
+from siskinmount import backing_services
 from siskinmount import results
 from siskinmount import transport
 
@@ -59,7 +59,7 @@
         ):
 
             async def check(address, heads, code=code, run_state=run_state):
-                log = platform.create_log_client(address)
+                log = backing_services.create_log_client(address)
                 outcome = await log.append('state-0', b'data')
                 self.assertEqual('POST', heads[0].method)
                 self.assertEqual('/streams/state-0/records', heads[0].path)
@@ -76,7 +76,7 @@
             listener = (await trio.open_tcp_listeners(0, host='127.0.0.1'))[0]
             port = listener.socket.getsockname()[1]
             await listener.aclose()
-            log = platform.create_log_client(
+            log = backing_services.create_log_client(
                 transport.Address('127.0.0.1', port)
             )
             for outcome in (await log.append('s', b''), await log.read('s', 1)):
@@ -100,14 +100,14 @@
         ):
 
             async def check(address, heads, expected=expected):
-                log = platform.create_log_client(address)
+                log = backing_services.create_log_client(address)
                 outcome = await log.read('s', 4)
                 if expected is None:
                     self.assertEqual(
                         results.ResultCode.LOG_UNAVAILABLE, outcome.code
                     )
                 elif isinstance(expected, int):
-                    self.assertIsInstance(outcome, platform.LogExpired)
+                    self.assertIsInstance(outcome, backing_services.LogExpired)
                     self.assertEqual(expected, outcome.first_offset)
                 else:
                     data = [record.data for record in outcome.records]
@@ -117,7 +117,7 @@
 
     def test_stream_range(self):
         async def check(address, heads):
-            log = platform.create_log_client(address)
+            log = backing_services.create_log_client(address)
             held = await log.stream_range('s')
             self.assertEqual((3, 9), (held.first_offset, held.next_offset))
 
@@ -132,14 +132,16 @@
             'state': 'leaving',
         }
         for document, expected in (
-            ({'vms': [vm]}, platform.VmState.LEAVING),
+            ({'vms': [vm]}, backing_services.VmState.LEAVING),
             ({'vms': [{**vm, 'state': 'gone'}]}, None),
             ({'vms': [{}]}, None),
             ({}, None),
         ):
 
             async def check(address, heads, expected=expected):
-                fetched = await platform.create_vm_list_client(address).fetch()
+                fetched = await backing_services.create_vm_list_client(
+                    address
+                ).fetch()
                 if expected is None:
                     self.assertEqual(
                         results.ResultCode.VM_LIST_UNAVAILABLE, fetched.code
@@ -151,7 +153,7 @@
 
     def test_busy_weight_store_says_when_to_come_back(self):
         async def check(address, heads):
-            store = platform.create_weight_store_client(address)
+            store = backing_services.create_weight_store_client(address)
             busy = await store.measure('model', 'v1')
             self.assertEqual(
                 results.ResultCode.WEIGHT_STORE_UNAVAILABLE, busy.code
--- a/siskinmount/batch/_batch_owner.py
+++ b/siskinmount/batch/_batch_owner.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from siskinmount import platform
+from siskinmount import backing_services
 from siskinmount import results
 from siskinmount import state
 from siskinmount.batch import _batch_limits
@@ -258,7 +258,7 @@
 
 def create_batch_owner(
     stream: state.StateStream,
-    log: platform.LogService,
+    log: backing_services.LogService,
     *,
     limits: _batch_limits.BatchLimits | None = None,
     weight_of: Callable[[str], int] | None = None,
--- a/siskinmount/batch/_batch_shard.py
+++ b/siskinmount/batch/_batch_shard.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from siskinmount import platform
+from siskinmount import backing_services
 from siskinmount import state
 from siskinmount.batch import _batch_limits
 from siskinmount.batch import _batch_owner
@@ -41,7 +41,7 @@
 
 def create_batch_shard(
     name: str,
-    log: platform.LogService,
+    log: backing_services.LogService,
     writer: state.Writer,
     *,
     stream_limits: state.StreamLimits | None = None,
--- a/siskinmount/batch/_owner_state.py
+++ b/siskinmount/batch/_owner_state.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from siskinmount import platform
+from siskinmount import backing_services
 from siskinmount import results
 from siskinmount import state
 from siskinmount.batch import _batch_limits
@@ -46,7 +46,7 @@
     def __init__(
         self,
         stream: state.StateStream,
-        log: platform.LogService,
+        log: backing_services.LogService,
         limits: _batch_limits.BatchLimits,
         on_ready: Callable[[], None],
     ) -> None:
--- a/siskinmount/batch/tests/batch_fixtures.py
+++ b/siskinmount/batch/tests/batch_fixtures.py
@@ -5,7 +5,7 @@
 import trio.testing
 
 from siskinmount import batch
-from siskinmount.platform.tests import seeded_run
+from siskinmount.backing_services.tests import seeded_run
 from siskinmount.state.tests import stream_fixtures
 
 NAME = 'state-0'
--- a/siskinmount/batch/tests/test_batch_owner.py
+++ b/siskinmount/batch/tests/test_batch_owner.py
@@ -5,8 +5,8 @@
 
 from siskinmount import batch
 from siskinmount import results
+from siskinmount.backing_services.tests import fake_log
 from siskinmount.batch.tests import batch_fixtures
-from siskinmount.platform.tests import fake_log
 from siskinmount.state.tests import stream_fixtures
 
 
--- a/siskinmount/batch/tests/test_batch_properties.py
+++ b/siskinmount/batch/tests/test_batch_properties.py
@@ -9,10 +9,10 @@
 
 from siskinmount import batch
 from siskinmount import results
+from siskinmount.backing_services.tests import fake_log
+from siskinmount.backing_services.tests import faulty_log
+from siskinmount.backing_services.tests import seeded_run
 from siskinmount.batch.tests import batch_fixtures
-from siskinmount.platform.tests import fake_log
-from siskinmount.platform.tests import faulty_log
-from siskinmount.platform.tests import seeded_run
 from siskinmount.state.tests import stream_fixtures
 
 ITEM_COUNT = 12
--- a/siskinmount/batch/tests/test_dispatch_order.py
+++ b/siskinmount/batch/tests/test_dispatch_order.py
@@ -3,8 +3,8 @@
 import testtools
 import trio
 
+from siskinmount.backing_services.tests import fake_log
 from siskinmount.batch.tests import batch_fixtures
-from siskinmount.platform.tests import fake_log
 from siskinmount.state.tests import stream_fixtures
 
 
--- a/siskinmount/batch/tests/test_odd_records.py
+++ b/siskinmount/batch/tests/test_odd_records.py
@@ -6,12 +6,12 @@
 import trio
 import trio.testing
 
+from siskinmount import backing_services
 from siskinmount import configuration
-from siskinmount import platform
 from siskinmount import results
 from siskinmount import state
+from siskinmount.backing_services.tests import fake_log
 from siskinmount.batch.tests import batch_fixtures
-from siskinmount.platform.tests import fake_log
 from siskinmount.state import _configuration_rules
 from siskinmount.state import _stream_names
 from siskinmount.state import records_pb2
@@ -120,7 +120,9 @@
                 carried_version=carried,
                 grammar=grammar,
             )
-            rules.take(platform.LogRecord(offset, record.SerializeToString()))
+            rules.take(
+                backing_services.LogRecord(offset, record.SerializeToString())
+            )
         self.assertEqual(0, rules.version)
 
     @hypothesis.settings(
--- a/siskinmount/commands/_burn_report.py
+++ b/siskinmount/commands/_burn_report.py
@@ -5,10 +5,10 @@
 
 import trio
 
+from siskinmount import backing_services
 from siskinmount import configuration
 from siskinmount import membership
 from siskinmount import objectives
-from siskinmount import platform
 from siskinmount import results
 from siskinmount import rpc
 from siskinmount import telemetry
@@ -183,7 +183,7 @@
     if log_address is None:
         return ArchiveState.NOT_ASKED
     archive = await objectives.read_archive(
-        platform.create_log_client(log_address)
+        backing_services.create_log_client(log_address)
     )
     if isinstance(archive, results.Failure):
         return ArchiveState.UNAVAILABLE
--- a/siskinmount/commands/_publish_command.py
+++ b/siskinmount/commands/_publish_command.py
@@ -4,8 +4,8 @@
 import orjson
 import trio
 
+from siskinmount import backing_services
 from siskinmount import configuration
-from siskinmount import platform
 from siskinmount import results
 from siskinmount import state
 from siskinmount import transport
@@ -98,7 +98,7 @@
 ) -> _Outcome:
     """Publishes and waits for the verdict."""
     stream = state.create_configuration_stream(
-        platform.create_log_client(log_address),
+        backing_services.create_log_client(log_address),
         parse_published_text,
         grammar=configuration.KNOWN_FORMAT,
         grammar_of=lambda document: document.format,
--- a/siskinmount/commands/tests/test_fleet_commands.py
+++ b/siskinmount/commands/tests/test_fleet_commands.py
@@ -5,9 +5,9 @@
 import orjson
 import testtools
 
+from siskinmount import backing_services
 from siskinmount import commands
 from siskinmount import objectives
-from siskinmount import platform
 from siskinmount import results
 from siskinmount import rpc
 from siskinmount import telemetry
@@ -247,7 +247,10 @@
                 faults_module.Faults(),
             )
             writer = objectives.create_archive_writer(
-                platform.create_log_client(log), gone.histograms, 'e1', 0
+                backing_services.create_log_client(log),
+                gone.histograms,
+                'e1',
+                0,
             )
             await writer.append_rest()
             return await self._start(nursery), log
--- a/siskinmount/entry/_entry.py
+++ b/siskinmount/entry/_entry.py
@@ -7,11 +7,11 @@
 import trio
 
 from siskinmount import admission
+from siskinmount import backing_services
 from siskinmount import batch
 from siskinmount import configuration
 from siskinmount import membership
 from siskinmount import objectives
-from siskinmount import platform
 from siskinmount import results
 from siskinmount import routing
 from siskinmount import rpc
@@ -94,7 +94,7 @@
         self.settings = settings
         self.own = _self_description.SelfDescription(identity)
         self.members = membership.create_member_table()
-        self._log = platform.create_log_client(identity.log_address)
+        self._log = backing_services.create_log_client(identity.log_address)
         self._writer = state.Writer(identity.vm, self.own.incarnation)
         self.in_force = _configuration_in_force.ConfigurationInForce(
             state.create_configuration_stream(
@@ -138,7 +138,7 @@
             identity.seeds,
         )
         self._vm_list_watcher = membership.create_vm_list_watcher(
-            platform.create_vm_list_client(identity.vm_list_address),
+            backing_services.create_vm_list_client(identity.vm_list_address),
             self.members,
             self._heartbeats,
         )
--- a/siskinmount/entry/tests/callers_harness.py
+++ b/siskinmount/entry/tests/callers_harness.py
@@ -9,13 +9,13 @@
 from siskinmount import membership
 from siskinmount import telemetry
 from siskinmount import transport
+from siskinmount.backing_services.tests import fake_log
 from siskinmount.batch.tests import batch_fixtures
 from siskinmount.entry import _batch_api
 from siskinmount.entry import _callers_api
 from siskinmount.entry import _job_access
 from siskinmount.entry import _key_access
 from siskinmount.entry.tests import scripted_sidecar
-from siskinmount.platform.tests import fake_log
 from tools import fleet
 
 CALLERS = fleet.create_callers(['swapnest', 'roadhaven'])
--- a/siskinmount/entry/tests/scripted_sidecar.py
+++ b/siskinmount/entry/tests/scripted_sidecar.py
@@ -3,9 +3,9 @@
 import orjson
 import trio
 
+from siskinmount import backing_services
 from siskinmount import configuration
 from siskinmount import membership
-from siskinmount import platform
 from siskinmount import relay
 from siskinmount import results
 from siskinmount import routing
@@ -121,7 +121,7 @@
 
 def create_access(table):
     convictions = state.create_conviction_stream(
-        platform.create_log_client(transport.Address('127.0.0.1', 1))
+        backing_services.create_log_client(transport.Address('127.0.0.1', 1))
     )
     return _TestAccess(
         routing.create_router(table),
--- a/siskinmount/entry/tests/test_peer_messages.py
+++ b/siskinmount/entry/tests/test_peer_messages.py
@@ -10,12 +10,12 @@
 from siskinmount import results
 from siskinmount import telemetry
 from siskinmount import transport
+from siskinmount.backing_services.tests import fake_log
 from siskinmount.batch.tests import batch_fixtures
 from siskinmount.entry import _batch_peers
 from siskinmount.entry import _job_peers
 from siskinmount.entry import _key_access
 from siskinmount.entry import _peers_api
-from siskinmount.platform.tests import fake_log
 
 _JOB = '0' * 32
 _LEASE = 'the lease'
--- a/siskinmount/membership/_member_table.py
+++ b/siskinmount/membership/_member_table.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from siskinmount import platform
+from siskinmount import backing_services
 from siskinmount import results
 from siskinmount.membership import _heartbeat_settings
 from siskinmount.membership import _member
@@ -151,12 +151,14 @@
         record.leaving_by_itself = True
         self._conclude(vm)
 
-    def apply_vm_list(self, vms: list[platform.VmEntry]) -> None:
+    def apply_vm_list(self, vms: list[backing_services.VmEntry]) -> None:
         """Takes note of the platform's list, the slow second source."""
         listed_vms = {entry.vm for entry in vms}
         # Kept for members that become known only after this.
         self._leaving_vms = {
-            entry.vm for entry in vms if entry.state is platform.VmState.LEAVING
+            entry.vm
+            for entry in vms
+            if entry.state is backing_services.VmState.LEAVING
         }
         for vm, record in list(self._records.items()):
             record.leaving_by_vm_list = vm in self._leaving_vms
--- a/siskinmount/membership/_vm_list_watcher.py
+++ b/siskinmount/membership/_vm_list_watcher.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from siskinmount import platform
+from siskinmount import backing_services
 from siskinmount import results
 from siskinmount import transport
 from siskinmount.membership import _heartbeat_sender
@@ -15,7 +15,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-TakeVms = Callable[[list[platform.VmEntry]], None]
+TakeVms = Callable[[list[backing_services.VmEntry]], None]
 
 
 class VmListWatcher:
@@ -25,7 +25,7 @@
 
     def __init__(
         self,
-        source: platform.VmList,
+        source: backing_services.VmList,
         table: _member_table.MemberTable,
         sender: _heartbeat_sender.HeartbeatSender,
         settings: _heartbeat_settings.HeartbeatSettings,
@@ -68,7 +68,7 @@
 
 
 def create_vm_list_watcher(
-    source: platform.VmList,
+    source: backing_services.VmList,
     table: _member_table.MemberTable,
     sender: _heartbeat_sender.HeartbeatSender,
     settings: _heartbeat_settings.HeartbeatSettings | None = None,
--- a/siskinmount/membership/tests/test_member_table.py
+++ b/siskinmount/membership/tests/test_member_table.py
@@ -4,8 +4,8 @@
 from hypothesis import strategies
 import testtools
 
+from siskinmount import backing_services
 from siskinmount import membership
-from siskinmount import platform
 from siskinmount import results
 from siskinmount.membership.tests import sample_members
 
@@ -98,14 +98,16 @@
     def test_vm_list_makes_leaving_and_takes_it_back(self):
         self.table.apply_heartbeat(sample_members.create_member('s1'))
         for listed_state, expected in (
-            (platform.VmState.LEAVING, LEAVING),
-            (platform.VmState.LIVE, LIVE),
+            (backing_services.VmState.LEAVING, LEAVING),
+            (backing_services.VmState.LIVE, LIVE),
         ):
             self.table.apply_vm_list([self.list_vm('s1', listed_state)])
             self.assertIs(expected, self.state_of('s1'))
 
     def test_vm_list_holds_for_members_that_become_known_later(self):
-        self.table.apply_vm_list([self.list_vm('s1', platform.VmState.LEAVING)])
+        self.table.apply_vm_list(
+            [self.list_vm('s1', backing_services.VmState.LEAVING)]
+        )
         self.table.apply_heartbeat(sample_members.create_member('s1'))
         self.assertIs(LEAVING, self.state_of('s1'))
 
@@ -168,7 +170,7 @@
         self.assertEqual(set(vms), named)
 
     def list_vm(self, vm, state):
-        return platform.VmEntry(
+        return backing_services.VmEntry(
             vm=vm,
             role='sidecar',
             peers_address='127.0.0.1:1',
--- a/siskinmount/membership/tests/test_vm_list_watcher.py
+++ b/siskinmount/membership/tests/test_vm_list_watcher.py
@@ -4,8 +4,8 @@
 import trio
 import trio.testing
 
+from siskinmount import backing_services
 from siskinmount import membership
-from siskinmount import platform
 from siskinmount import results
 from siskinmount.membership.tests import sample_members
 
@@ -25,8 +25,10 @@
         return sample_members.create_member('e9')
 
 
-def _list_vm(vm, role, state=platform.VmState.LIVE, address='127.0.0.1:9'):
-    return platform.VmEntry(
+def _list_vm(
+    vm, role, state=backing_services.VmState.LIVE, address='127.0.0.1:9'
+):
+    return backing_services.VmEntry(
         vm=vm,
         role=role,
         peers_address='127.0.0.1:8',
@@ -49,7 +51,9 @@
                     [
                         _list_vm('e1', 'entry'),
                         _list_vm('e2', 'entry', address='nowhere'),
-                        _list_vm('s1', 'sidecar', platform.VmState.LEAVING),
+                        _list_vm(
+                            's1', 'sidecar', backing_services.VmState.LEAVING
+                        ),
                     ],
                 ]
             )
--- a/siskinmount/objectives/_archive_reader.py
+++ b/siskinmount/objectives/_archive_reader.py
@@ -1,6 +1,6 @@
 """Reads what entries that are gone have measured."""
 
-from siskinmount import platform
+from siskinmount import backing_services
 from siskinmount import results
 from siskinmount import telemetry
 from siskinmount.objectives import _archive_record
@@ -57,7 +57,9 @@
         return found
 
 
-async def read_archive(log: platform.LogService) -> Archive | results.Failure:
+async def read_archive(
+    log: backing_services.LogService,
+) -> Archive | results.Failure:
     """Reads all records that the log holds now."""
     stream = _archive_record.ARCHIVE_STREAM
     held = await log.stream_range(stream)
@@ -69,7 +71,7 @@
         page = await log.read(stream, offset, max_bytes=_PAGE_BYTES)
         if isinstance(page, results.Failure):
             return page
-        if isinstance(page, platform.LogExpired):
+        if isinstance(page, backing_services.LogExpired):
             offset = page.first_offset
             continue
         if not page.records:
--- a/siskinmount/objectives/_archive_writer.py
+++ b/siskinmount/objectives/_archive_writer.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from siskinmount import platform
+from siskinmount import backing_services
 from siskinmount import results
 from siskinmount import telemetry
 from siskinmount.objectives import _archive_record
@@ -40,7 +40,7 @@
 
     def __init__(
         self,
-        log: platform.LogService,
+        log: backing_services.LogService,
         histograms: telemetry.Histograms,
         vm: str,
         incarnation: int,
@@ -122,7 +122,7 @@
 
 
 def create_archive_writer(
-    log: platform.LogService,
+    log: backing_services.LogService,
     histograms: telemetry.Histograms,
     vm: str,
     incarnation: int,
--- a/siskinmount/objectives/tests/test_archive.py
+++ b/siskinmount/objectives/tests/test_archive.py
@@ -5,7 +5,7 @@
 from siskinmount import objectives
 from siskinmount import results
 from siskinmount import telemetry
-from siskinmount.platform.tests import fake_log
+from siskinmount.backing_services.tests import fake_log
 from siskinmount.telemetry.tests import manual_clock
 
 
--- a/siskinmount/sidecar/_change_permits.py
+++ b/siskinmount/sidecar/_change_permits.py
@@ -14,7 +14,7 @@
 import orjson
 import trio
 
-from siskinmount import platform
+from siskinmount import backing_services
 from siskinmount import results
 
 _LOGGER = logging.getLogger(__name__)
@@ -97,8 +97,8 @@
     def __init__(
         self,
         *,
-        log: platform.LogService,
-        vm_list: platform.VmList,
+        log: backing_services.LogService,
+        vm_list: backing_services.VmList,
         service: str,
         vm: str,
         incarnation: int,
@@ -223,7 +223,7 @@
         )
         if isinstance(page, results.Failure):
             return page
-        if isinstance(page, platform.LogExpired):
+        if isinstance(page, backing_services.LogExpired):
             self._next_offset = page.first_offset
             return False
         for record in page.records:
@@ -231,7 +231,7 @@
             self._apply(record)
         return self._next_offset >= page.next_offset
 
-    def _apply(self, record: platform.LogRecord) -> None:
+    def _apply(self, record: backing_services.LogRecord) -> None:
         """Takes one record in."""
         try:
             document = orjson.loads(record.data)
@@ -272,8 +272,8 @@
 
 def create_log_change_permits(
     *,
-    log: platform.LogService,
-    vm_list: platform.VmList,
+    log: backing_services.LogService,
+    vm_list: backing_services.VmList,
     service: str,
     vm: str,
     incarnation: int,
--- a/siskinmount/sidecar/_fleet_link.py
+++ b/siskinmount/sidecar/_fleet_link.py
@@ -5,9 +5,9 @@
 
 import orjson
 
+from siskinmount import backing_services
 from siskinmount import configuration
 from siskinmount import membership
-from siskinmount import platform
 from siskinmount import results
 from siskinmount import rpc
 from siskinmount import supervision
@@ -69,7 +69,7 @@
             self.members, self, identity.seeds
         )
         self._watcher = membership.create_vm_list_watcher(
-            platform.create_vm_list_client(identity.vm_list_address),
+            backing_services.create_vm_list_client(identity.vm_list_address),
             self.members,
             self._sender,
             take_vms=self._take_vms,
@@ -79,11 +79,13 @@
         """Sends heartbeats at once, with what has just happened."""
         self._sender.send_now()
 
-    def _take_vms(self, vms: list[platform.VmEntry]) -> None:
+    def _take_vms(self, vms: list[backing_services.VmEntry]) -> None:
         """Notes whether the platform says that this VM is leaving."""
         for entry in vms:
             if entry.vm == self._vm:
-                self._note_listed(entry.state is platform.VmState.LEAVING)
+                self._note_listed(
+                    entry.state is backing_services.VmState.LEAVING
+                )
 
     def list_children(self) -> list[supervision.Child]:
         """Returns the long-running parts."""
--- a/siskinmount/sidecar/_sidecar.py
+++ b/siskinmount/sidecar/_sidecar.py
@@ -8,9 +8,9 @@
 
 import trio
 
+from siskinmount import backing_services
 from siskinmount import configuration
 from siskinmount import membership
-from siskinmount import platform
 from siskinmount import relay
 from siskinmount import results
 from siskinmount import rpc
@@ -133,8 +133,10 @@
                 settings.upstream_address
             ),
             permits=_change_permits.create_log_change_permits(
-                log=platform.create_log_client(settings.identity.log_address),
-                vm_list=platform.create_vm_list_client(
+                log=backing_services.create_log_client(
+                    settings.identity.log_address
+                ),
+                vm_list=backing_services.create_vm_list_client(
                     settings.identity.vm_list_address
                 ),
                 service=settings.service,
--- a/siskinmount/sidecar/tests/test_orders.py
+++ b/siskinmount/sidecar/tests/test_orders.py
@@ -4,9 +4,9 @@
 import trio
 import trio.testing
 
-from siskinmount import platform
+from siskinmount import backing_services
 from siskinmount import results
-from siskinmount.platform.tests import fake_log
+from siskinmount.backing_services.tests import fake_log
 from siskinmount.sidecar import _change_permits
 from siskinmount.sidecar import _engine_orders
 from siskinmount.sidecar import _model_changer
@@ -20,7 +20,7 @@
 
     async def fetch(self):
         return [
-            platform.VmEntry(
+            backing_services.VmEntry(
                 vm=vm,
                 role='sidecar',
                 peers_address='127.0.0.1:1',
--- a/siskinmount/state/_bootstrap.py
+++ b/siskinmount/state/_bootstrap.py
@@ -2,7 +2,7 @@
 
 from google.protobuf import message
 
-from siskinmount import platform
+from siskinmount import backing_services
 from siskinmount import results
 from siskinmount.state import records_pb2
 
@@ -26,7 +26,7 @@
 
 
 async def find_replay_start(
-    log: platform.LogService, stream: str
+    log: backing_services.LogService, stream: str
 ) -> ReplayStart | results.Failure:
     """Finds the newest complete snapshot that the log still holds.
 
@@ -58,7 +58,10 @@
 
 
 async def _newest_anchor(
-    log: platform.LogService, stream: str, from_offset: int, first_offset: int
+    log: backing_services.LogService,
+    stream: str,
+    from_offset: int,
+    first_offset: int,
 ) -> records_pb2.Anchor | None | results.Failure:
     """Returns the newest anchor held that records from an offset on name."""
     newest: records_pb2.Anchor | None = None
@@ -67,7 +70,7 @@
         page = await log.read(stream, offset)
         if isinstance(page, results.Failure):
             return page
-        if isinstance(page, platform.LogExpired):
+        if isinstance(page, backing_services.LogExpired):
             offset = first_offset = page.first_offset
             newest = None
             continue
@@ -82,7 +85,7 @@
             return newest
 
 
-def _anchor_of(record: platform.LogRecord) -> records_pb2.Anchor | None:
+def _anchor_of(record: backing_services.LogRecord) -> records_pb2.Anchor | None:
     """Returns the anchor that a record names, if any."""
     envelope = records_pb2.Envelope()
     try:
--- a/siskinmount/state/_configuration_rules.py
+++ b/siskinmount/state/_configuration_rules.py
@@ -5,7 +5,7 @@
 
 from google.protobuf import message
 
-from siskinmount import platform
+from siskinmount import backing_services
 from siskinmount import results
 from siskinmount.state import records_pb2
 
@@ -120,7 +120,7 @@
         return 0 if self.in_force is None else self.in_force.version
 
     def take(
-        self, log_record: platform.LogRecord
+        self, log_record: backing_services.LogRecord
     ) -> tuple[records_pb2.ConfigurationRecord, PublicationVerdict]:
         """Judges one record."""
         if log_record.offset == 1:
--- a/siskinmount/state/_configuration_stream.py
+++ b/siskinmount/state/_configuration_stream.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from siskinmount import platform
+from siskinmount import backing_services
 from siskinmount import results
 from siskinmount.state import _backoff
 from siskinmount.state import _configuration_rules
@@ -71,7 +71,7 @@
         self.rules = rules
         self.outcome: Accepted | Lost | results.Failure | None = None
 
-    def take(self, log_record: platform.LogRecord) -> None:
+    def take(self, log_record: backing_services.LogRecord) -> None:
         """Judges one record of the stream."""
         record, verdict = self.rules.take(log_record)
         if self.outcome is not None or record.publication != self.publication:
@@ -109,7 +109,7 @@
 
     def __init__(
         self,
-        log: platform.LogService,
+        log: backing_services.LogService,
         parse: _configuration_rules.Parse,
         grammar: int,
         grammar_of: Callable[[Any], int],
@@ -214,7 +214,7 @@
             self._parse, self._grammar
         )
 
-    def _take(self, log_record: platform.LogRecord) -> None:
+    def _take(self, log_record: backing_services.LogRecord) -> None:
         """Judges one record and wakes those who wait for a version."""
         before = self._rules.version
         _, verdict = self._rules.take(log_record)
@@ -287,7 +287,7 @@
 
     def __init__(
         self,
-        log: platform.LogService,
+        log: backing_services.LogService,
         publication: _Publication,
         record: records_pb2.ConfigurationRecord,
     ) -> None:
@@ -308,7 +308,7 @@
             answer = await self._log.append(
                 _stream_names.CONFIGURATION_STREAM, data
             )
-            if isinstance(answer, platform.Appended):
+            if isinstance(answer, backing_services.Appended):
                 self._is_sent = True
                 break
             if answer.run_state is not results.RunState.NOT_RUN:
@@ -364,7 +364,7 @@
 
 
 def create_configuration_stream(
-    log: platform.LogService,
+    log: backing_services.LogService,
     parse: _configuration_rules.Parse,
     *,
     grammar: int = 1,
--- a/siskinmount/state/_conviction_stream.py
+++ b/siskinmount/state/_conviction_stream.py
@@ -5,7 +5,7 @@
 from google.protobuf import message
 import trio
 
-from siskinmount import platform
+from siskinmount import backing_services
 from siskinmount import results
 from siskinmount.state import _backoff
 from siskinmount.state import _log_tail
@@ -46,7 +46,7 @@
 
     def __init__(
         self,
-        log: platform.LogService,
+        log: backing_services.LogService,
         expiry_ms: int,
         clock_ms: Callable[[], int],
     ) -> None:
@@ -155,7 +155,7 @@
         deaths = self._deaths.get(fingerprint, {})
         return [death for death in deaths.values() if death.at_ms > limit_ms]
 
-    def _take(self, log_record: platform.LogRecord) -> None:
+    def _take(self, log_record: backing_services.LogRecord) -> None:
         """Takes one record of the stream."""
         death = records_pb2.UpstreamDeath()
         try:
@@ -223,7 +223,7 @@
 
 
 def create_conviction_stream(
-    log: platform.LogService,
+    log: backing_services.LogService,
     *,
     expiry_ms: int = DEFAULT_EXPIRY_MS,
     clock_ms: Callable[[], int] = _state_stream.wall_clock_ms,
--- a/siskinmount/state/_log_tail.py
+++ b/siskinmount/state/_log_tail.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from siskinmount import platform
+from siskinmount import backing_services
 from siskinmount import results
 from siskinmount.state import _backoff
 
@@ -22,7 +22,7 @@
 
     __slots__ = ('next_offset', 'ageing_below', 'is_at_tail', '_log', '_stream')
 
-    def __init__(self, log: platform.LogService, stream: str) -> None:
+    def __init__(self, log: backing_services.LogService, stream: str) -> None:
         self.next_offset = 1
         self.ageing_below = 0
         self.is_at_tail = False
@@ -30,7 +30,7 @@
         self._stream = stream
 
     async def read_once(
-        self, take: Callable[[platform.LogRecord], None], wait_ms: int
+        self, take: Callable[[backing_services.LogRecord], None], wait_ms: int
     ) -> results.Failure | None:
         """Passes on the records of one read; skips those that expired."""
         page = await self._log.read(
@@ -38,10 +38,10 @@
         )
         if isinstance(page, results.Failure):
             return page
-        if isinstance(page, platform.LogExpired):
+        if isinstance(page, backing_services.LogExpired):
             self.next_offset = max(page.first_offset, self.next_offset + 1)
             return None
-        self.ageing_below = platform.ageing_below(
+        self.ageing_below = backing_services.ageing_below(
             page.first_offset, page.next_offset
         )
         for record in page.records:
@@ -50,7 +50,9 @@
         self.is_at_tail = self.next_offset >= page.next_offset
         return None
 
-    async def follow(self, take: Callable[[platform.LogRecord], None]) -> None:
+    async def follow(
+        self, take: Callable[[backing_services.LogRecord], None]
+    ) -> None:
         """Passes on all records for ever."""
         backoff = _backoff.Backoff(FIRST_BACKOFF_MS, MAX_BACKOFF_MS)
         while True:
--- a/siskinmount/state/_record_reader.py
+++ b/siskinmount/state/_record_reader.py
@@ -4,7 +4,7 @@
 
 from google.protobuf import message
 
-from siskinmount import platform
+from siskinmount import backing_services
 from siskinmount import results
 from siskinmount.state import records_pb2
 
@@ -16,7 +16,7 @@
 
     __slots__ = ('_log', '_stream', '_groups', '_sizes', '_cached_bytes')
 
-    def __init__(self, log: platform.LogService, stream: str) -> None:
+    def __init__(self, log: backing_services.LogService, stream: str) -> None:
         self._log = log
         self._stream = stream
         self._groups: collections.OrderedDict[int, records_pb2.Group] = (
@@ -34,7 +34,7 @@
         page = await self._log.read(self._stream, offset, limit=1)
         if isinstance(page, results.Failure):
             return page
-        if isinstance(page, platform.LogExpired) or not page.records:
+        if isinstance(page, backing_services.LogExpired) or not page.records:
             return results.Failure(
                 results.ResultCode.LOG_RECORD_EXPIRED,
                 f'the log no longer holds record {offset} of {self._stream}',
--- a/siskinmount/state/_replay.py
+++ b/siskinmount/state/_replay.py
@@ -4,7 +4,7 @@
 
 from google.protobuf import message
 
-from siskinmount import platform
+from siskinmount import backing_services
 from siskinmount import results
 from siskinmount.state import _age_marks
 from siskinmount.state import _epoch_filter
@@ -86,7 +86,7 @@
         self.next_offset = first_offset
 
     def take(
-        self, record: platform.LogRecord
+        self, record: backing_services.LogRecord
     ) -> _epoch_filter.Verdict | results.Failure:
         """Applies one record of the log, the next by offset."""
         self.next_offset = record.offset + 1
--- a/siskinmount/state/_state_stream.py
+++ b/siskinmount/state/_state_stream.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from siskinmount import platform
+from siskinmount import backing_services
 from siskinmount import results
 from siskinmount.state import _age_marks
 from siskinmount.state import _backoff
@@ -87,7 +87,7 @@
     def __init__(
         self,
         name: str,
-        log: platform.LogService,
+        log: backing_services.LogService,
         writer: _writer.Writer,
         limits: _stream_limits.StreamLimits,
         is_live: Callable[[str], bool],
@@ -283,7 +283,7 @@
             if isinstance(page, results.Failure):
                 await backoff.pause(page.retry_after_ms)
                 continue
-            if isinstance(page, platform.LogExpired):
+            if isinstance(page, backing_services.LogExpired):
                 self._finish(TenureEnd.GAP)
                 break
             backoff.reset()
@@ -298,9 +298,9 @@
             self._notify()
         scope.cancel()
 
-    def _note_held(self, page: platform.LogPage) -> None:
+    def _note_held(self, page: backing_services.LogPage) -> None:
         """Notes which records the log will drop soonest."""
-        self.ageing_below = platform.ageing_below(
+        self.ageing_below = backing_services.ageing_below(
             page.first_offset, page.next_offset
         )
         if self.limits.retention_records:
@@ -344,7 +344,7 @@
         )
         raise AssertionError(f'{self.name}: no end of the snapshot')
 
-    def _take(self, record: platform.LogRecord) -> None:
+    def _take(self, record: backing_services.LogRecord) -> None:
         """Applies one record and notes what it means for the tenure."""
         verdict = self._replay.take(record)
         epoch_filter = self._replay.filter
@@ -505,7 +505,7 @@
         backoff = self._new_backoff()
         while True:
             answer = await self._log.append(self.name, data)
-            if isinstance(answer, platform.Appended):
+            if isinstance(answer, backing_services.Appended):
                 self._is_log_failing = False
                 await self._wait_read(answer.offset)
                 return None
@@ -532,7 +532,7 @@
 
 def create_state_stream(
     name: str,
-    log: platform.LogService,
+    log: backing_services.LogService,
     writer: _writer.Writer,
     limits: _stream_limits.StreamLimits | None = None,
     is_live: Callable[[str], bool] | None = None,
--- a/siskinmount/state/tests/test_configuration_stream.py
+++ b/siskinmount/state/tests/test_configuration_stream.py
@@ -8,12 +8,12 @@
 import trio
 import trio.testing
 
-from siskinmount import platform
+from siskinmount import backing_services
 from siskinmount import results
 from siskinmount import state
-from siskinmount.platform.tests import fake_log
-from siskinmount.platform.tests import faulty_log
-from siskinmount.platform.tests import seeded_run
+from siskinmount.backing_services.tests import fake_log
+from siskinmount.backing_services.tests import faulty_log
+from siskinmount.backing_services.tests import seeded_run
 from siskinmount.state import _configuration_rules
 from siskinmount.state import records_pb2
 from siskinmount.state.tests import stream_fixtures
@@ -41,7 +41,7 @@
         text=text.encode(),
         carried_version=carried,
     )
-    return platform.LogRecord(offset, record.SerializeToString())
+    return backing_services.LogRecord(offset, record.SerializeToString())
 
 
 class ConfigurationStreamTest(testtools.TestCase):
@@ -226,7 +226,7 @@
                         for version in versions
                     )
             elif action == 'copy' and records:
-                record = platform.LogRecord(offset, records[-1].data)
+                record = backing_services.LogRecord(offset, records[-1].data)
             else:
                 base = max(0, full.version - lag)
                 record = _record(offset, base, f'{action} {offset}')
@@ -277,7 +277,7 @@
             nursery.cancel_scope.cancel()
         rules = _configuration_rules.ConfigurationRules(parse, 1)
         for offset, data in enumerate(self.log.records('config'), start=1):
-            rules.take(platform.LogRecord(offset, data))
+            rules.take(backing_services.LogRecord(offset, data))
             self.all_versions.add(rules.version)
 
     async def follow(self, configuration):
--- a/siskinmount/state/tests/test_conviction_stream.py
+++ b/siskinmount/state/tests/test_conviction_stream.py
@@ -5,7 +5,7 @@
 import trio.testing
 
 from siskinmount import state
-from siskinmount.platform.tests import fake_log
+from siskinmount.backing_services.tests import fake_log
 from siskinmount.state.tests import stream_fixtures
 
 
--- a/siskinmount/state/tests/test_ownership_manager.py
+++ b/siskinmount/state/tests/test_ownership_manager.py
@@ -6,7 +6,7 @@
 
 from siskinmount import results
 from siskinmount import state
-from siskinmount.platform.tests import fake_log
+from siskinmount.backing_services.tests import fake_log
 from siskinmount.state.tests import stream_fixtures
 
 STREAMS = state.state_stream_names(6)
--- a/siskinmount/state/tests/test_replay.py
+++ b/siskinmount/state/tests/test_replay.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies
 import testtools
 
-from siskinmount import platform
+from siskinmount import backing_services
 from siskinmount.state import _age_marks
 from siskinmount.state import _replay
 from siskinmount.state import _snapshot_writer
@@ -93,7 +93,7 @@
 
     def take(self, data):
         self.records.append(data)
-        self.replay.take(platform.LogRecord(len(self.records), data))
+        self.replay.take(backing_services.LogRecord(len(self.records), data))
         anchor = records_pb2.Anchor.FromString(
             self.replay.anchor.SerializeToString()
         )
@@ -126,7 +126,9 @@
             replay, texts = _new_replay()
             replay.start_from(anchor)
             for offset in range(anchor.replay_offset, len(builder.records) + 1):
-                record = platform.LogRecord(offset, builder.records[offset - 1])
+                record = backing_services.LogRecord(
+                    offset, builder.records[offset - 1]
+                )
                 replay.take(record)
             self.assertFalse(replay.is_restoring)
             self.assertEqual(builder.texts.texts, texts.texts)
--- a/siskinmount/state/tests/test_state_stream.py
+++ b/siskinmount/state/tests/test_state_stream.py
@@ -6,7 +6,7 @@
 
 from siskinmount import results
 from siskinmount import state
-from siskinmount.platform.tests import fake_log
+from siskinmount.backing_services.tests import fake_log
 from siskinmount.state import records_pb2
 from siskinmount.state.tests import stream_fixtures
 
--- a/siskinmount/state/tests/test_state_stream_properties.py
+++ b/siskinmount/state/tests/test_state_stream_properties.py
@@ -10,9 +10,9 @@
 
 from siskinmount import results
 from siskinmount import state
-from siskinmount.platform.tests import fake_log
-from siskinmount.platform.tests import faulty_log
-from siskinmount.platform.tests import seeded_run
+from siskinmount.backing_services.tests import fake_log
+from siskinmount.backing_services.tests import faulty_log
+from siskinmount.backing_services.tests import seeded_run
 from siskinmount.state import records_pb2
 from siskinmount.state.tests import stream_fixtures
 
--- a/tools/chaos/_publisher.py
+++ b/tools/chaos/_publisher.py
@@ -4,8 +4,8 @@
 
 import trio
 
+from siskinmount import backing_services
 from siskinmount import configuration
-from siskinmount import platform
 from siskinmount import results
 from siskinmount import state
 from siskinmount import transport
@@ -45,7 +45,7 @@
     async def _publish(self, name: str, base_version: int) -> None:
         text = f'{self._text}\n# edit {self._count} by {name}\n'
         stream = state.create_configuration_stream(
-            platform.create_log_client(self._log_address), _parse
+            backing_services.create_log_client(self._log_address), _parse
         )
         outcome = await stream.publish(text, base_version, name)
         if isinstance(outcome, state.Accepted):
--- a/tools/fleet/_publishing.py
+++ b/tools/fleet/_publishing.py
@@ -1,7 +1,7 @@
 """Publishes documents to a fleet."""
 
+from siskinmount import backing_services
 from siskinmount import configuration
-from siskinmount import platform
 from siskinmount import results
 from siskinmount import state
 from siskinmount import transport
@@ -16,7 +16,7 @@
         RuntimeError: It was not accepted.
     """
     stream = state.create_configuration_stream(
-        platform.create_log_client(log_address), _parse
+        backing_services.create_log_client(log_address), _parse
     )
     outcome = await stream.publish(text, base_version, 'fleet-tool')
     if isinstance(outcome, state.Accepted):
--- a/tools/slopes/_fleet_usage.py
+++ b/tools/slopes/_fleet_usage.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from siskinmount import platform
+from siskinmount import backing_services
 from standins import processes
 
 READ_RECORDS = 1000
@@ -29,7 +29,7 @@
 
     __slots__ = ('_log', '_stream', '_next_offset')
 
-    def __init__(self, log: platform.LogService, stream: str) -> None:
+    def __init__(self, log: backing_services.LogService, stream: str) -> None:
         self._log = log
         self._stream = stream
         self._next_offset = 1
@@ -49,7 +49,7 @@
                 max_bytes=READ_BYTES,
                 wait_ms=0,
             )
-            if not isinstance(page, platform.LogPage):
+            if not isinstance(page, backing_services.LogPage):
                 raise RuntimeError(repr(page))
             if not page.records:
                 return usage
--- a/tools/slopes/entry_slopes.py
+++ b/tools/slopes/entry_slopes.py
@@ -16,9 +16,9 @@
 import orjson
 import trio
 
+from siskinmount import backing_services
 from siskinmount import configuration
 from siskinmount import membership
-from siskinmount import platform
 from siskinmount import transport
 from tools import fleet
 from tools.slopes import _entry_calls
@@ -71,7 +71,8 @@
         self._calls = _entry_calls.EntryCalls(entry.callers_address, callers[0])
         self._cost = _fleet_usage.ProcessCost(running.group.processes[entry.vm])
         self._log = _fleet_usage.StreamCounter(
-            platform.create_log_client(running.plan.log_address), STATE_STREAM
+            backing_services.create_log_client(running.plan.log_address),
+            STATE_STREAM,
         )
         self._version = 0
 
--- a/tools/slopes/state_slopes.py
+++ b/tools/slopes/state_slopes.py
@@ -16,7 +16,7 @@
 from siskinmount import batch
 from siskinmount import results
 from siskinmount import state
-from siskinmount.platform.tests import fake_log
+from siskinmount.backing_services.tests import fake_log
 
 _ITEMS = flags.DEFINE_integer('items', 50_000, 'Items of the measured job.')
 _SIDECARS = flags.DEFINE_integer('sidecars', 8, 'Sidecars that pull at once.')
--- a/tools/tests/test_import_direction.py
+++ b/tools/tests/test_import_direction.py
@@ -12,7 +12,7 @@
 _LAYERS = (
     ('results',),
     ('supervision', 'transport', 'telemetry'),
-    ('relay', 'configuration', 'platform', 'rpc'),
+    ('relay', 'configuration', 'backing_services', 'rpc'),
     ('membership', 'state', 'objectives'),
     ('routing', 'admission', 'batch'),
     ('sidecar', 'entry'),
