--- a/siskinmount/jobs/_item_scheduler.py
+++ b/siskinmount/jobs/_item_scheduler.py
@@ -21,7 +21,7 @@
 
 def make_tag(job_id: str, item_id: str) -> str:
     """Returns a short name of an item for messages between members."""
-    return xxhash.xxh64_hexdigest(f'{job_id}/{item_id}')
+    return xxhash.xxh64_hexdigest(f'{job_id}/{item_id}'.encode())
 
 
 class ItemProgress:
@@ -150,7 +150,7 @@
     best = ''
     best_hash = -1
     for member in members:
-        value = xxhash.xxh64_intdigest(f'{tag}/{member}')
+        value = xxhash.xxh64_intdigest(f'{tag}/{member}'.encode())
         if value > best_hash:
             best = member
             best_hash = value
--- a/siskinmount/placement/_placer.py
+++ b/siskinmount/placement/_placer.py
@@ -175,7 +175,9 @@
     best = upstreams[0]
     best_hash = -1
     for upstream in upstreams:
-        value = xxhash.xxh64_intdigest(f'{affinity_key}/{upstream.upstream_id}')
+        value = xxhash.xxh64_intdigest(
+            f'{affinity_key}/{upstream.upstream_id}'.encode()
+        )
         if value > best_hash:
             best = upstream
             best_hash = value
--- a/tools/binary/binary_start.py
+++ b/tools/binary/binary_start.py
@@ -125,9 +125,7 @@
         return [named]
     with open(_MOUNTS_PATH, encoding='utf-8', errors='replace') as file:
         mounts = [line.split() for line in file]
-    mounted = [
-        mount[1] for mount in mounts if mount[2] in _MEMORY_FILE_SYSTEMS
-    ]
+    mounted = [mount[1] for mount in mounts if mount[2] in _MEMORY_FILE_SYSTEMS]
     return [
         directory
         for directory in mounted + _USUAL_DIRECTORIES
