--- a/siskinmount/fleet/_document.py
+++ b/siskinmount/fleet/_document.py
@@ -1,6 +1,7 @@
 """Routes, services and limits that are in force for callers of the fleet."""
 
 import enum
+import random
 
 
 class RouteKind(enum.Enum):
@@ -104,6 +105,13 @@
         self.retention_s = retention_s
         self.max_waiting_tokens = max_waiting_tokens
 
+    def draw_service(self) -> str:
+        """Returns one of its services, drawn by weight."""
+        if len(self.shares) == 1:
+            return self.shares[0].service
+        weights = [share.weight for share in self.shares]
+        return random.choices(self.shares, weights=weights)[0].service
+
     def may_repeat(self) -> bool:
         """Returns whether a request may run more than once."""
         if self.kind is RouteKind.IDEMPOTENT:
--- a/siskinmount/gateway/__init__.py
+++ b/siskinmount/gateway/__init__.py
@@ -3,6 +3,7 @@
 Public API:
     create_gateway(settings, ...): The daemon.
     OutsideServices: What it needs of the platform that it runs on.
+    ProcessSignals: Protocol of how it is told to stop.
     Wire, CallerRequest, JobCall, JobCallKind, AnswerKind: Its callers' and
         upstreams' forms, which an adapter implements.
 """
@@ -10,6 +11,7 @@
 from siskinmount.gateway._gateway import create_gateway
 from siskinmount.gateway._gateway import Gateway
 from siskinmount.gateway._gateway import OutsideServices
+from siskinmount.gateway._gateway import ProcessSignals
 from siskinmount.gateway._wire import AnswerKind
 from siskinmount.gateway._wire import CallerRequest
 from siskinmount.gateway._wire import JobCall
--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -4,6 +4,7 @@
 import logging
 import signal
 import time
+from typing import Protocol
 
 import orjson
 import trio
@@ -91,6 +92,37 @@
         self.decode_upstream = decode_upstream
 
 
+class ProcessSignals(Protocol):
+    """How a process is told to stop and to read its settings again."""
+
+    async def wait_stop(self) -> None:
+        """Returns once the process is to stop."""
+        ...
+
+    async def watch_reload(self, reload_settings: Callable[[], None]) -> None:
+        """Calls a function each time that the settings have changed."""
+        ...
+
+
+class _SystemSignals:
+    """Implements `ProcessSignals` by signals of the operating system."""
+
+    __slots__ = ()
+
+    async def wait_stop(self) -> None:
+        """Returns at SIGTERM or SIGINT."""
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as stops:
+            async for number in stops:
+                _LOGGER.info('stop_asked', extra={'signal': number})
+                return
+
+    async def watch_reload(self, reload_settings: Callable[[], None]) -> None:
+        """Calls a function at each SIGHUP."""
+        with trio.open_signal_receiver(signal.SIGHUP) as signals:
+            async for _ in signals:
+                reload_settings()
+
+
 class Gateway:
     """One gateway process."""
 
@@ -99,6 +131,7 @@
         '_reload_settings',
         '_outside',
         '_log_handler',
+        '_signals',
         '_incarnation',
         '_is_leaving',
         '_view',
@@ -128,11 +161,13 @@
         outside: OutsideServices,
         metrics: telemetry.Metrics,
         log_handler: telemetry.BoundedHandler | None,
+        signals: ProcessSignals,
     ) -> None:
         self._settings = settings
         self._reload_settings = reload_settings
         self._outside = outside
         self._log_handler = log_handler
+        self._signals = signals
         self._incarnation = time.time_ns() // 1_000_000
         self._is_leaving = False
         self._view = fleet.create_fleet_view(
@@ -236,7 +271,9 @@
         self._view.add_listener(self._take_limits)
         self._view.watch_store(self._get_store_lost_age_s)
 
-    async def run(self) -> None:
+    async def run(
+        self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
+    ) -> None:
         """Serves until the planned stop is over."""
         _LOGGER.info(
             'daemon_started',
@@ -264,17 +301,12 @@
             for server, address in self._servers:
                 await nursery.start(server.run, address)
             nursery.start_soon(supervision.run_supervisor, 'gateway', children)
-            await self._wait_stop()
+            task_status.started()
+            await self._signals.wait_stop()
             await self._leave()
             nursery.cancel_scope.cancel()
         _LOGGER.info('daemon_stopped')
 
-    async def _wait_stop(self) -> None:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as stops:
-            async for number in stops:
-                _LOGGER.info('stop_asked', extra={'signal': number})
-                return
-
     async def _leave(self) -> None:
         """Ends what runs, within the time that there is."""
         began_at_s = trio.current_time()
@@ -399,21 +431,22 @@
                 _LOGGER.warning('log_lines_dropped', extra={'count': dropped})
 
     async def _watch_reload(self) -> None:
-        """Reads the settings again when told to."""
-        with trio.open_signal_receiver(signal.SIGHUP) as signals:
-            async for _ in signals:
-                settings = self._reload_settings()
-                if settings is None:
-                    continue
-                self._peers_api.seeds = settings.seeds
-                logging.getLogger().setLevel(settings.log_level.value.upper())
-                _LOGGER.info(
-                    'settings_reloaded',
-                    extra={
-                        'seeds': [str(seed) for seed in settings.seeds],
-                        'log_level': settings.log_level.value,
-                    },
-                )
+        await self._signals.watch_reload(self._take_settings)
+
+    def _take_settings(self) -> None:
+        """Reads the settings again and takes what may change in a process."""
+        settings = self._reload_settings()
+        if settings is None:
+            return
+        self._peers_api.seeds = settings.seeds
+        logging.getLogger().setLevel(settings.log_level.value.upper())
+        _LOGGER.info(
+            'settings_reloaded',
+            extra={
+                'seeds': [str(seed) for seed in settings.seeds],
+                'log_level': settings.log_level.value,
+            },
+        )
 
 
 def create_gateway(
@@ -422,6 +455,7 @@
     outside: OutsideServices,
     metrics: telemetry.Metrics,
     log_handler: telemetry.BoundedHandler | None = None,
+    signals: ProcessSignals | None = None,
 ) -> Gateway:
     """Creates a gateway.
 
@@ -431,5 +465,13 @@
         outside: The platform that it runs on.
         metrics: Where its counters go.
         log_handler: Writes the log; its losses are reported.
+        signals: How it is told to stop; by default the system's signals.
     """
-    return Gateway(settings, reload_settings, outside, metrics, log_handler)
+    return Gateway(
+        settings,
+        reload_settings,
+        outside,
+        metrics,
+        log_handler,
+        signals or _SystemSignals(),
+    )
--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -228,21 +228,26 @@
     def _begin(self, nursery: trio.Nursery) -> int:
         """Begins the next items, and returns how many."""
         begun = 0
-        for next_item in self._scheduler.list_next(STARTS_A_STEP):
+        full_services: set[str] = set()
+        for next_item in self._scheduler.iterate_next():
+            if begun >= STARTS_A_STEP:
+                break
+            tag = jobs.make_tag(next_item.job.job_id, next_item.item.item_id)
             route = self._find_route(next_item.job)
             if route is None:
+                if self._is_route_gone(next_item.job.route_name):
+                    self._begin_giving_up(nursery, next_item, tag, 'no route')
                 continue
-            tag = jobs.make_tag(next_item.job.job_id, next_item.item.item_id)
             if self._is_past_retention(next_item.job, route):
-                self._scheduler.held_tags.add(tag)
-                nursery.start_soon(
-                    self._give_up, next_item, tag, 'past its retention'
-                )
+                self._begin_giving_up(nursery, next_item, tag, 'retention')
+                continue
+            service = route.draw_service()
+            if service in full_services:
                 continue
-            service = route.shares[0].service
             upstream = self._placer.place_batch(service, RESERVED_SLOTS)
             if isinstance(upstream, placement.NoPlace):
-                break
+                full_services.add(service)
+                continue
             run = _Run(next_item, tag, upstream.upstream_id)
             self._runs[tag] = run
             self._scheduler.held_tags.add(tag)
@@ -258,6 +263,26 @@
             return None
         return document.find_route_by_name(job.route_name)
 
+    def _is_route_gone(self, route_name: str) -> bool:
+        """Returns whether a route has been missing for long enough."""
+        document = self._view.document
+        if document is None or document.find_route_by_name(route_name):
+            self._route_missing_since_s.pop(route_name, None)
+            return False
+        now_s = trio.current_time()
+        since_s = self._route_missing_since_s.setdefault(route_name, now_s)
+        return now_s - since_s > ROUTE_GONE_S
+
+    def _begin_giving_up(
+        self,
+        nursery: trio.Nursery,
+        next_item: jobs.NextItem,
+        tag: str,
+        reason: str,
+    ) -> None:
+        self._scheduler.held_tags.add(tag)
+        nursery.start_soon(self._give_up, next_item, tag, reason)
+
     def _is_past_retention(
         self, job: jobs.Job, route: fleet.FleetRoute
     ) -> bool:
--- a/siskinmount/gateway/_online_run.py
+++ b/siskinmount/gateway/_online_run.py
@@ -224,7 +224,7 @@
 
     def _place(self) -> placement.Placement | results.Failure:
         """Chooses the next upstream, or says why there is none."""
-        service = _choose_service(self._route)
+        service = self._route.draw_service()
         max_wait_ms = self._route.target_ms * MAX_WAIT_IN_TARGETS
         if self._attempts or self._has_begun():
             # It has cost an upstream work: a late answer is better than none.
@@ -521,13 +521,3 @@
                 'document_version': self._version,
             },
         )
-
-
-def _choose_service(route: fleet.FleetRoute) -> str:
-    """Draws a service of a route by weight."""
-    if len(route.shares) == 1:
-        return route.shares[0].service
-    drawn = random.choices(
-        route.shares, weights=[share.weight for share in route.shares]
-    )
-    return drawn[0].service
--- a/siskinmount/jobs/_item_scheduler.py
+++ b/siskinmount/jobs/_item_scheduler.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterator
 
 import trio
 import xxhash
@@ -102,27 +103,22 @@
         self._list_members = list_members
         self._is_run_elsewhere = is_run_elsewhere
 
-    def list_next(self, most: int) -> list[NextItem]:
-        """Returns items to begin now, the most urgent first."""
-        chosen: list[NextItem] = []
+    def iterate_next(self) -> Iterator[NextItem]:
+        """Yields the items that may begin here now, the most urgent first."""
         members = self._list_members()
         now_s = trio.current_time()
-        for job in self._table.jobs.values():
+        for job in list(self._table.jobs.values()):
             if job.is_ended:
                 continue
-            for item in job.open_items.values():
+            for item in list(job.open_items.values()):
                 tag = make_tag(job.job_id, item.item_id)
                 if tag in self.held_tags or self._is_run_elsewhere(tag):
                     continue
                 progress = self.progress.get(tag)
                 if progress is not None and progress.not_before_s > now_s:
                     continue
-                if choose_member(tag, members) != self._member:
-                    continue
-                chosen.append(NextItem(job, item))
-                if len(chosen) >= most:
-                    return chosen
-        return chosen
+                if choose_member(tag, members) == self._member:
+                    yield NextItem(job, item)
 
     def get_progress(self, tag: str) -> ItemProgress:
         """Returns the memory of an item."""
--- a/standins/event_engine/__main__.py
+++ b/standins/event_engine/__main__.py
@@ -1,4 +1,4 @@
-"""python -m standins.event_engine ADDRESS ENGINE_ID"""
+"""Runs the stand-in as a process: its address comes first."""
 
 import sys
 
--- a/standins/keyed_store/__main__.py
+++ b/standins/keyed_store/__main__.py
@@ -1,4 +1,4 @@
-"""python -m standins.keyed_store ADDRESS"""
+"""Runs the stand-in as a process: its address comes first."""
 
 import sys
 
--- a/standins/keyed_store/_keyed_store.py
+++ b/standins/keyed_store/_keyed_store.py
@@ -148,9 +148,7 @@
             raise trio.BrokenResourceError('done late, not answered')
         offset = self._apply(partition, contents, at_text)
         if offset is None:
-            await exchange.send_json(
-                412, {'end_offset': partition.end_offset}
-            )
+            await exchange.send_json(412, {'end_offset': partition.end_offset})
             return
         await exchange.send_json(
             200, {'offset': offset, 'end_offset': partition.end_offset}
@@ -245,5 +243,3 @@
 def create_keyed_store(faults: faults_module.Faults) -> KeyedStore:
     """Creates an empty store."""
     return KeyedStore(faults)
-
-
