Begin batch items oldest first in the whole fleet, keep output with its member

Traced in the logs: items waited 10 s for a member that was cut off and had come back; an item with 136 of 209 events went to another member and began anew; newer items of one member took slots before older ones of another. Change: members say which items they keep output of; each begins its items only as far down the common order as there are free slots; no slot is kept free (a cut frees one in some 50 ms).

--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -201,7 +201,7 @@
             self._table,
             settings.vm,
             self._list_responsible,
-            self._directory.is_held_elsewhere,
+            self._list_elsewhere,
         )
         placer = placement.create_placer(self._view, self._load, self._health)
         self._runner = _item_runner.ItemRunner(
@@ -342,6 +342,20 @@
     def _list_responsible(self) -> list[str]:
         return self._directory.list_responsible(self._is_leaving)
 
+    def _list_elsewhere(self) -> jobs.ItemsElsewhere:
+        """Returns what the live peers run and keep."""
+        held_tags: set[str] = set()
+        keeper_by_tag: dict[str, str] = {}
+        for peer in self._directory.list_live():
+            if peer.message is None:
+                continue
+            held_tags |= peer.message.held_tags
+            if peer.message.is_leaving:
+                continue
+            for tag in peer.message.kept_tags:
+                keeper_by_tag[tag] = peer.member
+        return jobs.ItemsElsewhere(held_tags, keeper_by_tag)
+
     def _get_store_lost_age_s(self) -> float:
         """Returns how long ago the store was last found away."""
         if not self._upstreams.is_reachable:
@@ -397,6 +411,7 @@
             document_version=document.version if document else 0,
             counts=self._load.own,
             held_tags=self._scheduler.held_tags,
+            kept_tags=self._scheduler.list_kept_tags(),
         )
 
     async def _write_member_record(self) -> None:
--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -17,11 +17,13 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Slots that batch items leave free at each upstream, so that a caller's
-#: request starts without waiting for a run to be cut.
-RESERVED_SLOTS = 1
+#: Slots that batch items leave free at each upstream. A cut frees a slot in
+#: some 50 ms, a fraction of the objective of a first event, so none is kept.
+RESERVED_SLOTS = 0
 #: Items begun in one step; peers learn of them before the next.
 STARTS_A_STEP = 2
+#: Items of a route that is gone that are given up in one step.
+GIVEN_UP_A_STEP = 16
 #: Time between steps: about what a message to all peers takes.
 STEP_S = 0.03
 #: Time between steps when nothing has changed.
@@ -229,7 +231,7 @@
         """Begins the next items, and returns how many."""
         begun = 0
         full_services: set[str] = set()
-        for next_item in self._scheduler.iterate_next():
+        for next_item in self._scheduler.iterate_next(self._count_free_slots):
             if begun >= STARTS_A_STEP:
                 break
             tag = jobs.make_tag(next_item.job.job_id, next_item.item.item_id)
@@ -256,6 +258,20 @@
             begun += 1
         return begun
 
+    def _count_free_slots(self, route_name: str) -> int:
+        """Returns the free slots of all upstreams of a route.
+
+        Items of a route that is gone need none: they are given up.
+        """
+        document = self._view.document
+        route = document.find_route_by_name(route_name) if document else None
+        if route is None:
+            return GIVEN_UP_A_STEP
+        free = 0
+        for share in route.shares:
+            free += self._placer.count_free(share.service, RESERVED_SLOTS)
+        return free
+
     def _find_route(self, job: jobs.Job) -> fleet.FleetRoute | None:
         """Returns the route of a job as it is in force now."""
         document = self._view.document
--- a/siskinmount/jobs/__init__.py
+++ b/siskinmount/jobs/__init__.py
@@ -11,6 +11,7 @@
 from siskinmount.jobs._item_scheduler import create_item_scheduler
 from siskinmount.jobs._item_scheduler import ItemProgress
 from siskinmount.jobs._item_scheduler import ItemScheduler
+from siskinmount.jobs._item_scheduler import ItemsElsewhere
 from siskinmount.jobs._item_scheduler import make_tag
 from siskinmount.jobs._item_scheduler import NextItem
 from siskinmount.jobs._job import ItemResult
--- a/siskinmount/jobs/_item_scheduler.py
+++ b/siskinmount/jobs/_item_scheduler.py
@@ -1,9 +1,12 @@
 """Decides which items of which jobs this process runs next.
 
-Each item has one responsible member, the first by rendezvous hash among those
-that live; so no member is asked and none is elected. Members tell each other
-what they run: an item that runs anywhere is not begun elsewhere. Members that
-differ for a moment on who lives may run an item twice; it is listed once.
+Each item has one responsible member: the one that keeps output of it, else the
+first by rendezvous hash among those that live; so no member is asked and none is
+elected. Members tell each other what they run and keep. All see the same jobs in
+the same order, so each begins its items only as far down that order as there are
+free slots in the fleet: an older item never waits for a newer one of another
+member. Members that differ for a moment on who lives may run an item twice; it
+is listed once.
 """
 
 from collections.abc import Callable
@@ -72,6 +75,23 @@
         self.item = item
 
 
+class ItemsElsewhere:
+    """What the other members that live say of items.
+
+    Attributes:
+        held_tags: Items that they run or are about to list.
+        keeper_by_tag: Which of them keeps output of an item that waits.
+    """
+
+    __slots__ = ('held_tags', 'keeper_by_tag')
+
+    def __init__(
+        self, held_tags: set[str], keeper_by_tag: dict[str, str]
+    ) -> None:
+        self.held_tags = held_tags
+        self.keeper_by_tag = keeper_by_tag
+
+
 class ItemScheduler:
     """Chooses items, earliest job first.
 
@@ -86,7 +106,7 @@
         '_table',
         '_member',
         '_list_members',
-        '_is_run_elsewhere',
+        '_list_elsewhere',
     )
 
     def __init__(
@@ -94,31 +114,71 @@
         table: _job_table.JobTable,
         member: str,
         list_members: Callable[[], list[str]],
-        is_run_elsewhere: Callable[[str], bool],
+        list_elsewhere: Callable[[], ItemsElsewhere],
     ) -> None:
         self.held_tags: set[str] = set()
         self.progress: dict[str, ItemProgress] = {}
         self._table = table
         self._member = member
         self._list_members = list_members
-        self._is_run_elsewhere = is_run_elsewhere
+        self._list_elsewhere = list_elsewhere
+
+    def iterate_next(
+        self, count_free_slots: Callable[[str], int]
+    ) -> Iterator[NextItem]:
+        """Yields the items that may begin here now, the oldest first.
 
-    def iterate_next(self) -> Iterator[NextItem]:
-        """Yields the items that may begin here now, the most urgent first."""
+        Args:
+            count_free_slots: Returns the free slots for a route's items.
+        """
         members = self._list_members()
+        elsewhere = self._list_elsewhere()
         now_s = trio.current_time()
+        room_by_route: dict[str, int] = {}
         for job in list(self._table.jobs.values()):
             if job.is_ended:
                 continue
+            room = room_by_route.get(job.route_name)
+            if room is None:
+                room = count_free_slots(job.route_name)
             for item in list(job.open_items.values()):
+                if room <= 0:
+                    break
                 tag = make_tag(job.job_id, item.item_id)
-                if tag in self.held_tags or self._is_run_elsewhere(tag):
+                if tag in self.held_tags or tag in elsewhere.held_tags:
                     continue
                 progress = self.progress.get(tag)
                 if progress is not None and progress.not_before_s > now_s:
                     continue
-                if choose_member(tag, members) == self._member:
+                room -= 1
+                if self._is_own(tag, progress, elsewhere, members):
                     yield NextItem(job, item)
+            room_by_route[job.route_name] = room
+
+    def list_kept_tags(self) -> set[str]:
+        """Returns the items of which this process keeps output."""
+        kept: set[str] = set()
+        for tag, progress in self.progress.items():
+            if progress.events and tag not in self.held_tags:
+                kept.add(tag)
+        return kept
+
+    def _is_own(
+        self,
+        tag: str,
+        progress: ItemProgress | None,
+        elsewhere: ItemsElsewhere,
+        members: list[str],
+    ) -> bool:
+        """Returns whether this member is the one to run an item."""
+        if self._member not in members:
+            return False
+        keeper = elsewhere.keeper_by_tag.get(tag)
+        if progress is not None and progress.events:
+            return keeper is None or self._member < keeper
+        if keeper is not None:
+            return False
+        return choose_member(tag, members) == self._member
 
     def get_progress(self, tag: str) -> ItemProgress:
         """Returns the memory of an item."""
@@ -157,7 +217,7 @@
     table: _job_table.JobTable,
     member: str,
     list_members: Callable[[], list[str]],
-    is_run_elsewhere: Callable[[str], bool],
+    list_elsewhere: Callable[[], ItemsElsewhere],
 ) -> ItemScheduler:
     """Creates a scheduler that knows no item yet."""
-    return ItemScheduler(table, member, list_members, is_run_elsewhere)
+    return ItemScheduler(table, member, list_members, list_elsewhere)
--- a/siskinmount/peering/_peer_directory.py
+++ b/siskinmount/peering/_peer_directory.py
@@ -153,13 +153,6 @@
                 members.append(peer.member)
         return members
 
-    def is_held_elsewhere(self, tag: str) -> bool:
-        """Returns whether a live peer runs a batch item."""
-        for peer in self.list_live():
-            if peer.message is not None and tag in peer.message.held_tags:
-                return True
-        return False
-
     def list_due(self) -> list[Peer]:
         """Returns the peers that a message is sent to now."""
         now_s = trio.current_time()
--- a/siskinmount/peering/_peer_message.py
+++ b/siskinmount/peering/_peer_message.py
@@ -18,6 +18,7 @@
         document_version: Version that it has in force; 0 for none.
         counts: Its requests in flight by upstream.
         held_tags: Batch items that it runs or is about to list.
+        kept_tags: Batch items that wait and of which it keeps output.
     """
 
     __slots__ = (
@@ -29,6 +30,7 @@
         'document_version',
         'counts',
         'held_tags',
+        'kept_tags',
     )
 
     def __init__(
@@ -42,6 +44,7 @@
         document_version: int,
         counts: dict[str, placement.UpstreamCounts],
         held_tags: set[str],
+        kept_tags: set[str],
     ) -> None:
         self.member = member
         self.incarnation = incarnation
@@ -51,6 +54,7 @@
         self.document_version = document_version
         self.counts = counts
         self.held_tags = held_tags
+        self.kept_tags = kept_tags
 
 
 def encode_message(message: PeerMessage) -> bytes:
@@ -68,6 +72,7 @@
                 for upstream_id, counts in message.counts.items()
             },
             'held': sorted(message.held_tags),
+            'kept': sorted(message.kept_tags),
         }
     )
 
@@ -90,6 +95,7 @@
             document_version=int(fields['version']),
             counts=counts,
             held_tags={str(tag) for tag in fields['held']},
+            kept_tags={str(tag) for tag in fields['kept']},
         )
     except (
         ValueError,
--- a/siskinmount/placement/_placer.py
+++ b/siskinmount/placement/_placer.py
@@ -119,23 +119,33 @@
         self, service: str, reserved_slots: int
     ) -> fleet.Upstream | NoPlace:
         """Returns the emptiest upstream with a slot beside the reserve."""
-        candidates = self._list_candidates(service, set())
-        if not candidates:
-            return NoPlace.NO_UPSTREAM
+        rows = self._list_free(service, reserved_slots)
+        if not rows:
+            return NoPlace.FULL
+        most = max(free for free, _ in rows)
+        return random.choice(
+            [upstream for free, upstream in rows if free == most]
+        )
+
+    def count_free(self, service: str, reserved_slots: int) -> int:
+        """Returns the free slots of all upstreams beside the reserve."""
+        return sum(free for free, _ in self._list_free(service, reserved_slots))
+
+    def _list_free(
+        self, service: str, reserved_slots: int
+    ) -> list[tuple[int, fleet.Upstream]]:
+        """Returns upstreams that batch may use, with their free slots."""
         totals = self._load.sum_counts()
-        best: tuple[int, float, fleet.Upstream] | None = None
-        for upstream in candidates:
+        rows: list[tuple[int, fleet.Upstream]] = []
+        for upstream in self._view.list_ready(service):
             if self._health.is_avoided(upstream.upstream_id):
                 continue
             counts = totals.get(upstream.upstream_id, _NO_COUNTS)
             slots = upstream.slot_count or DEFAULT_SLOTS
             free = slots - reserved_slots - counts.online - counts.batch
-            if free <= 0:
-                continue
-            score = (free, random.random(), upstream)
-            if best is None or score[:2] > best[:2]:
-                best = score
-        return best[2] if best else NoPlace.FULL
+            if free > 0:
+                rows.append((free, upstream))
+        return rows
 
     def note_run(self, service: str, run_ms: float) -> None:
         """Takes the length of a run that has ended well."""
