Keep jobs in the order of acceptance everywhere; hand output over at a planned stop

A member that starts reads the log in the order of its keys, so its order of jobs was another than its peers'; and a leaving member cut runs whose output died with it. Jobs are now sorted by their offset, and a leaving member gives the output of items that wait to the members responsible for them.

--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -34,7 +34,9 @@
 #: asks once a second and takes a daemon out after two refusals.
 BALANCER_NOTICE_S = 3.2
 #: Time kept for the end of what still runs before the end by force.
-FORCED_END_MARGIN_S = 0.8
+FORCED_END_MARGIN_S = 1.0
+#: Part of it for giving the output of batch items to peers.
+HAND_OVER_S = 0.4
 STOP_STEP_S = 0.05
 HOUSEKEEPING_S = 0.25
 #: Unused connections are kept longer than callers use them, so that none
@@ -204,6 +206,15 @@
             self._list_elsewhere,
         )
         placer = placement.create_placer(self._view, self._load, self._health)
+        self._peers_api = _peers_api.create_peers_api(
+            view=self._view,
+            documents=self._documents,
+            upstreams=self._upstreams,
+            directory=self._directory,
+            scheduler=self._scheduler,
+            own_address=settings.control_address,
+            seeds=settings.seeds,
+        )
         self._runner = _item_runner.ItemRunner(
             view=self._view,
             table=self._table,
@@ -216,16 +227,10 @@
             wire=outside.wire,
             metrics=self._metrics,
             member=settings.vm,
+            list_members=self._list_responsible,
+            hand_over=self._peers_api.hand_over,
             max_record_bytes=settings.max_record_bytes,
         )
-        self._peers_api = _peers_api.create_peers_api(
-            view=self._view,
-            documents=self._documents,
-            upstreams=self._upstreams,
-            directory=self._directory,
-            own_address=settings.control_address,
-            seeds=settings.seeds,
-        )
         tools = _online_run.OnlineTools(
             placer=placer,
             load=self._load,
@@ -329,6 +334,9 @@
             )
             if is_done:
                 break
+        if self._runner.held_count:
+            self._runner.cut_all()
+            await trio.sleep(HAND_OVER_S)
         _LOGGER.info(
             'stop_done',
             extra={
--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -1,5 +1,7 @@
 """Runs batch items in the slots that callers leave free."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import enum
 import logging
 
@@ -83,6 +85,10 @@
         self.scope = trio.CancelScope()
 
 
+#: Gives output of an item to another member; tells whether it was taken.
+HandOver = Callable[[str, jobs.ItemProgress, str], Awaitable[bool]]
+
+
 class ItemRunner:
     """Begins, cuts and lists runs of items."""
 
@@ -98,6 +104,8 @@
         '_wire',
         '_metrics',
         '_member',
+        '_list_members',
+        '_hand_over',
         '_max_record_bytes',
         '_runs',
         '_cut_at_s',
@@ -119,6 +127,8 @@
         wire: _wire.Wire,
         metrics: _gateway_metrics.GatewayMetrics,
         member: str,
+        list_members: Callable[[], list[str]],
+        hand_over: HandOver,
         max_record_bytes: int,
     ) -> None:
         self._view = view
@@ -132,6 +142,8 @@
         self._wire = wire
         self._metrics = metrics
         self._member = member
+        self._list_members = list_members
+        self._hand_over = hand_over
         self._max_record_bytes = max_record_bytes
         self._runs: dict[str, _Run] = {}
         self._cut_at_s: dict[str, float] = {}
@@ -159,7 +171,9 @@
                 self._cut_ended()
                 self._cut_crowded()
                 begun = 0
-                if not self._is_stopping:
+                if self._is_stopping:
+                    await self._hand_over_kept()
+                else:
                     begun = self._begin(nursery)
                 self._scheduler.forget_closed()
                 await trio.sleep(STEP_S)
@@ -168,6 +182,17 @@
                 with trio.move_on_after(IDLE_STEP_S):
                     await self._load.wait_changed()
 
+    async def _hand_over_kept(self) -> None:
+        """Gives the output of items that wait to the members that go on."""
+        members = self._list_members()
+        if not members:
+            return
+        for tag in self._scheduler.list_kept_tags():
+            progress = self._scheduler.progress.pop(tag)
+            await self._hand_over(
+                tag, progress, jobs.choose_member(tag, members)
+            )
+
     def _cut_ended(self) -> None:
         """Cuts runs whose job has ended or whose item is listed."""
         for run in list(self._runs.values()):
--- a/siskinmount/gateway/_peers_api.py
+++ b/siskinmount/gateway/_peers_api.py
@@ -1,6 +1,8 @@
-"""Gives peers the document and the upstreams, and takes them from peers.
+"""Exchanges with peers what one has and another needs.
 
-A daemon that cannot reach the store goes on by what its peers read there.
+A daemon that cannot reach the store goes on by what its peers read there: the
+document and the upstreams. One that ends gives its peers the output of batch
+items that it could not finish.
 """
 
 import base64
@@ -11,6 +13,7 @@
 import trio
 
 from siskinmount import fleet
+from siskinmount import jobs
 from siskinmount import keyed_log
 from siskinmount import peering
 from siskinmount import results
@@ -19,6 +22,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 FLEET_PATH = '/peer/fleet'
+OUTPUT_PATH = '/peer/output'
 #: How long the store may be away before peers are asked, and how often: well
 #: inside the two seconds in which a change must be in force.
 ASK_AFTER_S = 0.4
@@ -28,13 +32,14 @@
 
 
 class PeersApi:
-    """Exchanges the view of the fleet with peers."""
+    """Answers peers and asks them."""
 
     __slots__ = (
         '_view',
         '_documents',
         '_upstreams',
         '_directory',
+        '_scheduler',
         '_control_port',
         'seeds',
         '_own_host',
@@ -47,6 +52,7 @@
         documents: keyed_log.LogFollower,
         upstreams: keyed_log.LogFollower,
         directory: peering.PeerDirectory,
+        scheduler: jobs.ItemScheduler,
         own_address: transport.Address,
         seeds: list[transport.Address],
     ) -> None:
@@ -54,15 +60,70 @@
         self._documents = documents
         self._upstreams = upstreams
         self._directory = directory
+        self._scheduler = scheduler
         self._control_port = own_address.port
         self._own_host = own_address.host
         self.seeds = seeds
 
     async def handle(self, exchange: transport.ServerExchange) -> None:
         """Answers a peer."""
-        if exchange.head.path != FLEET_PATH:
+        if exchange.head.path == FLEET_PATH:
+            await self._answer_fleet(exchange)
+        elif exchange.head.path == OUTPUT_PATH:
+            await self._answer_output(exchange)
+        else:
             await exchange.send_json(404, {})
+
+    async def hand_over(
+        self, tag: str, progress: jobs.ItemProgress, member: str
+    ) -> bool:
+        """Gives output of an item to a peer; returns whether it took it."""
+        peer = self._directory.peers.get(member)
+        if peer is None:
+            return False
+        body = orjson.dumps(
+            {
+                'tag': tag,
+                'events': progress.events,
+                'last_event_id': progress.last_event_id,
+            }
+        )
+        answer = await self._call(
+            transport.Address(peer.address, self._control_port),
+            transport.ClientRequest('POST', OUTPUT_PATH, [], body),
+        )
+        is_taken = not isinstance(answer, results.Failure)
+        _LOGGER.info(
+            'item_handed_over',
+            extra={
+                'tag': tag,
+                'peer': member,
+                'events': len(progress.events),
+                'outcome': 'taken' if is_taken else answer.reason,
+            },
+        )
+        return is_taken
+
+    async def _answer_output(self, exchange: transport.ServerExchange) -> None:
+        """Takes output of an item from a peer that ends."""
+        body = await exchange.read_body()
+        if isinstance(body, results.Failure):
+            await exchange.send_json(400, {})
+            return
+        try:
+            fields = orjson.loads(body)
+            events = [str(text) for text in fields['events']]
+            last_event_id = int(fields['last_event_id'])
+            tag = str(fields['tag'])
+        except (ValueError, TypeError, KeyError) as error:
+            _log_invalid(exchange.head.peer_host, error)
+            await exchange.send_json(400, {})
             return
+        self._scheduler.take_handed_over(tag, events, last_event_id)
+        await exchange.send_json(200, {})
+
+    async def _answer_fleet(self, exchange: transport.ServerExchange) -> None:
+        """Answers with the document and the upstreams."""
         document = self._view.document
         rows: dict[str, str] = {}
         for upstream_id, source in self._view.upstream_sources.items():
@@ -113,6 +174,21 @@
 
     async def _ask(self, address: transport.Address) -> None:
         """Takes what a peer knows if that is newer."""
+        body = await self._call(
+            address, transport.ClientRequest('GET', FLEET_PATH)
+        )
+        if isinstance(body, results.Failure):
+            _LOGGER.info(
+                'peer_not_asked',
+                extra={'peer': str(address), 'reason': body.reason},
+            )
+            return
+        self._take(body, address)
+
+    async def _call(
+        self, address: transport.Address, request: transport.ClientRequest
+    ) -> bytes | results.Failure:
+        """Calls a peer and returns the body of a good answer."""
         client = transport.create_http_client(
             address,
             transport.ClientLimits(
@@ -121,19 +197,18 @@
                 send_timeout_ms=ASK_TIMEOUT_MS,
             ),
         )
-        exchange = await client.send(transport.ClientRequest('GET', FLEET_PATH))
+        exchange = await client.send(request)
         if isinstance(exchange, results.Failure):
-            _LOGGER.info(
-                'peer_not_asked',
-                extra={'peer': str(address), 'reason': exchange.reason},
-            )
-            return
+            return exchange
         with exchange:
             body = await exchange.read_body(MAX_ANSWER_BYTES)
         client.close()
-        if isinstance(body, results.Failure) or exchange.status != 200:
-            return
-        self._take(body, address)
+        if exchange.status != 200:
+            return results.Failure(
+                results.ResultCode.UPSTREAM_ERROR,
+                f'the peer answered {exchange.status}',
+            )
+        return body
 
     def _take(self, body: bytes, address: transport.Address) -> None:
         """Takes an answer of a peer."""
@@ -145,14 +220,7 @@
             for upstream_id, text in fields['upstreams'].items():
                 sources[str(upstream_id)] = base64.b64decode(text)
         except (ValueError, TypeError, KeyError, AttributeError) as error:
-            _LOGGER.warning(
-                'peer_answer_invalid',
-                extra={
-                    'code': int(results.ResultCode.MALFORMED_REQUEST),
-                    'peer': str(address),
-                    'reason': repr(error),
-                },
-            )
+            _log_invalid(str(address), error)
             return
         origin = f'peer {address}'
         if document:
@@ -172,12 +240,24 @@
         self._view.replace_upstreams(sources, origin)
 
 
+def _log_invalid(peer: str, error: Exception) -> None:
+    _LOGGER.warning(
+        'peer_data_invalid',
+        extra={
+            'code': int(results.ResultCode.MALFORMED_REQUEST),
+            'peer': peer,
+            'reason': repr(error),
+        },
+    )
+
+
 def create_peers_api(
     *,
     view: fleet.FleetView,
     documents: keyed_log.LogFollower,
     upstreams: keyed_log.LogFollower,
     directory: peering.PeerDirectory,
+    scheduler: jobs.ItemScheduler,
     own_address: transport.Address,
     seeds: list[transport.Address],
 ) -> PeersApi:
@@ -187,6 +267,7 @@
         documents=documents,
         upstreams=upstreams,
         directory=directory,
+        scheduler=scheduler,
         own_address=own_address,
         seeds=seeds,
     )
--- a/siskinmount/jobs/__init__.py
+++ b/siskinmount/jobs/__init__.py
@@ -6,8 +6,10 @@
     JobLedger, create_job_ledger(...): Writes operations into the log.
     AcceptJob, ListResult, EndJob, Written: The operations and their outcome.
     ItemScheduler, create_item_scheduler(...): Which items run here next.
+    choose_member(tag, members): Who is responsible for an item.
 """
 
+from siskinmount.jobs._item_scheduler import choose_member
 from siskinmount.jobs._item_scheduler import create_item_scheduler
 from siskinmount.jobs._item_scheduler import ItemProgress
 from siskinmount.jobs._item_scheduler import ItemScheduler
--- a/siskinmount/jobs/_item_scheduler.py
+++ b/siskinmount/jobs/_item_scheduler.py
@@ -155,6 +155,16 @@
                     yield NextItem(job, item)
             room_by_route[job.route_name] = room
 
+    def take_handed_over(
+        self, tag: str, events: list[str], last_event_id: int | None
+    ) -> None:
+        """Takes output of an item from a member that ends."""
+        progress = self.get_progress(tag)
+        if tag in self.held_tags or len(progress.events) >= len(events):
+            return
+        progress.events = events
+        progress.last_event_id = last_event_id
+
     def list_kept_tags(self) -> set[str]:
         """Returns the items of which this process keeps output."""
         kept: set[str] = set()
--- a/siskinmount/jobs/_job_table.py
+++ b/siskinmount/jobs/_job_table.py
@@ -17,11 +17,12 @@
     """Jobs by id.
 
     Attributes:
-        jobs: All jobs, in the order in which they became known.
+        jobs: All jobs, in the order of their acceptance.
     """
 
     __slots__ = (
         'jobs',
+        '_newest_offset',
         '_parts',
         '_heads',
         '_results_ahead',
@@ -32,6 +33,7 @@
 
     def __init__(self) -> None:
         self.jobs: dict[str, _job.Job] = {}
+        self._newest_offset = -1
         self._parts: dict[str, dict[int, bytes]] = {}
         self._heads: dict[str, tuple[int, bytes, int]] = {}
         self._results_ahead: dict[str, dict[int, _job.ItemResult]] = {}
@@ -123,7 +125,12 @@
             return
         job.known_since_s = trio.current_time()
         job.offset = offset
+        is_newest = not self.jobs or offset > self._newest_offset
+        self._newest_offset = max(self._newest_offset, offset)
         self.jobs[job.job_id] = job
+        if not is_newest:
+            # A complete read of the log comes in the order of the keys.
+            self.jobs = dict(sorted(self.jobs.items(), key=_get_offset))
         for position, result in sorted(
             self._results_ahead.pop(job.job_id, {}).items()
         ):
@@ -182,6 +189,10 @@
             listener()
 
 
+def _get_offset(row: tuple[str, _job.Job]) -> int:
+    return row[1].offset
+
+
 def _log_invalid(
     key: _job_records.RecordKey, failure: results.Failure, offset: int
 ) -> None:
