Cut the newest job's run in the fleet; let a crowded engine be for a moment

Peers now tell the newest job of their runs at each engine, and after a cut nothing is begun there for a quarter of a second.

--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -32,6 +32,9 @@
 IDLE_STEP_S = 0.25
 #: Time between two cuts at one upstream: peers must have seen the first.
 CUT_INTERVAL_S = 0.06
+#: After a cut nothing is begun at an upstream for this long, and the item that
+#: was cut waits as long: a burst goes on, and each new run would be cut again.
+CROWDED_S = 0.25
 #: Longest silence of an upstream before the first event and between events.
 MAX_SILENCE_S = 3.0
 #: How long after its retention an item is given up. VMs may have known a job
@@ -215,10 +218,11 @@
             total = totals[upstream_id]
             if total.online + total.batch <= slots:
                 continue
-            if now_s - self._cut_at_s.get(upstream_id, 0) < CUT_INTERVAL_S:
+            since_s = now_s - self._cut_at_s.get(upstream_id, float('-inf'))
+            if since_s < CUT_INTERVAL_S:
                 continue
-            largest = self._load.get_largest_peer_batch(upstream_id)
-            if largest > (own.batch, self._member):
+            newest = self._load.get_newest_peer_job(upstream_id)
+            if newest > (own.newest_job, self._member):
                 continue
             run = self._choose_cut(upstream_id)
             if run is None:
@@ -238,6 +242,16 @@
             )
             run.scope.cancel()
 
+    def _count_runs(self, upstream_id: str) -> None:
+        """Tells the load table what runs at an upstream."""
+        offsets: list[int] = []
+        for run in self._runs.values():
+            if run.upstream_id == upstream_id:
+                offsets.append(run.next_item.job.offset)
+        self._load.set_batch(
+            upstream_id, len(offsets), max(offsets, default=-1)
+        )
+
     def _choose_cut(self, upstream_id: str) -> _Run | None:
         """Returns the run of the newest job with the least progress."""
         best: _Run | None = None
@@ -271,18 +285,29 @@
             service = route.draw_service()
             if service in full_services:
                 continue
-            upstream = self._placer.place_batch(service, RESERVED_SLOTS)
+            upstream = self._placer.place_batch(
+                service, RESERVED_SLOTS, self._list_crowded()
+            )
             if isinstance(upstream, placement.NoPlace):
                 full_services.add(service)
                 continue
             run = _Run(next_item, tag, upstream.upstream_id)
             self._runs[tag] = run
             self._scheduler.held_tags.add(tag)
-            self._load.add_batch(upstream.upstream_id, 1)
+            self._count_runs(upstream.upstream_id)
             nursery.start_soon(self._run_item, run, route, upstream)
             begun += 1
         return begun
 
+    def _list_crowded(self) -> set[str]:
+        """Returns the upstreams where a run was cut a moment ago."""
+        limit_s = trio.current_time() - CROWDED_S
+        crowded: set[str] = set()
+        for upstream_id, cut_at_s in self._cut_at_s.items():
+            if cut_at_s > limit_s:
+                crowded.add(upstream_id)
+        return crowded
+
     def _count_free_slots(self, route_name: str) -> int:
         """Returns the free slots of all upstreams of a route.
 
@@ -346,8 +371,8 @@
             with run.scope:
                 end, reason = await self._exchange(run, progress, upstream)
         finally:
-            self._load.add_batch(upstream.upstream_id, -1)
             del self._runs[run.tag]
+            self._count_runs(upstream.upstream_id)
         self._metrics.items.increment(end.value)
         _LOGGER.info(
             'item_run_ended',
@@ -383,6 +408,8 @@
             progress.pause(progress.lost_runs)
         elif end is _RunEnd.NOT_RUN:
             progress.pause(1)
+        else:
+            progress.not_before_s = trio.current_time() + CROWDED_S
         self._scheduler.held_tags.discard(run.tag)
 
     async def _give_up(
--- a/siskinmount/peering/_peer_message.py
+++ b/siskinmount/peering/_peer_message.py
@@ -68,7 +68,11 @@
             'leaving': message.is_leaving,
             'version': message.document_version,
             'counts': {
-                upstream_id: (counts.online, counts.batch)
+                upstream_id: (
+                    counts.online,
+                    counts.batch,
+                    counts.newest_job,
+                )
                 for upstream_id, counts in message.counts.items()
             },
             'held': sorted(message.held_tags),
@@ -84,7 +88,7 @@
         counts: dict[str, placement.UpstreamCounts] = {}
         for upstream_id, row in fields['counts'].items():
             counts[upstream_id] = placement.UpstreamCounts(
-                max(0, int(row[0])), max(0, int(row[1]))
+                max(0, int(row[0])), max(0, int(row[1])), int(row[2])
             )
         return PeerMessage(
             member=str(fields['member']),
--- a/siskinmount/placement/_load_table.py
+++ b/siskinmount/placement/_load_table.py
@@ -13,13 +13,17 @@
     Attributes:
         online: Requests of callers.
         batch: Items of batch jobs.
+        newest_job: Place in the log of the newest of their jobs; -1 for none.
     """
 
-    __slots__ = ('online', 'batch')
+    __slots__ = ('online', 'batch', 'newest_job')
 
-    def __init__(self, online: int = 0, batch: int = 0) -> None:
+    def __init__(
+        self, online: int = 0, batch: int = 0, newest_job: int = -1
+    ) -> None:
         self.online = online
         self.batch = batch
+        self.newest_job = newest_job
 
 
 class LoadTable:
@@ -43,9 +47,11 @@
         self._get_own(upstream_id).online += amount
         self._note_change(upstream_id)
 
-    def add_batch(self, upstream_id: str, amount: int) -> None:
-        """Counts a batch item in, or out with -1."""
-        self._get_own(upstream_id).batch += amount
+    def set_batch(self, upstream_id: str, count: int, newest_job: int) -> None:
+        """Says how many batch items run, and the newest of their jobs."""
+        counts = self._get_own(upstream_id)
+        counts.batch = count
+        counts.newest_job = newest_job
         self._note_change(upstream_id)
 
     def take_peer_counts(
@@ -69,14 +75,14 @@
                 _add_counts(totals, counts)
         return totals
 
-    def get_largest_peer_batch(self, upstream_id: str) -> tuple[int, str]:
-        """Returns the most batch items of one peer at an upstream, and whose."""
-        largest = (0, '')
+    def get_newest_peer_job(self, upstream_id: str) -> tuple[int, str]:
+        """Returns the newest job of a peer's items at an upstream, and whose."""
+        newest = (-1, '')
         for peer, (_, counts) in self._by_peer.items():
             entry = counts.get(upstream_id)
             if entry is not None:
-                largest = max(largest, (entry.batch, peer))
-        return largest
+                newest = max(newest, (entry.newest_job, peer))
+        return newest
 
     async def wait_changed(self) -> None:
         """Returns after the next change of any count."""
@@ -113,6 +119,7 @@
             totals[upstream_id] = total
         total.online += entry.online
         total.batch += entry.batch
+        total.newest_job = max(total.newest_job, entry.newest_job)
 
 
 def create_load_table() -> LoadTable:
--- a/siskinmount/placement/_placer.py
+++ b/siskinmount/placement/_placer.py
@@ -116,10 +116,13 @@
         return Placement(chosen, least_waiting, wait_ms)
 
     def place_batch(
-        self, service: str, reserved_slots: int
+        self, service: str, reserved_slots: int, excluded: set[str]
     ) -> fleet.Upstream | NoPlace:
         """Returns the emptiest upstream with a slot beside the reserve."""
-        rows = self._list_free(service, reserved_slots)
+        rows: list[tuple[int, fleet.Upstream]] = []
+        for free, upstream in self._list_free(service, reserved_slots):
+            if upstream.upstream_id not in excluded:
+                rows.append((free, upstream))
         if not rows:
             return NoPlace.FULL
         most = max(free for free, _ in rows)
