--- a/siskinmount/jobs/_job_ledger.py
+++ b/siskinmount/jobs/_job_ledger.py
@@ -39,6 +39,7 @@
         '_table',
         '_max_call_bytes',
         '_open',
+        '_must_sync',
         '_wake',
     )
 
@@ -54,6 +55,7 @@
         self._table = table
         self._max_call_bytes = max_call_bytes
         self._open: list[_operations.Operation] = []
+        self._must_sync = False
         self._wake = trio.Event()
 
     @property
@@ -113,10 +115,11 @@
 
     async def _step(self) -> results.Failure | None:
         """Plans and makes one append."""
-        if not self._follower.is_loaded:
-            failure = await self._sync()
+        if self._must_sync or not self._follower.is_loaded:
+            failure = await self._follower.sync()
             if failure is not None:
                 return failure
+            self._must_sync = False
         at_offset = self._follower.next_offset
         chosen, records = self._plan()
         if not records:
@@ -128,6 +131,7 @@
             return None
         if isinstance(outcome, results.Failure):
             if outcome.run_state is not results.RunState.NOT_RUN:
+                self._must_sync = True
                 for operation in chosen:
                     operation.may_have_been_written = True
             _LOGGER.warning(
@@ -141,10 +145,9 @@
                 },
             )
             return outcome
-        failure = await self._sync()
-        if failure is None:
-            await trio.sleep(random.uniform(0, LOST_RACE_MS) / 1000)
-        return failure
+        self._must_sync = True
+        await trio.sleep(random.uniform(0, LOST_RACE_MS) / 1000)
+        return None
 
     async def _append(
         self, records: list[keyed_log.KeyedRecord]
@@ -170,9 +173,6 @@
             )
         return None
 
-    async def _sync(self) -> results.Failure | None:
-        return await self._follower.sync()
-
     def _plan(
         self,
     ) -> tuple[list[_operations.Operation], list[keyed_log.KeyedRecord]]:
--- a/siskinmount/jobs/_operations.py
+++ b/siskinmount/jobs/_operations.py
@@ -44,7 +44,11 @@
     def plan(
         self, table: _job_table.JobTable, planned: 'PlannedChanges'
     ) -> list[keyed_log.KeyedRecord] | Written | results.Failure:
-        """Returns the records to append, or the outcome if none are needed."""
+        """Returns the records to append, or the outcome if it is known.
+
+        No records mean that an earlier operation of the same append brings
+        them: the outcome is known only when that append is.
+        """
         ...
 
     def is_expired(self) -> bool:
@@ -115,8 +119,10 @@
     ) -> list[keyed_log.KeyedRecord] | Written | results.Failure:
         """Returns the job's records if it fits."""
         job = self.job
-        if job.job_id in table.jobs or job.job_id in planned.jobs:
+        if job.job_id in table.jobs:
             return Written.DONE
+        if job.job_id in planned.jobs:
+            return []
         tokens = job.count_waiting_tokens()
         earlier = planned.tokens_by_route.get(job.route_name, 0)
         if self.max_waiting_tokens:
@@ -169,7 +175,7 @@
             return Written.DONE
         earlier = planned.results_by_job.setdefault(self.job_id, [])
         if self.result.item_id in earlier:
-            return Written.DONE
+            return []
         position = len(job.results) + len(earlier)
         earlier.append(self.result.item_id)
         key = _job_records.RecordKey(
