Refuse requests that take upstreams down; drop jobs whose time is over

A broken run counts against its request once its upstream is found down (its entry gone or begun anew, its address refusing); members tell each other their counts, and three convict. Engines that stay silent to the end of a request or answer 5xx are avoided for a while.

--- a/siskinmount/configuration/_gateway_settings.py
+++ b/siskinmount/configuration/_gateway_settings.py
@@ -21,6 +21,7 @@
         max_record_bytes: Bound on one record of the store's log.
         max_call_bytes: Bound on the records of one call.
         stop_grace_s: Time between the signal to stop and the end by force.
+        results_kept_s: How long results of a job stay readable at least.
         seeds: Control addresses of members to ask first.
     """
 
@@ -38,6 +39,7 @@
         'max_record_bytes',
         'max_call_bytes',
         'stop_grace_s',
+        'results_kept_s',
         'seeds',
     )
 
@@ -57,6 +59,7 @@
         max_record_bytes: int,
         max_call_bytes: int,
         stop_grace_s: float,
+        results_kept_s: float,
         seeds: list[transport.Address],
     ) -> None:
         self.vm = vm
@@ -72,4 +75,5 @@
         self.max_record_bytes = max_record_bytes
         self.max_call_bytes = max_call_bytes
         self.stop_grace_s = stop_grace_s
+        self.results_kept_s = results_kept_s
         self.seeds = seeds
--- a/siskinmount/configuration/_settings_parser.py
+++ b/siskinmount/configuration/_settings_parser.py
@@ -89,6 +89,9 @@
         stop_grace_s=daemon.read_decimal_number(
             'stop_grace_s', 0, _MAX_GRACE_S
         ),
+        results_kept_s=daemon.read_decimal_number(
+            'results_kept_s', 0, _MAX_RETENTION_S
+        ),
         seeds=source.get_reader('seeds').read_addresses('addresses'),
     )
     faults = source.finish()
--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -42,6 +42,11 @@
 #: Unused connections are kept longer than callers use them, so that none
 #: crosses our close.
 IDLE_FACTOR = 1.25
+#: How much longer than promised the results of a closed job are kept: clocks
+#: and the times since which members know a job differ.
+RETENTION_FACTOR = 1.5
+#: Jobs that one member drops in one step.
+DROPS_A_STEP = 4
 #: Pause after a member record could not be written.
 MEMBER_RETRY_S = 0.5
 MAX_CONNECTIONS = 6000
@@ -136,9 +141,11 @@
         '_signals',
         '_incarnation',
         '_is_leaving',
+        '_started_at_ms',
         '_view',
         '_load',
         '_health',
+        '_evidence',
         '_directory',
         '_metrics',
         '_clients',
@@ -172,12 +179,16 @@
         self._signals = signals
         self._incarnation = time.time_ns() // 1_000_000
         self._is_leaving = False
+        self._started_at_ms: dict[str, int] = {}
         self._view = fleet.create_fleet_view(
             outside.decode_document, outside.decode_upstream
         )
         self._load = placement.create_load_table()
-        self._health = placement.create_upstream_health()
-        self._directory = peering.create_peer_directory(settings.vm, self._load)
+        self._evidence = placement.create_crash_evidence()
+        self._health = placement.create_upstream_health(self._evidence)
+        self._directory = peering.create_peer_directory(
+            settings.vm, self._load, self._evidence
+        )
         self._metrics = _gateway_metrics.create_gateway_metrics(metrics)
         self._clients = _upstream_clients.create_upstream_clients(self._view)
         self._table = jobs.create_job_table()
@@ -223,6 +234,7 @@
             placer=placer,
             load=self._load,
             health=self._health,
+            evidence=self._evidence,
             clients=self._clients,
             wire=outside.wire,
             metrics=self._metrics,
@@ -235,6 +247,7 @@
             placer=placer,
             load=self._load,
             health=self._health,
+            evidence=self._evidence,
             clients=self._clients,
             wire=outside.wire,
             metrics=self._metrics,
@@ -274,6 +287,7 @@
             ),
         ]
         self._view.add_listener(self._take_limits)
+        self._view.add_listener(self._note_restarts)
         self._view.watch_store(self._get_store_lost_age_s)
 
     async def run(
@@ -386,6 +400,16 @@
         self._limits.header_timeout_ms = limits.header_timeout_ms
         self._limits.idle_timeout_ms = int(limits.idle_timeout_ms * IDLE_FACTOR)
 
+    def _note_restarts(self) -> None:
+        """Takes an upstream that is gone or began anew for one that was down."""
+        now_known: dict[str, int] = {}
+        for upstream_id, upstream in self._view.upstreams.items():
+            now_known[upstream_id] = upstream.started_at_ms
+        for upstream_id, started_at_ms in self._started_at_ms.items():
+            if now_known.get(upstream_id) != started_at_ms:
+                self._evidence.note_down(upstream_id)
+        self._started_at_ms = now_known
+
     async def _answer_ready(self, exchange: transport.ServerExchange) -> None:
         """Answers the balancer."""
         is_ready = self._view.document is not None and not self._is_leaving
@@ -426,6 +450,7 @@
             counts=self._load.own,
             held_tags=self._scheduler.held_tags,
             kept_tags=self._scheduler.list_kept_tags(),
+            crashes=self._evidence.counts,
         )
 
     async def _write_member_record(self) -> None:
@@ -451,6 +476,8 @@
             await trio.sleep(HOUSEKEEPING_S)
             self._view.expire_lapsed()
             self._clients.drop_gone()
+            self._evidence.expire()
+            self._drop_old_jobs()
             self._directory.list_live()
             if self._log_handler is None:
                 continue
@@ -459,6 +486,28 @@
             if dropped:
                 _LOGGER.warning('log_lines_dropped', extra={'count': dropped})
 
+    def _drop_old_jobs(self) -> None:
+        """Drops closed jobs whose results need not be kept any more."""
+        if self._ledger.open_count or not self._knows_jobs():
+            return
+        kept_s = self._settings.results_kept_s * RETENTION_FACTOR
+        limit_s = trio.current_time() - kept_s
+        members = self._list_responsible()
+        dropped = 0
+        for job in self._table.jobs.values():
+            if job.known_since_s > limit_s or dropped >= DROPS_A_STEP:
+                return
+            if job.open_items and not job.is_ended:
+                continue
+            if jobs.choose_member(job.job_id, members) != self._settings.vm:
+                continue
+            dropped += 1
+            self._ledger.submit(jobs.DropJob(job.job_id))
+            _LOGGER.info(
+                'job_dropped',
+                extra={'job': job.job_id, 'results': len(job.results)},
+            )
+
     async def _watch_reload(self) -> None:
         await self._signals.watch_reload(self._take_settings)
 
--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -28,6 +28,8 @@
 GIVEN_UP_A_STEP = 16
 #: Time between steps: about what a message to all peers takes.
 STEP_S = 0.03
+#: Time between looks for what need not be remembered any more.
+FORGET_INTERVAL_S = 1.0
 #: Time between steps when nothing has changed.
 IDLE_STEP_S = 0.25
 #: Time between two cuts at one upstream: peers must have seen the first.
@@ -106,6 +108,7 @@
         '_placer',
         '_load',
         '_health',
+        '_evidence',
         '_clients',
         '_wire',
         '_metrics',
@@ -129,6 +132,7 @@
         placer: placement.Placer,
         load: placement.LoadTable,
         health: placement.UpstreamHealth,
+        evidence: placement.CrashEvidence,
         clients: _upstream_clients.UpstreamClients,
         wire: _wire.Wire,
         metrics: _gateway_metrics.GatewayMetrics,
@@ -144,6 +148,7 @@
         self._placer = placer
         self._load = load
         self._health = health
+        self._evidence = evidence
         self._clients = clients
         self._wire = wire
         self._metrics = metrics
@@ -172,6 +177,7 @@
 
     async def run(self) -> None:
         """Runs items for ever."""
+        forgot_at_s = trio.current_time()
         async with trio.open_nursery() as nursery:
             while True:
                 self._cut_ended()
@@ -180,7 +186,9 @@
                 await self._hand_over_kept()
                 if not self._is_stopping:
                     begun = self._begin(nursery)
-                self._scheduler.forget_closed()
+                if trio.current_time() - forgot_at_s > FORGET_INTERVAL_S:
+                    forgot_at_s = trio.current_time()
+                    self._scheduler.forget_closed()
                 await trio.sleep(STEP_S)
                 if begun:
                     continue
@@ -284,6 +292,9 @@
             if self._is_past_retention(next_item.job, route):
                 self._begin_giving_up(nursery, next_item, tag, 'retention')
                 continue
+            if self._evidence.is_convicted(tag):
+                # It may be given up only when its retention is over.
+                continue
             if self._scheduler.get_progress(tag).is_complete:
                 self._scheduler.held_tags.add(tag)
                 nursery.start_soon(self._list_complete, next_item, tag)
@@ -412,6 +423,7 @@
             progress.pause(progress.failed_attempts)
         elif end is _RunEnd.LOST:
             progress.lost_runs += 1
+            self._evidence.note_broken_run(run.tag, upstream.upstream_id)
             self._health.note_failure(upstream.upstream_id, reason)
             progress.pause(progress.lost_runs)
         elif end is _RunEnd.NOT_RUN:
@@ -505,7 +517,7 @@
             return _RunEnd.LOST, 'no answer in time'
         if isinstance(answer, results.Failure):
             if answer.run_state is results.RunState.NOT_RUN:
-                self._health.note_failure(upstream.upstream_id, answer.reason)
+                self._health.note_down(upstream.upstream_id, answer.reason)
                 return _RunEnd.NOT_RUN, answer.reason
             return _RunEnd.LOST, answer.reason
         with answer:
--- a/siskinmount/gateway/_online_run.py
+++ b/siskinmount/gateway/_online_run.py
@@ -34,6 +34,7 @@
 NO_UPSTREAM_RETRY_MS = 400
 MIN_RETRY_MS = 100
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
+_CANCELLED = 'cancelled'
 
 
 class _Attempt(enum.Enum):
@@ -78,12 +79,21 @@
         placer: Chooses upstreams.
         load: Counts requests in flight.
         health: Remembers failures of upstreams.
+        evidence: Knows requests that take upstreams down.
         clients: Connections to upstreams.
         wire: Reads and writes headers.
         metrics: Counts what happens.
     """
 
-    __slots__ = ('placer', 'load', 'health', 'clients', 'wire', 'metrics')
+    __slots__ = (
+        'placer',
+        'load',
+        'health',
+        'evidence',
+        'clients',
+        'wire',
+        'metrics',
+    )
 
     def __init__(
         self,
@@ -91,6 +101,7 @@
         placer: placement.Placer,
         load: placement.LoadTable,
         health: placement.UpstreamHealth,
+        evidence: placement.CrashEvidence,
         clients: _upstream_clients.UpstreamClients,
         wire: _wire.Wire,
         metrics: _gateway_metrics.GatewayMetrics,
@@ -98,6 +109,7 @@
         self.placer = placer
         self.load = load
         self.health = health
+        self.evidence = evidence
         self.clients = clients
         self.wire = wire
         self.metrics = metrics
@@ -122,6 +134,7 @@
         '_failed_answer',
         '_may_have_run',
         '_first_byte_at_s',
+        '_fingerprint',
     )
 
     def __init__(
@@ -152,6 +165,9 @@
         self._failed_answer: _WholeAnswer | None = None
         self._may_have_run = False
         self._first_byte_at_s: float | None = None
+        self._fingerprint = placement.make_fingerprint(
+            route.host, exchange.head.target, body
+        )
 
     async def run(self) -> None:
         """Answers the caller.
@@ -181,6 +197,12 @@
     async def _try_upstreams(self) -> results.Failure | None:
         """Sends to upstreams until the caller has its answer."""
         while True:
+            if self._tools.evidence.is_convicted(self._fingerprint):
+                return results.Failure(
+                    results.ResultCode.REQUEST_CONVICTED,
+                    'each upstream that ran this request went down',
+                    self._get_run_state(),
+                )
             chosen = self._place()
             if isinstance(chosen, results.Failure):
                 if self._failed_answer is not None:
@@ -277,15 +299,14 @@
         self._tools.load.add_online(upstream_id, 1)
         sent_at_s = trio.current_time()
         outcome = _Attempt.LOST
-        reason = 'cancelled'
+        reason = _CANCELLED
         try:
             outcome, reason = await self._send(upstream)
         finally:
             self._tools.load.add_online(upstream_id, -1)
             if outcome is not _Attempt.NOT_RUN:
                 self._may_have_run = True
-            if outcome is _Attempt.LOST and reason != 'cancelled':
-                self._tools.health.note_failure(upstream_id, reason)
+            self._note_loss(upstream_id, outcome, reason)
             _LOGGER.info(
                 'attempt_ended',
                 extra={
@@ -305,6 +326,20 @@
             self._tools.placer.note_run(upstream.service, run_ms)
         return outcome
 
+    def _note_loss(
+        self, upstream_id: str, outcome: _Attempt, reason: str
+    ) -> None:
+        """Remembers what a lost attempt says of its upstream."""
+        if outcome is _Attempt.FAILED:
+            self._tools.health.note_failure(upstream_id, reason)
+        if outcome is not _Attempt.LOST:
+            return
+        if reason != _CANCELLED:
+            self._tools.evidence.note_broken_run(self._fingerprint, upstream_id)
+            self._tools.health.note_failure(upstream_id, reason)
+        elif trio.current_time() >= self._deadline_s:
+            self._tools.health.note_failure(upstream_id, 'silent to the end')
+
     async def _send(self, upstream: fleet.Upstream) -> tuple[_Attempt, str]:
         """Sends the request and passes the answer on."""
         head = self._exchange.head
@@ -335,7 +370,7 @@
         if isinstance(answer, results.Failure):
             if answer.run_state is results.RunState.NOT_RUN:
                 self._may_have_run = self._attempts > 0
-                self._tools.health.note_failure(
+                self._tools.health.note_down(
                     upstream.upstream_id, answer.reason
                 )
                 return _Attempt.NOT_RUN, answer.reason
@@ -351,7 +386,7 @@
                 # The body is read so that the connection can be used again.
                 await answer.read_body(MAX_ANSWER_BYTES)
                 if kind is _wire.AnswerKind.OTHER_PROCESS:
-                    self._tools.health.note_failure(
+                    self._tools.health.note_down(
                         upstream.upstream_id, 'another process has its address'
                     )
                 return _Attempt.NOT_RUN, kind.value
--- a/siskinmount/gateway/tests/gateway_harness.py
+++ b/siskinmount/gateway/tests/gateway_harness.py
@@ -155,6 +155,7 @@
         self.engines = {}
         self.engine_faults = {}
         self.gateways = []
+        self.results_kept_s = 120
 
     async def start(self, gateway_count, engine_ids, plain_ids=()):
         """Starts all parts and waits until the gateways serve."""
@@ -230,6 +231,7 @@
             max_record_bytes=MAX_RECORD_BYTES,
             max_call_bytes=MAX_CALL_BYTES,
             stop_grace_s=6,
+            results_kept_s=self.results_kept_s,
             seeds=[],
         )
         daemon = gateway.create_gateway(
--- a/siskinmount/gateway/tests/test_jobs.py
+++ b/siskinmount/gateway/tests/test_jobs.py
@@ -268,6 +268,33 @@
         self._assert_complete(seen[1], 2)
         self._assert_complete(seen[2], 2)
 
+    def test_closed_jobs_leave_the_store_when_their_time_is_over(self):
+        seen = []
+
+        async def check(fleet):
+            fleet.gateways[0].kill()
+            await fleet.gateways[0].ended.wait()
+            fleet.gateways.clear()
+            fleet.results_kept_s = 0.4
+            await fleet.wait_ready(await fleet.start_gateway(0))
+            body = bytes(range(256)) * 200
+            await fleet.submit(
+                0, 'j1', [gateway_harness.make_item('i0', body=body)]
+            )
+            await fleet.wait_results(0, 'j1', 1)
+
+            def read_values():
+                return fleet.store.read_newest_values(
+                    gateway_harness.JOBS_TOPIC
+                )
+
+            seen.append(len(read_values()) > 2)
+            await gateway_harness.wait_until(lambda: not read_values())
+            seen.append((await fleet.read_results(0, 'j1')).status)
+
+        self._run(check)
+        self.assertEqual([True, 404], seen)
+
 
 class StopTest(testtools.TestCase):
 
--- a/siskinmount/jobs/__init__.py
+++ b/siskinmount/jobs/__init__.py
@@ -4,7 +4,7 @@
     Job, JobItem, ItemResult, ItemState: A job and what is listed of it.
     JobTable, create_job_table(): All jobs that the log holds.
     JobLedger, create_job_ledger(...): Writes operations into the log.
-    AcceptJob, ListResult, EndJob, Written: The operations and their outcome.
+    AcceptJob, ListResult, EndJob, DropJob, Written: The operations and their outcome.
     ItemScheduler, create_item_scheduler(...): Which items run here next.
     choose_member(tag, members): Who is responsible for an item.
 """
@@ -25,6 +25,7 @@
 from siskinmount.jobs._job_table import create_job_table
 from siskinmount.jobs._job_table import JobTable
 from siskinmount.jobs._operations import AcceptJob
+from siskinmount.jobs._operations import DropJob
 from siskinmount.jobs._operations import EndJob
 from siskinmount.jobs._operations import ListResult
 from siskinmount.jobs._operations import Written
--- a/siskinmount/jobs/_item_scheduler.py
+++ b/siskinmount/jobs/_item_scheduler.py
@@ -110,6 +110,9 @@
         '_member',
         '_list_members',
         '_list_elsewhere',
+        '_tags',
+        '_responsible_of',
+        '_responsible_by_tag',
     )
 
     def __init__(
@@ -125,6 +128,9 @@
         self._member = member
         self._list_members = list_members
         self._list_elsewhere = list_elsewhere
+        self._tags: dict[tuple[str, str], str] = {}
+        self._responsible_of: list[str] = []
+        self._responsible_by_tag: dict[str, str] = {}
 
     def iterate_next(
         self, count_free_slots: Callable[[str], int]
@@ -147,7 +153,7 @@
             for item in list(job.open_items.values()):
                 if room <= 0:
                     break
-                tag = make_tag(job.job_id, item.item_id)
+                tag = self._get_tag(job, item)
                 if tag in self.held_tags or tag in elsewhere.held_tags:
                     continue
                 progress = self.progress.get(tag)
@@ -190,7 +196,27 @@
             return keeper is None or self._member < keeper
         if keeper is not None:
             return False
-        return choose_member(tag, members) == self._member
+        return self._get_responsible(tag, members) == self._member
+
+    def _get_tag(self, job: _job.Job, item: _job.JobItem) -> str:
+        """Returns an item's tag, which is hashed once."""
+        key = (job.job_id, item.item_id)
+        tag = self._tags.get(key)
+        if tag is None:
+            tag = make_tag(job.job_id, item.item_id)
+            self._tags[key] = tag
+        return tag
+
+    def _get_responsible(self, tag: str, members: list[str]) -> str:
+        """Returns the member for an item, chosen once for the same members."""
+        if members != self._responsible_of:
+            self._responsible_of = list(members)
+            self._responsible_by_tag.clear()
+        member = self._responsible_by_tag.get(tag)
+        if member is None:
+            member = choose_member(tag, members)
+            self._responsible_by_tag[tag] = member
+        return member
 
     def get_progress(self, tag: str) -> ItemProgress:
         """Returns the memory of an item."""
@@ -202,15 +228,21 @@
 
     def forget_closed(self) -> None:
         """Drops the memory of items that are listed or ended."""
+        open_keys: set[tuple[str, str]] = set()
         open_tags: set[str] = set()
         for job in self._table.jobs.values():
             if job.is_ended:
                 continue
-            for item_id in job.open_items:
-                open_tags.add(make_tag(job.job_id, item_id))
+            for item in job.open_items.values():
+                open_keys.add((job.job_id, item.item_id))
+                open_tags.add(self._get_tag(job, item))
         for tag in list(self.progress):
             if tag not in open_tags and tag not in self.held_tags:
                 del self.progress[tag]
+        for key, tag in list(self._tags.items()):
+            if key not in open_keys:
+                del self._tags[key]
+                self._responsible_by_tag.pop(tag, None)
 
 
 def choose_member(tag: str, members: list[str]) -> str:
--- a/siskinmount/jobs/_job_table.py
+++ b/siskinmount/jobs/_job_table.py
@@ -26,6 +26,7 @@
         '_parts',
         '_heads',
         '_results_ahead',
+        '_keys_by_job',
         '_ended_ahead',
         '_listeners',
         '_changed',
@@ -37,6 +38,7 @@
         self._parts: dict[str, dict[int, bytes]] = {}
         self._heads: dict[str, tuple[int, bytes, int]] = {}
         self._results_ahead: dict[str, dict[int, _job.ItemResult]] = {}
+        self._keys_by_job: dict[str, dict[str, None]] = {}
         self._ended_ahead: set[str] = set()
         self._listeners: list[Callable[[], None]] = []
         self._changed = trio.Event()
@@ -60,7 +62,9 @@
             return
         if record.value is None:
             self._drop(key)
-        elif key.part:
+            return
+        self._keys_by_job.setdefault(key.job_id, {})[record.key] = None
+        if key.part:
             head_key = record.key.partition('#')[0]
             self._parts.setdefault(head_key, {})[key.part] = record.value
             self._try_complete(head_key, key)
@@ -71,6 +75,16 @@
             self._heads[record.key] = (*split, record.offset)
             self._try_complete(record.key, key)
 
+    def list_keys(self, job_id: str) -> list[str]:
+        """Returns the keys of a job's records, that of its acceptance first."""
+        keys = dict(self._keys_by_job.get(job_id, {}))
+        acceptance = _job_records.RecordKey(
+            _job_records.RecordKind.JOB, job_id
+        ).encode()
+        first = [acceptance] if acceptance in keys else []
+        keys.pop(acceptance, None)
+        return first + list(keys)
+
     def count_waiting_tokens(self, route_name: str) -> int:
         """Returns the tokens of all unfinished items of a route."""
         total = 0
@@ -179,6 +193,8 @@
         self._heads.pop(head_key, None)
         if key.kind is _job_records.RecordKind.JOB:
             self.jobs.pop(key.job_id, None)
+            self._keys_by_job.pop(key.job_id, None)
+            self._ended_ahead.discard(key.job_id)
             self._results_ahead.pop(key.job_id, None)
             self._notify()
 
--- a/siskinmount/jobs/_operations.py
+++ b/siskinmount/jobs/_operations.py
@@ -214,3 +214,22 @@
     def is_expired(self) -> bool:
         """Returns whether the caller waits no more."""
         return trio.current_time() > self.deadline_s
+
+
+class DropJob(_OperationState):
+    """Removes a job that is closed and whose results were kept long enough."""
+
+    __slots__ = ()
+
+    def plan(
+        self, table: _job_table.JobTable, planned: PlannedChanges
+    ) -> list[keyed_log.KeyedRecord] | Written:
+        """Returns a record without a value for each key of the job.
+
+        The acceptance goes last: until then the rest is found again by a
+        member that reads the log anew.
+        """
+        records: list[keyed_log.KeyedRecord] = []
+        for key in reversed(table.list_keys(self.job_id)):
+            records.append(keyed_log.KeyedRecord(key, None))
+        return records or Written.DONE
--- a/siskinmount/peering/_peer_directory.py
+++ b/siskinmount/peering/_peer_directory.py
@@ -71,12 +71,18 @@
         peers: Other members by name.
     """
 
-    __slots__ = ('member', 'peers', '_load', '_silent')
-
-    def __init__(self, member: str, load: placement.LoadTable) -> None:
+    __slots__ = ('member', 'peers', '_load', '_evidence', '_silent')
+
+    def __init__(
+        self,
+        member: str,
+        load: placement.LoadTable,
+        evidence: placement.CrashEvidence,
+    ) -> None:
         self.member = member
         self.peers: dict[str, Peer] = {}
         self._load = load
+        self._evidence = evidence
         self._silent: set[str] = set()
 
     def take_record(self, record: keyed_log.KeyedRecord) -> None:
@@ -104,8 +110,12 @@
         if message.member == self.member:
             return
         peer = self._know(message.member, message.address, message.incarnation)
-        if message.incarnation < peer.incarnation:
-            return
+        if message.incarnation != peer.incarnation:
+            if peer.is_live():
+                return
+            # The clock of its VM was set back between two starts.
+            peer.incarnation = message.incarnation
+            peer.sequence = -1
         if message.sequence <= peer.sequence:
             return
         if not peer.is_live():
@@ -120,9 +130,11 @@
                 },
             )
         peer.sequence = message.sequence
+        peer.address = message.address
         peer.heard_at_s = trio.current_time()
         peer.message = message
         self._load.take_peer_counts(peer.member, message.counts)
+        self._evidence.take_peer_counts(peer.member, message.crashes)
 
     def list_live(self) -> list[Peer]:
         """Returns the peers that were heard lately."""
@@ -205,7 +217,9 @@
 
 
 def create_peer_directory(
-    member: str, load: placement.LoadTable
+    member: str,
+    load: placement.LoadTable,
+    evidence: placement.CrashEvidence,
 ) -> PeerDirectory:
     """Creates a directory that knows no peer."""
-    return PeerDirectory(member, load)
+    return PeerDirectory(member, load, evidence)
--- a/siskinmount/peering/_peer_message.py
+++ b/siskinmount/peering/_peer_message.py
@@ -20,6 +20,7 @@
         counts: Its requests in flight by upstream.
         held_tags: Batch items that it runs or is about to list.
         kept_tags: Batch items that wait and of which it keeps output.
+        crashes: Upstreams that went down, by the request that each fell with.
     """
 
     __slots__ = (
@@ -33,6 +34,7 @@
         'counts',
         'held_tags',
         'kept_tags',
+        'crashes',
     )
 
     def __init__(
@@ -48,6 +50,7 @@
         counts: dict[str, placement.UpstreamCounts],
         held_tags: set[str],
         kept_tags: set[str],
+        crashes: dict[str, int],
     ) -> None:
         self.member = member
         self.incarnation = incarnation
@@ -59,6 +62,7 @@
         self.counts = counts
         self.held_tags = held_tags
         self.kept_tags = kept_tags
+        self.crashes = crashes
 
 
 def encode_message(message: PeerMessage) -> bytes:
@@ -82,6 +86,7 @@
             },
             'held': sorted(message.held_tags),
             'kept': sorted(message.kept_tags),
+            'crashes': message.crashes,
         }
     )
 
@@ -106,6 +111,10 @@
             counts=counts,
             held_tags={str(tag) for tag in fields['held']},
             kept_tags={str(tag) for tag in fields['kept']},
+            crashes={
+                str(name): int(count)
+                for name, count in fields['crashes'].items()
+            },
         )
     except (
         ValueError,
--- a/siskinmount/placement/_upstream_health.py
+++ b/siskinmount/placement/_upstream_health.py
@@ -4,6 +4,8 @@
 
 import trio
 
+from siskinmount.placement import _crash_evidence
+
 _LOGGER = logging.getLogger(__name__)
 
 #: How long an upstream is avoided after a failure that only a broken process
@@ -15,9 +17,10 @@
 class UpstreamHealth:
     """Remembers failures."""
 
-    __slots__ = ('_failures', '_avoid_until_s')
+    __slots__ = ('_evidence', '_failures', '_avoid_until_s')
 
-    def __init__(self) -> None:
+    def __init__(self, evidence: _crash_evidence.CrashEvidence) -> None:
+        self._evidence = evidence
         self._failures: dict[str, int] = {}
         self._avoid_until_s: dict[str, float] = {}
 
@@ -37,6 +40,11 @@
             },
         )
 
+    def note_down(self, upstream_id: str, reason: str) -> None:
+        """Remembers that an upstream does not take connections."""
+        self._evidence.note_down(upstream_id)
+        self.note_failure(upstream_id, reason)
+
     def note_success(self, upstream_id: str) -> None:
         """Remembers that an upstream works."""
         if self._failures.pop(upstream_id, None) is None:
@@ -54,6 +62,8 @@
         self._avoid_until_s.pop(upstream_id, None)
 
 
-def create_upstream_health() -> UpstreamHealth:
+def create_upstream_health(
+    evidence: _crash_evidence.CrashEvidence,
+) -> UpstreamHealth:
     """Creates a memory without failures."""
-    return UpstreamHealth()
+    return UpstreamHealth(evidence)
--- /dev/null
+++ b/siskinmount/placement/tests/test_crash_evidence.py
@@ -0,0 +1,81 @@
+"""Tests of what convicts a request."""
+
+import testtools
+import trio
+import trio.testing
+
+from siskinmount import placement
+
+
+def _run(check):
+    async def main():
+        await check(placement.create_crash_evidence())
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class CrashEvidenceTest(testtools.TestCase):
+
+    def test_conviction(self):
+        cases = [
+            # Upstreams it fell with, those found down, peer's count, outcome.
+            (['a', 'b', 'c'], ['a', 'b', 'c'], 0, True),
+            (['a', 'b', 'c'], ['a', 'b'], 0, False),
+            (['a', 'b'], ['a', 'b'], 1, True),
+            (['a'], ['a', 'a', 'a'], 1, False),
+            ([], ['a', 'b', 'c'], 0, False),
+        ]
+        for fallen, down, peer_count, expected in cases:
+
+            async def check(
+                evidence,
+                fallen=fallen,
+                down=down,
+                peer_count=peer_count,
+                expected=expected,
+            ):
+                for upstream_id in fallen:
+                    evidence.note_broken_run('f', upstream_id)
+                for upstream_id in down:
+                    evidence.note_down(upstream_id)
+                evidence.take_peer_counts('p', {'f': peer_count})
+                self.assertEqual(expected, evidence.is_convicted('f'), fallen)
+
+            _run(check)
+
+    def test_bystander_of_one_crash_is_not_convicted(self):
+        async def check(evidence):
+            for upstream_id in ('a', 'b', 'c'):
+                evidence.note_broken_run('poison', upstream_id)
+                evidence.note_broken_run(
+                    f'bystander-{upstream_id}', upstream_id
+                )
+                evidence.note_down(upstream_id)
+            self.assertTrue(evidence.is_convicted('poison'))
+            self.assertFalse(evidence.is_convicted('bystander-a'))
+
+        _run(check)
+
+    def test_evidence_expires(self):
+        async def check(evidence):
+            evidence.note_broken_run('f', 'a')
+            await trio.sleep(4)
+            evidence.note_down('a')
+            self.assertEqual({}, evidence.counts)
+            evidence.note_broken_run('f', 'a')
+            evidence.note_down('a')
+            await trio.sleep(61)
+            evidence.expire()
+            self.assertEqual({}, evidence.counts)
+
+        _run(check)
+
+    def test_fingerprint_names_the_request_not_its_attempt(self):
+        name = placement.make_fingerprint('h', '/p', b'body')
+        self.assertEqual(name, placement.make_fingerprint('h', '/p', b'body'))
+        for other in (
+            ('g', '/p', b'body'),
+            ('h', '/q', b'body'),
+            ('h', '/p', b''),
+        ):
+            self.assertNotEqual(name, placement.make_fingerprint(*other))
