--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -47,6 +47,10 @@
 RETENTION_FACTOR = 1.5
 #: Jobs that one member drops in one step.
 DROPS_A_STEP = 4
+#: How long after its start a member begins no batch items: callers that waited
+#: come back at once, and upstreams drop the runs of a process that lost its
+#: power only after a second and a half.
+BATCH_AFTER_START_S = 2.0
 #: Pause after a member record could not be written.
 MEMBER_RETRY_S = 0.5
 MAX_CONNECTIONS = 6000
@@ -141,6 +145,7 @@
         '_signals',
         '_incarnation',
         '_is_leaving',
+        '_started_at_s',
         '_started_at_ms',
         '_view',
         '_load',
@@ -179,6 +184,7 @@
         self._signals = signals
         self._incarnation = time.time_ns() // 1_000_000
         self._is_leaving = False
+        self._started_at_s = float('inf')
         self._started_at_ms: dict[str, int] = {}
         self._view = fleet.create_fleet_view(
             outside.decode_document, outside.decode_upstream
@@ -239,6 +245,7 @@
             wire=outside.wire,
             metrics=self._metrics,
             member=settings.vm,
+            may_begin=self._may_begin_items,
             list_members=self._list_responsible,
             hand_over=self._peers_api.hand_over,
             max_record_bytes=settings.max_record_bytes,
@@ -294,6 +301,7 @@
         self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Serves until the planned stop is over."""
+        self._started_at_s = trio.current_time()
         _LOGGER.info(
             'daemon_started',
             extra={
@@ -332,7 +340,6 @@
         self._is_leaving = True
         self._load.version += 1
         self._callers_server.begin_draining()
-        self._runner.stop_beginning()
         end_at_s = began_at_s + max(
             0.0, self._settings.stop_grace_s - FORCED_END_MARGIN_S
         )
@@ -367,8 +374,16 @@
         )
 
     def _knows_jobs(self) -> bool:
+        """Returns whether this member may begin items of all jobs."""
+        if not self._may_begin_items():
+            return False
         return self._jobs.is_loaded and self._jobs.is_reachable
 
+    def _may_begin_items(self) -> bool:
+        """Returns whether the first moments after the start are over."""
+        age_s = trio.current_time() - self._started_at_s
+        return not self._is_leaving and age_s > BATCH_AFTER_START_S
+
     def _list_elsewhere(self) -> jobs.ItemsElsewhere:
         """Returns what the live peers run and keep."""
         held_tags: set[str] = set()
--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -113,13 +113,13 @@
         '_wire',
         '_metrics',
         '_member',
+        '_may_begin',
         '_list_members',
         '_hand_over',
         '_max_record_bytes',
         '_runs',
         '_cut_at_s',
         '_route_missing_since_s',
-        '_is_stopping',
     )
 
     def __init__(
@@ -137,6 +137,7 @@
         wire: _wire.Wire,
         metrics: _gateway_metrics.GatewayMetrics,
         member: str,
+        may_begin: Callable[[], bool],
         list_members: Callable[[], list[str]],
         hand_over: HandOver,
         max_record_bytes: int,
@@ -153,23 +154,19 @@
         self._wire = wire
         self._metrics = metrics
         self._member = member
+        self._may_begin = may_begin
         self._list_members = list_members
         self._hand_over = hand_over
         self._max_record_bytes = max_record_bytes
         self._runs: dict[str, _Run] = {}
         self._cut_at_s: dict[str, float] = {}
         self._route_missing_since_s: dict[str, float] = {}
-        self._is_stopping = False
 
     @property
     def held_count(self) -> int:
         """Items that run here or are about to be listed."""
         return len(self._scheduler.held_tags)
 
-    def stop_beginning(self) -> None:
-        """Begins nothing more; what runs goes on."""
-        self._is_stopping = True
-
     def cut_all(self) -> None:
         """Ends all runs: the process is about to end."""
         for run in list(self._runs.values()):
@@ -184,7 +181,7 @@
                 self._cut_crowded()
                 begun = 0
                 await self._hand_over_kept()
-                if not self._is_stopping:
+                if self._may_begin():
                     begun = self._begin(nursery)
                 if trio.current_time() - forgot_at_s > FORGET_INTERVAL_S:
                     forgot_at_s = trio.current_time()
