Tell a refused caller when a slot is likely; skip routes of unknown kinds

Cause: Retry-After of a refused request was drawn from one objective, whatever the queue; it is now the wait beyond the bound plus a drawn part of the bound, so that callers do not come back together. A route whose kind is unknown no longer keeps the whole document out of force. Tests play a burst beyond the slots, batch beside callers, peers' counts, avoided upstreams.

--- a/siskinmount/gateway/_online_run.py
+++ b/siskinmount/gateway/_online_run.py
@@ -2,7 +2,6 @@
 
 import enum
 import logging
-import random
 
 import trio
 
@@ -30,9 +29,6 @@
 #: A wait longer than this many objectives is refused: the caller can be on
 #: time only by coming back when the burst has passed.
 MAX_WAIT_IN_TARGETS = 1.5
-#: When a caller may come back if no upstream takes requests.
-NO_UPSTREAM_RETRY_MS = 400
-MIN_RETRY_MS = 100
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
 _CANCELLED = 'cancelled'
 
@@ -223,7 +219,7 @@
                     results.ResultCode.OVERLOADED,
                     'no upstream took the request',
                     self._get_run_state(),
-                    retry_after_ms=NO_UPSTREAM_RETRY_MS,
+                    retry_after_ms=placement.NO_UPSTREAM_RETRY_MS,
                 )
             if self._may_try_again():
                 continue
@@ -254,7 +250,11 @@
         placed = self._tools.placer.place_online(
             service, self._request.affinity_key, self._tried, max_wait_ms
         )
-        if placed is placement.NoPlace.NO_UPSTREAM and self._tried:
+        if (
+            isinstance(placed, placement.Refusal)
+            and placed.reason is placement.NoPlace.NO_UPSTREAM
+            and self._tried
+        ):
             # All have failed it once; the least loaded gets it again.
             placed = self._tools.placer.place_online(
                 service, self._request.affinity_key, set(), max_wait_ms
@@ -267,24 +267,21 @@
             'document_version': self._version,
             'waited_ms': int((trio.current_time() - self._began_at_s) * 1000),
         }
-        if isinstance(placed, placement.NoPlace):
-            self._tools.metrics.placements.increment(placed.value)
-            extra['outcome'] = placed.value
+        if isinstance(placed, placement.Refusal):
+            self._tools.metrics.placements.increment(placed.reason.value)
+            extra['outcome'] = placed.reason.value
+            extra['retry_after_ms'] = placed.retry_after_ms
             _LOGGER.info('request_not_placed', extra=extra)
-            if placed is placement.NoPlace.NO_UPSTREAM:
-                return results.Failure(
-                    results.ResultCode.NO_UPSTREAM,
-                    'no upstream takes requests of this service now',
-                    self._get_run_state(),
-                    retry_after_ms=NO_UPSTREAM_RETRY_MS,
-                )
+            code = results.ResultCode.OVERLOADED
+            reason = 'the request would wait too long for an upstream'
+            if placed.reason is placement.NoPlace.NO_UPSTREAM:
+                code = results.ResultCode.NO_UPSTREAM
+                reason = 'no upstream takes requests of this service now'
             return results.Failure(
-                results.ResultCode.OVERLOADED,
-                'the request would wait too long for an upstream',
+                code,
+                reason,
                 self._get_run_state(),
-                retry_after_ms=max(
-                    MIN_RETRY_MS, int(self._route.target_ms * random.random())
-                ),
+                retry_after_ms=placed.retry_after_ms,
             )
         self._tools.metrics.placements.increment('placed')
         extra['upstream'] = placed.upstream.upstream_id
--- a/siskinmount/placement/_placer.py
+++ b/siskinmount/placement/_placer.py
@@ -14,6 +14,11 @@
 #: Weight of a new measurement in the running mean of a run's length.
 RUN_LENGTH_WEIGHT = 0.05
 FIRST_RUN_MS = 700.0
+#: When a caller may come back if no upstream takes requests: entries of
+#: upstreams change once in a heartbeat of about a second.
+NO_UPSTREAM_RETRY_MS = 400
+#: Shortest time that a caller is told; it takes a new connection to come back.
+MIN_RETRY_MS = 100
 #: Requests placed within this many of the least loaded count as equal, so that
 #: the prompt's affinity may decide among them.
 NEAR_COUNT = 1
@@ -29,6 +34,21 @@
     FULL = 'full'
 
 
+class Refusal:
+    """Says that a request has no place.
+
+    Attributes:
+        reason: Why.
+        retry_after_ms: When it would probably have one.
+    """
+
+    __slots__ = ('reason', 'retry_after_ms')
+
+    def __init__(self, reason: NoPlace, retry_after_ms: int) -> None:
+        self.reason = reason
+        self.retry_after_ms = retry_after_ms
+
+
 class Placement:
     """Where a request goes.
 
@@ -79,7 +99,7 @@
         affinity_key: str,
         excluded: set[str],
         max_wait_ms: float,
-    ) -> Placement | NoPlace:
+    ) -> Placement | Refusal:
         """Returns where an online request starts soonest.
 
         Args:
@@ -90,7 +110,7 @@
         """
         candidates = self._list_candidates(service, excluded)
         if not candidates:
-            return NoPlace.NO_UPSTREAM
+            return Refusal(NoPlace.NO_UPSTREAM, NO_UPSTREAM_RETRY_MS)
         totals = self._load.sum_counts()
         scored: list[tuple[int, int, fleet.Upstream]] = []
         for upstream in candidates:
@@ -112,7 +132,8 @@
         slots = chosen.slot_count or DEFAULT_SLOTS
         wait_ms = least_waiting * self.get_run_ms(service) / slots
         if wait_ms > max_wait_ms:
-            return NoPlace.FULL
+            retry_ms = wait_ms - max_wait_ms + random.uniform(0, max_wait_ms)
+            return Refusal(NoPlace.FULL, max(MIN_RETRY_MS, int(retry_ms)))
         return Placement(chosen, least_waiting, wait_ms)
 
     def place_batch(
--- /dev/null
+++ b/siskinmount/placement/tests/test_placer.py
@@ -0,0 +1,140 @@
+"""Plays loads against the choice of an upstream."""
+
+import testtools
+import trio
+import trio.testing
+
+from siskinmount import fleet
+from siskinmount import placement
+from siskinmount import results
+from siskinmount import transport
+
+
+def _make_view(upstream_count, state=fleet.UpstreamState.READY):
+    def decode(upstream_id, source):
+        return fleet.Upstream(
+            upstream_id=upstream_id,
+            service='s',
+            address=transport.Address('127.0.0.1', 1),
+            failure_domain='a',
+            state=state,
+            slot_count=4,
+            started_at_ms=0,
+        )
+
+    def refuse(source):
+        return results.Failure(results.ResultCode.DOCUMENT_INVALID, 'none')
+
+    view = fleet.create_fleet_view(refuse, decode)
+    view.replace_upstreams(
+        {f'u{n}': b'x' for n in range(upstream_count)}, 'test'
+    )
+    return view
+
+
+class PlacerTest(testtools.TestCase):
+
+    def _run(self, check, **options):
+        async def main():
+            view = _make_view(options.get('upstreams', 3))
+            load = placement.create_load_table()
+            health = placement.create_upstream_health(
+                placement.create_crash_evidence()
+            )
+            placer = placement.create_placer(view, load, health)
+            check(placer, load, health)
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_burst_spreads_until_all_slots_are_taken(self):
+        def check(placer, load, health):
+            for number in range(12):
+                placed = placer.place_online('s', f'k{number % 2}', set(), 1)
+                self.assertEqual(0, placed.waiting_count)
+                load.add_online(placed.upstream.upstream_id, 1)
+            counts = sorted(entry.online for entry in load.own.values())
+            self.assertEqual([4, 4, 4], counts)
+
+        self._run(check)
+
+    def test_burst_beyond_the_slots_is_refused_with_a_time(self):
+        def check(placer, load, health):
+            outcomes = []
+            for _ in range(40):
+                placed = placer.place_online('s', '', set(), 450)
+                outcomes.append(placed)
+                if isinstance(placed, placement.Placement):
+                    load.add_online(placed.upstream.upstream_id, 1)
+            refused = [
+                outcome
+                for outcome in outcomes
+                if isinstance(outcome, placement.Refusal)
+            ]
+            # Runs take 700 ms and each upstream has four slots: two more wait
+            # 350 ms at each, a third would wait 525 ms.
+            self.assertEqual(40 - 12 - 6, len(refused))
+            for outcome in refused:
+                self.assertIs(placement.NoPlace.FULL, outcome.reason)
+                self.assertGreaterEqual(outcome.retry_after_ms, 75)
+
+        self._run(check)
+
+    def test_batch_does_not_make_callers_wait(self):
+        def check(placer, load, health):
+            for n in range(3):
+                load.set_batch(f'u{n}', 4, 1)
+            placed = placer.place_online('s', '', set(), 1)
+            self.assertEqual(0, placed.waiting_count)
+
+        self._run(check)
+
+    def test_free_slot_goes_before_one_that_batch_must_leave(self):
+        def check(placer, load, health):
+            load.set_batch('u0', 4, 1)
+            load.set_batch('u1', 4, 1)
+            load.add_online('u2', 1)
+            for key in ('a', 'b', 'c', 'd'):
+                placed = placer.place_online('s', key, set(), 1)
+                self.assertEqual('u2', placed.upstream.upstream_id)
+
+        self._run(check)
+
+    def test_counts_of_peers_count(self):
+        def check(placer, load, health):
+            load.take_peer_counts(
+                'p',
+                {
+                    'u0': placement.UpstreamCounts(4, 0),
+                    'u1': placement.UpstreamCounts(0, 4),
+                },
+            )
+            placed = placer.place_online('s', '', set(), 1)
+            self.assertEqual('u2', placed.upstream.upstream_id)
+            self.assertEqual(4, placer.count_free('s', 0))
+            found = placer.place_batch('s', 0, set())
+            self.assertEqual('u2', found.upstream_id)
+
+        self._run(check)
+
+    def test_avoided_upstream_serves_only_in_need(self):
+        def check(placer, load, health):
+            health.note_failure('u0', 'test')
+            placed = placer.place_online('s', '', set(), 1)
+            self.assertEqual('u1', placed.upstream.upstream_id)
+            placed = placer.place_online('s', '', {'u1'}, 1)
+            self.assertEqual('u0', placed.upstream.upstream_id)
+            refused = placer.place_online('s', '', {'u0', 'u1'}, 1)
+            self.assertIs(placement.NoPlace.NO_UPSTREAM, refused.reason)
+
+        self._run(check, upstreams=2)
+
+    def test_same_prompt_goes_to_the_same_upstream(self):
+        def check(placer, load, health):
+            first = placer.place_online('s', 'prompt', set(), 1)
+            for _ in range(5):
+                again = placer.place_online('s', 'prompt', set(), 1)
+                self.assertEqual(
+                    first.upstream.upstream_id, again.upstream.upstream_id
+                )
+
+        self._run(check)
--- a/siskinmount/platform/_fleet_codec.py
+++ b/siskinmount/platform/_fleet_codec.py
@@ -1,5 +1,6 @@
 """Decodes the platform's document and its entries of engines."""
 
+import logging
 from typing import Any
 
 import orjson
@@ -9,6 +10,8 @@
 from siskinmount import transport
 from siskinmount.platform import _field_reader
 
+_LOGGER = logging.getLogger(__name__)
+
 _KINDS = {
     'idempotent': fleet.RouteKind.IDEMPOTENT,
     'non_idempotent': fleet.RouteKind.NON_IDEMPOTENT,
@@ -32,10 +35,12 @@
         fields = orjson.loads(source)
         if not isinstance(fields, dict):
             raise _field_reader.FieldError('the document is no object')
-        routes = [
-            _decode_route(route)
-            for route in _field_reader.read_objects(fields, 'routes')
-        ]
+        routes: list[fleet.FleetRoute] = []
+        for route_fields in _field_reader.read_objects(fields, 'routes'):
+            if route_fields.get('kind') not in _KINDS:
+                _log_unknown_kind(route_fields)
+                continue
+            routes.append(_decode_route(route_fields))
         services: dict[str, fleet.FleetService] = {}
         for service_fields in _field_reader.read_objects(fields, 'services'):
             service = _decode_service(service_fields)
@@ -53,17 +58,25 @@
         )
 
 
+def _log_unknown_kind(fields: dict[str, Any]) -> None:
+    """Says that a route is left out; the others are served."""
+    _LOGGER.error(
+        'route_kind_unknown',
+        extra={
+            'code': int(results.ResultCode.DOCUMENT_INVALID),
+            'route': fields.get('name'),
+            'kind': fields.get('kind'),
+        },
+    )
+
+
 def _decode_route(fields: dict[str, Any]) -> fleet.FleetRoute:
     """Decodes one route."""
-    kind_word = _field_reader.read_text(fields, 'kind')
-    kind = _KINDS.get(kind_word)
-    if kind is None:
-        raise _field_reader.FieldError(f'the kind {kind_word!r} is not known')
     return fleet.FleetRoute(
         name=_field_reader.read_text(fields, 'name'),
         host=_field_reader.read_text(fields, 'host').lower(),
         path_prefix=_field_reader.read_text(fields, 'path_prefix'),
-        kind=kind,
+        kind=_KINDS[_field_reader.read_text(fields, 'kind')],
         shares=_decode_shares(fields),
         timeout_ms=_field_reader.read_whole_number(
             fields, 'timeout_ms', _DEFAULT_TIMEOUT_MS
