Give output away without a gap, and only when members agree on an outage

A leaving member gave its finished output to a peer that had begun the item 6 ms before, in the gap between hold and hand-over, and the peer kept its empty run; at the begin of an outage members took each other for informed and passed output to and fro (83 times); an answer that was lost lost the output. Output now stays held until it is taken, is kept if it is not, overtakes a run that has less, and is given away only in a stop or 2.5 s into an outage.

--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -47,6 +47,9 @@
 RETENTION_FACTOR = 1.5
 #: Jobs that one member drops in one step.
 DROPS_A_STEP = 4
+#: How long the store must be away before items are given to members that reach
+#: it: all find an outage within a read's wait and slack of each other.
+HAND_OVER_AFTER_S = 2.5
 #: How long after its start a member begins no batch items: callers that waited
 #: come back at once, and upstreams drop the runs of a process that lost its
 #: power only after a second and a half.
@@ -246,6 +249,7 @@
             metrics=self._metrics,
             member=settings.vm,
             may_begin=self._may_begin_items,
+            must_hand_over=self._must_hand_over,
             list_members=self._list_responsible,
             hand_over=self._peers_api.hand_over,
             max_record_bytes=settings.max_record_bytes,
@@ -384,6 +388,19 @@
         age_s = trio.current_time() - self._started_at_s
         return not self._is_leaving and age_s > BATCH_AFTER_START_S
 
+    def _must_hand_over(self) -> bool:
+        """Returns whether other members must go on with the items kept here.
+
+        It ends, or it cannot reach the store and another has said for a while
+        that it can: at the begin of an outage members differ on that.
+        """
+        if self._settings.vm in self._list_responsible():
+            return False
+        if self._is_leaving:
+            return True
+        lost_s = trio.current_time() - self._jobs.lost_at_s
+        return not self._jobs.is_reachable and lost_s > HAND_OVER_AFTER_S
+
     def _list_elsewhere(self) -> jobs.ItemsElsewhere:
         """Returns what the live peers run and keep."""
         held_tags: set[str] = set()
@@ -393,6 +410,8 @@
                 continue
             held_tags |= peer.message.held_tags
             if peer.message.is_leaving:
+                # It is about to hand them over.
+                held_tags |= peer.message.kept_tags
                 continue
             for tag in peer.message.kept_tags:
                 keeper_by_tag[tag] = peer.member
--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -114,6 +114,7 @@
         '_metrics',
         '_member',
         '_may_begin',
+        '_must_hand_over',
         '_list_members',
         '_hand_over',
         '_max_record_bytes',
@@ -138,6 +139,7 @@
         metrics: _gateway_metrics.GatewayMetrics,
         member: str,
         may_begin: Callable[[], bool],
+        must_hand_over: Callable[[], bool],
         list_members: Callable[[], list[str]],
         hand_over: HandOver,
         max_record_bytes: int,
@@ -155,6 +157,7 @@
         self._metrics = metrics
         self._member = member
         self._may_begin = may_begin
+        self._must_hand_over = must_hand_over
         self._list_members = list_members
         self._hand_over = hand_over
         self._max_record_bytes = max_record_bytes
@@ -194,21 +197,40 @@
 
     async def _hand_over_kept(self) -> None:
         """Gives the output of items that wait to the members that go on."""
-        members = self._list_members()
-        if not members or self._member in members:
+        if not self._must_hand_over():
             return
         for tag in self._scheduler.list_kept_tags():
-            progress = self._scheduler.progress.pop(tag)
-            await self._hand_over(
-                tag, progress, jobs.choose_member(tag, members)
-            )
+            self._scheduler.held_tags.add(tag)
+            await self._give_away(tag)
+            self._scheduler.adopt(tag)
+            self._scheduler.held_tags.discard(tag)
+
+    async def _give_away(self, tag: str) -> None:
+        """Gives the output of an item to another member; keeps it if it fails.
+
+        The item stays held meanwhile, so that nobody begins it anew.
+        """
+        members = [
+            member for member in self._list_members() if member != self._member
+        ]
+        progress = self._scheduler.get_progress(tag)
+        if not members or not progress.events:
+            return
+        member = jobs.choose_member(tag, members)
+        if await self._hand_over(tag, progress, member):
+            self._scheduler.progress.pop(tag, None)
 
     def _cut_ended(self) -> None:
-        """Cuts runs whose job has ended or whose item is listed."""
+        """Cuts runs that are of no more use.
+
+        Their job has ended, their item is listed, or another member has given
+        more of its output.
+        """
         for run in list(self._runs.values()):
             job = run.next_item.job
             is_open = run.next_item.item.item_id in job.open_items
-            if job.is_ended or not is_open:
+            is_overtaken = run.tag in self._scheduler.waiting_output
+            if job.is_ended or not is_open or is_overtaken:
                 run.scope.cancel()
 
     def _cut_crowded(self) -> None:
@@ -427,6 +449,7 @@
             progress.pause(1)
         else:
             progress.not_before_s = trio.current_time() + CROWDED_S
+        self._scheduler.adopt(run.tag)
         self._scheduler.held_tags.discard(run.tag)
 
     async def _list_complete(self, next_item: jobs.NextItem, tag: str) -> None:
@@ -470,12 +493,13 @@
         while not operation.finished.is_set():
             with trio.move_on_after(LIST_PATIENCE_S):
                 await operation.finished.wait()
-            members = self._list_members()
-            if operation.finished.is_set() or self._member in members:
-                continue
-            if members and state is jobs.ItemState.DONE:
+            if operation.finished.is_set():
+                break
+            if state is jobs.ItemState.DONE and self._must_hand_over():
                 self._ledger.withdraw(operation)
+                await self._give_away(tag)
                 break
+        self._scheduler.waiting_output.pop(tag, None)
         self._scheduler.held_tags.discard(tag)
         _LOGGER.info(
             'item_listed' if operation.outcome else 'item_not_listed',
--- a/siskinmount/gateway/tests/test_jobs.py
+++ b/siskinmount/gateway/tests/test_jobs.py
@@ -329,3 +329,27 @@
 
         gateway_harness.run_fleet(check)
         self.assertEqual([503, True], seen)
+
+    def test_planned_stop_hands_output_over(self):
+        seen = []
+
+        async def check(fleet):
+            engine = fleet.engines['e1']
+            engine.event_count = 100
+            engine.event_interval_ms = 60
+            items = _make_items(6)
+            await fleet.submit(0, 'j1', items)
+            await gateway_harness.wait_until(lambda: len(engine.runs) >= 6)
+            fleet.gateways[0].signals.stop.set()
+            document = await fleet.wait_results(1, 'j1', 6)
+            seen.extend(row['output'] for row in document['results'])
+            seen.sort()
+            begun_anew = [run for run in engine.runs if run.first_event == 1]
+            seen.append(len(begun_anew))
+            seen.append(len(engine.runs) > 6)
+
+        gateway_harness.run_fleet(check, gateway_count=2)
+        expected = sorted(
+            gateway_harness.make_output(f'i{n}', 100) for n in range(6)
+        )
+        self.assertEqual([*expected, 6, True], seen)
--- a/siskinmount/jobs/_item_scheduler.py
+++ b/siskinmount/jobs/_item_scheduler.py
@@ -101,11 +101,13 @@
     Attributes:
         held_tags: Items that this process runs or is about to list.
         progress: Memory of items by tag.
+        waiting_output: Output that other members gave of items that run here.
     """
 
     __slots__ = (
         'held_tags',
         'progress',
+        'waiting_output',
         '_table',
         '_member',
         '_list_members',
@@ -124,6 +126,7 @@
     ) -> None:
         self.held_tags: set[str] = set()
         self.progress: dict[str, ItemProgress] = {}
+        self.waiting_output: dict[str, ItemProgress] = {}
         self._table = table
         self._member = member
         self._list_members = list_members
@@ -165,13 +168,24 @@
             room_by_route[job.route_name] = room
 
     def take_handed_over(self, tag: str, handed: ItemProgress) -> None:
-        """Takes output of an item from a member that cannot go on with it."""
-        progress = self.get_progress(tag)
-        if tag in self.held_tags or len(progress.events) >= len(handed.events):
+        """Takes output of an item from a member that cannot go on with it.
+
+        For an item that runs here the output waits until `adopt` is called.
+        """
+        if len(self.get_progress(tag).events) >= len(handed.events):
+            return
+        if tag in self.held_tags:
+            self.waiting_output[tag] = handed
+            return
+        self.progress[tag] = handed
+
+    def adopt(self, tag: str) -> None:
+        """Takes the output that came while an item ran here, if it is more."""
+        handed = self.waiting_output.pop(tag, None)
+        if handed is None:
             return
-        progress.events = handed.events
-        progress.last_event_id = handed.last_event_id
-        progress.is_complete = handed.is_complete
+        if len(handed.events) > len(self.get_progress(tag).events):
+            self.progress[tag] = handed
 
     def list_kept_tags(self) -> set[str]:
         """Returns the items of which this process keeps output."""
@@ -236,9 +250,10 @@
             for item in job.open_items.values():
                 open_keys.add((job.job_id, item.item_id))
                 open_tags.add(self._get_tag(job, item))
-        for tag in list(self.progress):
-            if tag not in open_tags and tag not in self.held_tags:
-                del self.progress[tag]
+        for memory in (self.progress, self.waiting_output):
+            for tag in list(memory):
+                if tag not in open_tags and tag not in self.held_tags:
+                    del memory[tag]
         for key, tag in list(self._tags.items()):
             if key not in open_keys:
                 del self._tags[key]
--- /dev/null
+++ b/siskinmount/jobs/tests/test_item_scheduler.py
@@ -0,0 +1,112 @@
+"""Which items a member begins, and what becomes of output given to it."""
+
+import testtools
+import trio
+import trio.testing
+
+from siskinmount import jobs
+from siskinmount.jobs.tests import test_job_ledger
+
+
+class _Table:
+    """A table with jobs that were never in a log."""
+
+    def __init__(self, *names):
+        self.jobs = {}
+        for offset, name in enumerate(names):
+            job = test_job_ledger.make_job(name, 4)
+            job.offset = offset
+            self.jobs[name] = job
+
+
+class ItemSchedulerTest(testtools.TestCase):
+
+    def _run(self, check):
+        async def main():
+            check()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def _create(self, table, member='m', members=('m',), elsewhere=None):
+        nothing = jobs.ItemsElsewhere(set(), {})
+        return jobs.create_item_scheduler(
+            table, member, lambda: list(members), lambda: elsewhere or nothing
+        )
+
+    def _list(self, scheduler, free):
+        return [
+            (found.job.job_id, found.item.item_id)
+            for found in scheduler.iterate_next(lambda route: free)
+        ]
+
+    def test_members_share_the_oldest_items_without_a_gap(self):
+        def check():
+            table = _Table('a', 'b')
+            members = ('m', 'n', 'o')
+            found = []
+            for member in members:
+                scheduler = self._create(table, member, members)
+                found.extend(self._list(scheduler, 5))
+            expected = [('a', f'i{n}') for n in range(4)] + [('b', 'i0')]
+            self.assertEqual(expected, sorted(found))
+
+        self._run(check)
+
+    def test_items_held_or_kept_elsewhere_are_left_alone(self):
+        def check():
+            table = _Table('a')
+            tags = [jobs.make_tag('a', f'i{n}') for n in range(4)]
+            elsewhere = jobs.ItemsElsewhere({tags[0]}, {tags[1]: 'n'})
+            scheduler = self._create(table, elsewhere=elsewhere)
+            scheduler.get_progress(tags[2]).pause(1)
+            self.assertEqual([('a', 'i3')], self._list(scheduler, 9))
+
+        self._run(check)
+
+    def test_member_that_keeps_output_goes_on(self):
+        def check():
+            table = _Table('a')
+            scheduler = self._create(table, 'm', ('m', 'n'))
+            for n in range(4):
+                tag = jobs.make_tag('a', f'i{n}')
+                scheduler.get_progress(tag).events = ['x']
+            self.assertEqual(4, len(self._list(scheduler, 9)))
+
+        self._run(check)
+
+    def test_member_that_may_not_begin_begins_nothing(self):
+        def check():
+            scheduler = self._create(_Table('a'), 'm', ('n',))
+            self.assertEqual([], self._list(scheduler, 9))
+
+        self._run(check)
+
+    def test_output_that_is_given(self):
+        cases = [
+            # Own events, given events, whether it runs here, events after.
+            (0, 3, False, 3),
+            (3, 2, False, 3),
+            (1, 3, True, 3),
+            (3, 2, True, 3),
+        ]
+        for own, given, is_held, expected in cases:
+
+            def check(own=own, given=given, is_held=is_held, expected=expected):
+                scheduler = self._create(_Table('a'))
+                tag = jobs.make_tag('a', 'i0')
+                scheduler.get_progress(tag).events = ['x'] * own
+                if is_held:
+                    scheduler.held_tags.add(tag)
+                handed = jobs.ItemProgress()
+                handed.events = ['x'] * given
+                scheduler.take_handed_over(tag, handed)
+                if is_held:
+                    self.assertEqual(
+                        own, len(scheduler.get_progress(tag).events)
+                    )
+                    scheduler.adopt(tag)
+                self.assertEqual(
+                    expected, len(scheduler.get_progress(tag).events)
+                )
+
+            self._run(check)
