Split the item runner and the gateway's assembly into files with one job each

Moved: one run of an item (_item_exchange.py), the platform's services (_outside_services.py), the process's signals (_process_signals.py). Behaviour as before; the tests of jobs and gateway pass.

--- a/siskinmount/gateway/__init__.py
+++ b/siskinmount/gateway/__init__.py
@@ -10,8 +10,8 @@
 
 from siskinmount.gateway._gateway import create_gateway
 from siskinmount.gateway._gateway import Gateway
-from siskinmount.gateway._gateway import OutsideServices
-from siskinmount.gateway._gateway import ProcessSignals
+from siskinmount.gateway._outside_services import OutsideServices
+from siskinmount.gateway._process_signals import ProcessSignals
 from siskinmount.gateway._wire import AnswerKind
 from siskinmount.gateway._wire import CallerRequest
 from siskinmount.gateway._wire import JobCall
--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -2,9 +2,7 @@
 
 from collections.abc import Callable
 import logging
-import signal
 import time
-from typing import Protocol
 
 import orjson
 import trio
@@ -21,12 +19,14 @@
 from siskinmount import transport
 from siskinmount.gateway import _callers_api
 from siskinmount.gateway import _gateway_metrics
+from siskinmount.gateway import _item_exchange
 from siskinmount.gateway import _item_runner
 from siskinmount.gateway import _jobs_api
 from siskinmount.gateway import _online_run
+from siskinmount.gateway import _outside_services
 from siskinmount.gateway import _peers_api
+from siskinmount.gateway import _process_signals
 from siskinmount.gateway import _upstream_clients
-from siskinmount.gateway import _wire
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -59,84 +59,6 @@
 MAX_CONNECTIONS = 6000
 
 
-class OutsideServices:
-    """What the gateway needs of the platform that it runs on.
-
-    Attributes:
-        document_log: Log with the document.
-        upstreams_log: Log with the entries of upstreams.
-        members_log: Log with the members of the fleet.
-        jobs_log: Log with the batch jobs.
-        wire: Reads and writes headers and bodies.
-        decode_document: Decodes a record of the document.
-        decode_upstream: Decodes an entry of an upstream.
-    """
-
-    __slots__ = (
-        'document_log',
-        'upstreams_log',
-        'members_log',
-        'jobs_log',
-        'wire',
-        'decode_document',
-        'decode_upstream',
-    )
-
-    def __init__(
-        self,
-        *,
-        document_log: keyed_log.KeyedLog,
-        upstreams_log: keyed_log.KeyedLog,
-        members_log: keyed_log.KeyedLog,
-        jobs_log: keyed_log.KeyedLog,
-        wire: _wire.Wire,
-        decode_document: Callable[
-            [bytes], fleet.FleetDocument | results.Failure
-        ],
-        decode_upstream: Callable[
-            [str, bytes], fleet.Upstream | results.Failure
-        ],
-    ) -> None:
-        self.document_log = document_log
-        self.upstreams_log = upstreams_log
-        self.members_log = members_log
-        self.jobs_log = jobs_log
-        self.wire = wire
-        self.decode_document = decode_document
-        self.decode_upstream = decode_upstream
-
-
-class ProcessSignals(Protocol):
-    """How a process is told to stop and to read its settings again."""
-
-    async def wait_stop(self) -> None:
-        """Returns once the process is to stop."""
-        ...
-
-    async def watch_reload(self, reload_settings: Callable[[], None]) -> None:
-        """Calls a function each time that the settings have changed."""
-        ...
-
-
-class _SystemSignals:
-    """Implements `ProcessSignals` by signals of the operating system."""
-
-    __slots__ = ()
-
-    async def wait_stop(self) -> None:
-        """Returns at SIGTERM or SIGINT."""
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as stops:
-            async for number in stops:
-                _LOGGER.info('stop_asked', extra={'signal': number})
-                return
-
-    async def watch_reload(self, reload_settings: Callable[[], None]) -> None:
-        """Calls a function at each SIGHUP."""
-        with trio.open_signal_receiver(signal.SIGHUP) as signals:
-            async for _ in signals:
-                reload_settings()
-
-
 class Gateway:
     """One gateway process."""
 
@@ -175,10 +97,10 @@
         self,
         settings: configuration.GatewaySettings,
         reload_settings: Callable[[], configuration.GatewaySettings | None],
-        outside: OutsideServices,
+        outside: _outside_services.OutsideServices,
         metrics: telemetry.Metrics,
         log_handler: telemetry.BoundedHandler | None,
-        signals: ProcessSignals,
+        signals: _process_signals.ProcessSignals,
     ) -> None:
         self._settings = settings
         self._reload_settings = reload_settings
@@ -244,8 +166,9 @@
             load=self._load,
             health=self._health,
             evidence=self._evidence,
-            clients=self._clients,
-            wire=outside.wire,
+            exchange=_item_exchange.create_item_exchange(
+                self._clients, self._health, outside.wire
+            ),
             metrics=self._metrics,
             member=settings.vm,
             may_begin=self._may_begin_items,
@@ -564,10 +487,10 @@
 def create_gateway(
     settings: configuration.GatewaySettings,
     reload_settings: Callable[[], configuration.GatewaySettings | None],
-    outside: OutsideServices,
+    outside: _outside_services.OutsideServices,
     metrics: telemetry.Metrics,
     log_handler: telemetry.BoundedHandler | None = None,
-    signals: ProcessSignals | None = None,
+    signals: _process_signals.ProcessSignals | None = None,
 ) -> Gateway:
     """Creates a gateway.
 
@@ -585,5 +508,5 @@
         outside,
         metrics,
         log_handler,
-        signals or _SystemSignals(),
+        signals or _process_signals.create_system_signals(),
     )
--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-import enum
 import logging
 
 import trio
@@ -10,12 +9,8 @@
 from siskinmount import fleet
 from siskinmount import jobs
 from siskinmount import placement
-from siskinmount import results
-from siskinmount import transport
-from siskinmount.gateway import _event_splitter
 from siskinmount.gateway import _gateway_metrics
-from siskinmount.gateway import _upstream_clients
-from siskinmount.gateway import _wire
+from siskinmount.gateway import _item_exchange
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -40,36 +35,11 @@
 #: How long a result waits for the store before it is given to a member that
 #: reaches it: an append takes milliseconds, and half a second on a slow store.
 LIST_PATIENCE_S = 0.7
-#: Longest silence of an upstream before the first event and between events.
-MAX_SILENCE_S = 3.0
 #: How long after its retention an item is given up. VMs may have known a job
 #: for different times, and the platform counts from the first submission.
 RETENTION_MARGIN_S = 3.0
 #: How long a route may be missing from the document before its items end.
 ROUTE_GONE_S = 5.0
-MAX_ANSWER_BYTES = 32 * 1024 * 1024
-
-
-class _RunEnd(enum.Enum):
-    """How a run of an item ended."""
-
-    #: The output is whole.
-    DONE = 'done'
-
-    #: The upstream says that the item can never be done.
-    IMPOSSIBLE = 'impossible'
-
-    #: The upstream says that the run failed.
-    FAILED = 'failed'
-
-    #: The upstream did not begin it.
-    NOT_RUN = 'not_run'
-
-    #: The run was broken off by the upstream or on the way.
-    LOST = 'lost'
-
-    #: It gave way to callers, or its job has ended.
-    CUT = 'cut'
 
 
 class _Run:
@@ -109,8 +79,7 @@
         '_load',
         '_health',
         '_evidence',
-        '_clients',
-        '_wire',
+        '_exchange',
         '_metrics',
         '_member',
         '_may_begin',
@@ -134,8 +103,7 @@
         load: placement.LoadTable,
         health: placement.UpstreamHealth,
         evidence: placement.CrashEvidence,
-        clients: _upstream_clients.UpstreamClients,
-        wire: _wire.Wire,
+        exchange: _item_exchange.ItemExchange,
         metrics: _gateway_metrics.GatewayMetrics,
         member: str,
         may_begin: Callable[[], bool],
@@ -152,8 +120,7 @@
         self._load = load
         self._health = health
         self._evidence = evidence
-        self._clients = clients
-        self._wire = wire
+        self._exchange = exchange
         self._metrics = metrics
         self._member = member
         self._may_begin = may_begin
@@ -401,11 +368,13 @@
         progress = self._scheduler.get_progress(run.tag)
         began_at_s = trio.current_time()
         resumed_from = progress.last_event_id
-        end = _RunEnd.CUT
+        end = _item_exchange.RunEnd.CUT
         reason = 'cut'
         try:
             with run.scope:
-                end, reason = await self._exchange(run, progress, upstream)
+                end, reason = await self._exchange.run(
+                    run.next_item, progress, upstream
+                )
         finally:
             del self._runs[run.tag]
             self._count_runs(upstream.upstream_id)
@@ -424,15 +393,15 @@
                 'took_ms': int((trio.current_time() - began_at_s) * 1000),
             },
         )
-        if end is _RunEnd.DONE:
+        if end is _item_exchange.RunEnd.DONE:
             self._health.note_success(upstream.upstream_id)
             progress.is_complete = True
             await self._list_complete(next_item, run.tag)
             return
-        if end is _RunEnd.IMPOSSIBLE:
+        if end is _item_exchange.RunEnd.IMPOSSIBLE:
             await self._list(next_item, run.tag, jobs.ItemState.GIVEN_UP, '')
             return
-        if end is _RunEnd.FAILED:
+        if end is _item_exchange.RunEnd.FAILED:
             progress.failed_attempts += 1
             if progress.failed_attempts >= route.max_attempts:
                 await self._list(
@@ -440,12 +409,12 @@
                 )
                 return
             progress.pause(progress.failed_attempts)
-        elif end is _RunEnd.LOST:
+        elif end is _item_exchange.RunEnd.LOST:
             progress.lost_runs += 1
             self._evidence.note_broken_run(run.tag, upstream.upstream_id)
             self._health.note_failure(upstream.upstream_id, reason)
             progress.pause(progress.lost_runs)
-        elif end is _RunEnd.NOT_RUN:
+        elif end is _item_exchange.RunEnd.NOT_RUN:
             progress.pause(1)
         else:
             progress.not_before_s = trio.current_time() + CROWDED_S
@@ -512,84 +481,3 @@
                 'took_ms': int((trio.current_time() - began_at_s) * 1000),
             },
         )
-
-    async def _exchange(
-        self,
-        run: _Run,
-        progress: jobs.ItemProgress,
-        upstream: fleet.Upstream,
-    ) -> tuple[_RunEnd, str]:
-        """Sends an item and collects its events."""
-        item = run.next_item.item
-        request = transport.ClientRequest(
-            'POST',
-            item.path,
-            self._wire.build_item_headers(
-                item, upstream.upstream_id, progress.last_event_id
-            ),
-            item.body,
-            run.next_item.job.host.encode('latin-1'),
-        )
-        client = self._clients.get_client(upstream)
-        answer: transport.ClientExchange | results.Failure | None = None
-        with trio.move_on_after(MAX_SILENCE_S):
-            answer = await client.send(request)
-        if answer is None:
-            return _RunEnd.LOST, 'no answer in time'
-        if isinstance(answer, results.Failure):
-            if answer.run_state is results.RunState.NOT_RUN:
-                self._health.note_down(upstream.upstream_id, answer.reason)
-                return _RunEnd.NOT_RUN, answer.reason
-            return _RunEnd.LOST, answer.reason
-        with answer:
-            kind = self._wire.judge_answer(
-                answer.status, answer.headers, item.item_id
-            )
-            if kind is _wire.AnswerKind.FOREIGN:
-                return _RunEnd.LOST, 'an answer to another request'
-            if kind is not _wire.AnswerKind.OWN:
-                await answer.read_body(MAX_ANSWER_BYTES)
-                return _RunEnd.NOT_RUN, kind.value
-            if answer.status != 200:
-                await answer.read_body(MAX_ANSWER_BYTES)
-                return _judge_status(answer.status)
-            return await _collect(answer, progress)
-
-
-def _judge_status(status: int) -> tuple[_RunEnd, str]:
-    """Returns what an answer other than a stream means for an item."""
-    reason = f'status {status}'
-    if status == 422:
-        return _RunEnd.IMPOSSIBLE, reason
-    if status == 500:
-        return _RunEnd.FAILED, reason
-    return _RunEnd.LOST, reason
-
-
-async def _collect(
-    answer: transport.ClientExchange, progress: jobs.ItemProgress
-) -> tuple[_RunEnd, str]:
-    """Collects events until the stream has ended."""
-    splitter = _event_splitter.create_event_splitter()
-    while True:
-        chunk: bytes | results.Failure | None = None
-        with trio.move_on_after(MAX_SILENCE_S):
-            chunk = await answer.receive_chunk()
-        if chunk is None:
-            return _RunEnd.LOST, 'silent within a stream'
-        if isinstance(chunk, results.Failure):
-            return _RunEnd.LOST, chunk.reason
-        if not chunk:
-            break
-        for event in splitter.split(chunk):
-            last = progress.last_event_id
-            if event.event_id is not None:
-                if last is not None and event.event_id != last + 1:
-                    return _RunEnd.LOST, f'event {event.event_id} after {last}'
-                progress.last_event_id = event.event_id
-            progress.lost_runs = 0
-            for line in event.read_data():
-                progress.events.append(line.decode('utf-8', 'replace'))
-    if splitter.rest.strip():
-        return _RunEnd.LOST, 'ended within an event'
-    return _RunEnd.DONE, 'complete'
--- /dev/null
+++ b/siskinmount/gateway/_outside_services.py
@@ -0,0 +1,55 @@
+"""What the gateway needs of the platform that it runs on."""
+
+from collections.abc import Callable
+
+from siskinmount import fleet
+from siskinmount import keyed_log
+from siskinmount import results
+from siskinmount.gateway import _wire
+
+
+class OutsideServices:
+    """What the gateway needs of the platform that it runs on.
+
+    Attributes:
+        document_log: Log with the document.
+        upstreams_log: Log with the entries of upstreams.
+        members_log: Log with the members of the fleet.
+        jobs_log: Log with the batch jobs.
+        wire: Reads and writes headers and bodies.
+        decode_document: Decodes a record of the document.
+        decode_upstream: Decodes an entry of an upstream.
+    """
+
+    __slots__ = (
+        'document_log',
+        'upstreams_log',
+        'members_log',
+        'jobs_log',
+        'wire',
+        'decode_document',
+        'decode_upstream',
+    )
+
+    def __init__(
+        self,
+        *,
+        document_log: keyed_log.KeyedLog,
+        upstreams_log: keyed_log.KeyedLog,
+        members_log: keyed_log.KeyedLog,
+        jobs_log: keyed_log.KeyedLog,
+        wire: _wire.Wire,
+        decode_document: Callable[
+            [bytes], fleet.FleetDocument | results.Failure
+        ],
+        decode_upstream: Callable[
+            [str, bytes], fleet.Upstream | results.Failure
+        ],
+    ) -> None:
+        self.document_log = document_log
+        self.upstreams_log = upstreams_log
+        self.members_log = members_log
+        self.jobs_log = jobs_log
+        self.wire = wire
+        self.decode_document = decode_document
+        self.decode_upstream = decode_upstream
