--- a/siskinmount/gateway/_online_run.py
+++ b/siskinmount/gateway/_online_run.py
@@ -437,11 +437,14 @@
             )
             return
         self._note_first_byte()
-        await self._exchange.send_whole(
-            whole.status,
-            self._tools.wire.build_answer_headers(whole.headers),
-            whole.body,
-        )
+        # An answer that is there is delivered, also when the time is over; the
+        # exchange bounds how long that takes.
+        with trio.CancelScope(shield=True):
+            await self._exchange.send_whole(
+                whole.status,
+                self._tools.wire.build_answer_headers(whole.headers),
+                whole.body,
+            )
         self._note_end(str(whole.status), 'upstream')
 
     async def _pass_stream(
--- /dev/null
+++ b/siskinmount/gateway/tests/test_online_run.py
@@ -0,0 +1,124 @@
+"""What becomes of answers at the end of a request's time."""
+
+import testtools
+import trio
+import trio.testing
+
+from siskinmount import fleet
+from siskinmount import placement
+from siskinmount import platform
+from siskinmount import telemetry
+from siskinmount import transport
+from siskinmount.gateway import _gateway_metrics
+from siskinmount.gateway import _online_run
+from siskinmount.gateway import _wire
+
+_DEADLINE_MS = 400
+
+
+class _Upstream:
+    """Stands for client, answer and placer of one upstream."""
+
+    def __init__(self, answer_after_s):
+        self.status = 200
+        self.headers = [(b'x-request-id', b'q')]
+        self.upstream = fleet.Upstream(
+            upstream_id='u',
+            service='s',
+            address=transport.Address('127.0.0.1', 1),
+            failure_domain='a',
+            state=fleet.UpstreamState.READY,
+            slot_count=1,
+            started_at_ms=0,
+        )
+        self._answer_after_s = answer_after_s
+
+    def place_online(self, service, affinity_key, excluded, max_wait_ms):
+        return placement.Placement(self.upstream, 0, 0)
+
+    def note_run(self, service, run_ms):
+        pass
+
+    def get_client(self, upstream):
+        return self
+
+    async def send(self, request):
+        await trio.sleep(self._answer_after_s)
+        return self
+
+    async def read_body(self, max_bytes):
+        return b'body'
+
+    def close(self):
+        pass
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *unused):
+        pass
+
+
+class _Exchange:
+    """A caller whose connection takes 50 ms for an answer."""
+
+    def __init__(self):
+        self.head = transport.RequestHead('GET', '/p', [], '')
+        self.response_started = False
+        self.answers = []
+
+    async def send_whole(self, status, headers, body):
+        self.response_started = True
+        await trio.sleep(0.05)
+        self.answers.append((status, body))
+
+    async def send_json(self, status, document, headers=()):
+        await self.send_whole(status, headers, b'own')
+
+
+class OnlineRunTest(testtools.TestCase):
+
+    def _run(self, answer_after_s):
+        exchange = _Exchange()
+
+        async def main():
+            evidence = placement.create_crash_evidence()
+            upstream = _Upstream(answer_after_s)
+            tools = _online_run.OnlineTools(
+                placer=upstream,
+                load=placement.create_load_table(),
+                health=placement.create_upstream_health(evidence),
+                evidence=evidence,
+                clients=upstream,
+                wire=platform.create_wire(),
+                metrics=_gateway_metrics.create_gateway_metrics(
+                    telemetry.create_metrics()
+                ),
+            )
+            route = fleet.FleetRoute(
+                name='r',
+                host='h',
+                path_prefix='/',
+                kind=fleet.RouteKind.IDEMPOTENT,
+                shares=(fleet.ServiceShare('s', 1),),
+                timeout_ms=5000,
+                target_ms=100,
+            )
+            await _online_run.OnlineRun(
+                tools,
+                exchange,
+                route,
+                _wire.CallerRequest('q', _DEADLINE_MS),
+                b'',
+                1,
+                trio.current_time(),
+            ).run()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        return exchange.answers
+
+    def test_ready_answer_is_delivered_though_the_time_ends(self):
+        self.assertEqual([(200, b'body')], self._run(0.38))
+
+    def test_silent_upstream_ends_with_the_time(self):
+        self.assertEqual([(504, b'own')], self._run(5))
