Use entries that lapsed in an outage only while most of a service have

Ruled out: late reads (all read the removal within 3 ms). test_single_removal_after_an_outage_counts_at_once fails without the change.

--- a/siskinmount/fleet/_fleet_view.py
+++ b/siskinmount/fleet/_fleet_view.py
@@ -129,13 +129,24 @@
             self._notify()
 
     def list_ready(self, service: str) -> list[_upstream.Upstream]:
-        """Returns the upstreams of a service that take new requests."""
+        """Returns the upstreams of a service that take new requests.
+
+        Entries that lapsed are used only while most of a service have: then
+        the store's outage took them, and not the end of an upstream.
+        """
         ready: list[_upstream.Upstream] = []
+        lapsed: list[_upstream.Upstream] = []
         for upstream in self.upstreams.values():
             if upstream.service != service:
                 continue
-            if upstream.state is _upstream.UpstreamState.READY:
-                ready.append(upstream)
+            if upstream.state is not _upstream.UpstreamState.READY:
+                continue
+            if upstream.upstream_id in self._lapsed_at_s:
+                lapsed.append(upstream)
+                continue
+            ready.append(upstream)
+        if len(lapsed) > len(ready):
+            return ready + lapsed
         return ready
 
     def _lose_upstream(self, upstream_id: str, offset: int) -> None:
