Refuse odd kinds and numbers without end in documents; test the adapter's edges

Cause: drawn documents (Hypothesis) found that a kind that is a list raised in the decoder, which would have ended the follower of documents after ten restarts; a number such as 1e999 did the same. New tests of headers, job bodies, result pages, members' messages, bounded logs, and the settings template.

--- /dev/null
+++ b/siskinmount/configuration/tests/test_gateway_settings.py
@@ -0,0 +1,61 @@
+"""Settings of a gateway, from the template that the platform fills in."""
+
+import pathlib
+import re
+
+import testtools
+
+from siskinmount import configuration
+
+_TEMPLATE = pathlib.Path(__file__).parents[3] / 'deploy/gateway.ini.template'
+_VALUES = {
+    'node': 'front-a-1',
+    'region': 'r',
+    'zone': 'a',
+    'ip': '10.0.0.1',
+    'listen.front': '10.0.0.1:1',
+    'listen.ready': '10.0.0.1:2',
+    'listen.control': '10.0.0.1:3',
+    'inner_ports.0': '7660',
+    'bounds.grace_s': '8',
+    'bounds.status_s': '120',
+    'platform.address': '10.0.0.9:4',
+    'platform.record_bytes': '262144',
+    'platform.call_bytes': '2097152',
+    'seeds': '10.0.0.1:3,10.0.0.2:3',
+}
+
+
+def _fill(values):
+    text = _TEMPLATE.read_text(encoding='utf-8')
+    return re.sub(r'\{\{(.*?)\}\}', lambda found: values[found[1]], text)
+
+
+class GatewaySettingsTest(testtools.TestCase):
+
+    def test_template_gives_valid_settings(self):
+        settings = configuration.parse_gateway_settings(_fill(_VALUES))
+        self.assertEqual('front-a-1', settings.vm)
+        self.assertEqual(7660, settings.peers_port)
+        self.assertEqual(2, len(settings.seeds))
+        self.assertEqual(8, settings.stop_grace_s)
+
+    def test_template_without_seeds_is_valid(self):
+        settings = configuration.parse_gateway_settings(
+            _fill({**_VALUES, 'seeds': ''})
+        )
+        self.assertEqual([], settings.seeds)
+
+    def test_each_odd_value_is_a_fault_with_its_key(self):
+        cases = [
+            ('node', '', 'vm'),
+            ('listen.front', 'here', 'callers_address'),
+            ('inner_ports.0', '99999', 'peers_port'),
+            ('bounds.grace_s', 'long', 'stop_grace_s'),
+            ('platform.call_bytes', '-1', 'max_call_bytes'),
+        ]
+        for name, value, key in cases:
+            faults = configuration.parse_gateway_settings(
+                _fill({**_VALUES, name: value})
+            )
+            self.assertEqual([key], [fault.key for fault in faults], name)
--- /dev/null
+++ b/siskinmount/peering/tests/test_peer_directory.py
@@ -0,0 +1,131 @@
+"""Who is believed to live, and who begins batch items."""
+
+import hypothesis
+from hypothesis import strategies
+import orjson
+import testtools
+import trio
+import trio.testing
+
+from siskinmount import keyed_log
+from siskinmount import peering
+from siskinmount import placement
+from siskinmount import results
+
+
+def _make_message(member='p', incarnation=1, sequence=1, **fields):
+    values = {
+        'address': '127.0.0.1',
+        'is_leaving': False,
+        'knows_jobs': True,
+        'document_version': 1,
+        'counts': {'u': placement.UpstreamCounts(2, 1, 5)},
+        'held_tags': {'t'},
+        'kept_tags': {'k'},
+        'crashes': {'f': 1},
+        **fields,
+    }
+    return peering.PeerMessage(
+        member=member, incarnation=incarnation, sequence=sequence, **values
+    )
+
+
+class PeerDirectoryTest(testtools.TestCase):
+
+    def _run(self, check):
+        async def main():
+            load = placement.create_load_table()
+            directory = peering.create_peer_directory(
+                'm', load, placement.create_crash_evidence()
+            )
+            await check(directory, load)
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_message_comes_through_whole(self):
+        sent = _make_message()
+        taken = peering.decode_message(peering.encode_message(sent))
+        self.assertEqual(sent.held_tags, taken.held_tags)
+        self.assertEqual(sent.kept_tags, taken.kept_tags)
+        self.assertEqual(sent.crashes, taken.crashes)
+        counts = taken.counts['u']
+        self.assertEqual(
+            (2, 1, 5), (counts.online, counts.batch, counts.newest_job)
+        )
+
+    @hypothesis.settings(derandomize=True, deadline=None, database=None)
+    @hypothesis.given(strategies.binary(max_size=40))
+    def test_odd_datagrams_never_raise(self, data):
+        self.assertIsInstance(peering.decode_message(data), results.Failure)
+
+    def test_silent_peer_is_gone_with_its_counts(self):
+        async def check(directory, load):
+            directory.take_message(_make_message())
+            self.assertEqual(1, len(directory.list_live()))
+            self.assertEqual(2, load.sum_counts()['u'].online)
+            await trio.sleep(2)
+            self.assertEqual([], directory.list_live())
+            self.assertEqual({}, load.sum_counts())
+
+        self._run(check)
+
+    def test_stale_messages_are_ignored(self):
+        async def check(directory, load):
+            directory.take_message(_make_message(incarnation=5, sequence=9))
+            directory.take_message(
+                _make_message(incarnation=5, sequence=8, is_leaving=True)
+            )
+            directory.take_message(
+                _make_message(incarnation=4, sequence=99, is_leaving=True)
+            )
+            self.assertFalse(directory.peers['p'].message.is_leaving)
+
+        self._run(check)
+
+    def test_process_whose_clock_went_back_is_heard_again(self):
+        async def check(directory, load):
+            directory.take_message(_make_message(incarnation=5, sequence=9))
+            await trio.sleep(2)
+            directory.take_message(_make_message(incarnation=4, sequence=1))
+            self.assertEqual(1, len(directory.list_live()))
+
+        self._run(check)
+
+    def test_who_begins_items(self):
+        cases = [
+            # Own state (leaving, knows jobs), peer's, members.
+            ((False, True), (False, True), ['m', 'p']),
+            ((True, True), (False, True), ['p']),
+            ((False, False), (False, True), ['p']),
+            ((False, True), (False, False), ['m']),
+            ((False, False), (False, False), ['m', 'p']),
+            ((False, True), (True, True), ['m']),
+        ]
+        for own, peer, expected in cases:
+
+            async def check(directory, load, own=own, peer=peer, want=expected):
+                directory.take_message(
+                    _make_message(is_leaving=peer[0], knows_jobs=peer[1])
+                )
+                self.assertEqual(
+                    want, sorted(directory.list_responsible(*own)), (own, peer)
+                )
+
+            self._run(check)
+
+    def test_odd_member_records_are_left_out(self):
+        async def check(directory, load):
+            for value in (b'{', b'[]', b'{"address": 1}', b'null'):
+                directory.take_record(keyed_log.KeyedRecord('x', value, 0))
+            directory.take_record(
+                keyed_log.KeyedRecord(
+                    'y',
+                    orjson.dumps({'address': '127.0.0.2', 'incarnation': 3}),
+                    0,
+                )
+            )
+            self.assertEqual(['y'], list(directory.peers))
+            self.assertEqual(1, len(directory.list_due()))
+            self.assertEqual(0, len(directory.list_due()))
+
+        self._run(check)
--- a/siskinmount/platform/_field_reader.py
+++ b/siskinmount/platform/_field_reader.py
@@ -1,5 +1,6 @@
 """Reads typed fields of JSON objects that other writers have made."""
 
+import math
 from typing import Any
 
 
@@ -22,8 +23,8 @@
     value = fields.get(name, default)
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         raise FieldError(f'{name} is not a number')
-    if value < 0:
-        raise FieldError(f'{name} is negative')
+    if not 0 <= value < math.inf:
+        raise FieldError(f'{name} is negative or has no end')
     return value
 
 
--- a/siskinmount/platform/_fleet_codec.py
+++ b/siskinmount/platform/_fleet_codec.py
@@ -37,7 +37,8 @@
             raise _field_reader.FieldError('the document is no object')
         routes: list[fleet.FleetRoute] = []
         for route_fields in _field_reader.read_objects(fields, 'routes'):
-            if route_fields.get('kind') not in _KINDS:
+            kind = route_fields.get('kind')
+            if not isinstance(kind, str) or kind not in _KINDS:
                 _log_unknown_kind(route_fields)
                 continue
             routes.append(_decode_route(route_fields))
--- /dev/null
+++ b/siskinmount/platform/tests/test_wire.py
@@ -0,0 +1,162 @@
+"""Headers and bodies in the platform's forms."""
+
+import base64
+
+import hypothesis
+from hypothesis import strategies
+import orjson
+import testtools
+
+from siskinmount import fleet
+from siskinmount import gateway
+from siskinmount import jobs
+from siskinmount import platform
+from siskinmount import results
+from siskinmount import transport
+
+_ROUTE = fleet.FleetRoute(
+    name='r',
+    host='h',
+    path_prefix='/b/',
+    kind=fleet.RouteKind.BATCH,
+    shares=(fleet.ServiceShare('s', 1),),
+    timeout_ms=1,
+    target_ms=1,
+)
+
+
+def _make_item(item_id='i'):
+    return {
+        'id': item_id,
+        'path': '/p',
+        'headers': {'X-Model': 'm'},
+        'body': base64.b64encode(b'body').decode(),
+        'token_count': 3,
+    }
+
+
+class WireTest(testtools.TestCase):
+
+    def setUp(self):
+        super().setUp()
+        self.wire = platform.create_wire()
+
+    def test_caller_request(self):
+        head = transport.RequestHead(
+            'POST',
+            '/p',
+            [
+                (b'x-request-id', b'q'),
+                (b'x-deadline-ms', b'400'),
+                (b'last-event-id', b'odd'),
+                (b'x-prompt-prefix', b'aa:3, bb:4,cc:5'),
+            ],
+            '',
+        )
+        request = self.wire.read_caller_request(head)
+        self.assertEqual('q', request.request_id)
+        self.assertEqual(400, request.deadline_ms)
+        self.assertIsNone(request.last_event_id)
+        self.assertEqual('aa,bb', request.affinity_key)
+
+    def test_upstream_headers(self):
+        headers = self.wire.build_upstream_headers(
+            [
+                (b'host', b'h'),
+                (b'connection', b'keep-alive, x-hop'),
+                (b'x-hop', b'1'),
+                (b'transfer-encoding', b'chunked'),
+                (b'x-deadline-ms', b'9000'),
+                (b'x-expect-instance', b'forged'),
+                (b'x-model', b'm'),
+            ],
+            'i-1',
+            250,
+            4,
+        )
+        self.assertEqual(
+            [
+                (b'x-model', b'm'),
+                (b'x-deadline-ms', b'250'),
+                (b'x-expect-instance', b'i-1'),
+                (b'last-event-id', b'4'),
+            ],
+            headers,
+        )
+
+    def test_judgement(self):
+        echo = (b'x-request-id', b'q')
+        not_run = (b'x-not-run', b'1')
+        cases = [
+            (200, [echo], gateway.AnswerKind.OWN),
+            (500, [echo], gateway.AnswerKind.OWN),
+            (503, [echo, not_run], gateway.AnswerKind.NOT_RUN),
+            (503, [echo], gateway.AnswerKind.OWN),
+            (421, [], gateway.AnswerKind.OTHER_PROCESS),
+            (200, [(b'x-request-id', b'p')], gateway.AnswerKind.FOREIGN),
+            (
+                503,
+                [(b'x-request-id', b'p'), not_run],
+                gateway.AnswerKind.FOREIGN,
+            ),
+            (200, [], gateway.AnswerKind.FOREIGN),
+        ]
+        for status, headers, expected in cases:
+            self.assertIs(
+                expected,
+                self.wire.judge_answer(status, headers, 'q'),
+                (status, headers),
+            )
+
+    def test_job_calls(self):
+        cases = [
+            ('GET', '/siskinmount/lots/j?after=3', 'read_results', 'j'),
+            ('DELETE', '/siskinmount/lots/j', 'end', 'j'),
+            ('GET', '/siskinmount/items/j?id=i', 'read_item', 'j'),
+            ('POST', '/b/j', None, ''),
+        ]
+        for method, target, kind, job_id in cases:
+            call = self.wire.find_job_call(
+                transport.RequestHead(method, target, [], '')
+            )
+            self.assertEqual(kind, call.kind.value if call else None, target)
+            self.assertEqual(job_id, call.job_id if call else '')
+
+    def test_odd_jobs_are_refused(self):
+        cases = [
+            ('', {'items': [_make_item()]}),
+            ('a/b', {'items': [_make_item()]}),
+            ('j', {'items': []}),
+            ('j', {'items': [_make_item(), _make_item()]}),
+            ('j', {'items': [_make_item(str(n)) for n in range(201)]}),
+            ('j', {'items': [{**_make_item(), 'body': 'a'}]}),
+            ('j', {'items': [{**_make_item(), 'token_count': 'x'}]}),
+            ('j', []),
+        ]
+        for job_id, document in cases:
+            decoded = self.wire.decode_job(
+                job_id, _ROUTE, orjson.dumps(document), 0
+            )
+            self.assertIsInstance(decoded, results.Failure, document)
+
+    def test_results_come_in_pages(self):
+        job = self.wire.decode_job(
+            'j',
+            _ROUTE,
+            orjson.dumps({'items': [_make_item(str(n)) for n in range(3)]}),
+            0,
+        )
+        for n in range(3):
+            job.results.append(
+                jobs.ItemResult(str(n), jobs.ItemState.DONE, 'x' * 600_000)
+            )
+        first = orjson.loads(self.wire.encode_results(job, 0))
+        self.assertEqual((3, 1), (first['total_count'], first['next']))
+        last = orjson.loads(self.wire.encode_results(job, 3))
+        self.assertEqual(([], 3), (last['results'], last['next']))
+
+    @hypothesis.settings(derandomize=True, deadline=None, database=None)
+    @hypothesis.given(strategies.binary(max_size=60))
+    def test_odd_bodies_never_raise(self, body):
+        decoded = self.wire.decode_job('j', _ROUTE, body, 0)
+        self.assertIsInstance(decoded, results.Failure)
--- /dev/null
+++ b/siskinmount/telemetry/tests/test_bounded_handler.py
@@ -0,0 +1,44 @@
+"""Log lines whose reader does not read."""
+
+import logging
+import os
+
+import testtools
+
+from siskinmount import telemetry
+from siskinmount.telemetry import _bounded_handler
+
+
+class BoundedHandlerTest(testtools.TestCase):
+
+    def test_reader_that_does_not_read_holds_up_nothing(self):
+        reader, writer = os.pipe()
+        handler = telemetry.create_bounded_handler(writer)
+        logger = logging.Logger('test')
+        logger.addHandler(handler)
+        line = 'x' * 4096
+        for _ in range(400):
+            logger.warning(line)
+        dropped = handler.take_new_drops()
+        self.assertGreater(dropped, 100)
+        self.assertEqual(0, handler.take_new_drops())
+        kept = 0
+        while kept < (400 - dropped) * 4097:
+            kept += len(os.read(reader, 1 << 20))
+            handler.flush()
+        self.assertEqual((400 - dropped) * 4097, kept)
+        os.close(reader)
+        logger.warning('nobody reads')
+        os.close(writer)
+
+    def test_minor_lines_of_a_second_are_bounded(self):
+        reader, writer = os.pipe()
+        handler = telemetry.create_bounded_handler(writer)
+        logger = logging.Logger('test')
+        logger.addHandler(handler)
+        # Five seconds' worth of lines in less than that.
+        for _ in range(5 * _bounded_handler.MAX_LINES_A_SECOND):
+            logger.info('')
+        self.assertGreater(handler.take_new_drops(), 0)
+        os.close(reader)
+        os.close(writer)
