Let a caller bring the tokens that it has when entry and engine were lost together

Ruled out: a copy of each running answer at a second entry, which costs the tokens of all streams once more between VMs; starting anew and skipping, as sampled text differs and two answers would be joined.

Change: the body may hold answer_so_far, the texts up to Last-Event-ID. The run is joined if it lives; if not, another engine goes on after these tokens, as it does when an engine dies. Two tests fail without it. The caller of chaos sends its tokens once it has been told that the run is lost; what is checked stays.

--- a/siskinmount/entry/_answer_progress.py
+++ b/siskinmount/entry/_answer_progress.py
@@ -1,5 +1,7 @@
 """What there is of one answer, whichever upstreams it came from."""
 
+from collections.abc import Sequence
+
 from siskinmount import relay
 from siskinmount import results
 
@@ -24,8 +26,10 @@
         '_body_bytes_to_skip',
     )
 
-    def __init__(self, first_token: int) -> None:
-        self.token_texts: list[str] = []
+    def __init__(
+        self, first_token: int, answer_so_far: Sequence[str] = ()
+    ) -> None:
+        self.token_texts: list[str] = list(answer_so_far)
         self.head_received = False
         self._first_token = first_token
         self._body_bytes_received = 0
--- a/siskinmount/entry/_answer_run.py
+++ b/siskinmount/entry/_answer_run.py
@@ -49,6 +49,7 @@
         '_refusals',
         '_last_refusal',
         '_may_have_run',
+        '_must_join',
     )
 
     def __init__(
@@ -60,7 +61,10 @@
         self.upstream_vm = ''
         self._access = access
         self._request = request
-        self._progress = _answer_progress.AnswerProgress(request.first_token)
+        self._progress = _answer_progress.AnswerProgress(
+            request.first_token, request.answer_so_far
+        )
+        self._must_join = request.first_token > 0
         self._attempt: _upstream_attempt.UpstreamAttempt | None = None
         self._excluded_vms: set[str] = set()
         self._refusals = 0
@@ -116,7 +120,8 @@
             None if the run may go on, or the final failure.
         """
         await self._access.pauses.wait_current()
-        if self._request.first_token and not self.attempts:
+        if self._must_join:
+            self._must_join = False
             return await self._join_running()
         attempt = self._visit_upstream()
         if isinstance(attempt, results.Failure):
@@ -130,7 +135,9 @@
         """Finds the upstream where an earlier entry has started the run.
 
         The caller has a part of the answer, so only the run that produced it
-        can be continued. The most likely upstream is asked first.
+        can be continued. The most likely upstream is asked first. If that run
+        is lost, one that goes on after the tokens that the caller sent may
+        follow, as one does when an upstream dies.
         """
         router = self._access.router
         for member in router.list_in_order(
@@ -142,11 +149,14 @@
             if await attempt.attach() is None:
                 return None
             self._leave(attempt)
+        if self._request.answer_so_far:
+            self.attempts = 0
+            return None
         return self._final(
             results.Failure(
                 results.ResultCode.NO_SUCH_REQUEST,
-                'the answer can no longer be continued; send the request'
-                ' again without Last-Event-ID',
+                'the run is lost; send the request again with the tokens that'
+                ' there are as answer_so_far, or without Last-Event-ID',
                 results.RunState.UNKNOWN,
             )
         )
--- a/siskinmount/entry/_callers_api.py
+++ b/siskinmount/entry/_callers_api.py
@@ -119,7 +119,10 @@
             await _error_answers.send_failure(exchange, request)
             return
         identity = _request_identity.read_request_identity(
-            caller, exchange.head, request.fingerprint()
+            caller,
+            exchange.head,
+            request.fingerprint(),
+            request.answer_so_far,
         )
         if isinstance(identity, results.Failure):
             await _error_answers.send_failure(exchange, identity)
--- a/siskinmount/entry/_model_calls.py
+++ b/siskinmount/entry/_model_calls.py
@@ -44,6 +44,7 @@
         idempotent=True,
         caller=caller.name,
         first_token=identity.first_token,
+        answer_so_far=request.answer_so_far,
         model=request,
     )
     access.retries.earn(request.service.name)
--- a/siskinmount/entry/_model_request.py
+++ b/siskinmount/entry/_model_request.py
@@ -27,6 +27,8 @@
         stream: Whether the caller wants server-sent events.
         session: Names the conversation for affinity; empty if not given.
         model_name: The model as the caller wrote it.
+        answer_so_far: Texts of the tokens that the caller had of this answer,
+            as it sends them when it comes back; empty if it does not.
     """
 
     __slots__ = (
@@ -38,6 +40,7 @@
         'stream',
         'session',
         'model_name',
+        'answer_so_far',
     )
 
     def __init__(
@@ -51,6 +54,7 @@
         stream: bool,
         session: str,
         model_name: str,
+        answer_so_far: list[str],
     ) -> None:
         self.service = service
         self.is_chat = is_chat
@@ -60,6 +64,7 @@
         self.stream = stream
         self.session = session
         self.model_name = model_name
+        self.answer_so_far = answer_so_far
 
     def content_text(self) -> str:
         """Returns the canonical text of the prompt or the messages."""
@@ -129,6 +134,9 @@
     session = _find(fields, 'user', '')
     if not isinstance(session, str):
         return _invalid('user must be a string')
+    answer_so_far = _read_answer_so_far(fields, max_tokens)
+    if isinstance(answer_so_far, results.Failure):
+        return answer_so_far
     content = _read_messages(fields) if is_chat else _read_prompt(fields)
     if isinstance(content, results.Failure):
         return content
@@ -141,6 +149,7 @@
         stream=stream,
         session=session,
         model_name=str(fields['model']),
+        answer_so_far=answer_so_far,
     )
 
 
@@ -184,6 +193,19 @@
     return value
 
 
+def _read_answer_so_far(
+    fields: dict, max_tokens: int
+) -> list[str] | results.Failure:
+    """Returns the tokens that the caller has already."""
+    texts = _find(fields, 'answer_so_far', [])
+    if not isinstance(texts, list) or len(texts) > max_tokens:
+        return _invalid('answer_so_far must be a list of at most max_tokens')
+    for text in texts:
+        if not isinstance(text, str):
+            return _invalid('answer_so_far must hold the texts of tokens')
+    return texts
+
+
 def _read_prompt(fields: dict) -> str | results.Failure:
     prompt = fields.get('prompt')
     if not isinstance(prompt, str) or not prompt:
--- a/siskinmount/entry/_request_identity.py
+++ b/siskinmount/entry/_request_identity.py
@@ -1,5 +1,6 @@
 """Names requests so that a resend finds the first one."""
 
+from collections.abc import Sequence
 import hashlib
 import uuid
 
@@ -36,6 +37,7 @@
     caller: configuration.CallerPolicy,
     head: transport.RequestHead,
     fingerprint: str,
+    answer_so_far: Sequence[str] = (),
 ) -> RequestIdentity | results.Failure:
     """Reads `Idempotency-Key` and `Last-Event-ID`.
 
@@ -44,6 +46,8 @@
         head: The request's headers.
         fingerprint: Hash of service and content. It is part of the id, so
             that a key used for other content never shows another's answer.
+        answer_so_far: Tokens that the caller has; they end with the event
+            that `Last-Event-ID` names.
     """
     key = _model_request.check_idempotency_key(
         head.find_header(b'idempotency-key')
@@ -52,8 +56,8 @@
         return key
     last_event_id = head.find_header(b'last-event-id')
     if key is None:
-        if last_event_id is not None:
-            return _invalid('Last-Event-ID needs an Idempotency-Key')
+        if last_event_id is not None or answer_so_far:
+            return _invalid('coming back needs an Idempotency-Key')
         return RequestIdentity(uuid.uuid4().hex, None, 0)
     first_token = 0
     if last_event_id is not None:
@@ -61,6 +65,8 @@
         if not is_number or len(last_event_id) > _MAX_EVENT_ID_DIGITS:
             return _invalid('Last-Event-ID must be the id of a received event')
         first_token = int(last_event_id) + 1
+    if answer_so_far and len(answer_so_far) != first_token:
+        return _invalid('answer_so_far must end with event Last-Event-ID')
     text = f'{caller.name}\0{key}\0{fingerprint}'
     digest = hashlib.sha256(text.encode('utf-8')).hexdigest()
     return RequestIdentity(digest[:_ID_HEX_CHARACTERS], key, first_token)
--- a/siskinmount/entry/_run_request.py
+++ b/siskinmount/entry/_run_request.py
@@ -1,6 +1,7 @@
 """What an entry asks a sidecar to run."""
 
 import base64
+from collections.abc import Sequence
 
 import orjson
 
@@ -22,6 +23,7 @@
         idempotent: Whether it may run again when its outcome is unknown.
         caller: Name of the caller.
         first_token: Index of the first token that the caller still needs.
+        answer_so_far: Texts of the tokens before it, if the caller sent them.
     """
 
     __slots__ = (
@@ -34,6 +36,7 @@
         'idempotent',
         'caller',
         'first_token',
+        'answer_so_far',
         '_model',
         '_plain',
     )
@@ -50,6 +53,7 @@
         idempotent: bool,
         caller: str,
         first_token: int = 0,
+        answer_so_far: Sequence[str] = (),
         model: '_model_request.ModelRequest | None' = None,
         plain: 'PlainRequest | None' = None,
     ) -> None:
@@ -62,6 +66,7 @@
         self.idempotent = idempotent
         self.caller = caller
         self.first_token = first_token
+        self.answer_so_far = answer_so_far
         self._model = model
         self._plain = plain
 
--- a/siskinmount/entry/tests/scripted_sidecar.py
+++ b/siskinmount/entry/tests/scripted_sidecar.py
@@ -146,7 +146,12 @@
 
 
 def create_run_request(
-    *, idempotent=True, first_token=0, fingerprint='f', deadline_s=10
+    *,
+    idempotent=True,
+    first_token=0,
+    answer_so_far=(),
+    fingerprint='f',
+    deadline_s=10,
 ):
     return _run_request.RunRequest(
         request_id='r1',
@@ -158,5 +163,6 @@
         idempotent=idempotent,
         caller='c',
         first_token=first_token,
+        answer_so_far=answer_so_far,
         model=PromptModel(),
     )
--- a/siskinmount/entry/tests/test_answer_run.py
+++ b/siskinmount/entry/tests/test_answer_run.py
@@ -213,6 +213,23 @@
         self.assert_whole(outcome, ('t2',))
         self.assertEqual([], sidecars[0].runs + sidecars[1].runs)
 
+    def test_lost_run_goes_on_after_the_tokens_that_the_caller_sends(self):
+        sidecar = scripted_sidecar.ScriptedSidecar('a', [*_tokens(2), _END])
+        outcome = self.run_request(
+            [sidecar], first_token=2, answer_so_far=['t0', 't1']
+        )
+        self.assert_whole(outcome, ('t2',))
+        self.assertEqual([(['t0', 't1'], 2)], sidecar.runs)
+
+    def test_run_that_lives_is_joined_though_the_caller_sends_tokens(self):
+        sidecar = scripted_sidecar.ScriptedSidecar('a')
+        sidecar.attach_scripts = [[*_tokens(2), _END]]
+        outcome = self.run_request(
+            [sidecar], first_token=2, answer_so_far=['t0', 't1']
+        )
+        self.assert_whole(outcome, ('t2',))
+        self.assertEqual(([], [2]), (sidecar.runs, sidecar.attaches))
+
     def test_reattach_to_nothing_starts_nothing(self):
         sidecar = scripted_sidecar.ScriptedSidecar('a')
         failure = self.run_request([sidecar], first_token=2)['failure']
--- a/siskinmount/entry/tests/test_callers_api.py
+++ b/siskinmount/entry/tests/test_callers_api.py
@@ -251,6 +251,14 @@
                     ),
                 )
                 self.assert_refused(answer, 400, 1009)
+            for so_far in (['t0'], ['t0', 't1', 't2'], [1, 2], 't0t1'):
+                answer = await harness.request(
+                    'POST',
+                    '/v1/completions',
+                    {**_PROMPT, 'answer_so_far': so_far},
+                    headers=(b'idempotency-key: k', b'last-event-id: 1'),
+                )
+                self.assert_refused(answer, 400, 1009)
             for value in (b'Bearer \xff\xfe', b'Basic eA==', b'Bearer '):
                 answer = await harness.request(
                     'POST',
--- a/tools/chaos/_online_caller.py
+++ b/tools/chaos/_online_caller.py
@@ -59,16 +59,18 @@
     async def _send(self, entry_vm: str) -> results.Failure | None:
         """Sends once; returns what the system gave in place of an answer."""
         request = self.request
-        headers = [(b'idempotency-key', request.name.encode('ascii'))]
-        if request.texts:
-            last_id = len(request.texts) - 1
-            headers.append((b'last-event-id', b'%d' % last_id))
         body = {
             'model': self._service,
             'prompt': request.prompt,
             'max_tokens': request.max_tokens,
             'stream': True,
         }
+        headers = [(b'idempotency-key', request.name.encode('ascii'))]
+        if request.texts:
+            last_id = len(request.texts) - 1
+            headers.append((b'last-event-id', b'%d' % last_id))
+            if _was_lost(request):
+                body['answer_so_far'] = request.texts
         exchange = await self._client.send(
             entry_vm, 'POST', '/v1/completions', orjson.dumps(body), headers
         )
@@ -111,3 +113,11 @@
             self.request.lost_count += 1
             return None
         return _entry_client.read_failure(body)
+
+
+def _was_lost(request: _observations.OnlineObservation) -> bool:
+    """Tells whether the last refusal said that the run is lost."""
+    if not request.failures:
+        return False
+    code = request.failures[-1].code
+    return code is results.ResultCode.NO_SUCH_REQUEST
