Tell peers of upstreams that fail a part of their requests; split the gateway's files

Cause: an upstream that fails four of ten requests while its own probe is good was avoided for half a second after a failure and forgotten with the next good answer; a request passed on with the upstream's own 500 even counted as a good run. With many members each sees few of an upstream's requests, so no member alone can tell it from answers lost now and then.

Change: runs and failures of each upstream are counted and fade with a half-life of two seconds; members tell each other of upstreams that failed them, and one whose failed share is above 0.2 (with six good runs assumed) is avoided. A failure that is passed on counts as one. What is known of an upstream that is gone is forgotten; evidence of peers that are gone expires.

--- a/siskinmount/gateway/_callers_api.py
+++ b/siskinmount/gateway/_callers_api.py
@@ -10,7 +10,9 @@
 from siskinmount import transport
 from siskinmount.gateway import _failure_answers
 from siskinmount.gateway import _jobs_api
+from siskinmount.gateway import _online_request
 from siskinmount.gateway import _online_run
+from siskinmount.gateway import _online_tools
 from siskinmount.gateway import _wire
 
 _LOGGER = logging.getLogger(__name__)
@@ -26,7 +28,7 @@
     def __init__(
         self,
         view: fleet.FleetView,
-        tools: _online_run.OnlineTools,
+        tools: _online_tools.OnlineTools,
         jobs_api: _jobs_api.JobsApi,
     ) -> None:
         self._view = view
@@ -78,14 +80,11 @@
                 self._jobs_api.submit(exchange, request, route, body),
             )
             return
-        run = _online_run.OnlineRun(
+        run = _online_run.create_online_run(
             self._tools,
-            exchange,
-            route,
-            request,
-            body,
-            document.version,
-            began_at_s,
+            _online_request.OnlineRequest(
+                exchange, route, request, body, document.version, began_at_s
+            ),
         )
         await self._run_while_caller_stays(exchange, request, run.run())
 
@@ -147,7 +146,7 @@
 
 def create_callers_api(
     view: fleet.FleetView,
-    tools: _online_run.OnlineTools,
+    tools: _online_tools.OnlineTools,
     jobs_api: _jobs_api.JobsApi,
 ) -> CallersApi:
     """Creates the handler for callers."""
--- /dev/null
+++ b/siskinmount/gateway/_item_run.py
@@ -0,0 +1,26 @@
+"""One run of a batch item that is under way."""
+
+import trio
+
+from siskinmount import jobs
+
+
+class ItemRun:
+    """One run of an item.
+
+    Attributes:
+        next_item: The item and its job.
+        tag: Short name of the item.
+        upstream_id: Where it runs.
+        scope: Cancels the run.
+    """
+
+    __slots__ = ('next_item', 'tag', 'upstream_id', 'scope')
+
+    def __init__(
+        self, next_item: jobs.NextItem, tag: str, upstream_id: str
+    ) -> None:
+        self.next_item = next_item
+        self.tag = tag
+        self.upstream_id = upstream_id
+        self.scope = trio.CancelScope()
--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -1,7 +1,5 @@
 """Runs batch items in the slots that callers leave free."""
 
-from collections.abc import Awaitable
-from collections.abc import Callable
 import logging
 
 import trio
@@ -10,7 +8,11 @@
 from siskinmount import jobs
 from siskinmount import placement
 from siskinmount.gateway import _gateway_metrics
+from siskinmount.gateway import _item_cutter
 from siskinmount.gateway import _item_exchange
+from siskinmount.gateway import _item_lister
+from siskinmount.gateway import _item_run
+from siskinmount.gateway import _member_duties
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -27,14 +29,6 @@
 FORGET_INTERVAL_S = 1.0
 #: Time between steps when nothing has changed.
 IDLE_STEP_S = 0.25
-#: Time between two cuts at one upstream: peers must have seen the first.
-CUT_INTERVAL_S = 0.06
-#: After a cut nothing is begun at an upstream for this long, and the item that
-#: was cut waits as long: a burst goes on, and each new run would be cut again.
-CROWDED_S = 0.25
-#: How long a result waits for the store before it is given to a member that
-#: reaches it: an append takes milliseconds, and half a second on a slow store.
-LIST_PATIENCE_S = 0.7
 #: How long after its retention an item is given up. VMs may have known a job
 #: for different times, and the platform counts from the first submission.
 RETENTION_MARGIN_S = 3.0
@@ -42,94 +36,53 @@
 ROUTE_GONE_S = 5.0
 
 
-class _Run:
-    """One run of an item.
-
-    Attributes:
-        next_item: The item and its job.
-        tag: Short name of the item.
-        upstream_id: Where it runs.
-        scope: Cancels the run.
-    """
-
-    __slots__ = ('next_item', 'tag', 'upstream_id', 'scope')
-
-    def __init__(
-        self, next_item: jobs.NextItem, tag: str, upstream_id: str
-    ) -> None:
-        self.next_item = next_item
-        self.tag = tag
-        self.upstream_id = upstream_id
-        self.scope = trio.CancelScope()
-
-
-#: Gives output of an item to another member; tells whether it was taken.
-HandOver = Callable[[str, jobs.ItemProgress, str], Awaitable[bool]]
-
-
 class ItemRunner:
     """Begins, cuts and lists runs of items."""
 
     __slots__ = (
+        '_duties',
         '_view',
-        '_table',
         '_scheduler',
-        '_ledger',
         '_placer',
         '_load',
         '_health',
         '_evidence',
         '_exchange',
         '_metrics',
-        '_member',
-        '_may_begin',
-        '_must_hand_over',
-        '_list_members',
-        '_hand_over',
-        '_max_record_bytes',
         '_runs',
-        '_cut_at_s',
+        '_cutter',
+        '_lister',
         '_route_missing_since_s',
     )
 
     def __init__(
         self,
         *,
+        duties: _member_duties.MemberDuties,
         view: fleet.FleetView,
-        table: jobs.JobTable,
         scheduler: jobs.ItemScheduler,
-        ledger: jobs.JobLedger,
         placer: placement.Placer,
         load: placement.LoadTable,
         health: placement.UpstreamHealth,
         evidence: placement.CrashEvidence,
         exchange: _item_exchange.ItemExchange,
+        lister: _item_lister.ItemLister,
         metrics: _gateway_metrics.GatewayMetrics,
-        member: str,
-        may_begin: Callable[[], bool],
-        must_hand_over: Callable[[], bool],
-        list_members: Callable[[], list[str]],
-        hand_over: HandOver,
-        max_record_bytes: int,
     ) -> None:
+        self._duties = duties
         self._view = view
-        self._table = table
         self._scheduler = scheduler
-        self._ledger = ledger
         self._placer = placer
         self._load = load
         self._health = health
         self._evidence = evidence
         self._exchange = exchange
         self._metrics = metrics
-        self._member = member
-        self._may_begin = may_begin
-        self._must_hand_over = must_hand_over
-        self._list_members = list_members
-        self._hand_over = hand_over
-        self._max_record_bytes = max_record_bytes
-        self._runs: dict[str, _Run] = {}
-        self._cut_at_s: dict[str, float] = {}
+        self._runs: dict[str, _item_run.ItemRun] = {}
+        self._cutter = _item_cutter.ItemCutter(
+            self._runs, view, load, scheduler, metrics, duties.vm
+        )
+        self._lister = lister
         self._route_missing_since_s: dict[str, float] = {}
 
     @property
@@ -139,19 +92,18 @@
 
     def cut_all(self) -> None:
         """Ends all runs: the process is about to end."""
-        for run in list(self._runs.values()):
-            run.scope.cancel()
+        self._cutter.cut_all()
 
     async def run(self) -> None:
         """Runs items for ever."""
         forgot_at_s = trio.current_time()
         async with trio.open_nursery() as nursery:
             while True:
-                self._cut_ended()
-                self._cut_crowded()
+                self._cutter.cut_useless()
+                self._cutter.cut_crowded()
                 begun = 0
-                await self._hand_over_kept()
-                if self._may_begin():
+                await self._lister.hand_over_kept()
+                if self._duties.may_begin_items():
                     begun = self._begin(nursery)
                 if trio.current_time() - forgot_at_s > FORGET_INTERVAL_S:
                     forgot_at_s = trio.current_time()
@@ -162,82 +114,6 @@
                 with trio.move_on_after(IDLE_STEP_S):
                     await self._load.wait_changed()
 
-    async def _hand_over_kept(self) -> None:
-        """Gives the output of items that wait to the members that go on."""
-        if not self._must_hand_over():
-            return
-        for tag in self._scheduler.list_kept_tags():
-            self._scheduler.held_tags.add(tag)
-            await self._give_away(tag)
-            self._scheduler.adopt(tag)
-            self._scheduler.held_tags.discard(tag)
-
-    async def _give_away(self, tag: str) -> None:
-        """Gives the output of an item to another member; keeps it if it fails.
-
-        The item stays held meanwhile, so that nobody begins it anew.
-        """
-        members = [
-            member for member in self._list_members() if member != self._member
-        ]
-        progress = self._scheduler.get_progress(tag)
-        if not members or not progress.events:
-            return
-        member = jobs.choose_member(tag, members)
-        if await self._hand_over(tag, progress, member):
-            self._scheduler.progress.pop(tag, None)
-
-    def _cut_ended(self) -> None:
-        """Cuts runs that are of no more use.
-
-        Their job has ended, their item is listed, or another member has given
-        more of its output.
-        """
-        for run in list(self._runs.values()):
-            job = run.next_item.job
-            is_open = run.next_item.item.item_id in job.open_items
-            is_overtaken = run.tag in self._scheduler.waiting_output
-            if job.is_ended or not is_open or is_overtaken:
-                run.scope.cancel()
-
-    def _cut_crowded(self) -> None:
-        """Cuts a run at each upstream that has more requests than slots."""
-        if not self._runs:
-            return
-        totals = self._load.sum_counts()
-        now_s = trio.current_time()
-        for upstream_id, own in list(self._load.own.items()):
-            upstream = self._view.upstreams.get(upstream_id)
-            if upstream is None or not own.batch:
-                continue
-            slots = upstream.slot_count or placement.DEFAULT_SLOTS
-            total = totals[upstream_id]
-            if total.online + total.batch <= slots:
-                continue
-            since_s = now_s - self._cut_at_s.get(upstream_id, float('-inf'))
-            if since_s < CUT_INTERVAL_S:
-                continue
-            newest = self._load.get_newest_peer_job(upstream_id)
-            if newest > (own.newest_job, self._member):
-                continue
-            run = self._choose_cut(upstream_id)
-            if run is None:
-                continue
-            self._cut_at_s[upstream_id] = now_s
-            self._metrics.cuts.increment()
-            _LOGGER.info(
-                'item_cut',
-                extra={
-                    'job': run.next_item.job.job_id,
-                    'item': run.next_item.item.item_id,
-                    'upstream': upstream_id,
-                    'online': total.online,
-                    'batch': total.batch,
-                    'slots': slots,
-                },
-            )
-            run.scope.cancel()
-
     def _count_runs(self, upstream_id: str) -> None:
         """Tells the load table what runs at an upstream."""
         offsets: list[int] = []
@@ -248,20 +124,6 @@
             upstream_id, len(offsets), max(offsets, default=-1)
         )
 
-    def _choose_cut(self, upstream_id: str) -> _Run | None:
-        """Returns the run of the newest job with the least progress."""
-        best: _Run | None = None
-        best_rank: tuple[int, int] | None = None
-        for run in self._runs.values():
-            if run.upstream_id != upstream_id or run.scope.cancel_called:
-                continue
-            progress = self._scheduler.get_progress(run.tag)
-            rank = (run.next_item.job.offset, -len(progress.events))
-            if best_rank is None or rank > best_rank:
-                best = run
-                best_rank = rank
-        return best
-
     def _begin(self, nursery: trio.Nursery) -> int:
         """Begins the next items, and returns how many."""
         begun = 0
@@ -283,18 +145,18 @@
                 continue
             if self._scheduler.get_progress(tag).is_complete:
                 self._scheduler.held_tags.add(tag)
-                nursery.start_soon(self._list_complete, next_item, tag)
+                nursery.start_soon(self._lister.list_complete, next_item, tag)
                 continue
             service = route.draw_service()
             if service in full_services:
                 continue
             upstream = self._placer.place_batch(
-                service, RESERVED_SLOTS, self._list_crowded()
+                service, RESERVED_SLOTS, self._cutter.list_crowded()
             )
             if isinstance(upstream, placement.NoPlace):
                 full_services.add(service)
                 continue
-            run = _Run(next_item, tag, upstream.upstream_id)
+            run = _item_run.ItemRun(next_item, tag, upstream.upstream_id)
             self._runs[tag] = run
             self._scheduler.held_tags.add(tag)
             self._count_runs(upstream.upstream_id)
@@ -302,15 +164,6 @@
             begun += 1
         return begun
 
-    def _list_crowded(self) -> set[str]:
-        """Returns the upstreams where a run was cut a moment ago."""
-        limit_s = trio.current_time() - CROWDED_S
-        crowded: set[str] = set()
-        for upstream_id, cut_at_s in self._cut_at_s.items():
-            if cut_at_s > limit_s:
-                crowded.add(upstream_id)
-        return crowded
-
     def _count_free_slots(self, route_name: str) -> int:
         """Returns the free slots of all upstreams of a route.
 
@@ -350,7 +203,7 @@
         reason: str,
     ) -> None:
         self._scheduler.held_tags.add(tag)
-        nursery.start_soon(self._give_up, next_item, tag, reason)
+        nursery.start_soon(self._lister.give_up, next_item, tag, reason)
 
     def _is_past_retention(
         self, job: jobs.Job, route: fleet.FleetRoute
@@ -361,7 +214,10 @@
         return known_s > route.retention_s + RETENTION_MARGIN_S
 
     async def _run_item(
-        self, run: _Run, route: fleet.FleetRoute, upstream: fleet.Upstream
+        self,
+        run: _item_run.ItemRun,
+        route: fleet.FleetRoute,
+        upstream: fleet.Upstream,
     ) -> None:
         """Runs an item once and decides what follows."""
         next_item = run.next_item
@@ -396,17 +252,15 @@
         if end is _item_exchange.RunEnd.DONE:
             self._health.note_success(upstream.upstream_id)
             progress.is_complete = True
-            await self._list_complete(next_item, run.tag)
+            await self._lister.list_complete(next_item, run.tag)
             return
         if end is _item_exchange.RunEnd.IMPOSSIBLE:
-            await self._list(next_item, run.tag, jobs.ItemState.GIVEN_UP, '')
+            await self._lister.give_up(next_item, run.tag, reason)
             return
         if end is _item_exchange.RunEnd.FAILED:
             progress.failed_attempts += 1
             if progress.failed_attempts >= route.max_attempts:
-                await self._list(
-                    next_item, run.tag, jobs.ItemState.GIVEN_UP, ''
-                )
+                await self._lister.give_up(next_item, run.tag, reason)
                 return
             progress.pause(progress.failed_attempts)
         elif end is _item_exchange.RunEnd.LOST:
@@ -417,67 +271,47 @@
         elif end is _item_exchange.RunEnd.NOT_RUN:
             progress.pause(1)
         else:
-            progress.not_before_s = trio.current_time() + CROWDED_S
+            progress.not_before_s = trio.current_time() + _item_cutter.CROWDED_S
         self._scheduler.adopt(run.tag)
         self._scheduler.held_tags.discard(run.tag)
 
-    async def _list_complete(self, next_item: jobs.NextItem, tag: str) -> None:
-        """Lists an item whose output is whole."""
-        output = '\n'.join(self._scheduler.get_progress(tag).events)
-        await self._list(next_item, tag, jobs.ItemState.DONE, output)
-
-    async def _give_up(
-        self, next_item: jobs.NextItem, tag: str, reason: str
-    ) -> None:
-        """Lists an item as given up."""
-        _LOGGER.warning(
-            'item_given_up',
-            extra={
-                'job': next_item.job.job_id,
-                'item': next_item.item.item_id,
-                'reason': reason,
-            },
-        )
-        await self._list(next_item, tag, jobs.ItemState.GIVEN_UP, '')
 
-    async def _list(
-        self,
-        next_item: jobs.NextItem,
-        tag: str,
-        state: jobs.ItemState,
-        output: str,
-    ) -> None:
-        """Writes a result into the log, however long that takes.
-
-        A member that cannot reach the store leaves the writing to one that can.
-        """
-        item_id = next_item.item.item_id
-        operation = jobs.ListResult(
-            next_item.job.job_id,
-            jobs.ItemResult(item_id, state, output),
-            self._max_record_bytes,
-        )
-        began_at_s = trio.current_time()
-        self._ledger.submit(operation)
-        while not operation.finished.is_set():
-            with trio.move_on_after(LIST_PATIENCE_S):
-                await operation.finished.wait()
-            if operation.finished.is_set():
-                break
-            if state is jobs.ItemState.DONE and self._must_hand_over():
-                self._ledger.withdraw(operation)
-                await self._give_away(tag)
-                break
-        self._scheduler.waiting_output.pop(tag, None)
-        self._scheduler.held_tags.discard(tag)
-        _LOGGER.info(
-            'item_listed' if operation.outcome else 'item_not_listed',
-            extra={
-                'job': next_item.job.job_id,
-                'item': item_id,
-                'state': state.value,
-                'output_bytes': len(output),
-                'outcome': str(operation.outcome),
-                'took_ms': int((trio.current_time() - began_at_s) * 1000),
-            },
-        )
+def create_item_runner(
+    *,
+    duties: _member_duties.MemberDuties,
+    view: fleet.FleetView,
+    scheduler: jobs.ItemScheduler,
+    placer: placement.Placer,
+    load: placement.LoadTable,
+    health: placement.UpstreamHealth,
+    evidence: placement.CrashEvidence,
+    exchange: _item_exchange.ItemExchange,
+    lister: _item_lister.ItemLister,
+    metrics: _gateway_metrics.GatewayMetrics,
+) -> ItemRunner:
+    """Creates a runner without items.
+
+    Args:
+        duties: Whether this member may begin items.
+        view: Routes and upstreams.
+        scheduler: Says which items are next.
+        placer: Chooses upstreams.
+        load: Counts what runs.
+        health: Remembers failures of upstreams.
+        evidence: Knows items that take upstreams down.
+        exchange: Speaks to upstreams.
+        lister: Puts results into the log.
+        metrics: Counts what happens.
+    """
+    return ItemRunner(
+        duties=duties,
+        view=view,
+        scheduler=scheduler,
+        placer=placer,
+        load=load,
+        health=health,
+        evidence=evidence,
+        exchange=exchange,
+        lister=lister,
+        metrics=metrics,
+    )
--- /dev/null
+++ b/siskinmount/gateway/_online_tools.py
@@ -0,0 +1,49 @@
+"""What all online requests share."""
+
+from siskinmount import placement
+from siskinmount.gateway import _gateway_metrics
+from siskinmount.gateway import _upstream_clients
+from siskinmount.gateway import _wire
+
+
+class OnlineTools:
+    """What all requests share.
+
+    Attributes:
+        placer: Chooses upstreams.
+        load: Counts requests in flight.
+        health: Remembers failures of upstreams.
+        evidence: Knows requests that take upstreams down.
+        clients: Connections to upstreams.
+        wire: Reads and writes headers.
+        metrics: Counts what happens.
+    """
+
+    __slots__ = (
+        'placer',
+        'load',
+        'health',
+        'evidence',
+        'clients',
+        'wire',
+        'metrics',
+    )
+
+    def __init__(
+        self,
+        *,
+        placer: placement.Placer,
+        load: placement.LoadTable,
+        health: placement.UpstreamHealth,
+        evidence: placement.CrashEvidence,
+        clients: _upstream_clients.UpstreamClients,
+        wire: _wire.Wire,
+        metrics: _gateway_metrics.GatewayMetrics,
+    ) -> None:
+        self.placer = placer
+        self.load = load
+        self.health = health
+        self.evidence = evidence
+        self.clients = clients
+        self.wire = wire
+        self.metrics = metrics
--- a/siskinmount/gateway/tests/test_online_run.py
+++ b/siskinmount/gateway/tests/test_online_run.py
@@ -10,7 +10,9 @@
 from siskinmount import telemetry
 from siskinmount import transport
 from siskinmount.gateway import _gateway_metrics
+from siskinmount.gateway import _online_request
 from siskinmount.gateway import _online_run
+from siskinmount.gateway import _online_tools
 from siskinmount.gateway import _wire
 
 _DEADLINE_MS = 400
@@ -84,7 +86,7 @@
         async def main():
             evidence = placement.create_crash_evidence()
             upstream = _Upstream(answer_after_s)
-            tools = _online_run.OnlineTools(
+            tools = _online_tools.OnlineTools(
                 placer=upstream,
                 load=placement.create_load_table(),
                 health=placement.create_upstream_health(evidence),
@@ -104,15 +106,15 @@
                 timeout_ms=5000,
                 target_ms=100,
             )
-            await _online_run.OnlineRun(
-                tools,
+            request = _online_request.OnlineRequest(
                 exchange,
                 route,
                 _wire.CallerRequest('q', _DEADLINE_MS),
                 b'',
                 1,
                 trio.current_time(),
-            ).run()
+            )
+            await _online_run.create_online_run(tools, request).run()
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
         return exchange.answers
--- a/siskinmount/peering/_peer_directory.py
+++ b/siskinmount/peering/_peer_directory.py
@@ -71,18 +71,27 @@
         peers: Other members by name.
     """
 
-    __slots__ = ('member', 'peers', '_load', '_evidence', '_silent')
+    __slots__ = (
+        'member',
+        'peers',
+        '_load',
+        '_evidence',
+        '_health',
+        '_silent',
+    )
 
     def __init__(
         self,
         member: str,
         load: placement.LoadTable,
         evidence: placement.CrashEvidence,
+        health: placement.UpstreamHealth,
     ) -> None:
         self.member = member
         self.peers: dict[str, Peer] = {}
         self._load = load
         self._evidence = evidence
+        self._health = health
         self._silent: set[str] = set()
 
     def take_record(self, record: keyed_log.KeyedRecord) -> None:
@@ -135,6 +144,7 @@
         peer.message = message
         self._load.take_peer_counts(peer.member, message.counts)
         self._evidence.take_peer_counts(peer.member, message.crashes)
+        self._health.take_peer_tallies(peer.member, message.troubled)
 
     def list_live(self) -> list[Peer]:
         """Returns the peers that were heard lately."""
@@ -146,6 +156,7 @@
             if peer.message is not None and peer.member not in self._silent:
                 self._silent.add(peer.member)
                 self._load.forget_peer(peer.member)
+                self._health.forget_peer(peer.member)
                 _LOGGER.info(
                     'peer_silent',
                     extra={
@@ -220,6 +231,14 @@
     member: str,
     load: placement.LoadTable,
     evidence: placement.CrashEvidence,
+    health: placement.UpstreamHealth,
 ) -> PeerDirectory:
-    """Creates a directory that knows no peer."""
-    return PeerDirectory(member, load, evidence)
+    """Creates a directory that knows no peer.
+
+    Args:
+        member: Name of this VM.
+        load: Takes the peers' requests in flight.
+        evidence: Takes the crashes that peers have counted.
+        health: Takes what peers say of upstreams.
+    """
+    return PeerDirectory(member, load, evidence, health)
--- a/siskinmount/peering/_peer_message.py
+++ b/siskinmount/peering/_peer_message.py
@@ -21,6 +21,7 @@
         held_tags: Batch items that it runs or is about to list.
         kept_tags: Batch items that wait and of which it keeps output.
         crashes: Upstreams that went down, by the request that each fell with.
+        troubled: Upstreams that failed its requests, with their tallies.
     """
 
     __slots__ = (
@@ -35,6 +36,7 @@
         'held_tags',
         'kept_tags',
         'crashes',
+        'troubled',
     )
 
     def __init__(
@@ -51,6 +53,7 @@
         held_tags: set[str],
         kept_tags: set[str],
         crashes: dict[str, int],
+        troubled: dict[str, placement.FailureTally],
     ) -> None:
         self.member = member
         self.incarnation = incarnation
@@ -63,6 +66,7 @@
         self.held_tags = held_tags
         self.kept_tags = kept_tags
         self.crashes = crashes
+        self.troubled = troubled
 
 
 def encode_message(message: PeerMessage) -> bytes:
@@ -87,6 +91,10 @@
             'held': sorted(message.held_tags),
             'kept': sorted(message.kept_tags),
             'crashes': message.crashes,
+            'troubled': {
+                upstream_id: (round(tally.failures, 2), round(tally.runs, 2))
+                for upstream_id, tally in message.troubled.items()
+            },
         }
     )
 
@@ -100,6 +108,11 @@
             counts[upstream_id] = placement.UpstreamCounts(
                 max(0, int(row[0])), max(0, int(row[1])), int(row[2])
             )
+        troubled: dict[str, placement.FailureTally] = {}
+        for upstream_id, row in fields['troubled'].items():
+            troubled[upstream_id] = placement.FailureTally(
+                max(0.0, float(row[0])), max(0.0, float(row[1]))
+            )
         return PeerMessage(
             member=str(fields['member']),
             incarnation=int(fields['incarnation']),
@@ -115,6 +128,7 @@
                 str(name): int(count)
                 for name, count in fields['crashes'].items()
             },
+            troubled=troubled,
         )
     except (
         ValueError,
--- a/siskinmount/peering/tests/test_peer_directory.py
+++ b/siskinmount/peering/tests/test_peer_directory.py
@@ -23,6 +23,7 @@
         'held_tags': {'t'},
         'kept_tags': {'k'},
         'crashes': {'f': 1},
+        'troubled': {},
         **fields,
     }
     return peering.PeerMessage(
@@ -35,23 +36,32 @@
     def _run(self, check):
         async def main():
             load = placement.create_load_table()
+            evidence = placement.create_crash_evidence()
+            health = placement.create_upstream_health(evidence)
             directory = peering.create_peer_directory(
-                'm', load, placement.create_crash_evidence()
+                'm', load, evidence, health
             )
             await check(directory, load)
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
     def test_message_comes_through_whole(self):
-        sent = _make_message()
-        taken = peering.decode_message(peering.encode_message(sent))
-        self.assertEqual(sent.held_tags, taken.held_tags)
-        self.assertEqual(sent.kept_tags, taken.kept_tags)
-        self.assertEqual(sent.crashes, taken.crashes)
-        counts = taken.counts['u']
-        self.assertEqual(
-            (2, 1, 5), (counts.online, counts.batch, counts.newest_job)
-        )
+        async def check(directory, load):
+            sent = _make_message(
+                troubled={'u': placement.FailureTally(1.5, 4.0)}
+            )
+            taken = peering.decode_message(peering.encode_message(sent))
+            self.assertEqual(sent.held_tags, taken.held_tags)
+            self.assertEqual(sent.kept_tags, taken.kept_tags)
+            self.assertEqual(sent.crashes, taken.crashes)
+            counts = taken.counts['u']
+            self.assertEqual(
+                (2, 1, 5), (counts.online, counts.batch, counts.newest_job)
+            )
+            tally = taken.troubled['u']
+            self.assertEqual((1.5, 4.0), (tally.failures, tally.runs))
+
+        self._run(check)
 
     @hypothesis.settings(derandomize=True, deadline=None, database=None)
     @hypothesis.given(strategies.binary(max_size=40))
--- a/siskinmount/placement/__init__.py
+++ b/siskinmount/placement/__init__.py
@@ -7,6 +7,7 @@
 from siskinmount.placement._crash_evidence import CrashEvidence
 from siskinmount.placement._crash_evidence import create_crash_evidence
 from siskinmount.placement._crash_evidence import make_fingerprint
+from siskinmount.placement._failure_tally import FailureTally
 from siskinmount.placement._load_table import create_load_table
 from siskinmount.placement._load_table import LoadTable
 from siskinmount.placement._load_table import UpstreamCounts
--- a/siskinmount/placement/_crash_evidence.py
+++ b/siskinmount/placement/_crash_evidence.py
@@ -36,7 +36,7 @@
         self.counts: dict[str, int] = {}
         self._seen_at_s: dict[str, float] = {}
         self._broken: dict[str, dict[str, float]] = {}
-        self._peer_counts: dict[str, dict[str, int]] = {}
+        self._peer_counts: dict[str, tuple[float, dict[str, int]]] = {}
 
     def note_broken_run(self, fingerprint: str, upstream_id: str) -> None:
         """Remembers a run that its upstream broke off."""
@@ -66,12 +66,12 @@
 
     def take_peer_counts(self, peer: str, counts: dict[str, int]) -> None:
         """Replaces what a peer has counted."""
-        self._peer_counts[peer] = counts
+        self._peer_counts[peer] = (trio.current_time(), counts)
 
     def is_convicted(self, fingerprint: str) -> bool:
         """Returns whether a request is not to be run any more."""
         total = self.counts.get(fingerprint, 0)
-        for counts in self._peer_counts.values():
+        for _, counts in self._peer_counts.values():
             total += counts.get(fingerprint, 0)
         return total >= CRASHES_TO_CONVICT
 
@@ -82,6 +82,9 @@
             if now_s - seen_at_s > KEPT_S:
                 del self._seen_at_s[fingerprint]
                 del self.counts[fingerprint]
+        for peer, (taken_at_s, _) in list(self._peer_counts.items()):
+            if now_s - taken_at_s > KEPT_S:
+                del self._peer_counts[peer]
         for upstream_id, broken in list(self._broken.items()):
             if now_s - max(broken.values()) > FOUND_DOWN_S:
                 del self._broken[upstream_id]
