Avoid an upstream that leaves a request without a first byte

Ruled out: ending such a request early, as it may still be answered and must not run twice.

Change: a request that has no first byte after two objectives counts against its upstream at once, here and, by the tallies, at all members. Test: an upstream that hangs is avoided after 0.3 s of a request of 0.4 s; it fails without it.

--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -50,6 +50,7 @@
         '_incarnation',
         '_view',
         '_load',
+        '_overdue',
         '_directory',
         '_duties',
         '_presence',
@@ -87,6 +88,7 @@
         self._load = placement.create_load_table()
         evidence = placement.create_crash_evidence()
         health = placement.create_upstream_health(evidence)
+        self._overdue = placement.create_overdue_runs(health)
         self._directory = peering.create_peer_directory(
             settings.vm, self._load, evidence, health
         )
@@ -177,6 +179,7 @@
             placer=placer,
             load=self._load,
             health=health,
+            overdue=self._overdue,
             evidence=evidence,
             clients=clients,
             wire=outside.wire,
@@ -240,6 +243,7 @@
             supervision.Child('jobs', self._jobs.run),
             supervision.Child('ledger', self._ledger.run),
             supervision.Child('items', self._runner.run),
+            supervision.Child('overdue', self._overdue.run),
             supervision.Child('peers_api', self._peers_api.run),
             supervision.Child('peer_exchange', self._create_exchange().run),
             supervision.Child('member_record', self._presence.write_record),
--- a/siskinmount/gateway/_online_tools.py
+++ b/siskinmount/gateway/_online_tools.py
@@ -13,6 +13,7 @@
         placer: Chooses upstreams.
         load: Counts requests in flight.
         health: Remembers failures of upstreams.
+        overdue: Notices requests that wait for their first byte too long.
         evidence: Knows requests that take upstreams down.
         clients: Connections to upstreams.
         wire: Reads and writes headers.
@@ -23,6 +24,7 @@
         'placer',
         'load',
         'health',
+        'overdue',
         'evidence',
         'clients',
         'wire',
@@ -35,6 +37,7 @@
         placer: placement.Placer,
         load: placement.LoadTable,
         health: placement.UpstreamHealth,
+        overdue: placement.OverdueRuns,
         evidence: placement.CrashEvidence,
         clients: _upstream_clients.UpstreamClients,
         wire: _wire.Wire,
@@ -43,6 +46,7 @@
         self.placer = placer
         self.load = load
         self.health = health
+        self.overdue = overdue
         self.evidence = evidence
         self.clients = clients
         self.wire = wire
--- a/siskinmount/gateway/tests/test_online_run.py
+++ b/siskinmount/gateway/tests/test_online_run.py
@@ -85,11 +85,14 @@
 
         async def main():
             evidence = placement.create_crash_evidence()
+            health = placement.create_upstream_health(evidence)
+            overdue = placement.create_overdue_runs(health)
             upstream = _Upstream(answer_after_s)
             tools = _online_tools.OnlineTools(
                 placer=upstream,
                 load=placement.create_load_table(),
-                health=placement.create_upstream_health(evidence),
+                health=health,
+                overdue=overdue,
                 evidence=evidence,
                 clients=upstream,
                 wire=platform.create_wire(),
@@ -114,13 +117,29 @@
                 1,
                 trio.current_time(),
             )
-            await _online_run.create_online_run(tools, request).run()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(overdue.run)
+                nursery.start_soon(self._watch_avoided, health)
+                await _online_run.create_online_run(tools, request).run()
+                nursery.cancel_scope.cancel()
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
         return exchange.answers
 
+    async def _watch_avoided(self, health):
+        for step in range(100):
+            if health.is_avoided('u'):
+                self.avoided_after_s = step * 0.01
+                return
+            await trio.sleep(0.01)
+
     def test_ready_answer_is_delivered_though_the_time_ends(self):
         self.assertEqual([(200, b'body')], self._run(0.38))
 
     def test_silent_upstream_ends_with_the_time(self):
         self.assertEqual([(504, b'own')], self._run(5))
+
+    def test_upstream_that_hangs_is_avoided_before_its_request_ends(self):
+        self._run(5)
+        # Twice the objective of 100 ms, and a look each 100 ms.
+        self.assertLessEqual(self.avoided_after_s, 0.32)
--- a/siskinmount/gateway/tests/test_online_run_properties.py
+++ b/siskinmount/gateway/tests/test_online_run_properties.py
@@ -218,6 +218,7 @@
         placer=placement.create_placer(view, load, health),
         load=load,
         health=health,
+        overdue=placement.create_overdue_runs(health),
         evidence=evidence,
         clients=upstreams,
         wire=platform.create_wire(),
