Avoid only upstreams that are silent; use avoided ones before a refusal

Cause: the change before took slow engines, which begin answers late, for hanging ones. Avoided upstreams were not used even where the sound ones had no room.

Change: a request counts as overdue only if its upstream has begun no answer since it was sent; a request that may be repeated uses an avoided upstream before it is refused, one that may not is told to come back; four good runs are assumed for each upstream. Tests: hanging, slow and ended requests; a burst with two of three upstreams avoided.

--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -139,6 +139,7 @@
             clients=clients,
             evidence=evidence,
             health=health,
+            overdue=self._overdue,
             directory=self._directory,
             table=table,
             ledger=self._ledger,
--- a/siskinmount/gateway/_housekeeping.py
+++ b/siskinmount/gateway/_housekeeping.py
@@ -31,6 +31,7 @@
         '_clients',
         '_evidence',
         '_health',
+        '_overdue',
         '_directory',
         '_table',
         '_ledger',
@@ -47,6 +48,7 @@
         clients: _upstream_clients.UpstreamClients,
         evidence: placement.CrashEvidence,
         health: placement.UpstreamHealth,
+        overdue: placement.OverdueRuns,
         directory: peering.PeerDirectory,
         table: jobs.JobTable,
         ledger: jobs.JobLedger,
@@ -58,6 +60,7 @@
         self._clients = clients
         self._evidence = evidence
         self._health = health
+        self._overdue = overdue
         self._directory = directory
         self._table = table
         self._ledger = ledger
@@ -86,6 +89,7 @@
             if now_known.get(upstream_id) != started_at_ms:
                 self._evidence.note_down(upstream_id)
                 self._health.forget(upstream_id)
+                self._overdue.forget(upstream_id)
         self._started_at_ms = now_known
 
     def _drop_old_jobs(self) -> None:
@@ -126,6 +130,7 @@
     clients: _upstream_clients.UpstreamClients,
     evidence: placement.CrashEvidence,
     health: placement.UpstreamHealth,
+    overdue: placement.OverdueRuns,
     directory: peering.PeerDirectory,
     table: jobs.JobTable,
     ledger: jobs.JobLedger,
@@ -140,6 +145,7 @@
         clients: Those of upstreams that are gone are closed.
         evidence: Learns which upstreams began anew; expires.
         health: Forgets upstreams that are gone.
+        overdue: Forgets them too.
         directory: Peers that are silent are dropped.
         table: All jobs.
         ledger: Drops jobs.
@@ -152,6 +158,7 @@
         clients=clients,
         evidence=evidence,
         health=health,
+        overdue=overdue,
         directory=directory,
         table=table,
         ledger=ledger,
--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -6,7 +6,6 @@
 import trio
 
 from siskinmount import fleet
-from siskinmount import placement
 from siskinmount import results
 from siskinmount import transport
 from siskinmount.gateway import _event_splitter
@@ -83,16 +82,15 @@
         self._request = request
         self._answer = answer
         self._upstream = upstream
-        self._waiting: placement.WaitingRun | None = None
+        self._waiting = tools.overdue.begin(
+            upstream.upstream_id, request.route.target_ms
+        )
 
     async def run(self) -> AttemptOutcome:
         """Sends the request, and counts it while it is at the upstream."""
         request = self._request
         upstream_id = self._upstream.upstream_id
         self._tools.load.add_online(upstream_id, 1)
-        self._waiting = self._tools.overdue.begin(
-            upstream_id, request.route.target_ms
-        )
         sent_at_s = trio.current_time()
         outcome = AttemptOutcome.LOST
         reason = _CANCELLED
@@ -100,7 +98,7 @@
             outcome, reason = await self._send()
         finally:
             self._tools.load.add_online(upstream_id, -1)
-            self._note_first_byte()
+            self._tools.overdue.end(self._waiting)
             if outcome is not AttemptOutcome.NOT_RUN:
                 request.may_have_run = True
                 request.attempts += 1
@@ -121,12 +119,6 @@
             self._tools.placer.note_run(self._upstream.service, run_ms)
         return outcome
 
-    def _note_first_byte(self) -> None:
-        """Ends the wait for the upstream's first byte."""
-        if self._waiting is not None:
-            self._tools.overdue.end(self._waiting)
-            self._waiting = None
-
     def _note_outcome(self, outcome: AttemptOutcome, reason: str) -> None:
         """Remembers what an attempt says of its upstream."""
         upstream_id = self._upstream.upstream_id
@@ -184,6 +176,8 @@
                 )
                 return AttemptOutcome.NOT_RUN, answer.reason
             return AttemptOutcome.LOST, answer.reason
+        if request.route.kind is not fleet.RouteKind.STREAMING:
+            self._tools.overdue.note_first_byte(self._waiting)
         with answer:
             return await self._take_answer(answer)
 
@@ -260,7 +254,7 @@
                 ready.append(event.raw)
             if not ready:
                 continue
-            self._note_first_byte()
+            self._tools.overdue.note_first_byte(self._waiting)
             await self._answer.send_events(answer, b''.join(ready))
             silence_s = self._get_gap_silence_s()
         if splitter.rest:
--- a/siskinmount/gateway/_online_run.py
+++ b/siskinmount/gateway/_online_run.py
@@ -113,7 +113,11 @@
             # It has cost an upstream work: a late answer is better than none.
             max_wait_ms = float('inf')
         placed = self._tools.placer.place_online(
-            service, affinity_key, request.tried, max_wait_ms
+            service,
+            affinity_key,
+            request.tried,
+            max_wait_ms,
+            may_use_avoided=request.may_repeat_after_this(),
         )
         if (
             isinstance(placed, placement.Refusal)
--- a/siskinmount/gateway/tests/test_online_run.py
+++ b/siskinmount/gateway/tests/test_online_run.py
@@ -35,7 +35,14 @@
         )
         self._answer_after_s = answer_after_s
 
-    def place_online(self, service, affinity_key, excluded, max_wait_ms):
+    def place_online(
+        self,
+        service,
+        affinity_key,
+        excluded,
+        max_wait_ms,
+        may_use_avoided=False,
+    ):
         return placement.Placement(self.upstream, 0, 0)
 
     def note_run(self, service, run_ms):
--- a/siskinmount/placement/_overdue_runs.py
+++ b/siskinmount/placement/_overdue_runs.py
@@ -1,8 +1,9 @@
-"""Notices upstreams that leave requests without a first byte.
+"""Notices upstreams that have fallen silent.
 
 A request that may not be repeated waits for its answer to the end of its time,
 which is seconds. The upstream that keeps it waiting is avoided long before, so
-that others are not sent to where it hangs.
+that others are not sent to where it hangs. One that is only slow still begins
+answers meanwhile, and gets less by its count of requests in flight.
 """
 
 import trio
@@ -21,24 +22,29 @@
 
     Attributes:
         upstream_id: Where it waits.
+        sent_at_s: Steady time at which it was sent.
         overdue_at_s: Steady time at which its upstream counts as failing.
     """
 
-    __slots__ = ('upstream_id', 'overdue_at_s')
+    __slots__ = ('upstream_id', 'sent_at_s', 'overdue_at_s')
 
-    def __init__(self, upstream_id: str, overdue_at_s: float) -> None:
+    def __init__(
+        self, upstream_id: str, sent_at_s: float, overdue_at_s: float
+    ) -> None:
         self.upstream_id = upstream_id
+        self.sent_at_s = sent_at_s
         self.overdue_at_s = overdue_at_s
 
 
 class OverdueRuns:
     """Requests that wait for their first byte."""
 
-    __slots__ = ('_health', '_waiting')
+    __slots__ = ('_health', '_waiting', '_heard_at_s')
 
     def __init__(self, health: _upstream_health.UpstreamHealth) -> None:
         self._health = health
         self._waiting: set[WaitingRun] = set()
+        self._heard_at_s: dict[str, float] = {}
 
     def begin(self, upstream_id: str, target_ms: int) -> WaitingRun:
         """Takes a request that has been sent.
@@ -47,15 +53,25 @@
             upstream_id: Where it was sent.
             target_ms: Objective of its first byte.
         """
-        overdue_s = target_ms * OVERDUE_IN_TARGETS / 1000
-        waiting = WaitingRun(upstream_id, trio.current_time() + overdue_s)
+        now_s = trio.current_time()
+        overdue_at_s = now_s + target_ms * OVERDUE_IN_TARGETS / 1000
+        waiting = WaitingRun(upstream_id, now_s, overdue_at_s)
         self._waiting.add(waiting)
         return waiting
 
+    def note_first_byte(self, waiting: WaitingRun) -> None:
+        """Takes the first byte of an answer: the upstream works."""
+        self._heard_at_s[waiting.upstream_id] = trio.current_time()
+        self._waiting.discard(waiting)
+
     def end(self, waiting: WaitingRun) -> None:
-        """Drops a request whose first byte has come, or that is given up."""
+        """Drops a request that has ended."""
         self._waiting.discard(waiting)
 
+    def forget(self, upstream_id: str) -> None:
+        """Forgets an upstream that is gone."""
+        self._heard_at_s.pop(upstream_id, None)
+
     async def run(self) -> None:
         """Looks for requests that are overdue, for ever."""
         while True:
@@ -69,6 +85,9 @@
             if waiting.overdue_at_s > now_s:
                 continue
             self._waiting.discard(waiting)
+            heard_at_s = self._heard_at_s.get(waiting.upstream_id)
+            if heard_at_s is not None and heard_at_s > waiting.sent_at_s:
+                continue
             self._health.note_failure(
                 waiting.upstream_id, 'no first byte in time'
             )
--- a/siskinmount/placement/_placer.py
+++ b/siskinmount/placement/_placer.py
@@ -99,16 +99,41 @@
         affinity_key: str,
         excluded: set[str],
         max_wait_ms: float,
+        may_use_avoided: bool = False,
     ) -> Placement | Refusal:
         """Returns where an online request starts soonest.
 
+        Where the sound upstreams would let it wait too long, one that is
+        avoided is better than a refusal, if the request may go on elsewhere
+        from there.
+
         Args:
             service: Service of the request.
             affinity_key: Requests with the same key prefer the same upstream.
             excluded: Upstreams that have failed this request.
             max_wait_ms: A longer wait for a slot is of no use.
+            may_use_avoided: Whether it may go to an upstream that fails.
         """
-        candidates = self._list_candidates(service, excluded)
+        ready = self._list_ready(service, excluded)
+        sound: list[fleet.Upstream] = []
+        for upstream in ready:
+            if not self._health.is_avoided(upstream.upstream_id):
+                sound.append(upstream)
+        placed = self._place_among(
+            sound or ready, service, affinity_key, max_wait_ms
+        )
+        if isinstance(placed, Placement) or not may_use_avoided:
+            return placed
+        return self._place_among(ready, service, affinity_key, max_wait_ms)
+
+    def _place_among(
+        self,
+        candidates: list[fleet.Upstream],
+        service: str,
+        affinity_key: str,
+        max_wait_ms: float,
+    ) -> Placement | Refusal:
+        """Returns where among some upstreams a request starts soonest."""
         if not candidates:
             return Refusal(NoPlace.NO_UPSTREAM, NO_UPSTREAM_RETRY_MS)
         totals = self._load.sum_counts()
@@ -182,19 +207,15 @@
         """Returns the mean length of a run."""
         return self._run_ms_by_service.get(service, FIRST_RUN_MS)
 
-    def _list_candidates(
+    def _list_ready(
         self, service: str, excluded: set[str]
     ) -> list[fleet.Upstream]:
-        """Returns those that take requests; avoided ones only in need."""
+        """Returns those that take requests."""
         ready: list[fleet.Upstream] = []
         for upstream in self._view.list_ready(service):
             if upstream.upstream_id not in excluded:
                 ready.append(upstream)
-        healthy: list[fleet.Upstream] = []
-        for upstream in ready:
-            if not self._health.is_avoided(upstream.upstream_id):
-                healthy.append(upstream)
-        return healthy or ready
+        return ready
 
 
 _NO_COUNTS = _load_table.UpstreamCounts()
--- a/siskinmount/placement/_upstream_health.py
+++ b/siskinmount/placement/_upstream_health.py
@@ -25,7 +25,7 @@
 MAX_FAILURE_SHARE = 0.2
 #: Good runs that each upstream is given in advance, so that one failure among
 #: few runs does not reach the share.
-ASSUMED_GOOD_RUNS = 6.0
+ASSUMED_GOOD_RUNS = 4.0
 #: Faded failures below which peers are not told of an upstream.
 LEAST_TOLD = 0.2
 #: Tallies of a peer that has been silent for this long are dropped, as its
--- a/siskinmount/placement/tests/test_placer.py
+++ b/siskinmount/placement/tests/test_placer.py
@@ -57,6 +57,27 @@
 
         self._run(check)
 
+    def test_avoided_upstreams_are_used_before_a_repeatable_is_refused(self):
+        """Two of three upstreams are slow while a burst comes."""
+
+        def check(placer, load, health):
+            for upstream_id in ('u0', 'u1'):
+                health.note_failure(upstream_id, 'no first byte in time')
+            placed_at = []
+            for _ in range(12):
+                placed = placer.place_online(
+                    's', '', set(), 0, may_use_avoided=True
+                )
+                placed_at.append(placed.upstream.upstream_id)
+                load.add_online(placed.upstream.upstream_id, 1)
+            self.assertEqual(['u2'] * 4, placed_at[:4])
+            self.assertEqual(4, placed_at.count('u0'))
+            # One that must not run twice is told to come back instead.
+            refused = placer.place_online('s', '', {'u0'}, 0)
+            self.assertIs(placement.NoPlace.FULL, refused.reason)
+
+        self._run(check)
+
     def test_burst_beyond_the_slots_is_refused_with_a_time(self):
         def check(placer, load, health):
             outcomes = []
