Don't take the end of a request's time for a failure of its upstream

Change: 504 of an upstream says nothing of it; silence counts only for streams, which begin long before they end.

--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -6,6 +6,7 @@
 import trio
 
 from siskinmount import fleet
+from siskinmount import placement
 from siskinmount import results
 from siskinmount import transport
 from siskinmount.gateway import _event_splitter
@@ -25,6 +26,8 @@
 MIN_SILENCE_MS = 300
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
 _CANCELLED = 'cancelled'
+#: With this an upstream ends a run at the time limit that came with it.
+_STATUS_TIME_OVER = 504
 
 
 class AttemptOutcome(enum.Enum):
@@ -45,6 +48,10 @@
     #: The upstream ran it and failed; the caller does not know yet.
     FAILED = 'failed'
 
+    #: The upstream ended it at its time limit, which says nothing of the
+    #: upstream; the caller does not know yet.
+    OUT_OF_TIME = 'out_of_time'
+
     def is_final(self) -> bool:
         """Returns whether the caller has its answer."""
         return self in (
@@ -67,6 +74,7 @@
         '_request',
         '_answer',
         '_upstream',
+        '_is_streaming',
         '_waiting',
     )
 
@@ -82,9 +90,13 @@
         self._request = request
         self._answer = answer
         self._upstream = upstream
-        self._waiting = tools.overdue.begin(
-            upstream.upstream_id, request.route.target_ms
-        )
+        # Only a stream is expected to begin long before it ends.
+        self._is_streaming = request.route.kind is fleet.RouteKind.STREAMING
+        self._waiting: placement.WaitingRun | None = None
+        if self._is_streaming:
+            self._waiting = tools.overdue.begin(
+                upstream.upstream_id, request.route.target_ms
+            )
 
     async def run(self) -> AttemptOutcome:
         """Sends the request, and counts it while it is at the upstream."""
@@ -98,7 +110,8 @@
             outcome, reason = await self._send()
         finally:
             self._tools.load.add_online(upstream_id, -1)
-            self._tools.overdue.end(self._waiting)
+            if self._waiting is not None:
+                self._tools.overdue.end(self._waiting)
             if outcome is not AttemptOutcome.NOT_RUN:
                 request.may_have_run = True
                 request.attempts += 1
@@ -119,6 +132,11 @@
             self._tools.placer.note_run(self._upstream.service, run_ms)
         return outcome
 
+    def _note_first_byte(self) -> None:
+        if self._waiting is not None:
+            self._tools.overdue.note_first_byte(self._waiting)
+            self._waiting = None
+
     def _note_outcome(self, outcome: AttemptOutcome, reason: str) -> None:
         """Remembers what an attempt says of its upstream."""
         upstream_id = self._upstream.upstream_id
@@ -137,6 +155,7 @@
             health.note_failure(upstream_id, reason)
         elif (
             outcome is AttemptOutcome.LOST
+            and self._waiting is not None
             and trio.current_time() >= self._request.deadline_s
         ):
             health.note_failure(upstream_id, 'silent to the end')
@@ -176,8 +195,6 @@
                 )
                 return AttemptOutcome.NOT_RUN, answer.reason
             return AttemptOutcome.LOST, answer.reason
-        if request.route.kind is not fleet.RouteKind.STREAMING:
-            self._tools.overdue.note_first_byte(self._waiting)
         with answer:
             return await self._take_answer(answer)
 
@@ -201,11 +218,7 @@
                     'another process has its address',
                 )
             return AttemptOutcome.NOT_RUN, kind.value
-        is_stream = (
-            request.route.kind is fleet.RouteKind.STREAMING
-            and answer.status == 200
-        )
-        if is_stream:
+        if self._is_streaming and answer.status == 200:
             return await self._pass_stream(answer)
         return await self._pass_whole(answer)
 
@@ -221,12 +234,15 @@
             return AttemptOutcome.LOST, f'{reason} to a stream'
         whole = _online_answer.WholeAnswer(answer.status, answer.headers, body)
         is_failure = answer.status >= 500
+        is_time_over = answer.status == _STATUS_TIME_OVER
         if is_failure and self._request.may_repeat_after_this():
             self.failed_answer = whole
+            if is_time_over:
+                return AttemptOutcome.OUT_OF_TIME, reason
             return AttemptOutcome.FAILED, reason
         answer.close()
         await self._answer.pass_whole(whole)
-        if is_failure:
+        if is_failure and not is_time_over:
             return AttemptOutcome.ANSWERED_FAILURE, reason
         return AttemptOutcome.ANSWERED, reason
 
@@ -254,7 +270,7 @@
                 ready.append(event.raw)
             if not ready:
                 continue
-            self._tools.overdue.note_first_byte(self._waiting)
+            self._note_first_byte()
             await self._answer.send_events(answer, b''.join(ready))
             silence_s = self._get_gap_silence_s()
         if splitter.rest:
