Add a soak of gateways: real processes, faults from outside, kept promises

Ruled out: widening make chaos, whose fleet, document and checks are those of the product's own interface.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test format lint demo load bench slopes binary protos
+.PHONY: setup test format lint demo load bench slopes soak binary protos
 
 $(VENV)/.installed: requirements.txt requirements-dev.txt constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -48,6 +48,10 @@
 chaos: setup
 	$(BIN)/python -m tools.chaos --seed $(SEED) --seconds $(SECONDS)
 
+# Faults from outside on real gateways: make soak ARGS='--runs 10 --seed 1'
+soak: setup
+	$(BIN)/python -m tools.soak $(ARGS)
+
 protos: setup
 	$(BIN)/python -m grpc_tools.protoc -I . --python_out=. --grpc_python_out=. \
 	  siskinmount/rpc/control.proto siskinmount/state/records.proto
--- a/standins/event_engine/_event_engine.py
+++ b/standins/event_engine/_event_engine.py
@@ -48,6 +48,7 @@
         body: Its body.
         headers: Its headers by lower-case name.
         first_event: The event that it began with.
+        began_at_s: Steady time at which it began.
         is_finished: Whether the run came to its end.
     """
 
@@ -57,6 +58,7 @@
         'body',
         'headers',
         'first_event',
+        'began_at_s',
         'is_finished',
     )
 
@@ -73,6 +75,7 @@
         self.body = body
         self.headers = headers
         self.first_event = first_event
+        self.began_at_s = trio.current_time()
         self.is_finished = False
 
 
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -111,6 +111,10 @@
         """Ends the process with SIGKILL."""
         self._send_signal(signal.SIGKILL)
 
+    def reload(self) -> None:
+        """Tells the process with SIGHUP that its settings have changed."""
+        self._send_signal(signal.SIGHUP)
+
     async def wait(self) -> int:
         """Returns the exit status after the end."""
         return await self._process.wait()
--- /dev/null
+++ b/tools/soak/_fault_player.py
@@ -0,0 +1,203 @@
+"""Makes the faults of a schedule happen."""
+
+import random
+
+import trio
+
+from standins import event_engine
+from standins import faults as faults_module
+from tools.soak import _loopback_proxy
+from tools.soak import _schedule
+from tools.soak import _seen
+from tools.soak import _soak_fleet
+
+#: Time in which a gateway that has started has read all and is in touch.
+BACK_S = 3.0
+#: Time in which connections that a fault broke have been replaced.
+CALM_AFTER_S = 3.0
+MAX_SPOILT = 4
+LOST_ANSWERS = 3
+STORE_DELAY_MS = 400
+LINK_DELAY_S = 0.3
+#: Faults of single answers after which a request can still be served. Those
+#: that end an item for good would make its listing as given up right.
+_SPOILT = (
+    event_engine.AnswerFault.CUT_MIDWAY,
+    event_engine.AnswerFault.RUN_AND_CLOSE,
+    event_engine.AnswerFault.RUN_AND_SILENT,
+    event_engine.AnswerFault.STALL_MIDWAY,
+    event_engine.AnswerFault.NOT_RUN,
+    event_engine.AnswerFault.OTHER_PROCESS,
+    event_engine.AnswerFault.FOREIGN,
+)
+
+
+class FaultPlayer:
+    """Plays one schedule."""
+
+    __slots__ = ('_fleet', '_source')
+
+    def __init__(self, fleet: _soak_fleet.SoakFleet, seed: int) -> None:
+        self._fleet = fleet
+        self._source = random.Random(seed)
+
+    async def play(self, events: list[_schedule.FaultEvent]) -> None:
+        """Plays all faults at their times; returns when all are over."""
+        began_at_s = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for event in events:
+                await trio.sleep_until(began_at_s + event.at_s)
+                nursery.start_soon(self._play_one, event)
+
+    async def _play_one(self, event: _schedule.FaultEvent) -> None:
+        kind = event.kind
+        gateways = self._fleet.gateways
+        gateway = gateways[event.number % len(gateways)]
+        if kind is _schedule.FaultKind.KILL_GATEWAY:
+            await self._kill([gateway])
+        elif kind is _schedule.FaultKind.KILL_ALL_GATEWAYS:
+            await self._kill(gateways)
+        elif kind is _schedule.FaultKind.PAUSE_GATEWAY:
+            await self._pause(gateway, event.duration_s)
+        elif kind is _schedule.FaultKind.STOP_GATEWAY:
+            await self._stop(gateway)
+        elif kind is _schedule.FaultKind.STOP_IN_TURN:
+            for each in gateways:
+                await self._stop(each)
+        elif kind is _schedule.FaultKind.RELOAD_GATEWAY:
+            if gateway.process is not None:
+                gateway.process.reload()
+        elif kind is _schedule.FaultKind.DOCUMENT_CHANGES:
+            self._fleet.publish_document()
+        elif kind is _schedule.FaultKind.ENGINE_REPLACED:
+            await self._fleet.replace_engine(event.number)
+        elif kind.value.startswith('engine_'):
+            await self._disturb_engine(event)
+        else:
+            await self._disturb_store(event, gateway)
+
+    async def _kill(self, gateways: list[_soak_fleet.SoakGateway]) -> None:
+        """Kills gateways; who watches them starts them again."""
+        spans: list[_seen.Span] = []
+        for gateway in gateways:
+            spans.append(self._begin_span(gateway))
+            gateway.is_ended_on_purpose = True
+            if gateway.process is not None:
+                gateway.process.kill()
+        for gateway in gateways:
+            await self._wait_back(gateway)
+        await self._end_spans(spans)
+
+    async def _pause(
+        self, gateway: _soak_fleet.SoakGateway, duration_s: float
+    ) -> None:
+        span = self._begin_span(gateway)
+        process = gateway.process
+        if process is not None:
+            process.pause()
+            await trio.sleep(duration_s)
+            process.unpause()
+        await self._end_spans([span])
+
+    async def _stop(self, gateway: _soak_fleet.SoakGateway) -> None:
+        """Asks a gateway to stop; it must end well within its grace."""
+        span = self._begin_span(gateway)
+        process = gateway.process
+        was_killed = gateway.is_ended_on_purpose
+        gateway.is_ended_on_purpose = True
+        if process is not None and process.exit_status is None:
+            process.terminate()
+            status: int | None = None
+            with trio.move_on_after(_soak_fleet.GRACE_S):
+                status = await process.wait()
+            is_disturbed = was_killed or self._is_disturbed(gateway, span)
+            if status != 0 and not is_disturbed:
+                self._fleet.seen.process_faults.append(
+                    f'{process.name} ended with {status} when asked to stop'
+                )
+            process.kill()
+        await self._wait_back(gateway)
+        await self._end_spans([span])
+
+    def _is_disturbed(
+        self, gateway: _soak_fleet.SoakGateway, own: _seen.Span
+    ) -> bool:
+        """Tells whether another fault met a gateway while it stopped."""
+        now_s = trio.current_time()
+        for span in self._fleet.seen.gateway_spans[gateway.number]:
+            if span is not own and span.overlaps(own.began_at_s, now_s):
+                return True
+        return False
+
+    async def _wait_back(self, gateway: _soak_fleet.SoakGateway) -> None:
+        await self._fleet.wait_ready(gateway)
+        await trio.sleep(BACK_S)
+
+    def _begin_span(self, gateway: _soak_fleet.SoakGateway) -> _seen.Span:
+        span = _seen.Span(trio.current_time())
+        self._fleet.seen.gateway_spans[gateway.number].append(span)
+        return span
+
+    async def _end_spans(self, spans: list[_seen.Span]) -> None:
+        await trio.sleep(CALM_AFTER_S)
+        for span in spans:
+            span.ended_at_s = trio.current_time()
+
+    async def _disturb_store(
+        self,
+        event: _schedule.FaultEvent,
+        gateway: _soak_fleet.SoakGateway,
+    ) -> None:
+        """Disturbs the store, or one gateway's way to it."""
+        span = _seen.Span(trio.current_time())
+        self._fleet.seen.store_spans.append(span)
+        kind = event.kind
+        faults = self._fleet.store_faults
+        duration_ms = int(event.duration_s * 1000)
+        proxy = gateway.store_proxy
+        if kind is _schedule.FaultKind.STORE_REFUSES:
+            faults.begin_outage(faults_module.FaultMode.REFUSE, duration_ms)
+        elif kind is _schedule.FaultKind.STORE_CLOSES:
+            faults.begin_outage(faults_module.FaultMode.CLOSE, duration_ms)
+        elif kind is _schedule.FaultKind.STORE_SLOW:
+            faults.slow_down(STORE_DELAY_MS, duration_ms)
+        elif kind is _schedule.FaultKind.STORE_LOSES_ANSWERS:
+            faults.lose_answers(faults_module.FaultMode.CLOSE, LOST_ANSWERS)
+        elif kind is _schedule.FaultKind.STORE_LATE:
+            self._fleet.store.late_delay_ms = duration_ms
+            self._fleet.store.late_appends_left = LOST_ANSWERS
+        elif kind is _schedule.FaultKind.STORE_FORGETS:
+            self._fleet.store.drop_history()
+        elif kind is _schedule.FaultKind.STORE_RESET:
+            proxy.reset_connections()
+        elif kind is _schedule.FaultKind.STORE_CUT:
+            proxy.fault = _loopback_proxy.LinkFault.SILENT
+        elif kind is _schedule.FaultKind.STORE_ONE_WAY:
+            proxy.fault = _loopback_proxy.LinkFault.ONE_WAY
+        await trio.sleep(event.duration_s)
+        proxy.fault = _loopback_proxy.LinkFault.NONE
+        await self._end_spans([span])
+
+    async def _disturb_engine(self, event: _schedule.FaultEvent) -> None:
+        """Disturbs one engine's answers, or the way to it."""
+        engines = self._fleet.engines
+        running = engines[event.number % len(engines)]
+        kind = event.kind
+        if kind is _schedule.FaultKind.ENGINE_SPOILS:
+            count = self._source.randint(1, MAX_SPOILT)
+            running.engine.answer_faults.extend(
+                self._source.choices(_SPOILT, k=count)
+            )
+            return
+        if kind is _schedule.FaultKind.ENGINE_RESET:
+            running.proxy.reset_connections()
+            return
+        if kind is _schedule.FaultKind.ENGINE_DELAYED:
+            running.proxy.delay_s = LINK_DELAY_S
+        elif kind is _schedule.FaultKind.ENGINE_ONE_WAY:
+            running.proxy.fault = _loopback_proxy.LinkFault.ONE_WAY
+        else:
+            running.proxy.fault = _loopback_proxy.LinkFault.SILENT
+        await trio.sleep(event.duration_s)
+        running.proxy.delay_s = 0.0
+        running.proxy.fault = _loopback_proxy.LinkFault.NONE
--- /dev/null
+++ b/tools/soak/_loopback_proxy.py
@@ -0,0 +1,123 @@
+"""A proxy on loopback that delays, silences or resets connections."""
+
+import enum
+import socket
+import struct
+
+import trio
+
+from siskinmount import transport
+
+_READ_BYTES = 64 * 1024
+#: Closes a socket with a reset instead of an orderly end.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
+
+class LinkFault(enum.Enum):
+    """What happens to the bytes of a link."""
+
+    #: They are passed on.
+    NONE = 'none'
+
+    #: They vanish both ways, and so does what follows on these connections.
+    SILENT = 'silent'
+
+    #: What the server sends vanishes; what it is sent arrives.
+    ONE_WAY = 'one_way'
+
+
+class _Connection:
+    """One connection through the proxy.
+
+    Attributes:
+        caller: The side that connected.
+        is_silenced: Whether something has vanished from it.
+    """
+
+    __slots__ = ('caller', 'is_silenced')
+
+    def __init__(self, caller: trio.SocketStream) -> None:
+        self.caller = caller
+        self.is_silenced = False
+
+
+class LoopbackProxy:
+    """Stands between one or more callers and a server.
+
+    Attributes:
+        address: Where it listens, once it runs.
+        fault: What happens to bytes now.
+        delay_s: How much later bytes arrive.
+    """
+
+    __slots__ = ('address', 'fault', 'delay_s', '_target', '_connections')
+
+    def __init__(self, target: transport.Address) -> None:
+        self.address = target
+        self.fault = LinkFault.NONE
+        self.delay_s = 0.0
+        self._target = target
+        self._connections: set[_Connection] = set()
+
+    async def run(
+        self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Passes connections on until cancelled."""
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        port = listeners[0].socket.getsockname()[1]
+        self.address = transport.Address('127.0.0.1', port)
+        task_status.started()
+        await trio.serve_listeners(self._serve, listeners)
+
+    def reset_connections(self) -> None:
+        """Resets all connections that are open now."""
+        for connection in list(self._connections):
+            raw = connection.caller.socket
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            raw.close()
+
+    async def _serve(self, caller: trio.SocketStream) -> None:
+        connection = _Connection(caller)
+        self._connections.add(connection)
+        try:
+            server = await trio.open_tcp_stream(
+                self._target.host, self._target.port
+            )
+            async with server, trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    self._pump, connection, caller, server, False
+                )
+                await self._pump(connection, server, caller, True)
+                nursery.cancel_scope.cancel()
+        except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            # A reset or an end on either side is what a proxy passes on.
+            pass
+        finally:
+            self._connections.discard(connection)
+            await trio.aclose_forcefully(caller)
+
+    async def _pump(
+        self,
+        connection: _Connection,
+        source: trio.SocketStream,
+        sink: trio.SocketStream,
+        is_answer: bool,
+    ) -> None:
+        """Passes bytes on in one direction until their end."""
+        while True:
+            data = await source.receive_some(_READ_BYTES)
+            if not data:
+                if not is_answer:
+                    await trio.sleep_forever()
+                return
+            if self.delay_s:
+                await trio.sleep(self.delay_s)
+            if self.fault is LinkFault.SILENT:
+                connection.is_silenced = True
+            if self.fault is LinkFault.ONE_WAY and is_answer:
+                connection.is_silenced = True
+            if connection.is_silenced and (
+                is_answer or self.fault is not LinkFault.ONE_WAY
+            ):
+                continue
+            await sink.send_all(data)
--- /dev/null
+++ b/tools/soak/_soak_fleet.py
@@ -0,0 +1,332 @@
+"""Gateways as processes, before a store and engines behind proxies."""
+
+import pathlib
+
+import orjson
+import trio
+
+from siskinmount import results
+from siskinmount import transport
+from standins import event_engine
+from standins import faults as faults_module
+from standins import keyed_store
+from standins import processes
+from standins import serving
+from tools.soak import _checker
+from tools.soak import _loopback_proxy
+from tools.soak import _seen
+
+GATEWAY_COUNT = 3
+MODEL_ENGINES = 3
+PLAIN_ENGINES = 2
+EVENT_INTERVAL_MS = 15.0
+GRACE_S = 8
+RESTART_PAUSE_S = 0.5
+READY_POLL_S = 0.05
+HOST = 'soak.example'
+DOCUMENT_TOPIC = 'keyed.op'
+UPSTREAMS_TOPIC = 'keyed.servers'
+#: How long an engine that left still serves.
+LEAVES_AFTER_S = 4.0
+_CALLERS_PORT = 18_000
+#: Log events that no fault from outside may cause.
+_NEVER_EVENTS = (
+    b'"invariant_broken"',
+    b'"child_failed"',
+    b'"daemon_failed"',
+    b'"log_lines_dropped"',
+)
+
+
+def _route(name: str, kind: str, service: str, **fields: object) -> dict:
+    return {
+        'name': name,
+        'host': HOST,
+        'path_prefix': f'/{name}/',
+        'kind': kind,
+        'timeout_ms': int(_checker.ROUTE_TIMEOUT_S * 1000),
+        'goal_ms': 300,
+        'gap_goal_ms': 300,
+        'service': service,
+        'max_attempts': 1,
+        **fields,
+    }
+
+
+_ROUTES = (
+    _route('stream', 'streaming', 'model', max_attempts=2, resumable=True),
+    _route('once', 'streaming', 'model'),
+    _route('plain', 'idempotent', 'plain', max_attempts=2),
+    _route('booking', 'non_idempotent', 'plain'),
+    _route(
+        'batch',
+        'batch',
+        'model',
+        max_attempts=3,
+        run_goal_ms=18_000,
+        retention_s=600,
+    ),
+)
+
+
+class SoakGateway:
+    """One gateway and its way to the store.
+
+    Attributes:
+        number: Its place among the gateways.
+        address: Where callers reach it.
+        ready_address: Where it says that it is ready.
+        store_proxy: Its way to the store.
+        process: Its process now.
+        is_ended_on_purpose: Whether an end of the process is a fault of ours.
+    """
+
+    __slots__ = (
+        'number',
+        'address',
+        'ready_address',
+        'store_proxy',
+        'process',
+        'is_ended_on_purpose',
+    )
+
+    def __init__(
+        self, number: int, host: str, store_proxy: _loopback_proxy.LoopbackProxy
+    ) -> None:
+        self.number = number
+        self.address = transport.Address(host, _CALLERS_PORT)
+        self.ready_address = transport.Address(host, _CALLERS_PORT + 1)
+        self.store_proxy = store_proxy
+        self.process: processes.ManagedProcess | None = None
+        self.is_ended_on_purpose = False
+
+
+class SoakEngine:
+    """One engine and the way to it.
+
+    Attributes:
+        engine: The stand-in.
+        service: The service that it runs.
+        proxy: The way to it.
+    """
+
+    __slots__ = ('engine', 'service', 'proxy')
+
+    def __init__(
+        self,
+        engine: event_engine.EventEngine,
+        service: str,
+        proxy: _loopback_proxy.LoopbackProxy,
+    ) -> None:
+        self.engine = engine
+        self.service = service
+        self.proxy = proxy
+
+
+class SoakFleet:
+    """Everything that a soak runs.
+
+    Attributes:
+        seen: What happened.
+        store: The store's stand-in.
+        store_faults: Faults of all its answers.
+        gateways: Gateways by number.
+        engines: Engines that are listed now.
+    """
+
+    __slots__ = (
+        'seen',
+        'store',
+        'store_faults',
+        'gateways',
+        'engines',
+        '_nursery',
+        '_group',
+        '_directory',
+        '_host_base',
+        '_version',
+        '_engine_count',
+    )
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        group: processes.ProcessGroup,
+        directory: pathlib.Path,
+        host_base: str,
+    ) -> None:
+        self.seen = _seen.Seen(GATEWAY_COUNT)
+        self.store_faults = faults_module.Faults()
+        self.store = keyed_store.create_keyed_store(self.store_faults)
+        self.gateways: list[SoakGateway] = []
+        self.engines: list[SoakEngine] = []
+        self._nursery = nursery
+        self._group = group
+        self._directory = directory
+        self._host_base = host_base
+        self._version = 0
+        self._engine_count = 0
+
+    async def start(self) -> None:
+        """Starts all parts and waits until the gateways are ready."""
+        store_address = await self._nursery.start(
+            serving.serve,
+            transport.Address('127.0.0.1', 0),
+            self.store.handle,
+            self.store_faults,
+            (self.store.run_late_appends,),
+        )
+        self.publish_document()
+        for _ in range(MODEL_ENGINES):
+            await self.start_engine('model')
+        for _ in range(PLAIN_ENGINES):
+            await self.start_engine('plain')
+        for number in range(GATEWAY_COUNT):
+            proxy = _loopback_proxy.LoopbackProxy(store_address)
+            await self._nursery.start(proxy.run)
+            host = f'{self._host_base}.{number + 1}'
+            gateway = SoakGateway(number, host, proxy)
+            self.gateways.append(gateway)
+            await self.start_gateway(gateway)
+        for gateway in self.gateways:
+            await self.wait_ready(gateway)
+
+    def publish_document(self) -> None:
+        """Puts the next version of the document in force."""
+        self._version += 1
+        document = {
+            'version': self._version,
+            'routes': list(_ROUTES),
+            'services': [
+                {'name': 'model', 'max_conns': 100},
+                {'name': 'plain', 'max_conns': 100},
+            ],
+            'limits': {
+                'header_bytes': 16_384,
+                'body_bytes': 4_194_304,
+                'header_timeout_ms': 3000,
+                'idle_timeout_ms': 15_000,
+            },
+        }
+        self.store.put(DOCUMENT_TOPIC, 'config', orjson.dumps(document))
+
+    async def start_engine(self, service: str) -> SoakEngine:
+        """Starts an engine behind a proxy and lists it."""
+        self._engine_count += 1
+        engine = event_engine.create_event_engine(
+            f'i-{self._engine_count}',
+            event_count=_checker.EVENT_COUNT,
+            event_interval_ms=EVENT_INTERVAL_MS,
+            is_streaming=service == 'model',
+        )
+        address = await self._nursery.start(
+            serving.serve,
+            transport.Address('127.0.0.1', 0),
+            engine.handle,
+            faults_module.Faults(),
+        )
+        proxy = _loopback_proxy.LoopbackProxy(address)
+        await self._nursery.start(proxy.run)
+        running = SoakEngine(engine, service, proxy)
+        self.seen.engines.append(engine)
+        self.engines.append(running)
+        self._list_engine(running, 'ready')
+        return running
+
+    async def replace_engine(self, number: int) -> None:
+        """Lets an engine leave, and starts one in its place."""
+        leaving = self.engines.pop(number % len(self.engines))
+        await self.start_engine(leaving.service)
+        self._list_engine(leaving, 'draining')
+        engine_id = leaving.engine.engine_id
+        self.seen.leaving.append(_seen.LeavingEngine(engine_id))
+        await trio.sleep(LEAVES_AFTER_S)
+        self.store.put(UPSTREAMS_TOPIC, engine_id, b'')
+
+    async def start_gateway(self, gateway: SoakGateway) -> None:
+        """Starts the process of a gateway."""
+        gateway.is_ended_on_purpose = False
+        path = self._directory / f'gateway-{gateway.number}.ini'
+        path.write_text(self._format_settings(gateway), encoding='utf-8')
+        gateway.process = await self._group.start_module(
+            f'gateway-{gateway.number}',
+            'siskinmount',
+            ['gateway', f'--settings={path}'],
+            waits_for_line=False,
+        )
+
+    async def wait_ready(self, gateway: SoakGateway) -> None:
+        """Returns once a gateway says that it is ready."""
+        while True:
+            client = transport.create_http_client(gateway.ready_address)
+            answer = await client.send(
+                transport.ClientRequest('GET', '/ready', [], b'')
+            )
+            is_ready = False
+            if not isinstance(answer, results.Failure):
+                is_ready = answer.status == 200
+                answer.close()
+            client.close()
+            if is_ready:
+                return
+            await trio.sleep(READY_POLL_S)
+
+    async def watch_gateway(self, gateway: SoakGateway) -> None:
+        """Starts a gateway again whenever it has ended."""
+        while True:
+            process = gateway.process
+            if process is not None:
+                status = await process.wait()
+                if not gateway.is_ended_on_purpose:
+                    self.seen.process_faults.append(
+                        f'{process.name} ended by itself with {status}'
+                    )
+                self.check_log(process)
+            await trio.sleep(RESTART_PAUSE_S)
+            await self.start_gateway(gateway)
+
+    def check_log(self, process: processes.ManagedProcess) -> None:
+        """Looks for lines that no fault from outside may cause."""
+        for line in bytes(process.log).splitlines():
+            for event in _NEVER_EVENTS:
+                if event in line:
+                    text = line.decode('utf-8', 'replace')[:300]
+                    self.seen.process_faults.append(f'{process.name}: {text}')
+
+    def _list_engine(self, running: SoakEngine, state: str) -> None:
+        entry = {
+            'service': running.service,
+            'address': str(running.proxy.address),
+            'zone': 'a',
+            'version': 'v1',
+            'slot_count': 8,
+            'state': state,
+            'born': 1,
+        }
+        self.store.put(
+            UPSTREAMS_TOPIC, running.engine.engine_id, orjson.dumps(entry)
+        )
+
+    def _format_settings(self, gateway: SoakGateway) -> str:
+        host = gateway.address.host
+        return f"""[daemon]
+vm = vm-{gateway.number}
+region = r
+failure_domain = a
+log_level = info
+callers_address = {gateway.address}
+ready_address = {gateway.ready_address}
+control_address = {host}:{_CALLERS_PORT + 2}
+metrics_address = {host}:{_CALLERS_PORT + 3}
+peers_port = {_CALLERS_PORT + 4}
+stop_grace_s = {GRACE_S}
+results_kept_s = 600
+
+[store]
+address = {gateway.store_proxy.address}
+max_record_bytes = 16384
+max_call_bytes = 65536
+
+[seeds]
+addresses = {self._host_base}.1:{_CALLERS_PORT + 2}
+"""
--- /dev/null
+++ b/tools/soak/_soak_run.py
@@ -0,0 +1,85 @@
+"""Runs callers and faults together, and reads everything once more."""
+
+import os
+import pathlib
+
+import trio
+
+from standins import processes
+from tools.soak import _callers
+from tools.soak import _fault_player
+from tools.soak import _job_callers
+from tools.soak import _schedule
+from tools.soak import _seen
+from tools.soak import _soak_fleet
+
+CALLERS = 6
+JOB_CALLERS = 3
+#: Time for jobs to end after the last request and fault.
+FINISH_S = 25.0
+
+
+async def run_soak(
+    seed: int, seconds: float, directory: pathlib.Path
+) -> _seen.Seen:
+    """Returns what callers saw and engines ran.
+
+    Args:
+        seed: Decides faults and requests.
+        seconds: How long requests are sent.
+        directory: For settings and the processes' logs.
+    """
+    async with trio.open_nursery() as nursery:
+        async with processes.open_process_group(directory / 'logs') as group:
+            fleet = _soak_fleet.SoakFleet(
+                nursery, group, directory, _choose_host_base()
+            )
+            await fleet.start()
+            for gateway in fleet.gateways:
+                nursery.start_soon(fleet.watch_gateway, gateway)
+            await _send_and_disturb(fleet, seed, seconds)
+            await _read_all_again(fleet)
+            for gateway in fleet.gateways:
+                gateway.is_ended_on_purpose = True
+                if gateway.process is not None:
+                    fleet.check_log(gateway.process)
+            nursery.cancel_scope.cancel()
+    return fleet.seen
+
+
+async def _send_and_disturb(
+    fleet: _soak_fleet.SoakFleet, seed: int, seconds: float
+) -> None:
+    """Returns when the faults are over and each job has had its time."""
+    until_s = trio.current_time() + seconds
+    player = _fault_player.FaultPlayer(fleet, seed)
+    with trio.move_on_after(seconds + FINISH_S):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                player.play, _schedule.create_schedule(seed, seconds)
+            )
+            for number in range(CALLERS):
+                caller = _callers.Caller(fleet, seed, f'c{number}')
+                nursery.start_soon(caller.run, until_s)
+            for number in range(JOB_CALLERS):
+                jobs = _job_callers.JobCaller(fleet, seed, f'j{number}')
+                nursery.start_soon(jobs.run, until_s)
+
+
+async def _read_all_again(fleet: _soak_fleet.SoakFleet) -> None:
+    """Reads each accepted job from its start at each gateway."""
+    for job in fleet.seen.jobs:
+        if job.accepted_at_s is None:
+            continue
+        for gateway in fleet.gateways:
+            found = await _job_callers.read_results(gateway, job, 0)
+            if found is None:
+                job.missing.append(
+                    f'{job.job_id} cannot be read at {gateway.number}'
+                )
+
+
+def _choose_host_base() -> str:
+    """Returns an IP number's first three parts that no other process uses."""
+    process = os.getpid()
+    return f'127.{221 + process // 250 % 30}.{process % 250}'
--- /dev/null
+++ b/tools/soak/tests/test_checker.py
@@ -0,0 +1,178 @@
+"""Each kind of violation is found, and what is right is left alone."""
+
+import functools
+
+import testtools
+import trio
+import trio.testing
+
+from standins import event_engine
+from tools.soak import _checker
+from tools.soak import _seen
+
+
+def _answer(request_id, count=_checker.EVENT_COUNT):
+    return b''.join(
+        event_engine.make_event(request_id, n) for n in range(1, count + 1)
+    )
+
+
+def _output(item_id):
+    return '\n'.join(
+        f'{item_id}-{n}' for n in range(1, _checker.EVENT_COUNT + 1)
+    )
+
+
+class CheckerTest(testtools.TestCase):
+
+    def _find(self, arrange):
+        """Returns the kinds of the violations of what a case arranges."""
+
+        async def main():
+            await trio.sleep(100)
+            seen = _seen.Seen(2)
+            engine = event_engine.create_event_engine('e')
+            seen.engines.append(engine)
+            arrange(seen, engine)
+            return _checker.find_violations(seen)
+
+        violations = trio.run(
+            main, clock=trio.testing.MockClock(autojump_threshold=0)
+        )
+        return [violation.partition(':')[0] for violation in violations]
+
+    def _run(self, engine, request_id, later_s=0.0):
+        run = event_engine.EngineRun(request_id, '/', b'', {}, 1)
+        run.began_at_s += later_s
+        engine.runs.append(run)
+
+    def _call(self, seen, kind, status, body, is_whole=True, took_s=1.0):
+        call = _seen.SeenCall('r', kind, 0)
+        call.status = status
+        call.body = body
+        call.is_whole = is_whole
+        call.ended_at_s = call.sent_at_s + took_s
+        seen.calls.append(call)
+
+    def _job(self, seen, results=None, ended=False, accepted=True):
+        job = _seen.SeenJob('j', ['i'])
+        if accepted:
+            job.accepted_at_s = trio.current_time()
+        else:
+            job.refusals.append(503)
+        if ended:
+            job.ended_at_s = trio.current_time()
+        for after, found in results or []:
+            job.readings.append((after, found))
+        seen.jobs.append(job)
+
+    def _arrange_call(self, seen, engine, answer, runs):
+        for _ in range(runs):
+            self._run(engine, 'r')
+        self._call(seen, *answer)
+
+    def _arrange_job(self, seen, engine, results, ended):
+        self._job(seen, results, ended)
+
+    def test_calls(self):
+        kinds = _seen.CallKind
+        whole = _answer('r')
+        cases = [
+            ('right', kinds.STREAM, 200, whole, True, 1.0, 1, []),
+            ('cut', kinds.STREAM, 200, _answer('r', 3), False, 1.0, 1, []),
+            ('resumed', kinds.STREAM, 200, whole, True, 1.0, 2, []),
+            ('plain', kinds.PLAIN, 200, b'answer to r', True, 1.0, 2, []),
+            ('lost', kinds.BOOKING, None, b'', False, 1.0, 1, []),
+            ('refused', kinds.BOOKING, 503, b'{}', True, 1.0, 0, []),
+            ('twice', kinds.BOOKING, 502, b'', True, 1.0, 2, ['twice']),
+            ('untrue', kinds.ONCE_STREAM, 503, b'', True, 1.0, 1, ['refused']),
+            (
+                'short',
+                kinds.STREAM,
+                200,
+                _answer('r', 3),
+                True,
+                1.0,
+                1,
+                ['answer'],
+            ),
+            (
+                'gap',
+                kinds.STREAM,
+                200,
+                event_engine.make_event('r', 2),
+                False,
+                1.0,
+                1,
+                ['order'],
+            ),
+            ('late', kinds.STREAM, 504, b'', True, 6.5, 1, ['late']),
+        ]
+        for name, *answer, runs, found in cases:
+            arrange = functools.partial(
+                self._arrange_call, answer=answer, runs=runs
+            )
+            self.assertEqual(found, self._find(arrange), name)
+
+    def test_late_answer_of_a_disturbed_gateway_is_let_pass(self):
+        def arrange(seen, engine):
+            seen.gateway_spans[0].append(_seen.Span(trio.current_time()))
+            self._call(seen, _seen.CallKind.STREAM, None, b'', False, 7)
+
+        self.assertEqual([], self._find(arrange))
+
+    def test_jobs(self):
+        done = _seen.SeenResult('i', 'completed', _output('i'))
+        given_up = _seen.SeenResult('i', 'dead_letter', '')
+        other = _seen.SeenResult('i', 'completed', 'other')
+        foreign = _seen.SeenResult('x', 'completed', _output('x'))
+        cases = [
+            ('right', [(0, [done]), (0, [done])], False, []),
+            ('given up at the end', [(0, [given_up])], True, []),
+            ('nothing at the end', [], True, []),
+            ('lost', [(0, [])], False, ['lost']),
+            ('given up', [(0, [given_up])], False, ['result']),
+            ('other text', [(0, [other])], False, ['result']),
+            ('foreign', [(0, [foreign]), (1, [done])], False, ['result']),
+            ('twice', [(0, [done]), (1, [done])], False, ['twice']),
+            ('changed', [(0, [done]), (0, [other])], False, ['position']),
+        ]
+        for name, results, ended, found in cases:
+            arrange = functools.partial(
+                self._arrange_job, results=results, ended=ended
+            )
+            self.assertEqual(found, self._find(arrange), name)
+
+    def test_refused_and_ended_jobs_do_not_run(self):
+        def refused(seen, engine):
+            self._job(seen, accepted=False)
+            self._run(engine, 'i')
+
+        def ended(seen, engine):
+            self._job(seen, ended=True)
+            self._run(engine, 'i', later_s=2.9)
+            self._run(engine, 'i', later_s=3.1)
+
+        self.assertEqual(['refused'], self._find(refused))
+        self.assertEqual(['ended'], self._find(ended))
+
+    def test_work_at_a_leaving_engine(self):
+        def arrange(seen, engine):
+            seen.leaving.append(_seen.LeavingEngine('e'))
+            self._call(seen, _seen.CallKind.PLAIN, 200, b'answer to r')
+            self._run(engine, 'r', later_s=2.0)
+            self._run(engine, 'r', later_s=3.0)
+
+        def disturbed(seen, engine):
+            seen.store_spans.append(_seen.Span(trio.current_time()))
+            arrange(seen, engine)
+
+        self.assertEqual(['leaving'], self._find(arrange))
+        self.assertEqual([], self._find(disturbed))
+
+    def test_unasked_runs_and_faults_of_processes(self):
+        def arrange(seen, engine):
+            self._run(engine, 'nobody')
+            seen.process_faults.append('ended by itself')
+
+        self.assertEqual(['process', 'unasked'], self._find(arrange))
