--- a/siskinmount/gateway/tests/gateway_harness.py
+++ b/siskinmount/gateway/tests/gateway_harness.py
@@ -101,17 +101,21 @@
     )
 
 
-class StopOnly:
+class EventSignals:
     """Implements `gateway.ProcessSignals` by events."""
 
     def __init__(self):
         self.stop = trio.Event()
+        self.reload = trio.Event()
 
     async def wait_stop(self):
         await self.stop.wait()
 
     async def watch_reload(self, reload_settings):
-        await trio.sleep_forever()
+        while True:
+            await self.reload.wait()
+            self.reload = trio.Event()
+            reload_settings()
 
 
 class RunningGateway:
@@ -121,7 +125,9 @@
         self.host = host
         self.address = transport.Address(host, port)
         self.ready_address = transport.Address(host, port + 1)
-        self.signals = StopOnly()
+        self.signals = EventSignals()
+        self.settings = None
+        self.next_settings = None
         self.scope = trio.CancelScope()
         self.ended = trio.Event()
 
@@ -234,9 +240,10 @@
             results_kept_s=self.results_kept_s,
             seeds=[],
         )
+        running.settings = settings
         daemon = gateway.create_gateway(
             settings,
-            lambda: None,
+            lambda: running.next_settings,
             gateway.OutsideServices(
                 document_log=store.open_log(platform.DOCUMENT_TOPIC, 0),
                 upstreams_log=store.open_log(platform.UPSTREAMS_TOPIC, 0),
