Don't take a renewal for confirmed whose owner could not be asked

A sidecar renews at the entry that handed the item out; that entry passes the renewal on to the stream's owner. When it could not, it left the items out of its reply, and the sidecar took what is not cancelled for renewed: items held since before the freeze kept their word fresh for as long as the owner was frozen, and were begun.

Change: the reply names the items for which there is no word, and their leases are not extended.

--- a/siskinmount/batch/_batch_service.py
+++ b/siskinmount/batch/_batch_service.py
@@ -134,7 +134,7 @@
         self, request: _report_messages.RenewRequest
     ) -> _report_messages.RenewReply:
         """Renews leases, or passes them on to the owners of their streams."""
-        cancelled: list[_report_messages.ItemName] = []
+        renewed = _report_messages.RenewReply([], [])
         by_stream: dict[str, list[_report_messages.LeaseName]] = {}
         for lease in request.leases:
             stream = self.stream_of(lease.job)
@@ -147,9 +147,9 @@
                     _report_messages.RenewRequest(
                         request.vm, request.incarnation, leases
                     ),
-                    cancelled,
+                    renewed,
                 )
-        return _report_messages.RenewReply(cancelled)
+        return renewed
 
     async def _pull_once(
         self, request: _pull_messages.PullRequest, credit: int
@@ -210,7 +210,7 @@
         self,
         stream: str,
         request: _report_messages.RenewRequest,
-        cancelled: list[_report_messages.ItemName],
+        renewed: _report_messages.RenewReply,
     ) -> None:
         """Brings the renewals of one stream to its owner."""
         shard = self._manager.find_shard(stream)
@@ -219,8 +219,14 @@
             reply = shard.batch.renew(request)
         else:
             reply = await self._renew_elsewhere(stream, request, shard)
-        if not isinstance(reply, results.Failure):
-            cancelled.extend(reply.cancelled)
+        if isinstance(reply, results.Failure):
+            for lease in request.leases:
+                renewed.unconfirmed.append(
+                    _report_messages.ItemName(lease.job, lease.index)
+                )
+            return
+        renewed.cancelled.extend(reply.cancelled)
+        renewed.unconfirmed.extend(reply.unconfirmed)
 
     async def _report_elsewhere(
         self,
--- a/siskinmount/batch/_item_reports.py
+++ b/siskinmount/batch/_item_reports.py
@@ -102,7 +102,8 @@
                 _report_messages.ItemName(name.job, name.index)
                 for name in request.leases
                 if not self._renew(name, request.vm, request.incarnation)
-            ]
+            ],
+            [],
         )
 
     def _renew(
--- a/siskinmount/batch/_report_messages.py
+++ b/siskinmount/batch/_report_messages.py
@@ -207,7 +207,8 @@
         document = _json_fields.decode_object(data)
         accepted = _json_fields.as_list(document.get('accepted'), 'accepted')
         return ReportReply(
-            [value is True for value in accepted], _decode_names(document)
+            [value is True for value in accepted],
+            _decode_names(document, 'cancelled'),
         )
     except _json_fields.FieldFaultError as error:
         return _json_fields.malformed(error)
@@ -289,22 +290,36 @@
 
     Attributes:
         cancelled: Items that the sidecar must stop.
+        unconfirmed: Items of whose leases their owner could not be asked; they
+            are neither renewed nor to be stopped.
     """
 
-    __slots__ = ('cancelled',)
+    __slots__ = ('cancelled', 'unconfirmed')
 
-    def __init__(self, cancelled: list[ItemName]) -> None:
+    def __init__(
+        self, cancelled: list[ItemName], unconfirmed: list[ItemName]
+    ) -> None:
         self.cancelled = cancelled
+        self.unconfirmed = unconfirmed
 
     def to_json(self) -> bytes:
         """Encodes the message."""
-        return orjson.dumps({'cancelled': _encode_names(self.cancelled)})
+        return orjson.dumps(
+            {
+                'cancelled': _encode_names(self.cancelled),
+                'unconfirmed': _encode_names(self.unconfirmed),
+            }
+        )
 
 
 def decode_renew_reply(data: bytes) -> RenewReply | results.Failure:
     """Decodes a reply to a renew request."""
     try:
-        return RenewReply(_decode_names(_json_fields.decode_object(data)))
+        document = _json_fields.decode_object(data)
+        return RenewReply(
+            _decode_names(document, 'cancelled'),
+            _decode_names(document, 'unconfirmed'),
+        )
     except _json_fields.FieldFaultError as error:
         return _json_fields.malformed(error)
 
@@ -313,9 +328,9 @@
     return [[name.job, name.index] for name in names]
 
 
-def _decode_names(document: dict[str, Any]) -> list[ItemName]:
+def _decode_names(document: dict[str, Any], field: str) -> list[ItemName]:
     names = []
-    for value in _json_fields.as_list(document.get('cancelled'), 'cancelled'):
+    for value in _json_fields.as_list(document.get(field), field):
         match value:
             case [str(job), int(index)]:
                 names.append(ItemName(job, index))
--- a/siskinmount/sidecar/_batch_puller.py
+++ b/siskinmount/sidecar/_batch_puller.py
@@ -386,8 +386,12 @@
             )
             return
         self._cancel(reply.cancelled)
+        unconfirmed = {
+            _batch_item.ItemKey(name.job, name.index)
+            for name in reply.unconfirmed
+        }
         for item in items:
-            if not item.cancelled:
+            if not item.cancelled and item.key not in unconfirmed:
                 item.extend_lease(asked_at_s)
 
     async def _report_forever(self, link: _entry_link.EntryLink) -> None:
--- a/siskinmount/sidecar/tests/test_batch_puller.py
+++ b/siskinmount/sidecar/tests/test_batch_puller.py
@@ -42,6 +42,7 @@
         self.credits = []
         self.reports = []
         self.to_cancel = []
+        self.unconfirmed = []
         self.down = False
         self.settles = True
 
@@ -73,7 +74,7 @@
     async def renew(self, leases):
         if self.down:
             return self._failure()
-        return batch.RenewReply(self.to_cancel)
+        return batch.RenewReply(self.to_cancel, self.unconfirmed)
 
     async def report(self, reports):
         await trio.sleep(0.001)
@@ -212,6 +213,22 @@
 
         self.run_puller(check)
 
+    def test_lease_whose_owner_was_not_asked_is_not_renewed(self):
+        # Seen under chaos: the entry could not reach the frozen owner and left
+        # the item out of its reply, which was taken for a renewal.
+        async def check(bench, puller, entries, start_online):
+            entries[0].add(2, tokens=400)
+            await trio.sleep(0.2)
+            entries[0].unconfirmed = [batch.ItemName('j', 0)]
+            await trio.sleep(LEASE_MS / 1000 * 1.5)
+            valid = {
+                item.key.index: item.lease_is_valid
+                for item in puller._items.values()
+            }
+            self.assertEqual({0: False, 1: True}, valid)
+
+        self.run_puller(check)
+
     def test_reports_are_kept_until_an_entry_answers(self):
         async def check(bench, puller, entries, start_online):
             entries[0].add(2)
