Begin no batch items on a log of jobs that has not answered for two seconds

A member counted as one that knows the jobs as long as its last call to the store had been answered; a read that hangs on a silent connection shows only when its bound is over, 3 s and more after the last answer.

Ruled out: the cut itself, which came at once when the member learned of the end.

A quiet log answers each 1.5 s.

--- a/siskinmount/gateway/_member_duties.py
+++ b/siskinmount/gateway/_member_duties.py
@@ -13,6 +13,11 @@
 #: come back at once, and upstreams drop the runs of a process that lost its
 #: power only after a second and a half.
 BATCH_AFTER_START_S = 2.0
+#: A member whose log of jobs has not answered for this long begins no items: a
+#: connection that has gone silent shows later, and the end of a job must be
+#: known everywhere within three seconds. Reads of a quiet log are answered each
+#: 1.5 s.
+MAX_ANSWER_AGE_S = 2.2
 
 
 class MemberDuties:
@@ -51,7 +56,9 @@
         """Returns whether this member may begin items of all jobs."""
         if not self.may_begin_items():
             return False
-        return self._jobs.is_loaded and self._jobs.is_reachable
+        if not self._jobs.is_loaded or not self._jobs.is_reachable:
+            return False
+        return trio.current_time() - self._jobs.answered_at_s < MAX_ANSWER_AGE_S
 
     def may_begin_items(self) -> bool:
         """Returns whether the first moments after the start are over."""
--- a/siskinmount/keyed_log/_log_follower.py
+++ b/siskinmount/keyed_log/_log_follower.py
@@ -35,6 +35,7 @@
         is_loaded: Whether the view has been complete once.
         confirmed_at_s: Steady time at which the last read that reached the
             end of the log was sent; the view is at least as new as that.
+        answered_at_s: Steady time at which the last read was answered.
         is_reachable: Whether the last call was answered.
         lost_at_s: Steady time at which the log was last found out of reach.
         regained_at_s: Steady time at which it was last reached again.
@@ -45,6 +46,7 @@
         'next_offset',
         'is_loaded',
         'confirmed_at_s',
+        'answered_at_s',
         'is_reachable',
         'lost_at_s',
         'regained_at_s',
@@ -66,6 +68,7 @@
         self.next_offset = 0
         self.is_loaded = False
         self.confirmed_at_s = float('-inf')
+        self.answered_at_s = float('-inf')
         self.is_reachable = True
         self.lost_at_s = float('-inf')
         self.regained_at_s = float('-inf')
@@ -82,6 +85,7 @@
             failure = await self._step()
             if failure is None:
                 failures = 0
+                self.answered_at_s = trio.current_time()
                 self._note_reachable()
                 continue
             failures += 1
