Count a member as one that knows the jobs only while its view is current

Change: the follower says when its view last held all records: a small answer that reaches the log's end counts as made when it came, a large one as old as its request, a complete read of the newest records not at all. A member whose view is older than 2.2 s begins no items.

--- a/siskinmount/gateway/_member_duties.py
+++ b/siskinmount/gateway/_member_duties.py
@@ -13,11 +13,11 @@
 #: come back at once, and upstreams drop the runs of a process that lost its
 #: power only after a second and a half.
 BATCH_AFTER_START_S = 2.0
-#: A member whose log of jobs has not answered for this long begins no items: a
-#: connection that has gone silent shows later, and the end of a job must be
-#: known everywhere within three seconds. Reads of a quiet log are answered each
-#: 1.5 s.
-MAX_ANSWER_AGE_S = 2.2
+#: A member whose view of the jobs is older than this begins no items: the end of
+#: a job must be in force everywhere within three seconds. A connection that has
+#: gone silent shows later, and who has just read all jobs over a slow link is
+#: seconds behind. Reads of a quiet log are answered each 1.5 s.
+MAX_VIEW_AGE_S = 2.2
 
 
 class MemberDuties:
@@ -58,7 +58,7 @@
             return False
         if not self._jobs.is_loaded or not self._jobs.is_reachable:
             return False
-        return trio.current_time() - self._jobs.answered_at_s < MAX_ANSWER_AGE_S
+        return trio.current_time() - self._jobs.current_at_s < MAX_VIEW_AGE_S
 
     def may_begin_items(self) -> bool:
         """Returns whether the first moments after the start are over."""
--- a/siskinmount/keyed_log/_log_follower.py
+++ b/siskinmount/keyed_log/_log_follower.py
@@ -20,6 +20,10 @@
 FIRST_RETRY_MS = 80
 MAX_RETRY_MS = 600
 
+#: An answer of more bytes may have been seconds on the way: the slowest link of
+#: the deployments, 15 Mbit/s, takes 50 ms for so many.
+SMALL_PAGE_BYTES = 100_000
+
 #: Receives each record once, in the order of offsets for one key.
 TakeRecord = Callable[[_keyed_log.KeyedRecord], None]
 #: Receives all keys that the log holds after it was read anew.
@@ -35,7 +39,8 @@
         is_loaded: Whether the view has been complete once.
         confirmed_at_s: Steady time at which the last read that reached the
             end of the log was sent; the view is at least as new as that.
-        answered_at_s: Steady time at which the last read was answered.
+        current_at_s: Steady time at which the view last held all records, as
+            far as is known.
         is_reachable: Whether the last call was answered.
         lost_at_s: Steady time at which the log was last found out of reach.
         regained_at_s: Steady time at which it was last reached again.
@@ -46,7 +51,7 @@
         'next_offset',
         'is_loaded',
         'confirmed_at_s',
-        'answered_at_s',
+        'current_at_s',
         'is_reachable',
         'lost_at_s',
         'regained_at_s',
@@ -68,7 +73,7 @@
         self.next_offset = 0
         self.is_loaded = False
         self.confirmed_at_s = float('-inf')
-        self.answered_at_s = float('-inf')
+        self.current_at_s = float('-inf')
         self.is_reachable = True
         self.lost_at_s = float('-inf')
         self.regained_at_s = float('-inf')
@@ -85,7 +90,6 @@
             failure = await self._step()
             if failure is None:
                 failures = 0
-                self.answered_at_s = trio.current_time()
                 self._note_reachable()
                 continue
             failures += 1
@@ -156,6 +160,7 @@
         self.take_page(page)
         if self.next_offset >= page.end_offset:
             self.confirmed_at_s = max(self.confirmed_at_s, sent_at_s)
+            self.current_at_s = _estimate_answer_time(page, sent_at_s)
         return None
 
     async def _load(self) -> results.Failure | None:
@@ -231,6 +236,18 @@
         )
 
 
+def _estimate_answer_time(page: _keyed_log.LogPage, sent_at_s: float) -> float:
+    """Returns when the store made an answer that has just come.
+
+    The wait for a record is over when it is made; only a long one is for long
+    on the way, and may be as old as its request.
+    """
+    size = sum(len(record.value or b'') for record in page.records)
+    if size > SMALL_PAGE_BYTES:
+        return sent_at_s
+    return trio.current_time()
+
+
 def create_log_follower(
     name: str,
     log: _keyed_log.KeyedLog,
