--- a/tools/soak/_checker.py
+++ b/tools/soak/_checker.py
@@ -34,7 +34,8 @@
         known.update(job.item_ids)
     for request_id in runs:
         if request_id not in known:
-            violations.append(f'unasked: {request_id} ran')
+            target = runs[request_id][0].target
+            violations.append(f'unasked: {request_id!r} ran {target}')
     return violations
 
 
