--- a/standins/processes.py
+++ b/standins/processes.py
@@ -279,16 +279,28 @@
             (self._log_dir / file_name).write_bytes(bytes(managed.log))
 
 
+async def _raise_on_terminate() -> None:
+    """Turns SIGTERM into an exception, so that the processes are ended.
+
+    Raises:
+        KeyboardInterrupt: As SIGINT does.
+    """
+    with trio.open_signal_receiver(signal.SIGTERM) as signals:
+        async for _ in signals:
+            raise KeyboardInterrupt('ended by SIGTERM')
+
+
 @contextlib.asynccontextmanager
 async def open_process_group(
     log_dir: pathlib.Path | None = None,
 ) -> AsyncIterator[ProcessGroup]:
-    """Opens a group whose processes are all ended on exit.
+    """Opens a group whose processes are all ended on exit, and on SIGTERM.
 
     Args:
         log_dir: Where logs are written on exit; None keeps them in memory.
     """
     async with trio.open_nursery() as nursery:
+        nursery.start_soon(_raise_on_terminate)
         group = ProcessGroup(nursery, log_dir)
         try:
             yield group
