--- a/siskinmount/gateway/tests/test_online_run.py
+++ b/siskinmount/gateway/tests/test_online_run.py
@@ -6,14 +6,11 @@
 
 from siskinmount import fleet
 from siskinmount import placement
-from siskinmount import platform
-from siskinmount import telemetry
 from siskinmount import transport
-from siskinmount.gateway import _gateway_metrics
 from siskinmount.gateway import _online_request
 from siskinmount.gateway import _online_run
-from siskinmount.gateway import _online_tools
 from siskinmount.gateway import _wire
+from siskinmount.gateway.tests import online_tools
 
 _DEADLINE_MS = 400
 
@@ -91,22 +88,8 @@
         exchange = _Exchange()
 
         async def main():
-            evidence = placement.create_crash_evidence()
-            health = placement.create_upstream_health(evidence)
-            overdue = placement.create_overdue_runs(health)
             upstream = _Upstream(answer_after_s, status)
-            tools = _online_tools.OnlineTools(
-                placer=upstream,
-                load=placement.create_load_table(),
-                health=health,
-                overdue=overdue,
-                evidence=evidence,
-                clients=upstream,
-                wire=platform.create_wire(),
-                metrics=_gateway_metrics.create_gateway_metrics(
-                    telemetry.create_metrics()
-                ),
-            )
+            tools = online_tools.create_online_tools(upstream, placer=upstream)
             route = fleet.FleetRoute(
                 name='r',
                 host='h',
@@ -125,11 +108,11 @@
                 trio.current_time(),
             )
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(overdue.run)
-                nursery.start_soon(self._watch_avoided, health)
+                nursery.start_soon(tools.overdue.run)
+                nursery.start_soon(self._watch_avoided, tools.health)
                 await _online_run.create_online_run(tools, request).run()
                 nursery.cancel_scope.cancel()
-            self.is_avoided_after = health.is_avoided('u')
+            self.is_avoided_after = tools.health.is_avoided('u')
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
         return exchange.answers
--- a/siskinmount/gateway/tests/test_online_run_properties.py
+++ b/siskinmount/gateway/tests/test_online_run_properties.py
@@ -11,16 +11,12 @@
 import trio.testing
 
 from siskinmount import fleet
-from siskinmount import placement
-from siskinmount import platform
 from siskinmount import results
-from siskinmount import telemetry
 from siskinmount import transport
-from siskinmount.gateway import _gateway_metrics
 from siskinmount.gateway import _online_request
 from siskinmount.gateway import _online_run
-from siskinmount.gateway import _online_tools
 from siskinmount.gateway import _wire
+from siskinmount.gateway.tests import online_tools
 
 _REQUEST_ID = 'q'
 _EVENT_COUNT = 4
@@ -210,22 +206,7 @@
 
 async def _serve(exchange, upstreams, kind, max_attempts):
     """Serves one request; returns whether its connection must be closed."""
-    view = _create_view()
-    load = placement.create_load_table()
-    evidence = placement.create_crash_evidence()
-    health = placement.create_upstream_health(evidence)
-    tools = _online_tools.OnlineTools(
-        placer=placement.create_placer(view, load, health),
-        load=load,
-        health=health,
-        overdue=placement.create_overdue_runs(health),
-        evidence=evidence,
-        clients=upstreams,
-        wire=platform.create_wire(),
-        metrics=_gateway_metrics.create_gateway_metrics(
-            telemetry.create_metrics()
-        ),
-    )
+    tools = online_tools.create_online_tools(upstreams, _create_view())
     route = fleet.FleetRoute(
         name='r',
         host='h',
@@ -251,8 +232,8 @@
     except trio.BrokenResourceError:
         return True
     finally:
-        if load.own:
-            raise AssertionError(f'still counted: {load.own}')
+        if tools.load.own:
+            raise AssertionError(f'still counted: {tools.load.own}')
     return False
 
 
--- a/siskinmount/peering/tests/test_peer_directory.py
+++ b/siskinmount/peering/tests/test_peer_directory.py
@@ -41,6 +41,7 @@
             directory = peering.create_peer_directory(
                 'm', load, evidence, health
             )
+            self.health = health
             await check(directory, load)
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
@@ -79,6 +80,17 @@
 
         self._run(check)
 
+    def test_tallies_of_a_peer_count_while_it_lives(self):
+        async def check(directory, load):
+            tallies = {'u': placement.FailureTally(3.0, 4.0)}
+            directory.take_message(_make_message(troubled=tallies))
+            self.assertGreater(self.health.get_failure_share('u'), 0.3)
+            self.assertTrue(self.health.is_avoided('u'))
+            directory.take_message(_make_message(sequence=2))
+            self.assertEqual(0, self.health.get_failure_share('u'))
+
+        self._run(check)
+
     def test_stale_messages_are_ignored(self):
         async def check(directory, load):
             directory.take_message(_make_message(incarnation=5, sequence=9))
