Log each start of an item, its quarantine, and output received

BatchMembership.find_obstacle gives the reason that has_current_jobs had only as a bool; accept_handover returns what it did. No decision changes.

--- a/siskinmount/gateway/_batch_membership.py
+++ b/siskinmount/gateway/_batch_membership.py
@@ -1,5 +1,8 @@
 """This member's part in running batch jobs, and what its peers run."""
 
+import enum
+import math
+
 import trio
 
 from siskinmount import jobs
@@ -22,6 +25,25 @@
 MAX_VIEW_AGE_S = 2.2
 
 
+class Obstacle(enum.Enum):
+    """Why a member has no current jobs."""
+
+    #: The delay after its start is not over.
+    STARTING = 'starting'
+
+    #: A graceful shutdown has begun.
+    LEAVING = 'leaving'
+
+    #: The jobs log has not been loaded since its start or history's end.
+    LOG_NOT_LOADED = 'jobs_log_not_loaded'
+
+    #: The last read of the jobs log failed.
+    LOG_UNREACHABLE = 'jobs_log_unreachable'
+
+    #: The view of the jobs log is older than `MAX_VIEW_AGE_S`.
+    VIEW_TOO_OLD = 'view_too_old'
+
+
 class BatchMembership:
     """Decides which members share the batch items, and whether this one does.
 
@@ -62,17 +84,27 @@
 
     def has_current_jobs(self) -> bool:
         """Returns whether items may start and the jobs are up to date."""
+        return self.find_obstacle() is None
+
+    def find_obstacle(self) -> Obstacle | None:
+        """Returns why this member has no current jobs; None if it has."""
+        if self.is_leaving:
+            return Obstacle.LEAVING
         if not self.may_start_items():
-            return False
-        if (
-            not self._jobs_follower.is_loaded
-            or not self._jobs_follower.is_reachable
-        ):
-            return False
-        return (
-            trio.current_time() - self._jobs_follower.current_at_s
-            < MAX_VIEW_AGE_S
-        )
+            return Obstacle.STARTING
+        if not self._jobs_follower.is_loaded:
+            return Obstacle.LOG_NOT_LOADED
+        if not self._jobs_follower.is_reachable:
+            return Obstacle.LOG_UNREACHABLE
+        age_s = trio.current_time() - self._jobs_follower.current_at_s
+        if age_s < MAX_VIEW_AGE_S:
+            return None
+        return Obstacle.VIEW_TOO_OLD
+
+    def get_view_age_ms(self) -> int | None:
+        """Returns the age of the view of the jobs log; None if never read."""
+        age_s = trio.current_time() - self._jobs_follower.current_at_s
+        return int(age_s * 1000) if math.isfinite(age_s) else None
 
     def may_start_items(self) -> bool:
         """Returns whether the start delay is over and no shutdown has begun."""
--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -39,7 +39,12 @@
 
 
 class ItemRunner:
-    """Starts runs of items, has them preempted and has results written."""
+    """Starts runs of items, has them preempted and has results written.
+
+    Attributes:
+        stepped_at_s: Monotonic time at which the last step began; 0 before the
+            first.
+    """
 
     __slots__ = (
         '_membership',
@@ -55,6 +60,8 @@
         '_preemptor',
         '_result_writer',
         '_route_missing_since_s',
+        '_quarantined_tags',
+        'stepped_at_s',
     )
 
     def __init__(
@@ -86,6 +93,13 @@
         )
         self._result_writer = result_writer
         self._route_missing_since_s: dict[str, float] = {}
+        self._quarantined_tags: set[str] = set()
+        self.stepped_at_s = 0.0
+
+    @property
+    def running_tags(self) -> set[str]:
+        """Items that run here."""
+        return set(self._runs)
 
     @property
     def held_count(self) -> int:
@@ -101,6 +115,7 @@
         cleaned_up_at_s = trio.current_time()
         async with trio.open_nursery() as nursery:
             while True:
+                self.stepped_at_s = trio.current_time()
                 self._preemptor.cancel_obsolete()
                 self._preemptor.preempt_overloaded()
                 started = 0
@@ -110,6 +125,7 @@
                 if trio.current_time() - cleaned_up_at_s > CLEANUP_INTERVAL_S:
                     cleaned_up_at_s = trio.current_time()
                     self._scheduler.forget_closed()
+                    self._forget_released()
                 await trio.sleep(STEP_INTERVAL_S)
                 if started:
                     continue
@@ -130,7 +146,7 @@
         """Starts the next items, and returns how many."""
         started = 0
         full_services: set[str] = set()
-        for next_item in self._scheduler.iterate_next(self._count_free_slots):
+        for next_item in self._scheduler.iterate_next(self.count_free_slots):
             if started >= MAX_STARTS_PER_STEP:
                 break
             tag = jobs.make_tag(next_item.job.job_id, next_item.item.item_id)
@@ -145,7 +161,9 @@
             if self._crash_tracker.is_quarantined(tag):
                 # The item crashes upstreams, but may be given up only after its
                 # retention.
+                self._log_quarantined(next_item, tag)
                 continue
+            self._quarantined_tags.discard(tag)
             if self._scheduler.get_progress(tag).is_complete:
                 self._scheduler.held_tags.add(tag)
                 nursery.start_soon(
@@ -166,12 +184,14 @@
             run = _item_run.ItemRun(next_item, tag, upstream.upstream_id)
             self._runs[tag] = run
             self._scheduler.held_tags.add(tag)
+            self._scheduler.started_at_s[tag] = trio.current_time()
             self._update_load(upstream.upstream_id)
             nursery.start_soon(self._run_item, run, route, upstream)
+            self._log_started(run)
             started += 1
         return started
 
-    def _count_free_slots(self, route_name: str) -> int:
+    def count_free_slots(self, route_name: str) -> int:
         """Returns the free slots of all upstreams of a route.
 
         For a removed route it returns the number of items that one step may
@@ -186,6 +206,49 @@
             free += self._placer.count_free(share.service, RESERVED_SLOTS)
         return free
 
+    def _log_started(self, run: _item_run.ItemRun) -> None:
+        next_item = run.next_item
+        progress = self._scheduler.get_progress(run.tag)
+        known_s = trio.current_time() - next_item.job.known_since_s
+        _LOGGER.info(
+            'item_run_started',
+            extra={
+                'job': next_item.job.job_id,
+                'item': next_item.item.item_id,
+                'tag': run.tag,
+                'upstream': run.upstream_id,
+                'because': 'output_kept' if progress.events else 'responsible',
+                'members': len(self._membership.list_eligible_members()),
+                'has_current_jobs': self._membership.has_current_jobs(),
+                'view_age_ms': self._membership.get_view_age_ms(),
+                'resumed_from': progress.last_event_id,
+                'events': len(progress.events),
+                'known_ms': int(known_s * 1000),
+            },
+        )
+
+    def _log_quarantined(self, next_item: jobs.NextItem, tag: str) -> None:
+        """Logs that an item is passed over, once until it is released."""
+        if tag in self._quarantined_tags:
+            return
+        self._quarantined_tags.add(tag)
+        _LOGGER.info(
+            'item_quarantined',
+            extra={
+                'job': next_item.job.job_id,
+                'item': next_item.item.item_id,
+                'tag': tag,
+                'own_count': self._crash_tracker.counts.get(tag, 0),
+                'peer_count': self._crash_tracker.count_at_peers(tag),
+            },
+        )
+
+    def _forget_released(self) -> None:
+        """Drops the items that are no longer quarantined."""
+        for tag in list(self._quarantined_tags):
+            if not self._crash_tracker.is_quarantined(tag):
+                self._quarantined_tags.discard(tag)
+
     def _find_route(self, job: jobs.Job) -> fleet.FleetRoute | None:
         """Returns a job's route in the current document, if there is one."""
         document = self._view.document
--- a/siskinmount/gateway/_peers_api.py
+++ b/siskinmount/gateway/_peers_api.py
@@ -124,7 +124,21 @@
             _log_invalid(exchange.head.peer_host, error)
             await exchange.send_json(400, {})
             return
-        self._scheduler.accept_handover(tag, progress)
+        kept = self._scheduler.progress.get(tag)
+        own_events = len(kept.events) if kept is not None else 0
+        outcome = self._scheduler.accept_handover(tag, progress)
+        _LOGGER.info(
+            'item_output_received',
+            extra={
+                'tag': tag,
+                'peer_host': exchange.head.peer_host,
+                'events': len(progress.events),
+                'last_event_id': progress.last_event_id,
+                'complete': progress.is_complete,
+                'own_events': own_events,
+                'outcome': outcome.value,
+            },
+        )
         await exchange.send_json(200, {})
 
     async def _send_fleet(self, exchange: transport.ServerExchange) -> None:
--- a/siskinmount/gateway/_result_writer.py
+++ b/siskinmount/gateway/_result_writer.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import logging
 
 import trio
@@ -21,9 +23,16 @@
 
 
 class ResultWriter:
-    """Writes results, and hands over output that this member cannot write."""
+    """Writes results, and hands over output that this member cannot write.
+
+    Attributes:
+        writing_tags: Items whose result is being written.
+        handing_over_tags: Items whose output is being handed over.
+    """
 
     __slots__ = (
+        'writing_tags',
+        'handing_over_tags',
         '_membership',
         '_scheduler',
         '_ledger',
@@ -39,6 +48,8 @@
         hand_over: HandOver,
         max_record_bytes: int,
     ) -> None:
+        self.writing_tags: set[str] = set()
+        self.handing_over_tags: set[str] = set()
         self._membership = membership
         self._scheduler = scheduler
         self._ledger = ledger
@@ -48,7 +59,8 @@
     async def write_complete(self, next_item: jobs.NextItem, tag: str) -> None:
         """Writes the result of an item whose output is complete."""
         output = '\n'.join(self._scheduler.get_progress(tag).events)
-        await self._write(next_item, tag, jobs.ItemState.DONE, output)
+        with _include(self.writing_tags, tag):
+            await self._write(next_item, tag, jobs.ItemState.DONE, output)
 
     async def write_given_up(
         self, next_item: jobs.NextItem, tag: str, reason: str
@@ -68,7 +80,8 @@
                 ),
             },
         )
-        await self._write(next_item, tag, jobs.ItemState.GIVEN_UP, '')
+        with _include(self.writing_tags, tag):
+            await self._write(next_item, tag, jobs.ItemState.GIVEN_UP, '')
 
     async def hand_over_pending(self) -> None:
         """Hands kept output to the members that must continue the items."""
@@ -94,7 +107,9 @@
         if not members or not progress.events:
             return
         member = jobs.choose_member(tag, members)
-        if await self._hand_over(tag, progress, member):
+        with _include(self.handing_over_tags, tag):
+            is_taken = await self._hand_over(tag, progress, member)
+        if is_taken:
             self._scheduler.progress.pop(tag, None)
 
     async def _write(
@@ -144,6 +159,16 @@
         )
 
 
+@contextlib.contextmanager
+def _include(tags: set[str], tag: str) -> Iterator[None]:
+    """Keeps a tag in a set during the context."""
+    tags.add(tag)
+    try:
+        yield
+    finally:
+        tags.discard(tag)
+
+
 def create_result_writer(
     membership: _batch_membership.BatchMembership,
     scheduler: jobs.ItemScheduler,
--- a/siskinmount/gateway/tests/test_batch_membership.py
+++ b/siskinmount/gateway/tests/test_batch_membership.py
@@ -115,3 +115,19 @@
             self.assertFalse(membership.has_current_jobs())
 
         self._run(check)
+
+    def test_obstacle_says_why_there_are_no_current_jobs(self):
+        async def check(membership, log):
+            obstacle = _batch_membership.Obstacle
+            self.assertIs(obstacle.STARTING, membership.find_obstacle())
+            self.assertIsNone(membership.get_view_age_ms())
+            await trio.sleep(_batch_membership.BATCH_AFTER_START_S + 0.1)
+            self.assertIsNone(membership.find_obstacle())
+            log.is_silent = True
+            await trio.sleep(5)
+            self.assertIs(obstacle.VIEW_TOO_OLD, membership.find_obstacle())
+            self.assertGreater(membership.get_view_age_ms(), 2200)
+            membership.is_leaving = True
+            self.assertIs(obstacle.LEAVING, membership.find_obstacle())
+
+        self._run(check)
--- /dev/null
+++ b/siskinmount/gateway/tests/test_item_runner.py
@@ -0,0 +1,189 @@
+"""Lines of items that are started or passed over."""
+
+import testtools
+import trio
+import trio.testing
+
+from siskinmount import fleet
+from siskinmount import jobs
+from siskinmount import telemetry
+from siskinmount.gateway import _gateway_metrics
+from siskinmount.gateway import _item_client
+from siskinmount.gateway import _item_runner
+from siskinmount.gateway import _result_writer
+from siskinmount.gateway.tests import members as members_module
+from siskinmount.jobs.tests import test_job_ledger
+
+_LOGGER_NAME = 'siskinmount.gateway._item_runner'
+
+
+class _Table:
+
+    def __init__(self):
+        job = test_job_ledger.make_job('a', 1)
+        job.known_since_s = trio.current_time()
+        self.jobs = {'a': job}
+
+
+class _Document:
+
+    def find_route_by_name(self, name):
+        return fleet.FleetRoute(
+            name='r',
+            host='h',
+            path_prefix='/',
+            kind=fleet.RouteKind.BATCH,
+            shares=(fleet.ServiceShare('s', 1.0),),
+            timeout_ms=1000,
+            target_ms=100,
+        )
+
+
+class _View:
+    """A view with one route, and one upstream that has a free slot."""
+
+    def __init__(self):
+        self.document = _Document()
+        self.upstreams = {}
+
+
+class _Upstream:
+    upstream_id = 'u'
+
+
+class _Placer:
+
+    def place_batch(self, service, reserved_slots, excluded):
+        return _Upstream()
+
+    def count_free(self, service, reserved_slots):
+        return 1
+
+
+class _Client:
+    """A client whose runs last until they are cancelled."""
+
+    async def run(self, next_item, progress, upstream):
+        await trio.sleep_forever()
+        return _item_client.RunOutcome.CANCELLED, ''
+
+
+class _Member:
+    """A runner with one open item."""
+
+    def __init__(self):
+        members = members_module.Members()
+        members.membership.mark_started()
+        self.members = members
+        table = _Table()
+        self.scheduler = jobs.create_item_scheduler(
+            table,
+            'm',
+            members.membership.list_eligible_members,
+            members.membership.list_peer_items,
+        )
+        self.runner = _item_runner.create_item_runner(
+            membership=members.membership,
+            view=_View(),
+            scheduler=self.scheduler,
+            placer=_Placer(),
+            load=members.load,
+            health=members.health,
+            crash_tracker=members.crash_tracker,
+            client=_Client(),
+            result_writer=_result_writer.create_result_writer(
+                members.membership, self.scheduler, None, None, 4096
+            ),
+            metrics=_gateway_metrics.create_gateway_metrics(
+                telemetry.create_metrics()
+            ),
+        )
+
+
+class ItemRunnerTest(testtools.TestCase):
+
+    def _run(self, check):
+        async def main():
+            member = _Member()
+            await trio.sleep(3)
+            async with trio.open_nursery() as nursery:
+                with self.assertLogs(_LOGGER_NAME) as logs:
+                    nursery.start_soon(member.runner.run)
+                    await check(member, logs.records)
+                    nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_quarantine_is_logged_once_until_it_ends(self):
+        async def check(member, lines):
+            tag = jobs.make_tag('a', 'i0')
+            crash_tracker = member.members.crash_tracker
+            crash_tracker.record_interrupted_run(tag, 'u')
+            crash_tracker.record_upstream_down('u')
+            for count, expected in ((2, 1), (2, 1), (0, 1), (2, 2)):
+                crash_tracker.set_peer_counts('p', {tag: count})
+                member.scheduler.get_progress(tag).not_before_s = 0
+                await trio.sleep(2)
+                if not count:
+                    # The item runs now; it is interrupted again.
+                    member.runner.cancel_all()
+                    crash_tracker.set_peer_counts('p', {tag: 2})
+                    await trio.sleep(0.01)
+                quarantined = [
+                    line for line in lines if line.message == 'item_quarantined'
+                ]
+                self.assertEqual(expected, len(quarantined))
+            self.assertEqual(
+                ('a', 'i0', tag, 1, 2),
+                (
+                    quarantined[0].job,
+                    quarantined[0].item,
+                    quarantined[0].tag,
+                    quarantined[0].own_count,
+                    quarantined[0].peer_count,
+                ),
+            )
+
+        self._run(check)
+
+    def test_start_is_logged_with_its_inputs(self):
+        cases = [
+            # Output kept of the item, reason of the start, last event id.
+            ([], 'responsible', None),
+            (['x', 'y'], 'output_kept', 1),
+        ]
+        for events, because, last_event_id in cases:
+
+            async def check(
+                member,
+                lines,
+                events=events,
+                because=because,
+                last_event_id=last_event_id,
+            ):
+                tag = jobs.make_tag('a', 'i0')
+                progress = member.scheduler.get_progress(tag)
+                progress.events = events
+                progress.last_event_id = last_event_id
+                member.members.follower.current_at_s = trio.current_time()
+                await trio.sleep(1)
+                (line,) = lines
+                self.assertEqual('item_run_started', line.message)
+                self.assertEqual(
+                    ('a', 'i0', tag, 'u', because, 1, last_event_id),
+                    (
+                        line.job,
+                        line.item,
+                        line.tag,
+                        line.upstream,
+                        line.because,
+                        line.members,
+                        line.resumed_from,
+                    ),
+                )
+                self.assertEqual(len(events), line.events)
+                self.assertTrue(line.has_current_jobs)
+                self.assertEqual(3000, line.known_ms)
+                self.assertIn(tag, member.runner.running_tags)
+
+            self._run(check)
--- a/siskinmount/jobs/__init__.py
+++ b/siskinmount/jobs/__init__.py
@@ -12,6 +12,7 @@
 
 from siskinmount.jobs._item_scheduler import choose_member
 from siskinmount.jobs._item_scheduler import create_item_scheduler
+from siskinmount.jobs._item_scheduler import HandoverOutcome
 from siskinmount.jobs._item_scheduler import ItemProgress
 from siskinmount.jobs._item_scheduler import ItemScheduler
 from siskinmount.jobs._item_scheduler import make_tag
--- a/siskinmount/jobs/_item_scheduler.py
+++ b/siskinmount/jobs/_item_scheduler.py
@@ -12,6 +12,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import enum
 
 import trio
 import xxhash
@@ -64,6 +65,19 @@
         self.not_before_s = trio.current_time() + pause_s
 
 
+class HandoverOutcome(enum.Enum):
+    """What became of output that another member handed over."""
+
+    #: It replaces the output kept here.
+    STORED = 'stored'
+
+    #: It is applied once the item's run or write here has ended.
+    KEPT_FOR_RUNNING_ITEM = 'kept_for_running_item'
+
+    #: It has no more events than the output kept here, and is dropped.
+    SHORTER_THAN_OWN = 'shorter_than_own'
+
+
 class NextItem:
     """An item to run.
 
@@ -105,12 +119,14 @@
         progress: State of items by tag.
         handovers: Output that other members handed over for items that run
             here, by tag.
+        started_at_s: Monotonic time of the last run started here, by tag.
     """
 
     __slots__ = (
         'held_tags',
         'progress',
         'handovers',
+        'started_at_s',
         '_table',
         '_member',
         '_list_members',
@@ -130,6 +146,7 @@
         self.held_tags: set[str] = set()
         self.progress: dict[str, ItemProgress] = {}
         self.handovers: dict[str, ItemProgress] = {}
+        self.started_at_s: dict[str, float] = {}
         self._table = table
         self._member = member
         self._list_members = list_members
@@ -170,18 +187,21 @@
                     yield NextItem(job, item)
             free_by_route[job.route_name] = free_slots
 
-    def accept_handover(self, tag: str, handed: ItemProgress) -> None:
+    def accept_handover(
+        self, tag: str, handed: ItemProgress
+    ) -> HandoverOutcome:
         """Accepts output of an item from a member that cannot continue its run.
 
         The output for an item that runs here is kept until `apply_handover` is
         called.
         """
         if len(self.get_progress(tag).events) >= len(handed.events):
-            return
+            return HandoverOutcome.SHORTER_THAN_OWN
         if tag in self.held_tags:
             self.handovers[tag] = handed
-            return
+            return HandoverOutcome.KEPT_FOR_RUNNING_ITEM
         self.progress[tag] = handed
+        return HandoverOutcome.STORED
 
     def apply_handover(self, tag: str) -> None:
         """Applies output handed over during a run, if it has more events."""
@@ -199,6 +219,12 @@
                 kept.add(tag)
         return kept
 
+    def is_own(
+        self, tag: str, peer_items: PeerItems, members: list[str]
+    ) -> bool:
+        """Returns whether this member is to start an item that nobody holds."""
+        return self._is_own(tag, self.progress.get(tag), peer_items, members)
+
     def _is_own(
         self,
         tag: str,
@@ -214,7 +240,7 @@
             return output_holder is None or self._member < output_holder
         if output_holder is not None:
             return False
-        return self._get_responsible(tag, members) == self._member
+        return self.get_responsible(tag, members) == self._member
 
     def _get_tag(self, job: _job.Job, item: _job.JobItem) -> str:
         """Returns the tag of an item, from the cache if present."""
@@ -225,7 +251,7 @@
             self._tags[key] = tag
         return tag
 
-    def _get_responsible(self, tag: str, members: list[str]) -> str:
+    def get_responsible(self, tag: str, members: list[str]) -> str:
         """Returns the responsible member, cached per list of members."""
         if members != self._responsible_members:
             self._responsible_members = list(members)
@@ -254,7 +280,7 @@
             for item in job.open_items.values():
                 open_keys.add((job.job_id, item.item_id))
                 open_tags.add(self._get_tag(job, item))
-        for state_by_tag in (self.progress, self.handovers):
+        for state_by_tag in (self.progress, self.handovers, self.started_at_s):
             for tag in list(state_by_tag):
                 if tag not in open_tags and tag not in self.held_tags:
                     del state_by_tag[tag]
--- a/siskinmount/jobs/tests/test_item_scheduler.py
+++ b/siskinmount/jobs/tests/test_item_scheduler.py
@@ -110,3 +110,40 @@
                 )
 
             self._run(check)
+
+    def test_handover_returns_what_became_of_the_output(self):
+        outcome = jobs.HandoverOutcome
+        cases = [
+            # Own events, given events, whether the item runs here, outcome.
+            (0, 3, False, outcome.STORED),
+            (1, 3, True, outcome.KEPT_FOR_RUNNING_ITEM),
+            (3, 3, False, outcome.SHORTER_THAN_OWN),
+            (3, 2, True, outcome.SHORTER_THAN_OWN),
+        ]
+        for own, given, is_held, expected in cases:
+
+            def check(own=own, given=given, is_held=is_held, expected=expected):
+                scheduler = self._create(_Table('a'))
+                tag = jobs.make_tag('a', 'i0')
+                scheduler.get_progress(tag).events = ['x'] * own
+                if is_held:
+                    scheduler.held_tags.add(tag)
+                handed = jobs.ItemProgress()
+                handed.events = ['x'] * given
+                self.assertIs(expected, scheduler.accept_handover(tag, handed))
+
+            self._run(check)
+
+    def test_start_times_of_closed_items_are_dropped(self):
+        def check():
+            table = _Table('a')
+            scheduler = self._create(table)
+            for n in range(2):
+                scheduler.started_at_s[jobs.make_tag('a', f'i{n}')] = 1.0
+            del table.jobs['a'].open_items['i0']
+            scheduler.forget_closed()
+            self.assertEqual(
+                {jobs.make_tag('a', 'i1'): 1.0}, scheduler.started_at_s
+            )
+
+        self._run(check)
--- a/siskinmount/placement/_crash_tracker.py
+++ b/siskinmount/placement/_crash_tracker.py
@@ -79,9 +79,15 @@
     def is_quarantined(self, fingerprint: str) -> bool:
         """Returns whether a request must not be run any more."""
         total = self.counts.get(fingerprint, 0)
+        total += self.count_at_peers(fingerprint)
+        return total >= MIN_QUARANTINE_CRASHES
+
+    def count_at_peers(self, fingerprint: str) -> int:
+        """Returns the crashes of a request that peers have counted."""
+        total = 0
         for _, counts in self._peer_counts.values():
             total += counts.get(fingerprint, 0)
-        return total >= MIN_QUARANTINE_CRASHES
+        return total
 
     def expire(self) -> None:
         """Drops counts and interrupted runs that are too old."""
--- a/siskinmount/placement/tests/test_crash_tracker.py
+++ b/siskinmount/placement/tests/test_crash_tracker.py
@@ -59,6 +59,15 @@
 
         _run(check)
 
+    def test_counts_of_peers_are_summed(self):
+        async def check(crash_tracker):
+            crash_tracker.set_peer_counts('p', {'f': 1, 'g': 5})
+            crash_tracker.set_peer_counts('q', {'f': 1})
+            self.assertEqual(2, crash_tracker.count_at_peers('f'))
+            self.assertEqual(0, crash_tracker.count_at_peers('h'))
+
+        _run(check)
+
     def test_counts_expire(self):
         async def check(crash_tracker):
             crash_tracker.record_interrupted_run('f', 'a')
