Log changes of the members that share batch items

Members that disagree on who is live or knows the jobs leave an item to each other, and no line told what each saw. eligible_members_changed gives the counts, the names that came and went, and why this member is left out; at most one a second, with the newest state.

--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -17,6 +17,7 @@
 from siskinmount import transport
 from siskinmount.gateway import _batch_membership
 from siskinmount.gateway import _callers_api
+from siskinmount.gateway import _eligible_members_watch
 from siskinmount.gateway import _gateway_metrics
 from siskinmount.gateway import _graceful_shutdown
 from siskinmount.gateway import _housekeeping
@@ -145,6 +146,11 @@
             health=health,
             overdue=self._overdue,
             directory=self._directory,
+            members_watch=(
+                _eligible_members_watch.create_eligible_members_watch(
+                    self._membership, self._directory
+                )
+            ),
             table=table,
             ledger=self._ledger,
             results_kept_s=settings.results_kept_s,
@@ -160,6 +166,13 @@
             own_address=settings.control_address,
             seeds=settings.seeds,
         )
+        result_writer = _result_writer.create_result_writer(
+            self._membership,
+            scheduler,
+            self._ledger,
+            self._peers_api.hand_over,
+            settings.max_record_bytes,
+        )
         self._runner = _item_runner.create_item_runner(
             membership=self._membership,
             view=self._view,
@@ -171,13 +184,7 @@
             client=_item_client.create_item_client(
                 clients, health, outside.wire
             ),
-            result_writer=_result_writer.create_result_writer(
-                self._membership,
-                scheduler,
-                self._ledger,
-                self._peers_api.hand_over,
-                settings.max_record_bytes,
-            ),
+            result_writer=result_writer,
             metrics=self._metrics,
         )
         context = _online_context.OnlineContext(
--- a/siskinmount/gateway/_housekeeping.py
+++ b/siskinmount/gateway/_housekeeping.py
@@ -10,6 +10,7 @@
 from siskinmount import placement
 from siskinmount import telemetry
 from siskinmount.gateway import _batch_membership
+from siskinmount.gateway import _eligible_members_watch
 from siskinmount.gateway import _upstream_clients
 
 _LOGGER = logging.getLogger(__name__)
@@ -33,6 +34,7 @@
         '_health',
         '_overdue',
         '_directory',
+        '_members_watch',
         '_table',
         '_ledger',
         '_results_kept_s',
@@ -50,6 +52,7 @@
         health: placement.UpstreamHealth,
         overdue: placement.OverdueRuns,
         directory: peering.PeerDirectory,
+        members_watch: _eligible_members_watch.EligibleMembersWatch,
         table: jobs.JobTable,
         ledger: jobs.JobLedger,
         results_kept_s: float,
@@ -62,6 +65,7 @@
         self._health = health
         self._overdue = overdue
         self._directory = directory
+        self._members_watch = members_watch
         self._table = table
         self._ledger = ledger
         self._results_kept_s = results_kept_s
@@ -78,6 +82,7 @@
             self._crash_tracker.expire()
             self._drop_expired_jobs()
             self._directory.list_live()
+            self._members_watch.check()
             self._report_dropped_lines()
 
     def _detect_restarts(self) -> None:
@@ -132,6 +137,7 @@
     health: placement.UpstreamHealth,
     overdue: placement.OverdueRuns,
     directory: peering.PeerDirectory,
+    members_watch: _eligible_members_watch.EligibleMembersWatch,
     table: jobs.JobTable,
     ledger: jobs.JobLedger,
     results_kept_s: float,
@@ -147,6 +153,7 @@
         health: Forgets upstreams that were removed or restarted.
         overdue: Forgets upstreams that were removed or restarted.
         directory: Silent peers are dropped.
+        members_watch: Logs changes of the members that share batch items.
         table: All jobs.
         ledger: Writes the removal of jobs to the log.
         results_kept_s: Promised retention of results, from the settings.
@@ -160,6 +167,7 @@
         health=health,
         overdue=overdue,
         directory=directory,
+        members_watch=members_watch,
         table=table,
         ledger=ledger,
         results_kept_s=results_kept_s,
--- a/siskinmount/peering/_peer_directory.py
+++ b/siskinmount/peering/_peer_directory.py
@@ -195,6 +195,19 @@
                 informed.append(peer.member)
         return informed or members
 
+    def count_informed(self) -> int:
+        """Returns how many live peers can read the log of jobs.
+
+        Peers in a planned stop are left out.
+        """
+        count = 0
+        for peer in self.list_live():
+            if peer.message is None or peer.message.is_leaving:
+                continue
+            if peer.message.knows_jobs:
+                count += 1
+        return count
+
     def list_due(self) -> list[Peer]:
         """Returns the peers to send a message to now, and records the time."""
         now_s = trio.current_time()
--- a/siskinmount/peering/tests/test_peer_directory.py
+++ b/siskinmount/peering/tests/test_peer_directory.py
@@ -135,6 +135,31 @@
 
             self._run(check)
 
+    def test_peers_that_know_the_jobs_are_counted(self):
+        cases = [
+            # Whether the peer is leaving, whether it knows the jobs, count.
+            (False, True, 1),
+            (False, False, 0),
+            (True, True, 0),
+        ]
+        for is_leaving, knows_jobs, expected in cases:
+
+            async def check(
+                directory,
+                load,
+                is_leaving=is_leaving,
+                knows_jobs=knows_jobs,
+                expected=expected,
+            ):
+                directory.apply_message(
+                    _make_message(is_leaving=is_leaving, knows_jobs=knows_jobs)
+                )
+                self.assertEqual(expected, directory.count_informed())
+                await trio.sleep(2)
+                self.assertEqual(0, directory.count_informed())
+
+            self._run(check)
+
     def test_invalid_member_records_are_ignored(self):
         async def check(directory, load):
             for value in (b'{', b'[]', b'{"address": 1}', b'null'):
