Report open items without a run, and why this member starts none

An open item that no member runs left no trace on any of them. The check is a task of its own, so that it reports a runner that is stuck; a fault in it is logged and ends nothing.

--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -23,6 +23,7 @@
 from siskinmount.gateway import _housekeeping
 from siskinmount.gateway import _item_client
 from siskinmount.gateway import _item_runner
+from siskinmount.gateway import _item_watch
 from siskinmount.gateway import _jobs_api
 from siskinmount.gateway import _member_announcer
 from siskinmount.gateway import _online_context
@@ -64,6 +65,7 @@
         '_jobs_follower',
         '_ledger',
         '_runner',
+        '_item_watch',
         '_peers_api',
         '_limits',
         '_callers_server',
@@ -187,6 +189,18 @@
             result_writer=result_writer,
             metrics=self._metrics,
         )
+        self._item_watch = _item_watch.create_item_watch(
+            membership=self._membership,
+            directory=self._directory,
+            table=table,
+            scheduler=scheduler,
+            runner=self._runner,
+            result_writer=result_writer,
+            view=self._view,
+            health=health,
+            crash_tracker=crash_tracker,
+            metrics=self._metrics,
+        )
         context = _online_context.OnlineContext(
             placer=placer,
             load=self._load,
@@ -255,6 +269,7 @@
             supervision.Child('jobs', self._jobs_follower.run),
             supervision.Child('ledger', self._ledger.run),
             supervision.Child('items', self._runner.run),
+            supervision.Child('item_watch', self._item_watch.run),
             supervision.Child('overdue', self._overdue.run),
             supervision.Child('peers_api', self._peers_api.run),
             supervision.Child('peer_exchange', self._create_exchange().run),
--- a/siskinmount/gateway/_gateway_metrics.py
+++ b/siskinmount/gateway/_gateway_metrics.py
@@ -14,6 +14,8 @@
         placements: Placement decisions by outcome.
         item_runs: Runs of batch items by outcome.
         preemptions: Runs of batch items preempted by callers' requests.
+        items_waiting: Open items without a run, by reason.
+        oldest_open_item: Age in s of the oldest open item; 0 if there is none.
         resumes: Streams resumed at another upstream.
         disconnects: Callers that disconnected before their response ended.
     """
@@ -26,6 +28,8 @@
         'placements',
         'item_runs',
         'preemptions',
+        'items_waiting',
+        'oldest_open_item',
         'resumes',
         'disconnects',
     )
@@ -48,6 +52,14 @@
         self.preemptions = metrics.create_counter(
             'item_cuts_total', 'Batch runs that gave way to callers.'
         )
+        self.items_waiting = metrics.create_gauge(
+            'items_waiting',
+            'Oldest open items that have waited for a run, by reason.',
+            'reason',
+        )
+        self.oldest_open_item = metrics.create_gauge(
+            'oldest_open_item_s', 'Age of the oldest open item in seconds.'
+        )
         self.resumes = metrics.create_counter(
             'stream_resumes_total', 'Streams that went on elsewhere.'
         )
