--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -17,11 +17,13 @@
 from siskinmount import transport
 from siskinmount.gateway import _batch_membership
 from siskinmount.gateway import _callers_api
+from siskinmount.gateway import _eligible_members_watch
 from siskinmount.gateway import _gateway_metrics
 from siskinmount.gateway import _graceful_shutdown
 from siskinmount.gateway import _housekeeping
 from siskinmount.gateway import _item_client
 from siskinmount.gateway import _item_runner
+from siskinmount.gateway import _item_watch
 from siskinmount.gateway import _jobs_api
 from siskinmount.gateway import _member_announcer
 from siskinmount.gateway import _online_context
@@ -63,6 +65,7 @@
         '_jobs_follower',
         '_ledger',
         '_runner',
+        '_item_watch',
         '_peers_api',
         '_limits',
         '_callers_server',
@@ -145,6 +148,11 @@
             health=health,
             overdue=self._overdue,
             directory=self._directory,
+            members_watch=(
+                _eligible_members_watch.create_eligible_members_watch(
+                    self._membership, self._directory
+                )
+            ),
             table=table,
             ledger=self._ledger,
             results_kept_s=settings.results_kept_s,
@@ -160,6 +168,13 @@
             own_address=settings.control_address,
             seeds=settings.seeds,
         )
+        result_writer = _result_writer.create_result_writer(
+            self._membership,
+            scheduler,
+            self._ledger,
+            self._peers_api.hand_over,
+            settings.max_record_bytes,
+        )
         self._runner = _item_runner.create_item_runner(
             membership=self._membership,
             view=self._view,
@@ -171,13 +186,19 @@
             client=_item_client.create_item_client(
                 clients, health, outside.wire
             ),
-            result_writer=_result_writer.create_result_writer(
-                self._membership,
-                scheduler,
-                self._ledger,
-                self._peers_api.hand_over,
-                settings.max_record_bytes,
-            ),
+            result_writer=result_writer,
+            metrics=self._metrics,
+        )
+        self._item_watch = _item_watch.create_item_watch(
+            membership=self._membership,
+            directory=self._directory,
+            table=table,
+            scheduler=scheduler,
+            runner=self._runner,
+            result_writer=result_writer,
+            view=self._view,
+            health=health,
+            crash_tracker=crash_tracker,
             metrics=self._metrics,
         )
         context = _online_context.OnlineContext(
@@ -248,6 +269,7 @@
             supervision.Child('jobs', self._jobs_follower.run),
             supervision.Child('ledger', self._ledger.run),
             supervision.Child('items', self._runner.run),
+            supervision.Child('item_watch', self._item_watch.run),
             supervision.Child('overdue', self._overdue.run),
             supervision.Child('peers_api', self._peers_api.run),
             supervision.Child('peer_exchange', self._create_exchange().run),
