Show that crashes of upstreams quarantine an item that makes progress

A run counts against its item even if it added output, so an item that outlives three upstreams which crash for other reasons is passed over for 60 s. The tests beside it pass: an item that crashes upstreams without new output is stopped after three runs.

--- /dev/null
+++ b/siskinmount/gateway/tests/test_item_runner.py
@@ -0,0 +1,176 @@
+"""Tests of when a batch item whose runs are interrupted is quarantined."""
+
+import testtools
+import trio
+import trio.testing
+
+from siskinmount import fleet
+from siskinmount import jobs
+from siskinmount import keyed_log
+from siskinmount import placement
+from siskinmount import telemetry
+from siskinmount import transport
+from siskinmount.gateway import _gateway_metrics
+from siskinmount.gateway import _item_client
+from siskinmount.gateway import _item_runner
+
+_RUN_S = 0.1
+_REPORT_INTERVAL_S = 0.05
+#: Runs that may reach upstreams after the third crash by an item.
+_MAX_RUNS_AFTER_THIRD_CRASH = 3
+_INTERRUPTED = _item_client.RunOutcome.LOST, 'connection closed'
+
+
+class _CrashingUpstreams:
+    """Fake of `ItemClient`: each upstream crashes during its run.
+
+    Attributes:
+        run_count: Number of runs.
+    """
+
+    def __init__(self, events_by_run):
+        """Creates the fake.
+
+        Args:
+            events_by_run: Events that each run adds to the output; later runs
+                add as many as the last.
+        """
+        self.run_count = 0
+        self._events_by_run = events_by_run
+        self._down = []
+
+    async def run(self, next_item, progress, upstream):
+        last = len(self._events_by_run) - 1
+        events = self._events_by_run[min(self.run_count, last)]
+        self.run_count += 1
+        await trio.sleep(_RUN_S)
+        progress.events.extend(['data'] * events)
+        self._down.append(upstream.upstream_id)
+        return _INTERRUPTED
+
+    def take_refusing(self):
+        """Returns the upstreams that refuse connections since the last call."""
+        down, self._down = self._down, []
+        return down
+
+
+class _Membership:
+    """Fake of `BatchMembership` of the only member."""
+
+    vm = 'm'
+
+    def may_start_items(self):
+        return True
+
+
+class _ResultWriter:
+    """Fake of `ResultWriter` without results to hand over."""
+
+    async def hand_over_pending(self):
+        pass
+
+
+class _Table:
+    """Fake of `JobTable` with one job of one item."""
+
+    def __init__(self):
+        item = jobs.JobItem('i0', '/p', [], b'', 1)
+        job = jobs.Job(
+            job_id='j', route_name='r', host='h', accepted_at_ms=0, items=[item]
+        )
+        self.jobs = {'j': job}
+
+
+def _decode_document(source):
+    route = fleet.FleetRoute(
+        name='r',
+        host='h',
+        path_prefix='/',
+        kind=fleet.RouteKind.BATCH,
+        shares=(fleet.ServiceShare('s', 1),),
+        timeout_ms=5000,
+        target_ms=100,
+    )
+    limits = fleet.CallerLimits(1, 1, 1, 1)
+    return fleet.FleetDocument(1, [route], {}, limits, source)
+
+
+def _decode_upstream(upstream_id, source):
+    return fleet.Upstream(
+        upstream_id=upstream_id,
+        service='s',
+        address=transport.Address('127.0.0.1', 1),
+        failure_domain='a',
+        state=fleet.UpstreamState.READY,
+        slot_count=1,
+        started_at_ms=0,
+    )
+
+
+async def _report_down(upstreams, health):
+    """Marks upstreams down whose connections fail."""
+    while True:
+        await trio.sleep(_REPORT_INTERVAL_S)
+        for upstream_id in upstreams.take_refusing():
+            health.mark_down(upstream_id, 'unreachable')
+
+
+class ItemRunnerTest(testtools.TestCase):
+
+    def _count_runs(self, upstreams):
+        """Returns the runs of the item within some time."""
+
+        async def main():
+            view = fleet.create_fleet_view(_decode_document, _decode_upstream)
+            view.apply_document(b'document', 'test')
+            for number in range(30):
+                view.apply_upstream_record(
+                    keyed_log.KeyedRecord(f'u{number}', b'entry', 0)
+                )
+            load = placement.create_load_table()
+            crash_tracker = placement.create_crash_tracker()
+            health = placement.create_upstream_health(crash_tracker)
+            scheduler = jobs.create_item_scheduler(
+                _Table(),
+                'm',
+                lambda: ['m'],
+                lambda: jobs.PeerItems(set(), {}),
+            )
+            runner = _item_runner.create_item_runner(
+                membership=_Membership(),
+                view=view,
+                scheduler=scheduler,
+                placer=placement.create_placer(view, load, health),
+                load=load,
+                health=health,
+                crash_tracker=crash_tracker,
+                client=upstreams,
+                result_writer=_ResultWriter(),
+                metrics=_gateway_metrics.create_gateway_metrics(
+                    telemetry.create_metrics()
+                ),
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(runner.run)
+                nursery.start_soon(_report_down, upstreams, health)
+                await trio.sleep(20)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        return upstreams.run_count
+
+    def test_item_that_crashes_upstreams_is_stopped_after_three(self):
+        self.assertEqual(3, self._count_runs(_CrashingUpstreams([0])))
+
+    def test_item_that_crashes_upstreams_after_some_output_is_stopped(self):
+        for events_by_run in ([5, 0], [0, 5, 0], [1]):
+            self.assertLessEqual(
+                self._count_runs(_CrashingUpstreams(events_by_run)),
+                3 + _MAX_RUNS_AFTER_THIRD_CRASH,
+                events_by_run,
+            )
+
+    def test_long_item_is_not_quarantined_when_three_upstreams_crash(self):
+        # Guards against leaving an item without a run for a minute although
+        # each of its runs has added output.
+        self.assertGreater(self._count_runs(_CrashingUpstreams([5])), 3)
