Show that upstreams that serve on are taken for crashed

An interrupted run counts as a crash if a connection to its upstream fails within 3 s, also if that upstream has completed a run begun in between. Three such pairs, as a full or slow upstream can cause, quarantine the item.

--- a/siskinmount/gateway/tests/test_item_runner.py
+++ b/siskinmount/gateway/tests/test_item_runner.py
@@ -54,6 +54,36 @@
         return down
 
 
+class _LiveUpstreams:
+    """Fake of `ItemClient`: upstreams reset each run of the first item.
+
+    Each then completes a run of another item, and the next connection to it
+    times out.
+    """
+
+    def __init__(self):
+        self.run_count = 0
+        self._interrupted = set()
+        self._refusing = []
+
+    async def run(self, next_item, progress, upstream):
+        was_interrupted = upstream.upstream_id in self._interrupted
+        await trio.sleep(_RUN_S)
+        if next_item.item.item_id == 'i0':
+            self.run_count += 1
+            self._interrupted.add(upstream.upstream_id)
+            return _INTERRUPTED
+        if was_interrupted:
+            self._interrupted.discard(upstream.upstream_id)
+            self._refusing.append(upstream.upstream_id)
+        return _item_client.RunOutcome.DONE, 'complete'
+
+    def take_refusing(self):
+        """Returns the upstreams whose next connection fails."""
+        refusing, self._refusing = self._refusing, []
+        return refusing
+
+
 class _Membership:
     """Fake of `BatchMembership` of the only member."""
 
@@ -64,19 +94,24 @@
 
 
 class _ResultWriter:
-    """Fake of `ResultWriter` without results to hand over."""
+    """Fake of `ResultWriter` that lists each item at once."""
 
     async def hand_over_pending(self):
         pass
 
+    async def write_complete(self, next_item, tag):
+        del next_item.job.open_items[next_item.item.item_id]
+
 
 class _Table:
-    """Fake of `JobTable` with one job of one item."""
+    """Fake of `JobTable` with one job."""
 
-    def __init__(self):
-        item = jobs.JobItem('i0', '/p', [], b'', 1)
+    def __init__(self, item_count):
+        items = []
+        for number in range(item_count):
+            items.append(jobs.JobItem(f'i{number}', '/p', [], b'', 1))
         job = jobs.Job(
-            job_id='j', route_name='r', host='h', accepted_at_ms=0, items=[item]
+            job_id='j', route_name='r', host='h', accepted_at_ms=0, items=items
         )
         self.jobs = {'j': job}
 
@@ -117,21 +152,22 @@
 
 class ItemRunnerTest(testtools.TestCase):
 
-    def _count_runs(self, upstreams):
-        """Returns the runs of the item within some time."""
+    def _count_runs(self, upstreams, upstream_count=30, item_count=1):
+        """Returns the runs of the first item within some time."""
 
         async def main():
             view = fleet.create_fleet_view(_decode_document, _decode_upstream)
             view.apply_document(b'document', 'test')
-            for number in range(30):
+            for number in range(upstream_count):
                 view.apply_upstream_record(
                     keyed_log.KeyedRecord(f'u{number}', b'entry', 0)
                 )
             load = placement.create_load_table()
             crash_tracker = placement.create_crash_tracker()
+            self.crash_counts = crash_tracker.counts
             health = placement.create_upstream_health(crash_tracker)
             scheduler = jobs.create_item_scheduler(
-                _Table(),
+                _Table(item_count),
                 'm',
                 lambda: ['m'],
                 lambda: jobs.PeerItems(set(), {}),
@@ -174,3 +210,8 @@
         # Guards against leaving an item without a run for a minute although
         # each of its runs has added output.
         self.assertGreater(self._count_runs(_CrashingUpstreams([5])), 3)
+
+    def test_item_is_not_quarantined_if_upstreams_have_served_since(self):
+        # Guards against taking a full or slow upstream for a crashed one.
+        self.assertGreater(self._count_runs(_LiveUpstreams(), 3, 500), 3)
+        self.assertEqual({}, self.crash_counts)
