Show that one crash counts once for each member that saw it

Members add up their counts of crashes without the upstreams concerned. Copies of one request that run at one upstream for three members are three counts when it crashes once, and the request is quarantined.

--- a/siskinmount/peering/tests/test_peer_directory.py
+++ b/siskinmount/peering/tests/test_peer_directory.py
@@ -91,6 +91,40 @@
 
         self._run(check)
 
+    def test_crash_that_several_members_see_counts_once(self):
+        # Guards against the quarantine of a request whose copies ran at one
+        # upstream for three members when it crashed.
+        cases = [
+            # Upstreams at which the runs of each member ended, outcome.
+            (('u', 'u', 'u'), False),
+            (('u', 'v', 'w'), True),
+        ]
+        for upstream_ids, expected in cases:
+
+            async def main(upstream_ids=upstream_ids, expected=expected):
+                crash_trackers = []
+                for upstream_id in upstream_ids:
+                    crash_tracker = placement.create_crash_tracker()
+                    crash_tracker.record_interrupted_run('f', upstream_id)
+                    crash_tracker.record_upstream_down(upstream_id)
+                    crash_trackers.append(crash_tracker)
+                own = crash_trackers[0]
+                directory = peering.create_peer_directory(
+                    'm',
+                    placement.create_load_table(),
+                    own,
+                    placement.create_upstream_health(own),
+                )
+                for number, sender in enumerate(crash_trackers[1:]):
+                    message = _make_message(f'p{number}', crashes=sender.counts)
+                    decoded = peering.decode_message(
+                        peering.encode_message(message)
+                    )
+                    directory.apply_message(decoded)
+                self.assertEqual(expected, own.is_quarantined('f'))
+
+            trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
     def test_stale_messages_are_ignored(self):
         async def check(directory, load):
             directory.apply_message(_make_message(incarnation=5, sequence=9))
