Count no interrupted run at an upstream that had announced its leave

Cause: housekeeping reported each removed or restarted upstream as down, and the runs that it had ended in the last 3 s counted as crashes. Three planned stops within a minute of each other quarantined a long item, and likewise an online request that callers repeat.

Change: an upstream whose last entry says that it leaves drops its interrupted runs instead. It takes no new runs, so a request that crashes what begins to run it is hardly at such an upstream; it is still counted at the others.

--- a/siskinmount/gateway/_housekeeping.py
+++ b/siskinmount/gateway/_housekeeping.py
@@ -37,7 +37,7 @@
         '_ledger',
         '_results_kept_s',
         '_log_handler',
-        '_started_at_ms',
+        '_known_upstreams',
     )
 
     def __init__(
@@ -66,7 +66,7 @@
         self._ledger = ledger
         self._results_kept_s = results_kept_s
         self._log_handler = log_handler
-        self._started_at_ms: dict[str, int] = {}
+        self._known_upstreams: dict[str, fleet.Upstream] = {}
         view.add_listener(self._detect_restarts)
 
     async def run(self) -> None:
@@ -81,16 +81,26 @@
             self._report_dropped_lines()
 
     def _detect_restarts(self) -> None:
-        """Treats a removed or restarted upstream as one that was down."""
-        now_known: dict[str, int] = {}
-        for upstream_id, upstream in self._view.upstreams.items():
-            now_known[upstream_id] = upstream.started_at_ms
-        for upstream_id, started_at_ms in self._started_at_ms.items():
-            if now_known.get(upstream_id) != started_at_ms:
+        """Treats a removed or restarted upstream as one that was down.
+
+        One that had announced that it leaves has not crashed: it interrupts
+        runs that last longer than its grace time.
+        """
+        now_known = dict(self._view.upstreams)
+        for upstream_id, earlier in self._known_upstreams.items():
+            current = now_known.get(upstream_id)
+            if (
+                current is not None
+                and current.started_at_ms == earlier.started_at_ms
+            ):
+                continue
+            if earlier.state is fleet.UpstreamState.LEAVING:
+                self._crash_tracker.forget_interrupted_runs(upstream_id)
+            else:
                 self._crash_tracker.record_upstream_down(upstream_id)
-                self._health.forget(upstream_id)
-                self._overdue.forget(upstream_id)
-        self._started_at_ms = now_known
+            self._health.forget(upstream_id)
+            self._overdue.forget(upstream_id)
+        self._known_upstreams = now_known
 
     def _drop_expired_jobs(self) -> None:
         """Drops closed jobs whose retention of results is over."""
--- a/siskinmount/placement/_crash_tracker.py
+++ b/siskinmount/placement/_crash_tracker.py
@@ -72,6 +72,10 @@
                 },
             )
 
+    def forget_interrupted_runs(self, upstream_id: str) -> None:
+        """Drops the runs that an upstream interrupted without a crash."""
+        self._interrupted_runs.pop(upstream_id, None)
+
     def set_peer_counts(self, peer: str, counts: dict[str, int]) -> None:
         """Replaces the counts of a peer."""
         self._peer_counts[peer] = (trio.current_time(), counts)
