Ignore two crashes of upstreams under an item that adds output

Cause: each run that ended with its upstream counted against its item. A long item that outlived three upstreams which crashed for other reasons was passed over for 60 s, however far it had come.

Change: the tracker is told whether the run added output that the next one continues. The first two such crashes, in each member, are not counted. A request that crashes what begins to run it adds none: the test stops it after three runs as before. One that adds output in each run, or in some, is stopped after five at most in the test, two after the third crash.

--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -234,6 +234,7 @@
         progress = self._scheduler.get_progress(run.tag)
         began_at_s = trio.current_time()
         resumed_from = progress.last_event_id
+        earlier_event_count = len(progress.events)
         outcome = _item_client.RunOutcome.CANCELLED
         reason = 'cut'
         try:
@@ -278,7 +279,9 @@
         elif outcome is _item_client.RunOutcome.LOST:
             progress.lost_runs += 1
             self._crash_tracker.record_interrupted_run(
-                run.tag, upstream.upstream_id
+                run.tag,
+                upstream.upstream_id,
+                added_output=len(progress.events) > earlier_event_count,
             )
             self._health.record_failure(upstream.upstream_id, reason)
             progress.back_off(progress.lost_runs)
--- a/siskinmount/placement/_crash_tracker.py
+++ b/siskinmount/placement/_crash_tracker.py
@@ -4,7 +4,8 @@
 changes with each attempt. An interrupted run counts against its request once
 its upstream is found to be down. Requests that ran at the same time are counted
 too, but only the request that causes the crashes is interrupted at several
-upstreams in a row.
+upstreams in a row. A long batch item may be as well, but it adds output in each
+run, and a request that crashes what begins to run it does not.
 """
 
 import logging
@@ -17,6 +18,9 @@
 #: Crashes after which a request is refused. With fewer, the loss of a VM would
 #: quarantine harmless requests that ran on its upstreams.
 MIN_QUARANTINE_CRASHES = 3
+#: Crashes that do not count because the run had added output. Bounded, lest a
+#: request that crashes upstreams after some output is never stopped.
+MAX_IGNORED_CRASHES = 2
 #: An interrupted run counts if its upstream is found down within this time.
 CRASH_DETECTION_S = 3.0
 #: Retention of counts. Callers retry within seconds.
@@ -24,6 +28,21 @@
 MAX_FINGERPRINTS = 1000
 
 
+class InterruptedRun:
+    """A run that ended before its output was complete.
+
+    Attributes:
+        at_s: Monotonic time of its end.
+        added_output: Whether it added output that the next run continues.
+    """
+
+    __slots__ = ('at_s', 'added_output')
+
+    def __init__(self, at_s: float, added_output: bool) -> None:
+        self.at_s = at_s
+        self.added_output = added_output
+
+
 class CrashTracker:
     """Counts crashes by request, in this process and at its peers.
 
@@ -33,6 +52,7 @@
 
     __slots__ = (
         'counts',
+        '_ignored_counts',
         '_last_crash_at_s',
         '_interrupted_runs',
         '_peer_counts',
@@ -40,29 +60,39 @@
 
     def __init__(self) -> None:
         self.counts: dict[str, int] = {}
+        self._ignored_counts: dict[str, int] = {}
         self._last_crash_at_s: dict[str, float] = {}
-        self._interrupted_runs: dict[str, dict[str, float]] = {}
+        self._interrupted_runs: dict[str, dict[str, InterruptedRun]] = {}
         self._peer_counts: dict[str, tuple[float, dict[str, int]]] = {}
 
     def record_interrupted_run(
-        self, fingerprint: str, upstream_id: str
+        self, fingerprint: str, upstream_id: str, added_output: bool = False
     ) -> None:
-        """Records a run that was interrupted at its upstream."""
-        run_times = self._interrupted_runs.setdefault(upstream_id, {})
-        run_times[fingerprint] = trio.current_time()
+        """Records a run that was interrupted at its upstream.
+
+        Args:
+            fingerprint: Identifies the request.
+            upstream_id: Upstream of the run.
+            added_output: Whether the run added output that the next run
+                continues.
+        """
+        runs = self._interrupted_runs.setdefault(upstream_id, {})
+        runs[fingerprint] = InterruptedRun(trio.current_time(), added_output)
 
     def record_upstream_down(self, upstream_id: str) -> None:
         """Counts the runs that were interrupted when an upstream went down."""
         now_s = trio.current_time()
-        for fingerprint, interrupted_at_s in self._interrupted_runs.pop(
+        for fingerprint, run in self._interrupted_runs.pop(
             upstream_id, {}
         ).items():
-            if now_s - interrupted_at_s > CRASH_DETECTION_S:
+            if now_s - run.at_s > CRASH_DETECTION_S:
                 continue
-            if len(self.counts) >= MAX_FINGERPRINTS:
+            if len(self._last_crash_at_s) >= MAX_FINGERPRINTS:
                 continue
-            self.counts[fingerprint] = self.counts.get(fingerprint, 0) + 1
             self._last_crash_at_s[fingerprint] = now_s
+            if run.added_output and self._ignore_crash(fingerprint):
+                continue
+            self.counts[fingerprint] = self.counts.get(fingerprint, 0) + 1
             _LOGGER.info(
                 'crash_counted',
                 extra={
@@ -72,6 +102,14 @@
                 },
             )
 
+    def _ignore_crash(self, fingerprint: str) -> bool:
+        """Returns whether one more crash need not be counted."""
+        ignored = self._ignored_counts.get(fingerprint, 0)
+        if ignored >= MAX_IGNORED_CRASHES:
+            return False
+        self._ignored_counts[fingerprint] = ignored + 1
+        return True
+
     def forget_interrupted_runs(self, upstream_id: str) -> None:
         """Drops the runs that an upstream interrupted without a crash."""
         self._interrupted_runs.pop(upstream_id, None)
@@ -93,14 +131,16 @@
         for fingerprint, last_crash_at_s in list(self._last_crash_at_s.items()):
             if now_s - last_crash_at_s > RETENTION_S:
                 del self._last_crash_at_s[fingerprint]
-                del self.counts[fingerprint]
+                self.counts.pop(fingerprint, None)
+                self._ignored_counts.pop(fingerprint, None)
         for peer, (received_at_s, _) in list(self._peer_counts.items()):
             if now_s - received_at_s > RETENTION_S:
                 del self._peer_counts[peer]
         for upstream_id, interrupted_runs in list(
             self._interrupted_runs.items()
         ):
-            if now_s - max(interrupted_runs.values()) > CRASH_DETECTION_S:
+            last_at_s = max(run.at_s for run in interrupted_runs.values())
+            if now_s - last_at_s > CRASH_DETECTION_S:
                 del self._interrupted_runs[upstream_id]
 
 
