Clear interrupted runs at an upstream that completes a later run

Cause: a reset or silent run and a failed connection within 3 s counted as a crash, also if the upstream had completed a run begun in between. A full or slow upstream yields such pairs, and three of them quarantined a request.

Change: record_success passes on when the run began (batch items and online attempts), and interruptions before that are dropped. A run begun before the interruption proves nothing and drops none: its end may have been received before the crash and read after it. An upstream that begins runs after an interruption and completes them is not crashed by the request, so a request that crashes upstreams is counted as before.

--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -261,7 +261,7 @@
             },
         )
         if outcome is _item_client.RunOutcome.DONE:
-            self._health.record_success(upstream.upstream_id)
+            self._health.record_success(upstream.upstream_id, began_at_s)
             progress.is_complete = True
             await self._result_writer.write_complete(next_item, run.tag)
             return
--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -115,7 +115,7 @@
             if outcome is not AttemptOutcome.NOT_RUN:
                 request.may_have_run = True
                 request.attempts += 1
-            self._record_outcome(outcome, reason)
+            self._record_outcome(outcome, reason, sent_at_s)
             _LOGGER.info(
                 'attempt_ended',
                 extra={
@@ -137,12 +137,14 @@
             self._context.overdue.record_first_byte(self._waiting)
             self._waiting = None
 
-    def _record_outcome(self, outcome: AttemptOutcome, reason: str) -> None:
+    def _record_outcome(
+        self, outcome: AttemptOutcome, reason: str, sent_at_s: float
+    ) -> None:
         """Records in the health of the upstream how an attempt ended."""
         upstream_id = self._upstream.upstream_id
         health = self._context.health
         if outcome is AttemptOutcome.ANSWERED:
-            health.record_success(upstream_id)
+            health.record_success(upstream_id, sent_at_s)
         elif outcome in (
             AttemptOutcome.FAILED,
             AttemptOutcome.ANSWERED_FAILURE,
--- a/siskinmount/placement/_crash_tracker.py
+++ b/siskinmount/placement/_crash_tracker.py
@@ -110,6 +110,21 @@
         self._ignored_counts[fingerprint] = ignored + 1
         return True
 
+    def record_run_completed(self, upstream_id: str, began_at_s: float) -> None:
+        """Drops the runs that an upstream interrupted before a complete one.
+
+        An upstream that began a run after an interruption and completed it had
+        not crashed.
+        """
+        interrupted_runs = self._interrupted_runs.get(upstream_id)
+        if interrupted_runs is None:
+            return
+        for fingerprint, run in list(interrupted_runs.items()):
+            if run.at_s < began_at_s:
+                del interrupted_runs[fingerprint]
+        if not interrupted_runs:
+            del self._interrupted_runs[upstream_id]
+
     def forget_interrupted_runs(self, upstream_id: str) -> None:
         """Drops the runs that an upstream interrupted without a crash."""
         self._interrupted_runs.pop(upstream_id, None)
--- a/siskinmount/placement/_upstream_health.py
+++ b/siskinmount/placement/_upstream_health.py
@@ -75,8 +75,16 @@
         self._crash_tracker.record_upstream_down(upstream_id)
         self.record_failure(upstream_id, reason)
 
-    def record_success(self, upstream_id: str) -> None:
-        """Records a successful call and ends the time of avoidance."""
+    def record_success(
+        self, upstream_id: str, began_at_s: float = float('-inf')
+    ) -> None:
+        """Records a successful call and ends the time of avoidance.
+
+        Args:
+            upstream_id: Upstream that answered.
+            began_at_s: Monotonic time at which the call was sent, if known.
+        """
+        self._crash_tracker.record_run_completed(upstream_id, began_at_s)
         self._get_tally(upstream_id).add_run(is_failure=False)
         if self._failures.pop(upstream_id, None) is None:
             return
--- a/siskinmount/placement/tests/test_crash_tracker.py
+++ b/siskinmount/placement/tests/test_crash_tracker.py
@@ -59,6 +59,23 @@
 
         _run(check)
 
+    def test_only_a_run_begun_after_the_interruption_clears_it(self):
+        # A run that ends well as its upstream crashes may be read after the
+        # interruption of another.
+        for began_at_s, expected in ((-1.0, {'f': 1}), (0.5, {})):
+
+            async def check(
+                crash_tracker, began_at_s=began_at_s, expected=expected
+            ):
+                start_s = trio.current_time()
+                crash_tracker.record_interrupted_run('f', 'a')
+                await trio.sleep(1)
+                crash_tracker.record_run_completed('a', start_s + began_at_s)
+                crash_tracker.record_upstream_down('a')
+                self.assertEqual(expected, crash_tracker.counts)
+
+            _run(check)
+
     def test_counts_expire(self):
         async def check(crash_tracker):
             crash_tracker.record_interrupted_run('f', 'a')
