--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -297,6 +297,7 @@
         progress = self._scheduler.get_progress(run.tag)
         began_at_s = trio.current_time()
         resumed_from = progress.last_event_id
+        earlier_event_count = len(progress.events)
         outcome = _item_client.RunOutcome.CANCELLED
         reason = 'cut'
         try:
@@ -323,7 +324,7 @@
             },
         )
         if outcome is _item_client.RunOutcome.DONE:
-            self._health.record_success(upstream.upstream_id)
+            self._health.record_success(upstream.upstream_id, began_at_s)
             progress.is_complete = True
             await self._result_writer.write_complete(next_item, run.tag)
             return
@@ -341,7 +342,9 @@
         elif outcome is _item_client.RunOutcome.LOST:
             progress.lost_runs += 1
             self._crash_tracker.record_interrupted_run(
-                run.tag, upstream.upstream_id
+                run.tag,
+                upstream.upstream_id,
+                added_output=len(progress.events) > earlier_event_count,
             )
             self._health.record_failure(upstream.upstream_id, reason)
             progress.back_off(progress.lost_runs)
--- a/siskinmount/gateway/tests/test_item_runner.py
+++ b/siskinmount/gateway/tests/test_item_runner.py
@@ -1,4 +1,4 @@
-"""Lines of items that are started or passed over."""
+"""Tests of when a batch item whose runs are interrupted is quarantined."""
 
 import testtools
 import trio
@@ -6,184 +6,221 @@
 
 from siskinmount import fleet
 from siskinmount import jobs
+from siskinmount import keyed_log
+from siskinmount import placement
 from siskinmount import telemetry
+from siskinmount import transport
 from siskinmount.gateway import _gateway_metrics
 from siskinmount.gateway import _item_client
 from siskinmount.gateway import _item_runner
-from siskinmount.gateway import _result_writer
-from siskinmount.gateway.tests import members as members_module
-from siskinmount.jobs.tests import test_job_ledger
 
-_LOGGER_NAME = 'siskinmount.gateway._item_runner'
+_RUN_S = 0.1
+_REPORT_INTERVAL_S = 0.05
+#: Runs that may reach upstreams after the third crash by an item.
+_MAX_RUNS_AFTER_THIRD_CRASH = 3
+_INTERRUPTED = _item_client.RunOutcome.LOST, 'connection closed'
 
 
-class _Table:
+class _CrashingUpstreams:
+    """Fake of `ItemClient`: each upstream crashes during its run.
 
-    def __init__(self):
-        job = test_job_ledger.make_job('a', 1)
-        job.known_since_s = trio.current_time()
-        self.jobs = {'a': job}
-
-
-class _Document:
-
-    def find_route_by_name(self, name):
-        return fleet.FleetRoute(
-            name='r',
-            host='h',
-            path_prefix='/',
-            kind=fleet.RouteKind.BATCH,
-            shares=(fleet.ServiceShare('s', 1.0),),
-            timeout_ms=1000,
-            target_ms=100,
-        )
+    Attributes:
+        run_count: Number of runs.
+    """
+
+    def __init__(self, events_by_run):
+        """Creates the fake.
+
+        Args:
+            events_by_run: Events that each run adds to the output; later runs
+                add as many as the last.
+        """
+        self.run_count = 0
+        self._events_by_run = events_by_run
+        self._down = []
+
+    async def run(self, next_item, progress, upstream):
+        last = len(self._events_by_run) - 1
+        events = self._events_by_run[min(self.run_count, last)]
+        self.run_count += 1
+        await trio.sleep(_RUN_S)
+        progress.events.extend(['data'] * events)
+        self._down.append(upstream.upstream_id)
+        return _INTERRUPTED
 
+    def take_refusing(self):
+        """Returns the upstreams that refuse connections since the last call."""
+        down, self._down = self._down, []
+        return down
 
-class _View:
-    """A view with one route, and one upstream that has a free slot."""
+
+class _LiveUpstreams:
+    """Fake of `ItemClient`: upstreams reset each run of the first item.
+
+    Each then completes a run of another item, and the next connection to it
+    times out.
+    """
 
     def __init__(self):
-        self.document = _Document()
-        self.upstreams = {}
+        self.run_count = 0
+        self._interrupted = set()
+        self._refusing = []
 
+    async def run(self, next_item, progress, upstream):
+        was_interrupted = upstream.upstream_id in self._interrupted
+        await trio.sleep(_RUN_S)
+        if next_item.item.item_id == 'i0':
+            self.run_count += 1
+            self._interrupted.add(upstream.upstream_id)
+            return _INTERRUPTED
+        if was_interrupted:
+            self._interrupted.discard(upstream.upstream_id)
+            self._refusing.append(upstream.upstream_id)
+        return _item_client.RunOutcome.DONE, 'complete'
 
-class _Upstream:
-    upstream_id = 'u'
+    def take_refusing(self):
+        """Returns the upstreams whose next connection fails."""
+        refusing, self._refusing = self._refusing, []
+        return refusing
 
 
-class _Placer:
+class _Membership:
+    """Fake of `BatchMembership` of the only member."""
 
-    def place_batch(self, service, reserved_slots, excluded):
-        return _Upstream()
+    vm = 'm'
 
-    def count_free(self, service, reserved_slots):
-        return 1
+    def may_start_items(self):
+        return True
 
+    def list_eligible_members(self):
+        return [self.vm]
 
-class _Client:
-    """A client whose runs last until they are cancelled."""
+    def has_current_jobs(self):
+        return True
 
-    async def run(self, next_item, progress, upstream):
-        await trio.sleep_forever()
-        return _item_client.RunOutcome.CANCELLED, ''
+    def get_view_age_ms(self):
+        return 0
 
 
-class _Member:
-    """A runner with one open item."""
+class _ResultWriter:
+    """Fake of `ResultWriter` that lists each item at once."""
 
-    def __init__(self):
-        members = members_module.Members()
-        members.membership.mark_started()
-        self.members = members
-        table = _Table()
-        self.scheduler = jobs.create_item_scheduler(
-            table,
-            'm',
-            members.membership.list_eligible_members,
-            members.membership.list_peer_items,
-        )
-        self.runner = _item_runner.create_item_runner(
-            membership=members.membership,
-            view=_View(),
-            scheduler=self.scheduler,
-            placer=_Placer(),
-            load=members.load,
-            health=members.health,
-            crash_tracker=members.crash_tracker,
-            client=_Client(),
-            result_writer=_result_writer.create_result_writer(
-                members.membership, self.scheduler, None, None, 4096
-            ),
-            metrics=_gateway_metrics.create_gateway_metrics(
-                telemetry.create_metrics()
-            ),
+    async def hand_over_pending(self):
+        pass
+
+    async def write_complete(self, next_item, tag):
+        del next_item.job.open_items[next_item.item.item_id]
+
+
+class _Table:
+    """Fake of `JobTable` with one job."""
+
+    def __init__(self, item_count):
+        items = []
+        for number in range(item_count):
+            items.append(jobs.JobItem(f'i{number}', '/p', [], b'', 1))
+        job = jobs.Job(
+            job_id='j', route_name='r', host='h', accepted_at_ms=0, items=items
         )
+        self.jobs = {'j': job}
+
+
+def _decode_document(source):
+    route = fleet.FleetRoute(
+        name='r',
+        host='h',
+        path_prefix='/',
+        kind=fleet.RouteKind.BATCH,
+        shares=(fleet.ServiceShare('s', 1),),
+        timeout_ms=5000,
+        target_ms=100,
+    )
+    limits = fleet.CallerLimits(1, 1, 1, 1)
+    return fleet.FleetDocument(1, [route], {}, limits, source)
+
+
+def _decode_upstream(upstream_id, source):
+    return fleet.Upstream(
+        upstream_id=upstream_id,
+        service='s',
+        address=transport.Address('127.0.0.1', 1),
+        failure_domain='a',
+        state=fleet.UpstreamState.READY,
+        slot_count=1,
+        started_at_ms=0,
+    )
+
+
+async def _report_down(upstreams, health):
+    """Marks upstreams down whose connections fail."""
+    while True:
+        await trio.sleep(_REPORT_INTERVAL_S)
+        for upstream_id in upstreams.take_refusing():
+            health.mark_down(upstream_id, 'unreachable')
 
 
 class ItemRunnerTest(testtools.TestCase):
 
-    def _run(self, check):
+    def _count_runs(self, upstreams, upstream_count=30, item_count=1):
+        """Returns the runs of the first item within some time."""
+
         async def main():
-            member = _Member()
-            await trio.sleep(3)
+            view = fleet.create_fleet_view(_decode_document, _decode_upstream)
+            view.apply_document(b'document', 'test')
+            for number in range(upstream_count):
+                view.apply_upstream_record(
+                    keyed_log.KeyedRecord(f'u{number}', b'entry', 0)
+                )
+            load = placement.create_load_table()
+            crash_tracker = placement.create_crash_tracker()
+            self.crash_counts = crash_tracker.counts
+            health = placement.create_upstream_health(crash_tracker)
+            scheduler = jobs.create_item_scheduler(
+                _Table(item_count),
+                'm',
+                lambda: ['m'],
+                lambda: jobs.PeerItems(set(), {}),
+            )
+            runner = _item_runner.create_item_runner(
+                membership=_Membership(),
+                view=view,
+                scheduler=scheduler,
+                placer=placement.create_placer(view, load, health),
+                load=load,
+                health=health,
+                crash_tracker=crash_tracker,
+                client=upstreams,
+                result_writer=_ResultWriter(),
+                metrics=_gateway_metrics.create_gateway_metrics(
+                    telemetry.create_metrics()
+                ),
+            )
             async with trio.open_nursery() as nursery:
-                with self.assertLogs(_LOGGER_NAME) as logs:
-                    nursery.start_soon(member.runner.run)
-                    await check(member, logs.records)
-                    nursery.cancel_scope.cancel()
+                nursery.start_soon(runner.run)
+                nursery.start_soon(_report_down, upstreams, health)
+                await trio.sleep(20)
+                nursery.cancel_scope.cancel()
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        return upstreams.run_count
 
-    def test_quarantine_is_logged_once_until_it_ends(self):
-        async def check(member, lines):
-            tag = jobs.make_tag('a', 'i0')
-            crash_tracker = member.members.crash_tracker
-            crash_tracker.record_interrupted_run(tag, 'u')
-            crash_tracker.record_upstream_down('u')
-            for count, expected in ((2, 1), (2, 1), (0, 1), (2, 2)):
-                crash_tracker.set_peer_counts('p', {tag: count})
-                member.scheduler.get_progress(tag).not_before_s = 0
-                await trio.sleep(2)
-                if not count:
-                    # The item runs now; it is interrupted again.
-                    member.runner.cancel_all()
-                    crash_tracker.set_peer_counts('p', {tag: 2})
-                    await trio.sleep(0.01)
-                quarantined = [
-                    line for line in lines if line.message == 'item_quarantined'
-                ]
-                self.assertEqual(expected, len(quarantined))
-            self.assertEqual(
-                ('a', 'i0', tag, 1, 2),
-                (
-                    quarantined[0].job,
-                    quarantined[0].item,
-                    quarantined[0].tag,
-                    quarantined[0].own_count,
-                    quarantined[0].peer_count,
-                ),
+    def test_item_that_crashes_upstreams_is_stopped_after_three(self):
+        self.assertEqual(3, self._count_runs(_CrashingUpstreams([0])))
+
+    def test_item_that_crashes_upstreams_after_some_output_is_stopped(self):
+        for events_by_run in ([5, 0], [0, 5, 0], [1]):
+            self.assertLessEqual(
+                self._count_runs(_CrashingUpstreams(events_by_run)),
+                3 + _MAX_RUNS_AFTER_THIRD_CRASH,
+                events_by_run,
             )
 
-        self._run(check)
-
-    def test_start_is_logged_with_its_inputs(self):
-        cases = [
-            # Output kept of the item, reason of the start, last event id.
-            ([], 'responsible', None),
-            (['x', 'y'], 'output_kept', 1),
-        ]
-        for events, because, last_event_id in cases:
-
-            async def check(
-                member,
-                lines,
-                events=events,
-                because=because,
-                last_event_id=last_event_id,
-            ):
-                tag = jobs.make_tag('a', 'i0')
-                progress = member.scheduler.get_progress(tag)
-                progress.events = events
-                progress.last_event_id = last_event_id
-                member.members.follower.current_at_s = trio.current_time()
-                await trio.sleep(1)
-                (line,) = lines
-                self.assertEqual('item_run_started', line.message)
-                self.assertEqual(
-                    ('a', 'i0', tag, 'u', because, 1, last_event_id),
-                    (
-                        line.job,
-                        line.item,
-                        line.tag,
-                        line.upstream,
-                        line.because,
-                        line.members,
-                        line.resumed_from,
-                    ),
-                )
-                self.assertEqual(len(events), line.events)
-                self.assertTrue(line.has_current_jobs)
-                self.assertEqual(3000, line.known_ms)
-                self.assertIn(tag, member.runner.running_tags)
+    def test_long_item_is_not_quarantined_when_three_upstreams_crash(self):
+        # Guards against leaving an item without a run for a minute although
+        # each of its runs has added output.
+        self.assertGreater(self._count_runs(_CrashingUpstreams([5])), 3)
 
-            self._run(check)
+    def test_item_is_not_quarantined_if_upstreams_have_served_since(self):
+        # Guards against taking a full or slow upstream for a crashed one.
+        self.assertGreater(self._count_runs(_LiveUpstreams(), 3, 500), 3)
+        self.assertEqual({}, self.crash_counts)
