Show two claims on batch items that outlive their runs

Members pass over an item that a live member claims. Two tests show a claim without a run, which leaves the item lying although upstreams are free:

* an upstream sends the head of a refusal and withholds its body.
Only a response with status 200 is read with the item client's timeout; the body of any other waits for the 60 s of the connection, and longer if a byte comes now and then.
* a fault of the program in the task of one run.
The supervisor restarts the runner, whose other tasks are cancelled without giving up their claims.

--- a/siskinmount/gateway/tests/test_item_runner.py
+++ b/siskinmount/gateway/tests/test_item_runner.py
@@ -1,4 +1,4 @@
-"""Tests of when a batch item whose runs are interrupted is quarantined."""
+"""Tests of items whose runs are interrupted: quarantine and claims."""
 
 import testtools
 import trio
@@ -8,6 +8,7 @@
 from siskinmount import jobs
 from siskinmount import keyed_log
 from siskinmount import placement
+from siskinmount import supervision
 from siskinmount import telemetry
 from siskinmount import transport
 from siskinmount.gateway import _gateway_metrics
@@ -84,6 +85,24 @@
         return refusing
 
 
+class _FaultyClient:
+    """Fake of `ItemClient` whose first run raises while others are running."""
+
+    def __init__(self):
+        self.run_count = 0
+
+    async def run(self, next_item, progress, upstream):
+        self.run_count += 1
+        if self.run_count == 1:
+            await trio.sleep(_RUN_S / 2)
+            raise ValueError('a fault of the program')
+        await trio.sleep(_RUN_S)
+        return _item_client.RunOutcome.DONE, 'complete'
+
+    def take_refusing(self):
+        return []
+
+
 class _Membership:
     """Fake of `BatchMembership` of the only member."""
 
@@ -174,9 +193,11 @@
             load = placement.create_load_table()
             crash_tracker = placement.create_crash_tracker()
             self.crash_counts = crash_tracker.counts
+            table = _Table(item_count)
+            self.open_items = table.jobs['j'].open_items
             health = placement.create_upstream_health(crash_tracker)
             scheduler = jobs.create_item_scheduler(
-                _Table(item_count),
+                table,
                 'm',
                 lambda: ['m'],
                 lambda: jobs.PeerItems(set(), {}),
@@ -195,8 +216,9 @@
                     telemetry.create_metrics()
                 ),
             )
+            children = [supervision.Child('items', runner.run)]
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(runner.run)
+                nursery.start_soon(supervision.run_supervisor, 'test', children)
                 nursery.start_soon(_report_down, upstreams, health)
                 await trio.sleep(20)
                 nursery.cancel_scope.cancel()
@@ -224,3 +246,8 @@
         # Guards against taking a full or slow upstream for a crashed one.
         self.assertGreater(self._count_runs(_LiveUpstreams(), 3, 500), 3)
         self.assertEqual({}, self.crash_counts)
+
+    def test_items_are_run_again_after_a_fault_of_the_runner(self):
+        # Guards against claims on items that outlive the tasks that ran them.
+        self._count_runs(_FaultyClient(), 3, 3)
+        self.assertEqual({}, self.open_items)
--- a/siskinmount/gateway/tests/test_jobs.py
+++ b/siskinmount/gateway/tests/test_jobs.py
@@ -109,6 +109,19 @@
                 expected = gateway_harness.make_output('i0')
                 self.assertEqual(expected, seen[0]['output'], faults)
 
+    def test_item_runs_elsewhere_when_the_body_of_a_refusal_does_not_come(self):
+        # Guards against a claim on the item that lasts as long as the silence.
+        seen = []
+
+        async def check(fleet):
+            for engine in fleet.engines.values():
+                engine.answer_faults = [_FAULT.NOT_RUN_WITHOUT_BODY]
+            await fleet.submit(0, 'j1', _make_items(1))
+            seen.append(await fleet.wait_results(0, 'j1', 1))
+
+        self._run(check, gateway_count=2, engines=('e1', 'e2'))
+        self._assert_complete(seen[0], 1)
+
     def test_quota_counts_what_all_daemons_accepted(self):
         seen = []
 
--- a/standins/event_engine/_event_engine.py
+++ b/standins/event_engine/_event_engine.py
@@ -24,6 +24,9 @@
     #: not run.
     NOT_RUN = 'not_run'
 
+    #: The head of such a refusal is sent, and the body does not follow.
+    NOT_RUN_WITHOUT_BODY = 'not_run_without_body'
+
     #: The answer is 421, as if another process had taken over the address.
     OTHER_PROCESS = 'other_process'
 
@@ -137,6 +140,10 @@
         if fault is AnswerFault.NOT_RUN:
             await exchange.send_whole(503, [*echo, (b'x-not-run', b'1')], b'')
             return
+        if fault is AnswerFault.NOT_RUN_WITHOUT_BODY:
+            await exchange.start_stream(503, [*echo, (b'x-not-run', b'1')])
+            await exchange.wait_disconnected()
+            raise trio.BrokenResourceError('injected fault: body withheld')
         first_event = int(headers.get('last-event-id', '0')) + 1
         run = EngineRun(
             request_id, exchange.head.target, body, headers, first_event
