Tie the claim on a batch item to the task that works on it

Callers would see items without a run until a process ends: a fault of the program in the task of one item restarted the whole runner, whose other tasks were cancelled and left their claims behind, which all members honour.

Cause: claims were given up at the end of each path of the work, not when the task ended. Change: one place claims an item and starts its task, and gives up the claim however the task ends. A fault in one item's task is logged (item_task_failed) and delays this item; the others run on. Handing output over gives up its claim likewise.

The scheduler's test calls release in place of apply_handover, which it replaces; its checks are the same.

--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -1,5 +1,7 @@
 """Runs batch items in upstream slots that callers do not use."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import logging
 
 import trio
@@ -7,6 +9,7 @@
 from siskinmount import fleet
 from siskinmount import jobs
 from siskinmount import placement
+from siskinmount import results
 from siskinmount.gateway import _batch_membership
 from siskinmount.gateway import _gateway_metrics
 from siskinmount.gateway import _item_client
@@ -165,9 +168,13 @@
                 continue
             self._quarantined_tags.discard(tag)
             if self._scheduler.get_progress(tag).is_complete:
-                self._scheduler.held_tags.add(tag)
-                nursery.start_soon(
-                    self._result_writer.write_complete, next_item, tag
+                self._start_claimed(
+                    nursery,
+                    next_item,
+                    tag,
+                    self._result_writer.write_complete,
+                    next_item,
+                    tag,
                 )
                 continue
             service = route.draw_service()
@@ -183,10 +190,17 @@
                 continue
             run = _item_run.ItemRun(next_item, tag, upstream.upstream_id)
             self._runs[tag] = run
-            self._scheduler.held_tags.add(tag)
             self._scheduler.started_at_s[tag] = trio.current_time()
             self._update_load(upstream.upstream_id)
-            nursery.start_soon(self._run_item, run, route, upstream)
+            self._start_claimed(
+                nursery,
+                next_item,
+                tag,
+                self._run_item,
+                run,
+                route,
+                upstream,
+            )
             self._log_started(run)
             started += 1
         return started
@@ -273,11 +287,58 @@
         tag: str,
         reason: str,
     ) -> None:
-        self._scheduler.held_tags.add(tag)
-        nursery.start_soon(
-            self._result_writer.write_given_up, next_item, tag, reason
+        self._start_claimed(
+            nursery,
+            next_item,
+            tag,
+            self._result_writer.write_given_up,
+            next_item,
+            tag,
+            reason,
         )
 
+    def _start_claimed(
+        self,
+        nursery: trio.Nursery,
+        next_item: jobs.NextItem,
+        tag: str,
+        work: Callable[..., Awaitable[None]],
+        *args: object,
+    ) -> None:
+        """Claims an item and starts work on it."""
+        self._scheduler.held_tags.add(tag)
+        nursery.start_soon(self._work_claimed, next_item, tag, work, *args)
+
+    async def _work_claimed(
+        self,
+        next_item: jobs.NextItem,
+        tag: str,
+        work: Callable[..., Awaitable[None]],
+        *args: object,
+    ) -> None:
+        """Works on an item, and gives up the claim however that ends.
+
+        A fault of the program delays this item and does not restart the runner,
+        which would cancel all other runs.
+        """
+        try:
+            await work(*args)
+        except Exception:
+            _LOGGER.exception(
+                'item_task_failed',
+                extra={
+                    'code': int(results.ResultCode.INVARIANT_BROKEN),
+                    'job': next_item.job.job_id,
+                    'item': next_item.item.item_id,
+                    'tag': tag,
+                },
+            )
+            progress = self._scheduler.get_progress(tag)
+            progress.lost_runs += 1
+            progress.back_off(progress.lost_runs)
+        finally:
+            self._scheduler.release(tag)
+
     def _is_past_retention(
         self, job: jobs.Job, route: fleet.FleetRoute
     ) -> bool:
@@ -354,8 +415,6 @@
             progress.not_before_s = (
                 trio.current_time() + _item_preemptor.PREEMPTION_BACKOFF_S
             )
-        self._scheduler.apply_handover(run.tag)
-        self._scheduler.held_tags.discard(run.tag)
 
 
 def create_item_runner(
--- a/siskinmount/gateway/_result_writer.py
+++ b/siskinmount/gateway/_result_writer.py
@@ -89,9 +89,10 @@
             return
         for tag in self._scheduler.list_kept_tags():
             self._scheduler.held_tags.add(tag)
-            await self._hand_over_output(tag)
-            self._scheduler.apply_handover(tag)
-            self._scheduler.held_tags.discard(tag)
+            try:
+                await self._hand_over_output(tag)
+            finally:
+                self._scheduler.release(tag)
 
     async def _hand_over_output(self, tag: str) -> None:
         """Hands an item's output to another member; keeps it on failure.
@@ -121,7 +122,7 @@
     ) -> None:
         """Writes a result to the log, and waits until that is done.
 
-        If this member cannot reach the store, output that is complete is handed
+        The caller gives up the claim on the item. If this member cannot reach the store, output that is complete is handed
         to a member that can.
         """
         item_id = next_item.item.item_id
@@ -145,7 +146,6 @@
                 await self._hand_over_output(tag)
                 break
         self._scheduler.handovers.pop(tag, None)
-        self._scheduler.held_tags.discard(tag)
         _LOGGER.info(
             'item_listed' if operation.outcome else 'item_not_listed',
             extra={
--- a/siskinmount/jobs/_item_scheduler.py
+++ b/siskinmount/jobs/_item_scheduler.py
@@ -192,8 +192,7 @@
     ) -> HandoverOutcome:
         """Accepts output of an item from a member that cannot continue its run.
 
-        The output for an item that runs here is kept until `apply_handover` is
-        called.
+        The output for an item that runs here is kept until `release` is called.
         """
         if len(self.get_progress(tag).events) >= len(handed.events):
             return HandoverOutcome.SHORTER_THAN_OWN
@@ -203,8 +202,12 @@
         self.progress[tag] = handed
         return HandoverOutcome.STORED
 
-    def apply_handover(self, tag: str) -> None:
-        """Applies output handed over during a run, if it has more events."""
+    def release(self, tag: str) -> None:
+        """Gives up the claim on an item.
+
+        Output handed over meanwhile is applied if it has more events.
+        """
+        self.held_tags.discard(tag)
         handed = self.handovers.pop(tag, None)
         if handed is None:
             return
--- a/siskinmount/jobs/tests/test_item_scheduler.py
+++ b/siskinmount/jobs/tests/test_item_scheduler.py
@@ -104,7 +104,7 @@
                     self.assertEqual(
                         own, len(scheduler.get_progress(tag).events)
                     )
-                    scheduler.apply_handover(tag)
+                    scheduler.release(tag)
                 self.assertEqual(
                     expected, len(scheduler.get_progress(tag).events)
                 )
