List the result of a complete item though the item is quarantined

Cause: the runner passed over quarantined items before it looked whether their output was complete, so a result that only had to be written waited for the end of the quarantine. Writing it reaches no upstream. The test failed before.

--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -161,12 +161,6 @@
             if self._is_past_retention(next_item.job, route):
                 self._start_giving_up(nursery, next_item, tag, 'retention')
                 continue
-            if self._crash_tracker.is_quarantined(tag):
-                # The item crashes upstreams, but may be given up only after its
-                # retention.
-                self._log_quarantined(next_item, tag)
-                continue
-            self._quarantined_tags.discard(tag)
             if self._scheduler.get_progress(tag).is_complete:
                 self._start_claimed(
                     nursery,
@@ -177,6 +171,12 @@
                     tag,
                 )
                 continue
+            if self._crash_tracker.is_quarantined(tag):
+                # The item crashes upstreams, but may be given up only after its
+                # retention.
+                self._log_quarantined(next_item, tag)
+                continue
+            self._quarantined_tags.discard(tag)
             service = route.draw_service()
             if service in full_services:
                 continue
--- a/siskinmount/gateway/tests/test_item_runner.py
+++ b/siskinmount/gateway/tests/test_item_runner.py
@@ -180,8 +180,23 @@
 
 class ItemRunnerTest(testtools.TestCase):
 
-    def _count_runs(self, upstreams, upstream_count=30, item_count=1):
-        """Returns the runs of the first item within some time."""
+    def _count_runs(
+        self,
+        upstreams,
+        upstream_count=30,
+        item_count=1,
+        progress=None,
+        crash_count=0,
+    ):
+        """Returns the runs of the first item within some time.
+
+        Args:
+            upstreams: Fake of `ItemClient`.
+            upstream_count: Number of upstreams.
+            item_count: Number of items.
+            progress: State of the first item at the start.
+            crash_count: Crashes that a peer has counted for the first item.
+        """
 
         async def main():
             view = fleet.create_fleet_view(_decode_document, _decode_upstream)
@@ -217,6 +232,10 @@
                 ),
             )
             children = [supervision.Child('items', runner.run)]
+            tag = jobs.make_tag('j', 'i0')
+            crash_tracker.set_peer_counts('p', {tag: crash_count})
+            if progress is not None:
+                scheduler.progress[tag] = progress
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(supervision.run_supervisor, 'test', children)
                 nursery.start_soon(_report_down, upstreams, health)
@@ -251,3 +270,11 @@
         # Guards against claims on items that outlive the tasks that ran them.
         self._count_runs(_FaultyClient(), 3, 3)
         self.assertEqual({}, self.open_items)
+
+    def test_complete_item_is_listed_though_it_is_quarantined(self):
+        upstreams = _CrashingUpstreams([0])
+        progress = jobs.ItemProgress()
+        progress.events = ['data']
+        progress.is_complete = True
+        self._count_runs(upstreams, progress=progress, crash_count=3)
+        self.assertEqual((0, {}), (upstreams.run_count, self.open_items))
