Keep the sequence of messages to peers over restarts of the exchange

Cause: the number was local to the task. After a fault of the program the supervisor restarts the exchange, whose messages then began at 1, and peers ignore numbers that do not rise: the member would be silent to them, with its runs, claims and load, for as long as it had been running. The test failed before ([1, 1]).

--- a/siskinmount/peering/_peer_exchange.py
+++ b/siskinmount/peering/_peer_exchange.py
@@ -37,6 +37,7 @@
         '_load',
         '_create_message',
         '_invalid_count',
+        '_sequence',
     )
 
     def __init__(
@@ -53,6 +54,8 @@
         self._load = load
         self._create_message = create_message
         self._invalid_count = 0
+        # Kept over restarts of the task: peers ignore lower numbers.
+        self._sequence = 0
 
     async def run(self) -> None:
         """Exchanges messages until cancelled."""
@@ -89,11 +92,12 @@
             self._directory.apply_message(message)
 
     async def _send(self, datagrams: trio.socket.SocketType) -> None:
-        sequence = 0
         while True:
-            sequence += 1
+            self._sequence += 1
             version = self._load.version
-            data = _peer_message.encode_message(self._create_message(sequence))
+            data = _peer_message.encode_message(
+                self._create_message(self._sequence)
+            )
             for peer in self._directory.list_due():
                 try:
                     await datagrams.sendto(data, (peer.address, self._port))
