Refuse jobs of whose items no request can be made

Callers of all jobs would see late items: a header, id or path that HTTP does not allow was accepted. A value beyond latin-1 raised in the runner at each start, which restarted it; another one came back from the client as not run, which marked each upstream in turn as unreachable.

Change: the adapter encodes the request of each item once as the client would, and refuses the job with 400 if that fails. Six new cases failed before.

--- a/siskinmount/platform/_wire.py
+++ b/siskinmount/platform/_wire.py
@@ -132,6 +132,8 @@
             items = [_decode_item(row) for row in rows]
             if len({item.item_id for item in items}) != len(items):
                 raise _field_reader.FieldError('item ids are not unique')
+            for item in items:
+                self._check_request(item, route)
         except (_field_reader.FieldError, ValueError) as error:
             return results.Failure(
                 results.ResultCode.ITEM_INVALID, f'job: {error}'
@@ -144,6 +146,22 @@
             items=items,
         )
 
+    def _check_request(
+        self, item: jobs.JobItem, route: fleet.FleetRoute
+    ) -> None:
+        """Raises `FieldError` if no request can be made of an item."""
+        fault = transport.find_request_fault(
+            transport.ClientRequest(
+                'POST',
+                item.path,
+                self.build_item_headers(item, '', None),
+                b'',
+                route.host.encode('latin-1'),
+            )
+        )
+        if fault is not None:
+            raise _field_reader.FieldError(f'the request of an item: {fault}')
+
     def encode_results(self, job: jobs.Job, after: int) -> bytes:
         """Encodes a page of the results from a position on.
 
--- a/siskinmount/platform/tests/test_wire.py
+++ b/siskinmount/platform/tests/test_wire.py
@@ -131,6 +131,12 @@
             ('j', {'items': [_make_item(str(n)) for n in range(201)]}),
             ('j', {'items': [{**_make_item(), 'body': 'a'}]}),
             ('j', {'items': [{**_make_item(), 'token_count': 'x'}]}),
+            ('j', {'items': [_make_item('\u0107')]}),
+            ('j', {'items': [_make_item('a\nb')]}),
+            ('j', {'items': [{**_make_item(), 'path': '/a b'}]}),
+            ('j', {'items': [{**_make_item(), 'headers': {'x': '\u0107'}}]}),
+            ('j', {'items': [{**_make_item(), 'headers': {'x': 'a\nb'}}]}),
+            ('j', {'items': [{**_make_item(), 'headers': {'x y': 'a'}}]}),
             ('j', []),
         ]
         for job_id, document in cases:
--- a/siskinmount/transport/__init__.py
+++ b/siskinmount/transport/__init__.py
@@ -4,6 +4,7 @@
 from siskinmount.transport._address import parse_address
 from siskinmount.transport._client_exchange import ClientExchange
 from siskinmount.transport._client_exchange import ClientRequest
+from siskinmount.transport._client_exchange import find_request_fault
 from siskinmount.transport._headers import find_header
 from siskinmount.transport._headers import Headers
 from siskinmount.transport._headers import retry_headers
--- a/siskinmount/transport/_client_exchange.py
+++ b/siskinmount/transport/_client_exchange.py
@@ -44,6 +44,44 @@
         self.host = host
 
 
+def encode_request(
+    parser: h11.Connection, request: ClientRequest, host: bytes
+) -> bytes:
+    """Encodes a request.
+
+    Args:
+        parser: State of the connection.
+        request: The request; its host is ignored.
+        host: Value of the `host` header.
+
+    Raises:
+        h11.LocalProtocolError: The request is not valid HTTP.
+        UnicodeEncodeError: The method or the target is not ASCII.
+    """
+    headers = [
+        (b'host', host),
+        *request.headers,
+        (b'content-length', b'%d' % len(request.body)),
+    ]
+    data = parser.send(
+        h11.Request(
+            method=request.method, target=request.target, headers=headers
+        )
+    )
+    data += parser.send(h11.Data(data=request.body))
+    data += parser.send(h11.EndOfMessage())
+    return data
+
+
+def find_request_fault(request: ClientRequest) -> str | None:
+    """Returns why a request cannot be sent; None if it can."""
+    try:
+        encode_request(h11.Connection(h11.CLIENT), request, request.host)
+    except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+        return str(error)
+    return None
+
+
 class ClientConnection:
     """A client connection that carries one request at a time.
 
--- a/siskinmount/transport/_http_client.py
+++ b/siskinmount/transport/_http_client.py
@@ -109,7 +109,11 @@
     ) -> h11.Response | results.Failure:
         """Writes the request and reads the head of the response."""
         try:
-            data = self._encode(connection.parser, request)
+            data = _client_exchange.encode_request(
+                connection.parser,
+                request,
+                request.host or str(self.address).encode('ascii'),
+            )
         except (h11.LocalProtocolError, UnicodeEncodeError) as error:
             return results.Failure(
                 results.ResultCode.MALFORMED_REQUEST,
@@ -151,24 +155,6 @@
             if failure is not None:
                 return failure
 
-    def _encode(
-        self, parser: h11.Connection, request: _client_exchange.ClientRequest
-    ) -> bytes:
-        """Encodes a request."""
-        headers = [
-            (b'host', request.host or str(self.address).encode('ascii')),
-            *request.headers,
-            (b'content-length', b'%d' % len(request.body)),
-        ]
-        data = parser.send(
-            h11.Request(
-                method=request.method, target=request.target, headers=headers
-            )
-        )
-        data += parser.send(h11.Data(data=request.body))
-        data += parser.send(h11.EndOfMessage())
-        return data
-
     def _discard(self, connection: _client_exchange.ClientConnection) -> None:
         """Closes a connection and, after a time-out, older idle connections.
 
