Hand output over also when the view of the jobs is old or not loaded

Callers would see items without a run while a member that keeps their output may start nothing: members pass over items whose output a live one keeps. Output was handed over only if the log was unreachable, not if it was not loaded, or if the view was too old while reads were answered or hanging.

Change: the time counts for which this member has been left out while others have current jobs, whatever the reason. Handing over stops when this member is eligible again. The test failed before for two of its three cases.

--- a/siskinmount/gateway/_batch_membership.py
+++ b/siskinmount/gateway/_batch_membership.py
@@ -9,8 +9,8 @@
 from siskinmount import keyed_log
 from siskinmount import peering
 
-#: How long the store must be unreachable before items are handed to members
-#: that reach it. Members detect an outage at different times, up to a long
+#: How long a member must be without current jobs before its items are handed to
+#: members that have them. Members detect an outage at different times, up to a long
 #: poll's wait and slack apart.
 HAND_OVER_AFTER_S = 2.5
 #: How long after its start a member starts no batch items: callers that waited
@@ -58,6 +58,7 @@
         '_directory',
         '_jobs_follower',
         '_started_at_s',
+        '_excluded_since_s',
     )
 
     def __init__(
@@ -71,6 +72,7 @@
         self._directory = directory
         self._jobs_follower = jobs_follower
         self._started_at_s = float('inf')
+        self._excluded_since_s: float | None = None
 
     def mark_started(self) -> None:
         """Starts the delay after which batch items may start."""
@@ -114,18 +116,19 @@
     def must_hand_over(self) -> bool:
         """Returns whether other members must continue the items kept here.
 
-        That is so when this member shuts down, or when it cannot reach the
-        store and others can. The latter counts only after `HAND_OVER_AFTER_S`,
-        as members disagree at the start of an outage.
+        That is so when this member shuts down, or when it has no current jobs
+        and others have. The latter counts only after `HAND_OVER_AFTER_S`, as
+        members disagree at the start of an outage.
         """
         if self.vm in self.list_eligible_members():
+            self._excluded_since_s = None
             return False
         if self.is_leaving:
             return True
-        lost_s = trio.current_time() - self._jobs_follower.lost_at_s
-        return (
-            not self._jobs_follower.is_reachable and lost_s > HAND_OVER_AFTER_S
-        )
+        now_s = trio.current_time()
+        if self._excluded_since_s is None:
+            self._excluded_since_s = now_s
+        return now_s - self._excluded_since_s > HAND_OVER_AFTER_S
 
     def list_peer_items(self) -> jobs.PeerItems:
         """Returns the items whose runs or partial output live peers hold."""
--- a/siskinmount/gateway/tests/test_batch_membership.py
+++ b/siskinmount/gateway/tests/test_batch_membership.py
@@ -8,6 +8,7 @@
 from siskinmount import peering
 from siskinmount import placement
 from siskinmount.gateway import _batch_membership
+from siskinmount.gateway.tests import members as members_module
 
 #: Time within which each member must stop the items of an ended job.
 _END_OF_JOB_S = 3.0
@@ -131,3 +132,33 @@
             self.assertIs(obstacle.LEAVING, membership.find_obstacle())
 
         self._run(check)
+
+    def test_member_that_stays_ineligible_hands_its_output_over(self):
+        # Guards against output that is kept by a member that may start nothing.
+        def load(follower):
+            follower.is_loaded = False
+
+        def lose(follower):
+            follower.is_reachable = False
+
+        def let_view_age(follower):
+            follower.current_at_s = float('-inf')
+
+        for make_ineligible in (load, lose, let_view_age):
+
+            async def main(make_ineligible=make_ineligible):
+                members = members_module.Members()
+                members.membership.mark_started()
+                await trio.sleep(_batch_membership.BATCH_AFTER_START_S + 0.1)
+                members.follower.current_at_s = trio.current_time()
+                members.hear('p')
+                self.assertFalse(members.membership.must_hand_over())
+                make_ineligible(members.follower)
+                self.assertFalse(members.membership.must_hand_over())
+                for _ in range(6):
+                    await trio.sleep(0.5)
+                    members.hear('p')
+                    must_hand_over = members.membership.must_hand_over()
+                self.assertTrue(must_hand_over, make_ineligible)
+
+            trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
