Leave an item that is given up to members that reach the store

Cause: a member that cannot write the result of such an item kept its claim until the store was back; others may reach the store and passed over the item. Change: where other members must continue its items, it gives up the claim; they find the same reason. The test failed before (still claimed after 30 s).

--- a/siskinmount/gateway/_result_writer.py
+++ b/siskinmount/gateway/_result_writer.py
@@ -88,6 +88,8 @@
         if not self._membership.must_hand_over():
             return
         for tag in self._scheduler.list_kept_tags():
+            if not self._membership.must_hand_over():
+                return
             self._scheduler.held_tags.add(tag)
             try:
                 await self._hand_over_output(tag)
@@ -122,8 +124,9 @@
     ) -> None:
         """Writes a result to the log, and waits until that is done.
 
-        The caller gives up the claim on the item. If this member cannot reach the store, output that is complete is handed
-        to a member that can.
+                The caller gives up the claim on the item. Where other members must
+        continue the items of this one, they get output that is complete, and an
+        item that is given up is left to them.
         """
         item_id = next_item.item.item_id
         operation = jobs.AppendResult(
@@ -138,12 +141,10 @@
                 await operation.finished.wait()
             if operation.finished.is_set():
                 break
-            if (
-                state is jobs.ItemState.DONE
-                and self._membership.must_hand_over()
-            ):
+            if self._membership.must_hand_over():
                 self._ledger.withdraw(operation)
-                await self._hand_over_output(tag)
+                if state is jobs.ItemState.DONE:
+                    await self._hand_over_output(tag)
                 break
         self._scheduler.handovers.pop(tag, None)
         _LOGGER.info(
--- a/siskinmount/gateway/tests/test_result_writer.py
+++ b/siskinmount/gateway/tests/test_result_writer.py
@@ -28,6 +28,34 @@
 
 class ResultWriterTest(testtools.TestCase):
 
+    def test_item_given_up_is_left_to_members_that_reach_the_store(self):
+        # Guards against a claim that lasts as long as the store is out of reach.
+        ended = []
+
+        async def main():
+            members = members_module.Members()
+            members.membership.mark_started()
+            members.hear('p')
+            table = _Table()
+            scheduler = jobs.create_item_scheduler(
+                table,
+                'm',
+                members.membership.list_eligible_members,
+                members.membership.list_peer_items,
+            )
+            writer = _result_writer.create_result_writer(
+                members.membership, scheduler, _Ledger(), None, 4096
+            )
+            job = table.jobs['a']
+            next_item = jobs.NextItem(job, job.items[0])
+            members.membership.is_leaving = True
+            with trio.move_on_after(30):
+                await writer.write_given_up(next_item, 'tag', 'status 422')
+                ended.append(trio.current_time())
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertEqual(1, len(ended))
+
     def test_tags_of_a_cancelled_write_and_handover_are_removed(self):
         async def hand_over(tag, progress, member):
             await trio.sleep_forever()
