Add a failing test of a record between two calls of one result

The follower reads another member's record before the first of two calls is answered; the second call is then not refused.

--- /dev/null
+++ b/siskinmount/jobs/tests/test_job_views.py
@@ -0,0 +1,88 @@
+"""A member's view of the jobs when other members write or drop history."""
+
+import testtools
+import trio
+import trio.testing
+
+from siskinmount import jobs
+from siskinmount import keyed_log
+from siskinmount.jobs.tests import test_job_ledger
+from siskinmount.keyed_log.tests import unsteady_log
+
+_MAX_RECORD_BYTES = 700
+_MAX_CALL_BYTES = 600
+
+
+class _Member:
+    """A follower, a table and a ledger, without tasks."""
+
+    def __init__(self, log):
+        self.table = jobs.create_job_table()
+        self.follower = keyed_log.create_log_follower(
+            'jobs', log, self.table.apply_record
+        )
+        self.ledger = jobs.create_job_ledger(
+            log, self.follower, self.table, _MAX_CALL_BYTES
+        )
+
+    async def accept(self, job_id):
+        return await self.ledger.write(
+            jobs.AcceptJob(
+                test_job_ledger.make_job(job_id), 0, _MAX_RECORD_BYTES, 1000
+            )
+        )
+
+    async def list_result(self, job_id, item_id, output):
+        return await self.ledger.write(
+            jobs.AppendResult(
+                job_id,
+                jobs.ItemResult(item_id, jobs.ItemState.DONE, output),
+                _MAX_RECORD_BYTES,
+            )
+        )
+
+    def list_results(self, job_id):
+        found = self.table.jobs[job_id].results
+        return [(result.item_id, result.output) for result in found]
+
+
+class JobViewsTest(testtools.TestCase):
+
+    def _run(self, check):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                log = unsteady_log.UnsteadyLog(nursery)
+                members = [_Member(log), _Member(log)]
+                for member in members:
+                    nursery.start_soon(member.ledger.run)
+                with trio.fail_after(1000):
+                    await check(log, members, nursery)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_record_between_two_calls_of_one_result_is_a_conflict(self):
+        # The follower reads the other member's result before the first call of
+        # the large one is answered.
+        seen = []
+
+        async def check(log, members, nursery):
+            first, second = members
+            await first.accept('j')
+            nursery.start_soon(first.follower.run)
+            nursery.start_soon(second.follower.run)
+            await trio.sleep(1)
+            log.append_faults = [unsteady_log.Fault(None, 0.2)]
+            async with trio.open_nursery() as writers:
+                writers.start_soon(first.list_result, 'j', 'i0', 'x' * 900)
+                await trio.sleep(0.1)
+                writers.start_soon(second.list_result, 'j', 'i1', 'y')
+            await trio.sleep(2)
+            fresh = _Member(log)
+            await fresh.follower.sync()
+            for member in (first, second, fresh):
+                seen.append(member.list_results('j'))
+
+        self._run(check)
+        expected = [('i1', 'y'), ('i0', 'x' * 900)]
+        self.assertEqual([expected] * 3, seen)
