Make each call of a split append conditional on the end of the one before

Callers saw: a result that took more than one call could be written at a position that another member had filled meanwhile. Its writer was told that it is listed, running members ignored it and kept the item open, and a member that loaded the log afresh had it in place of the other member's result.

Cause: calls after the first were conditional on the follower's offset at that moment. The follower's own task reads on while a call is unanswered, so the offset could include another member's records, on which the plan is not based.

Why it works: the condition of a call is the end of the call before, so any record in between refuses it; the ledger then syncs and plans anew.

--- a/siskinmount/jobs/_job_ledger.py
+++ b/siskinmount/jobs/_job_ledger.py
@@ -157,10 +157,13 @@
         """Appends records, split into as many calls as their size requires.
 
         Calls before the last hold only parts after the first of a value, which
-        readers ignore until the first part follows.
+        readers ignore until the first part follows. Each call is conditional on
+        the end of the call before, not on the follower's offset: the follower
+        may have read other members' records, on which the plan is not based.
         """
+        at_offset = self._follower.next_offset
         for group in _split_into_calls(records, self._max_call_bytes):
-            outcome = await self._log.append(group, self._follower.next_offset)
+            outcome = await self._log.append(group, at_offset)
             if not isinstance(outcome, int):
                 return outcome
             appended: list[keyed_log.KeyedRecord] = []
@@ -173,6 +176,7 @@
             self._follower.apply_page(
                 keyed_log.LogPage(appended, outcome + len(group))
             )
+            at_offset = outcome + len(group)
         return None
 
     def _plan(
