--- a/siskinmount/jobs/tests/test_job_views.py
+++ b/siskinmount/jobs/tests/test_job_views.py
@@ -86,3 +86,28 @@
         self._run(check)
         expected = [('i1', 'y'), ('i0', 'x' * 900)]
         self.assertEqual([expected] * 3, seen)
+
+    def test_reload_does_not_complete_a_result_with_parts_of_another(self):
+        seen = []
+
+        async def check(log, members, nursery):
+            first, second = members
+            await first.accept('j')
+            # The call after the first parts of the result never arrives.
+            log.append_faults = [
+                unsteady_log.Fault(None, 0),
+                unsteady_log.Fault('late', 1000),
+            ]
+            nursery.start_soon(first.list_result, 'j', 'i0', 'x' * 600)
+            await trio.sleep(0.1)
+            reader = _Member(log)
+            await reader.follower.sync()
+            await second.list_result('j', 'i1', 'y' * 600)
+            log.drop_history(len(log.records))
+            fresh = _Member(log)
+            for member in (reader, fresh):
+                await member.follower.sync()
+                seen.append(member.list_results('j'))
+
+        self._run(check)
+        self.assertEqual([[('i1', 'y' * 600)]] * 2, seen)
