Apply the records of a reload in the order of their offsets

Callers saw: a result of several records could have another text at a member that had reloaded the log than at all others; where the mixed text could not be decoded, the member held the item and all later ones of the job open for good.

Cause: the newest record of each key arrives in the order of keys, and the follower applied it so: the first part of a value before its other parts. A member that had read all other parts of an unfinished value at the same position before the history was dropped then completed the value with these.

Evidence: test_reload_does_not_complete_a_result_with_parts_of_another failed before and passes now.

Why it works: writers append the first part last, so in the order of offsets the parts of the value have replaced older ones when its first part is applied.

--- a/siskinmount/keyed_log/_log_follower.py
+++ b/siskinmount/keyed_log/_log_follower.py
@@ -24,7 +24,8 @@
 #: deployments (15 Mbit/s). Larger answers may take seconds.
 SMALL_PAGE_BYTES = 100_000
 
-#: Called once for each record, in the order of offsets within a key.
+#: Called for each record in the order of offsets. After a reload that read
+#: records newer than its end, these are repeated.
 RecordCallback = Callable[[_keyed_log.KeyedRecord], None]
 #: Called with all keys in the log after a reload.
 KeysCallback = Callable[[set[str]], None]
@@ -171,7 +172,9 @@
         if isinstance(page, results.Failure):
             return page
         keys: set[str] = set()
-        for record in page.records:
+        # Writers rely on the order of offsets between keys too: the parts of a
+        # value precede its first part.
+        for record in sorted(page.records, key=_get_offset):
             keys.add(record.key)
             if record.offset > self._offset_by_key.get(record.key, -1):
                 self._apply(record)
@@ -237,6 +240,10 @@
         )
 
 
+def _get_offset(record: _keyed_log.KeyedRecord) -> int:
+    return record.offset
+
+
 def _estimate_answer_time(page: _keyed_log.LogPage, sent_at_s: float) -> float:
     """Returns the estimated time at which the log produced an answer.
 
