--- a/siskinmount/jobs/tests/test_job_views.py
+++ b/siskinmount/jobs/tests/test_job_views.py
@@ -111,3 +111,24 @@
 
         self._run(check)
         self.assertEqual([[('i1', 'y' * 600)]] * 2, seen)
+
+    def test_slow_load_does_not_restore_a_dropped_job(self):
+        seen = []
+
+        async def check(log, members, nursery):
+            first, second = members
+            await first.accept('j')
+            await first.ledger.write(jobs.EndJob('j', 1000))
+            log.page_keys = 100
+            log.page_faults = [unsteady_log.Fault(None, 1.0)]
+            nursery.start_soon(second.follower.run)
+            await trio.sleep(0.1)
+            await second.follower.sync()
+            await first.ledger.write(jobs.DropJob('j'))
+            await second.follower.sync()
+            seen.append(list(second.table.jobs))
+            await trio.sleep(2)
+            seen.append(list(second.table.jobs))
+
+        self._run(check)
+        self.assertEqual([[], []], seen)
