Ignore a load that is older than the records already applied

Callers saw: a job that had been dropped came back at one member and stayed; it was read, and its open items run, there only.

Cause: the follower's task and the ledger's sync load at the same time after the history is dropped. The one answered later applied all its keys again, also those that the view had dropped in between; the read goes on behind their tombstones.

Why it works: a view is complete up to next_offset, whether by reads, loads, own appends or a peer's data. A load that began before that offset can add nothing to it; what follows is read from next_offset on, and if that is no longer kept, loaded again.

--- a/siskinmount/keyed_log/_log_follower.py
+++ b/siskinmount/keyed_log/_log_follower.py
@@ -171,6 +171,26 @@
         page = await self._log.read_newest()
         if isinstance(page, results.Failure):
             return page
+        if page.end_offset >= self.next_offset:
+            self._apply_newest(page)
+        # Else records that are not in the page have been applied meanwhile, and
+        # the view is complete up to `next_offset`: keys that have been dropped
+        # since must not return.
+        self.is_loaded = True
+        self.confirmed_at_s = max(self.confirmed_at_s, sent_at_s)
+        _LOGGER.info(
+            'log_loaded',
+            extra={
+                'log': self.name,
+                'records': len(page.records),
+                'next_offset': self.next_offset,
+            },
+        )
+        self._notify()
+        return None
+
+    def _apply_newest(self, page: _keyed_log.LogPage) -> None:
+        """Applies the newest record of each key, and drops keys without one."""
         keys: set[str] = set()
         # Writers rely on the order of offsets between keys too: the parts of a
         # value precede its first part.
@@ -184,19 +204,7 @@
             self._apply(_keyed_log.KeyedRecord(key, None, page.end_offset - 1))
         if self._on_keys is not None:
             self._on_keys(keys)
-        self.next_offset = max(self.next_offset, page.end_offset)
-        self.is_loaded = True
-        self.confirmed_at_s = max(self.confirmed_at_s, sent_at_s)
-        _LOGGER.info(
-            'log_loaded',
-            extra={
-                'log': self.name,
-                'records': len(page.records),
-                'next_offset': self.next_offset,
-            },
-        )
-        self._notify()
-        return None
+        self.next_offset = page.end_offset
 
     def _apply(self, record: _keyed_log.KeyedRecord) -> None:
         """Updates the offset of a key and passes the record to the callback."""
