--- a/siskinmount/jobs/tests/test_job_views.py
+++ b/siskinmount/jobs/tests/test_job_views.py
@@ -132,3 +132,22 @@
 
         self._run(check)
         self.assertEqual([[], []], seen)
+
+    def test_reload_replaces_a_job_that_was_dropped_and_accepted_again(self):
+        seen = []
+
+        async def check(log, members, nursery):
+            first, second = members
+            await first.accept('j')
+            await first.list_result('j', 'i0', 'x')
+            await first.ledger.write(jobs.EndJob('j', 1000))
+            await second.follower.sync()
+            await first.ledger.write(jobs.DropJob('j'))
+            await first.accept('j')
+            log.drop_history(len(log.records))
+            await second.follower.sync()
+            job = second.table.jobs['j']
+            seen.append((len(job.results), list(job.open_items), job.is_ended))
+
+        self._run(check)
+        self.assertEqual([(0, ['i0', 'i1'], False)], seen)
