Replace a job in the table when it was dropped and accepted again

Callers saw: a member that had missed the drop of a job, as the history was gone when it read on, kept the results and the end of the old job when a job of the same id had been accepted since.

Cause: the key of the acceptance was in the reloaded log, so the old job was not dropped, and a second acceptance of a known job was ignored.

Evidence: test_reload_replaces_a_job_that_was_dropped_and_accepted_again failed before and passes now.

Why it works: the ledger accepts no job that the log holds, so an acceptance with a higher offset means that the old one was dropped. Records read again have the offset of the known acceptance or a lower one and are ignored as before. Results and end of the new job have higher offsets and are applied after it.

--- a/siskinmount/jobs/_job_table.py
+++ b/siskinmount/jobs/_job_table.py
@@ -140,8 +140,15 @@
         self._apply_result(key.job_id, key.position, result)
 
     def _apply_job(self, job: _job.Job, offset: int) -> None:
-        if job.job_id in self.jobs:
-            return
+        known = self.jobs.get(job.job_id)
+        if known is not None:
+            if offset <= known.offset:
+                return
+            # The job was dropped and accepted again by records that are no
+            # longer kept; results and an end of the new job follow.
+            del self.jobs[job.job_id]
+            self._early_results.pop(job.job_id, None)
+            self._early_ends.discard(job.job_id)
         job.known_since_s = trio.current_time()
         job.offset = offset
         is_newest = not self.jobs or offset > self._newest_offset
