Test that a slow load does not undo newer upstreams of a peer

A member that starts asks a peer after 0.4 s; if its own load, sent before, was answered later, an upstream that had left since came back and stayed, and one that had come since was missing until its entry changed: the follower had skipped to the peer's offset.

--- /dev/null
+++ b/siskinmount/gateway/tests/test_upstream_views.py
@@ -0,0 +1,171 @@
+"""Views of upstreams of members that read the log or ask each other."""
+
+import types
+
+import orjson
+import testtools
+import trio
+import trio.testing
+
+from siskinmount import fleet
+from siskinmount import keyed_log
+from siskinmount import results
+from siskinmount import transport
+from siskinmount.gateway import _peers_api
+from siskinmount.keyed_log.tests import unsteady_log
+
+_LATENCY_S = 0.01
+
+
+def _decode_document(source):
+    return results.Failure(results.ResultCode.DOCUMENT_INVALID, 'none')
+
+
+def _decode_upstream(upstream_id, source):
+    return fleet.Upstream(
+        upstream_id=upstream_id,
+        service='s',
+        address=transport.Address('127.0.0.1', 1),
+        failure_domain='a',
+        state=fleet.UpstreamState.READY,
+        slot_count=1,
+        started_at_ms=0,
+    )
+
+
+class _Link:
+    """Access of one member to the log; it can be cut."""
+
+    def __init__(self, log):
+        self.log = log
+        self.is_cut = False
+
+    async def read(self, from_offset, wait_ms):
+        return await self._call(self.log.read, from_offset, wait_ms)
+
+    async def read_newest(self):
+        return await self._call(self.log.read_newest)
+
+    async def _call(self, call, *arguments):
+        answer = None
+        if not self.is_cut:
+            answer = await call(*arguments)
+        if self.is_cut:
+            await trio.sleep(0.01)
+            return results.Failure(results.ResultCode.LOG_UNAVAILABLE, 'cut')
+        return answer
+
+
+class _Exchange:
+    """A call of a peer that does not leave the process."""
+
+    def __init__(self, path):
+        self.head = types.SimpleNamespace(path=path)
+        self.body = None
+
+    async def send_json(self, status, document):
+        self.body = orjson.dumps(document)
+
+
+class _PeersApi(_peers_api.PeersApi):
+    """Calls peers within the process."""
+
+    async def _call(self, address, request):
+        exchange = _Exchange(request.target)
+        await self.seeds[0].peers[address.host].api.handle(exchange)
+        await trio.sleep(_LATENCY_S)
+        return exchange.body
+
+
+class _Member:
+    """A view of upstreams, its follower, and calls between peers."""
+
+    def __init__(self, log, name, peers):
+        self.peers = peers
+        self.name = name
+        self.link = _Link(log)
+        self.view = fleet.create_fleet_view(_decode_document, _decode_upstream)
+        self.follower = keyed_log.create_log_follower(
+            'upstreams',
+            self.link,
+            self.view.apply_upstream_record,
+            self.view.retain_upstreams,
+        )
+        self.view.watch_store(self._get_lost_age_s)
+        self.api = _PeersApi(
+            view=self.view,
+            document_follower=types.SimpleNamespace(
+                is_loaded=True, is_reachable=True
+            ),
+            upstreams_follower=self.follower,
+            directory=self,
+            scheduler=None,
+            own_address=transport.Address(name, 1),
+            seeds=[self],
+        )
+
+    def _get_lost_age_s(self):
+        if not self.follower.is_reachable:
+            return 0.0
+        return trio.current_time() - self.follower.regained_at_s
+
+    def list_live(self):
+        """Returns the other members, as the peer directory does."""
+        return [
+            types.SimpleNamespace(address=name)
+            for name in sorted(self.peers)
+            if name != self.name
+        ]
+
+    def list_view(self):
+        return dict(sorted(self.view.upstream_sources.items()))
+
+    async def run(self):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.follower.run)
+            nursery.start_soon(self.api.run)
+            while True:
+                await trio.sleep(0.25)
+                self.view.expire_lapsed()
+
+
+def _create_members(log, count):
+    members = {}
+    for number in range(count):
+        name = f'm{number}'
+        members[name] = _Member(log, name, members)
+    return list(members.values())
+
+
+def _run(check, count):
+    async def main():
+        async with trio.open_nursery() as nursery:
+            log = unsteady_log.UnsteadyLog(nursery)
+            await check(log, _create_members(log, count), nursery)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class UpstreamViewsTest(testtools.TestCase):
+
+    def test_slow_load_does_not_undo_newer_data_of_a_peer(self):
+        seen = []
+
+        async def check(log, members, nursery):
+            peer, member = members
+            log.put('u0', b'0')
+            log.put('u1', b'0')
+            nursery.start_soon(peer.run)
+            await trio.sleep(0.1)
+            # The load of the member is answered after it has asked its peer.
+            log.page_faults = [unsteady_log.Fault(None, 1.0)]
+            nursery.start_soon(member.run)
+            await trio.sleep(0.1)
+            log.put('u0', None)
+            log.put('u2', b'0')
+            await trio.sleep(4)
+            seen.append(member.list_view())
+
+        _run(check, 2)
+        self.assertEqual([{'u1': b'0', 'u2': b'0'}], seen)
