--- a/siskinmount/gateway/tests/test_upstream_views.py
+++ b/siskinmount/gateway/tests/test_upstream_views.py
@@ -169,3 +169,29 @@
 
         _run(check, 2)
         self.assertEqual([{'u1': b'0', 'u2': b'0'}], seen)
+
+    def test_lapsed_upstream_of_a_peer_is_not_kept_for_good(self):
+        seen = []
+
+        async def check(log, members, nursery):
+            peer, member = members
+            log.put('u0', b'0')
+            for started in members:
+                nursery.start_soon(started.run)
+            await trio.sleep(0.1)
+            for started in members:
+                started.link.is_cut = True
+            await trio.sleep(3)
+            peer.link.is_cut = False
+            log.put('u0', None)
+            await trio.sleep(1)
+            seen.append((peer.list_view(), member.list_view()))
+            await trio.sleep(8)
+            seen.append((peer.list_view(), member.list_view()))
+            member.link.is_cut = False
+            await trio.sleep(8)
+            seen.append((peer.list_view(), member.list_view()))
+
+        _run(check, 2)
+        known = {'u0': b'0'}
+        self.assertEqual([(known, known), ({}, {}), ({}, {})], seen)
