Tell peers which upstreams have lapsed, and for how long

Callers saw: requests sent to an upstream that had left, from a member that could not read the store and had asked a peer; the upstream stayed in its view for good, also after it read the store again.

Cause: soon after an outage of the store a member keeps removed upstreams as lapsed for 2 s. What it sent to peers did not say so; the receiver took them for live, and as it goes on reading at the peer's offset it never saw the removal.

Why it works: the age of each lapsed entry is sent too, and the receiver lets it expire at the time at which the peer does. An answer without ages, from an older build, is applied as before.

--- a/siskinmount/fleet/_fleet_view.py
+++ b/siskinmount/fleet/_fleet_view.py
@@ -124,14 +124,36 @@
                 self._apply_removal(upstream_id, -1)
         self._notify()
 
-    def replace_upstreams(self, sources: dict[str, bytes], origin: str) -> None:
-        """Replaces all upstreams by those of a peer that has newer records."""
+    def list_lapsed_ages_s(self) -> dict[str, float]:
+        """Returns for how long each lapsed upstream has been lapsed, by id."""
+        now_s = trio.current_time()
+        ages_s: dict[str, float] = {}
+        for upstream_id, lapsed_at_s in self._lapsed_at_s.items():
+            ages_s[upstream_id] = now_s - lapsed_at_s
+        return ages_s
+
+    def replace_upstreams(
+        self,
+        sources: dict[str, bytes],
+        origin: str,
+        lapsed_ages_s: dict[str, float] | None = None,
+    ) -> None:
+        """Replaces all upstreams by those of a peer that has newer records.
+
+        Args:
+            sources: The encoded entries by id, including lapsed ones.
+            origin: Where the entries came from, for the log.
+            lapsed_ages_s: For how long the lapsed ones have been lapsed.
+        """
         for upstream_id in list(self.upstreams):
             if upstream_id not in sources:
                 self._remove(upstream_id, origin)
         for upstream_id, source in sources.items():
             if self.upstream_sources.get(upstream_id) != source:
                 self._apply_entry(upstream_id, source, -1)
+        for upstream_id, age_s in (lapsed_ages_s or {}).items():
+            if upstream_id in self.upstreams:
+                self._lapsed_at_s[upstream_id] = trio.current_time() - age_s
         self._notify()
 
     def expire_lapsed(self) -> None:
--- a/siskinmount/gateway/_peers_api.py
+++ b/siskinmount/gateway/_peers_api.py
@@ -140,6 +140,7 @@
                     document.source if document else b''
                 ).decode('ascii'),
                 'upstreams': rows,
+                'lapsed_ages_s': self._view.list_lapsed_ages_s(),
                 'upstreams_offset': self._upstreams_follower.next_offset,
             },
         )
@@ -228,6 +229,9 @@
             sources: dict[str, bytes] = {}
             for upstream_id, text in fields['upstreams'].items():
                 sources[str(upstream_id)] = base64.b64decode(text)
+            lapsed_ages_s: dict[str, float] = {}
+            for upstream_id, age_s in fields.get('lapsed_ages_s', {}).items():
+                lapsed_ages_s[str(upstream_id)] = float(age_s)
         except (ValueError, TypeError, KeyError, AttributeError) as error:
             _log_invalid(str(address), error)
             return
@@ -246,7 +250,7 @@
             },
         )
         self._upstreams_follower.skip_to(offset)
-        self._view.replace_upstreams(sources, origin)
+        self._view.replace_upstreams(sources, origin, lapsed_ages_s)
 
 
 def _log_invalid(peer: str, error: Exception) -> None:
