--- a/siskinmount/gateway/tests/test_upstream_views.py
+++ b/siskinmount/gateway/tests/test_upstream_views.py
@@ -195,3 +195,29 @@
         _run(check, 2)
         known = {'u0': b'0'}
         self.assertEqual([(known, known), ({}, {}), ({}, {})], seen)
+
+    def test_entry_that_a_peer_has_again_does_not_expire(self):
+        seen = []
+
+        async def check(log, members, nursery):
+            peer, member = members
+            log.put('u0', b'0')
+            for started in members:
+                nursery.start_soon(started.run)
+            await trio.sleep(0.1)
+            member.link.is_cut = True
+            await trio.sleep(2)
+            member.link.is_cut = False
+            await trio.sleep(0.7)
+            log.put('u0', None)
+            await trio.sleep(0.1)
+            member.link.is_cut = True
+            log.put('u0', b'0')
+            await trio.sleep(8)
+            seen.append(member.list_view())
+            member.link.is_cut = False
+            await trio.sleep(8)
+            seen.append(member.list_view())
+
+        _run(check, 2)
+        self.assertEqual([{'u0': b'0'}] * 2, seen)
