Clear the lapse of entries that a peer has again

Callers saw: an upstream whose entry had lapsed and come back, unchanged, was removed 2 s later at a member that got it from a peer, until the entry changed.

Cause: replace_upstreams skips entries equal to the known ones, and with them the end of their lapse. Entries carry a sequence number, so an equal one is rare.

Evidence: test_entry_that_a_peer_has_again_does_not_expire failed before and passes now.

Why it works: which entries are lapsed is replaced with the entries.

--- a/siskinmount/fleet/_fleet_view.py
+++ b/siskinmount/fleet/_fleet_view.py
@@ -151,6 +151,7 @@
         for upstream_id, source in sources.items():
             if self.upstream_sources.get(upstream_id) != source:
                 self._apply_entry(upstream_id, source, -1)
+        self._lapsed_at_s.clear()
         for upstream_id, age_s in (lapsed_ages_s or {}).items():
             if upstream_id in self.upstreams:
                 self._lapsed_at_s[upstream_id] = trio.current_time() - age_s
