--- a/siskinmount/jobs/tests/test_job_views.py
+++ b/siskinmount/jobs/tests/test_job_views.py
@@ -25,11 +25,10 @@
             log, self.follower, self.table, _MAX_CALL_BYTES
         )
 
-    async def accept(self, job_id):
+    async def accept(self, job_id, item_count=2):
+        job = test_job_ledger.make_job(job_id, item_count)
         return await self.ledger.write(
-            jobs.AcceptJob(
-                test_job_ledger.make_job(job_id), 0, _MAX_RECORD_BYTES, 1000
-            )
+            jobs.AcceptJob(job, 0, _MAX_RECORD_BYTES, 1000)
         )
 
     async def list_result(self, job_id, item_id, output):
@@ -151,3 +150,28 @@
 
         self._run(check)
         self.assertEqual([(0, ['i0', 'i1'], False)], seen)
+
+    def test_reload_keeps_parts_of_a_job_that_is_being_accepted_again(self):
+        seen = []
+
+        async def check(log, members, nursery):
+            first, second = members
+            await first.accept('j', 7)
+            await first.ledger.write(jobs.EndJob('j', 1000))
+            await second.follower.sync()
+            await first.ledger.write(jobs.DropJob('j'))
+            # The call with the first part of the new job takes effect later.
+            log.append_faults = [
+                unsteady_log.Fault(None, 0),
+                unsteady_log.Fault('late', 1.0),
+            ]
+            nursery.start_soon(first.accept, 'j', 7)
+            await trio.sleep(0.1)
+            log.drop_history(len(log.records))
+            await second.follower.sync()
+            await trio.sleep(5)
+            await second.follower.sync()
+            seen.append(list(second.table.jobs))
+
+        self._run(check)
+        self.assertEqual([['j']], seen)
