Apply the drops of a reload before its records

Callers saw: 404 at one member, for good, for a job that had been dropped and accepted again, where that member reloaded between the two calls of the second acceptance.

Cause: keys that are missing from a reloaded log were dropped after its records had been applied. The drop of the old job, or of a part that the new one does not have, then removed the parts of the new one that the reload had just brought; its first part, read later, was never completed.

Why it works: a missing key was dropped before the load ended, and what was written after the drop is in the page or is read from its end offset on.

--- a/siskinmount/keyed_log/_log_follower.py
+++ b/siskinmount/keyed_log/_log_follower.py
@@ -191,17 +191,17 @@
 
     def _apply_newest(self, page: _keyed_log.LogPage) -> None:
         """Applies the newest record of each key, and drops keys without one."""
-        keys: set[str] = set()
+        keys = {record.key for record in page.records}
+        # Drops come first: they may be older than the records of other keys.
+        for key, offset in list(self._offset_by_key.items()):
+            if key in keys or offset >= page.end_offset:
+                continue
+            self._apply(_keyed_log.KeyedRecord(key, None, page.end_offset - 1))
         # Writers rely on the order of offsets between keys too: the parts of a
         # value precede its first part.
         for record in sorted(page.records, key=_get_offset):
-            keys.add(record.key)
             if record.offset > self._offset_by_key.get(record.key, -1):
                 self._apply(record)
-        for key, offset in list(self._offset_by_key.items()):
-            if key in keys or offset >= page.end_offset:
-                continue
-            self._apply(_keyed_log.KeyedRecord(key, None, page.end_offset - 1))
         if self._on_keys is not None:
             self._on_keys(keys)
         self.next_offset = page.end_offset
