--- a/siskinmount/jobs/tests/test_job_views.py
+++ b/siskinmount/jobs/tests/test_job_views.py
@@ -175,3 +175,31 @@
 
         self._run(check)
         self.assertEqual([['j']], seen)
+
+    def test_result_queued_with_the_drop_of_its_job_is_not_left_in_the_log(
+        self,
+    ):
+        cases = [('result', 'drop'), ('drop', 'result')]
+        for kinds in cases:
+            seen = []
+
+            async def check(log, members, nursery, kinds=kinds, seen=seen):
+                first = members[0]
+                await first.accept('j')
+                await first.ledger.write(jobs.EndJob('j', 1000))
+                operations = {
+                    'drop': jobs.DropJob('j'),
+                    'result': jobs.AppendResult(
+                        'j',
+                        jobs.ItemResult('i0', jobs.ItemState.DONE, 'x'),
+                        _MAX_RECORD_BYTES,
+                    ),
+                }
+                for kind in kinds:
+                    first.ledger.submit(operations[kind])
+                for operation in operations.values():
+                    await operation.finished.wait()
+                seen.append(list(log.list_newest_values()))
+
+            self._run(check)
+            self.assertEqual([[]], seen, kinds)
