Keep the drop of a job out of appends with its other operations

Callers saw: nothing at first; a result appended together with the drop of its job stayed in the log and in every member's memory, and if a job of the same id was accepted later, it was listed with the old result at once.

Cause: a drop removes the keys that the table holds when it is planned; a result or an end planned in the same append is not among them.

Evidence: test_result_queued_with_the_drop_of_its_job_is_not_left_in_the_log failed before in both orders and passes now; the property test of views met the same.

Why it works: of two operations of a job, one of them a drop, the later one waits for the next append, which is planned on the table after the first.

--- a/siskinmount/jobs/_job_ledger.py
+++ b/siskinmount/jobs/_job_ledger.py
@@ -186,8 +186,17 @@
         planned = _operations.PlannedChanges()
         chosen: list[_operations.Operation] = []
         records: list[keyed_log.KeyedRecord] = []
+        changed_jobs: set[str] = set()
+        dropped_jobs: set[str] = set()
         size_bytes = 0
         for operation in list(self._pending):
+            is_drop = isinstance(operation, _operations.DropJob)
+            # A drop removes the keys that the table holds. Another operation of
+            # the job in the same append would leave a record behind.
+            if operation.job_id in dropped_jobs or (
+                is_drop and operation.job_id in changed_jobs
+            ):
+                break
             plan = operation.plan(self._table, planned)
             if isinstance(plan, (_operations.WriteOutcome, results.Failure)):
                 self._finish(operation, plan)
@@ -198,6 +207,8 @@
             size_bytes += plan_bytes
             chosen.append(operation)
             records.extend(plan)
+            job_ids = dropped_jobs if is_drop else changed_jobs
+            job_ids.add(operation.job_id)
         return chosen, records
 
     def _expire(self) -> None:
