--- a/siskinmount/gateway/tests/test_upstream_views.py
+++ b/siskinmount/gateway/tests/test_upstream_views.py
@@ -2,6 +2,8 @@
 
 import types
 
+import hypothesis
+from hypothesis import strategies
 import orjson
 import testtools
 import trio
@@ -14,6 +16,7 @@
 from siskinmount.gateway import _peers_api
 from siskinmount.keyed_log.tests import unsteady_log
 
+_MEMBERS = 3
 _LATENCY_S = 0.01
 
 
@@ -221,3 +224,83 @@
 
         _run(check, 2)
         self.assertEqual([{'u0': b'0'}] * 2, seen)
+
+
+_FAULTS = strategies.lists(
+    strategies.builds(
+        unsteady_log.Fault,
+        strategies.sampled_from([None, None, None, 'refused', 'lost']),
+        strategies.sampled_from([0, 0, 0.02, 0.3, 1.0, 1.4]),
+    ),
+    max_size=20,
+)
+_STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(
+            ['put', 'put', 'put', 'remove', 'remove']
+            + ['drop history', 'outage', 'outage', 'cut', 'join', 'start']
+        ),
+        strategies.integers(0, _MEMBERS - 1),
+        strategies.sampled_from(['u0', 'u1', 'u2']),
+        strategies.sampled_from([b'0', b'1']),
+        strategies.sampled_from([0, 0.01, 0.1, 0.5, 0.7]),
+    ),
+    min_size=6,
+    max_size=20,
+)
+
+
+class UpstreamViewsPropertiesTest(testtools.TestCase):
+
+    @hypothesis.settings(
+        derandomize=True, deadline=None, max_examples=100, database=None
+    )
+    @hypothesis.given(_STEPS, _FAULTS, _FAULTS, strategies.integers(1, 4))
+    def test_members_agree_with_the_log_once_it_is_calm(
+        self, steps, read_faults, page_faults, page_keys
+    ):
+        seen = []
+
+        async def check(log, members, nursery):
+            log.read_faults = list(read_faults)
+            log.page_faults = list(page_faults)
+            log.page_keys = page_keys
+            started = {0, 1}
+            for number in started:
+                nursery.start_soon(members[number].run)
+            log.put('u0', b'0')
+            log.put('u1', b'0')
+            await trio.sleep(0.1)
+            for kind, number, key, value, pause_s in steps:
+                if kind == 'put':
+                    log.put(key, value)
+                elif kind == 'remove':
+                    log.put(key, None)
+                elif kind == 'drop history':
+                    log.drop_history(len(log.records) - number)
+                elif kind == 'start' and number not in started:
+                    started.add(number)
+                    nursery.start_soon(members[number].run)
+                elif kind == 'outage':
+                    # The store is back at one member later than at others.
+                    for member in members:
+                        member.link.is_cut = True
+                    await trio.sleep(0.5)
+                    for member in members:
+                        member.link.is_cut = member is members[number]
+                else:
+                    members[number].link.is_cut = kind == 'cut'
+                await trio.sleep(pause_s)
+            log.clear_faults()
+            for number, member in enumerate(members):
+                member.link.is_cut = False
+                if number not in started:
+                    nursery.start_soon(member.run)
+            await trio.sleep(10)
+            seen.append(log.list_newest_values())
+            for member in members:
+                seen.append(member.list_view())
+
+        _run(check, _MEMBERS)
+        for view in seen[1:]:
+            self.assertEqual(seen[0], view)
