--- a/siskinmount/jobs/_job_ledger.py
+++ b/siskinmount/jobs/_job_ledger.py
@@ -157,10 +157,13 @@
         """Appends records, split into as many calls as their size requires.
 
         Calls before the last hold only parts after the first of a value, which
-        readers ignore until the first part follows.
+        readers ignore until the first part follows. Each call is conditional on
+        the end of the call before, not on the follower's offset: the follower
+        may have read other members' records, on which the plan is not based.
         """
+        at_offset = self._follower.next_offset
         for group in _split_into_calls(records, self._max_call_bytes):
-            outcome = await self._log.append(group, self._follower.next_offset)
+            outcome = await self._log.append(group, at_offset)
             if not isinstance(outcome, int):
                 return outcome
             appended: list[keyed_log.KeyedRecord] = []
@@ -173,6 +176,7 @@
             self._follower.apply_page(
                 keyed_log.LogPage(appended, outcome + len(group))
             )
+            at_offset = outcome + len(group)
         return None
 
     def _plan(
@@ -182,8 +186,17 @@
         planned = _operations.PlannedChanges()
         chosen: list[_operations.Operation] = []
         records: list[keyed_log.KeyedRecord] = []
+        changed_jobs: set[str] = set()
+        dropped_jobs: set[str] = set()
         size_bytes = 0
         for operation in list(self._pending):
+            is_drop = isinstance(operation, _operations.DropJob)
+            # A drop removes the keys that the table holds. Another operation of
+            # the job in the same append would leave a record behind.
+            if operation.job_id in dropped_jobs or (
+                is_drop and operation.job_id in changed_jobs
+            ):
+                break
             plan = operation.plan(self._table, planned)
             if isinstance(plan, (_operations.WriteOutcome, results.Failure)):
                 self._finish(operation, plan)
@@ -194,6 +207,8 @@
             size_bytes += plan_bytes
             chosen.append(operation)
             records.extend(plan)
+            job_ids = dropped_jobs if is_drop else changed_jobs
+            job_ids.add(operation.job_id)
         return chosen, records
 
     def _expire(self) -> None:
--- a/siskinmount/keyed_log/_log_follower.py
+++ b/siskinmount/keyed_log/_log_follower.py
@@ -24,7 +24,8 @@
 #: deployments (15 Mbit/s). Larger answers may take seconds.
 SMALL_PAGE_BYTES = 100_000
 
-#: Called once for each record, in the order of offsets within a key.
+#: Called for each record in the order of offsets. After a reload that read
+#: records newer than its end, these are repeated.
 RecordCallback = Callable[[_keyed_log.KeyedRecord], None]
 #: Called with all keys in the log after a reload.
 KeysCallback = Callable[[set[str]], None]
@@ -170,18 +171,11 @@
         page = await self._log.read_newest()
         if isinstance(page, results.Failure):
             return page
-        keys: set[str] = set()
-        for record in page.records:
-            keys.add(record.key)
-            if record.offset > self._offset_by_key.get(record.key, -1):
-                self._apply(record)
-        for key, offset in list(self._offset_by_key.items()):
-            if key in keys or offset >= page.end_offset:
-                continue
-            self._apply(_keyed_log.KeyedRecord(key, None, page.end_offset - 1))
-        if self._on_keys is not None:
-            self._on_keys(keys)
-        self.next_offset = max(self.next_offset, page.end_offset)
+        if page.end_offset >= self.next_offset:
+            self._apply_newest(page)
+        # Else records that are not in the page have been applied meanwhile, and
+        # the view is complete up to `next_offset`: keys that have been dropped
+        # since must not return.
         self.is_loaded = True
         self.confirmed_at_s = max(self.confirmed_at_s, sent_at_s)
         _LOGGER.info(
@@ -195,6 +189,23 @@
         self._notify()
         return None
 
+    def _apply_newest(self, page: _keyed_log.LogPage) -> None:
+        """Applies the newest record of each key, and drops keys without one."""
+        keys = {record.key for record in page.records}
+        # Drops come first: they may be older than the records of other keys.
+        for key, offset in list(self._offset_by_key.items()):
+            if key in keys or offset >= page.end_offset:
+                continue
+            self._apply(_keyed_log.KeyedRecord(key, None, page.end_offset - 1))
+        # Writers rely on the order of offsets between keys too: the parts of a
+        # value precede its first part.
+        for record in sorted(page.records, key=_get_offset):
+            if record.offset > self._offset_by_key.get(record.key, -1):
+                self._apply(record)
+        if self._on_keys is not None:
+            self._on_keys(keys)
+        self.next_offset = page.end_offset
+
     def _apply(self, record: _keyed_log.KeyedRecord) -> None:
         """Updates the offset of a key and passes the record to the callback."""
         if record.value is None:
@@ -237,6 +248,10 @@
         )
 
 
+def _get_offset(record: _keyed_log.KeyedRecord) -> int:
+    return record.offset
+
+
 def _estimate_answer_time(page: _keyed_log.LogPage, sent_at_s: float) -> float:
     """Returns the estimated time at which the log produced an answer.
 
