Send a request elsewhere when the body of a refusal does not come

Callers got 504 at their deadline for a request that an upstream had refused and that could run elsewhere. Cause: the same as for batch items; the promise of not having run is in the head, but the attempt waited for the body with no limit but the caller's deadline. Change: the client's exchange has one method that reads a body that is not needed, for 0.5 s; batch items use it too. A request that HTTP does not allow no longer marks an upstream as unreachable.

The test failed before (504). The fakes of the handler's tests get the method; their checks are unchanged.

--- a/siskinmount/gateway/_item_client.py
+++ b/siskinmount/gateway/_item_client.py
@@ -15,10 +15,6 @@
 
 #: Longest time to wait for the response, and for each chunk of it.
 SILENCE_TIMEOUT_S = 3.0
-#: Longest time to wait for the rest of a response whose head decides the
-#: outcome. It is read only so that the connection can be reused.
-DISCARD_TIMEOUT_S = 0.5
-MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 
 
 class RunOutcome(enum.Enum):
@@ -86,6 +82,8 @@
         if response is None:
             return RunOutcome.LOST, 'no response within the timeout'
         if isinstance(response, results.Failure):
+            if response.code is results.ResultCode.MALFORMED_REQUEST:
+                return RunOutcome.NOT_RUN, response.reason
             if response.run_state is results.RunState.NOT_RUN:
                 self._health.mark_down(upstream.upstream_id, response.reason)
                 return RunOutcome.NOT_RUN, response.reason
@@ -97,20 +95,14 @@
             if kind is _wire.AnswerKind.FOREIGN:
                 return RunOutcome.LOST, 'response belongs to another request'
             if kind is not _wire.AnswerKind.OWN:
-                await _discard_body(response)
+                await response.discard_body()
                 return RunOutcome.NOT_RUN, kind.value
             if response.status != 200:
-                await _discard_body(response)
+                await response.discard_body()
                 return _classify_status(response.status)
             return await _collect_events(response, progress)
 
 
-async def _discard_body(response: transport.ClientExchange) -> None:
-    """Reads the rest of a response, for a bounded time."""
-    with trio.move_on_after(DISCARD_TIMEOUT_S):
-        await response.read_body(MAX_RESPONSE_BYTES)
-
-
 def _classify_status(status: int) -> tuple[RunOutcome, str]:
     """Returns the outcome of a run whose response status is not 200."""
     reason = f'status {status}'
--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -219,8 +219,7 @@
             return AttemptOutcome.LOST, 'response belongs to another request'
         if kind is not _wire.AnswerKind.OWN:
             request.may_have_run = request.attempts > 0
-            # The body is read so that the connection can be reused.
-            await response.read_body(MAX_RESPONSE_BYTES)
+            await response.discard_body()
             if kind is _wire.AnswerKind.OTHER_PROCESS:
                 self._context.health.mark_down(
                     self._upstream.upstream_id,
--- a/siskinmount/gateway/tests/test_online.py
+++ b/siskinmount/gateway/tests/test_online.py
@@ -88,6 +88,13 @@
                 self.assertEqual(503 if not runs else 200, answer.status)
                 self.assertLessEqual(len(runs), 1)
 
+    def test_request_moves_on_when_the_body_of_a_refusal_does_not_come(self):
+        # Guards against a wait until the caller's deadline.
+        answer, runs = self._run_stream(
+            [_FAULT.NOT_RUN_WITHOUT_BODY] * 2, '/once/x'
+        )
+        self.assertEqual((200, 1), (answer.status, len(runs)))
+
     def test_request_that_all_engines_refuse_gets_503(self):
         answer, runs = self._run_stream([_FAULT.NOT_RUN] * 20, '/once/x')
         self.assertEqual(503, answer.status)
--- a/siskinmount/gateway/tests/test_online_handler.py
+++ b/siskinmount/gateway/tests/test_online_handler.py
@@ -55,6 +55,9 @@
     async def read_body(self, max_bytes):
         return b'body'
 
+    async def discard_body(self):
+        pass
+
     def close(self):
         pass
 
--- a/siskinmount/gateway/tests/test_online_handler_properties.py
+++ b/siskinmount/gateway/tests/test_online_handler_properties.py
@@ -65,6 +65,10 @@
     return b'id: %d\ndata: e%d\n\n' % (number, number)
 
 
+#: Time limit of the client for a body that is not needed.
+_DISCARD_TIMEOUT_S = 0.5
+
+
 class _Answer:
     """Fake of an upstream's response, as the connection pool returns it."""
 
@@ -91,6 +95,10 @@
             return _lost()
         return _BODY
 
+    async def discard_body(self):
+        with trio.move_on_after(_DISCARD_TIMEOUT_S):
+            await self.read_body(0)
+
     async def receive_chunk(self):
         await trio.sleep(0.01)
         if self._chunks:
--- a/siskinmount/transport/_client_exchange.py
+++ b/siskinmount/transport/_client_exchange.py
@@ -11,6 +11,9 @@
 from siskinmount.transport import _limits
 
 READ_BYTES = 64 * 1024
+#: Longest time to read the rest of a response whose head was enough.
+DISCARD_TIMEOUT_S = 0.5
+MAX_DISCARDED_BYTES = 1024 * 1024
 #: Share of the server's keep-alive timeout after which a connection is not
 #: reused, lest a request is sent while the server closes the connection.
 MAX_IDLE_SHARE = 0.75
@@ -193,6 +196,14 @@
                 )
             parts.append(chunk)
 
+    async def discard_body(self) -> None:
+        """Reads the rest of the body, so that the connection can be reused.
+
+        That takes `DISCARD_TIMEOUT_S` at most; then the connection is closed.
+        """
+        with trio.move_on_after(DISCARD_TIMEOUT_S):
+            await self.read_body(MAX_DISCARDED_BYTES)
+
     def close(self) -> None:
         """Returns the connection to the pool, or closes it if not reusable."""
         if self._release is None:
