Take a connection that is lost before its options are set for a failure

Setting socket options of a connection that was reset may raise OSError, which left the client as an exception: it ended the task of a request, and restarted the runner of batch items. The test failed before.

--- a/siskinmount/transport/_http_client.py
+++ b/siskinmount/transport/_http_client.py
@@ -93,8 +93,13 @@
             return self._unreachable(str(error))
         if scope.cancelled_caught:
             return self._unreachable('connect timed out')
-        _keep_alive.enable_keep_alive(stream)
-        return _client_exchange.ClientConnection(stream)
+        connection = _client_exchange.ClientConnection(stream)
+        try:
+            _keep_alive.enable_keep_alive(stream)
+        except OSError as error:
+            _close_socket(connection)
+            return self._unreachable(str(error))
+        return connection
 
     def _unreachable(self, reason: str) -> results.Failure:
         return results.Failure(
--- a/siskinmount/transport/tests/test_http.py
+++ b/siskinmount/transport/tests/test_http.py
@@ -8,6 +8,7 @@
 
 from siskinmount import results
 from siskinmount import transport
+from siskinmount.transport import _keep_alive
 
 
 async def _echo(exchange):
@@ -155,6 +156,20 @@
 
         trio.run(main)
 
+    def test_connection_lost_before_its_options_are_set_is_a_failure(self):
+        # Guards against an exception in the task that sends the request.
+        def fail(stream):
+            raise OSError('connection reset')
+
+        self.patch(_keep_alive, 'enable_keep_alive', fail)
+
+        async def check(address, server):
+            client = transport.create_http_client(address)
+            outcome = await client.send(transport.ClientRequest('GET', '/'))
+            self.assertIs(results.RunState.NOT_RUN, outcome.run_state)
+
+        self.run_with_server(check)
+
     def test_unresponsive_server_has_run_state_unknown(self):
         async def check(address, server):
             client = transport.create_http_client(
