Let quarantined items take no slots and complete ones wait for none

Callers would see healthy items wait behind quarantined ones: every member counts the oldest waiting items against the free slots, also those that it must not run, so with as many quarantined items as free slots none started. And an item whose output was complete waited for a free slot to be listed, though listing needs none.

Change: a quarantined item is still offered, so that it can be given up after its retention, but takes no slot; a complete one is offered without. Both tests of the scheduler failed before.

--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -149,7 +149,9 @@
         """Starts the next items, and returns how many."""
         started = 0
         full_services: set[str] = set()
-        for next_item in self._scheduler.iterate_next(self.count_free_slots):
+        for next_item in self._scheduler.iterate_next(
+            self.count_free_slots, self._crash_tracker.is_quarantined
+        ):
             if started >= MAX_STARTS_PER_STEP:
                 break
             tag = jobs.make_tag(next_item.job.job_id, next_item.item.item_id)
@@ -409,6 +411,10 @@
             )
             self._health.record_failure(upstream.upstream_id, reason)
             progress.back_off(progress.lost_runs)
+        elif outcome is _item_client.RunOutcome.ERROR_STATUS:
+            progress.lost_runs += 1
+            self._health.record_failure(upstream.upstream_id, reason)
+            progress.back_off(progress.lost_runs)
         elif outcome is _item_client.RunOutcome.NOT_RUN:
             progress.back_off(1)
         else:
--- a/siskinmount/jobs/_item_scheduler.py
+++ b/siskinmount/jobs/_item_scheduler.py
@@ -156,16 +156,23 @@
         self._responsible_by_tag: dict[str, str] = {}
 
     def iterate_next(
-        self, count_free_slots: Callable[[str], int]
+        self,
+        count_free_slots: Callable[[str], int],
+        is_quarantined: Callable[[str], bool],
     ) -> Iterator[NextItem]:
         """Yields the items to start in this process now, the oldest first.
 
+        An item whose output is complete needs no slot, and one that is
+        quarantined takes none from later items.
+
         Args:
             count_free_slots: Returns the free slots for a route's items.
+            is_quarantined: Returns whether an item, by tag, must not run.
         """
         members = self._list_members()
         peer_items = self._list_peer_items()
         now_s = trio.current_time()
+        complete_tags = self._list_complete_tags()
         free_by_route: dict[str, int] = {}
         for job in list(self._table.jobs.values()):
             if job.is_ended:
@@ -174,7 +181,7 @@
             if free_slots is None:
                 free_slots = count_free_slots(job.route_name)
             for item in list(job.open_items.values()):
-                if free_slots <= 0:
+                if free_slots <= 0 and not complete_tags:
                     break
                 tag = self._get_tag(job, item)
                 if tag in self.held_tags or tag in peer_items.held_tags:
@@ -182,11 +189,23 @@
                 progress = self.progress.get(tag)
                 if progress is not None and progress.not_before_s > now_s:
                     continue
-                free_slots -= 1
+                if tag not in complete_tags:
+                    if free_slots <= 0:
+                        continue
+                    if not is_quarantined(tag):
+                        free_slots -= 1
                 if self._is_own(tag, progress, peer_items, members):
                     yield NextItem(job, item)
             free_by_route[job.route_name] = free_slots
 
+    def _list_complete_tags(self) -> set[str]:
+        """Returns the items whose complete output waits to be listed."""
+        complete: set[str] = set()
+        for tag, progress in self.progress.items():
+            if progress.is_complete and tag not in self.held_tags:
+                complete.add(tag)
+        return complete
+
     def accept_handover(
         self, tag: str, handed: ItemProgress
     ) -> HandoverOutcome:
--- a/siskinmount/jobs/tests/test_item_scheduler.py
+++ b/siskinmount/jobs/tests/test_item_scheduler.py
@@ -33,10 +33,12 @@
             table, member, lambda: list(members), lambda: peer_items or nothing
         )
 
-    def _list(self, scheduler, free):
+    def _list(self, scheduler, free, quarantined=()):
         return [
             (found.job.job_id, found.item.item_id)
-            for found in scheduler.iterate_next(lambda route: free)
+            for found in scheduler.iterate_next(
+                lambda route: free, lambda tag: tag in quarantined
+            )
         ]
 
     def test_members_share_the_oldest_items_without_a_gap(self):
@@ -63,6 +65,26 @@
 
         self._run(check)
 
+    def test_quarantined_items_take_no_slot_from_later_ones(self):
+        def check():
+            scheduler = self._create(_Table('a'))
+            quarantined = {jobs.make_tag('a', f'i{n}') for n in range(2)}
+            found = self._list(scheduler, 1, quarantined)
+            self.assertIn(('a', 'i2'), found)
+            self.assertNotIn(('a', 'i3'), found)
+
+        self._run(check)
+
+    def test_complete_item_is_listed_without_a_free_slot(self):
+        def check():
+            scheduler = self._create(_Table('a'))
+            progress = scheduler.get_progress(jobs.make_tag('a', 'i2'))
+            progress.events = ['x']
+            progress.is_complete = True
+            self.assertEqual([('a', 'i2')], self._list(scheduler, 0))
+
+        self._run(check)
+
     def test_member_with_output_continues_the_items(self):
         def check():
             table = _Table('a')
