Count no answered run of an item as interrupted by a crash

Callers would see an item without a run for a minute although no upstream had crashed: every status other than 200, 422 and 500 counted as a lost run, and a connection time-out within 3 s made it a crash. Change: such a status is an outcome of its own, avoided and tried again as before, but no sign of a crash.

The test of the runner's fault now checks that the other runs went on: it fails if the fault restarts the runner. The test of the exchange has a time limit.

--- a/siskinmount/gateway/_item_client.py
+++ b/siskinmount/gateway/_item_client.py
@@ -35,6 +35,9 @@
     #: The upstream or the connection to it failed during the run.
     LOST = 'lost'
 
+    #: The upstream answered with an error other than those above.
+    ERROR_STATUS = 'error_status'
+
     #: The run was preempted by callers, or its output is not needed any more.
     CANCELLED = 'cut'
 
@@ -110,7 +113,7 @@
         return RunOutcome.UNPROCESSABLE, reason
     if status == 500:
         return RunOutcome.FAILED, reason
-    return RunOutcome.LOST, reason
+    return RunOutcome.ERROR_STATUS, reason
 
 
 async def _collect_events(
--- a/siskinmount/gateway/tests/test_item_runner.py
+++ b/siskinmount/gateway/tests/test_item_runner.py
@@ -27,6 +27,7 @@
 
     Attributes:
         run_count: Number of runs.
+        outcome: Outcome of each run.
     """
 
     def __init__(self, events_by_run):
@@ -37,6 +38,7 @@
                 add as many as the last.
         """
         self.run_count = 0
+        self.outcome = _INTERRUPTED
         self._events_by_run = events_by_run
         self._down = []
 
@@ -47,7 +49,7 @@
         await trio.sleep(_RUN_S)
         progress.events.extend(['data'] * events)
         self._down.append(upstream.upstream_id)
-        return _INTERRUPTED
+        return self.outcome
 
     def take_refusing(self):
         """Returns the upstreams that refuse connections since the last call."""
@@ -94,7 +96,8 @@
     async def run(self, next_item, progress, upstream):
         self.run_count += 1
         if self.run_count == 1:
-            await trio.sleep(_RUN_S / 2)
+            # The others have begun by then and have not ended.
+            await trio.sleep(_item_runner.STEP_INTERVAL_S * 2)
             raise ValueError('a fault of the program')
         await trio.sleep(_RUN_S)
         return _item_client.RunOutcome.DONE, 'complete'
@@ -261,6 +264,13 @@
         # each of its runs has added output.
         self.assertGreater(self._count_runs(_CrashingUpstreams([5])), 3)
 
+    def test_error_statuses_do_not_quarantine_an_item(self):
+        # Guards against taking an upstream that answers for a crashed one.
+        upstreams = _CrashingUpstreams([0])
+        upstreams.outcome = _item_client.RunOutcome.ERROR_STATUS, 'status 503'
+        self.assertGreater(self._count_runs(upstreams), 3)
+        self.assertEqual({}, self.crash_counts)
+
     def test_item_is_not_quarantined_if_upstreams_have_served_since(self):
         # Guards against taking a full or slow upstream for a crashed one.
         self.assertGreater(self._count_runs(_LiveUpstreams(), 3, 500), 3)
@@ -268,8 +278,9 @@
 
     def test_items_are_run_again_after_a_fault_of_the_runner(self):
         # Guards against claims on items that outlive the tasks that ran them.
-        self._count_runs(_FaultyClient(), 3, 3)
-        self.assertEqual({}, self.open_items)
+        run_count = self._count_runs(_FaultyClient(), 3, 3)
+        # Each item once, and the one with the fault again.
+        self.assertEqual((4, {}), (run_count, self.open_items))
 
     def test_complete_item_is_listed_though_it_is_quarantined(self):
         upstreams = _CrashingUpstreams([0])
--- a/siskinmount/peering/tests/test_peer_exchange.py
+++ b/siskinmount/peering/tests/test_peer_exchange.py
@@ -7,6 +7,9 @@
 from siskinmount import placement
 from siskinmount.peering.tests import test_peer_directory
 
+#: Ends a test whose exchange sends nothing.
+_TIMEOUT_S = 20
+
 
 class PeerExchangeTest(testtools.TestCase):
 
@@ -35,7 +38,8 @@
                 self.sent = trio.Event()
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(exchange.run)
-                    await self.sent.wait()
+                    with trio.fail_after(_TIMEOUT_S):
+                        await self.sent.wait()
                     nursery.cancel_scope.cancel()
 
         trio.run(main)
