Stop an item that crashes upstreams with its first events after three runs

A run that added one event was taken for one with output. Now five are needed; an item that crashes upstreams as it begins is stopped after three runs again, whoever runs it. The test failed before (5 runs with one event).

--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -36,6 +36,9 @@
 #: How long after its retention an item is given up. VMs may have learned of a
 #: job at different times, and the platform counts from the first submission.
 RETENTION_MARGIN_S = 3.0
+#: Events after which an interrupted run counts as one that added output: a
+#: request that crashes upstreams does so as it begins to run.
+MIN_ADDED_EVENTS = 5
 #: How long a route may be missing from the document before its items are given
 #: up.
 ROUTE_REMOVAL_GRACE_S = 5.0
@@ -407,7 +410,10 @@
             self._crash_tracker.record_interrupted_run(
                 run.tag,
                 upstream.upstream_id,
-                added_output=len(progress.events) > earlier_event_count,
+                added_output=(
+                    len(progress.events) - earlier_event_count
+                    >= MIN_ADDED_EVENTS
+                ),
             )
             self._health.record_failure(upstream.upstream_id, reason)
             progress.back_off(progress.lost_runs)
--- a/siskinmount/gateway/tests/test_item_runner.py
+++ b/siskinmount/gateway/tests/test_item_runner.py
@@ -249,7 +249,9 @@
         return upstreams.run_count
 
     def test_item_that_crashes_upstreams_is_stopped_after_three(self):
-        self.assertEqual(3, self._count_runs(_CrashingUpstreams([0])))
+        # A few events are sent before a crash at the beginning of a run.
+        for events in (0, 1, _item_runner.MIN_ADDED_EVENTS - 1):
+            self.assertEqual(3, self._count_runs(_CrashingUpstreams([events])))
 
     def test_item_that_crashes_upstreams_after_some_output_is_stopped(self):
         for events_by_run in ([5, 0], [0, 5, 0], [1]):
