Show a late renewal that claims a returned batch item

A sidecar sends renewals and reports from separate tasks, so a renewal may be processed after the report that ended the same run. Its lease is no longer in the owner's table, so the owner takes it for one that a previous owner granted and leases the item again to the sidecar that gave it back. Nobody runs it; it is handed out again only when that lease expires, which counts as a loss.

Three tests show it: after YIELDED, FAILED and UNKNOWN reports of a lease of this owner, with a lease of the previous owner, and with an earlier lease after a later one was taken for lost.

--- a/siskinmount/batch/tests/test_batch_owner.py
+++ b/siskinmount/batch/tests/test_batch_owner.py
@@ -279,3 +279,138 @@
             )
 
         self.run_with_log(check)
+
+    def test_late_renewal_does_not_claim_an_item_that_was_returned(self):
+        async def check(log, nursery):
+            for number, (outcome, fields) in enumerate(
+                (
+                    (batch.ReportedOutcome.YIELDED, {}),
+                    (
+                        batch.ReportedOutcome.FAILED,
+                        {'code': int(results.ResultCode.UPSTREAM_LOST)},
+                    ),
+                    (batch.ReportedOutcome.UNKNOWN, {}),
+                )
+            ):
+                job = f'job-{number}'
+                owner = await batch_fixtures.start_owner(
+                    log, nursery, f'vm-{number}'
+                )
+                await owner.batch.submit(
+                    batch_fixtures.request(job), batch_fixtures.bodies(1)
+                )
+                [item] = (await owner.batch.pull(batch_fixtures.pull())).items
+                reported = await owner.batch.report(
+                    batch_fixtures.report(item, outcome, **fields)
+                )
+                self.assertEqual([True], reported.accepted)
+                renewal = batch.RenewRequest(
+                    'vm-s', 1, [batch.LeaseName(job, 0, item.lease)]
+                )
+                for _ in range(2):
+                    renewed = owner.batch.renew(renewal)
+                    self.assertEqual(1, len(renewed.cancelled))
+                await trio.sleep(2)
+                [again] = (
+                    await owner.batch.pull(batch_fixtures.pull(vm='vm-t'))
+                ).items
+                owner.batch.renew(renewal)
+                await owner.batch.report(batch_fixtures.report(again))
+                status = owner.batch.status(job, 'swapnest')
+                self.assertEqual(1, status.done_count)
+                owner.stream.resign()
+                await owner.ended.wait()
+
+        self.run_with_log(check)
+
+    def test_late_renewal_at_a_new_owner_does_not_claim_a_returned_item(self):
+        async def check(log, nursery):
+            for number, is_adopted in enumerate((False, True)):
+                job = f'job-{number}'
+                first = await batch_fixtures.start_owner(
+                    log, nursery, f'vm-{number}'
+                )
+                await first.batch.submit(
+                    batch_fixtures.request(job), batch_fixtures.bodies(1)
+                )
+                [item] = (await first.batch.pull(batch_fixtures.pull())).items
+                first.stream.resign()
+                await first.ended.wait()
+                second = await batch_fixtures.start_owner(
+                    log, nursery, f'vm-{number}-successor'
+                )
+                renewal = batch.RenewRequest(
+                    'vm-s', 1, [batch.LeaseName(job, 0, item.lease)]
+                )
+                if is_adopted:
+                    renewed = second.batch.renew(renewal)
+                    self.assertEqual([], renewed.cancelled)
+                reported = await second.batch.report(
+                    batch_fixtures.report(item, batch.ReportedOutcome.YIELDED)
+                )
+                self.assertEqual([True], reported.accepted)
+                renewed = second.batch.renew(renewal)
+                self.assertEqual(1, len(renewed.cancelled))
+                await trio.sleep(20)
+                [again] = (
+                    await second.batch.pull(batch_fixtures.pull(vm='vm-t'))
+                ).items
+                self.assertEqual(1, again.attempt)
+                await second.batch.report(batch_fixtures.report(again))
+                second.stream.resign()
+                await second.ended.wait()
+
+        self.run_with_log(check)
+
+    def test_renewal_keeps_an_item_whose_holder_was_taken_for_lost(self):
+        async def check(log, nursery):
+            owner = await batch_fixtures.start_owner(log, nursery)
+            await owner.batch.submit(
+                batch_fixtures.request(), batch_fixtures.bodies(1)
+            )
+            [item] = (await owner.batch.pull(batch_fixtures.pull())).items
+            owner.batch.drop_holder('vm-s', 1)
+            for _ in range(2):
+                renewed = owner.batch.renew(
+                    batch.RenewRequest(
+                        'vm-s', 1, [batch.LeaseName('job', 0, item.lease)]
+                    )
+                )
+                self.assertEqual([], renewed.cancelled)
+            await trio.sleep(5)
+            reply = await owner.batch.pull(batch_fixtures.pull(vm='vm-t'))
+            self.assertEqual([], reply.items)
+
+        self.run_with_log(check)
+
+    def test_renewal_of_a_returned_lease_does_not_replace_a_later_one(self):
+        async def check(log, nursery):
+            owner = await batch_fixtures.start_owner(log, nursery)
+            await owner.batch.submit(
+                batch_fixtures.request(), batch_fixtures.bodies(1)
+            )
+            leases = []
+            for _ in range(2):
+                [item] = (await owner.batch.pull(batch_fixtures.pull())).items
+                leases.append(item.lease)
+                await owner.batch.report(
+                    batch_fixtures.report(item, batch.ReportedOutcome.YIELDED)
+                )
+            [item] = (
+                await owner.batch.pull(batch_fixtures.pull(vm='vm-t'))
+            ).items
+            owner.batch.drop_holder('vm-t', 1)
+            for vm, lease, cancelled_count in (
+                ('vm-s', leases[0], 1),
+                ('vm-s', leases[1], 1),
+                ('vm-t', item.lease, 0),
+                ('vm-s', leases[1], 1),
+            ):
+                renewed = owner.batch.renew(
+                    batch.RenewRequest(
+                        vm, 1, [batch.LeaseName('job', 0, lease)]
+                    )
+                )
+                self.assertEqual(cancelled_count, len(renewed.cancelled))
+
+        self.run_with_log(check)
