Release a request's slot also if its cancellation at the engine raises

Cause: the runner cancels an unfinished generation at the engine and then releases the gate's ticket, in one finally block. A fault of the program in the cancellation skipped the release, and the slot stayed taken until the process ended.

Change: the ticket is released in a finally of its own. test_slot_is_released_after_a_fault_of_the_cancellation failed before (the second request on one slot got no answer) and passes now.

--- a/siskinmount/sidecar/_request_runner.py
+++ b/siskinmount/sidecar/_request_runner.py
@@ -136,8 +136,10 @@
         finally:
             if running.sent_to_upstream:
                 running.was_alone = ticket.was_alone
-            await self._stop_at_upstream(running)
-            self._gate.release(ticket)
+            try:
+                await self._stop_at_upstream(running)
+            finally:
+                self._gate.release(ticket)
 
     def _create_ticket(
         self, running: _running_request.RunningRequest
--- a/siskinmount/sidecar/tests/test_request_runner.py
+++ b/siskinmount/sidecar/tests/test_request_runner.py
@@ -192,6 +192,23 @@
 
         self.run_harness(check, slots=1)
 
+    def test_slot_is_released_after_a_fault_of_the_cancellation(self):
+        async def check(harness, start):
+            async def fail(request_id):
+                raise RuntimeError('fault')
+
+            harness.upstream.cancel = fail
+            first = start('a', deadline_ms=150)
+            await first.wait_ended()
+            second = start('b', deadline_ms=5000)
+            await second.wait_ended()
+            self.assertEqual(
+                ['t0', 't1', 't2', 'end'],
+                fakes.describe_frames(second.frames),
+            )
+
+        self.run_harness(check, slots=1)
+
     def test_request_with_expired_lease_is_not_run(self):
         frames = []
 
