Apply a renewal's reply only to items under the leases it named

Cause: a reply names items by job and index. While a renewal is in flight, the sidecar can be leased the same item again; a refusal of the earlier lease then stopped the run under the later one, and a confirmation extended it.

Change: the reply is applied to items whose lease is still the one in the request. A cancelled job is named again in the reply to the next renewal.

test_late_refusal_of_a_renewal_does_not_stop_an_item_leased_again failed before (the item was stopped) and passes now.

--- a/siskinmount/sidecar/_batch_puller.py
+++ b/siskinmount/sidecar/_batch_puller.py
@@ -382,14 +382,16 @@
     async def _renew(
         self, link: _entry_link.EntryLink, items: list[_batch_item.BatchItem]
     ) -> None:
-        """Renews leases once, and stops the items that were cancelled."""
+        """Renews leases once, and stops the items that were cancelled.
+
+        The reply says nothing of an item that was leased again meanwhile.
+        """
         requested_at_s = trio.current_time()
-        reply = await link.renew(
-            [
-                batch.LeaseName(item.key.job, item.key.index, item.lease)
-                for item in items
-            ]
-        )
+        requested = [
+            batch.LeaseName(item.key.job, item.key.index, item.lease)
+            for item in items
+        ]
+        reply = await link.renew(requested)
         if isinstance(reply, results.Failure):
             _LOGGER.warning(
                 'batch_renewal_failed',
@@ -400,13 +402,24 @@
                 },
             )
             return
-        self._cancel(reply.cancelled)
+        unchanged: dict[_batch_item.ItemKey, _batch_item.BatchItem] = {}
+        for name in requested:
+            item = self._items.get(_batch_item.ItemKey(name.job, name.index))
+            if item is not None and item.lease == name.lease:
+                unchanged[item.key] = item
+        self._cancel(
+            [
+                name
+                for name in reply.cancelled
+                if _batch_item.ItemKey(name.job, name.index) in unchanged
+            ]
+        )
         unconfirmed = {
             _batch_item.ItemKey(name.job, name.index)
             for name in reply.unconfirmed
         }
-        for item in items:
-            if not item.cancelled and item.key not in unconfirmed:
+        for key, item in unchanged.items():
+            if not item.cancelled and key not in unconfirmed:
                 item.extend_lease(requested_at_s)
 
     async def _report_forever(self, link: _entry_link.EntryLink) -> None:
--- a/siskinmount/sidecar/tests/test_batch_puller.py
+++ b/siskinmount/sidecar/tests/test_batch_puller.py
@@ -213,6 +213,43 @@
 
         self.run_puller(check)
 
+    def test_late_refusal_of_a_renewal_does_not_stop_an_item_leased_again(self):
+        async def check(harness, puller, entries, start_online):
+            entries[0].add(1, tokens=100)
+            await trio.sleep(0.2)
+            received = trio.Event()
+            answered = trio.Event()
+            renewed = []
+
+            async def renew(leases):
+                renewed.append([name.lease for name in leases])
+                if len(renewed) > 1:
+                    return batch.RenewReply([], [])
+                received.set()
+                await answered.wait()
+                return batch.RenewReply([batch.ItemName('j', 0)], [])
+
+            entries[0].renew = renew
+            await received.wait()
+            again = _batch_item.create_item(
+                create_pulled(index=0, lease='later')
+            )
+            again.extend_lease(trio.current_time())
+            puller._hold(again, 'e0')
+            until_s = again.leased_until_s
+            await trio.sleep(0.2)
+            answered.set()
+            await trio.testing.wait_all_tasks_blocked()
+            [item] = puller._items.values()
+            self.assertEqual(until_s, item.leased_until_s)
+            await trio.sleep(2)
+            self.assertEqual(['l'], renewed[0])
+            self.assertEqual(['later'], renewed[-1])
+            self.assertEqual([], entries[0].outcomes())
+            self.assertEqual(1, puller.held_count)
+
+        self.run_puller(check)
+
     def test_unconfirmed_lease_is_not_extended(self):
         # Guards against extending a lease that the owner did not confirm. Under
         # chaos, an entry could not reach a frozen owner and left the item out
