Refuse a renewal of a lease under which the item was returned

Callers would see an item wait up to a lease (30 s by default) without a run, and an attempt count as lost, after its sidecar had returned it.

Cause: an owner adopts a renewed lease that its table lacks. That serves leases of a previous owner, and leases whose holder this owner took for lost; but a lease also leaves the table when its holder reports, and a renewal can be processed after that report.

Change: the table keeps, for each open item, the latest lease under which the item was reported as anything but done, also if the lease was never adopted here. That lease and earlier ones of the item are not adopted. An entry goes with the end of its item or job.

Not covered: a renewal that arrives after the stream has changed its owner. The return of an idempotent item is not in the log, so the new owner cannot know.

--- a/siskinmount/batch/_batch_owner.py
+++ b/siskinmount/batch/_batch_owner.py
@@ -208,7 +208,7 @@
         """Periodically expires leases and deletes jobs past retention."""
         while self._state.stream.is_owned:
             await trio.sleep(SWEEP_INTERVAL_MS / 1000)
-            self._drop_inactive_queues()
+            self._drop_inactive_jobs()
             now_s = trio.current_time()
             for lease in self._state.leases.all():
                 if lease.expires_at_s <= now_s:
@@ -224,12 +224,14 @@
             await trio.sleep(REWRITE_CHECK_INTERVAL_MS / 1000)
             await _record_rewriter.rewrite_expiring(self._state)
 
-    def _drop_inactive_queues(self) -> None:
+    def _drop_inactive_jobs(self) -> None:
+        """Drops queues and returned leases of jobs without open items."""
         owner = self._state
         for job_id in list(owner.queues):
             job = owner.table.jobs.get(job_id)
             if job is None or not job.is_active:
                 del owner.queues[job_id]
+        owner.leases.retain_returned(owner.is_job_active)
 
     def _delete_expired_jobs(self) -> None:
         """Queues the deletion of jobs past their result retention."""
--- a/siskinmount/batch/_item_reports.py
+++ b/siskinmount/batch/_item_reports.py
@@ -146,12 +146,19 @@
         incarnation: int,
         expires_at_s: float,
     ) -> bool:
-        """Takes over a lease that the stream's previous owner granted.
+        """Takes over a lease that is not in the table.
+
+        The stream's previous owner granted it, or this owner took its holder
+        for lost. Renewals and reports are sent by separate tasks, so a renewal
+        may also arrive after the report that returned the item.
 
         Returns:
-            False if the item is non-idempotent and was not started under this
-            lease.
+            False if the item was returned under this lease or a later one, or
+            if it is non-idempotent and was not started under this lease.
         """
+        leases = self._state.leases
+        if leases.is_returned(job.job_id, lease_name.index, lease_name.lease):
+            return False
         if not job.submitted.idempotent:
             started = job.started.get(lease_name.index)
             if started is None or started.lease != lease_name.lease:
@@ -165,7 +172,7 @@
             expires_at_s,
         )
         lease.is_dispatched = True
-        self._state.leases.add(lease)
+        leases.add(lease)
         return True
 
     def _record_crash_outcome(
@@ -210,6 +217,9 @@
         pending = owner.pending_ends.get((report.job, report.index))
         if pending is not None:
             return pending
+        if report.outcome is not _report_messages.ReportedOutcome.DONE:
+            # The holder has stopped even if the report changes nothing here.
+            owner.leases.record_returned(report.job, report.index, report.lease)
         if not self._may_report(job, report):
             return None
         match report.outcome:
--- a/siskinmount/batch/_lease_table.py
+++ b/siskinmount/batch/_lease_table.py
@@ -1,10 +1,23 @@
 """Leases of items by sidecars."""
 
+from collections.abc import Callable
+
 import trio
 
 from siskinmount import results
 
 
+def create_lease_id(stream_name: str, epoch: int, number: int) -> str:
+    """Returns a lease identifier that is unique across all owners.
+
+    Args:
+        stream_name: Name of the state stream.
+        epoch: Epoch of the owner that grants the lease.
+        number: Number of the lease among those of the epoch, ascending.
+    """
+    return f'{stream_name}:{epoch}:{number}'
+
+
 class Lease:
     """Lease of one item by one sidecar process.
 
@@ -49,12 +62,20 @@
 class LeaseTable:
     """The leases of one owner, held only in memory."""
 
-    __slots__ = ('_by_item', '_count_by_job', '_incarnations', '_removed')
+    __slots__ = (
+        '_by_item',
+        '_count_by_job',
+        '_incarnations',
+        '_returned',
+        '_removed',
+    )
 
     def __init__(self) -> None:
         self._by_item: dict[tuple[str, int], Lease] = {}
         self._count_by_job: dict[str, int] = {}
         self._incarnations: dict[str, int] = {}
+        # Grant order of the latest returned lease, by job and index.
+        self._returned: dict[str, dict[int, tuple[int, int]]] = {}
         self._removed = trio.Event()
 
     def __len__(self) -> int:
@@ -86,6 +107,32 @@
         removed.set()
         return True
 
+    def record_returned(self, job_id: str, index: int, lease_id: str) -> None:
+        """Records that the holder of a lease no longer works on its item."""
+        order = _grant_order(lease_id)
+        if order is None:
+            return
+        by_index = self._returned.setdefault(job_id, {})
+        by_index[index] = max(order, by_index.get(index, order))
+
+    def is_returned(self, job_id: str, index: int, lease_id: str) -> bool:
+        """Whether a lease, or one of the item granted later, was returned."""
+        returned = self._returned.get(job_id, {}).get(index)
+        if returned is None:
+            return False
+        order = _grant_order(lease_id)
+        return order is None or order <= returned
+
+    def forget_returned_item(self, job_id: str, index: int) -> None:
+        """Drops what is known of returned leases of an item that ends."""
+        self._returned.get(job_id, {}).pop(index, None)
+
+    def retain_returned(self, is_active: Callable[[str], bool]) -> None:
+        """Drops what is known of returned leases of inactive jobs."""
+        for job_id in list(self._returned):
+            if not is_active(job_id):
+                del self._returned[job_id]
+
     async def wait_removed(self) -> None:
         """Waits until any lease is removed."""
         await self._removed.wait()
@@ -121,3 +168,12 @@
             for lease in self._by_item.values()
             if lease.vm == vm and lease.incarnation < incarnation
         ]
+
+
+def _grant_order(lease_id: str) -> tuple[int, int] | None:
+    """Returns epoch and number of a lease; None if the form is unknown."""
+    try:
+        _, epoch, number = lease_id.rsplit(':', 2)
+        return int(epoch), int(number)
+    except ValueError:
+        return None
--- a/siskinmount/batch/_owner_state.py
+++ b/siskinmount/batch/_owner_state.py
@@ -75,7 +75,9 @@
     def create_lease_id(self) -> str:
         """Returns a lease identifier that is unique across all owners."""
         self._lease_count += 1
-        return f'{self.stream.name}:{self.stream.epoch}:{self._lease_count}'
+        return _lease_table.create_lease_id(
+            self.stream.name, self.stream.epoch, self._lease_count
+        )
 
     def find_job(self, job_id: str, caller: str) -> _job.Job | results.Failure:
         """Returns a job if it belongs to the caller."""
@@ -88,6 +90,11 @@
             )
         return job
 
+    def is_job_active(self, job_id: str) -> bool:
+        """Whether a job exists and items of it may still be dispatched."""
+        job = self.table.jobs.get(job_id)
+        return job is not None and job.is_active
+
     def not_owner_failure(self) -> results.Failure:
         """Returns the failure for calls that need an owned stream."""
         return results.Failure(
@@ -136,6 +143,7 @@
             return queued
         self.pending_ends[(job.job_id, index)] = queued
         self.resume_tokens.pop(job.job_id, index)
+        self.leases.forget_returned_item(job.job_id, index)
         lease = self.leases.find(job.job_id, index)
         if lease is not None:
             self.leases.remove(lease)
