--- a/siskinmount/gateway/_batch_membership.py
+++ b/siskinmount/gateway/_batch_membership.py
@@ -10,8 +10,8 @@
 from siskinmount import peering
 
 #: How long a member must be without current jobs before its items are handed to
-#: members that have them. Members detect an outage at different times, up to a long
-#: poll's wait and slack apart.
+#: members that have them. Members detect an outage at different times, up to a
+#: long poll's wait and slack apart.
 HAND_OVER_AFTER_S = 2.5
 #: How long after its start a member starts no batch items: callers that waited
 #: retry at once, and upstreams drop the runs of a process that lost power only
--- a/siskinmount/gateway/_result_writer.py
+++ b/siskinmount/gateway/_result_writer.py
@@ -124,7 +124,7 @@
     ) -> None:
         """Writes a result to the log, and waits until that is done.
 
-                The caller gives up the claim on the item. Where other members must
+        The caller gives up the claim on the item. Where other members must
         continue the items of this one, they get output that is complete, and an
         item that is given up is left to them.
         """
