Test that handing output over stops and gives up its claims

A reviewer's mutants of hand_over_pending passed all tests: without the check that ends it once this member is eligible again, and without giving up the claim when a call raises. Each mutant now fails a test; no code is changed.

--- a/siskinmount/gateway/tests/test_result_writer.py
+++ b/siskinmount/gateway/tests/test_result_writer.py
@@ -5,6 +5,7 @@
 import trio.testing
 
 from siskinmount import jobs
+from siskinmount.gateway import _batch_membership
 from siskinmount.gateway import _result_writer
 from siskinmount.gateway.tests import members as members_module
 from siskinmount.jobs.tests import test_job_ledger
@@ -90,3 +91,55 @@
             self.assertEqual(set(), writer.handing_over_tags)
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def _hand_over_two(self, hand_over, check):
+        """Hands the output of two items over, with `m` left out."""
+
+        async def main():
+            members = members_module.Members()
+            scheduler = jobs.create_item_scheduler(
+                _Table(),
+                'm',
+                members.membership.list_eligible_members,
+                members.membership.list_peer_items,
+            )
+            writer = _result_writer.create_result_writer(
+                members.membership,
+                scheduler,
+                _Ledger(),
+                lambda *args: hand_over(members, *args),
+                4096,
+            )
+            for tag in ('a', 'b'):
+                scheduler.get_progress(tag).events = ['x']
+            members.membership.is_leaving = True
+            members.hear('p')
+            await check(writer, scheduler)
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_output_is_kept_once_the_member_is_eligible_again(self):
+        async def hand_over(members, tag, progress, member):
+            members.membership.is_leaving = False
+            members.membership.mark_started()
+            await trio.sleep(_batch_membership.BATCH_AFTER_START_S + 0.1)
+            members.follower.current_at_s = trio.current_time()
+            members.hear('p')
+            return True
+
+        async def check(writer, scheduler):
+            await writer.hand_over_pending()
+            self.assertEqual(1, len(scheduler.list_kept_tags()))
+
+        self._hand_over_two(hand_over, check)
+
+    def test_handover_that_raises_gives_up_its_claim(self):
+        async def hand_over(members, tag, progress, member):
+            raise ValueError('a fault of the program')
+
+        async def check(writer, scheduler):
+            with self.assertRaises(ValueError):
+                await writer.hand_over_pending()
+            self.assertEqual(set(), scheduler.held_tags)
+
+        self._hand_over_two(hand_over, check)
