Log and count how the streams of upstreams end

A response now knows the framing of its body and the bytes received. Each end of a stream is counted by framing and by what followed the last complete event; one whose last bytes do not show that it is complete is logged as stream_end_unconfirmed. The usual end, framed and after a complete event, gets no line. Stand-in engines can answer with neither a length nor chunks, and end such an answer early. What callers get is unchanged.

--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -184,7 +184,7 @@
             health=health,
             crash_tracker=crash_tracker,
             client=_item_client.create_item_client(
-                clients, health, outside.wire
+                clients, health, outside.wire, self._metrics
             ),
             result_writer=result_writer,
             metrics=self._metrics,
--- a/siskinmount/gateway/_gateway_metrics.py
+++ b/siskinmount/gateway/_gateway_metrics.py
@@ -11,6 +11,8 @@
         histograms: Latencies in ms by route name (or `jobs`) and measure.
         responses: Responses to callers by route kind and status.
         attempts: Attempts at upstreams by outcome.
+        stream_ends: Ends of upstreams' streams, by framing of the body and by
+            what followed the last complete event.
         placements: Placement decisions by outcome.
         item_runs: Runs of batch items by outcome.
         preemptions: Runs of batch items preempted by callers' requests.
@@ -25,6 +27,7 @@
         'histograms',
         'responses',
         'attempts',
+        'stream_ends',
         'placements',
         'item_runs',
         'preemptions',
@@ -43,6 +46,12 @@
         self.attempts = metrics.create_counter(
             'upstream_attempts_total', 'Sends to upstreams.', 'outcome'
         )
+        self.stream_ends = metrics.create_counter(
+            'upstream_stream_ends_total',
+            'Ends of streams of upstreams.',
+            'framing',
+            'end',
+        )
         self.placements = metrics.create_counter(
             'placements_total', 'Decisions on placement.', 'outcome'
         )
--- a/siskinmount/gateway/_item_client.py
+++ b/siskinmount/gateway/_item_client.py
@@ -10,6 +10,8 @@
 from siskinmount import results
 from siskinmount import transport
 from siskinmount.gateway import _event_splitter
+from siskinmount.gateway import _gateway_metrics
+from siskinmount.gateway import _stream_end
 from siskinmount.gateway import _upstream_clients
 from siskinmount.gateway import _wire
 
@@ -45,17 +47,19 @@
 class ItemClient:
     """Sends items to upstreams and collects the events of their output."""
 
-    __slots__ = ('_clients', '_health', '_wire')
+    __slots__ = ('_clients', '_health', '_wire', '_metrics')
 
     def __init__(
         self,
         clients: _upstream_clients.UpstreamClients,
         health: placement.UpstreamHealth,
         wire: _wire.Wire,
+        metrics: _gateway_metrics.GatewayMetrics,
     ) -> None:
         self._clients = clients
         self._health = health
         self._wire = wire
+        self._metrics = metrics
 
     async def run(
         self,
@@ -103,7 +107,55 @@
             if response.status != 200:
                 await response.discard_body()
                 return _classify_status(response.status)
-            return await _collect_events(response, progress)
+            return await self._collect_events(
+                response, progress, item.item_id, upstream.upstream_id
+            )
+
+    async def _collect_events(
+        self,
+        response: transport.ClientExchange,
+        progress: jobs.ItemProgress,
+        item_id: str,
+        upstream_id: str,
+    ) -> tuple[RunOutcome, str]:
+        """Adds the events of a stream to `progress` until the stream ends."""
+        splitter = _event_splitter.create_event_splitter()
+        while True:
+            chunk: bytes | results.Failure | None = None
+            with trio.move_on_after(SILENCE_TIMEOUT_S):
+                chunk = await response.receive_chunk()
+            if chunk is None:
+                return (
+                    RunOutcome.LOST,
+                    'timeout while waiting for the next event',
+                )
+            if isinstance(chunk, results.Failure):
+                return RunOutcome.LOST, chunk.reason
+            if not chunk:
+                break
+            for event in splitter.split(chunk):
+                last = progress.last_event_id
+                if event.event_id is not None:
+                    if last is not None and event.event_id != last + 1:
+                        return (
+                            RunOutcome.LOST,
+                            f'event {event.event_id} after {last}',
+                        )
+                    progress.last_event_id = event.event_id
+                progress.lost_runs = 0
+                for line in event.read_data():
+                    progress.events.append(line.decode('utf-8', 'replace'))
+        _stream_end.record_stream_end(
+            self._metrics,
+            response,
+            splitter,
+            request_id=item_id,
+            upstream_id=upstream_id,
+            last_event_id=progress.last_event_id,
+        )
+        if splitter.remainder.strip():
+            return RunOutcome.LOST, 'stream ended within an event'
+        return RunOutcome.DONE, 'complete'
 
 
 def _classify_status(status: int) -> tuple[RunOutcome, str]:
@@ -116,42 +168,11 @@
     return RunOutcome.ERROR_STATUS, reason
 
 
-async def _collect_events(
-    response: transport.ClientExchange, progress: jobs.ItemProgress
-) -> tuple[RunOutcome, str]:
-    """Adds the events of a stream to `progress` until the stream ends."""
-    splitter = _event_splitter.create_event_splitter()
-    while True:
-        chunk: bytes | results.Failure | None = None
-        with trio.move_on_after(SILENCE_TIMEOUT_S):
-            chunk = await response.receive_chunk()
-        if chunk is None:
-            return RunOutcome.LOST, 'timeout while waiting for the next event'
-        if isinstance(chunk, results.Failure):
-            return RunOutcome.LOST, chunk.reason
-        if not chunk:
-            break
-        for event in splitter.split(chunk):
-            last = progress.last_event_id
-            if event.event_id is not None:
-                if last is not None and event.event_id != last + 1:
-                    return (
-                        RunOutcome.LOST,
-                        f'event {event.event_id} after {last}',
-                    )
-                progress.last_event_id = event.event_id
-            progress.lost_runs = 0
-            for line in event.read_data():
-                progress.events.append(line.decode('utf-8', 'replace'))
-    if splitter.remainder.strip():
-        return RunOutcome.LOST, 'stream ended within an event'
-    return RunOutcome.DONE, 'complete'
-
-
 def create_item_client(
     clients: _upstream_clients.UpstreamClients,
     health: placement.UpstreamHealth,
     wire: _wire.Wire,
+    metrics: _gateway_metrics.GatewayMetrics,
 ) -> ItemClient:
     """Creates a client that uses the upstreams' connection pools."""
-    return ItemClient(clients, health, wire)
+    return ItemClient(clients, health, wire, metrics)
--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -13,6 +13,7 @@
 from siskinmount.gateway import _online_context
 from siskinmount.gateway import _online_request
 from siskinmount.gateway import _online_response
+from siskinmount.gateway import _stream_end
 from siskinmount.gateway import _wire
 
 _LOGGER = logging.getLogger(__name__)
@@ -286,6 +287,14 @@
             self._record_first_byte()
             await self._response.send_events(response, b''.join(ready))
             silence_s = self._get_event_gap_timeout_s()
+        _stream_end.record_stream_end(
+            self._context.metrics,
+            response,
+            splitter,
+            request_id=self._request.request_id,
+            upstream_id=self._upstream.upstream_id,
+            last_event_id=self._request.last_event_id,
+        )
         if splitter.remainder:
             await self._response.send_events(response, splitter.remainder)
         await self._response.finish_stream(response)
--- a/siskinmount/gateway/tests/test_online_handler_properties.py
+++ b/siskinmount/gateway/tests/test_online_handler_properties.py
@@ -75,6 +75,8 @@
     def __init__(self, behaviour, is_stream, first_event, cut_after):
         self.status = _STATUS.get(behaviour, 200)
         self.headers = [_ECHO]
+        self.body_framing = transport.BodyFraming.CHUNKED
+        self.received_body_bytes = 0
         if behaviour == _FOREIGN:
             self.headers = [(b'x-request-id', b'another')]
         if behaviour == _NOT_RUN:
--- a/siskinmount/transport/__init__.py
+++ b/siskinmount/transport/__init__.py
@@ -2,6 +2,7 @@
 
 from siskinmount.transport._address import Address
 from siskinmount.transport._address import parse_address
+from siskinmount.transport._body_framing import BodyFraming
 from siskinmount.transport._client_exchange import ClientExchange
 from siskinmount.transport._client_exchange import ClientRequest
 from siskinmount.transport._client_exchange import find_request_fault
--- a/siskinmount/transport/_client_exchange.py
+++ b/siskinmount/transport/_client_exchange.py
@@ -7,6 +7,7 @@
 import trio
 
 from siskinmount import results
+from siskinmount.transport import _body_framing
 from siskinmount.transport import _headers
 from siskinmount.transport import _limits
 
@@ -131,9 +132,19 @@
     Attributes:
         status: HTTP status.
         headers: Header list with lower-case names.
+        body_framing: What marks the end of the body.
+        received_body_bytes: Bytes of the body received so far.
     """
 
-    __slots__ = ('status', 'headers', '_connection', '_limits', '_release')
+    __slots__ = (
+        'status',
+        'headers',
+        'body_framing',
+        'received_body_bytes',
+        '_connection',
+        '_limits',
+        '_release',
+    )
 
     def __init__(
         self,
@@ -145,6 +156,8 @@
     ) -> None:
         self.status = status
         self.headers = headers
+        self.body_framing = _body_framing.find_body_framing(status, headers)
+        self.received_body_bytes = 0
         self._connection = connection
         self._limits = limits
         self._release: Callable[[ClientConnection, bool], None] | None = release
@@ -168,6 +181,7 @@
                 return _connection_lost(str(error))
             if isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
+                self.received_body_bytes += len(event.data)
                 continue
             if event is not h11.NEED_DATA:
                 continue
--- a/standins/event_engine/_event_engine.py
+++ b/standins/event_engine/_event_engine.py
@@ -14,6 +14,12 @@
     #: The connection is closed in the middle of an event.
     CUT_MIDWAY = 'cut_midway'
 
+    #: The connection is closed between two events.
+    CUT_BETWEEN_EVENTS = 'cut_between_events'
+
+    #: The connection is closed after the head, before the first event.
+    CUT_BEFORE_EVENTS = 'cut_before_events'
+
     #: The request runs, and the connection is closed without an answer.
     RUN_AND_CLOSE = 'run_and_close'
 
@@ -43,6 +49,9 @@
     STALL_MIDWAY = 'stall_midway'
 
 
+_CUTS = (AnswerFault.CUT_MIDWAY, AnswerFault.CUT_BETWEEN_EVENTS)
+
+
 class EngineRun:
     """A request that the engine started to run.
 
@@ -93,6 +102,8 @@
         event_count: Number of events of a complete stream.
         event_interval_ms: Time between two events.
         is_streaming: Whether answers are streams.
+        omits_framing: Whether answers have neither length nor chunks and end
+            with their connection.
     """
 
     __slots__ = (
@@ -102,6 +113,7 @@
         'event_count',
         'event_interval_ms',
         'is_streaming',
+        'omits_framing',
     )
 
     def __init__(
@@ -117,6 +129,7 @@
         self.event_count = event_count
         self.event_interval_ms = event_interval_ms
         self.is_streaming = is_streaming
+        self.omits_framing = False
 
     async def handle(
         self, exchange: faults_module.FaultInjectingExchange
@@ -163,8 +176,15 @@
         if fault is AnswerFault.FOREIGN:
             echo = [(b'x-request-id', b'another')]
         echo.append((b'x-server-seal', f'seal-{self.engine_id}'.encode()))
+        if self.omits_framing:
+            exchange.omit_framing()
         if not self.is_streaming:
             run.is_finished = True
+            if self.omits_framing:
+                await exchange.start_stream(200, echo)
+                await exchange.send_chunk(b'answer to ' + body)
+                await exchange.finish()
+                return
             await exchange.send_whole(200, echo, b'answer to ' + body)
             return
         await self._stream(exchange, run, echo, fault)
@@ -180,6 +200,9 @@
         await exchange.start_stream(
             200, [*headers, (b'content-type', b'text/event-stream')]
         )
+        if fault is AnswerFault.CUT_BEFORE_EVENTS:
+            await self._break_off(exchange)
+            return
         async with trio.open_nursery() as nursery:
 
             async def cancel_on_disconnect() -> None:
@@ -190,9 +213,12 @@
             fault_event = (run.first_event + self.event_count) // 2
             for number in range(run.first_event, self.event_count + 1):
                 event = make_event(run.request_id, number)
-                if number == fault_event and fault is AnswerFault.CUT_MIDWAY:
-                    await exchange.send_chunk(event[: len(event) // 2])
-                    raise trio.BrokenResourceError('injected fault: stream cut')
+                if number == fault_event and fault in _CUTS:
+                    if fault is AnswerFault.CUT_MIDWAY:
+                        await exchange.send_chunk(event[: len(event) // 2])
+                    await self._break_off(exchange)
+                    nursery.cancel_scope.cancel()
+                    return
                 if number == fault_event and fault is AnswerFault.STALL_MIDWAY:
                     await trio.sleep_forever()
                 await exchange.send_chunk(event)
@@ -201,6 +227,15 @@
             await exchange.finish()
             nursery.cancel_scope.cancel()
 
+    async def _break_off(
+        self, exchange: faults_module.FaultInjectingExchange
+    ) -> None:
+        """Closes the connection within a response, without a reset."""
+        if not self.omits_framing:
+            raise trio.BrokenResourceError('injected fault: stream cut')
+        # The end of an unframed body is the same whether it is complete or not.
+        await exchange.finish()
+
 
 def make_event(request_id: str, number: int) -> bytes:
     """Returns an event as a server-sent event."""
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -210,6 +210,15 @@
         if await self._can_start_response():
             await self._exchange.start_stream(status, headers)
 
+    def omit_framing(self) -> None:
+        """Makes the body of a stream end with the connection.
+
+        The body is then sent as to a client of HTTP/1.0, with neither a length
+        nor chunks.
+        """
+        # The server has no such mode for clients of HTTP/1.1.
+        self._exchange._connection.their_http_version = b'1.0'  # noqa: SLF001
+
     async def send_chunk(self, chunk: bytes) -> None:
         """Sends a part of the response body."""
         if await self._can_send():
