--- a/siskinmount/gateway/tests/test_online.py
+++ b/siskinmount/gateway/tests/test_online.py
@@ -18,13 +18,20 @@
 
 class StreamTest(testtools.TestCase):
 
-    def _run_stream(self, faults, path='/stream/x', engines=('e1', 'e2')):
+    def _run_stream(
+        self,
+        faults,
+        path='/stream/x',
+        engines=('e1', 'e2'),
+        omits_framing=False,
+    ):
         """Sends one streaming request; each engine starts with these faults."""
         seen = {}
 
         async def check(fleet):
             for engine in fleet.engines.values():
                 engine.answer_faults = list(faults)
+                engine.omits_framing = omits_framing
             seen['answer'] = await fleet.call(
                 0, 'POST', path, b'prompt', x_request_id='q1'
             )
@@ -75,6 +82,30 @@
         self.assertFalse(answer.is_whole)
         self.assertEqual(1, len(runs))
 
+    def test_unframed_stream_is_forwarded_unchanged(self):
+        answer, runs = self._run_stream([], omits_framing=True)
+        self.assertEqual(200, answer.status)
+        self.assertTrue(answer.is_whole)
+        self.assertEqual(_expected_stream('q1'), answer.body)
+        self.assertEqual(1, len(runs))
+
+    def test_unframed_stream_that_ends_within_an_event_is_not_complete(self):
+        answer, runs = self._run_stream(
+            [_FAULT.CUT_MIDWAY], '/once/x', omits_framing=True
+        )
+        self.assertFalse(answer.is_whole)
+        self.assertEqual(_expected_stream('q1', 1, 2), answer.body)
+        self.assertEqual(1, len(runs))
+
+    def test_unframed_stream_that_ends_within_an_event_is_resumed(self):
+        # Each engine breaks off its first stream, the next one is complete.
+        answer, runs = self._run_stream(
+            [_FAULT.CUT_MIDWAY], engines=('e1',), omits_framing=True
+        )
+        self.assertTrue(answer.is_whole)
+        self.assertEqual(_expected_stream('q1'), answer.body)
+        self.assertEqual([1, 3], [run.first_event for run in runs])
+
     def test_stream_that_may_not_repeat_runs_once(self):
         for fault in (_FAULT.RUN_AND_CLOSE, _FAULT.FOREIGN):
             answer, runs = self._run_stream([fault], '/once/x')
