Send a caller the events that were read together with a faulty one

Callers could miss events of a stream, without any sign: when one read of the upstream's socket brought good events and then one out of order (an upstream that repeats or skips), the good ones moved the position from which a retry goes on, and were dropped with the attempt. The next upstream continued after them.

Ruled out: items, whose events are stored one by one. The events are now sent before the attempt ends.

Both tests fail without the change: the named one, and the property over random scripts, whose upstreams so far sent each event in a read of its own.

--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -277,15 +277,21 @@
             if not chunk:
                 break
             ready: list[bytes] = []
+            fault: str | None = None
             for event in splitter.split(chunk):
                 if not self._request.accept_event_id(event.event_id):
-                    reason = f'event {event.event_id} out of order'
-                    return AttemptOutcome.LOST, reason
+                    fault = f'event {event.event_id} out of order'
+                    break
                 ready.append(event.raw)
+            # The events before the fault count as sent: a retry goes on after
+            # them.
+            if ready:
+                self._record_first_byte()
+                await self._response.send_events(response, b''.join(ready))
+            if fault is not None:
+                return AttemptOutcome.LOST, fault
             if not ready:
                 continue
-            self._record_first_byte()
-            await self._response.send_events(response, b''.join(ready))
             silence_s = self._get_event_gap_timeout_s()
         _stream_end.record_stream_end(
             self._context.metrics,
--- a/siskinmount/gateway/tests/test_online_handler_properties.py
+++ b/siskinmount/gateway/tests/test_online_handler_properties.py
@@ -38,6 +38,7 @@
 _CUT = 'cut'
 _STALLED = 'stalled'
 _REPEATED = 'repeated event'
+_REPEATED_AT_ONCE = 'events and a repeated one in one read'
 _BEHAVIOURS = (
     _REFUSED_CONNECTION,
     _NOT_RUN,
@@ -51,7 +52,9 @@
     _CUT,
     _STALLED,
     _REPEATED,
+    _REPEATED_AT_ONCE,
 )
+_REPEATS = (_REPEATED, _REPEATED_AT_ONCE)
 _WITHOUT_RUN = (_REFUSED_CONNECTION, _NOT_RUN, _OTHER_PROCESS)
 _STATUS = {
     _NOT_RUN: 503,
@@ -84,16 +87,18 @@
         self._behaviour = behaviour
         self._is_stream = is_stream
         last = _EVENT_COUNT
-        if behaviour in (_CUT, _STALLED, _REPEATED):
+        if behaviour in (_CUT, _STALLED, *_REPEATS):
             last = min(last, first_event - 1 + cut_after)
         self._chunks = [_event(n) for n in range(first_event, last + 1)]
-        if behaviour == _REPEATED and self._chunks:
+        if behaviour in _REPEATS and self._chunks:
             self._chunks.append(self._chunks[-1])
+        if behaviour == _REPEATED_AT_ONCE and self._chunks:
+            self._chunks = [b''.join(self._chunks)]
 
     async def read_body(self, max_bytes):
         if self._behaviour == _STALLED:
             await trio.sleep_forever()
-        if self._behaviour in (_CUT, _REPEATED):
+        if self._behaviour in (_CUT, *_REPEATS):
             return _lost()
         return _BODY
 
@@ -107,7 +112,7 @@
             return self._chunks.pop(0)
         if self._behaviour == _STALLED:
             await trio.sleep_forever()
-        if self._behaviour in (_CUT, _REPEATED):
+        if self._behaviour in (_CUT, *_REPEATS):
             return _lost()
         return b''
 
@@ -305,6 +310,18 @@
             self.assertEqual(_BODY, exchange.body)
             self.assertEqual(_WHOLE, upstreams.behaviours[-1])
 
+    def test_events_read_together_with_a_repeated_one_reach_the_caller(self):
+        exchange = _Exchange()
+        scripts = [(_REPEATED_AT_ONCE, 2), (_WHOLE, 0)]
+        upstreams = _Upstreams(scripts, (_WHOLE, 0), True)
+
+        async def main():
+            await _serve(exchange, upstreams, fleet.RouteKind.STREAMING, 2)
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertTrue(exchange.is_finished)
+        self._check_stream(exchange)
+
     def _check_stream(self, exchange):
         """Checks that the events are in order, without gaps or repeats."""
         whole = [_event(n) for n in range(1, _EVENT_COUNT + 1)]
