Take a stream that ends with its connection within an event for broken off

In the same way a batch item whose stream ended before its first event was listed as done, with an empty output.

Cause: the end of the connection was taken for the end of the message. h11 reports both alike; the reader of callers' streams passed on whatever was left. The reader of items had a check of its own for the rest of an event, which the other lacked: two readers of the same bytes with two opinions.

There is now one reader, EventStream, for callers and items. It alone judges the end: within an event is broken off whatever the framing; an unframed stream without any event proves nothing and is broken off too. Routes that may be resumed go on elsewhere after the last complete event, others are truncated for the caller, items run on.

An unframed stream that is broken off exactly between two events cannot be told from a complete one; it counts as complete and is logged.

--- a/siskinmount/gateway/_event_splitter.py
+++ b/siskinmount/gateway/_event_splitter.py
@@ -40,6 +40,18 @@
         """Bytes after the last complete event."""
         return self._remainder
 
+    def is_within_event(self) -> bool:
+        """Returns whether the remainder is part of an event.
+
+        Blank lines and complete comment lines are not.
+        """
+        for line in self._remainder.splitlines(keepends=True):
+            text = line.rstrip(b'\r\n')
+            is_comment = line.startswith(b':') and text != line
+            if text and not is_comment:
+                return True
+        return False
+
     def split(self, chunk: bytes) -> list[StreamEvent]:
         """Adds a chunk; returns the events that are now complete."""
         self._remainder += chunk
--- a/siskinmount/gateway/_item_client.py
+++ b/siskinmount/gateway/_item_client.py
@@ -9,9 +9,8 @@
 from siskinmount import placement
 from siskinmount import results
 from siskinmount import transport
-from siskinmount.gateway import _event_splitter
+from siskinmount.gateway import _event_stream
 from siskinmount.gateway import _gateway_metrics
-from siskinmount.gateway import _stream_end
 from siskinmount.gateway import _upstream_clients
 from siskinmount.gateway import _wire
 
@@ -119,43 +118,24 @@
         upstream_id: str,
     ) -> tuple[RunOutcome, str]:
         """Adds the events of a stream to `progress` until the stream ends."""
-        splitter = _event_splitter.create_event_splitter()
-        while True:
-            chunk: bytes | results.Failure | None = None
-            with trio.move_on_after(SILENCE_TIMEOUT_S):
-                chunk = await response.receive_chunk()
-            if chunk is None:
-                return (
-                    RunOutcome.LOST,
-                    'timeout while waiting for the next event',
-                )
-            if isinstance(chunk, results.Failure):
-                return RunOutcome.LOST, chunk.reason
-            if not chunk:
-                break
-            for event in splitter.split(chunk):
-                last = progress.last_event_id
-                if event.event_id is not None:
-                    if last is not None and event.event_id != last + 1:
-                        return (
-                            RunOutcome.LOST,
-                            f'event {event.event_id} after {last}',
-                        )
-                    progress.last_event_id = event.event_id
-                progress.lost_runs = 0
-                for line in event.read_data():
-                    progress.events.append(line.decode('utf-8', 'replace'))
-        _stream_end.record_stream_end(
-            self._metrics,
+        stream = _event_stream.create_event_stream(
             response,
-            splitter,
+            self._metrics,
             request_id=item_id,
             upstream_id=upstream_id,
             last_event_id=progress.last_event_id,
         )
-        if splitter.remainder.strip():
-            return RunOutcome.LOST, 'stream ended within an event'
-        return RunOutcome.DONE, 'complete'
+        while True:
+            events = await stream.receive(SILENCE_TIMEOUT_S)
+            if isinstance(events, results.Failure):
+                return RunOutcome.LOST, events.reason
+            if not events:
+                return RunOutcome.DONE, 'complete'
+            progress.lost_runs = 0
+            progress.last_event_id = stream.last_event_id
+            for event in events:
+                for line in event.read_data():
+                    progress.events.append(line.decode('utf-8', 'replace'))
 
 
 def _classify_status(status: int) -> tuple[RunOutcome, str]:
--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -9,11 +9,10 @@
 from siskinmount import placement
 from siskinmount import results
 from siskinmount import transport
-from siskinmount.gateway import _event_splitter
+from siskinmount.gateway import _event_stream
 from siskinmount.gateway import _online_context
 from siskinmount.gateway import _online_request
 from siskinmount.gateway import _online_response
-from siskinmount.gateway import _stream_end
 from siskinmount.gateway import _wire
 
 _LOGGER = logging.getLogger(__name__)
@@ -261,48 +260,28 @@
         self, response: transport.ClientExchange
     ) -> tuple[AttemptOutcome, str]:
         """Forwards the events of a stream as they arrive."""
-        splitter = _event_splitter.create_event_splitter()
-        silence_s = self._get_first_byte_timeout_s()
-        while True:
-            chunk: bytes | results.Failure | None = None
-            with trio.move_on_after(silence_s):
-                chunk = await response.receive_chunk()
-            if chunk is None:
-                return (
-                    AttemptOutcome.LOST,
-                    'timeout while waiting for the next event',
-                )
-            if isinstance(chunk, results.Failure):
-                return AttemptOutcome.LOST, chunk.reason
-            if not chunk:
-                break
-            ready: list[bytes] = []
-            fault: str | None = None
-            for event in splitter.split(chunk):
-                if not self._request.accept_event_id(event.event_id):
-                    fault = f'event {event.event_id} out of order'
-                    break
-                ready.append(event.raw)
-            # The events before the fault count as sent: a retry goes on after
-            # them.
-            if ready:
-                self._record_first_byte()
-                await self._response.send_events(response, b''.join(ready))
-            if fault is not None:
-                return AttemptOutcome.LOST, fault
-            if not ready:
-                continue
-            silence_s = self._get_event_gap_timeout_s()
-        _stream_end.record_stream_end(
-            self._context.metrics,
+        stream = _event_stream.create_event_stream(
             response,
-            splitter,
+            self._context.metrics,
             request_id=self._request.request_id,
             upstream_id=self._upstream.upstream_id,
             last_event_id=self._request.last_event_id,
         )
-        if splitter.remainder:
-            await self._response.send_events(response, splitter.remainder)
+        silence_s = self._get_first_byte_timeout_s()
+        while True:
+            events = await stream.receive(silence_s)
+            if isinstance(events, results.Failure):
+                return AttemptOutcome.LOST, events.reason
+            if not events:
+                break
+            self._record_first_byte()
+            await self._response.send_events(
+                response, b''.join(event.raw for event in events)
+            )
+            self._request.last_event_id = stream.last_event_id
+            silence_s = self._get_event_gap_timeout_s()
+        if stream.trailing_bytes:
+            await self._response.send_events(response, stream.trailing_bytes)
         await self._response.finish_stream(response)
         return AttemptOutcome.ANSWERED, 'stream complete'
 
--- a/siskinmount/gateway/_online_request.py
+++ b/siskinmount/gateway/_online_request.py
@@ -108,13 +108,3 @@
     def get_remaining_ms(self) -> int:
         """Returns the time until the deadline; negative once it has passed."""
         return int((self.deadline_s - trio.current_time()) * 1000)
-
-    def accept_event_id(self, event_id: int | None) -> bool:
-        """Records an event's id; returns False if the event is out of order."""
-        if event_id is None:
-            return True
-        last = self.last_event_id
-        if last is not None and event_id != last + 1:
-            return False
-        self.last_event_id = event_id
-        return True
--- a/siskinmount/gateway/tests/test_jobs.py
+++ b/siskinmount/gateway/tests/test_jobs.py
@@ -46,6 +46,21 @@
         self.assertEqual(seen[1], seen[2])
         self.assertEqual(202, seen[3])
 
+    def test_item_whose_unframed_stream_is_broken_off_is_not_listed_as_done(
+        self,
+    ):
+        for fault in (_FAULT.CUT_BEFORE_EVENTS, _FAULT.CUT_MIDWAY):
+            seen = []
+
+            async def check(fleet, fault=fault, seen=seen):
+                fleet.engines['e1'].omits_framing = True
+                fleet.engines['e1'].answer_faults = [fault]
+                await fleet.submit(0, 'j1', _make_items(1))
+                seen.append(await fleet.wait_results(0, 'j1', 1))
+
+            self._run(check)
+            self._assert_complete(seen[0], 1)
+
     def test_body_larger_than_a_store_call_is_kept_complete(self):
         seen = []
         body = bytes(range(256)) * 800
