Keep a broken-off response broken off when it is read again

A second read of a body after a protocol error returned empty bytes, which mean the end of a complete body: only the parser's states before and after a body were told apart, not its error state. No reader of today reads on after a failure, so no caller was affected; the next one would have been.

test_body_that_was_broken_off_has_no_end_when_read_again fails before. The table beside it pins how lengths, chunks and the end of the connection are taken; all its rows held before.

--- a/siskinmount/transport/_client_exchange.py
+++ b/siskinmount/transport/_client_exchange.py
@@ -173,7 +173,10 @@
         """
         parts: list[bytes] = []
         while True:
-            if self._connection.parser.their_state is not h11.SEND_BODY:
+            state = self._connection.parser.their_state
+            if state is h11.ERROR:
+                return _connection_lost('the body was broken off')
+            if state is not h11.SEND_BODY:
                 return b''.join(parts)
             try:
                 event = self._connection.parser.next_event()
--- /dev/null
+++ b/siskinmount/transport/tests/test_body_end.py
@@ -0,0 +1,93 @@
+"""Tests of how the HTTP client takes the end of a response's body."""
+
+import socket
+import struct
+
+import testtools
+import trio
+
+from siskinmount import results
+from siskinmount import transport
+
+_HEAD = b'HTTP/1.1 200 OK\r\n'
+_UNFRAMED = _HEAD + b'\r\n'
+_CHUNKED = _HEAD + b'transfer-encoding: chunked\r\n\r\n'
+_LENGTH = _HEAD + b'content-length: 4\r\n\r\n'
+_LOST = results.ResultCode.UPSTREAM_LOST
+
+
+def reset(stream):
+    """Makes the close of a stream send a reset."""
+    stream.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+
+
+class BodyEndTest(testtools.TestCase):
+
+    def _read(self, response, is_reset=False, read=None, method='GET'):
+        """Returns what `read(exchange)` returns for a response's bytes."""
+
+        async def serve(stream):
+            await stream.receive_some(65536)
+            await stream.send_all(response)
+            if is_reset:
+                # A reset discards bytes that the client has not read yet.
+                await trio.sleep(0.05)
+                reset(stream)
+            await trio.aclose_forcefully(stream)
+
+        async def main():
+            with trio.fail_after(10):
+                async with trio.open_nursery() as nursery:
+                    listeners = await nursery.start(trio.serve_tcp, serve, 0)
+                    port = listeners[0].socket.getsockname()[1]
+                    client = transport.create_http_client(
+                        transport.Address('127.0.0.1', port)
+                    )
+                    with await client.send(
+                        transport.ClientRequest(method, '/')
+                    ) as exchange:
+                        outcome = await read(exchange)
+                        framing = exchange.body_framing
+                    nursery.cancel_scope.cancel()
+                    return outcome, framing
+
+        return trio.run(main)
+
+    def test_end_of_a_body(self):
+        framings = transport.BodyFraming
+        cases = [
+            # Bytes, whether they are reset, framing, body or code.
+            (_UNFRAMED + b'body', False, framings.CONNECTION_END, b'body'),
+            (_UNFRAMED + b'body', True, framings.CONNECTION_END, _LOST),
+            (_UNFRAMED, False, framings.CONNECTION_END, b''),
+            (_LENGTH + b'body', False, framings.LENGTH, b'body'),
+            (_LENGTH + b'bod', False, framings.LENGTH, _LOST),
+            (
+                _CHUNKED + b'4\r\nbody\r\n0\r\n\r\n',
+                False,
+                framings.CHUNKED,
+                b'body',
+            ),
+            (_CHUNKED + b'4\r\nbody\r\n0\r\n', False, framings.CHUNKED, _LOST),
+            (_CHUNKED + b'4\r\nbody\r\n', False, framings.CHUNKED, _LOST),
+            (_CHUNKED + b'4\r\nbo', False, framings.CHUNKED, _LOST),
+        ]
+        for response, is_reset, framing, expected in cases:
+            outcome, given_framing = self._read(
+                response, is_reset, lambda exchange: exchange.read_body(100)
+            )
+            if isinstance(outcome, results.Failure):
+                outcome = outcome.code
+            self.assertEqual(expected, outcome, (response, is_reset))
+            self.assertIs(framing, given_framing)
+
+    def test_body_that_was_broken_off_has_no_end_when_read_again(self):
+        async def read_twice(exchange):
+            return [await exchange.read_body(100) for _ in range(2)]
+
+        for body in (b'4\r\nbody\r\n', b'zz\r\n'):
+            outcomes, _ = self._read(_CHUNKED + body, read=read_twice)
+            for outcome in outcomes:
+                self.assertIsInstance(outcome, results.Failure)
