Give the response to a HEAD request a framing without a body

Since a HEAD request on a stream's route could be taken for broken off: the framing was read from headers alone, and the response to HEAD that has neither length nor chunks looked like a body that ends with the connection.

test_response_to_head_has_no_body fails before.

--- a/siskinmount/transport/_body_framing.py
+++ b/siskinmount/transport/_body_framing.py
@@ -11,7 +11,7 @@
 class BodyFraming(enum.Enum):
     """What marks the end of a response's body (RFC 9112, section 6.3)."""
 
-    #: The `content-length` header, or a status without a body.
+    #: The `content-length` header, or a method or status without a body.
     LENGTH = 'length'
 
     #: The last chunk of a chunked body.
@@ -22,9 +22,11 @@
     CONNECTION_END = 'connection_end'
 
 
-def find_body_framing(status: int, headers: _headers.Headers) -> BodyFraming:
-    """Returns the framing of a response to a request other than `HEAD`."""
-    if status in _BODYLESS_STATUSES:
+def find_body_framing(
+    method: str, status: int, headers: _headers.Headers
+) -> BodyFraming:
+    """Returns the framing of a response to a request with this method."""
+    if method == 'HEAD' or status in _BODYLESS_STATUSES:
         return BodyFraming.LENGTH
     if _headers.find_header(headers, b'transfer-encoding') is not None:
         return BodyFraming.CHUNKED
--- a/siskinmount/transport/_client_exchange.py
+++ b/siskinmount/transport/_client_exchange.py
@@ -148,6 +148,7 @@
 
     def __init__(
         self,
+        method: str,
         status: int,
         headers: _headers.Headers,
         connection: ClientConnection,
@@ -156,7 +157,9 @@
     ) -> None:
         self.status = status
         self.headers = headers
-        self.body_framing = _body_framing.find_body_framing(status, headers)
+        self.body_framing = _body_framing.find_body_framing(
+            method, status, headers
+        )
         self.received_body_bytes = 0
         self._connection = connection
         self._limits = limits
--- a/siskinmount/transport/_http_client.py
+++ b/siskinmount/transport/_http_client.py
@@ -50,6 +50,7 @@
             if isinstance(response, results.Failure):
                 return response
             exchange = _client_exchange.ClientExchange(
+                request.method,
                 response.status_code,
                 list(response.headers),
                 connection,
--- a/siskinmount/transport/tests/test_body_end.py
+++ b/siskinmount/transport/tests/test_body_end.py
@@ -91,3 +91,12 @@
             outcomes, _ = self._read(_CHUNKED + body, read=read_twice)
             for outcome in outcomes:
                 self.assertIsInstance(outcome, results.Failure)
+
+    def test_response_to_head_has_no_body(self):
+        outcome, framing = self._read(
+            _UNFRAMED,
+            read=lambda exchange: exchange.read_body(100),
+            method='HEAD',
+        )
+        self.assertEqual(b'', outcome)
+        self.assertIs(transport.BodyFraming.LENGTH, framing)
