Reset the connection of a broken-off response that is not chunked

A caller that speaks HTTP/1.0 gets a stream without chunks, which ends with its connection. Where the gateway or the entry had to break one off (deadline, loss of the upstream, end of the grace time), it closed the connection, and the caller took what it had for the whole response.

Such a connection is now closed with a reset. Chunked responses are still closed plainly, so that a caller keeps all events it was sent. A process that is killed cannot do this: the kernel closes its connections plainly.

test_broken_off_response_does_not_look_complete_to_http_1_0 fails before.

--- a/siskinmount/transport/_http_server.py
+++ b/siskinmount/transport/_http_server.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 import errno
 import logging
+import socket
+import struct
 
 import h11
 import trio
@@ -159,7 +161,11 @@
             exchange = _server_exchange.ServerExchange(
                 head, connection, stream, self._limits, self._draining
             )
-            await self._handle(exchange)
+            try:
+                await self._handle(exchange)
+            finally:
+                if exchange.is_unframed_body_open():
+                    _reset_on_close(stream)
             exchange.discard_received_body()
             if connection.their_state in (h11.SEND_BODY, h11.ERROR):
                 await _linger(stream)
@@ -330,6 +336,17 @@
     )
 
 
+def _reset_on_close(stream: trio.SocketStream) -> None:
+    """Makes the close of a connection a reset."""
+    try:
+        stream.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+    except OSError as error:
+        # The client has closed the connection already.
+        _LOGGER.info('reset_failed', extra={'reason': str(error)})
+
+
 async def _linger(stream: trio.SocketStream) -> None:
     """Discards input for up to `LINGER_S`, so that the response arrives."""
     with trio.move_on_after(LINGER_S):
--- a/siskinmount/transport/_server_exchange.py
+++ b/siskinmount/transport/_server_exchange.py
@@ -71,6 +71,7 @@
         '_limits',
         '_close_after',
         '_bodyless',
+        '_is_unframed',
     )
 
     def __init__(
@@ -88,6 +89,7 @@
         self._limits = limits
         self._close_after = close_after
         self._bodyless = head.method == 'HEAD'
+        self._is_unframed = False
 
     async def receive_body_chunk(self) -> bytes | results.Failure:
         """Returns the next bytes of the body, or empty bytes at its end."""
@@ -172,7 +174,12 @@
     async def start_stream(
         self, status: int, headers: _headers.Headers
     ) -> None:
-        """Sends the head of a chunked response."""
+        """Sends the head of a response of unknown length.
+
+        Its body is chunked; that of an HTTP/1.0 client, which knows no chunks,
+        ends with the connection.
+        """
+        self._is_unframed = self._connection.their_http_version == b'1.0'
         await self._send(
             self._start(status, [*headers, (b'transfer-encoding', b'chunked')])
         )
@@ -186,6 +193,15 @@
         """Ends a response started by `start_stream`."""
         await self._send(self._connection.send(h11.EndOfMessage()))
 
+    def is_unframed_body_open(self) -> bool:
+        """Returns whether a body that ends with the connection is unfinished.
+
+        Closing the connection would make such a body look complete.
+        """
+        return self._is_unframed and (
+            self._connection.our_state is h11.SEND_BODY
+        )
+
     async def wait_disconnected(self) -> None:
         """Returns when the client has closed or reset the connection.
 
--- a/siskinmount/transport/tests/test_hostile_http.py
+++ b/siskinmount/transport/tests/test_hostile_http.py
@@ -30,6 +30,11 @@
         await exchange.send_chunk(b'part')
         await exchange.finish()
         return
+    if path == '/broken':
+        await exchange.start_stream(200, [])
+        await exchange.send_chunk(b'part')
+        await trio.sleep(0.05)
+        raise trio.BrokenResourceError('the rest is lost')
     if path == '/watch':
         async with trio.open_nursery() as nursery:
             await exchange.start_stream(200, [])
@@ -110,6 +115,22 @@
         self.assertEqual(3, answer.count(b'HTTP/1.1 200'))
         self.assertLess(answer.index(b'one'), answer.index(b'two'))
 
+    def test_broken_off_response_does_not_look_complete_to_http_1_0(self):
+        outcomes = {}
+
+        async def check(connect, server):
+            for path in (b'/stream', b'/broken'):
+                request = b'GET ' + path + b' HTTP/1.0\r\nhost: x\r\n\r\n'
+                async with await connect(request) as stream:
+                    try:
+                        answer = await _read_all(stream)
+                        outcomes[path] = answer.endswith(b'\r\n\r\npart')
+                    except trio.BrokenResourceError:
+                        outcomes[path] = 'reset'
+
+        self.run_with_server(check)
+        self.assertEqual({b'/stream': True, b'/broken': 'reset'}, outcomes)
+
     def test_chunked_bodies(self):
         head = b'POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n'
         whole, broken, huge = self.exchange_bytes(
