Refuse bodies that must be complete and do not show their end

The size of a download of weights was the count of bytes until the connection ended, and a page of a job's results from its owner is lines of JSON, so of either the rest could be missing without a sign if the peer answered with neither a length nor chunks. Our own servers frame all bodies; a weight store need not.

Both are now failures, and are tried again as others. Checked and left as they are: bodies of one JSON object, which do not parse when cut; frames of a run and an engine's events, which have an end of their own; pages of the log with lengths and the end offset.

--- a/siskinmount/backing_services/_weight_store.py
+++ b/siskinmount/backing_services/_weight_store.py
@@ -55,6 +55,9 @@
                         exchange.find_header(b'retry-after')
                     ),
                 )
+            fault = exchange.find_framing_fault()
+            if fault is not None:
+                return _http_call.unavailable(_CODE, fault.reason)
             return await _count_bytes(exchange)
 
 
--- a/siskinmount/backing_services/tests/test_clients.py
+++ b/siskinmount/backing_services/tests/test_clients.py
@@ -9,6 +9,7 @@
 from siskinmount import backing_services
 from siskinmount import results
 from siskinmount import transport
+from siskinmount.transport.tests import raw_server
 
 
 def _record(offset, data=b'x'):
@@ -161,3 +162,21 @@
             self.assertEqual(2500, busy.retry_after_ms)
 
         self.run_with_answer(429, {}, check, [(b'retry-after', b'2.5')])
+
+    def test_weights_of_unknown_length_are_not_taken_for_complete(self):
+        head = b'HTTP/1.1 200 OK\r\n'
+        cases = [
+            (head + b'content-length: 4\r\n\r\n1234', 4),
+            (head + b'content-length: 4\r\n\r\n12', None),
+            (head + b'\r\n12', None),
+        ]
+
+        async def read_size(address):
+            client = backing_services.create_weight_store_client(address)
+            return await client.read_size_bytes('m', 'v1')
+
+        for response, expected in cases:
+            size = raw_server.run_against(response, read_size)
+            if isinstance(size, results.Failure):
+                size = None
+            self.assertEqual(expected, size, response)
--- a/siskinmount/entry/_stream_owner_client.py
+++ b/siskinmount/entry/_stream_owner_client.py
@@ -107,6 +107,9 @@
         if isinstance(exchange, results.Failure):
             return exchange
         with exchange:
+            fault = exchange.find_framing_fault()
+            if fault is not None:
+                return fault
             body = await exchange.read_body(MAX_RESPONSE_BYTES)
         if isinstance(body, results.Failure):
             return body
--- a/siskinmount/transport/_client_exchange.py
+++ b/siskinmount/transport/_client_exchange.py
@@ -216,6 +216,16 @@
                 )
             parts.append(chunk)
 
+    def find_framing_fault(self) -> results.Failure | None:
+        """Returns a failure if a loss of the body's rest would not show.
+
+        For bodies that must be complete and whose content does not show it.
+        """
+        framing = self.body_framing
+        if framing is not _body_framing.BodyFraming.CONNECTION_END:
+            return None
+        return _connection_lost('the body has neither a length nor chunks')
+
     async def discard_body(self) -> None:
         """Reads the rest of the body, so that the connection can be reused.
 
--- a/siskinmount/transport/tests/test_body_end.py
+++ b/siskinmount/transport/tests/test_body_end.py
@@ -1,13 +1,10 @@
 """Tests of how the HTTP client takes the end of a response's body."""
 
-import socket
-import struct
-
 import testtools
-import trio
 
 from siskinmount import results
 from siskinmount import transport
+from siskinmount.transport.tests import raw_server
 
 _HEAD = b'HTTP/1.1 200 OK\r\n'
 _UNFRAMED = _HEAD + b'\r\n'
@@ -16,44 +13,18 @@
 _LOST = results.ResultCode.UPSTREAM_LOST
 
 
-def reset(stream):
-    """Makes the close of a stream send a reset."""
-    stream.setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
-    )
-
-
 class BodyEndTest(testtools.TestCase):
 
     def _read(self, response, is_reset=False, read=None, method='GET'):
-        """Returns what `read(exchange)` returns for a response's bytes."""
-
-        async def serve(stream):
-            await stream.receive_some(65536)
-            await stream.send_all(response)
-            if is_reset:
-                # A reset discards bytes that the client has not read yet.
-                await trio.sleep(0.05)
-                reset(stream)
-            await trio.aclose_forcefully(stream)
+        """Returns what `read(exchange)` returns, and the framing."""
 
-        async def main():
-            with trio.fail_after(10):
-                async with trio.open_nursery() as nursery:
-                    listeners = await nursery.start(trio.serve_tcp, serve, 0)
-                    port = listeners[0].socket.getsockname()[1]
-                    client = transport.create_http_client(
-                        transport.Address('127.0.0.1', port)
-                    )
-                    with await client.send(
-                        transport.ClientRequest(method, '/')
-                    ) as exchange:
-                        outcome = await read(exchange)
-                        framing = exchange.body_framing
-                    nursery.cancel_scope.cancel()
-                    return outcome, framing
+        async def call(address):
+            client = transport.create_http_client(address)
+            request = transport.ClientRequest(method, '/')
+            with await client.send(request) as exchange:
+                return await read(exchange), exchange.body_framing
 
-        return trio.run(main)
+        return raw_server.run_against(response, call, is_reset)
 
     def test_end_of_a_body(self):
         framings = transport.BodyFraming
