--- a/siskinmount/transport/tests/raw_server.py
+++ b/siskinmount/transport/tests/raw_server.py
@@ -1,5 +1,6 @@
 """Answers one request with given bytes, and closes or resets the connection."""
 
+import functools
 import socket
 import struct
 
@@ -35,8 +36,8 @@
         with trio.fail_after(TEST_TIMEOUT_S):
             async with trio.open_nursery() as nursery:
                 listeners = await nursery.start(
-                    lambda task_status: trio.serve_tcp(
-                        serve, 0, host='127.0.0.1', task_status=task_status
+                    functools.partial(
+                        trio.serve_tcp, serve, 0, host='127.0.0.1'
                     )
                 )
                 port = listeners[0].socket.getsockname()[1]
