Take a page that announces more records for incomplete

A reload of a log drops the keys that the list of newest records leaves out. A page that said has_more but brought no record was taken for the last one, so all keys behind it would have been dropped: upstreams, or accepted jobs, until the next reload. A page with more to come and only records that cannot be decoded was asked for again without a pause, forever.

The test beside it pins that a broken-off page of records shows by its end offset that more follow; it held before.

--- a/siskinmount/platform/_store.py
+++ b/siskinmount/platform/_store.py
@@ -206,14 +206,21 @@
                 )
             if end_offset is None:
                 end_offset = page_end
+            previous = after
             for item in items:
                 record = _decode_newest(item)
                 if record is None:
                     continue
                 records.append(record)
                 after = record.key
-            if not page.get('has_more') or not items:
+            if not page.get('has_more'):
                 return keyed_log.LogPage(records, end_offset)
+            if after == previous:
+                return _create_failure(
+                    'newest',
+                    'more records are announced after a page without any',
+                    results.RunState.NOT_RUN,
+                )
 
     async def _read_newest_page(
         self, after: str
