Take a plain service's event stream that is broken off for a failure

Whether a stream is complete is now judged in one place, beside the splitter of events in transport, by gateway and sidecar. A body that is no event stream ends with its connection as HTTP says. Blocks of comments alone are no events, and a blank line may end with LF after CRLF or the other way round.

test_event_stream_that_is_broken_off_is_a_failure fails before.

--- a/siskinmount/gateway/_event_stream.py
+++ b/siskinmount/gateway/_event_stream.py
@@ -4,30 +4,20 @@
 broken off is taken for complete by neither.
 """
 
-import enum
 import logging
 
 import trio
 
 from siskinmount import results
 from siskinmount import transport
-from siskinmount.gateway import _event_splitter
 from siskinmount.gateway import _gateway_metrics
 
 _LOGGER = logging.getLogger(__name__)
 
-
-class StreamEnd(enum.Enum):
-    """Where a stream ended, by its last bytes."""
-
-    #: After a complete event.
-    BETWEEN_EVENTS = 'between_events'
-
-    #: Within an event, so it was broken off.
-    WITHIN_EVENT = 'within_event'
-
-    #: Without an event.
-    BEFORE_EVENTS = 'before_events'
+_END_TEXTS = {
+    transport.StreamEnd.WITHIN_EVENT: 'within an event',
+    transport.StreamEnd.BEFORE_EVENTS: 'before its first event',
+}
 
 
 class EventStream:
@@ -45,7 +35,6 @@
         '_request_id',
         '_upstream_id',
         '_splitter',
-        '_has_events',
         '_failure',
     )
 
@@ -62,8 +51,7 @@
         self._metrics = metrics
         self._request_id = request_id
         self._upstream_id = upstream_id
-        self._splitter = _event_splitter.create_event_splitter()
-        self._has_events = False
+        self._splitter = transport.create_event_splitter()
         self._failure: results.Failure | None = None
 
     @property
@@ -73,7 +61,7 @@
 
     async def receive(
         self, timeout_s: float
-    ) -> list[_event_splitter.StreamEvent] | results.Failure:
+    ) -> list[transport.StreamEvent] | results.Failure:
         """Returns the next events, or none at the end of a complete stream.
 
         Events before a fault are returned first.
@@ -96,15 +84,14 @@
                 break
             events = self._accept(self._splitter.split(chunk))
             if events:
-                self._has_events = True
                 return events
         return self._failure
 
     def _accept(
-        self, events: list[_event_splitter.StreamEvent]
-    ) -> list[_event_splitter.StreamEvent]:
+        self, events: list[transport.StreamEvent]
+    ) -> list[transport.StreamEvent]:
         """Returns the events up to the first that is out of order."""
-        accepted: list[_event_splitter.StreamEvent] = []
+        accepted: list[transport.StreamEvent] = []
         for event in events:
             last = self.last_event_id
             if event.event_id is not None:
@@ -118,42 +105,28 @@
         return accepted
 
     def _judge_end(self) -> results.Failure | None:
-        """Returns why the stream is not complete, or None if it is.
-
-        The end of a connection alone proves nothing: an upstream that breaks
-        off an unframed stream closes it as one that is done. Whatever the
-        framing, a stream does not end within an event.
-        """
-        is_unframed = (
-            self._response.body_framing is transport.BodyFraming.CONNECTION_END
-        )
-        end = StreamEnd.BETWEEN_EVENTS
-        reason: str | None = None
-        if self._splitter.is_within_event():
-            end = StreamEnd.WITHIN_EVENT
-            reason = 'the stream ended within an event'
-        elif not self._has_events:
-            end = StreamEnd.BEFORE_EVENTS
-            if is_unframed:
-                reason = 'the connection ended before the first event'
-        self._metrics.stream_ends.increment(
-            self._response.body_framing.value, end.value
-        )
-        if reason is not None or is_unframed:
+        """Returns why the stream is not complete, or None if it is."""
+        framing = self._response.body_framing
+        end = self._splitter.find_end()
+        is_complete = transport.is_stream_complete(end, framing)
+        self._metrics.stream_ends.increment(framing.value, end.value)
+        if not is_complete or framing is transport.BodyFraming.CONNECTION_END:
             _LOGGER.info(
                 'stream_end_unconfirmed',
                 extra={
                     'request_id': self._request_id,
                     'upstream': self._upstream_id,
-                    'body_framing': self._response.body_framing.value,
+                    'body_framing': framing.value,
                     'body_bytes': self._response.received_body_bytes,
                     'end': end.value,
                     'unfinished_bytes': len(self._splitter.remainder),
                     'last_event_id': self.last_event_id,
-                    'outcome': 'complete' if reason is None else 'broken_off',
+                    'outcome': 'complete' if is_complete else 'broken_off',
                 },
             )
-        return None if reason is None else _lost(reason)
+        if is_complete:
+            return None
+        return _lost(f'the stream was broken off {_END_TEXTS[end]}')
 
 
 def _lost(reason: str) -> results.Failure:
--- a/siskinmount/gateway/tests/test_event_stream.py
+++ b/siskinmount/gateway/tests/test_event_stream.py
@@ -14,8 +14,8 @@
 _LENGTH = transport.BodyFraming.LENGTH
 _CHUNKED = transport.BodyFraming.CHUNKED
 _CONNECTION_END = transport.BodyFraming.CONNECTION_END
-_WITHIN = 'the stream ended within an event'
-_BEFORE = 'the connection ended before the first event'
+_WITHIN = 'the stream was broken off within an event'
+_BEFORE = 'the stream was broken off before its first event'
 
 
 def _event(number):
@@ -84,6 +84,8 @@
             (_CHUNKED, [_event(1), b'\n'], [1], None, b'\n'),
             (_CHUNKED, [_event(1), b': bye\n'], [1], None, b': bye\n'),
             (_CHUNKED, [_event(1), b': bye'], [1], _WITHIN, b': bye'),
+            (_CONNECTION_END, [b': hello\n\n'], [None], _BEFORE, b''),
+            (_CHUNKED, [b'id: 1\n\r\nid: 2\r\n\n'], [1, 2], None, b''),
             (_CHUNKED, [b'id: 1\r\ndata: x\r\n\r'], [], _WITHIN, None),
         ]
         for framing, chunks, ids, failure, trailing in cases:
--- a/siskinmount/sidecar/_http_plain_upstream.py
+++ b/siskinmount/sidecar/_http_plain_upstream.py
@@ -10,6 +10,7 @@
 CONNECT_TIMEOUT_MS = 1000
 SILENCE_TIMEOUT_MS = 600_000
 MAX_CONNECTIONS = 1024
+_EVENT_STREAM = 'text/event-stream'
 
 _HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -28,11 +29,15 @@
 class PlainStream:
     """Turns one response into frames."""
 
-    __slots__ = ('_exchange', '_head_returned')
+    __slots__ = ('_exchange', '_head_returned', '_splitter')
 
     def __init__(self, exchange: transport.ClientExchange) -> None:
         self._exchange = exchange
         self._head_returned = False
+        self._splitter: transport.EventSplitter | None = None
+        media_type = exchange.find_header(b'content-type') or ''
+        if media_type.partition(';')[0].strip().lower() == _EVENT_STREAM:
+            self._splitter = transport.create_event_splitter()
 
     async def receive(self) -> list[relay.Frame] | results.Failure:
         """Returns the head first, then parts of the body, then the end."""
@@ -47,13 +52,27 @@
                 chunk.code, chunk.reason, results.RunState.RAN
             )
         if not chunk:
+            if self._is_broken_off():
+                return results.Failure(
+                    results.ResultCode.UPSTREAM_LOST,
+                    'the event stream was broken off',
+                    results.RunState.RAN,
+                )
             return [relay.EndFrame()]
+        if self._splitter is not None:
+            self._splitter.split(chunk)
         return [relay.BodyFrame(chunk)]
 
     def close(self) -> None:
         """Closes the connection."""
         self._exchange.close()
 
+    def _is_broken_off(self) -> bool:
+        """Returns whether an event stream ended before it was complete."""
+        return self._splitter is not None and not transport.is_stream_complete(
+            self._splitter.find_end(), self._exchange.body_framing
+        )
+
     def _list_headers(self) -> list[tuple[str, str]]:
         """Returns the end-to-end headers of the response."""
         headers: list[tuple[str, str]] = []
--- a/siskinmount/transport/__init__.py
+++ b/siskinmount/transport/__init__.py
@@ -6,6 +6,11 @@
 from siskinmount.transport._client_exchange import ClientExchange
 from siskinmount.transport._client_exchange import ClientRequest
 from siskinmount.transport._client_exchange import find_request_fault
+from siskinmount.transport._event_splitter import create_event_splitter
+from siskinmount.transport._event_splitter import EventSplitter
+from siskinmount.transport._event_splitter import is_stream_complete
+from siskinmount.transport._event_splitter import StreamEnd
+from siskinmount.transport._event_splitter import StreamEvent
 from siskinmount.transport._headers import find_header
 from siskinmount.transport._headers import Headers
 from siskinmount.transport._headers import retry_headers
