Let the soak's proxy pass on no end of a connection that lost bytes

The proxy dropped bytes of a cut connection and still closed it when the server did. TCP cannot do that: an end is delivered after all bytes before it. With chunked answers the close was only a quicker failure; with answers that end with their connection it made up streams that miss events and end properly.

The end of a connection that lost bytes is now held back until the caller has left, so such a connection is silent, which is the harder fault for the gateway. No check is changed.

--- a/tools/soak/_loopback_proxy.py
+++ b/tools/soak/_loopback_proxy.py
@@ -32,13 +32,15 @@
     Attributes:
         caller: Stream of the side that connected.
         is_silenced: Whether bytes of the connection have been dropped.
+        caller_left: Set when the caller has closed its side.
     """
 
-    __slots__ = ('caller', 'is_silenced')
+    __slots__ = ('caller', 'is_silenced', 'caller_left')
 
     def __init__(self, caller: trio.SocketStream) -> None:
         self.caller = caller
         self.is_silenced = False
+        self.caller_left = trio.Event()
 
 
 class LoopbackProxy:
@@ -108,7 +110,11 @@
             data = await source.receive_some(_READ_BYTES)
             if not data:
                 if not is_answer:
+                    connection.caller_left.set()
                     await trio.sleep_forever()
+                if connection.is_silenced:
+                    # TCP delivers no end before the bytes that were lost.
+                    await connection.caller_left.wait()
                 return
             if self.delay_s:
                 await trio.sleep(self.delay_s)
