Let engines of the soak answer without length or chunks

Four in ten engines, drawn anew each second from a generator of their own, now end their answers with the connection; whatever else a seed injects is as before.

--- a/tools/soak/_fault_injector.py
+++ b/tools/soak/_fault_injector.py
@@ -19,6 +19,10 @@
 LOST_ANSWER_COUNT = 3
 STORE_DELAY_MS = 400
 LINK_DELAY_S = 0.3
+#: Share of engines that answer with neither length nor chunks, and how often
+#: they are drawn anew.
+UNFRAMED_SHARE = 0.4
+FRAMING_PERIOD_S = 1.0
 #: Faults of single answers after which a request can still succeed. Faults
 #: that fail an item permanently are left out, as listing the item as given up
 #: would then be correct.
@@ -36,19 +40,36 @@
 class FaultInjector:
     """Injects the faults of one schedule."""
 
-    __slots__ = ('_fleet', '_rng')
+    __slots__ = ('_fleet', '_rng', '_framing_rng')
 
     def __init__(self, fleet: _soak_fleet.SoakFleet, seed: int) -> None:
         self._fleet = fleet
         self._rng = random.Random(seed)
+        # A generator of its own, so that the faults of a seed stay the same.
+        self._framing_rng = random.Random(f'framing {seed}')
 
     async def inject(self, events: list[_schedule.FaultEvent]) -> None:
         """Injects all faults at their times; returns when all have ended."""
         began_at_s = trio.current_time()
-        async with trio.open_nursery() as nursery:
-            for event in events:
-                await trio.sleep_until(began_at_s + event.at_s)
-                nursery.start_soon(self._inject_one, event)
+        async with trio.open_nursery() as framing_nursery:
+            framing_nursery.start_soon(self._vary_framing)
+            async with trio.open_nursery() as nursery:
+                for event in events:
+                    await trio.sleep_until(began_at_s + event.at_s)
+                    nursery.start_soon(self._inject_one, event)
+            framing_nursery.cancel_scope.cancel()
+
+    async def _vary_framing(self) -> None:
+        """Lets some engines end their answers with the connection.
+
+        What else spoils an answer then happens to such answers too.
+        """
+        while True:
+            for running in self._fleet.engines:
+                running.engine.omits_framing = (
+                    self._framing_rng.random() < UNFRAMED_SHARE
+                )
+            await trio.sleep(FRAMING_PERIOD_S)
 
     async def _inject_one(self, event: _schedule.FaultEvent) -> None:
         kind = event.kind
