Count a crash once however many members saw it

A request whose copies ran at one upstream for three members when it crashed was quarantined for a minute: callers got refusals, an item waited, for one crash that another request may have caused. Members told each other numbers, and the numbers were summed.

Each crash now has an id (upstream, its start, a number for crashes of one start that this process saw), members send the ids, and the union is counted. Two crashes of an upstream that restarts under its id still count twice. Messages keep the numbers for members that know no ids; from those, each crash counts as their own, as before.

--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -414,6 +414,7 @@
                     len(progress.events) - earlier_event_count
                     >= MIN_ADDED_EVENTS
                 ),
+                started_at_ms=upstream.started_at_ms,
             )
             self._health.record_failure(upstream.upstream_id, reason)
             progress.back_off(progress.lost_runs)
--- a/siskinmount/gateway/_member_announcer.py
+++ b/siskinmount/gateway/_member_announcer.py
@@ -71,7 +71,7 @@
             counts=self._load.own,
             held_tags=self._scheduler.held_tags,
             kept_tags=self._scheduler.list_kept_tags(),
-            crashes=self._crash_tracker.counts,
+            crashes=self._crash_tracker.crashes,
             failure_tallies=self._health.list_failure_tallies(),
         )
 
--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -152,7 +152,9 @@
             health.record_failure(upstream_id, reason)
         elif outcome is AttemptOutcome.LOST and reason != _CANCELLED:
             self._context.crash_tracker.record_interrupted_run(
-                self._request.fingerprint, upstream_id
+                self._request.fingerprint,
+                upstream_id,
+                started_at_ms=self._upstream.started_at_ms,
             )
             health.record_failure(upstream_id, reason)
         elif (
--- a/siskinmount/peering/_peer_directory.py
+++ b/siskinmount/peering/_peer_directory.py
@@ -145,7 +145,7 @@
         peer.heard_at_s = trio.current_time()
         peer.message = message
         self._load.set_peer_counts(peer.member, message.counts)
-        self._crash_tracker.set_peer_counts(peer.member, message.crashes)
+        self._crash_tracker.set_peer_crashes(peer.member, message.crashes)
         self._health.set_peer_tallies(peer.member, message.failure_tallies)
 
     def list_live(self) -> list[Peer]:
--- a/siskinmount/peering/_peer_message.py
+++ b/siskinmount/peering/_peer_message.py
@@ -1,5 +1,7 @@
 """The message that members of the fleet send each other."""
 
+from typing import Any
+
 import orjson
 
 from siskinmount import placement
@@ -21,7 +23,8 @@
         counts: Requests of the sender in flight, by upstream.
         held_tags: Batch items that the sender runs or is about to list.
         kept_tags: Waiting batch items of which the sender holds output.
-        crashes: Crashes counted by the sender, by request fingerprint.
+        crashes: Ids of the crashes that the sender has counted, by request
+            fingerprint.
         failure_tallies: Upstreams that failed requests of the sender, with
             their tallies.
     """
@@ -54,7 +57,7 @@
         counts: dict[str, placement.UpstreamCounts],
         held_tags: set[str],
         kept_tags: set[str],
-        crashes: dict[str, int],
+        crashes: dict[str, set[str]],
         failure_tallies: dict[str, placement.FailureTally],
     ) -> None:
         self.member = member
@@ -92,7 +95,13 @@
             },
             'held': sorted(message.held_tags),
             'kept': sorted(message.kept_tags),
-            'crashes': message.crashes,
+            # Members that know no ids yet read the numbers.
+            'crashes': {
+                name: len(ids) for name, ids in message.crashes.items()
+            },
+            'crash_ids': {
+                name: sorted(ids) for name, ids in message.crashes.items()
+            },
             'troubled': {
                 upstream_id: (round(tally.failures, 2), round(tally.runs, 2))
                 for upstream_id, tally in message.failure_tallies.items()
@@ -101,6 +110,20 @@
     )
 
 
+def _decode_crashes(fields: dict[str, Any]) -> dict[str, set[str]]:
+    """Returns the ids of crashes; a member that sends none gets its own."""
+    if 'crash_ids' in fields:
+        return {
+            str(name): {str(crash_id) for crash_id in ids}
+            for name, ids in fields['crash_ids'].items()
+        }
+    member = str(fields['member'])
+    return {
+        str(name): {f'{member}/{number}' for number in range(int(count))}
+        for name, count in fields['crashes'].items()
+    }
+
+
 def decode_message(data: bytes) -> PeerMessage | results.Failure:
     """Decodes a message, or fails with `MALFORMED_REQUEST`."""
     try:
@@ -126,10 +149,7 @@
             counts=counts,
             held_tags={str(tag) for tag in fields['held']},
             kept_tags={str(tag) for tag in fields['kept']},
-            crashes={
-                str(name): int(count)
-                for name, count in fields['crashes'].items()
-            },
+            crashes=_decode_crashes(fields),
             failure_tallies=failure_tallies,
         )
     except (
--- a/siskinmount/placement/_crash_tracker.py
+++ b/siskinmount/placement/_crash_tracker.py
@@ -6,6 +6,9 @@
 too, but only the request that causes the crashes is interrupted at several
 upstreams in a row. A long batch item may be as well, but it adds output in each
 run, and a request that crashes what begins to run it does not.
+
+A crash has an id, made of its upstream, the start of that and a number, so that
+it counts once however many members ran copies of the request there.
 """
 
 import logging
@@ -34,39 +37,53 @@
     Attributes:
         at_s: Monotonic time of its end.
         added_output: Whether it added output that the next run continues.
+        started_at_ms: Start of the upstream, in Unix milliseconds.
     """
 
-    __slots__ = ('at_s', 'added_output')
+    __slots__ = ('at_s', 'added_output', 'started_at_ms')
 
-    def __init__(self, at_s: float, added_output: bool) -> None:
+    def __init__(
+        self, at_s: float, added_output: bool, started_at_ms: int
+    ) -> None:
         self.at_s = at_s
         self.added_output = added_output
+        self.started_at_ms = started_at_ms
 
 
 class CrashTracker:
     """Counts crashes by request, in this process and at its peers.
 
     Attributes:
-        counts: Crashes that this process has counted, by fingerprint.
+        crashes: Ids of the crashes that this process has counted, by
+            fingerprint.
     """
 
     __slots__ = (
-        'counts',
+        'crashes',
         '_ignored_counts',
         '_last_crash_at_s',
         '_interrupted_runs',
-        '_peer_counts',
+        '_peer_crashes',
     )
 
     def __init__(self) -> None:
-        self.counts: dict[str, int] = {}
+        self.crashes: dict[str, set[str]] = {}
         self._ignored_counts: dict[str, int] = {}
         self._last_crash_at_s: dict[str, float] = {}
         self._interrupted_runs: dict[str, dict[str, InterruptedRun]] = {}
-        self._peer_counts: dict[str, tuple[float, dict[str, int]]] = {}
+        self._peer_crashes: dict[str, tuple[float, dict[str, set[str]]]] = {}
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """Number of crashes that this process has counted, by fingerprint."""
+        return {name: len(ids) for name, ids in self.crashes.items()}
 
     def record_interrupted_run(
-        self, fingerprint: str, upstream_id: str, added_output: bool = False
+        self,
+        fingerprint: str,
+        upstream_id: str,
+        added_output: bool = False,
+        started_at_ms: int = 0,
     ) -> None:
         """Records a run that was interrupted at its upstream.
 
@@ -75,9 +92,12 @@
             upstream_id: Upstream of the run.
             added_output: Whether the run added output that the next run
                 continues.
+            started_at_ms: Start of the upstream, in Unix milliseconds.
         """
         runs = self._interrupted_runs.setdefault(upstream_id, {})
-        runs[fingerprint] = InterruptedRun(trio.current_time(), added_output)
+        runs[fingerprint] = InterruptedRun(
+            trio.current_time(), added_output, started_at_ms
+        )
 
     def record_upstream_down(self, upstream_id: str) -> None:
         """Counts the runs that were interrupted when an upstream went down."""
@@ -92,16 +112,33 @@
             self._last_crash_at_s[fingerprint] = now_s
             if run.added_output and self._ignore_crash(fingerprint):
                 continue
-            self.counts[fingerprint] = self.counts.get(fingerprint, 0) + 1
+            crash_id = self._add_crash(
+                fingerprint, f'{upstream_id}/{run.started_at_ms}'
+            )
             _LOGGER.info(
                 'crash_counted',
                 extra={
                     'fingerprint': fingerprint,
                     'upstream': upstream_id,
-                    'own_count': self.counts[fingerprint],
+                    'crash': crash_id,
+                    'own_count': len(self.crashes[fingerprint]),
+                    'peer_count': self.count_at_peers(fingerprint),
                 },
             )
 
+    def _add_crash(self, fingerprint: str, start: str) -> str:
+        """Adds a crash and returns its id.
+
+        An upstream that crashes again for this process has been started in
+        between, though the platform may not have told it yet.
+        """
+        ids = self.crashes.setdefault(fingerprint, set())
+        number = 0
+        while f'{start}/{number}' in ids:
+            number += 1
+        ids.add(f'{start}/{number}')
+        return f'{start}/{number}'
+
     def _ignore_crash(self, fingerprint: str) -> bool:
         """Returns whether one more crash need not be counted."""
         ignored = self._ignored_counts.get(fingerprint, 0)
@@ -129,22 +166,22 @@
         """Drops the runs that an upstream interrupted without a crash."""
         self._interrupted_runs.pop(upstream_id, None)
 
-    def set_peer_counts(self, peer: str, counts: dict[str, int]) -> None:
-        """Replaces the counts of a peer."""
-        self._peer_counts[peer] = (trio.current_time(), counts)
+    def set_peer_crashes(self, peer: str, crashes: dict[str, set[str]]) -> None:
+        """Replaces the ids of the crashes that a peer has counted."""
+        self._peer_crashes[peer] = (trio.current_time(), crashes)
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Returns whether a request must not be run any more."""
-        total = self.counts.get(fingerprint, 0)
+        total = len(self.crashes.get(fingerprint, ()))
         total += self.count_at_peers(fingerprint)
         return total >= MIN_QUARANTINE_CRASHES
 
     def count_at_peers(self, fingerprint: str) -> int:
-        """Returns the crashes of a request that peers have counted."""
-        total = 0
-        for _, counts in self._peer_counts.values():
-            total += counts.get(fingerprint, 0)
-        return total
+        """Returns the crashes of a request that only peers have counted."""
+        ids: set[str] = set()
+        for _, crashes in self._peer_crashes.values():
+            ids |= crashes.get(fingerprint, set())
+        return len(ids - self.crashes.get(fingerprint, set()))
 
     def expire(self) -> None:
         """Drops counts and interrupted runs that are too old."""
@@ -152,11 +189,11 @@
         for fingerprint, last_crash_at_s in list(self._last_crash_at_s.items()):
             if now_s - last_crash_at_s > RETENTION_S:
                 del self._last_crash_at_s[fingerprint]
-                self.counts.pop(fingerprint, None)
+                self.crashes.pop(fingerprint, None)
                 self._ignored_counts.pop(fingerprint, None)
-        for peer, (received_at_s, _) in list(self._peer_counts.items()):
+        for peer, (received_at_s, _) in list(self._peer_crashes.items()):
             if now_s - received_at_s > RETENTION_S:
-                del self._peer_counts[peer]
+                del self._peer_crashes[peer]
         for upstream_id, interrupted_runs in list(
             self._interrupted_runs.items()
         ):
