Hand out no items after a pause before the log has been read

Items that may not be repeated are safe, as their start is committed first; the others were not. Ruled out: leases renewed by the former owner, which the sidecars' limit on old confirmations covers.

An owner now notices a pause of its process (a gap of over 2 s between ticks of a second, below the 3 s and more after which others take over), reads the log at once instead of waiting at its end, and until then hands out nothing and leaves renewals unconfirmed.

--- a/siskinmount/batch/_item_reports.py
+++ b/siskinmount/batch/_item_reports.py
@@ -98,6 +98,14 @@
         failure = owner.register_sidecar(request.vm, request.incarnation)
         if failure is not None:
             return failure
+        if not owner.is_current():
+            return _report_messages.RenewReply(
+                [],
+                [
+                    _report_messages.ItemName(lease_name.job, lease_name.index)
+                    for lease_name in request.leases
+                ],
+            )
         return _report_messages.RenewReply(
             [
                 _report_messages.ItemName(lease_name.job, lease_name.index)
--- a/siskinmount/batch/_owner_state.py
+++ b/siskinmount/batch/_owner_state.py
@@ -1,6 +1,7 @@
 """State shared by the parts of a batch owner."""
 
 from collections.abc import Callable
+import logging
 
 import trio
 
@@ -12,8 +13,11 @@
 from siskinmount.batch import _job_item_queue
 from siskinmount.batch import _job_table
 from siskinmount.batch import _lease_table
+from siskinmount.batch import _pause_detector
 from siskinmount.state import records_pb2
 
+_LOGGER = logging.getLogger(__name__)
+
 
 class OwnerState:
     """The jobs of one stream, their leases and their queues.
@@ -41,6 +45,7 @@
         'resume_tokens',
         'on_ready',
         '_lease_count',
+        '_pauses',
     )
 
     def __init__(
@@ -60,10 +65,24 @@
         self.resume_tokens = _ResumeTokens(limits.max_resume_tokens)
         self.on_ready = on_ready
         self._lease_count = 0
+        self._pauses = _pause_detector.create_pause_detector()
         self.table.on_begin_term = self._begin_term
         self.table.on_item_returned = self._on_item_returned
         stream.add_state_machine(self.table)
 
+    def is_current(self) -> bool:
+        """Returns whether the log was read to its end since the last pause.
+
+        Another process may have taken the stream over during a pause, and may
+        have cancelled jobs. Must be called about once a second, too.
+        """
+        if self._pauses.tick():
+            _LOGGER.warning(
+                'owner_was_paused', extra={'stream': self.stream.name}
+            )
+            self.stream.read_at_once()
+        return self.stream.confirmed_at_s >= self._pauses.ended_at_s
+
     def queue_of(self, job: _job.Job) -> _job_item_queue.JobItemQueue:
         """Returns the queue of a job's items, creating it if needed."""
         queue = self.queues.get(job.job_id)
--- a/siskinmount/batch/_report_messages.py
+++ b/siskinmount/batch/_report_messages.py
@@ -290,8 +290,9 @@
 
     Attributes:
         cancelled: Items that the sidecar must stop.
-        unconfirmed: Items whose owner could not be reached; their leases are
-            not renewed, and the sidecar need not stop them.
+        unconfirmed: Items whose owner could not be reached, or was paused and
+            has not read the log since; their leases are not renewed, and the
+            sidecar need not stop them.
     """
 
     __slots__ = ('cancelled', 'unconfirmed')
--- a/siskinmount/state/_state_stream.py
+++ b/siskinmount/state/_state_stream.py
@@ -58,12 +58,15 @@
         is_owned: Whether this process's claim is the newest that it has read.
         time_index: Offsets by the time at which records were written.
         ageing_below: Offset below which records are the next to expire.
+        confirmed_at_s: Monotonic time at which the last read that reached the
+            end of the stream was sent.
     """
 
     __slots__ = (
         'name',
         'limits',
         'is_owned',
+        'confirmed_at_s',
         'time_index',
         'ageing_below',
         '_log',
@@ -75,6 +78,7 @@
         '_queue',
         '_changed',
         '_is_at_tail',
+        '_reads_at_once',
         '_is_log_failing',
         '_read_scope',
         '_is_resigning',
@@ -96,6 +100,7 @@
         self.name = name
         self.limits = limits
         self.is_owned = False
+        self.confirmed_at_s = float('-inf')
         self.time_index = _time_index.TimeIndex(limits.retention_ms)
         self.ageing_below = 0
         self._log = log
@@ -107,6 +112,7 @@
         self._queue = _commit_queue.CommitQueue()
         self._changed = trio.Event()
         self._is_at_tail = False
+        self._reads_at_once = False
         self._is_log_failing = False
         # Scope of the read in progress; cancelled if the read hangs.
         self._read_scope = trio.CancelScope()
@@ -156,6 +162,11 @@
         self._is_resigning = True
         self._notify()
 
+    def read_at_once(self) -> None:
+        """Reads up to the end of the stream, in place of a read that waits."""
+        self._reads_at_once = True
+        self._read_scope.cancel()
+
     async def wait_owned(self) -> bool:
         """Waits for ownership; returns False if the term ended first."""
         while not self.is_owned and self._end is None:
@@ -279,12 +290,14 @@
         await self._start_replay()
         backoff = self._new_backoff()
         while self._end is None:
+            sent_at_s = trio.current_time()
+            # Replay must find out at once that it has reached the tail.
+            may_wait = self._is_at_tail and not self._reads_at_once
             with trio.CancelScope() as self._read_scope:
                 page = await self._log.read(
                     self.name,
                     self._replay.next_offset,
-                    # Replay must find out at once that it has reached the tail.
-                    wait_ms=self.limits.tail_wait_ms if self._is_at_tail else 0,
+                    wait_ms=self.limits.tail_wait_ms if may_wait else 0,
                 )
             if self._read_scope.cancelled_caught:
                 continue
@@ -303,6 +316,8 @@
             if self._replay.next_offset >= page.next_offset:
                 self._check_snapshot_restored()
                 self._is_at_tail = True
+                self._reads_at_once = False
+                self.confirmed_at_s = sent_at_s
             self._notify()
         scope.cancel()
 
