Send nothing new to upstreams that say in responses that they leave

An engine that leaves now says so in all its answers.

The adapter reads the header of an upstream's own responses: the request's id echoed, a seal on a success, no 421. The view of the fleet keeps the departure with the upstream's start and the time it was learned, and lists the upstream no more for callers, retries, resumptions and items; what runs there runs on. Peers are told at once, with start and age, so that a late or repeated message does no harm; what a peer told is not told on.

It ends with a later start, when the upstream is gone, or with an entry that was written after the response: one read from beyond an end of the log that was seen later. An old entry, a reload, a lapse, an entry from a peer do not end it.

A request for which only leaving upstreams are left is refused at once, not run (docs/design/users-platform.md). An upstream that announced its departure and is then gone has not crashed, so runs that it interrupted count against no request.

--- a/siskinmount/fleet/__init__.py
+++ b/siskinmount/fleet/__init__.py
@@ -1,5 +1,6 @@
 """This process's view of the document in force and of the upstreams."""
 
+from siskinmount.fleet._announced_departures import DepartureNotice
 from siskinmount.fleet._document import CallerLimits
 from siskinmount.fleet._document import FleetDocument
 from siskinmount.fleet._document import FleetRoute
--- a/siskinmount/fleet/_fleet_view.py
+++ b/siskinmount/fleet/_fleet_view.py
@@ -12,6 +12,7 @@
 
 from siskinmount import keyed_log
 from siskinmount import results
+from siskinmount.fleet import _announced_departures
 from siskinmount.fleet import _document
 from siskinmount.fleet import _upstream
 
@@ -32,17 +33,20 @@
         document: The newest valid document; None before the first.
         upstreams: Upstreams by id, including lapsed ones.
         upstream_sources: The encoded entries by id, to be sent to peers.
+        departures: What upstreams said in responses on their departure.
     """
 
     __slots__ = (
         'document',
         'upstreams',
         'upstream_sources',
+        'departures',
         '_decode_document',
         '_decode_upstream',
         '_lapsed_at_s',
         '_listeners',
         '_get_lost_age_s',
+        '_get_log_end',
     )
 
     def __init__(
@@ -51,11 +55,13 @@
         self.document: _document.FleetDocument | None = None
         self.upstreams: dict[str, _upstream.Upstream] = {}
         self.upstream_sources: dict[str, bytes] = {}
+        self.departures = _announced_departures.create_announced_departures()
         self._decode_document = decode_document
         self._decode_upstream = decode_upstream
         self._lapsed_at_s: dict[str, float] = {}
         self._listeners: list[Callable[[], None]] = []
         self._get_lost_age_s: Callable[[], float] = _return_infinity
+        self._get_log_end: Callable[[], keyed_log.LogEnd | None] = _return_none
 
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Registers a function to be called after each change."""
@@ -70,6 +76,48 @@
         """
         self._get_lost_age_s = get_lost_age_s
 
+    def watch_log_end(
+        self, get_log_end: Callable[[], keyed_log.LogEnd | None]
+    ) -> None:
+        """Sets the function that returns the last known end of the log.
+
+        Args:
+            get_log_end: Returns the end of the log of upstreams at the last
+                read that reached it; None before the first.
+        """
+        self._get_log_end = get_log_end
+
+    def record_departure(
+        self, upstream: _upstream.Upstream, request_id: str
+    ) -> bool:
+        """Records a response in which an upstream announces its departure.
+
+        Args:
+            upstream: The upstream to which the request was sent.
+            request_id: Id of the request or batch item, for the log.
+
+        Returns:
+            Whether the departure was not known.
+        """
+        if self._has_later_start(upstream.upstream_id, upstream.started_at_ms):
+            return False
+        if not self.departures.record_response(upstream, request_id):
+            return False
+        self._notify()
+        return True
+
+    def record_peer_departures(
+        self,
+        peer: str,
+        notices: dict[str, _announced_departures.DepartureNotice],
+    ) -> None:
+        """Records the departures that a peer learned from responses."""
+        for upstream_id, notice in notices.items():
+            if self._has_later_start(upstream_id, notice.started_at_ms):
+                continue
+            if self.departures.record_from_peer(peer, upstream_id, notice):
+                self._notify()
+
     def apply_document_record(self, record: keyed_log.KeyedRecord) -> None:
         """Applies a record of the log of documents."""
         if record.key != 'config' or record.value is None:
@@ -165,10 +213,14 @@
                 continue
             self._remove(upstream_id, 'lapsed entry did not return')
             self._notify()
+        self.departures.expire()
 
     def list_ready(self, service: str) -> list[_upstream.Upstream]:
         """Returns the upstreams of a service that take new requests.
 
+        One that has announced its departure takes none, whatever its entry
+        says.
+
         Lapsed upstreams are included only if most upstreams of the service are
         lapsed: then the cause is the outage of the store, not the end of an
         upstream.
@@ -180,6 +232,8 @@
                 continue
             if upstream.state is not _upstream.UpstreamState.READY:
                 continue
+            if self.departures.is_leaving(upstream):
+                continue
             if upstream.upstream_id in self._lapsed_at_s:
                 lapsed.append(upstream)
                 continue
@@ -188,6 +242,31 @@
             return ready + lapsed
         return ready
 
+    def list_passed_over(self, service: str) -> list[str]:
+        """Returns the ids of upstreams that leave though an entry says ready."""
+        if not self.departures.has_any():
+            return []
+        passed_over: list[str] = []
+        for upstream in self.upstreams.values():
+            if upstream.service != service:
+                continue
+            if upstream.state is not _upstream.UpstreamState.READY:
+                continue
+            if self.departures.is_leaving(upstream):
+                passed_over.append(upstream.upstream_id)
+        return passed_over
+
+    def is_leaving(self, upstream: _upstream.Upstream) -> bool:
+        """Returns whether an upstream leaves, by its entry or a response."""
+        return (
+            upstream.state is _upstream.UpstreamState.LEAVING
+            or self.departures.is_leaving(upstream)
+        )
+
+    def _has_later_start(self, upstream_id: str, started_at_ms: int) -> bool:
+        current = self.upstreams.get(upstream_id)
+        return current is not None and current.started_at_ms > started_at_ms
+
     def _apply_removal(self, upstream_id: str, offset: int) -> None:
         """Applies the removal of an entry: lapse soon after an outage."""
         if upstream_id not in self.upstreams:
@@ -204,6 +283,7 @@
     def _remove(self, upstream_id: str, origin: str) -> None:
         self._lapsed_at_s.pop(upstream_id, None)
         self.upstream_sources.pop(upstream_id, None)
+        self.departures.apply_removal(upstream_id)
         if self.upstreams.pop(upstream_id, None) is None:
             return
         _LOGGER.info(
@@ -227,6 +307,9 @@
             self._remove(upstream_id, 'invalid entry')
             return
         self._lapsed_at_s.pop(upstream_id, None)
+        self.departures.apply_entry(
+            decoded, self._estimate_written_since_s(offset)
+        )
         earlier = self.upstreams.get(upstream_id)
         self.upstreams[upstream_id] = decoded
         self.upstream_sources[upstream_id] = source
@@ -248,6 +331,16 @@
             },
         )
 
+    def _estimate_written_since_s(self, offset: int) -> float:
+        """Returns a time at or after which a record was written.
+
+        That is the last time at which the log was seen to end before it.
+        """
+        log_end = self._get_log_end()
+        if log_end is None or offset < log_end.offset:
+            return float('-inf')
+        return log_end.seen_at_s
+
     def _notify(self) -> None:
         for listener in self._listeners:
             listener()
@@ -257,6 +350,10 @@
     return float('inf')
 
 
+def _return_none() -> None:
+    return None
+
+
 def create_fleet_view(
     decode_document: DecodeDocument, decode_upstream: DecodeUpstream
 ) -> FleetView:
--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -17,6 +17,7 @@
 from siskinmount import transport
 from siskinmount.gateway import _batch_membership
 from siskinmount.gateway import _callers_api
+from siskinmount.gateway import _departure_reader
 from siskinmount.gateway import _eligible_members_watch
 from siskinmount.gateway import _gateway_metrics
 from siskinmount.gateway import _graceful_shutdown
@@ -97,6 +98,9 @@
             settings.vm, self._load, crash_tracker, health
         )
         self._metrics = _gateway_metrics.create_gateway_metrics(metrics)
+        departures = _departure_reader.create_departure_reader(
+            outside.wire, self._view, self._load, self._metrics
+        )
         clients = _upstream_clients.create_upstream_clients(self._view)
         table = jobs.create_job_table()
         self._document_follower = keyed_log.create_log_follower(
@@ -184,7 +188,7 @@
             health=health,
             crash_tracker=crash_tracker,
             client=_item_client.create_item_client(
-                clients, health, outside.wire, self._metrics
+                clients, health, departures, outside.wire, self._metrics
             ),
             result_writer=result_writer,
             metrics=self._metrics,
@@ -208,6 +212,7 @@
             overdue=self._overdue,
             crash_tracker=crash_tracker,
             clients=clients,
+            departures=departures,
             wire=outside.wire,
             metrics=self._metrics,
         )
@@ -247,6 +252,8 @@
         ]
         self._view.add_listener(self._apply_limits)
         self._view.watch_store(self._get_time_since_outage_s)
+        self._view.watch_log_end(self._upstreams_follower.get_end)
+        self._directory.watch_departures(self._view.record_peer_departures)
 
     async def run(
         self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
--- a/siskinmount/gateway/_gateway_metrics.py
+++ b/siskinmount/gateway/_gateway_metrics.py
@@ -13,6 +13,7 @@
         attempts: Attempts at upstreams by outcome.
         stream_ends: Ends of upstreams' streams, by framing of the body and by
             what followed the last complete event.
+        departures: Upstreams that announced in a response that they leave.
         placements: Placement decisions by outcome.
         item_runs: Runs of batch items by outcome.
         preemptions: Runs of batch items preempted by callers' requests.
@@ -28,6 +29,7 @@
         'responses',
         'attempts',
         'stream_ends',
+        'departures',
         'placements',
         'item_runs',
         'preemptions',
@@ -52,6 +54,10 @@
             'framing',
             'end',
         )
+        self.departures = metrics.create_counter(
+            'upstream_departures_total',
+            'Upstreams that said in an answer that they leave.',
+        )
         self.placements = metrics.create_counter(
             'placements_total', 'Decisions on placement.', 'outcome'
         )
--- a/siskinmount/gateway/_housekeeping.py
+++ b/siskinmount/gateway/_housekeeping.py
@@ -99,7 +99,7 @@
                 and current.started_at_ms == earlier.started_at_ms
             ):
                 continue
-            if earlier.state is fleet.UpstreamState.LEAVING:
+            if self._view.is_leaving(earlier):
                 self._crash_tracker.forget_interrupted_runs(upstream_id)
             else:
                 self._crash_tracker.record_upstream_down(upstream_id)
--- a/siskinmount/gateway/_item_client.py
+++ b/siskinmount/gateway/_item_client.py
@@ -9,6 +9,7 @@
 from siskinmount import placement
 from siskinmount import results
 from siskinmount import transport
+from siskinmount.gateway import _departure_reader
 from siskinmount.gateway import _event_stream
 from siskinmount.gateway import _gateway_metrics
 from siskinmount.gateway import _upstream_clients
@@ -46,17 +47,19 @@
 class ItemClient:
     """Sends items to upstreams and collects the events of their output."""
 
-    __slots__ = ('_clients', '_health', '_wire', '_metrics')
+    __slots__ = ('_clients', '_health', '_departures', '_wire', '_metrics')
 
     def __init__(
         self,
         clients: _upstream_clients.UpstreamClients,
         health: placement.UpstreamHealth,
+        departures: _departure_reader.DepartureReader,
         wire: _wire.Wire,
         metrics: _gateway_metrics.GatewayMetrics,
     ) -> None:
         self._clients = clients
         self._health = health
+        self._departures = departures
         self._wire = wire
         self._metrics = metrics
 
@@ -95,6 +98,7 @@
                 return RunOutcome.NOT_RUN, response.reason
             return RunOutcome.LOST, response.reason
         with response:
+            self._departures.read(upstream, response, item.item_id)
             kind = self._wire.classify_answer(
                 response.status, response.headers, item.item_id
             )
@@ -151,8 +155,9 @@
 def create_item_client(
     clients: _upstream_clients.UpstreamClients,
     health: placement.UpstreamHealth,
+    departures: _departure_reader.DepartureReader,
     wire: _wire.Wire,
     metrics: _gateway_metrics.GatewayMetrics,
 ) -> ItemClient:
     """Creates a client that uses the upstreams' connection pools."""
-    return ItemClient(clients, health, wire, metrics)
+    return ItemClient(clients, health, departures, wire, metrics)
--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -229,6 +229,8 @@
         next_item = run.next_item
         progress = self._scheduler.get_progress(run.tag)
         known_s = trio.current_time() - next_item.job.known_since_s
+        upstream = self._view.upstreams.get(run.upstream_id)
+        service = upstream.service if upstream is not None else ''
         _LOGGER.info(
             'item_run_started',
             extra={
@@ -243,6 +245,7 @@
                 'resumed_from': progress.last_event_id,
                 'events': len(progress.events),
                 'known_ms': int(known_s * 1000),
+                'leaving': self._placer.list_passed_over(service),
             },
         )
 
--- a/siskinmount/gateway/_member_announcer.py
+++ b/siskinmount/gateway/_member_announcer.py
@@ -73,6 +73,7 @@
             kept_tags=self._scheduler.list_kept_tags(),
             crashes=self._crash_tracker.crashes,
             failure_tallies=self._health.list_failure_tallies(),
+            departures=self._view.departures.list_first_hand(),
         )
 
     async def write_record(self) -> None:
--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -207,6 +207,9 @@
                 return AttemptOutcome.NOT_RUN, response.reason
             return AttemptOutcome.LOST, response.reason
         with response:
+            self._context.departures.read(
+                self._upstream, response, request.request_id
+            )
             return await self._handle_response(response)
 
     async def _handle_response(
--- a/siskinmount/gateway/_online_context.py
+++ b/siskinmount/gateway/_online_context.py
@@ -1,6 +1,7 @@
 """State and services that all online requests share."""
 
 from siskinmount import placement
+from siskinmount.gateway import _departure_reader
 from siskinmount.gateway import _gateway_metrics
 from siskinmount.gateway import _upstream_clients
 from siskinmount.gateway import _wire
@@ -16,6 +17,7 @@
         overdue: Detects requests whose first byte is overdue.
         crash_tracker: Identifies requests that crash upstreams.
         clients: Connection pools of the upstreams.
+        departures: Notes responses of upstreams that leave.
         wire: Reads and writes headers.
         metrics: Counters and histograms of the gateway.
     """
@@ -27,6 +29,7 @@
         'overdue',
         'crash_tracker',
         'clients',
+        'departures',
         'wire',
         'metrics',
     )
@@ -40,6 +43,7 @@
         overdue: placement.OverdueRuns,
         crash_tracker: placement.CrashTracker,
         clients: _upstream_clients.UpstreamClients,
+        departures: _departure_reader.DepartureReader,
         wire: _wire.Wire,
         metrics: _gateway_metrics.GatewayMetrics,
     ) -> None:
@@ -49,5 +53,6 @@
         self.overdue = overdue
         self.crash_tracker = crash_tracker
         self.clients = clients
+        self.departures = departures
         self.wire = wire
         self.metrics = metrics
--- a/siskinmount/gateway/_online_handler.py
+++ b/siskinmount/gateway/_online_handler.py
@@ -167,6 +167,9 @@
             'document_version': request.document_version,
             'waited_ms': request.get_elapsed_ms(),
         }
+        passed_over = self._context.placer.list_passed_over(service)
+        if passed_over:
+            extra['leaving'] = passed_over
         if isinstance(placed, placement.Refusal):
             self._context.metrics.placements.increment(placed.reason.value)
             extra['outcome'] = placed.reason.value
--- a/siskinmount/gateway/_wire.py
+++ b/siskinmount/gateway/_wire.py
@@ -148,6 +148,16 @@
         """Classifies an upstream's response by its status and headers."""
         ...
 
+    def announces_departure(
+        self, status: int, headers: transport.Headers, request_id: str
+    ) -> bool:
+        """Returns whether an upstream says in its own response that it leaves.
+
+        A response that may be of another process or another request says
+        nothing.
+        """
+        ...
+
     def build_answer_headers(
         self, headers: transport.Headers
     ) -> transport.Headers:
--- a/siskinmount/gateway/tests/gateway_harness.py
+++ b/siskinmount/gateway/tests/gateway_harness.py
@@ -167,6 +167,7 @@
         self.store_address = None
         self.engines = {}
         self.engine_faults = {}
+        self.addresses = {}
         self.gateways = []
         self.results_kept_s = 120
 
@@ -203,10 +204,11 @@
         )
         self.engines[engine_id] = engine
         self.engine_faults[engine_id] = faults
+        self.addresses[engine_id] = address
         self.list_engine(engine_id, service, address)
         return engine
 
-    def list_engine(self, engine_id, service, address, state='ready'):
+    def list_engine(self, engine_id, service, address, state='ready', born=1):
         """Writes an engine's entry to the store."""
         entry = {
             'service': service,
@@ -215,7 +217,7 @@
             'version': 'v1',
             'slot_count': 8,
             'state': state,
-            'born': 1,
+            'born': born,
         }
         self.store.put('keyed.servers', engine_id, orjson.dumps(entry))
 
--- a/siskinmount/gateway/tests/online_context.py
+++ b/siskinmount/gateway/tests/online_context.py
@@ -3,6 +3,7 @@
 from siskinmount import placement
 from siskinmount import platform
 from siskinmount import telemetry
+from siskinmount.gateway import _departure_reader
 from siskinmount.gateway import _gateway_metrics
 from siskinmount.gateway import _online_context
 
@@ -18,6 +19,10 @@
     load = placement.create_load_table()
     crash_tracker = placement.create_crash_tracker()
     health = placement.create_upstream_health(crash_tracker)
+    wire = platform.create_wire()
+    metrics = _gateway_metrics.create_gateway_metrics(
+        telemetry.create_metrics()
+    )
     return _online_context.OnlineContext(
         placer=placer or placement.create_placer(view, load, health),
         load=load,
@@ -25,8 +30,9 @@
         overdue=placement.create_overdue_runs(health),
         crash_tracker=crash_tracker,
         clients=clients,
-        wire=platform.create_wire(),
-        metrics=_gateway_metrics.create_gateway_metrics(
-            telemetry.create_metrics()
+        departures=_departure_reader.create_departure_reader(
+            wire, view, load, metrics
         ),
+        wire=wire,
+        metrics=metrics,
     )
--- a/siskinmount/gateway/tests/test_item_runner_lines.py
+++ b/siskinmount/gateway/tests/test_item_runner_lines.py
@@ -59,6 +59,9 @@
     def count_free(self, service, reserved_slots):
         return 1
 
+    def list_passed_over(self, service):
+        return ['v']
+
 
 class _Client:
     """A client whose runs last until they are cancelled."""
@@ -188,6 +191,7 @@
                 self.assertEqual(len(events), line.events)
                 self.assertTrue(line.has_current_jobs)
                 self.assertEqual(3000, line.known_ms)
+                self.assertEqual(['v'], line.leaving)
                 self.assertIn(tag, member.runner.running_tags)
 
             self._run(check)
--- a/siskinmount/gateway/tests/test_online_handler.py
+++ b/siskinmount/gateway/tests/test_online_handler.py
@@ -42,6 +42,9 @@
     ):
         return placement.Placement(self.upstream, 0, 0)
 
+    def list_passed_over(self, service):
+        return []
+
     def record_run(self, service, run_ms):
         pass
 
--- a/siskinmount/keyed_log/__init__.py
+++ b/siskinmount/keyed_log/__init__.py
@@ -4,6 +4,7 @@
     KeyedLog: Protocol of one partition.
     KeyedRecord, LogPage, OffsetExpired, AppendRefusal: Arguments and results.
     LogFollower, create_log_follower(name, log, on_record): Follows a partition.
+    LogEnd: Where a log ended when it was read.
 """
 
 from siskinmount.keyed_log._keyed_log import AppendRefusal
@@ -12,5 +13,6 @@
 from siskinmount.keyed_log._keyed_log import LogPage
 from siskinmount.keyed_log._keyed_log import OffsetExpired
 from siskinmount.keyed_log._log_follower import create_log_follower
+from siskinmount.keyed_log._log_follower import LogEnd
 from siskinmount.keyed_log._log_follower import LogFollower
 from siskinmount.keyed_log._log_follower import LONGEST_READ_WAIT_MS
--- a/siskinmount/keyed_log/_log_follower.py
+++ b/siskinmount/keyed_log/_log_follower.py
@@ -31,6 +31,22 @@
 KeysCallback = Callable[[set[str]], None]
 
 
+class LogEnd:
+    """Where a log ended when it was read.
+
+    Attributes:
+        offset: Offset of the next record; records from there on were written
+            later.
+        seen_at_s: Monotonic time at which that read was sent.
+    """
+
+    __slots__ = ('offset', 'seen_at_s')
+
+    def __init__(self, offset: int, seen_at_s: float) -> None:
+        self.offset = offset
+        self.seen_at_s = seen_at_s
+
+
 class LogFollower:
     """Follows one partition and passes each record to a callback.
 
@@ -62,6 +78,7 @@
         '_on_keys',
         '_offset_by_key',
         '_changed',
+        '_end',
     )
 
     def __init__(
@@ -84,6 +101,7 @@
         self._on_keys = on_keys
         self._offset_by_key: dict[str, int] = {}
         self._changed = trio.Event()
+        self._end: LogEnd | None = None
 
     async def run(self) -> None:
         """Follows the log until cancelled."""
@@ -115,7 +133,7 @@
                 continue
             self.apply_page(page)
             if self.next_offset >= page.end_offset:
-                self.confirmed_at_s = max(self.confirmed_at_s, sent_at_s)
+                self._record_end(sent_at_s)
                 return None
 
     def apply_page(self, page: _keyed_log.LogPage) -> None:
@@ -140,6 +158,17 @@
         """Skips records before an offset whose effect came from elsewhere."""
         self.next_offset = max(self.next_offset, offset)
 
+    def get_end(self) -> LogEnd | None:
+        """Returns the end at the last read that reached it, if there is one."""
+        return self._end
+
+    def _record_end(self, sent_at_s: float) -> None:
+        """Records that a read sent at this time reached the end."""
+        if sent_at_s < self.confirmed_at_s:
+            return
+        self.confirmed_at_s = sent_at_s
+        self._end = LogEnd(self.next_offset, sent_at_s)
+
     async def _step(self) -> results.Failure | None:
         """Performs one read, or a reload if needed."""
         if not self.is_loaded:
@@ -161,7 +190,7 @@
             return None
         self.apply_page(page)
         if self.next_offset >= page.end_offset:
-            self.confirmed_at_s = max(self.confirmed_at_s, sent_at_s)
+            self._record_end(sent_at_s)
             self.current_at_s = _estimate_answer_time(page, sent_at_s)
         return None
 
@@ -177,7 +206,7 @@
         # the view is complete up to `next_offset`: keys that have been dropped
         # since must not return.
         self.is_loaded = True
-        self.confirmed_at_s = max(self.confirmed_at_s, sent_at_s)
+        self._record_end(sent_at_s)
         _LOGGER.info(
             'log_loaded',
             extra={
--- a/siskinmount/peering/_peer_directory.py
+++ b/siskinmount/peering/_peer_directory.py
@@ -1,10 +1,12 @@
 """The known members of the fleet, and which of them are live."""
 
+from collections.abc import Callable
 import logging
 
 import orjson
 import trio
 
+from siskinmount import fleet
 from siskinmount import keyed_log
 from siskinmount import placement
 from siskinmount import results
@@ -63,6 +65,16 @@
         return trio.current_time() - self.heard_at_s < SILENT_S
 
 
+#: Takes the name of a peer and what it says of upstreams that leave.
+RecordDepartures = Callable[[str, dict[str, fleet.DepartureNotice]], None]
+
+
+def _ignore_departures(
+    peer: str, notices: dict[str, fleet.DepartureNotice]
+) -> None:
+    """Ignores what a peer says."""
+
+
 class PeerDirectory:
     """Members of the fleet other than this process.
 
@@ -78,6 +90,7 @@
         '_crash_tracker',
         '_health',
         '_silent',
+        '_record_departures',
     )
 
     def __init__(
@@ -93,6 +106,11 @@
         self._crash_tracker = crash_tracker
         self._health = health
         self._silent: set[str] = set()
+        self._record_departures: RecordDepartures = _ignore_departures
+
+    def watch_departures(self, record_departures: RecordDepartures) -> None:
+        """Sets the function that gets the departures that peers tell of."""
+        self._record_departures = record_departures
 
     def apply_record(self, record: keyed_log.KeyedRecord) -> None:
         """Applies a record of the log of members; invalid ones are logged."""
@@ -147,6 +165,7 @@
         self._load.set_peer_counts(peer.member, message.counts)
         self._crash_tracker.set_peer_crashes(peer.member, message.crashes)
         self._health.set_peer_tallies(peer.member, message.failure_tallies)
+        self._record_departures(peer.member, message.departures)
 
     def list_live(self) -> list[Peer]:
         """Returns the live peers, and drops the counts of newly silent ones."""
--- a/siskinmount/peering/_peer_message.py
+++ b/siskinmount/peering/_peer_message.py
@@ -4,6 +4,7 @@
 
 import orjson
 
+from siskinmount import fleet
 from siskinmount import placement
 from siskinmount import results
 
@@ -27,6 +28,7 @@
             fingerprint.
         failure_tallies: Upstreams that failed requests of the sender, with
             their tallies.
+        departures: Upstreams that told the sender that they leave.
     """
 
     __slots__ = (
@@ -42,6 +44,7 @@
         'kept_tags',
         'crashes',
         'failure_tallies',
+        'departures',
     )
 
     def __init__(
@@ -59,6 +62,7 @@
         kept_tags: set[str],
         crashes: dict[str, set[str]],
         failure_tallies: dict[str, placement.FailureTally],
+        departures: dict[str, fleet.DepartureNotice] | None = None,
     ) -> None:
         self.member = member
         self.incarnation = incarnation
@@ -72,6 +76,7 @@
         self.kept_tags = kept_tags
         self.crashes = crashes
         self.failure_tallies = failure_tallies
+        self.departures = departures or {}
 
 
 def encode_message(message: PeerMessage) -> bytes:
@@ -106,6 +111,10 @@
                 upstream_id: (round(tally.failures, 2), round(tally.runs, 2))
                 for upstream_id, tally in message.failure_tallies.items()
             },
+            'departures': {
+                upstream_id: (notice.started_at_ms, round(notice.age_s, 3))
+                for upstream_id, notice in message.departures.items()
+            },
         }
     )
 
@@ -138,6 +147,11 @@
             failure_tallies[upstream_id] = placement.FailureTally(
                 max(0.0, float(row[0])), max(0.0, float(row[1]))
             )
+        departures: dict[str, fleet.DepartureNotice] = {}
+        for upstream_id, row in fields.get('departures', {}).items():
+            departures[upstream_id] = fleet.DepartureNotice(
+                int(row[0]), max(0.0, float(row[1]))
+            )
         return PeerMessage(
             member=str(fields['member']),
             incarnation=int(fields['incarnation']),
@@ -151,6 +165,7 @@
             kept_tags={str(tag) for tag in fields['kept']},
             crashes=_decode_crashes(fields),
             failure_tallies=failure_tallies,
+            departures=departures,
         )
     except (
         ValueError,
--- a/siskinmount/placement/_placer.py
+++ b/siskinmount/placement/_placer.py
@@ -164,6 +164,10 @@
             return Refusal(RefusalReason.FULL, max(MIN_RETRY_MS, int(retry_ms)))
         return Placement(chosen, least_waiting, wait_ms)
 
+    def list_passed_over(self, service: str) -> list[str]:
+        """Returns upstreams that leave though their entries say ready."""
+        return self._view.list_passed_over(service)
+
     def place_batch(
         self, service: str, reserved_slots: int, excluded: set[str]
     ) -> fleet.Upstream | RefusalReason:
--- a/siskinmount/platform/_wire.py
+++ b/siskinmount/platform/_wire.py
@@ -25,6 +25,10 @@
 _WAIT = b'x-wait-ms'
 #: Present if the engine guarantees that it did not run the request.
 _NOT_RUN = b'x-not-run'
+#: `1` in all answers of an engine that leaves.
+_LEAVING = b'server-leaving'
+#: Seal of an engine; each success has one.
+_SEAL = b'x-server-seal'
 _STATUS_MISDIRECTED = 421
 
 #: Path prefix of calls on jobs. The platform calls a job a lot.
@@ -254,6 +258,19 @@
             return gateway.AnswerKind.FOREIGN
         return gateway.AnswerKind.OWN
 
+    def announces_departure(
+        self, status: int, headers: transport.Headers, request_id: str
+    ) -> bool:
+        """Returns whether the engine itself says that it leaves."""
+        if transport.find_header(headers, _LEAVING) != '1':
+            return False
+        if transport.find_header(headers, _REQUEST_ID) != request_id:
+            return False
+        if status == _STATUS_MISDIRECTED:
+            return False
+        is_sealed = transport.find_header(headers, _SEAL) is not None
+        return is_sealed or not 200 <= status < 300
+
     def build_answer_headers(
         self, headers: transport.Headers
     ) -> transport.Headers:
--- a/siskinmount/platform/tests/test_wire.py
+++ b/siskinmount/platform/tests/test_wire.py
@@ -108,6 +108,28 @@
                 (status, headers),
             )
 
+    def test_only_an_engines_own_answer_says_that_it_leaves(self):
+        echo = (b'x-request-id', b'q')
+        seal = (b'x-server-seal', b's')
+        leaving = (b'server-leaving', b'1')
+        cases = [
+            (200, [echo, seal, leaving], True),
+            (500, [echo, leaving], True),
+            (503, [echo, leaving, (b'x-not-run', b'1')], True),
+            (200, [echo, leaving], False),
+            (200, [seal, leaving], False),
+            (200, [(b'x-request-id', b'p'), seal, leaving], False),
+            (421, [echo, leaving], False),
+            (200, [echo, seal, (b'server-leaving', b'0')], False),
+            (200, [echo, seal], False),
+        ]
+        for status, headers, expected in cases:
+            self.assertEqual(
+                expected,
+                self.wire.announces_departure(status, headers, 'q'),
+                (status, headers),
+            )
+
     def test_job_calls(self):
         cases = [
             ('GET', '/siskinmount/lots/j?after=3', 'read_results', 'j'),
--- a/standins/event_engine/_event_engine.py
+++ b/standins/event_engine/_event_engine.py
@@ -104,6 +104,7 @@
         is_streaming: Whether answers are streams.
         omits_framing: Whether answers have neither length nor chunks and end
             with their connection.
+        is_leaving: Whether all answers say that the engine leaves.
     """
 
     __slots__ = (
@@ -114,6 +115,7 @@
         'event_interval_ms',
         'is_streaming',
         'omits_framing',
+        'is_leaving',
     )
 
     def __init__(
@@ -130,6 +132,7 @@
         self.event_interval_ms = event_interval_ms
         self.is_streaming = is_streaming
         self.omits_framing = False
+        self.is_leaving = False
 
     async def handle(
         self, exchange: faults_module.FaultInjectingExchange
@@ -146,6 +149,8 @@
         fault = self.answer_faults.pop(0) if self.answer_faults else None
         request_id = headers.get('x-request-id', '')
         echo = [(b'x-request-id', request_id.encode('latin-1'))]
+        if self.is_leaving:
+            echo.append((b'server-leaving', b'1'))
         expected = headers.get('x-expect-instance', self.engine_id)
         if fault is AnswerFault.OTHER_PROCESS or expected != self.engine_id:
             await exchange.send_whole(421, echo, b'')
--- a/tools/soak/_soak_fleet.py
+++ b/tools/soak/_soak_fleet.py
@@ -237,6 +237,7 @@
     async def replace_engine(self, number: int) -> None:
         """Drains an engine after starting one in its place."""
         leaving = self.engines.pop(number % len(self.engines))
+        leaving.engine.is_leaving = True
         await self.start_engine(leaving.service)
         self._register_engine(leaving, 'draining')
         engine_id = leaving.engine.engine_id
