Send what a report says of a crash and of a run alone

A sidecar's report on a batch item told its owner of no crash and of no solo completion: fingerprint, upstream_generation and was_alone were left out of the message, and the reader took their absence for 'none'. Crashes still came by heartbeats.

--- a/siskinmount/batch/_report_messages.py
+++ b/siskinmount/batch/_report_messages.py
@@ -116,6 +116,9 @@
                         'code': report.code,
                         'reason': report.reason,
                         'wasted_tokens': report.wasted_tokens,
+                        'fingerprint': report.fingerprint,
+                        'upstream_generation': report.upstream_generation,
+                        'was_alone': report.was_alone,
                     }
                     for report in self.reports
                 ],
