--- a/siskinmount/sidecar/tests/test_with_engine.py
+++ b/siskinmount/sidecar/tests/test_with_engine.py
@@ -63,6 +63,14 @@
         client.close()
         return fakes.describe_frames(frames)
 
+    async def wait_running(self, standin, request_id):
+        """Returns in the middle of a request's run at the engine."""
+        while True:
+            if standin.started.find_running(request_id):
+                break
+            await trio.sleep(0.005)
+        await trio.sleep(0.1)
+
     def test_concurrent_requests_get_complete_answers(self):
         async def check(standin, faults, daemon):
             answers = {}
@@ -89,7 +97,7 @@
             async with trio.open_nursery() as nursery:
 
                 async def cut():
-                    await trio.sleep(0.1)
+                    await self.wait_running(standin, 'a')
                     faults.cut_silently()
 
                 nursery.start_soon(cut)
@@ -109,7 +117,7 @@
             async with trio.open_nursery() as nursery:
 
                 async def freeze():
-                    await trio.sleep(0.1)
+                    await self.wait_running(standin, 'a')
                     faults.freeze(60_000)
 
                 nursery.start_soon(freeze)
