Let engines of the soak leave by their answers alone, and check it

For 3.5 s an engine of the soak that leaves says so only in its answers; then its entry says so too. The checker takes an answer as a caller saw it and the runs of the engine: a request that a caller sent 2 s and more later must not reach that engine from the same gateway, also while the store is away. Only a disturbance of the gateway itself excuses it. The check is tested with a violation made up, and with what is allowed.

--- a/tools/soak/_callers.py
+++ b/tools/soak/_callers.py
@@ -76,6 +76,10 @@
         if isinstance(answer, results.Failure):
             return
         call.status = answer.status
+        call.head_at_s = trio.current_time()
+        if answer.find_header(b'server-leaving') is not None:
+            seal = answer.find_header(b'x-server-seal') or ''
+            call.leaving_engine = seal.removeprefix('seal-')
         with answer:
             while True:
                 chunk = await answer.receive_chunk()
--- a/tools/soak/_checker.py
+++ b/tools/soak/_checker.py
@@ -11,6 +11,9 @@
 #: Time in which the gateways learn that an engine is draining, including
 #: requests that are already on their way to the engine.
 DRAIN_PROPAGATION_S = 2.5
+#: Time after which an engine must get no more requests from a gateway that has
+#: passed on an answer in which it says that it leaves.
+DRAIN_S = 2.0
 #: Time before that announcement without any fault, for the check to apply.
 UNDISTURBED_S = 6.0
 #: Time in which the end of a job reaches all members.
@@ -31,6 +34,7 @@
     for job in observed.jobs:
         violations.extend(_check_job(job, runs))
     violations.extend(_check_leaving(observed))
+    violations.extend(_check_announced(observed))
     known = {call.request_id for call in observed.calls}
     for job in observed.jobs:
         known.update(job.item_ids)
@@ -175,6 +179,44 @@
     return violations
 
 
+def _check_announced(observed: _observations.Observations) -> list[str]:
+    """Finds requests to engines that had said in an answer that they leave.
+
+    A gateway that passed such an answer on must not send the engine requests
+    that callers send later than `DRAIN_S` after it, whatever the state of the
+    store, unless the gateway itself was disturbed since.
+    """
+    first_at_s: dict[tuple[int, str], float] = {}
+    for call in observed.calls:
+        if call.leaving_engine and call.head_at_s is not None:
+            key = (call.gateway, call.leaving_engine)
+            earlier_s = first_at_s.get(key, call.head_at_s)
+            first_at_s[key] = min(earlier_s, call.head_at_s)
+    calls = {call.request_id: call for call in observed.calls}
+    violations: list[str] = []
+    for engine in observed.engines:
+        for run in engine.runs:
+            call = calls.get(run.request_id)
+            if call is None:
+                continue
+            announced_at_s = first_at_s.get((call.gateway, engine.engine_id))
+            if announced_at_s is None:
+                continue
+            if call.sent_at_s < announced_at_s + DRAIN_S:
+                continue
+            disturbances = observed.gateway_disturbances[call.gateway]
+            if any(
+                disturbance.overlaps(announced_at_s, run.began_at_s)
+                for disturbance in disturbances
+            ):
+                continue
+            violations.append(
+                f'announced: {run.request_id} began at {engine.engine_id}'
+                f' {call.sent_at_s - announced_at_s:.1f} s after its answer'
+            )
+    return violations
+
+
 def _is_undisturbed(
     observed: _observations.Observations, from_s: float, to_s: float
 ) -> bool:
--- a/tools/soak/_observations.py
+++ b/tools/soak/_observations.py
@@ -37,6 +37,9 @@
         status: Status of the answer; None without an answer.
         body: Bytes of the body that were received.
         is_whole: Whether the answer was complete.
+        leaving_engine: Id of the engine that said in the answer that it
+            leaves; empty if none did.
+        head_at_s: Time when the head of the answer came; None without one.
     """
 
     __slots__ = (
@@ -48,6 +51,8 @@
         'status',
         'body',
         'is_whole',
+        'leaving_engine',
+        'head_at_s',
     )
 
     def __init__(self, request_id: str, kind: CallKind, gateway: int) -> None:
@@ -59,6 +64,8 @@
         self.status: int | None = None
         self.body = b''
         self.is_whole = False
+        self.leaving_engine = ''
+        self.head_at_s: float | None = None
 
 
 class ObservedResult:
--- a/tools/soak/_soak_fleet.py
+++ b/tools/soak/_soak_fleet.py
@@ -28,6 +28,9 @@
 UPSTREAMS_TOPIC = 'keyed.servers'
 #: Time for which a draining engine stays listed.
 DRAIN_PERIOD_S = 4.0
+#: Time for which an engine says in its answers, and not in its entry, that it
+#: leaves: longer than the time in which it must get no more requests.
+SILENT_LEAVING_S = 3.5
 _CALLERS_PORT = 18_000
 #: Log events that no injected fault may cause.
 _FORBIDDEN_EVENTS = (
@@ -237,7 +240,9 @@
     async def replace_engine(self, number: int) -> None:
         """Drains an engine after starting one in its place."""
         leaving = self.engines.pop(number % len(self.engines))
+        # For a time only its answers say that it leaves.
         leaving.engine.is_leaving = True
+        await trio.sleep(SILENT_LEAVING_S)
         await self.start_engine(leaving.service)
         self._register_engine(leaving, 'draining')
         engine_id = leaving.engine.engine_id
--- a/tools/soak/tests/test_checker.py
+++ b/tools/soak/tests/test_checker.py
@@ -178,6 +178,45 @@
         self.assertEqual(['leaving'], self._find(arrange))
         self.assertEqual([], self._find(disturbed))
 
+    def test_requests_after_an_answer_that_says_that_the_engine_leaves(self):
+        def arrange(observed, engine, sent_later_s=2.5, gateway=0):
+            self._call(
+                observed, _observations.CallKind.PLAIN, 200, b'answer to r'
+            )
+            first = observed.calls[-1]
+            first.leaving_engine = 'e'
+            first.head_at_s = first.sent_at_s
+            self._run(engine, 'r')
+            late = _observations.ObservedCall(
+                'late', _observations.CallKind.PLAIN, gateway
+            )
+            late.sent_at_s = first.sent_at_s + sent_later_s
+            late.status, late.is_whole = 200, True
+            late.body = b'answer to late'
+            late.ended_at_s = late.sent_at_s
+            observed.calls.append(late)
+            self._run(engine, 'late', later_s=sent_later_s)
+            # An outage of the store excuses nothing.
+            observed.store_disturbances.append(
+                _observations.Disturbance(first.sent_at_s)
+            )
+
+        def soon(observed, engine):
+            arrange(observed, engine, sent_later_s=1.5)
+
+        def elsewhere(observed, engine):
+            arrange(observed, engine, gateway=1)
+
+        def restarted(observed, engine):
+            arrange(observed, engine)
+            observed.gateway_disturbances[0].append(
+                _observations.Disturbance(trio.current_time())
+            )
+
+        self.assertEqual(['announced'], self._find(arrange))
+        for allowed in (soon, elsewhere, restarted):
+            self.assertEqual([], self._find(allowed), allowed.__name__)
+
     def test_unasked_runs_and_faults_of_processes(self):
         def arrange(observed, engine):
             self._run(engine, 'nobody')
