--- a/siskinmount/batch/_batch_owner.py
+++ b/siskinmount/batch/_batch_owner.py
@@ -208,7 +208,7 @@
         """Periodically expires leases and deletes jobs past retention."""
         while self._state.stream.is_owned:
             await trio.sleep(SWEEP_INTERVAL_MS / 1000)
-            self._state.is_current()
+            self._state.check_current()
             self._drop_inactive_jobs()
             now_s = trio.current_time()
             for lease in self._state.leases.all():
--- a/siskinmount/batch/_item_dispatcher.py
+++ b/siskinmount/batch/_item_dispatcher.py
@@ -58,7 +58,7 @@
         failure = owner.register_sidecar(request.vm, request.incarnation)
         if failure is not None:
             return failure
-        if owner.stream.is_buffer_full or not owner.is_current():
+        if owner.stream.is_buffer_full or not owner.check_current():
             return _pull_messages.PullReply([])
         reserved = self._reserve(request)
         try:
--- a/siskinmount/batch/_item_reports.py
+++ b/siskinmount/batch/_item_reports.py
@@ -98,7 +98,7 @@
         failure = owner.register_sidecar(request.vm, request.incarnation)
         if failure is not None:
             return failure
-        if not owner.is_current():
+        if not owner.check_current():
             return _report_messages.RenewReply(
                 [],
                 [
--- a/siskinmount/batch/_owner_state.py
+++ b/siskinmount/batch/_owner_state.py
@@ -70,11 +70,12 @@
         self.table.on_item_returned = self._on_item_returned
         stream.add_state_machine(self.table)
 
-    def is_current(self) -> bool:
+    def check_current(self) -> bool:
         """Returns whether the log was read to its end since the last pause.
 
         Another process may have taken the stream over during a pause, and may
-        have cancelled jobs. Must be called about once a second, too.
+        have cancelled jobs. Notices pauses by the time between calls, so the
+        sweep calls it every second; after one, a read of the log begins.
         """
         if self._pauses.tick():
             _LOGGER.warning(
