End a departure only by an entry written after the last response

A belief learned from a peer, or from an early response, kept that time. An upstream that came back and left again could be taken for serving by an entry from between: read late, it was newer than the first announcement and older than the last. Each announcement now moves the time that an entry must be newer than.

test_entry_older_than_the_last_response_ends_nothing fails before.

--- a/siskinmount/fleet/_announced_departures.py
+++ b/siskinmount/fleet/_announced_departures.py
@@ -21,7 +21,8 @@
 #: Margin by which a peer's announcement must be later than the entry with which
 #: the upstream came back: messages between peers take milliseconds.
 MESSAGE_DELAY_S = 0.5
-MAX_DEPARTURES = 1000
+#: Several times the upstreams of the largest fleet that is aimed at.
+MAX_DEPARTURES = 5000
 #: Start and time of return of an upstream that never came back.
 _NO_RETURN = (-1, 0.0)
 
@@ -32,6 +33,8 @@
     Attributes:
         started_at_ms: Start of the upstream that leaves, in Unix milliseconds.
         learned_at_s: Monotonic time of the first response that announced it.
+        repeated_at_s: Monotonic time of the last one. Only an entry that was
+            written after it can end the departure.
         is_first_hand: Whether this process got such a response itself.
         unlisted_since_s: Monotonic time since which the upstream has not been
             listed; None while it is.
@@ -40,6 +43,7 @@
     __slots__ = (
         'started_at_ms',
         'learned_at_s',
+        'repeated_at_s',
         'is_first_hand',
         'unlisted_since_s',
     )
@@ -49,6 +53,7 @@
     ) -> None:
         self.started_at_ms = started_at_ms
         self.learned_at_s = learned_at_s
+        self.repeated_at_s = learned_at_s
         self.is_first_hand = is_first_hand
         self.unlisted_since_s: float | None = None
 
@@ -58,7 +63,7 @@
 
     Attributes:
         started_at_ms: Start of the upstream that leaves, in Unix milliseconds.
-        age_s: Time since the response that announced it.
+        age_s: Time since the last response that announced it.
     """
 
     __slots__ = ('started_at_ms', 'age_s')
@@ -114,6 +119,7 @@
             and departure.started_at_ms >= upstream.started_at_ms
         ):
             departure.is_first_hand = True
+            departure.repeated_at_s = trio.current_time()
             return False
         return self._add(
             upstream.upstream_id,
@@ -127,7 +133,7 @@
     ) -> bool:
         """Records a departure that a peer learned from a response.
 
-        Late and repeated messages have no effect.
+        Late and repeated messages do no harm.
 
         Args:
             peer: The peer, for the log.
@@ -138,10 +144,12 @@
             Whether this process did not know of the departure.
         """
         started_at_ms = notice.started_at_ms
+        learned_at_s = trio.current_time() - max(0.0, notice.age_s)
         known = self._departures.get(upstream_id)
         if known is not None and known.started_at_ms >= started_at_ms:
+            if known.started_at_ms == started_at_ms:
+                known.repeated_at_s = max(known.repeated_at_s, learned_at_s)
             return False
-        learned_at_s = trio.current_time() - max(0.0, notice.age_s)
         returned_start_ms, returned_at_s = self._returns.get(
             upstream_id, _NO_RETURN
         )
@@ -179,7 +187,7 @@
         if (
             upstream.started_at_ms == departure.started_at_ms
             and upstream.state is _upstream.UpstreamState.READY
-            and current_since_s > departure.learned_at_s
+            and current_since_s > departure.repeated_at_s
         ):
             self._end(upstream, 'serves_again')
 
@@ -209,7 +217,7 @@
         for upstream_id, departure in self._departures.items():
             if departure.is_first_hand and departure.unlisted_since_s is None:
                 notices[upstream_id] = DepartureNotice(
-                    departure.started_at_ms, now_s - departure.learned_at_s
+                    departure.started_at_ms, now_s - departure.repeated_at_s
                 )
         return notices
 
--- a/siskinmount/fleet/tests/test_announced_departures.py
+++ b/siskinmount/fleet/tests/test_announced_departures.py
@@ -135,6 +135,24 @@
 
             self._run(check)
 
+    def test_entry_older_than_the_last_response_ends_nothing(self):
+        for repeats in ('response', 'peer'):
+
+            async def check(view, log, repeats=repeats):
+                self._announce(view)
+                await trio.sleep(1)
+                log.see_end(3)
+                await trio.sleep(1)
+                if repeats == 'response':
+                    self._announce(view)
+                else:
+                    notice = fleet.DepartureNotice(5, 0.0)
+                    view.record_peer_departures('p', {'u': notice})
+                self._apply(view, b'ready 5', 3)
+                self.assertEqual(['v'], self._list(view), repeats)
+
+            self._run(check)
+
     def test_response_to_an_earlier_start_is_ignored(self):
         async def check(view, log):
             self._apply(view, b'ready 6', 3)
