Hold the signal to reload settings while a gateway starts

A gateway ended with signal 1 when its settings changed while it started: the default action of SIGHUP holds until the daemon listens for it, after the imports.

--- a/siskinmount/gateway/_process_signals.py
+++ b/siskinmount/gateway/_process_signals.py
@@ -7,6 +7,8 @@
 
 import trio
 
+from siskinmount import _reload_signal
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -35,8 +37,10 @@
                 return
 
     async def watch_reload(self, reload_settings: Callable[[], None]) -> None:
-        """Calls `reload_settings` at each SIGHUP."""
+        """Calls `reload_settings` at each SIGHUP, also one before this call."""
         with trio.open_signal_receiver(signal.SIGHUP) as signals:
+            if _reload_signal.take_held():
+                reload_settings()
             async for _ in signals:
                 reload_settings()
 
