--- a/siskinmount/gateway/_event_stream.py
+++ b/siskinmount/gateway/_event_stream.py
@@ -64,7 +64,8 @@
     ) -> list[transport.StreamEvent] | results.Failure:
         """Returns the next events, or none at the end of a complete stream.
 
-        Events before a fault are returned first.
+        Events before one that is out of order are returned first, and the
+        failure by the next call.
 
         Args:
             timeout_s: Longest time to wait for the next bytes.
@@ -78,10 +79,8 @@
             if isinstance(chunk, results.Failure):
                 return chunk
             if not chunk:
-                self._failure = self._judge_end()
-                if self._failure is None:
-                    return []
-                break
+                failure = self._judge_end()
+                return [] if failure is None else failure
             events = self._accept(self._splitter.split(chunk))
             if events:
                 return events
