Read the jobs of a soak once all gateways are ready again

The schedule's last stop of gateway 2 began when the time of the workload was nearly over; it stopped in 3.2 s at 07:37:07.9, and the reads of all results began some 4 s later, while its next process was starting (6 s at that load, by the lines of another start of that run).

The end of a soak now waits until each gateway is ready, which a schedule that ends in time did anyway, and a gateway that does not come back in 60 s is a violation of its own. No check is less strict.

--- a/tools/soak/_soak_run.py
+++ b/tools/soak/_soak_run.py
@@ -17,6 +17,8 @@
 JOB_CALLERS = 3
 #: Time in which jobs must end after the last request and fault.
 COMPLETION_TIMEOUT_S = 25.0
+#: Time in which a gateway that was stopped near the end is ready again.
+READY_TIMEOUT_S = 60.0
 
 
 async def run_soak(
@@ -38,6 +40,7 @@
             for gateway in fleet.gateways:
                 nursery.start_soon(fleet.watch_gateway, gateway)
             await _run_workload(fleet, seed, seconds)
+            await _wait_all_ready(fleet)
             await _read_all_again(fleet)
             for gateway in fleet.gateways:
                 gateway.is_ended_on_purpose = True
@@ -66,6 +69,20 @@
                 nursery.start_soon(jobs.run, until_s)
 
 
+async def _wait_all_ready(fleet: _soak_fleet.SoakFleet) -> None:
+    """Waits until all gateways are ready; one that stays away is a fault.
+
+    The end of the workload's time may cut a stop short.
+    """
+    for gateway in fleet.gateways:
+        with trio.move_on_after(READY_TIMEOUT_S) as scope:
+            await fleet.wait_ready(gateway)
+        if scope.cancelled_caught:
+            fleet.observed.process_faults.append(
+                f'gateway-{gateway.number} is not ready at the end'
+            )
+
+
 async def _read_all_again(fleet: _soak_fleet.SoakFleet) -> None:
     """Reads each accepted job from its start at each gateway."""
     for job in fleet.observed.jobs:
