--- a/siskinmount/sidecar/tests/test_with_engine.py
+++ b/siskinmount/sidecar/tests/test_with_engine.py
@@ -6,6 +6,7 @@
 
 from siskinmount import configuration
 from siskinmount import relay
+from siskinmount import results
 from siskinmount import sidecar
 from siskinmount import transport
 from siskinmount.sidecar.tests import fakes
@@ -59,6 +60,8 @@
         frames = []
         with await client.send(request) as exchange:
             while chunk := await exchange.receive_chunk():
+                if isinstance(chunk, results.Failure):
+                    self.fail(f'{request_id}: {chunk.reason}')
                 frames.extend(reader.feed(chunk))
         client.close()
         return fakes.describe_frames(frames)
