--- a/siskinmount/peering/_peer_directory.py
+++ b/siskinmount/peering/_peer_directory.py
@@ -275,7 +275,7 @@
     Args:
         member: Name of this VM.
         load: Receives the requests in flight of peers.
-        crash_tracker: Receives the crash counts of peers.
+        crash_tracker: Receives the crashes that peers have counted.
         health: Receives the upstream tallies of peers.
     """
     return PeerDirectory(member, load, crash_tracker, health)
