--- a/siskinmount/gateway/tests/test_online.py
+++ b/siskinmount/gateway/tests/test_online.py
@@ -53,7 +53,11 @@
         self.assertLessEqual(int(runs[0].headers['x-deadline-ms']), 5000)
 
     def test_resumable_stream_resumes_at_another_engine(self):
-        for fault in (_FAULT.CUT_MIDWAY, _FAULT.STALL_MIDWAY):
+        for fault in (
+            _FAULT.CUT_MIDWAY,
+            _FAULT.CUT_BETWEEN_EVENTS,
+            _FAULT.STALL_MIDWAY,
+        ):
             seen = []
 
             async def check(fleet, fault=fault, seen=seen):
