Notice a pause of an owner in its first second too

The test that an owner goes on after a pause did not see this, nor that the read at once was missing: in it no pause was noticed at all. It now asserts that nothing is handed out right after the pause, which fails without this change, and that items come within half a second, which fails without the read at once.

--- a/siskinmount/batch/_batch_owner.py
+++ b/siskinmount/batch/_batch_owner.py
@@ -206,6 +206,7 @@
 
     async def _sweep(self) -> None:
         """Periodically expires leases and deletes jobs past retention."""
+        self._state.check_current()
         while self._state.stream.is_owned:
             await trio.sleep(SWEEP_INTERVAL_MS / 1000)
             self._state.check_current()
--- a/siskinmount/batch/tests/test_paused_owner.py
+++ b/siskinmount/batch/tests/test_paused_owner.py
@@ -51,6 +51,9 @@
                 batch_fixtures.request(), batch_fixtures.bodies(3)
             )
             trio.lowlevel.current_clock().jump(_PAUSE_S)
+            pulled = await owner.batch.pull(batch_fixtures.pull())
+            self.assertEqual([], pulled.items)
+            # Less than a read waits at the end of the log.
             await trio.sleep(0.5)
             pulled = await owner.batch.pull(batch_fixtures.pull())
             self.assertEqual(3, len(pulled.items))
