--- a/siskinmount/gateway/tests/test_housekeeping.py
+++ b/siskinmount/gateway/tests/test_housekeeping.py
@@ -26,12 +26,13 @@
 
 class HousekeepingTest(testtools.TestCase):
 
-    def _is_quarantined(self, before, after):
+    def _is_quarantined(self, before, after, announces=False):
         """Returns whether an item is, after three upstreams interrupted it.
 
         Args:
             before: Entries of each upstream before the interruption.
             after: Entry of each upstream after it; None for its removal.
+            announces: Whether a response says before it that it leaves.
         """
         verdicts = []
 
@@ -58,6 +59,8 @@
                     view.apply_upstream_record(
                         keyed_log.KeyedRecord(upstream_id, source, 0)
                     )
+                if announces:
+                    view.record_departure(view.upstreams[upstream_id], 'q')
                 crash_tracker.record_interrupted_run('item', upstream_id)
                 await trio.sleep(1)
                 view.apply_upstream_record(
@@ -79,3 +82,6 @@
             self.assertFalse(
                 self._is_quarantined([b'ready 1', b'leaving 1'], after), after
             )
+            self.assertFalse(
+                self._is_quarantined([b'ready 1'], after, announces=True), after
+            )
