--- a/tools/soak/_loopback_proxy.py
+++ b/tools/soak/_loopback_proxy.py
@@ -77,6 +77,8 @@
             raw = connection.caller.socket
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
             raw.close()
+            # Its task may be in no read that would notice the close.
+            self._connections.discard(connection)
 
     async def _serve(self, caller: trio.SocketStream) -> None:
         connection = _Connection(caller)
