Log interrupted runs, and why one does not count as a crash

The lines could not say whether the interrupted runs were dropped as too old, refuted by a later run, or known under other names, since only counted crashes wrote a line. run_interrupted and interrupted_run_dropped say so now, with the reason and the age; attempt_ended has the fingerprint, which is the same for all copies of a request. No logic is changed.

--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -120,6 +120,7 @@
                 'attempt_ended',
                 extra={
                     'request_id': request.request_id,
+                    'fingerprint': request.fingerprint,
                     'upstream': upstream_id,
                     'outcome': outcome.value,
                     'reason': reason,
--- a/siskinmount/placement/_crash_tracker.py
+++ b/siskinmount/placement/_crash_tracker.py
@@ -98,6 +98,15 @@
         runs[fingerprint] = InterruptedRun(
             trio.current_time(), added_output, started_at_ms
         )
+        _LOGGER.info(
+            'run_interrupted',
+            extra={
+                'fingerprint': fingerprint,
+                'upstream': upstream_id,
+                'started_at_ms': started_at_ms,
+                'added_output': added_output,
+            },
+        )
 
     def record_upstream_down(self, upstream_id: str) -> None:
         """Counts the runs that were interrupted when an upstream went down."""
@@ -106,11 +115,14 @@
             upstream_id, {}
         ).items():
             if now_s - run.at_s > CRASH_DETECTION_S:
+                _log_dropped(upstream_id, fingerprint, run, 'detected_late')
                 continue
             if len(self._last_crash_at_s) >= MAX_FINGERPRINTS:
+                _log_dropped(upstream_id, fingerprint, run, 'table_full')
                 continue
             self._last_crash_at_s[fingerprint] = now_s
             if run.added_output and self._ignore_crash(fingerprint):
+                _log_dropped(upstream_id, fingerprint, run, 'output_added')
                 continue
             crash_id = self._add_crash(
                 fingerprint, f'{upstream_id}/{run.started_at_ms}'
@@ -159,12 +171,16 @@
         for fingerprint, run in list(interrupted_runs.items()):
             if run.at_s < began_at_s:
                 del interrupted_runs[fingerprint]
+                _log_dropped(upstream_id, fingerprint, run, 'upstream_serves')
         if not interrupted_runs:
             del self._interrupted_runs[upstream_id]
 
     def forget_interrupted_runs(self, upstream_id: str) -> None:
         """Drops the runs that an upstream interrupted without a crash."""
-        self._interrupted_runs.pop(upstream_id, None)
+        for fingerprint, run in self._interrupted_runs.pop(
+            upstream_id, {}
+        ).items():
+            _log_dropped(upstream_id, fingerprint, run, 'upstream_leaves')
 
     def set_peer_crashes(self, peer: str, crashes: dict[str, set[str]]) -> None:
         """Replaces the ids of the crashes that a peer has counted."""
@@ -198,8 +214,26 @@
             self._interrupted_runs.items()
         ):
             last_at_s = max(run.at_s for run in interrupted_runs.values())
-            if now_s - last_at_s > CRASH_DETECTION_S:
-                del self._interrupted_runs[upstream_id]
+            if now_s - last_at_s <= CRASH_DETECTION_S:
+                continue
+            del self._interrupted_runs[upstream_id]
+            for fingerprint, run in interrupted_runs.items():
+                _log_dropped(upstream_id, fingerprint, run, 'expired')
+
+
+def _log_dropped(
+    upstream_id: str, fingerprint: str, run: InterruptedRun, reason: str
+) -> None:
+    """Logs why an interrupted run does not count against its request."""
+    _LOGGER.info(
+        'interrupted_run_dropped',
+        extra={
+            'fingerprint': fingerprint,
+            'upstream': upstream_id,
+            'reason': reason,
+            'age_ms': int((trio.current_time() - run.at_s) * 1000),
+        },
+    )
 
 
 def make_fingerprint(host: str, target: str, body: bytes) -> str:
