--- a/siskinmount/gateway/tests/gateway_harness.py
+++ b/siskinmount/gateway/tests/gateway_harness.py
@@ -167,6 +167,7 @@
         self.store_address = None
         self.engines = {}
         self.engine_faults = {}
+        self.crashed = []
         self.addresses = {}
         self.gateways = []
         self.results_kept_s = 120
@@ -196,11 +197,15 @@
             engine_id, is_streaming=is_streaming
         )
         faults = faults_module.Faults()
+        scope = trio.CancelScope()
+
+        def crash():
+            self.crashed.append(engine_id)
+            scope.cancel()
+
+        engine.crash = crash
         address = await self._nursery.start(
-            serving.serve,
-            transport.Address('127.0.0.1', 0),
-            engine.handle,
-            faults,
+            self._serve_engine, engine, faults, scope
         )
         self.engines[engine_id] = engine
         self.engine_faults[engine_id] = faults
@@ -208,6 +213,15 @@
         self.list_engine(engine_id, service, address)
         return engine
 
+    async def _serve_engine(self, engine, faults, scope, task_status):
+        with scope:
+            await serving.serve(
+                transport.Address('127.0.0.1', 0),
+                engine.handle,
+                faults,
+                task_status=task_status,
+            )
+
     def list_engine(self, engine_id, service, address, state='ready', born=1):
         """Writes an engine's entry to the store."""
         entry = {
--- a/standins/event_engine/_event_engine.py
+++ b/standins/event_engine/_event_engine.py
@@ -1,5 +1,6 @@
 """Engine with the platform's protocol: streams events or answers at once."""
 
+from collections.abc import Callable
 import enum
 
 import trio
@@ -105,6 +106,9 @@
         omits_framing: Whether answers have neither length nor chunks and end
             with their connection.
         is_leaving: Whether all answers say that the engine leaves.
+        crashing_body: Body of the request that crashes the engine as its run
+            begins; None for no such request.
+        crash: Ends the engine's process, with all its connections.
     """
 
     __slots__ = (
@@ -116,6 +120,8 @@
         'is_streaming',
         'omits_framing',
         'is_leaving',
+        'crashing_body',
+        'crash',
     )
 
     def __init__(
@@ -133,6 +139,8 @@
         self.is_streaming = is_streaming
         self.omits_framing = False
         self.is_leaving = False
+        self.crashing_body: bytes | None = None
+        self.crash: Callable[[], None] = lambda: None
 
     async def handle(
         self, exchange: faults_module.FaultInjectingExchange
@@ -167,6 +175,9 @@
             request_id, exchange.head.target, body, headers, first_event
         )
         self.runs.append(run)
+        if self.crashing_body is not None and body == self.crashing_body:
+            self.crash()
+            await trio.sleep_forever()
         if fault is AnswerFault.RUN_AND_CLOSE:
             raise trio.BrokenResourceError('injected fault: connection closed')
         if fault is AnswerFault.RUN_AND_SILENT:
