Confirm crashes of upstreams by a connection of the member that lost a run

The request was to be refused after three crashes.

Cause: an interrupted run counted against its request only if its upstream was found down within 3 s, and nothing found it down in that time. A refused connection would have told, but the upstream is avoided, first by the member that lost the run and within 20 to 500 ms by all, so nobody connected. Of 16 crashes in the lines one was counted, whose entry went after 2.88 s.

Ruled out: evidence refuted by later runs (no line with upstream_serves or upstream_leaves); copies under other names (one fingerprint by definition; the test counts by what engines ran).

Change: the member whose run was interrupted opens a connection to the upstream itself, 50 ms and 1 s later. A refusal counts the crash and is told to peers at once; an accepted or unreachable one decides nothing. An upstream that leaves or is not listed is not probed. The evidence lasts for eight heartbeats, whose length is a setting now, so that the platform's own removal counts too.

--- a/siskinmount/configuration/_gateway_settings.py
+++ b/siskinmount/configuration/_gateway_settings.py
@@ -20,6 +20,8 @@
         store_address: Address of the platform's store.
         max_record_bytes: Maximum size of one record of the store's log.
         max_call_bytes: Maximum total size of the records of one call.
+        upstream_heartbeat_ms: Interval at which upstreams renew their entries
+            in the store.
         stop_grace_s: Time between the stop signal and forced termination.
         results_kept_s: Minimum retention time of job results.
         seeds: Control addresses of members to contact at start.
@@ -38,6 +40,7 @@
         'store_address',
         'max_record_bytes',
         'max_call_bytes',
+        'upstream_heartbeat_ms',
         'stop_grace_s',
         'results_kept_s',
         'seeds',
@@ -58,6 +61,7 @@
         store_address: transport.Address,
         max_record_bytes: int,
         max_call_bytes: int,
+        upstream_heartbeat_ms: int,
         stop_grace_s: float,
         results_kept_s: float,
         seeds: list[transport.Address],
@@ -74,6 +78,7 @@
         self.store_address = store_address
         self.max_record_bytes = max_record_bytes
         self.max_call_bytes = max_call_bytes
+        self.upstream_heartbeat_ms = upstream_heartbeat_ms
         self.stop_grace_s = stop_grace_s
         self.results_kept_s = results_kept_s
         self.seeds = seeds
--- a/siskinmount/configuration/_settings_parser.py
+++ b/siskinmount/configuration/_settings_parser.py
@@ -18,6 +18,7 @@
 _MAX_DURATION_MS = 3_600_000
 _MAX_CONNECTIONS = 1_000_000
 _MAX_PORT = 65_535
+_DEFAULT_HEARTBEAT_MS = 1200
 _MAX_GRACE_S = 3600
 
 _ENTRY_SECTIONS = ('daemon', 'platform', 'state', 'seeds', 'limits')
@@ -82,6 +83,9 @@
         store_address=store.read_address('address'),
         max_record_bytes=store.read_int('max_record_bytes', 1024, _MAX_BYTES),
         max_call_bytes=store.read_int('max_call_bytes', 1024, _MAX_BYTES),
+        upstream_heartbeat_ms=_read_timeout(
+            store, 'upstream_heartbeat_ms', _DEFAULT_HEARTBEAT_MS
+        ),
         stop_grace_s=daemon.read_float('stop_grace_s', 0, _MAX_GRACE_S),
         results_kept_s=daemon.read_float('results_kept_s', 0, _MAX_RETENTION_S),
         seeds=source.get_reader('seeds').read_addresses('addresses'),
--- a/siskinmount/configuration/tests/test_gateway_settings.py
+++ b/siskinmount/configuration/tests/test_gateway_settings.py
@@ -22,6 +22,7 @@
     'platform.address': '10.0.0.9:4',
     'platform.record_bytes': '262144',
     'platform.call_bytes': '2097152',
+    'heartbeat_ms': '700',
     'seeds': '10.0.0.1:3,10.0.0.2:3',
 }
 
@@ -39,6 +40,7 @@
         self.assertEqual(7660, settings.peers_port)
         self.assertEqual(2, len(settings.seeds))
         self.assertEqual(8, settings.stop_grace_s)
+        self.assertEqual(700, settings.upstream_heartbeat_ms)
 
     def test_template_without_seeds_is_valid(self):
         settings = configuration.parse_gateway_settings(
@@ -53,6 +55,7 @@
             ('inner_ports.0', '99999', 'peers_port'),
             ('bounds.grace_s', 'long', 'stop_grace_s'),
             ('platform.call_bytes', '-1', 'max_call_bytes'),
+            ('heartbeat_ms', '0', 'upstream_heartbeat_ms'),
         ]
         for name, value, key in cases:
             faults = configuration.parse_gateway_settings(
--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -17,6 +17,7 @@
 from siskinmount import transport
 from siskinmount.gateway import _batch_membership
 from siskinmount.gateway import _callers_api
+from siskinmount.gateway import _crash_verifier
 from siskinmount.gateway import _departure_reader
 from siskinmount.gateway import _eligible_members_watch
 from siskinmount.gateway import _gateway_metrics
@@ -56,6 +57,7 @@
         '_load',
         '_overdue',
         '_directory',
+        '_crash_verifier',
         '_membership',
         '_announcer',
         '_housekeeping',
@@ -91,13 +93,22 @@
             outside.decode_document, outside.decode_upstream
         )
         self._load = placement.create_load_table()
-        crash_tracker = placement.create_crash_tracker()
+        crash_tracker = placement.create_crash_tracker(
+            settings.upstream_heartbeat_ms
+        )
         health = placement.create_upstream_health(crash_tracker)
+        self._crash_verifier = _crash_verifier.create_crash_verifier(
+            view=self._view,
+            load=self._load,
+            health=health,
+            crash_tracker=crash_tracker,
+        )
         self._overdue = placement.create_overdue_runs(health)
         self._directory = peering.create_peer_directory(
             settings.vm, self._load, crash_tracker, health
         )
         self._metrics = _gateway_metrics.create_gateway_metrics(metrics)
+        crash_tracker.watch_outcomes(self._metrics.interrupted_runs.increment)
         departures = _departure_reader.create_departure_reader(
             outside.wire, self._view, self._load, self._metrics
         )
@@ -278,6 +289,7 @@
             supervision.Child('items', self._runner.run),
             supervision.Child('item_watch', self._item_watch.run),
             supervision.Child('overdue', self._overdue.run),
+            supervision.Child('crash_verifier', self._crash_verifier.run),
             supervision.Child('peers_api', self._peers_api.run),
             supervision.Child('peer_exchange', self._create_exchange().run),
             supervision.Child('member_record', self._announcer.write_record),
--- a/siskinmount/gateway/_gateway_metrics.py
+++ b/siskinmount/gateway/_gateway_metrics.py
@@ -13,6 +13,8 @@
         attempts: Attempts at upstreams by outcome.
         stream_ends: Ends of upstreams' streams, by framing of the body and by
             what followed the last complete event.
+        interrupted_runs: Interrupted runs by what became of them: counted as a
+            crash, or the reason why not.
         departures: Upstreams that announced in a response that they leave.
         placements: Placement decisions by outcome.
         item_runs: Runs of batch items by outcome.
@@ -29,6 +31,7 @@
         'responses',
         'attempts',
         'stream_ends',
+        'interrupted_runs',
         'departures',
         'placements',
         'item_runs',
@@ -54,6 +57,11 @@
             'framing',
             'end',
         )
+        self.interrupted_runs = metrics.create_counter(
+            'interrupted_runs_total',
+            'Runs that an upstream or a connection broke off.',
+            'outcome',
+        )
         self.departures = metrics.create_counter(
             'upstream_departures_total',
             'Upstreams that said in an answer that they leave.',
--- a/siskinmount/gateway/tests/gateway_harness.py
+++ b/siskinmount/gateway/tests/gateway_harness.py
@@ -259,6 +259,7 @@
             store_address=self.store_address,
             max_record_bytes=MAX_RECORD_BYTES,
             max_call_bytes=MAX_CALL_BYTES,
+            upstream_heartbeat_ms=1200,
             stop_grace_s=6,
             results_kept_s=self.results_kept_s,
             seeds=[],
--- a/siskinmount/gateway/tests/test_crashing_requests.py
+++ b/siskinmount/gateway/tests/test_crashing_requests.py
@@ -69,3 +69,9 @@
         self.assertLessEqual(
             self._count_late_copies(_ENTRY_LIFETIME_S), _MAX_LATE_COPIES
         )
+
+    def test_copies_are_refused_while_entries_of_crashed_upstreams_stay(self):
+        # As in an outage of the store.
+        self.assertLessEqual(
+            self._count_late_copies(float('inf')), _MAX_LATE_COPIES
+        )
--- a/siskinmount/placement/_crash_tracker.py
+++ b/siskinmount/placement/_crash_tracker.py
@@ -11,6 +11,7 @@
 it counts once however many members ran copies of the request there.
 """
 
+from collections.abc import Callable
 import logging
 
 import trio
@@ -24,8 +25,10 @@
 #: Crashes that do not count because the run had added output. Bounded, lest a
 #: request that crashes upstreams after some output is never stopped.
 MAX_IGNORED_CRASHES = 2
-#: An interrupted run counts if its upstream is found down within this time.
-CRASH_DETECTION_S = 3.0
+#: An interrupted run counts if its upstream is found down within this number of
+#: heartbeats. The platform drops the entry of a silent upstream after a few.
+DETECTION_HEARTBEATS = 8
+DEFAULT_HEARTBEAT_MS = 1200
 #: Retention of counts. Callers retry within seconds.
 RETENTION_S = 60.0
 MAX_FINGERPRINTS = 1000
@@ -64,14 +67,22 @@
         '_last_crash_at_s',
         '_interrupted_runs',
         '_peer_crashes',
+        '_detection_s',
+        '_unverified_upstreams',
+        '_run_interrupted',
+        '_record_outcome',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, detection_s: float) -> None:
         self.crashes: dict[str, set[str]] = {}
         self._ignored_counts: dict[str, int] = {}
         self._last_crash_at_s: dict[str, float] = {}
         self._interrupted_runs: dict[str, dict[str, InterruptedRun]] = {}
         self._peer_crashes: dict[str, tuple[float, dict[str, set[str]]]] = {}
+        self._detection_s = detection_s
+        self._unverified_upstreams: set[str] = set()
+        self._run_interrupted = trio.Event()
+        self._record_outcome: Callable[[str], None] = _ignore_outcome
 
     @property
     def counts(self) -> dict[str, int]:
@@ -107,6 +118,24 @@
                 'added_output': added_output,
             },
         )
+        self._unverified_upstreams.add(upstream_id)
+        self._run_interrupted.set()
+
+    def watch_outcomes(self, record_outcome: Callable[[str], None]) -> None:
+        """Sets the function that is told what became of interrupted runs."""
+        self._record_outcome = record_outcome
+
+    async def take_unverified_upstreams(self) -> set[str]:
+        """Waits for interrupted runs, and returns their upstreams once each."""
+        await self._run_interrupted.wait()
+        self._run_interrupted = trio.Event()
+        upstream_ids = self._unverified_upstreams
+        self._unverified_upstreams = set()
+        return upstream_ids
+
+    def has_interrupted_runs(self, upstream_id: str) -> bool:
+        """Returns whether runs wait to be counted if the upstream is down."""
+        return upstream_id in self._interrupted_runs
 
     def record_upstream_down(self, upstream_id: str) -> None:
         """Counts the runs that were interrupted when an upstream went down."""
@@ -114,16 +143,17 @@
         for fingerprint, run in self._interrupted_runs.pop(
             upstream_id, {}
         ).items():
-            if now_s - run.at_s > CRASH_DETECTION_S:
-                _log_dropped(upstream_id, fingerprint, run, 'detected_late')
+            if now_s - run.at_s > self._detection_s:
+                self._drop(upstream_id, fingerprint, run, 'detected_late')
                 continue
             if len(self._last_crash_at_s) >= MAX_FINGERPRINTS:
-                _log_dropped(upstream_id, fingerprint, run, 'table_full')
+                self._drop(upstream_id, fingerprint, run, 'table_full')
                 continue
             self._last_crash_at_s[fingerprint] = now_s
             if run.added_output and self._ignore_crash(fingerprint):
-                _log_dropped(upstream_id, fingerprint, run, 'output_added')
+                self._drop(upstream_id, fingerprint, run, 'output_added')
                 continue
+            self._record_outcome('counted')
             crash_id = self._add_crash(
                 fingerprint, f'{upstream_id}/{run.started_at_ms}'
             )
@@ -171,7 +201,7 @@
         for fingerprint, run in list(interrupted_runs.items()):
             if run.at_s < began_at_s:
                 del interrupted_runs[fingerprint]
-                _log_dropped(upstream_id, fingerprint, run, 'upstream_serves')
+                self._drop(upstream_id, fingerprint, run, 'upstream_serves')
         if not interrupted_runs:
             del self._interrupted_runs[upstream_id]
 
@@ -180,7 +210,7 @@
         for fingerprint, run in self._interrupted_runs.pop(
             upstream_id, {}
         ).items():
-            _log_dropped(upstream_id, fingerprint, run, 'upstream_leaves')
+            self._drop(upstream_id, fingerprint, run, 'upstream_leaves')
 
     def set_peer_crashes(self, peer: str, crashes: dict[str, set[str]]) -> None:
         """Replaces the ids of the crashes that a peer has counted."""
@@ -214,26 +244,34 @@
             self._interrupted_runs.items()
         ):
             last_at_s = max(run.at_s for run in interrupted_runs.values())
-            if now_s - last_at_s <= CRASH_DETECTION_S:
+            if now_s - last_at_s <= self._detection_s:
                 continue
             del self._interrupted_runs[upstream_id]
             for fingerprint, run in interrupted_runs.items():
-                _log_dropped(upstream_id, fingerprint, run, 'expired')
-
-
-def _log_dropped(
-    upstream_id: str, fingerprint: str, run: InterruptedRun, reason: str
-) -> None:
-    """Logs why an interrupted run does not count against its request."""
-    _LOGGER.info(
-        'interrupted_run_dropped',
-        extra={
-            'fingerprint': fingerprint,
-            'upstream': upstream_id,
-            'reason': reason,
-            'age_ms': int((trio.current_time() - run.at_s) * 1000),
-        },
-    )
+                self._drop(upstream_id, fingerprint, run, 'expired')
+
+    def _drop(
+        self,
+        upstream_id: str,
+        fingerprint: str,
+        run: InterruptedRun,
+        reason: str,
+    ) -> None:
+        """Logs and counts an interrupted run that does not count as a crash."""
+        self._record_outcome(reason)
+        _LOGGER.info(
+            'interrupted_run_dropped',
+            extra={
+                'fingerprint': fingerprint,
+                'upstream': upstream_id,
+                'reason': reason,
+                'age_ms': int((trio.current_time() - run.at_s) * 1000),
+            },
+        )
+
+
+def _ignore_outcome(outcome: str) -> None:
+    """Ignores what became of an interrupted run."""
 
 
 def make_fingerprint(host: str, target: str, body: bytes) -> str:
@@ -243,6 +281,12 @@
     return digest.hexdigest()
 
 
-def create_crash_tracker() -> CrashTracker:
-    """Creates a `CrashTracker` without counts."""
-    return CrashTracker()
+def create_crash_tracker(
+    heartbeat_ms: int = DEFAULT_HEARTBEAT_MS,
+) -> CrashTracker:
+    """Creates a `CrashTracker` without counts.
+
+    Args:
+        heartbeat_ms: Interval at which upstreams renew their entries.
+    """
+    return CrashTracker(DETECTION_HEARTBEATS * heartbeat_ms / 1000)
--- a/siskinmount/placement/_load_table.py
+++ b/siskinmount/placement/_load_table.py
@@ -66,6 +66,11 @@
         """Drops the counts of a peer that is gone."""
         self._by_peer.pop(peer, None)
 
+    def announce(self) -> None:
+        """Has the next message to peers sent at once, without a new count."""
+        self.version += 1
+        self._notify()
+
     def sum_counts(self) -> dict[str, UpstreamCounts]:
         """Returns the counts of all processes together."""
         totals: dict[str, UpstreamCounts] = {}
--- a/siskinmount/transport/__init__.py
+++ b/siskinmount/transport/__init__.py
@@ -6,6 +6,8 @@
 from siskinmount.transport._client_exchange import ClientExchange
 from siskinmount.transport._client_exchange import ClientRequest
 from siskinmount.transport._client_exchange import find_request_fault
+from siskinmount.transport._connection_probe import probe_connection
+from siskinmount.transport._connection_probe import ProbeOutcome
 from siskinmount.transport._event_splitter import create_event_splitter
 from siskinmount.transport._event_splitter import EventSplitter
 from siskinmount.transport._event_splitter import is_stream_complete
