Place a batch item again however many upstreams crashed under it

Cause: items were counted like callers' requests and quarantined after three crashes over all members. But items that are handed in for later do not crash upstreams; in a burst of crashes a sound item is simply there three times.

Ruled out: to quarantine items only later or for a shorter time, which keeps an owed item from a free upstream for no reason.

Change: items are neither counted nor quarantined. After each interrupted run they wait, from 0.3 s up to 2 s, so one item cannot take upstreams down in quick succession. The line item_quarantined and the reason quarantined are gone.

--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -197,7 +197,6 @@
             placer=placer,
             load=self._load,
             health=health,
-            crash_tracker=crash_tracker,
             client=_item_client.create_item_client(
                 clients, health, departures, outside.wire, self._metrics
             ),
@@ -213,7 +212,6 @@
             result_writer=result_writer,
             view=self._view,
             health=health,
-            crash_tracker=crash_tracker,
             metrics=self._metrics,
         )
         context = _online_context.OnlineContext(
--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -36,9 +36,6 @@
 #: How long after its retention an item is given up. VMs may have learned of a
 #: job at different times, and the platform counts from the first submission.
 RETENTION_MARGIN_S = 3.0
-#: Events after which an interrupted run counts as one that added output: a
-#: request that crashes upstreams does so as it begins to run.
-MIN_ADDED_EVENTS = 5
 #: How long a route may be missing from the document before its items are given
 #: up.
 ROUTE_REMOVAL_GRACE_S = 5.0
@@ -59,14 +56,12 @@
         '_placer',
         '_load',
         '_health',
-        '_crash_tracker',
         '_client',
         '_metrics',
         '_runs',
         '_preemptor',
         '_result_writer',
         '_route_missing_since_s',
-        '_quarantined_tags',
         'stepped_at_s',
     )
 
@@ -79,7 +74,6 @@
         placer: placement.Placer,
         load: placement.LoadTable,
         health: placement.UpstreamHealth,
-        crash_tracker: placement.CrashTracker,
         client: _item_client.ItemClient,
         result_writer: _result_writer.ResultWriter,
         metrics: _gateway_metrics.GatewayMetrics,
@@ -90,7 +84,6 @@
         self._placer = placer
         self._load = load
         self._health = health
-        self._crash_tracker = crash_tracker
         self._client = client
         self._metrics = metrics
         self._runs: dict[str, _item_run.ItemRun] = {}
@@ -99,7 +92,6 @@
         )
         self._result_writer = result_writer
         self._route_missing_since_s: dict[str, float] = {}
-        self._quarantined_tags: set[str] = set()
         self.stepped_at_s = 0.0
 
     @property
@@ -131,7 +123,6 @@
                 if trio.current_time() - cleaned_up_at_s > CLEANUP_INTERVAL_S:
                     cleaned_up_at_s = trio.current_time()
                     self._scheduler.forget_closed()
-                    self._forget_released()
                 await trio.sleep(STEP_INTERVAL_S)
                 if started:
                     continue
@@ -152,9 +143,7 @@
         """Starts the next items, and returns how many."""
         started = 0
         full_services: set[str] = set()
-        for next_item in self._scheduler.iterate_next(
-            self.count_free_slots, self._crash_tracker.is_quarantined
-        ):
+        for next_item in self._scheduler.iterate_next(self.count_free_slots):
             if started >= MAX_STARTS_PER_STEP:
                 break
             tag = jobs.make_tag(next_item.job.job_id, next_item.item.item_id)
@@ -176,12 +165,6 @@
                     tag,
                 )
                 continue
-            if self._crash_tracker.is_quarantined(tag):
-                # The item crashes upstreams, but may be given up only after its
-                # retention.
-                self._log_quarantined(next_item, tag)
-                continue
-            self._quarantined_tags.discard(tag)
             service = route.draw_service()
             if service in full_services:
                 continue
@@ -249,28 +232,6 @@
             },
         )
 
-    def _log_quarantined(self, next_item: jobs.NextItem, tag: str) -> None:
-        """Logs that an item is passed over, once until it is released."""
-        if tag in self._quarantined_tags:
-            return
-        self._quarantined_tags.add(tag)
-        _LOGGER.info(
-            'item_quarantined',
-            extra={
-                'job': next_item.job.job_id,
-                'item': next_item.item.item_id,
-                'tag': tag,
-                'own_count': self._crash_tracker.counts.get(tag, 0),
-                'peer_count': self._crash_tracker.count_at_peers(tag),
-            },
-        )
-
-    def _forget_released(self) -> None:
-        """Drops the items that are no longer quarantined."""
-        for tag in list(self._quarantined_tags):
-            if not self._crash_tracker.is_quarantined(tag):
-                self._quarantined_tags.discard(tag)
-
     def _find_route(self, job: jobs.Job) -> fleet.FleetRoute | None:
         """Returns a job's route in the current document, if there is one."""
         document = self._view.document
@@ -366,7 +327,6 @@
         progress = self._scheduler.get_progress(run.tag)
         began_at_s = trio.current_time()
         resumed_from = progress.last_event_id
-        earlier_event_count = len(progress.events)
         outcome = _item_client.RunOutcome.CANCELLED
         reason = 'cut'
         try:
@@ -410,17 +370,8 @@
             progress.back_off(progress.failed_attempts)
         elif outcome is _item_client.RunOutcome.LOST:
             progress.lost_runs += 1
-            self._crash_tracker.record_interrupted_run(
-                run.tag,
-                upstream.upstream_id,
-                added_output=(
-                    len(progress.events) - earlier_event_count
-                    >= MIN_ADDED_EVENTS
-                ),
-                started_at_ms=upstream.started_at_ms,
-            )
             self._health.record_failure(upstream.upstream_id, reason)
-            progress.back_off(progress.lost_runs)
+            progress.back_off_interrupted()
         elif outcome is _item_client.RunOutcome.ERROR_STATUS:
             progress.lost_runs += 1
             self._health.record_failure(upstream.upstream_id, reason)
@@ -441,7 +392,6 @@
     placer: placement.Placer,
     load: placement.LoadTable,
     health: placement.UpstreamHealth,
-    crash_tracker: placement.CrashTracker,
     client: _item_client.ItemClient,
     result_writer: _result_writer.ResultWriter,
     metrics: _gateway_metrics.GatewayMetrics,
@@ -455,7 +405,6 @@
         placer: Chooses upstreams.
         load: Counts requests in flight per upstream.
         health: Records failures and successes of upstreams.
-        crash_tracker: Identifies items that crash upstreams.
         client: Sends items to upstreams.
         result_writer: Writes results to the log.
         metrics: Counters of the gateway.
@@ -467,7 +416,6 @@
         placer=placer,
         load=load,
         health=health,
-        crash_tracker=crash_tracker,
         client=client,
         result_writer=result_writer,
         metrics=metrics,
--- a/siskinmount/gateway/_item_watch.py
+++ b/siskinmount/gateway/_item_watch.py
@@ -55,9 +55,6 @@
     #: The document has no route for the job.
     ROUTE_MISSING = 'route_missing'
 
-    #: The item crashes upstreams.
-    QUARANTINED = 'quarantined'
-
     #: Older items take all free slots, or there are none.
     NO_FREE_SLOT = 'no_free_slot'
 
@@ -155,7 +152,6 @@
         '_result_writer',
         '_view',
         '_health',
-        '_crash_tracker',
         '_metrics',
         '_open_items',
     )
@@ -171,7 +167,6 @@
         result_writer: _result_writer.ResultWriter,
         view: fleet.FleetView,
         health: placement.UpstreamHealth,
-        crash_tracker: placement.CrashTracker,
         metrics: _gateway_metrics.GatewayMetrics,
     ) -> None:
         self._membership = membership
@@ -182,7 +177,6 @@
         self._result_writer = result_writer
         self._view = view
         self._health = health
-        self._crash_tracker = crash_tracker
         self._metrics = metrics
         self._open_items: dict[str, _OpenItem] = {}
 
@@ -370,12 +364,6 @@
             route = document.find_route_by_name(job.route_name)
         if route is None:
             return _Finding(WaitReason.ROUTE_MISSING, route=job.route_name)
-        if self._crash_tracker.is_quarantined(tag):
-            return _Finding(
-                WaitReason.QUARANTINED,
-                own_count=self._crash_tracker.counts.get(tag, 0),
-                peer_count=self._crash_tracker.count_at_peers(tag),
-            )
         free_slots = check.free_by_route.get(job.route_name)
         if free_slots is None:
             free_slots = self._runner.count_free_slots(job.route_name)
@@ -450,7 +438,6 @@
     result_writer: _result_writer.ResultWriter,
     view: fleet.FleetView,
     health: placement.UpstreamHealth,
-    crash_tracker: placement.CrashTracker,
     metrics: _gateway_metrics.GatewayMetrics,
 ) -> ItemWatch:
     """Creates a watch that has seen no items.
@@ -464,7 +451,6 @@
         result_writer: Writes results and hands over output.
         view: Routes and upstreams.
         health: Determines which upstreams are avoided.
-        crash_tracker: Identifies items that crash upstreams.
         metrics: Gauges of the gateway.
     """
     return ItemWatch(
@@ -476,6 +462,5 @@
         result_writer=result_writer,
         view=view,
         health=health,
-        crash_tracker=crash_tracker,
         metrics=metrics,
     )
--- a/siskinmount/gateway/tests/test_item_client.py
+++ b/siskinmount/gateway/tests/test_item_client.py
@@ -10,7 +10,7 @@
 class ItemClientTest(testtools.TestCase):
 
     def test_only_a_lost_connection_counts_as_a_lost_run(self):
-        # Guards against the quarantine of items by upstreams that answer.
+        # Guards against taking an upstream that answers for a broken one.
         cases = [
             (422, _Outcome.UNPROCESSABLE),
             (500, _Outcome.FAILED),
--- a/siskinmount/jobs/_item_scheduler.py
+++ b/siskinmount/jobs/_item_scheduler.py
@@ -23,6 +23,8 @@
 #: Back-off after the first failed attempt of an item, doubled with each.
 FIRST_RETRY_S = 0.3
 MAX_RETRY_S = 5.0
+#: Longest back-off after interrupted runs, which are no fault of the item.
+MAX_INTERRUPTED_RETRY_S = 2.0
 
 
 def make_tag(job_id: str, item_id: str) -> str:
@@ -61,7 +63,14 @@
 
     def back_off(self, failures: int) -> None:
         """Delays the next run, with exponential back-off by failures."""
-        pause_s = min(MAX_RETRY_S, FIRST_RETRY_S * 2 ** max(0, failures - 1))
+        self._delay(failures, MAX_RETRY_S)
+
+    def back_off_interrupted(self) -> None:
+        """Delays the next run, by the number of consecutive lost runs."""
+        self._delay(self.lost_runs, MAX_INTERRUPTED_RETRY_S)
+
+    def _delay(self, failures: int, max_pause_s: float) -> None:
+        pause_s = min(max_pause_s, FIRST_RETRY_S * 2 ** max(0, failures - 1))
         self.not_before_s = trio.current_time() + pause_s
 
 
@@ -156,18 +165,14 @@
         self._responsible_by_tag: dict[str, str] = {}
 
     def iterate_next(
-        self,
-        count_free_slots: Callable[[str], int],
-        is_quarantined: Callable[[str], bool],
+        self, count_free_slots: Callable[[str], int]
     ) -> Iterator[NextItem]:
         """Yields the items to start in this process now, the oldest first.
 
-        An item whose output is complete needs no slot, and one that is
-        quarantined takes none from later items.
+        An item whose output is complete needs no slot.
 
         Args:
             count_free_slots: Returns the free slots for a route's items.
-            is_quarantined: Returns whether an item, by tag, must not run.
         """
         members = self._list_members()
         peer_items = self._list_peer_items()
@@ -192,8 +197,7 @@
                 if tag not in complete_tags:
                     if free_slots <= 0:
                         continue
-                    if not is_quarantined(tag):
-                        free_slots -= 1
+                    free_slots -= 1
                 if self._is_own(tag, progress, peer_items, members):
                     yield NextItem(job, item)
             free_by_route[job.route_name] = free_slots
