Remember crashes under a request as long as any member lives

What callers saw: a request that was refused for its crashes was sent to upstreams again, and crashed more, once a member that had counted one of them restarted, or 60 s after its last crash.

Each member told only what it had counted itself, and what a peer told was replaced by its next message; a restarted member tells nothing.

Ruled out: to write crashes to the store, which may be away just then, and is priced.

Change: members tell all crashes they know of requests with two and more, with their ages, so that telling them around does not make them last longer; of a request with one crash, most often a bystander, a member tells only its own and for 15 s. A message tells at most 200 requests, those with most crashes first: 1,000 fingerprints with ids did not fit into a datagram, and then all members would have looked silent. A quarantine lasts 600 s, single crashes 60 s as before. Whether a run had output is told as well, and the first two of such crashes do not count over all members; that was two in each member.

Members of the version before read crash_ids as before and get all known ids. Tests: five new ones of the tracker; on the code before there is no way to tell a crash on or to give its age. The tests of the peers' messages compare reports instead of ids; older forms are still read, and tested in one more form.

--- a/siskinmount/gateway/_member_announcer.py
+++ b/siskinmount/gateway/_member_announcer.py
@@ -71,7 +71,7 @@
             counts=self._load.own,
             held_tags=self._scheduler.held_tags,
             kept_tags=self._scheduler.list_kept_tags(),
-            crashes=self._crash_tracker.crashes,
+            crashes=self._crash_tracker.list_reports(),
             failure_tallies=self._health.list_failure_tallies(),
             departures=self._view.departures.list_first_hand(),
         )
@@ -113,7 +113,7 @@
         view: Provides the version of the document in force.
         load: This member's requests in flight.
         health: Upstreams that this member finds faulty.
-        crash_tracker: Upstream crashes that this member has counted.
+        crash_tracker: Upstream crashes that this member knows.
         scheduler: Items that this member runs or keeps output of.
     """
     return MemberAnnouncer(
--- a/siskinmount/gateway/tests/test_item_runner.py
+++ b/siskinmount/gateway/tests/test_item_runner.py
@@ -245,9 +245,11 @@
             )
             children = [supervision.Child('items', runner.run)]
             tag = jobs.make_tag('j', 'i0')
-            crash_tracker.set_peer_crashes(
-                'p', {tag: {f'v/{n}/0' for n in range(crash_count)}}
-            )
+            reports = [
+                placement.CrashReport(f'v/{n}/0', 0.0, False)
+                for n in range(crash_count)
+            ]
+            crash_tracker.apply_reports({tag: reports})
             if progress is not None:
                 scheduler.progress[tag] = progress
             async with trio.open_nursery() as nursery:
--- a/siskinmount/peering/_peer_directory.py
+++ b/siskinmount/peering/_peer_directory.py
@@ -163,7 +163,7 @@
         peer.heard_at_s = trio.current_time()
         peer.message = message
         self._load.set_peer_counts(peer.member, message.counts)
-        self._crash_tracker.set_peer_crashes(peer.member, message.crashes)
+        self._crash_tracker.apply_reports(message.crashes)
         self._health.set_peer_tallies(peer.member, message.failure_tallies)
         self._record_departures(peer.member, message.departures)
 
@@ -275,7 +275,7 @@
     Args:
         member: Name of this VM.
         load: Receives the requests in flight of peers.
-        crash_tracker: Receives the crashes that peers have counted.
+        crash_tracker: Receives the crashes that peers tell.
         health: Receives the upstream tallies of peers.
     """
     return PeerDirectory(member, load, crash_tracker, health)
--- a/siskinmount/peering/_peer_message.py
+++ b/siskinmount/peering/_peer_message.py
@@ -24,8 +24,8 @@
         counts: Requests of the sender in flight, by upstream.
         held_tags: Batch items that the sender runs or is about to list.
         kept_tags: Waiting batch items of which the sender holds output.
-        crashes: Ids of the crashes that the sender has counted, by request
-            fingerprint.
+        crashes: Upstream crashes that the sender knows, by the fingerprint of
+            the request that ran.
         failure_tallies: Upstreams that failed requests of the sender, with
             their tallies.
         departures: Upstreams that told the sender that they leave.
@@ -60,7 +60,7 @@
         counts: dict[str, placement.UpstreamCounts],
         held_tags: set[str],
         kept_tags: set[str],
-        crashes: dict[str, set[str]],
+        crashes: dict[str, list[placement.CrashReport]],
         failure_tallies: dict[str, placement.FailureTally],
         departures: dict[str, fleet.DepartureNotice] | None = None,
     ) -> None:
@@ -100,12 +100,24 @@
             },
             'held': sorted(message.held_tags),
             'kept': sorted(message.kept_tags),
-            # Members that know no ids yet read the numbers.
+            # Members that know no reports yet read the numbers or the ids.
             'crashes': {
-                name: len(ids) for name, ids in message.crashes.items()
+                name: len(reports) for name, reports in message.crashes.items()
             },
             'crash_ids': {
-                name: sorted(ids) for name, ids in message.crashes.items()
+                name: [report.crash_id for report in reports]
+                for name, reports in message.crashes.items()
+            },
+            'crash_reports': {
+                name: [
+                    (
+                        report.crash_id,
+                        round(report.age_s, 3),
+                        report.had_output,
+                    )
+                    for report in reports
+                ]
+                for name, reports in message.crashes.items()
             },
             'troubled': {
                 upstream_id: (round(tally.failures, 2), round(tally.runs, 2))
@@ -119,18 +131,35 @@
     )
 
 
-def _decode_crashes(fields: dict[str, Any]) -> dict[str, set[str]]:
-    """Returns the ids of crashes; a member that sends none gets its own."""
-    if 'crash_ids' in fields:
-        return {
-            str(name): {str(crash_id) for crash_id in ids}
-            for name, ids in fields['crash_ids'].items()
+def _decode_crashes(
+    fields: dict[str, Any],
+) -> dict[str, list[placement.CrashReport]]:
+    """Returns reports of crashes.
+
+    An older member sends ids alone, or numbers, and those get ids of its own.
+    """
+    crashes: dict[str, list[placement.CrashReport]] = {}
+    if 'crash_reports' in fields:
+        for name, rows in fields['crash_reports'].items():
+            crashes[str(name)] = [
+                placement.CrashReport(
+                    str(row[0]), max(0.0, float(row[1])), bool(row[2])
+                )
+                for row in rows
+            ]
+        return crashes
+    ids_by_name = fields.get('crash_ids')
+    if ids_by_name is None:
+        member = str(fields['member'])
+        ids_by_name = {
+            name: [f'{member}/{number}' for number in range(int(count))]
+            for name, count in fields['crashes'].items()
         }
-    member = str(fields['member'])
-    return {
-        str(name): {f'{member}/{number}' for number in range(int(count))}
-        for name, count in fields['crashes'].items()
-    }
+    for name, ids in ids_by_name.items():
+        crashes[str(name)] = [
+            placement.CrashReport(str(crash_id), 0.0, False) for crash_id in ids
+        ]
+    return crashes
 
 
 def decode_message(data: bytes) -> PeerMessage | results.Failure:
--- a/siskinmount/peering/tests/test_peer_directory.py
+++ b/siskinmount/peering/tests/test_peer_directory.py
@@ -22,7 +22,7 @@
         'counts': {'u': placement.UpstreamCounts(2, 1, 5)},
         'held_tags': {'t'},
         'kept_tags': {'k'},
-        'crashes': {'f': {'v/1/0'}},
+        'crashes': {'f': [placement.CrashReport('v/1/0', 1.5, True)]},
         'failure_tallies': {},
         **fields,
     }
@@ -54,7 +54,11 @@
             decoded = peering.decode_message(peering.encode_message(sent))
             self.assertEqual(sent.held_tags, decoded.held_tags)
             self.assertEqual(sent.kept_tags, decoded.kept_tags)
-            self.assertEqual(sent.crashes, decoded.crashes)
+            (crash,) = decoded.crashes['f']
+            self.assertEqual(
+                ('v/1/0', 1.5, True),
+                (crash.crash_id, crash.age_s, crash.had_output),
+            )
             counts = decoded.counts['u']
             self.assertEqual(
                 (2, 1, 5), (counts.online, counts.batch, counts.newest_job)
@@ -93,10 +97,15 @@
 
     def test_crashes_of_a_member_that_sends_no_ids_are_its_own(self):
         fields = orjson.loads(peering.encode_message(_make_message()))
-        del fields['crash_ids']
+        del fields['crash_reports']
+        fields['crash_ids'] = {'f': ['u/1/0', 'v/1/0']}
         fields['crashes'] = {'f': 2}
-        decoded = peering.decode_message(orjson.dumps(fields))
-        self.assertEqual({'f': {'p/0', 'p/1'}}, decoded.crashes)
+        for expected in (['u/1/0', 'v/1/0'], ['p/0', 'p/1']):
+            decoded = peering.decode_message(orjson.dumps(fields))
+            self.assertEqual(
+                expected, [crash.crash_id for crash in decoded.crashes['f']]
+            )
+            fields.pop('crash_ids', None)
 
     def test_crash_that_several_members_see_counts_once(self):
         # Guards against the quarantine of a request whose copies ran at one
@@ -124,7 +133,7 @@
                 )
                 for number, sender in enumerate(crash_trackers[1:]):
                     message = _make_message(
-                        f'p{number}', crashes=sender.crashes
+                        f'p{number}', crashes=sender.list_reports()
                     )
                     decoded = peering.decode_message(
                         peering.encode_message(message)
--- a/siskinmount/placement/__init__.py
+++ b/siskinmount/placement/__init__.py
@@ -4,9 +4,11 @@
 mean request rate for two seconds while batch items occupy all free slots.
 """
 
+from siskinmount.placement._crash_tracker import CrashReport
 from siskinmount.placement._crash_tracker import CrashTracker
 from siskinmount.placement._crash_tracker import create_crash_tracker
 from siskinmount.placement._crash_tracker import make_fingerprint
+from siskinmount.placement._crash_tracker import MIN_ADDED_EVENTS
 from siskinmount.placement._failure_tally import FailureTally
 from siskinmount.placement._load_table import create_load_table
 from siskinmount.placement._load_table import LoadTable
--- a/siskinmount/placement/_crash_tracker.py
+++ b/siskinmount/placement/_crash_tracker.py
@@ -4,8 +4,8 @@
 changes with each attempt. An interrupted run counts against its request once
 its upstream is found to be down. Requests that ran at the same time are counted
 too, but only the request that causes the crashes is interrupted at several
-upstreams in a row. A long batch item may be as well, but it adds output in each
-run, and a request that crashes what begins to run it does not.
+upstreams in a row. A stream that is resumed may be as well, but it adds output
+in each run, and a request that crashes what begins to run it does not.
 
 A crash has an id, made of its upstream, the start of that and a number, so that
 it counts once however many members ran copies of the request there.
@@ -25,13 +25,57 @@
 #: Crashes that do not count because the run had added output. Bounded, lest a
 #: request that crashes upstreams after some output is never stopped.
 MAX_IGNORED_CRASHES = 2
+#: Events after which an interrupted run counts as one that added output.
+MIN_ADDED_EVENTS = 5
 #: An interrupted run counts if its upstream is found down within this number of
 #: heartbeats. The platform drops the entry of a silent upstream after a few.
 DETECTION_HEARTBEATS = 8
 DEFAULT_HEARTBEAT_MS = 1200
-#: Retention of counts. Callers retry within seconds.
+#: Retention of the crashes of a request. Callers retry within seconds.
 RETENTION_S = 60.0
+#: Retention of the crashes of a request that is refused. Callers may send it
+#: again for as long as they have not given it up.
+QUARANTINE_S = 600.0
 MAX_FINGERPRINTS = 1000
+#: How long peers are told of a crash that may have befallen a bystander.
+SINGLE_CRASH_REPORT_S = 15.0
+#: Requests of which one message to peers tells crashes, a datagram being
+#: limited to 64 KiB.
+MAX_REPORTED_FINGERPRINTS = 200
+
+
+class CrashReport:
+    """A crash of an upstream that ran a request, as members tell each other.
+
+    Attributes:
+        crash_id: Names the crash, the same at all members.
+        age_s: Time since the crash was counted.
+        had_output: Whether the run had added output.
+    """
+
+    __slots__ = ('crash_id', 'age_s', 'had_output')
+
+    def __init__(self, crash_id: str, age_s: float, had_output: bool) -> None:
+        self.crash_id = crash_id
+        self.age_s = age_s
+        self.had_output = had_output
+
+
+class KnownCrash:
+    """A crash of an upstream that ran a request.
+
+    Attributes:
+        at_s: Monotonic time at which it was counted.
+        had_output: Whether the run had added output.
+        is_own: Whether this process has counted it.
+    """
+
+    __slots__ = ('at_s', 'had_output', 'is_own')
+
+    def __init__(self, at_s: float, had_output: bool, is_own: bool) -> None:
+        self.at_s = at_s
+        self.had_output = had_output
+        self.is_own = is_own
 
 
 class InterruptedRun:
@@ -56,17 +100,13 @@
 class CrashTracker:
     """Counts crashes by request, in this process and at its peers.
 
-    Attributes:
-        crashes: Ids of the crashes that this process has counted, by
-            fingerprint.
+    Members tell each other of all crashes they know, with their ages, so that a
+    crash is remembered as long as any of them lives.
     """
 
     __slots__ = (
-        'crashes',
-        '_ignored_counts',
-        '_last_crash_at_s',
+        '_crashes',
         '_interrupted_runs',
-        '_peer_crashes',
         '_detection_s',
         '_unverified_upstreams',
         '_run_interrupted',
@@ -74,11 +114,8 @@
     )
 
     def __init__(self, detection_s: float) -> None:
-        self.crashes: dict[str, set[str]] = {}
-        self._ignored_counts: dict[str, int] = {}
-        self._last_crash_at_s: dict[str, float] = {}
+        self._crashes: dict[str, dict[str, KnownCrash]] = {}
         self._interrupted_runs: dict[str, dict[str, InterruptedRun]] = {}
-        self._peer_crashes: dict[str, tuple[float, dict[str, set[str]]]] = {}
         self._detection_s = detection_s
         self._unverified_upstreams: set[str] = set()
         self._run_interrupted = trio.Event()
@@ -87,7 +124,12 @@
     @property
     def counts(self) -> dict[str, int]:
         """Number of crashes that this process has counted, by fingerprint."""
-        return {name: len(ids) for name, ids in self.crashes.items()}
+        counts: dict[str, int] = {}
+        for fingerprint, crashes in self._crashes.items():
+            own_count = sum(crash.is_own for crash in crashes.values())
+            if own_count:
+                counts[fingerprint] = own_count
+        return counts
 
     def record_interrupted_run(
         self,
@@ -106,6 +148,10 @@
             started_at_ms: Start of the upstream, in Unix milliseconds.
         """
         runs = self._interrupted_runs.setdefault(upstream_id, {})
+        earlier = runs.get(fingerprint)
+        if earlier is not None and not earlier.added_output:
+            # Another copy of the request ran there.
+            added_output = False
         runs[fingerprint] = InterruptedRun(
             trio.current_time(), added_output, started_at_ms
         )
@@ -146,16 +192,12 @@
             if now_s - run.at_s > self._detection_s:
                 self._drop(upstream_id, fingerprint, run, 'detected_late')
                 continue
-            if len(self._last_crash_at_s) >= MAX_FINGERPRINTS:
+            if not self._has_room(fingerprint):
                 self._drop(upstream_id, fingerprint, run, 'table_full')
                 continue
-            self._last_crash_at_s[fingerprint] = now_s
-            if run.added_output and self._ignore_crash(fingerprint):
-                self._drop(upstream_id, fingerprint, run, 'output_added')
-                continue
             self._record_outcome('counted')
-            crash_id = self._add_crash(
-                fingerprint, f'{upstream_id}/{run.started_at_ms}'
+            crash_id = self._add_own_crash(
+                fingerprint, f'{upstream_id}/{run.started_at_ms}', run
             )
             _LOGGER.info(
                 'crash_counted',
@@ -163,31 +205,49 @@
                     'fingerprint': fingerprint,
                     'upstream': upstream_id,
                     'crash': crash_id,
-                    'own_count': len(self.crashes[fingerprint]),
+                    'had_output': run.added_output,
+                    'own_count': self.counts[fingerprint],
                     'peer_count': self.count_at_peers(fingerprint),
+                    'is_quarantined': self.is_quarantined(fingerprint),
                 },
             )
 
-    def _add_crash(self, fingerprint: str, start: str) -> str:
-        """Adds a crash and returns its id.
+    def _has_room(self, fingerprint: str) -> bool:
+        return (
+            fingerprint in self._crashes
+            or len(self._crashes) < MAX_FINGERPRINTS
+        )
+
+    def _add_own_crash(
+        self, fingerprint: str, start: str, run: InterruptedRun
+    ) -> str:
+        """Adds a crash that this process has counted, and returns its id.
 
         An upstream that crashes again for this process has been started in
         between, though the platform may not have told it yet.
         """
-        ids = self.crashes.setdefault(fingerprint, set())
+        crashes = self._crashes.setdefault(fingerprint, {})
         number = 0
-        while f'{start}/{number}' in ids:
+        crash_id = f'{start}/{number}'
+        while crash_id in crashes and crashes[crash_id].is_own:
             number += 1
-        ids.add(f'{start}/{number}')
-        return f'{start}/{number}'
+            crash_id = f'{start}/{number}'
+        self._add_crash(
+            fingerprint,
+            crash_id,
+            KnownCrash(trio.current_time(), run.added_output, True),
+        )
+        return crash_id
 
-    def _ignore_crash(self, fingerprint: str) -> bool:
-        """Returns whether one more crash need not be counted."""
-        ignored = self._ignored_counts.get(fingerprint, 0)
-        if ignored >= MAX_IGNORED_CRASHES:
-            return False
-        self._ignored_counts[fingerprint] = ignored + 1
-        return True
+    def _add_crash(
+        self, fingerprint: str, crash_id: str, crash: KnownCrash
+    ) -> None:
+        """Adds a crash, or what another member says of a known one."""
+        crashes = self._crashes.setdefault(fingerprint, {})
+        known = crashes.setdefault(crash_id, crash)
+        known.at_s = min(known.at_s, crash.at_s)
+        known.had_output = known.had_output and crash.had_output
+        known.is_own = known.is_own or crash.is_own
 
     def record_run_completed(self, upstream_id: str, began_at_s: float) -> None:
         """Drops the runs that an upstream interrupted before a complete one.
@@ -212,34 +272,70 @@
         ).items():
             self._drop(upstream_id, fingerprint, run, 'upstream_leaves')
 
-    def set_peer_crashes(self, peer: str, crashes: dict[str, set[str]]) -> None:
-        """Replaces the ids of the crashes that a peer has counted."""
-        self._peer_crashes[peer] = (trio.current_time(), crashes)
+    def list_reports(self) -> dict[str, list[CrashReport]]:
+        """Returns the crashes to tell peers, by fingerprint.
+
+        A request with one crash is most often a bystander, and of those a
+        member tells only what it has counted itself, for some time.
+        """
+        now_s = trio.current_time()
+        ranked: list[tuple[int, float, str]] = []
+        for fingerprint, crashes in self._crashes.items():
+            newest_at_s = max(crash.at_s for crash in crashes.values())
+            is_recent = now_s - newest_at_s < SINGLE_CRASH_REPORT_S
+            is_own = any(crash.is_own for crash in crashes.values())
+            if len(crashes) > 1 or (is_own and is_recent):
+                ranked.append((len(crashes), newest_at_s, fingerprint))
+        ranked.sort(reverse=True)
+        reports: dict[str, list[CrashReport]] = {}
+        for _, _, fingerprint in ranked[:MAX_REPORTED_FINGERPRINTS]:
+            reports[fingerprint] = [
+                CrashReport(crash_id, now_s - crash.at_s, crash.had_output)
+                for crash_id, crash in self._crashes[fingerprint].items()
+            ]
+        return reports
+
+    def apply_reports(self, reports: dict[str, list[CrashReport]]) -> None:
+        """Adds the crashes that a peer tells."""
+        now_s = trio.current_time()
+        for fingerprint, crashes in reports.items():
+            if not crashes or not self._has_room(fingerprint):
+                continue
+            for report in crashes:
+                self._add_crash(
+                    fingerprint,
+                    report.crash_id,
+                    KnownCrash(now_s - report.age_s, report.had_output, False),
+                )
+            self._expire_crashes(fingerprint)
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Returns whether a request must not be run any more."""
-        total = len(self.crashes.get(fingerprint, ()))
-        total += self.count_at_peers(fingerprint)
-        return total >= MIN_QUARANTINE_CRASHES
+        crashes = self._crashes.get(fingerprint, {}).values()
+        with_output = sum(crash.had_output for crash in crashes)
+        counted = len(crashes) - min(with_output, MAX_IGNORED_CRASHES)
+        return counted >= MIN_QUARANTINE_CRASHES
 
     def count_at_peers(self, fingerprint: str) -> int:
         """Returns the crashes of a request that only peers have counted."""
-        ids: set[str] = set()
-        for _, crashes in self._peer_crashes.values():
-            ids |= crashes.get(fingerprint, set())
-        return len(ids - self.crashes.get(fingerprint, set()))
+        crashes = self._crashes.get(fingerprint, {}).values()
+        return sum(not crash.is_own for crash in crashes)
+
+    def _expire_crashes(self, fingerprint: str) -> None:
+        """Drops the crashes of a request if the last is too long ago."""
+        crashes = self._crashes[fingerprint]
+        newest_at_s = max(crash.at_s for crash in crashes.values())
+        retention_s = RETENTION_S
+        if self.is_quarantined(fingerprint):
+            retention_s = QUARANTINE_S
+        if trio.current_time() - newest_at_s > retention_s:
+            del self._crashes[fingerprint]
 
     def expire(self) -> None:
-        """Drops counts and interrupted runs that are too old."""
+        """Drops crashes and interrupted runs that are too old."""
         now_s = trio.current_time()
-        for fingerprint, last_crash_at_s in list(self._last_crash_at_s.items()):
-            if now_s - last_crash_at_s > RETENTION_S:
-                del self._last_crash_at_s[fingerprint]
-                self.crashes.pop(fingerprint, None)
-                self._ignored_counts.pop(fingerprint, None)
-        for peer, (received_at_s, _) in list(self._peer_crashes.items()):
-            if now_s - received_at_s > RETENTION_S:
-                del self._peer_crashes[peer]
+        for fingerprint in list(self._crashes):
+            self._expire_crashes(fingerprint)
         for upstream_id, interrupted_runs in list(
             self._interrupted_runs.items()
         ):
--- a/siskinmount/placement/tests/test_crash_tracker.py
+++ b/siskinmount/placement/tests/test_crash_tracker.py
@@ -7,6 +7,16 @@
 from siskinmount import placement
 
 
+def _report(*crash_ids, age_s=0.0, had_output=False):
+    """Returns what a peer tells of the crashes of one request."""
+    return {
+        'f': [
+            placement.CrashReport(crash_id, age_s, had_output)
+            for crash_id in crash_ids
+        ]
+    }
+
+
 def _run(check):
     async def main():
         await check(placement.create_crash_tracker())
@@ -39,8 +49,8 @@
                     crash_tracker.record_interrupted_run('f', upstream_id)
                 for upstream_id in down:
                     crash_tracker.record_upstream_down(upstream_id)
-                crash_tracker.set_peer_crashes(
-                    'p', {'f': {f'peer-{n}/1/0' for n in range(peer_count)}}
+                crash_tracker.apply_reports(
+                    _report(*[f'peer-{n}/1/0' for n in range(peer_count)])
                 )
                 self.assertEqual(
                     expected, crash_tracker.is_quarantined('f'), interrupted
@@ -63,8 +73,8 @@
 
     def test_different_crashes_of_peers_are_summed(self):
         async def check(crash_tracker):
-            crash_tracker.set_peer_crashes('p', {'f': {'u/1/0'}, 'g': {'x'}})
-            crash_tracker.set_peer_crashes('q', {'f': {'v/1/0', 'u/1/0'}})
+            crash_tracker.apply_reports(_report('u/1/0'))
+            crash_tracker.apply_reports(_report('v/1/0', 'u/1/0'))
             self.assertEqual(2, crash_tracker.count_at_peers('f'))
             self.assertEqual(0, crash_tracker.count_at_peers('h'))
             # This process has seen one of the two itself.
@@ -133,6 +143,97 @@
 
             trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
+    def test_crashes_outlive_the_members_that_counted_them(self):
+        # Guards against a request that is let through again as soon as one of
+        # the members that saw its crashes restarts.
+        async def check(crash_tracker):
+            for upstream_id in ('a', 'b'):
+                crash_tracker.record_interrupted_run('f', upstream_id)
+                crash_tracker.record_upstream_down(upstream_id)
+            crash_tracker.apply_reports(_report('c/1/0'))
+            crash_tracker.apply_reports({})
+            self.assertTrue(crash_tracker.is_quarantined('f'))
+            # A member that has started since hears of all three from this one.
+            other = placement.create_crash_tracker()
+            other.apply_reports(crash_tracker.list_reports())
+            self.assertTrue(other.is_quarantined('f'))
+
+        _run(check)
+
+    def test_reports_do_not_last_longer_by_being_told_around(self):
+        async def check(crash_tracker):
+            other = placement.create_crash_tracker()
+            crash_tracker.apply_reports(_report('a/1/0', 'b/1/0'))
+            for _ in range(80):
+                other.apply_reports(crash_tracker.list_reports())
+                crash_tracker.apply_reports(other.list_reports())
+                await trio.sleep(1)
+                crash_tracker.expire()
+                other.expire()
+            for tracker in (crash_tracker, other):
+                self.assertEqual(0, tracker.count_at_peers('f'))
+
+        _run(check)
+
+    def test_quarantine_outlasts_the_memory_of_single_crashes(self):
+        async def check(crash_tracker):
+            crash_tracker.apply_reports(_report('a/1/0', 'b/1/0', 'c/1/0'))
+            for after_s, expected in ((120, True), (600, False)):
+                await trio.sleep(after_s)
+                crash_tracker.expire()
+                self.assertEqual(expected, crash_tracker.is_quarantined('f'))
+
+        _run(check)
+
+    def test_runs_with_output_are_bystanders_of_two_crashes(self):
+        cases = [
+            # Crashes with output, crashes without, outcome.
+            (2, 0, False),
+            (4, 0, False),
+            (5, 0, True),
+            (2, 2, False),
+            (2, 3, True),
+            (3, 2, True),
+        ]
+        for with_output, without, expected in cases:
+
+            async def check(
+                crash_tracker,
+                with_output=with_output,
+                without=without,
+                expected=expected,
+            ):
+                for number in range(with_output + without):
+                    upstream_id = f'u{number}'
+                    crash_tracker.record_interrupted_run(
+                        'f', upstream_id, added_output=number < with_output
+                    )
+                    crash_tracker.record_upstream_down(upstream_id)
+                other = placement.create_crash_tracker()
+                other.apply_reports(crash_tracker.list_reports())
+                for tracker in (crash_tracker, other):
+                    self.assertEqual(
+                        expected,
+                        tracker.is_quarantined('f'),
+                        (with_output, without),
+                    )
+
+            _run(check)
+
+    def test_list_of_reports_is_bounded(self):
+        # Guards against datagrams that are too large to arrive, after which all
+        # members would look silent.
+        async def check(crash_tracker):
+            for number in range(900):
+                crash_tracker.record_interrupted_run(f'f{number}', 'a')
+            crash_tracker.record_upstream_down('a')
+            crash_tracker.apply_reports(_report('b/1/0', 'c/1/0', 'd/1/0'))
+            reports = crash_tracker.list_reports()
+            self.assertLessEqual(len(reports), 200)
+            self.assertIn('f', reports)
+
+        _run(check)
+
     def test_fingerprint_is_equal_for_equal_requests(self):
         name = placement.make_fingerprint('h', '/p', b'body')
         self.assertEqual(name, placement.make_fingerprint('h', '/p', b'body'))
