Do not refuse a stream for crashes of upstreams that had served it

What callers saw: a stream that was there by chance when three upstreams crashed in quick succession, and had got events from each, was refused for a minute, also when it came again.

Cause: only batch items told the crash tracker that a run had added output; streams of callers did not, so bystanders counted like the request that crashes what begins to run it.

Change: a run of a stream with five events or more counts as one with output, of which the first two do not refuse the request.

The test crashes four engines after the fifth event of the same stream and sends it once more. On the code before, the fourth copy was refused already; now four engines crash, and the fifth copy is served.

--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -76,6 +76,7 @@
         '_upstream',
         '_is_streaming',
         '_waiting',
+        '_event_count',
     )
 
     def __init__(
@@ -93,6 +94,7 @@
         # Only for a stream is the first byte expected long before the end.
         self._is_streaming = request.route.kind is fleet.RouteKind.STREAMING
         self._waiting: placement.WaitingRun | None = None
+        self._event_count = 0
         if self._is_streaming:
             self._waiting = context.overdue.begin(
                 upstream.upstream_id, request.route.target_ms
@@ -155,6 +157,7 @@
             self._context.crash_tracker.record_interrupted_run(
                 self._request.fingerprint,
                 upstream_id,
+                added_output=self._event_count >= placement.MIN_ADDED_EVENTS,
                 started_at_ms=self._upstream.started_at_ms,
             )
             health.record_failure(upstream_id, reason)
@@ -281,6 +284,7 @@
             if not events:
                 break
             self._record_first_byte()
+            self._event_count += len(events)
             await self._response.send_events(
                 response, b''.join(event.raw for event in events)
             )
--- a/siskinmount/gateway/tests/test_crashing_requests.py
+++ b/siskinmount/gateway/tests/test_crashing_requests.py
@@ -75,3 +75,27 @@
         self.assertLessEqual(
             self._count_late_copies(float('inf')), _MAX_LATE_COPIES
         )
+
+    def test_stream_with_output_is_served_after_four_upstreams_crashed(self):
+        # Guards against refusing a bystander of crashes in quick succession.
+        async def check(fleet):
+            for engine in fleet.engines.values():
+                engine.crashing_body = _BODY
+                engine.events_before_crash = 5
+            for number in range(4):
+                answer = await fleet.call(
+                    0, 'POST', '/once/x', _BODY, x_request_id=f'q{number}'
+                )
+                self.assertFalse(answer.is_whole)
+                await trio.sleep(0.2)
+            self.assertEqual(4, len(fleet.crashed))
+            for engine in fleet.engines.values():
+                engine.crashing_body = None
+            answer = await fleet.call(
+                0, 'POST', '/once/x', _BODY, x_request_id='q'
+            )
+            self.assertEqual((200, True), (answer.status, answer.is_whole))
+
+        gateway_harness.run_fleet(
+            check, engines=tuple(f'e{number}' for number in range(6))
+        )
