Bound what is read of an upstream that sends without end

What callers saw: when an upstream sent bytes that are no answer without end, the caller of a stream, or of a plain call in some forms, learned nothing until its deadline, and the process read on all that time.

Cause: reads ended by the other side's will or by size of one part only. Nothing counted informational responses before a head, what frames a body, or bytes of a stream that are no event; the bound on whole responses, 32 MiB, was for each and not for all, more than a small VM has.

Bodies that do not matter are dropped as they are read. At a bound the connection is closed and the attempt is lost, with its reason in attempt_ended.

Ruled out: to pass large answers on unread, which would hand the endless ones to callers; a bound on time alone, which holds the caller for it.

Fakes of upstreams' responses in two tests are read chunk by chunk now, as the product does.

--- a/siskinmount/gateway/_event_stream.py
+++ b/siskinmount/gateway/_event_stream.py
@@ -64,8 +64,8 @@
     ) -> list[transport.StreamEvent] | results.Failure:
         """Returns the next events, or none at the end of a complete stream.
 
-        Events before one that is out of order are returned first, and the
-        failure by the next call.
+        Events before one that is invalid or out of order are returned first,
+        and the failure by the next call.
 
         Args:
             timeout_s: Longest time to wait for the next bytes.
@@ -82,6 +82,8 @@
                 failure = self._judge_end()
                 return [] if failure is None else failure
             events = self._accept(self._splitter.split(chunk))
+            if self._splitter.is_overlong and self._failure is None:
+                self._failure = _lost('no event in too many bytes')
             if events:
                 return events
         return self._failure
@@ -89,9 +91,12 @@
     def _accept(
         self, events: list[transport.StreamEvent]
     ) -> list[transport.StreamEvent]:
-        """Returns the events up to the first that is out of order."""
+        """Returns the events up to the first that is invalid."""
         accepted: list[transport.StreamEvent] = []
         for event in events:
+            if event.is_foreign:
+                self._failure = _lost('bytes that are no event')
+                break
             last = self.last_event_id
             if event.event_id is not None:
                 if last is not None and event.event_id != last + 1:
--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -32,6 +32,7 @@
 from siskinmount.gateway import _outside_services
 from siskinmount.gateway import _peers_api
 from siskinmount.gateway import _process_signals
+from siskinmount.gateway import _response_buffers
 from siskinmount.gateway import _result_writer
 from siskinmount.gateway import _upstream_clients
 
@@ -222,6 +223,7 @@
             crash_tracker=crash_tracker,
             clients=clients,
             departures=departures,
+            buffers=_response_buffers.create_response_buffers(),
             wire=outside.wire,
             metrics=self._metrics,
         )
--- a/siskinmount/gateway/_item_client.py
+++ b/siskinmount/gateway/_item_client.py
@@ -17,6 +17,8 @@
 
 #: Longest time to wait for the response, and for each chunk of it.
 SILENCE_TIMEOUT_S = 3.0
+#: Largest output of one item; members that hand output over accept as much.
+MAX_OUTPUT_BYTES = 4 * 1024 * 1024
 
 
 class RunOutcome(enum.Enum):
@@ -121,7 +123,12 @@
         item_id: str,
         upstream_id: str,
     ) -> tuple[RunOutcome, str]:
-        """Adds the events of a stream to `progress` until the stream ends."""
+        """Adds the events of a stream to `progress` until the stream ends.
+
+        The events of a stream that exceeds the bound are dropped again.
+        """
+        earlier_event_id = progress.last_event_id
+        earlier_count = len(progress.events)
         stream = _event_stream.create_event_stream(
             response,
             self._metrics,
@@ -135,6 +142,10 @@
                 return RunOutcome.LOST, events.reason
             if not events:
                 return RunOutcome.DONE, 'complete'
+            if response.received_body_bytes > MAX_OUTPUT_BYTES:
+                del progress.events[earlier_count:]
+                progress.last_event_id = earlier_event_id
+                return RunOutcome.LOST, 'the output is too large'
             progress.lost_runs = 0
             progress.last_event_id = stream.last_event_id
             for event in events:
--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -13,6 +13,7 @@
 from siskinmount.gateway import _online_context
 from siskinmount.gateway import _online_request
 from siskinmount.gateway import _online_response
+from siskinmount.gateway import _response_buffers
 from siskinmount.gateway import _wire
 
 _LOGGER = logging.getLogger(__name__)
@@ -24,7 +25,6 @@
 #: Timeout between events, in longest gaps that the route allows.
 EVENT_GAP_TIMEOUT_GAPS = 3
 MIN_TIMEOUT_MS = 300
-MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 _CANCELLED = 'cancelled'
 #: Status with which an upstream ends a run at the deadline it was given.
 _STATUS_GATEWAY_TIMEOUT = 504
@@ -243,7 +243,7 @@
         self, response: transport.ClientExchange
     ) -> tuple[AttemptOutcome, str]:
         """Reads a response to its end; forwards it, or keeps it for a retry."""
-        body = await response.read_body(MAX_RESPONSE_BYTES)
+        body = await self._read_whole(response)
         reason = f'status {response.status}'
         if isinstance(body, results.Failure):
             return AttemptOutcome.LOST, body.reason
@@ -265,6 +265,27 @@
             return AttemptOutcome.ANSWERED_FAILURE, reason
         return AttemptOutcome.ANSWERED, reason
 
+    async def _read_whole(
+        self, response: transport.ClientExchange
+    ) -> bytes | results.Failure:
+        """Reads a body to its end, within the bounds on memory."""
+        max_bytes = _response_buffers.MAX_RESPONSE_BYTES
+        if response.announces_more_than(max_bytes):
+            return _too_large('the response announces too many bytes')
+        parts: list[bytes] = []
+        while True:
+            chunk = await response.receive_chunk()
+            if isinstance(chunk, results.Failure):
+                return chunk
+            if not chunk:
+                return b''.join(parts)
+            if response.received_body_bytes > max_bytes:
+                return _too_large(f'the response exceeds {max_bytes} bytes')
+            if not self._context.buffers.reserve(len(chunk)):
+                return _too_large('too many bytes of responses are held')
+            self._request.buffered_bytes += len(chunk)
+            parts.append(chunk)
+
     async def _forward_stream(
         self, response: transport.ClientExchange
     ) -> tuple[AttemptOutcome, str]:
@@ -311,3 +332,9 @@
         route = self._request.route
         gap_ms = route.max_gap_ms or route.target_ms
         return max(MIN_TIMEOUT_MS, gap_ms * EVENT_GAP_TIMEOUT_GAPS) / 1000
+
+
+def _too_large(reason: str) -> results.Failure:
+    return results.Failure(
+        results.ResultCode.UPSTREAM_LOST, reason, results.RunState.RAN
+    )
--- a/siskinmount/gateway/_online_context.py
+++ b/siskinmount/gateway/_online_context.py
@@ -3,6 +3,7 @@
 from siskinmount import placement
 from siskinmount.gateway import _departure_reader
 from siskinmount.gateway import _gateway_metrics
+from siskinmount.gateway import _response_buffers
 from siskinmount.gateway import _upstream_clients
 from siskinmount.gateway import _wire
 
@@ -18,6 +19,7 @@
         crash_tracker: Identifies requests that crash upstreams.
         clients: Connection pools of the upstreams.
         departures: Notes responses of upstreams that leave.
+        buffers: Bounds the memory of responses that are read whole.
         wire: Reads and writes headers.
         metrics: Counters and histograms of the gateway.
     """
@@ -30,6 +32,7 @@
         'crash_tracker',
         'clients',
         'departures',
+        'buffers',
         'wire',
         'metrics',
     )
@@ -44,6 +47,7 @@
         crash_tracker: placement.CrashTracker,
         clients: _upstream_clients.UpstreamClients,
         departures: _departure_reader.DepartureReader,
+        buffers: _response_buffers.ResponseBuffers,
         wire: _wire.Wire,
         metrics: _gateway_metrics.GatewayMetrics,
     ) -> None:
@@ -54,5 +58,6 @@
         self.crash_tracker = crash_tracker
         self.clients = clients
         self.departures = departures
+        self.buffers = buffers
         self.wire = wire
         self.metrics = metrics
--- a/siskinmount/gateway/_online_handler.py
+++ b/siskinmount/gateway/_online_handler.py
@@ -44,6 +44,13 @@
             trio.BrokenResourceError: The response had begun and cannot be
                 completed; the caller's connection must be closed.
         """
+        try:
+            await self._answer()
+        finally:
+            self._context.buffers.release(self._request.buffered_bytes)
+
+    async def _answer(self) -> None:
+        """Answers the caller; raises as `run` does."""
         with trio.CancelScope(deadline=self._request.deadline_s) as scope:
             failure = await self._try_upstreams()
         if scope.cancelled_caught:
--- a/siskinmount/gateway/_online_request.py
+++ b/siskinmount/gateway/_online_request.py
@@ -27,6 +27,7 @@
         tried_upstreams: Upstreams that failed to answer the request.
         last_event_id: Id of the last event that the caller has, or None.
         may_have_run: Whether an upstream may have started to run it.
+        buffered_bytes: Bytes of upstreams' responses that are held for it.
     """
 
     __slots__ = (
@@ -43,6 +44,7 @@
         'tried_upstreams',
         'last_event_id',
         'may_have_run',
+        'buffered_bytes',
     )
 
     def __init__(
@@ -72,6 +74,7 @@
         self.tried_upstreams: set[str] = set()
         self.last_event_id = caller_request.last_event_id
         self.may_have_run = False
+        self.buffered_bytes = 0
 
     @property
     def request_id(self) -> str:
--- a/siskinmount/gateway/tests/test_online_handler.py
+++ b/siskinmount/gateway/tests/test_online_handler.py
@@ -30,7 +30,9 @@
             slot_count=1,
             started_at_ms=0,
         )
+        self.received_body_bytes = 0
         self._answer_after_s = answer_after_s
+        self._parts = [b'body', b'']
 
     def place_online(
         self,
@@ -55,8 +57,11 @@
         await trio.sleep(self._answer_after_s)
         return self
 
-    async def read_body(self, max_bytes):
-        return b'body'
+    async def receive_chunk(self):
+        return self._parts.pop(0)
+
+    def announces_more_than(self, max_bytes):
+        return False
 
     async def discard_body(self):
         pass
--- a/siskinmount/gateway/tests/test_online_handler_properties.py
+++ b/siskinmount/gateway/tests/test_online_handler_properties.py
@@ -94,17 +94,18 @@
             self._chunks.append(self._chunks[-1])
         if behaviour == _REPEATED_AT_ONCE and self._chunks:
             self._chunks = [b''.join(self._chunks)]
-
-    async def read_body(self, max_bytes):
-        if self._behaviour == _STALLED:
-            await trio.sleep_forever()
-        if self._behaviour in (_CUT, *_REPEATS):
-            return _lost()
-        return _BODY
+        if not is_stream or self.status != 200:
+            # A whole body, of which a faulty upstream sends nothing.
+            is_faulty = behaviour in (_STALLED, _CUT, *_REPEATS)
+            self._chunks = [] if is_faulty else [_BODY]
 
     async def discard_body(self):
         with trio.move_on_after(_DISCARD_TIMEOUT_S):
-            await self.read_body(0)
+            while await self.receive_chunk() == _BODY:
+                pass
+
+    def announces_more_than(self, max_bytes):
+        return False
 
     async def receive_chunk(self):
         await trio.sleep(0.01)
--- a/siskinmount/transport/_client_exchange.py
+++ b/siskinmount/transport/_client_exchange.py
@@ -98,6 +98,7 @@
         request_sent_at_s: Monotonic time at which the last request was sent.
         max_idle_s: Maximum idle time before reuse, from the keep-alive
             timeout that the server announced; infinite without one.
+        received_bytes: Bytes received since the last request was sent.
     """
 
     __slots__ = (
@@ -108,6 +109,7 @@
         'timed_out',
         'request_sent_at_s',
         'max_idle_s',
+        'received_bytes',
     )
 
     def __init__(self, stream: trio.SocketStream) -> None:
@@ -118,6 +120,7 @@
         self.timed_out = False
         self.request_sent_at_s = self.idle_since_s
         self.max_idle_s = float('inf')
+        self.received_bytes = 0
 
     def is_usable(self) -> bool:
         """Returns whether the idle socket has neither data nor EOF to read."""
@@ -193,12 +196,31 @@
                 continue
             if parts:
                 return b''.join(parts)
+            if self._has_excess_framing():
+                return _connection_lost('the body is framed in too many bytes')
             failure = await receive_into(self._connection, self._limits)
             if failure is not None:
                 return failure
 
+    def _has_excess_framing(self) -> bool:
+        """Returns whether the body is lost in what frames it."""
+        framing_bytes = (
+            self._connection.received_bytes - self.received_body_bytes
+        )
+        allowed_bytes = (
+            self._limits.max_framing_bytes + self.received_body_bytes // 2
+        )
+        return framing_bytes > allowed_bytes
+
+    def announces_more_than(self, max_bytes: int) -> bool:
+        """Returns whether the head announces a longer body."""
+        length = self.find_header(b'content-length') or ''
+        return length.isdigit() and int(length) > max_bytes
+
     async def read_body(self, max_bytes: int) -> bytes | results.Failure:
         """Reads the rest of the body."""
+        if self.announces_more_than(max_bytes):
+            return _too_large(max_bytes)
         parts: list[bytes] = []
         size = 0
         while True:
@@ -209,11 +231,7 @@
                 return b''.join(parts)
             size += len(chunk)
             if size > max_bytes:
-                return results.Failure(
-                    results.ResultCode.BODY_TOO_LARGE,
-                    f'the response is larger than {max_bytes} bytes',
-                    results.RunState.RAN,
-                )
+                return _too_large(max_bytes)
             parts.append(chunk)
 
     def find_framing_fault(self) -> results.Failure | None:
@@ -231,8 +249,15 @@
 
         That takes `DISCARD_TIMEOUT_S` at most; then the connection is closed.
         """
+        if self.announces_more_than(MAX_DISCARDED_BYTES):
+            return
+        size = 0
         with trio.move_on_after(DISCARD_TIMEOUT_S):
-            await self.read_body(MAX_DISCARDED_BYTES)
+            while size <= MAX_DISCARDED_BYTES:
+                chunk = await self.receive_chunk()
+                if isinstance(chunk, results.Failure) or not chunk:
+                    return
+                size += len(chunk)
 
     def close(self) -> None:
         """Returns the connection to the pool, or closes it if not reusable."""
@@ -282,10 +307,19 @@
             f'no data received for {limits.silence_timeout_ms} ms',
             results.RunState.UNKNOWN,
         )
+    connection.received_bytes += len(data)
     connection.parser.receive_data(data)
     return None
 
 
+def _too_large(max_bytes: int) -> results.Failure:
+    return results.Failure(
+        results.ResultCode.BODY_TOO_LARGE,
+        f'the response is larger than {max_bytes} bytes',
+        results.RunState.RAN,
+    )
+
+
 def _connection_lost(reason: str) -> results.Failure:
     return results.Failure(
         results.ResultCode.UPSTREAM_LOST,
--- a/siskinmount/transport/_http_client.py
+++ b/siskinmount/transport/_http_client.py
@@ -46,6 +46,7 @@
                 return connected
             connection = connected
             connection.request_sent_at_s = trio.current_time()
+            connection.received_bytes = 0
             response = await self._exchange(connection, request)
             if isinstance(response, results.Failure):
                 return response
@@ -155,6 +156,11 @@
                 )
             if event is not h11.NEED_DATA:
                 continue
+            if connection.received_bytes > self._limits.max_head_bytes:
+                return _outcome_unknown(
+                    results.ResultCode.UPSTREAM_LOST,
+                    'the head of the response is too large',
+                )
             failure = await _client_exchange.receive_into(
                 connection, self._limits
             )
--- a/siskinmount/transport/_limits.py
+++ b/siskinmount/transport/_limits.py
@@ -58,6 +58,10 @@
         silence_timeout_ms: Maximum time between two reads of the response.
         send_timeout_ms: Maximum time for sending a request.
         idle_timeout_ms: Maximum idle time of a pooled connection.
+        max_head_bytes: Maximum size of the head of a response, with the
+            informational responses before it.
+        max_framing_bytes: Maximum size of what frames the body of a response,
+            beyond half of the body.
     """
 
     __slots__ = (
@@ -66,6 +70,8 @@
         'silence_timeout_ms',
         'send_timeout_ms',
         'idle_timeout_ms',
+        'max_head_bytes',
+        'max_framing_bytes',
     )
 
     def __init__(
@@ -76,9 +82,13 @@
         silence_timeout_ms: int = 5000,
         send_timeout_ms: int = 5000,
         idle_timeout_ms: int = 30_000,
+        max_head_bytes: int = 64 * 1024,
+        max_framing_bytes: int = 256 * 1024,
     ) -> None:
         self.max_connections = max_connections
         self.connect_timeout_ms = connect_timeout_ms
         self.silence_timeout_ms = silence_timeout_ms
         self.send_timeout_ms = send_timeout_ms
         self.idle_timeout_ms = idle_timeout_ms
+        self.max_head_bytes = max_head_bytes
+        self.max_framing_bytes = max_framing_bytes
