--- a/siskinmount/sidecar/_http_model_upstream.py
+++ b/siskinmount/sidecar/_http_model_upstream.py
@@ -23,11 +23,12 @@
 class EngineStream:
     """Parses the server-sent events of one answer."""
 
-    __slots__ = ('_exchange', '_pending')
+    __slots__ = ('_exchange', '_pending', '_skipped_bytes')
 
     def __init__(self, exchange: transport.ClientExchange) -> None:
         self._exchange = exchange
         self._pending = b''
+        self._skipped_bytes = 0
 
     async def receive(self) -> list[relay.Frame] | results.Failure:
         """Returns the next frames."""
@@ -52,21 +53,23 @@
         """Returns the frames of the lines that end in a chunk."""
         lines = (self._pending + chunk).split(b'\n')
         self._pending = lines.pop()
-        if len(self._pending) > MAX_LINE_BYTES:
-            return _failure_after_start(
-                results.ResultCode.UPSTREAM_ERROR, 'an event line is too long'
-            )
         frames: list[relay.Frame] = []
         for line in lines:
+            self._skipped_bytes += len(line) + 1
             if not line.startswith(_DATA_PREFIX):
                 continue
             data = line[len(_DATA_PREFIX) :].strip()
             if data == _DONE:
                 continue
+            self._skipped_bytes = 0
             frame = _parse_event(data)
             if isinstance(frame, results.Failure):
                 return frame
             frames.append(frame)
+        if self._skipped_bytes + len(self._pending) > MAX_LINE_BYTES:
+            return _failure_after_start(
+                results.ResultCode.UPSTREAM_ERROR, 'no event in too many bytes'
+            )
         return frames
 
 
--- a/siskinmount/sidecar/_http_plain_upstream.py
+++ b/siskinmount/sidecar/_http_plain_upstream.py
@@ -59,14 +59,27 @@
                     results.RunState.RAN,
                 )
             return [relay.EndFrame()]
-        if self._splitter is not None:
-            self._splitter.split(chunk)
+        if self._has_foreign_bytes(chunk):
+            return results.Failure(
+                results.ResultCode.UPSTREAM_ERROR,
+                'bytes that are no event',
+                results.RunState.RAN,
+            )
         return [relay.BodyFrame(chunk)]
 
     def close(self) -> None:
         """Closes the connection."""
         self._exchange.close()
 
+    def _has_foreign_bytes(self, chunk: bytes) -> bool:
+        """Returns whether the next bytes of an event stream are no events."""
+        if self._splitter is None:
+            return False
+        for event in self._splitter.split(chunk):
+            if event.is_foreign:
+                return True
+        return self._splitter.is_overlong
+
     def _is_broken_off(self) -> bool:
         """Returns whether an event stream ended before it was complete."""
         return self._splitter is not None and not transport.is_stream_complete(
--- a/siskinmount/sidecar/_request_runner.py
+++ b/siskinmount/sidecar/_request_runner.py
@@ -259,7 +259,9 @@
             running.sent_to_upstream = was_sent or not not_run
             return stream
         try:
-            return await self._copy_tokens(running, ticket, stream, len(tokens))
+            return await self._copy_tokens(
+                running, ticket, stream, len(tokens), body.max_tokens
+            )
         finally:
             stream.close()
 
@@ -269,6 +271,7 @@
         ticket: _gate_load.Ticket,
         stream: _upstreams.UpstreamStream,
         next_index: int,
+        max_tokens: int,
     ) -> results.Failure | None:
         """Appends frames until the end; returns why a stream has no end."""
         silences = 0
@@ -302,6 +305,12 @@
             if running.ended:
                 self._update_prompt_size(running)
                 return None
+            if next_index > max_tokens or running.size_bytes > MAX_OUTPUT_BYTES:
+                return results.Failure(
+                    results.ResultCode.UPSTREAM_ERROR,
+                    'the answer is longer than asked for',
+                    results.RunState.RAN,
+                )
             if not count:
                 continue
             now_s = trio.current_time()
