Hand out a batch item again however many upstreams crashed under it

A death of an upstream says nothing of an item that was handed in for later.

Change: neither ends an item. It is handed out again after its pause, 1 s to 60 s, and runs alone while it is a suspect, so that no other is lost with it. A refusal as suspect counts as a lost attempt, not as a failure of the item. max_losses is gone; no setting set it.

--- a/siskinmount/batch/_batch_limits.py
+++ b/siskinmount/batch/_batch_limits.py
@@ -13,8 +13,6 @@
         first_retry_ms: Delay before an item's second attempt; it doubles with
             each further attempt.
         max_retry_ms: Longest delay between two attempts.
-        max_losses: Number of attempts lost with their upstream or lease after
-            which an item fails.
         max_items: Maximum number of items in one job.
         max_open_items: Maximum number of open items of one owner.
         max_item_bytes: Maximum size of one item.
@@ -31,7 +29,6 @@
         'cancel_wait_ms',
         'first_retry_ms',
         'max_retry_ms',
-        'max_losses',
         'max_items',
         'max_open_items',
         'max_item_bytes',
@@ -48,7 +45,6 @@
         cancel_wait_ms: int = 3000,
         first_retry_ms: int = 1000,
         max_retry_ms: int = 60_000,
-        max_losses: int = 10,
         max_items: int = 1_000_000,
         max_open_items: int = 20_000_000,
         max_item_bytes: int = 128 * 1024,
@@ -61,7 +57,6 @@
         self.cancel_wait_ms = cancel_wait_ms
         self.first_retry_ms = first_retry_ms
         self.max_retry_ms = max_retry_ms
-        self.max_losses = max_losses
         self.max_items = max_items
         self.max_open_items = max_open_items
         self.max_item_bytes = max_item_bytes
--- a/siskinmount/batch/_crash_tracker.py
+++ b/siskinmount/batch/_crash_tracker.py
@@ -30,10 +30,6 @@
         """Returns whether a request must run alone."""
         ...
 
-    def is_quarantined(self, fingerprint: str) -> bool:
-        """Returns whether a request must not run again."""
-        ...
-
 
 class NoCrashTracker:
     """Implements `CrashTracker` without recording anything."""
@@ -51,7 +47,3 @@
     def is_suspect(self, fingerprint: str) -> bool:
         """Returns False."""
         return False
-
-    def is_quarantined(self, fingerprint: str) -> bool:
-        """Returns False."""
-        return False
--- a/siskinmount/batch/_item_dispatcher.py
+++ b/siskinmount/batch/_item_dispatcher.py
@@ -238,13 +238,6 @@
             return None
         service = job.submitted.service
         fingerprint = item_fingerprint(service, text)
-        if self._crash_tracker.is_quarantined(fingerprint):
-            failure = results.Failure(
-                results.ResultCode.REQUEST_CONVICTED,
-                'the item has crashed upstreams',
-            )
-            self._end_failed(job, lease, failure)
-            return None
         attempt = job.attempts.get(lease.index)
         body: dict[str, Any] = orjson.loads(text)
         tokens = owner.resume_tokens.get(job.job_id, lease.index)
--- a/siskinmount/batch/_item_reports.py
+++ b/siskinmount/batch/_item_reports.py
@@ -22,6 +22,8 @@
         results.ResultCode.UPSTREAM_UNREACHABLE,
         results.ResultCode.UPSTREAM_LOST,
         results.ResultCode.UPSTREAM_SILENT,
+        results.ResultCode.REQUEST_SUSPECT,
+        results.ResultCode.REQUEST_CONVICTED,
         results.ResultCode.OUTCOME_UNKNOWN,
         results.ResultCode.STALE_INCARNATION,
     }
@@ -33,7 +35,6 @@
         results.ResultCode.MALFORMED_REQUEST,
         results.ResultCode.BODY_TOO_LARGE,
         results.ResultCode.INVALID_FIELD,
-        results.ResultCode.REQUEST_CONVICTED,
         results.ResultCode.ITEM_INVALID,
     }
 )
--- a/siskinmount/batch/_owner_state.py
+++ b/siskinmount/batch/_owner_state.py
@@ -172,17 +172,12 @@
     def record_loss(
         self, job: _job.Job, index: int
     ) -> state.PendingRecord | results.Failure:
-        """Records an attempt that was lost with its upstream or lease."""
+        """Records an attempt that was lost with its upstream or lease.
+
+        The item remains open however many are lost, as that says nothing of it.
+        """
         before = job.attempts.get(index)
         losses = 1 + (before.losses if before else 0)
-        if losses >= self.limits.max_losses:
-            return self.end_item(
-                job,
-                index,
-                records_pb2.ITEM_OUTCOME_FAILED,
-                code=results.ResultCode.ITEM_FAILED,
-                reason=f'{losses} attempts were lost with upstream or lease',
-            )
         failures = before.failures if before else 0
         return self._schedule_retry(job, index, failures, losses)
 
--- a/siskinmount/batch/tests/test_batch_properties.py
+++ b/siskinmount/batch/tests/test_batch_properties.py
@@ -86,9 +86,7 @@
                 stream_limits=stream_fixtures.limits(
                     snapshot_after_records=25, claim_wait_ms=3000
                 ),
-                batch_limits=batch.BatchLimits(
-                    lease_ms=6000, adoption_ms=3000, max_losses=1000
-                ),
+                batch_limits=batch.BatchLimits(lease_ms=6000, adoption_ms=3000),
                 clock_ms=stream_fixtures.clock_ms,
             )
             self.owners[number] = batch_fixtures.Owner(shard)
