Forget departures of upstreams that were never listed here

What operators saw: nothing yet; each departure that a peer told of an upstream without an entry here stayed as a row until the process ended, and at 5,000 rows new departures would have been dropped.

Cause: only the removal of an entry starts the time after which a departure is forgotten, and what has no entry is never removed.

Change: a departure of an upstream without an entry counts as unlisted from the start. One that this process heard itself is still told to peers, whose lists may be newer.

--- a/siskinmount/fleet/_announced_departures.py
+++ b/siskinmount/fleet/_announced_departures.py
@@ -36,8 +36,8 @@
         repeated_at_s: Monotonic time of the last one. Only an entry that was
             written after it can end the departure.
         is_first_hand: Whether this process got such a response itself.
-        unlisted_since_s: Monotonic time since which the upstream has not been
-            listed; None while it is.
+        unlisted_since_s: Monotonic time since which the upstream has been
+            known not to be listed; None while it is.
     """
 
     __slots__ = (
@@ -49,13 +49,19 @@
     )
 
     def __init__(
-        self, started_at_ms: int, learned_at_s: float, is_first_hand: bool
+        self,
+        started_at_ms: int,
+        learned_at_s: float,
+        is_first_hand: bool,
+        is_listed: bool,
     ) -> None:
         self.started_at_ms = started_at_ms
         self.learned_at_s = learned_at_s
         self.repeated_at_s = learned_at_s
         self.is_first_hand = is_first_hand
         self.unlisted_since_s: float | None = None
+        if not is_listed:
+            self.unlisted_since_s = trio.current_time()
 
 
 class DepartureNotice:
@@ -102,13 +108,14 @@
         return returned_start_ms > upstream.started_at_ms
 
     def record_response(
-        self, upstream: _upstream.Upstream, request_id: str
+        self, upstream: _upstream.Upstream, request_id: str, is_listed: bool
     ) -> bool:
         """Records a response that announces a departure.
 
         Args:
             upstream: The upstream to which the request was sent.
             request_id: Id of the request or batch item, for the log.
+            is_listed: Whether the upstream has an entry here.
 
         Returns:
             Whether this process did not know of the departure.
@@ -123,13 +130,19 @@
             return False
         return self._add(
             upstream.upstream_id,
-            Departure(upstream.started_at_ms, trio.current_time(), True),
+            Departure(
+                upstream.started_at_ms, trio.current_time(), True, is_listed
+            ),
             'response',
             request_id,
         )
 
     def record_from_peer(
-        self, peer: str, upstream_id: str, notice: DepartureNotice
+        self,
+        peer: str,
+        upstream_id: str,
+        notice: DepartureNotice,
+        is_listed: bool,
     ) -> bool:
         """Records a departure that a peer learned from a response.
 
@@ -139,6 +152,7 @@
             peer: The peer, for the log.
             upstream_id: The upstream.
             notice: What the peer says.
+            is_listed: Whether the upstream has an entry here.
 
         Returns:
             Whether this process did not know of the departure.
@@ -162,7 +176,7 @@
             return False
         return self._add(
             upstream_id,
-            Departure(started_at_ms, learned_at_s, False),
+            Departure(started_at_ms, learned_at_s, False, is_listed),
             peer,
             '',
         )
@@ -211,11 +225,16 @@
                 del self._returns[upstream_id]
 
     def list_first_hand(self) -> dict[str, DepartureNotice]:
-        """Returns what upstreams told this process itself, by upstream."""
+        """Returns what upstreams told this process itself, by upstream.
+
+        One whose entry has gone since is left out.
+        """
         now_s = trio.current_time()
         notices: dict[str, DepartureNotice] = {}
         for upstream_id, departure in self._departures.items():
-            if departure.is_first_hand and departure.unlisted_since_s is None:
+            since_s = departure.unlisted_since_s
+            is_gone = since_s is not None and since_s > departure.repeated_at_s
+            if departure.is_first_hand and not is_gone:
                 notices[upstream_id] = DepartureNotice(
                     departure.started_at_ms, now_s - departure.repeated_at_s
                 )
--- a/siskinmount/fleet/_fleet_view.py
+++ b/siskinmount/fleet/_fleet_view.py
@@ -101,7 +101,9 @@
         """
         if self._has_later_start(upstream.upstream_id, upstream.started_at_ms):
             return False
-        if not self.departures.record_response(upstream, request_id):
+        if not self.departures.record_response(
+            upstream, request_id, upstream.upstream_id in self.upstreams
+        ):
             return False
         self._notify()
         return True
@@ -115,7 +117,9 @@
         for upstream_id, notice in notices.items():
             if self._has_later_start(upstream_id, notice.started_at_ms):
                 continue
-            if self.departures.record_from_peer(peer, upstream_id, notice):
+            if self.departures.record_from_peer(
+                peer, upstream_id, notice, upstream_id in self.upstreams
+            ):
                 self._notify()
 
     def apply_document_record(self, record: keyed_log.KeyedRecord) -> None:
--- a/siskinmount/fleet/tests/test_announced_departures.py
+++ b/siskinmount/fleet/tests/test_announced_departures.py
@@ -221,3 +221,34 @@
             self.assertFalse(view.departures.has_any())
 
         self._run(check)
+
+    def test_departure_that_was_never_listed_here_is_forgotten_in_the_end(self):
+        # Guards against rows that stay until new ones are dropped.
+        notice = fleet.DepartureNotice(5, 0.1)
+        for announce in (
+            lambda view: view.record_peer_departures('p', {'w': notice}),
+            lambda view: view.record_departure(
+                _decode_upstream('w', b'ready 5'), 'q'
+            ),
+        ):
+
+            async def check(view, log, announce=announce):
+                announce(view)
+                for after_s, expected in ((30, True), (40, False)):
+                    await trio.sleep(after_s)
+                    view.expire_lapsed()
+                    self.assertEqual(expected, view.departures.has_any())
+                announce(view)
+                self._apply(view, b'ready 5', 1, 'w')
+                await trio.sleep(70)
+                view.expire_lapsed()
+                self.assertNotIn('w', self._list(view))
+
+            self._run(check)
+
+    def test_departure_of_an_unlisted_upstream_is_told_to_peers(self):
+        async def check(view, log):
+            view.record_departure(_decode_upstream('w', b'ready 5'), 'q')
+            self.assertIn('w', view.departures.list_first_hand())
+
+        self._run(check)
