Tell older crashes once a second, not in each message

Now each message tells a crash for 1 s, as some datagrams are lost, and one message a second all of them. The two older forms are sent empty: members of the last landing, which need them to be there, count what they see themselves until they are replaced.

--- a/siskinmount/peering/_peer_message.py
+++ b/siskinmount/peering/_peer_message.py
@@ -100,14 +100,9 @@
             },
             'held': sorted(message.held_tags),
             'kept': sorted(message.kept_tags),
-            # Members that know no reports yet read the numbers or the ids.
-            'crashes': {
-                name: len(reports) for name, reports in message.crashes.items()
-            },
-            'crash_ids': {
-                name: [report.crash_id for report in reports]
-                for name, reports in message.crashes.items()
-            },
+            # Required by members that know no reports yet.
+            'crashes': {},
+            'crash_ids': {},
             'crash_reports': {
                 name: [
                     (
--- a/siskinmount/placement/_crash_tracker.py
+++ b/siskinmount/placement/_crash_tracker.py
@@ -39,6 +39,10 @@
 MAX_FINGERPRINTS = 1000
 #: How long peers are told of a crash that may have befallen a bystander.
 SINGLE_CRASH_REPORT_S = 15.0
+#: How long each message tells of a crash. Some datagrams are lost.
+FRESH_REPORT_S = 1.0
+#: Interval at which older crashes are told again.
+REPEAT_INTERVAL_S = 1.0
 #: Requests of which one message to peers tells crashes, a datagram being
 #: limited to 64 KiB.
 MAX_REPORTED_FINGERPRINTS = 200
@@ -111,6 +115,7 @@
         '_unverified_upstreams',
         '_run_interrupted',
         '_record_outcome',
+        '_repeated_at_s',
     )
 
     def __init__(self, detection_s: float) -> None:
@@ -120,6 +125,7 @@
         self._unverified_upstreams: set[str] = set()
         self._run_interrupted = trio.Event()
         self._record_outcome: Callable[[str], None] = _ignore_outcome
+        self._repeated_at_s = float('-inf')
 
     @property
     def counts(self) -> dict[str, int]:
@@ -273,16 +279,23 @@
             self._drop(upstream_id, fingerprint, run, 'upstream_leaves')
 
     def list_reports(self) -> dict[str, list[CrashReport]]:
-        """Returns the crashes to tell peers, by fingerprint.
+        """Returns the crashes to tell peers now, by fingerprint.
 
         A request with one crash is most often a bystander, and of those a
         member tells only what it has counted itself, for some time.
         """
         now_s = trio.current_time()
+        reported_s = FRESH_REPORT_S
+        if now_s - self._repeated_at_s >= REPEAT_INTERVAL_S:
+            self._repeated_at_s = now_s
+            reported_s = float('inf')
         ranked: list[tuple[int, float, str]] = []
         for fingerprint, crashes in self._crashes.items():
             newest_at_s = max(crash.at_s for crash in crashes.values())
-            is_recent = now_s - newest_at_s < SINGLE_CRASH_REPORT_S
+            age_s = now_s - newest_at_s
+            if age_s >= reported_s:
+                continue
+            is_recent = age_s < SINGLE_CRASH_REPORT_S
             is_own = any(crash.is_own for crash in crashes.values())
             if len(crashes) > 1 or (is_own and is_recent):
                 ranked.append((len(crashes), newest_at_s, fingerprint))
--- a/siskinmount/placement/tests/test_crash_tracker.py
+++ b/siskinmount/placement/tests/test_crash_tracker.py
@@ -220,6 +220,22 @@
 
             _run(check)
 
+    def test_older_crashes_are_told_once_a_second(self):
+        # Guards against messages that repeat each crash many times a second.
+        async def check(crash_tracker):
+            crash_tracker.apply_reports(_report('a/1/0', 'b/1/0', 'c/1/0'))
+            messages = []
+            for _ in range(100):
+                messages.append(crash_tracker.list_reports())
+                await trio.sleep(0.1)
+            told = [bool(message) for message in messages]
+            self.assertTrue(all(told[:10]))
+            self.assertLessEqual(sum(told[10:]), 10)
+            for second in range(1, 9):
+                self.assertTrue(any(told[second * 10 : second * 10 + 11]))
+
+        _run(check)
+
     def test_list_of_reports_is_bounded(self):
         # Guards against datagrams that are too large to arrive, after which all
         # members would look silent.
