--- a/siskinmount/placement/tests/test_crash_tracker.py
+++ b/siskinmount/placement/tests/test_crash_tracker.py
@@ -144,8 +144,7 @@
             trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
     def test_crashes_outlive_the_members_that_counted_them(self):
-        # Guards against a request that is let through again as soon as one of
-        # the members that saw its crashes restarts.
+        # Guards against a request that is let through when a member restarts.
         async def check(crash_tracker):
             for upstream_id in ('a', 'b'):
                 crash_tracker.record_interrupted_run('f', upstream_id)
@@ -153,7 +152,6 @@
             crash_tracker.apply_reports(_report('c/1/0'))
             crash_tracker.apply_reports({})
             self.assertTrue(crash_tracker.is_quarantined('f'))
-            # A member that has started since hears of all three from this one.
             other = placement.create_crash_tracker()
             other.apply_reports(crash_tracker.list_reports())
             self.assertTrue(other.is_quarantined('f'))
@@ -254,8 +252,7 @@
         _run(check)
 
     def test_list_of_reports_is_bounded(self):
-        # Guards against datagrams that are too large to arrive, after which all
-        # members would look silent.
+        # Guards against datagrams that are too large to arrive.
         async def check(crash_tracker):
             for number in range(900):
                 crash_tracker.record_interrupted_run(f'f{number}', 'a')
