--- a/siskinmount/batch/tests/test_crashed_upstreams.py
+++ b/siskinmount/batch/tests/test_crashed_upstreams.py
@@ -18,9 +18,16 @@
 class CrashedUpstreamsTest(testtools.TestCase):
 
     def test_item_under_which_upstreams_crash_is_handed_out_again(self):
-        for was_alone in (False, True):
-
-            async def check(log, nursery, was_alone=was_alone):
+        codes = results.ResultCode
+        cases = [
+            (False, codes.UPSTREAM_LOST),
+            (True, codes.UPSTREAM_LOST),
+            (True, codes.REQUEST_SUSPECT),
+            (True, codes.REQUEST_CONVICTED),
+        ]
+        for was_alone, code in cases:
+
+            async def check(log, nursery, was_alone=was_alone, code=code):
                 crash_reports = state.create_crash_report_stream(
                     log, clock_ms=stream_fixtures.clock_ms
                 )
@@ -38,7 +45,7 @@
                         batch_fixtures.report(
                             reply.items[0],
                             batch.ReportedOutcome.FAILED,
-                            code=int(results.ResultCode.UPSTREAM_LOST),
+                            code=int(code),
                             upstream_generation=number + 1,
                             was_alone=was_alone,
                             fingerprint=reply.items[0].fingerprint,
--- a/siskinmount/gateway/tests/test_crash_verifier.py
+++ b/siskinmount/gateway/tests/test_crash_verifier.py
@@ -29,13 +29,20 @@
 
 class CrashVerifierTest(testtools.TestCase):
 
-    def _run(self, outcomes, state='ready', act=None):
+    def _run(
+        self,
+        outcomes,
+        state='ready',
+        act=None,
+        act_after_s=_crash_verifier.PROBE_DELAYS_S[0] / 2,
+    ):
         """Returns the crashes counted and the number of probes.
 
         Args:
             outcomes: What the probes show, in order; the last holds on.
             state: State of the upstream's entry; None for no entry.
             act: Called with the tracker and the view after the interruption.
+            act_after_s: How long after it.
         """
         probes = []
 
@@ -62,7 +69,7 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(verifier.run)
                 tracker.record_interrupted_run('f', 'u', started_at_ms=1)
-                await trio.sleep(_crash_verifier.PROBE_DELAYS_S[0] / 2)
+                await trio.sleep(act_after_s)
                 if act is not None:
                     act(tracker, view)
                 await trio.sleep(5)
@@ -84,6 +91,19 @@
     def test_listener_that_closes_late_is_found(self):
         self.assertEqual(({'f': 1}, 2), self._run([_ACCEPTED, _REFUSED]))
 
+    def test_run_interrupted_during_the_probes_is_probed_as_well(self):
+        def interrupt_again(tracker, view):
+            tracker.record_interrupted_run('g', 'u', started_at_ms=1)
+
+        self.assertEqual(
+            ({'f': 1, 'g': 1}, 3),
+            self._run(
+                [_ACCEPTED, _ACCEPTED, _REFUSED],
+                act=interrupt_again,
+                act_after_s=0.5,
+            ),
+        )
+
     def test_upstream_that_accepts_or_is_cut_off_is_not_taken_for_crashed(self):
         for outcome in (_ACCEPTED, _UNREACHABLE):
             self.assertEqual(({}, 2), self._run([outcome]), outcome)
--- a/siskinmount/placement/tests/test_crash_tracker.py
+++ b/siskinmount/placement/tests/test_crash_tracker.py
@@ -218,6 +218,78 @@
 
             _run(check)
 
+    def test_a_crash_is_as_old_and_as_clear_as_any_member_says(self):
+        async def check(crash_tracker):
+            await trio.sleep(50)
+            for age_s, had_output in ((50, True), (0, False), (0, True)):
+                crash_tracker.apply_reports(
+                    _report('a', 'b', age_s=age_s, had_output=had_output)
+                )
+            for report in crash_tracker.list_reports()['f']:
+                self.assertEqual(50, round(report.age_s))
+                self.assertFalse(report.had_output)
+            # Told by a member that has not dropped it yet.
+            crash_tracker.apply_reports(_report('a', age_s=61))
+            await trio.sleep(11)
+            crash_tracker.expire()
+            crash_tracker.apply_reports(_report('a', age_s=61))
+            self.assertEqual(0, crash_tracker.count_at_peers('f'))
+
+        _run(check)
+
+    def test_a_copy_without_output_makes_a_crash_count(self):
+        async def check(crash_tracker):
+            for upstream_id in ('a', 'b', 'c'):
+                for added_output in (False, True):
+                    crash_tracker.record_interrupted_run(
+                        'f', upstream_id, added_output
+                    )
+                crash_tracker.record_upstream_down(upstream_id)
+            self.assertTrue(crash_tracker.is_quarantined('f'))
+
+        _run(check)
+
+    def test_single_crashes_are_told_by_their_witness_for_some_time(self):
+        async def check(crash_tracker):
+            crash_tracker.record_interrupted_run('own', 'a')
+            crash_tracker.record_upstream_down('a')
+            crash_tracker.apply_reports(_report('b/1/0'))
+            self.assertEqual(['own'], list(crash_tracker.list_reports()))
+            await trio.sleep(16)
+            self.assertEqual({}, crash_tracker.list_reports())
+
+        _run(check)
+
+    def test_lines_say_why_an_interrupted_run_does_not_count(self):
+        async def check(crash_tracker):
+            cases = [
+                (
+                    'upstream_serves',
+                    lambda: crash_tracker.record_run_completed(
+                        'a', trio.current_time() + 1
+                    ),
+                ),
+                (
+                    'upstream_leaves',
+                    lambda: (crash_tracker.forget_interrupted_runs('a')),
+                ),
+            ]
+            outcomes = []
+            crash_tracker.watch_outcomes(outcomes.append)
+            for reason, end in cases:
+                with self.assertLogs('siskinmount.placement') as logs:
+                    crash_tracker.record_interrupted_run('f', 'a')
+                    end()
+                self.assertEqual(
+                    ['run_interrupted', 'interrupted_run_dropped'],
+                    [line.message for line in logs.records],
+                )
+                self.assertEqual(reason, logs.records[1].reason)
+                self.assertEqual('f', logs.records[1].fingerprint)
+            self.assertEqual([case[0] for case in cases], outcomes)
+
+        _run(check)
+
     def test_older_crashes_are_told_once_a_second(self):
         # Guards against messages that repeat each crash many times a second.
         async def check(crash_tracker):
