End streams that complete no event, and read floods of blank lines at once

Cause of the first: the time limit for the next event began anew with each chunk of bytes. An upstream that stalls and sends a byte or a comment now and then kept a batch item for as long as it did so (a caller's stream until its deadline). Now the limit runs from the last complete event; the time that it takes to pass an event on does not count. Ruled out: a limit on bytes alone, which is there and is 256 KiB.

Cause of the second: the search for the end of an event looked through the rest of the chunk for a CRLF each time, and each blank line was an event of its own. Runs of blank lines and comments are one event without fields now.

--- a/siskinmount/gateway/_event_stream.py
+++ b/siskinmount/gateway/_event_stream.py
@@ -26,16 +26,20 @@
     Attributes:
         last_event_id: Id of the last event that was returned, or that the
             request continues after; None if there is none.
+        waiting_since_s: Monotonic time since which the next event is awaited.
+            Bytes that complete none do not change it.
     """
 
     __slots__ = (
         'last_event_id',
+        'waiting_since_s',
         '_response',
         '_metrics',
         '_request_id',
         '_upstream_id',
         '_splitter',
         '_failure',
+        '_has_progress',
     )
 
     def __init__(
@@ -47,35 +51,38 @@
         last_event_id: int | None,
     ) -> None:
         self.last_event_id = last_event_id
+        self.waiting_since_s = 0.0
         self._response = response
         self._metrics = metrics
         self._request_id = request_id
         self._upstream_id = upstream_id
         self._splitter = transport.create_event_splitter()
         self._failure: results.Failure | None = None
+        # The wait for the first event begins with the first call.
+        self._has_progress = True
 
     @property
     def trailing_bytes(self) -> bytes:
         """Blank lines and comments after the last event."""
         return self._splitter.remainder
 
-    async def receive(
-        self, timeout_s: float
-    ) -> list[transport.StreamEvent] | results.Failure:
+    def begin_wait(self) -> None:
+        """Begins to wait for the next event, if there was one since the last.
+
+        The time that it took to handle that one does not count.
+        """
+        if self._has_progress:
+            self._has_progress = False
+            self.waiting_since_s = trio.current_time()
+
+    async def receive(self) -> list[transport.StreamEvent] | results.Failure:
         """Returns the next events, or none at the end of a complete stream.
 
         Events before one that is invalid or out of order are returned first,
         and the failure by the next call.
-
-        Args:
-            timeout_s: Longest time to wait for the next bytes.
         """
         while self._failure is None:
-            chunk: bytes | results.Failure | None = None
-            with trio.move_on_after(timeout_s):
-                chunk = await self._response.receive_chunk()
-            if chunk is None:
-                return _lost('timeout while waiting for the next event')
+            chunk = await self._response.receive_chunk()
             if isinstance(chunk, results.Failure):
                 return chunk
             if not chunk:
@@ -106,6 +113,7 @@
                     break
                 self.last_event_id = event.event_id
             accepted.append(event)
+            self._has_progress = self._has_progress or event.has_fields
         return accepted
 
     def _judge_end(self) -> results.Failure | None:
@@ -133,6 +141,11 @@
         return _lost(f'the stream was broken off {_END_TEXTS[end]}')
 
 
+def create_timeout_failure() -> results.Failure:
+    """Returns the failure of a stream whose next event did not come in time."""
+    return _lost('timeout while waiting for the next event')
+
+
 def _lost(reason: str) -> results.Failure:
     return results.Failure(
         results.ResultCode.UPSTREAM_LOST, reason, results.RunState.UNKNOWN
--- a/siskinmount/gateway/_item_client.py
+++ b/siskinmount/gateway/_item_client.py
@@ -136,15 +136,33 @@
             upstream_id=upstream_id,
             last_event_id=progress.last_event_id,
         )
+        outcome = RunOutcome.LOST, _event_stream.create_timeout_failure().reason
+        with trio.CancelScope() as scope:
+            outcome = await self._add_events(stream, response, progress, scope)
+        if scope.cancelled_caught or outcome[0] is RunOutcome.DONE:
+            return outcome
+        if response.received_body_bytes > MAX_OUTPUT_BYTES:
+            del progress.events[earlier_count:]
+            progress.last_event_id = earlier_event_id
+        return outcome
+
+    async def _add_events(
+        self,
+        stream: _event_stream.EventStream,
+        response: transport.ClientExchange,
+        progress: jobs.ItemProgress,
+        scope: trio.CancelScope,
+    ) -> tuple[RunOutcome, str]:
+        """Adds events to `progress`; the scope's deadline is the next event's."""
         while True:
-            events = await stream.receive(SILENCE_TIMEOUT_S)
+            stream.begin_wait()
+            scope.deadline = stream.waiting_since_s + SILENCE_TIMEOUT_S
+            events = await stream.receive()
             if isinstance(events, results.Failure):
                 return RunOutcome.LOST, events.reason
             if not events:
                 return RunOutcome.DONE, 'complete'
             if response.received_body_bytes > MAX_OUTPUT_BYTES:
-                del progress.events[earlier_count:]
-                progress.last_event_id = earlier_event_id
                 return RunOutcome.LOST, 'the output is too large'
             progress.lost_runs = 0
             progress.last_event_id = stream.last_event_id
--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -2,6 +2,7 @@
 
 import enum
 import logging
+import math
 
 import trio
 
@@ -302,13 +303,43 @@
             upstream_id=self._upstream.upstream_id,
             last_event_id=self._request.last_event_id,
         )
+        failure: results.Failure | None = None
+        # One scope for all events: to enter and leave one for each costs a
+        # third of what an event costs.
+        with trio.CancelScope() as scope:
+            failure = await self._forward_events(stream, response, scope)
+        if scope.cancelled_caught:
+            failure = _event_stream.create_timeout_failure()
+        if failure is not None:
+            return AttemptOutcome.LOST, failure.reason
+        if stream.trailing_bytes:
+            await self._response.send_events(response, stream.trailing_bytes)
+        await self._response.finish_stream(response)
+        return AttemptOutcome.ANSWERED, 'stream complete'
+
+    async def _forward_events(
+        self,
+        stream: _event_stream.EventStream,
+        response: transport.ClientExchange,
+        scope: trio.CancelScope,
+    ) -> results.Failure | None:
+        """Forwards events until the stream is complete, or fails.
+
+        Args:
+            stream: The events.
+            response: The response that they are part of.
+            scope: Its deadline is that of the next event.
+        """
         silence_s = self._get_first_byte_timeout_s()
         while True:
-            events = await stream.receive(silence_s)
+            stream.begin_wait()
+            scope.deadline = stream.waiting_since_s + silence_s
+            events = await stream.receive()
             if isinstance(events, results.Failure):
-                return AttemptOutcome.LOST, events.reason
+                return events
             if not events:
-                break
+                return None
+            scope.deadline = math.inf
             self._record_first_byte()
             self._event_count += len(events)
             await self._response.send_events(
@@ -316,10 +347,6 @@
             )
             self._request.last_event_id = stream.last_event_id
             silence_s = self._get_event_gap_timeout_s()
-        if stream.trailing_bytes:
-            await self._response.send_events(response, stream.trailing_bytes)
-        await self._response.finish_stream(response)
-        return AttemptOutcome.ANSWERED, 'stream complete'
 
     def _get_first_byte_timeout_s(self) -> float:
         """Returns the timeout for the first byte; infinite without a retry."""
--- a/siskinmount/gateway/_upstream_clients.py
+++ b/siskinmount/gateway/_upstream_clients.py
@@ -6,9 +6,6 @@
 #: Opening a connection takes one round trip and about a millisecond; an
 #: upstream whose VM lost power never answers.
 CONNECT_TIMEOUT_MS = 350
-#: Each request has timeouts of its own; this one only closes a connection that
-#: none of them covers.
-SILENCE_TIMEOUT_MS = 60_000
 SEND_TIMEOUT_MS = 2000
 #: Idle connections are closed before the upstream's keep-alive timeout, which
 #: its responses state; this value applies where they do not.
@@ -39,7 +36,8 @@
             transport.ClientLimits(
                 max_connections=self._get_max_connections(upstream),
                 connect_timeout_ms=CONNECT_TIMEOUT_MS,
-                silence_timeout_ms=SILENCE_TIMEOUT_MS,
+                # Each request has timeouts of its own.
+                silence_timeout_ms=None,
                 send_timeout_ms=SEND_TIMEOUT_MS,
                 idle_timeout_ms=IDLE_TIMEOUT_MS,
             ),
--- a/siskinmount/transport/_client_exchange.py
+++ b/siskinmount/transport/_client_exchange.py
@@ -10,6 +10,7 @@
 from siskinmount.transport import _body_framing
 from siskinmount.transport import _headers
 from siskinmount.transport import _limits
+from siskinmount.transport import _socket_io
 
 READ_BYTES = 64 * 1024
 #: Longest time to read the rest of a response whose head was enough.
@@ -295,12 +296,16 @@
     connection: ClientConnection, limits: _limits.ClientLimits
 ) -> results.Failure | None:
     """Reads bytes from the socket into the parser."""
+    data: bytes | None = None
     try:
-        with trio.move_on_after(limits.silence_timeout_ms / 1000) as scope:
-            data = await connection.stream.receive_some(READ_BYTES)
+        if limits.silence_timeout_ms is None:
+            data = await _socket_io.receive(connection.stream, READ_BYTES)
+        else:
+            with trio.move_on_after(limits.silence_timeout_ms / 1000):
+                data = await _socket_io.receive(connection.stream, READ_BYTES)
     except trio.BrokenResourceError as error:
         return _connection_lost(str(error))
-    if scope.cancelled_caught:
+    if data is None:
         connection.timed_out = True
         return results.Failure(
             results.ResultCode.UPSTREAM_SILENT,
--- a/siskinmount/transport/_event_splitter.py
+++ b/siskinmount/transport/_event_splitter.py
@@ -1,6 +1,7 @@
 """Splits a server-sent event stream into events, byte for byte."""
 
 import enum
+import re
 
 from siskinmount.transport import _body_framing
 
@@ -12,6 +13,14 @@
 MAX_EVENT_BYTES = 256 * 1024
 #: Bytes at the end of a remainder that may be a part of a blank line.
 _BLANK_LINE_OVERLAP = 3
+#: The end of an event: a blank line. Lines end with LF or CRLF; a CR alone ends
+#: none.
+_EVENT_END = re.compile(rb'\n\r?\n')
+#: Two blank lines, or comments and a blank line, and any more of them.
+_FILLER = re.compile(
+    rb'(?:\r?\n|(?::[^\n]*+\n)++)\r?\n(?:(?::[^\n]*+\n)*+\r?\n)*+'
+)
+_FILLER_BEGINNINGS = (b'\n', b'\r', b':')
 
 
 class StreamEnd(enum.Enum):
@@ -33,16 +42,22 @@
     Attributes:
         raw: The bytes of the event, with the blank line that ends it.
         event_id: The numeric id, or None if absent or not a number.
+        has_fields: Whether there are lines other than blanks and comments.
         is_foreign: Whether the bytes are neither an event nor comments.
     """
 
-    __slots__ = ('raw', 'event_id', 'is_foreign')
+    __slots__ = ('raw', 'event_id', 'has_fields', 'is_foreign')
 
     def __init__(
-        self, raw: bytes, event_id: int | None, is_foreign: bool = False
+        self,
+        raw: bytes,
+        event_id: int | None,
+        has_fields: bool,
+        is_foreign: bool,
     ) -> None:
         self.raw = raw
         self.event_id = event_id
+        self.has_fields = has_fields
         self.is_foreign = is_foreign
 
     def read_data(self) -> list[bytes]:
@@ -90,24 +105,40 @@
         return StreamEnd.BEFORE_EVENTS
 
     def split(self, chunk: bytes) -> list[StreamEvent]:
-        """Adds a chunk; returns the events that are now complete."""
+        """Adds a chunk; returns the events that are now complete.
+
+        Blank lines and comments between two events are returned as one event
+        without fields, however many they are.
+        """
         searched = max(0, len(self._remainder) - _BLANK_LINE_OVERLAP)
         data = self._remainder + chunk
         begin = 0
         events: list[StreamEvent] = []
         while True:
-            end = _find_event_end(data, max(begin, searched))
-            if end < 0:
+            filler: re.Match[bytes] | None = None
+            if data[begin : begin + 1] in _FILLER_BEGINNINGS:
+                filler = _FILLER.match(data, begin)
+            if filler is not None:
+                raw = filler.group()
+                begin = filler.end()
+                self._skipped_bytes += len(raw)
+                events.append(StreamEvent(raw, None, False, False))
+                continue
+            match = _EVENT_END.search(data, max(begin, searched))
+            if match is None:
                 self._remainder = data[begin:]
                 return events
-            raw = data[begin:end]
-            begin = end
-            if _has_fields(raw):
+            raw = data[begin : match.end()]
+            begin = match.end()
+            has_fields = _has_fields(raw)
+            if has_fields:
                 self._has_events = True
                 self._skipped_bytes = 0
             else:
                 self._skipped_bytes += len(raw)
-            events.append(StreamEvent(raw, _read_id(raw), _is_foreign(raw)))
+            events.append(
+                StreamEvent(raw, _read_id(raw), has_fields, _is_foreign(raw))
+            )
 
 
 def is_stream_complete(
@@ -126,18 +157,6 @@
     return end is StreamEnd.BETWEEN_EVENTS
 
 
-def _find_event_end(data: bytes, begin: int) -> int:
-    """Returns the offset after the next blank line; -1 if there is none.
-
-    Lines end with LF or CRLF; a CR alone ends none.
-    """
-    lf_end = data.find(b'\n\n', begin)
-    crlf_end = data.find(b'\n\r\n', begin)
-    if crlf_end >= 0 and (lf_end < 0 or crlf_end < lf_end):
-        return crlf_end + 3
-    return lf_end + 2 if lf_end >= 0 else -1
-
-
 def _has_fields(raw: bytes) -> bool:
     """Returns whether a block has a line other than blanks and comments."""
     if raw.startswith(_USUAL_BEGINNINGS):
--- a/siskinmount/transport/_limits.py
+++ b/siskinmount/transport/_limits.py
@@ -55,7 +55,8 @@
     Attributes:
         max_connections: Maximum number of connections; further requests wait.
         connect_timeout_ms: Maximum time for opening a connection.
-        silence_timeout_ms: Maximum time between two reads of the response.
+        silence_timeout_ms: Maximum time between two reads of the response; None
+            if each request is bounded by its caller.
         send_timeout_ms: Maximum time for sending a request.
         idle_timeout_ms: Maximum idle time of a pooled connection.
         max_head_bytes: Maximum size of the head of a response, with the
@@ -79,7 +80,7 @@
         *,
         max_connections: int = 256,
         connect_timeout_ms: int = 1000,
-        silence_timeout_ms: int = 5000,
+        silence_timeout_ms: int | None = 5000,
         send_timeout_ms: int = 5000,
         idle_timeout_ms: int = 30_000,
         max_head_bytes: int = 64 * 1024,
--- a/siskinmount/transport/tests/test_event_splitter.py
+++ b/siskinmount/transport/tests/test_event_splitter.py
@@ -33,3 +33,29 @@
             splitter = _event_splitter.create_event_splitter()
             (event,) = splitter.split(data)
             self.assertEqual(expected, event.is_foreign, data)
+
+    def test_blank_lines_and_comments_are_one_event_however_many(self):
+        # Guards against a flood of them that holds the process.
+        for piece in (b'\n\n', b'\r\n\r\n', b':\n\n', b': a\n\n\n'):
+            splitter = _event_splitter.create_event_splitter()
+            flood = piece * 20_000
+            events = splitter.split(flood + b'id: 1\ndata: a\n\n')
+            self.assertEqual(2, len(events), piece)
+            self.assertEqual(flood, events[0].raw)
+            self.assertFalse(events[0].has_fields)
+            self.assertEqual(1, events[1].event_id)
+
+    def test_events_are_the_same_however_they_are_cut(self):
+        data = (
+            b'id: 1\ndata: a\n\n\n\n: c\n: d\n\nid: 2\r\ndata: b\r\n\r\n'
+            b': e\nid: 3\n\n\r\n\n'
+        )
+        for size in range(1, len(data) + 1):
+            splitter = _event_splitter.create_event_splitter()
+            events = []
+            for begin in range(0, len(data), size):
+                events += splitter.split(data[begin : begin + size])
+            raw = b''.join(event.raw for event in events)
+            self.assertEqual(data, raw + splitter.remainder)
+            ids = [event.event_id for event in events if event.has_fields]
+            self.assertEqual([1, 2, 3], ids, size)
