Serve requests that cross a planned stop; contain faults of one connection

Looked for, after reports of other operators: * A stop closed idle connections and the listener at one moment. A request that had arrived on such a connection, or on one that waited to be accepted, was reset. Now what has arrived is served; a connection accepted at the end has 0.25 s to send its request. * A response that began before the stop does not say that its connection closes, and closed it nevertheless: the caller's next request was cut off. Whether to close is decided when a response begins, and only a connection whose response has said so is closed. * An error outside the handler, while a connection was read, ended the server and with it the process. It is logged (connection_failed) and ends that connection.

--- a/siskinmount/transport/_http_server.py
+++ b/siskinmount/transport/_http_server.py
@@ -17,6 +17,7 @@
 from siskinmount.transport import _keep_alive
 from siskinmount.transport import _limits
 from siskinmount.transport import _server_exchange
+from siskinmount.transport import _socket_io
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -28,6 +29,9 @@
 #: Time for which input is read and discarded after the last response. Closing a
 #: socket with unread bytes sends a reset, and the client may lose the response.
 LINGER_S = 2.0
+#: How long a connection that was accepted at the end of a planned stop may take
+#: to send its request.
+LATE_REQUEST_WAIT_S = 0.25
 _RESOURCE_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -78,13 +82,18 @@
             async with listener:
                 with self._accept_scope:
                     await self._accept_forever(listener, nursery)
+                await self._accept_waiting(listener, nursery)
 
     def begin_draining(self) -> None:
         """Closes each connection after the response to its next request."""
         self._draining = True
 
     def stop(self) -> None:
-        """Closes the listener and idle connections; requests go on."""
+        """Closes the listener and idle connections; requests go on.
+
+        Requests that have arrived are served first, also those on connections
+        that wait to be accepted.
+        """
         self._draining = True
         self._accept_scope.cancel()
         for scope in self._idle_scopes:
@@ -104,6 +113,21 @@
                 continue
             nursery.start_soon(self._run_connection, stream)
 
+    async def _accept_waiting(
+        self, listener: trio.SocketListener, nursery: trio.Nursery
+    ) -> None:
+        """Accepts the connections that have come before the listener closes.
+
+        Closing it would reset them, with the requests that they carry.
+        """
+        while True:
+            with trio.move_on_after(0) as scope:
+                nursery.start_soon(
+                    self._run_connection, await listener.accept()
+                )
+            if scope.cancelled_caught:
+                return
+
     async def _run_connection(self, stream: trio.SocketStream) -> None:
         """Serves the requests of one connection in sequence."""
         try:
@@ -120,6 +144,15 @@
             pass
         except h11.LocalProtocolError:
             _LOGGER.exception('response_invalid')
+        except Exception:
+            # A fault on one connection must not end all others.
+            _LOGGER.exception(
+                'connection_failed',
+                extra={
+                    'code': int(results.ResultCode.INTERNAL),
+                    'peer_host': host,
+                },
+            )
         finally:
             self.connection_count -= 1
             self._count_by_host[host] -= 1
@@ -159,8 +192,10 @@
                 )
                 return
             exchange = _server_exchange.ServerExchange(
-                head, connection, stream, self._limits, self._draining
+                head, connection, stream, self._limits, self._is_draining
             )
+            # Small responses are sent without giving other tasks their turn.
+            await trio.lowlevel.checkpoint()
             try:
                 await self._handle(exchange)
             finally:
@@ -170,12 +205,16 @@
             if connection.their_state in (h11.SEND_BODY, h11.ERROR):
                 await _linger(stream)
                 return
-            if connection.our_state is not h11.DONE or self._draining:
+            if connection.our_state is not h11.DONE:
+                # The response has said that the connection is closed.
                 return
             if connection.their_state is not h11.DONE:
                 return
             connection.start_next_cycle()
 
+    def _is_draining(self) -> bool:
+        return self._draining
+
     async def _handle(self, exchange: _server_exchange.ServerExchange) -> None:
         """Runs the handler and maps an exception in it to an error response."""
         try:
@@ -227,53 +266,54 @@
         host: str,
     ) -> _server_exchange.RequestHead | results.Failure | None:
         """Returns the next request's head, or None if the connection ended."""
-        first_wait_s = self._limits.idle_timeout_ms / 1000
-        timeout_s = self._limits.header_timeout_ms / 1000
-        idle = not connection.trailing_data[0]
-        with trio.CancelScope() as scope:
-            scope.deadline = trio.current_time() + (
-                first_wait_s if idle else timeout_s
-            )
-            if idle:
-                self._idle_scopes.add(scope)
-            try:
-                while True:
-                    try:
-                        event = connection.next_event()
-                    except h11.RemoteProtocolError as error:
-                        return _describe_protocol_error(error)
-                    if isinstance(event, h11.Request):
-                        # The parser limits only heads that are incomplete.
-                        if (
-                            _get_head_bytes(event)
-                            > self._limits.max_header_bytes
-                        ):
-                            return _HEADERS_TOO_LARGE
-                        return _server_exchange.RequestHead(
-                            event.method.decode('ascii'),
-                            event.target.decode('ascii'),
-                            list(event.headers),
-                            host,
-                        )
-                    if event is not h11.NEED_DATA:
-                        return None
-                    data = await stream.receive_some(
-                        _server_exchange.READ_BYTES
+        if not connection.trailing_data[0]:
+            data = await self._receive_first(stream)
+            if not data:
+                return None
+            connection.receive_data(data)
+        with trio.move_on_after(self._limits.header_timeout_ms / 1000):
+            while True:
+                try:
+                    event = connection.next_event()
+                except h11.RemoteProtocolError as error:
+                    return _describe_protocol_error(error)
+                if isinstance(event, h11.Request):
+                    # The parser limits only heads that are incomplete.
+                    if _get_head_bytes(event) > self._limits.max_header_bytes:
+                        return _HEADERS_TOO_LARGE
+                    return _server_exchange.RequestHead(
+                        event.method.decode('ascii'),
+                        event.target.decode('ascii'),
+                        list(event.headers),
+                        host,
                     )
-                    if idle:
-                        idle = False
-                        self._idle_scopes.discard(scope)
-                        scope.deadline = trio.current_time() + timeout_s
-                    connection.receive_data(data)
-            finally:
-                self._idle_scopes.discard(scope)
-        if idle:
-            return None
+                if event is not h11.NEED_DATA:
+                    return None
+                connection.receive_data(
+                    await stream.receive_some(_server_exchange.READ_BYTES)
+                )
         return results.Failure(
             results.ResultCode.REQUEST_TIMEOUT,
             'timed out waiting for the request headers',
         )
 
+    async def _receive_first(self, stream: trio.SocketStream) -> bytes:
+        """Waits for a request; returns its first bytes, or none if none comes.
+
+        A request that has arrived when the wait ends is served: the caller
+        could not know of the end.
+        """
+        wait_s = self._limits.idle_timeout_ms / 1000
+        if self._accept_scope.cancel_called:
+            wait_s = LATE_REQUEST_WAIT_S
+        with trio.move_on_after(wait_s) as scope:
+            self._idle_scopes.add(scope)
+            try:
+                return await stream.receive_some(_server_exchange.READ_BYTES)
+            finally:
+                self._idle_scopes.discard(scope)
+        return _socket_io.receive_arrived(stream, _server_exchange.READ_BYTES)
+
     async def _refuse(
         self,
         connection: h11.Connection,
@@ -286,7 +326,7 @@
             return
         head = _server_exchange.RequestHead(method, '/', [], '')
         exchange = _server_exchange.ServerExchange(
-            head, connection, stream, self._limits, True
+            head, connection, stream, self._limits, _return_true
         )
         status = {
             results.ResultCode.HEADERS_TOO_LARGE: 431,
@@ -298,6 +338,10 @@
         await _linger(stream)
 
 
+def _return_true() -> bool:
+    return True
+
+
 _HEADERS_TOO_LARGE = results.Failure(
     results.ResultCode.HEADERS_TOO_LARGE, 'the request headers are too large'
 )
--- a/siskinmount/transport/_server_exchange.py
+++ b/siskinmount/transport/_server_exchange.py
@@ -1,5 +1,6 @@
 """Server side of one HTTP request and its response."""
 
+from collections.abc import Callable
 import urllib.parse
 
 import h11
@@ -9,6 +10,7 @@
 from siskinmount import results
 from siskinmount.transport import _headers
 from siskinmount.transport import _limits
+from siskinmount.transport import _socket_io
 
 READ_BYTES = 64 * 1024
 _BODYLESS_STATUSES = (204, 304)
@@ -69,7 +71,7 @@
         '_connection',
         '_stream',
         '_limits',
-        '_close_after',
+        '_should_close',
         '_bodyless',
         '_is_unframed',
     )
@@ -80,14 +82,14 @@
         connection: h11.Connection,
         stream: trio.SocketStream,
         limits: _limits.ServerLimits,
-        close_after: bool,
+        should_close: Callable[[], bool],
     ) -> None:
         self.head = head
         self.response_started = False
         self._connection = connection
         self._stream = stream
         self._limits = limits
-        self._close_after = close_after
+        self._should_close = should_close
         self._bodyless = head.method == 'HEAD'
         self._is_unframed = False
 
@@ -228,7 +230,7 @@
         self.response_started = True
         if status in _BODYLESS_STATUSES:
             self._bodyless = True
-        if self._close_after:
+        if self._should_close():
             headers = [*headers, (b'connection', b'close')]
         return self._connection.send(
             h11.Response(status_code=status, headers=headers)
@@ -256,6 +258,10 @@
         """Writes bytes within `send_timeout_ms`."""
         if not data:
             return
+        sent = _socket_io.send_at_once(self._stream, data)
+        if sent == len(data):
+            return
+        data = data[sent:]
         with trio.move_on_after(self._limits.send_timeout_ms / 1000) as scope:
             await self._stream.send_all(data)
         if scope.cancelled_caught:
