--- a/siskinmount/fleet/_announced_departures.py
+++ b/siskinmount/fleet/_announced_departures.py
@@ -183,27 +183,32 @@
 
     def apply_entry(
         self, upstream: _upstream.Upstream, current_since_s: float
-    ) -> None:
+    ) -> bool:
         """Ends a departure if an entry shows that its cause has ended.
 
         Args:
             upstream: The decoded entry.
             current_since_s: Monotonic time at or after which the entry was
                 written; negative infinity if unknown.
+
+        Returns:
+            Whether a departure has ended.
         """
         departure = self._departures.get(upstream.upstream_id)
         if departure is None:
-            return
+            return False
         departure.unlisted_since_s = None
         if upstream.started_at_ms > departure.started_at_ms:
             self._end(upstream, 'restarted')
-            return
+            return True
         if (
             upstream.started_at_ms == departure.started_at_ms
             and upstream.state is _upstream.UpstreamState.READY
             and current_since_s > departure.repeated_at_s
         ):
             self._end(upstream, 'serves_again')
+            return True
+        return False
 
     def apply_removal(self, upstream_id: str) -> None:
         """Notes that an upstream is not listed any more."""
--- a/siskinmount/fleet/_fleet_view.py
+++ b/siskinmount/fleet/_fleet_view.py
@@ -165,9 +165,9 @@
         """Applies a record of the log of upstreams."""
         if record.value is None:
             self._apply_removal(record.key, record.offset)
-        else:
-            self._apply_entry(record.key, record.value, record.offset)
-        self._notify()
+            self._notify()
+        elif self._apply_entry(record.key, record.value, record.offset):
+            self._notify()
 
     def retain_upstreams(self, upstream_ids: set[str]) -> None:
         """Drops the upstreams that are not among those of a reloaded log."""
@@ -296,7 +296,8 @@
 
     def _apply_entry(
         self, upstream_id: str, source: bytes, offset: int
-    ) -> None:
+    ) -> bool:
+        """Applies an entry; returns whether it says anything new."""
         decoded = self._decode_upstream(upstream_id, source)
         if isinstance(decoded, results.Failure):
             _LOGGER.error(
@@ -309,9 +310,9 @@
                 },
             )
             self._remove(upstream_id, 'invalid entry')
-            return
-        self._lapsed_at_s.pop(upstream_id, None)
-        self.departures.apply_entry(
+            return True
+        was_lapsed = self._lapsed_at_s.pop(upstream_id, None) is not None
+        has_returned = self.departures.apply_entry(
             decoded, self._estimate_written_since_s(offset)
         )
         earlier = self.upstreams.get(upstream_id)
@@ -321,8 +322,10 @@
             earlier.state is decoded.state
             and earlier.started_at_ms == decoded.started_at_ms
             and earlier.address == decoded.address
+            and earlier.slot_count == decoded.slot_count
+            and earlier.service == decoded.service
         ):
-            return
+            return was_lapsed or has_returned
         _LOGGER.info(
             'upstream_known',
             extra={
@@ -334,6 +337,7 @@
                 'offset': offset,
             },
         )
+        return True
 
     def _estimate_written_since_s(self, offset: int) -> float:
         """Returns a time at or after which a record was written.
--- a/siskinmount/placement/_crash_tracker.py
+++ b/siskinmount/placement/_crash_tracker.py
@@ -213,7 +213,7 @@
                     'upstream': upstream_id,
                     'crash': crash_id,
                     'had_output': run.added_output,
-                    'own_count': self.counts[fingerprint],
+                    'own_count': self.count_own(fingerprint),
                     'peer_count': self.count_at_peers(fingerprint),
                     'is_quarantined': self.is_quarantined(fingerprint),
                 },
@@ -330,6 +330,11 @@
         counted = len(crashes) - min(with_output, MAX_IGNORED_CRASHES)
         return counted >= MIN_QUARANTINE_CRASHES
 
+    def count_own(self, fingerprint: str) -> int:
+        """Returns the crashes of a request that this process has counted."""
+        crashes = self._crashes.get(fingerprint, {}).values()
+        return sum(crash.is_own for crash in crashes)
+
     def count_at_peers(self, fingerprint: str) -> int:
         """Returns the crashes of a request that only peers have counted."""
         crashes = self._crashes.get(fingerprint, {}).values()
--- a/siskinmount/placement/_overdue_runs.py
+++ b/siskinmount/placement/_overdue_runs.py
@@ -41,12 +41,13 @@
 class OverdueRuns:
     """Requests that wait for the first byte of their answers."""
 
-    __slots__ = ('_health', '_waiting', '_first_byte_at_s')
+    __slots__ = ('_health', '_waiting', '_first_byte_at_s', '_begun')
 
     def __init__(self, health: _upstream_health.UpstreamHealth) -> None:
         self._health = health
         self._waiting: set[WaitingRun] = set()
         self._first_byte_at_s: dict[str, float] = {}
+        self._begun = trio.Event()
 
     def begin(self, upstream_id: str, target_ms: int) -> WaitingRun:
         """Adds a request that has been sent.
@@ -59,6 +60,7 @@
         overdue_at_s = now_s + target_ms * OVERDUE_TARGET_FACTOR / 1000
         waiting = WaitingRun(upstream_id, now_s, overdue_at_s)
         self._waiting.add(waiting)
+        self._begun.set()
         return waiting
 
     def record_first_byte(self, waiting: WaitingRun) -> None:
@@ -77,6 +79,9 @@
     async def run(self) -> None:
         """Checks for overdue requests until cancelled."""
         while True:
+            if not self._waiting:
+                self._begun = trio.Event()
+                await self._begun.wait()
             await trio.sleep(CHECK_INTERVAL_S)
             self.check()
 
--- a/siskinmount/placement/_upstream_health.py
+++ b/siskinmount/placement/_upstream_health.py
@@ -31,6 +31,9 @@
 #: Tallies of a peer that has been silent for this long are ignored, like its
 #: counts in the load table.
 PEER_TALLIES_TIMEOUT_S = 1.0
+#: Age up to which the sums over the tallies of peers are used again: a fraction
+#: of the tallies' half-life.
+PEER_SUMS_AGE_S = 0.05
 
 
 class UpstreamHealth:
@@ -42,6 +45,8 @@
         '_avoid_until_s',
         '_tallies',
         '_by_peer',
+        '_peer_sums',
+        '_summed_at_s',
         '_above_failure_limit',
     )
 
@@ -51,6 +56,8 @@
         self._avoid_until_s: dict[str, float] = {}
         self._tallies: dict[str, _failure_tally.FailureTally] = {}
         self._by_peer: dict[str, dict[str, _failure_tally.FailureTally]] = {}
+        self._peer_sums: dict[str, _failure_tally.FailureTally] = {}
+        self._summed_at_s = float('-inf')
         self._above_failure_limit: set[str] = set()
 
     def record_failure(self, upstream_id: str, reason: str) -> None:
@@ -109,15 +116,33 @@
             own.decay()
             failures += own.failures
             runs += own.runs
-        limit_s = trio.current_time() - PEER_TALLIES_TIMEOUT_S
-        for tallies in self._by_peer.values():
-            tally = tallies.get(upstream_id)
-            if tally is None or tally.at_s < limit_s:
-                continue
-            failures += tally.failures
-            runs += tally.runs
+        if self._by_peer:
+            peers = self._sum_peer_tallies().get(upstream_id)
+            if peers is not None:
+                failures += peers.failures
+                runs += peers.runs
         return failures / runs
 
+    def _sum_peer_tallies(self) -> dict[str, _failure_tally.FailureTally]:
+        """Returns the sums over the recent tallies of peers, by upstream."""
+        now_s = trio.current_time()
+        if now_s - self._summed_at_s <= PEER_SUMS_AGE_S:
+            return self._peer_sums
+        self._summed_at_s = now_s
+        self._peer_sums = {}
+        limit_s = now_s - PEER_TALLIES_TIMEOUT_S
+        for tallies in self._by_peer.values():
+            for upstream_id, tally in tallies.items():
+                if tally.at_s < limit_s:
+                    continue
+                total = self._peer_sums.get(upstream_id)
+                if total is None:
+                    total = _failure_tally.FailureTally()
+                    self._peer_sums[upstream_id] = total
+                total.failures += tally.failures
+                total.runs += tally.runs
+        return self._peer_sums
+
     def list_failure_tallies(self) -> dict[str, _failure_tally.FailureTally]:
         """Returns the tallies of this process to be sent to peers."""
         tallies: dict[str, _failure_tally.FailureTally] = {}
@@ -133,14 +158,18 @@
         self, peer: str, tallies: dict[str, _failure_tally.FailureTally]
     ) -> None:
         """Replaces the tallies of a peer."""
-        if tallies:
-            self._by_peer[peer] = tallies
-        else:
-            self._by_peer.pop(peer, None)
+        if not tallies:
+            self.forget_peer(peer)
+            return
+        is_new = peer not in self._by_peer
+        self._by_peer[peer] = tallies
+        if is_new:
+            self._summed_at_s = float('-inf')
 
     def forget_peer(self, peer: str) -> None:
         """Drops the tallies of a peer that is gone."""
-        self._by_peer.pop(peer, None)
+        if self._by_peer.pop(peer, None) is not None:
+            self._summed_at_s = float('-inf')
 
     def forget(self, upstream_id: str) -> None:
         """Drops the state of an upstream that is gone or has restarted."""
