Pass messages of members on through relays in large fleets

Cause: each member sent each other one a message with each change of its load, four times a second at least; a fleet of 94 exchanges some 35,000 a second when idle. Each message read woke the loop of batch items.

Rows have a head that tells repetition, so that most are dropped or noted without being decoded. Claims on items, live members and responsible members are kept up to date with each message instead of being gathered anew.

Found on the way and mended, each with a test: members that had not heard each other for 60 s never sent to each other again, on both sides (a cut between regions of a minute would have lasted until a restart); what a member runs was started elsewhere after 1.2 s of silence, now after 4 s unless it has started again or was leaving; figures of a message that are not finite were taken.

Failed try: probing members that were silent for long every 10 s left two groups of relays apart for good, as each heard the other for 1.5 s of 10 only (40 simulated members, cut for 100 s). Now once a second.

--- a/siskinmount/gateway/_batch_membership.py
+++ b/siskinmount/gateway/_batch_membership.py
@@ -17,6 +17,9 @@
 #: retry at once, and upstreams drop the runs of a process that lost power only
 #: after 1.5 s.
 BATCH_AFTER_START_S = 2.0
+#: Delays of a message after which all members know of one that has become
+#: eligible. Until then those that were responsible for its items start them.
+SETTLE_DELAYS = 4
 #: A member whose view of the jobs log is older than this starts no items, as
 #: all members must stop an ended job within 3 s. The age matters because a
 #: silent connection is detected only later, and a member that has just read all
@@ -92,7 +95,7 @@
         """Returns why this member has no current jobs; None if it has."""
         if self.is_leaving:
             return Obstacle.LEAVING
-        if not self.may_start_items():
+        if self._get_age_s() <= BATCH_AFTER_START_S:
             return Obstacle.STARTING
         if not self._jobs_follower.is_loaded:
             return Obstacle.LOG_NOT_LOADED
@@ -110,8 +113,12 @@
 
     def may_start_items(self) -> bool:
         """Returns whether the start delay is over and no shutdown has begun."""
-        age_s = trio.current_time() - self._started_at_s
-        return not self.is_leaving and age_s > BATCH_AFTER_START_S
+        settle_s = SETTLE_DELAYS * self._directory.message_delay_s
+        is_settled = self._get_age_s() > BATCH_AFTER_START_S + settle_s
+        return is_settled and not self.is_leaving
+
+    def _get_age_s(self) -> float:
+        return trio.current_time() - self._started_at_s
 
     def must_hand_over(self) -> bool:
         """Returns whether other members must continue the items kept here.
@@ -131,20 +138,15 @@
         return now_s - self._excluded_since_s > HAND_OVER_AFTER_S
 
     def list_peer_items(self) -> jobs.PeerItems:
-        """Returns the items whose runs or partial output live peers hold."""
-        held_tags: set[str] = set()
-        output_holder_by_tag: dict[str, str] = {}
-        for peer in self._directory.list_live():
-            if peer.message is None:
-                continue
-            held_tags |= peer.message.held_tags
-            if peer.message.is_leaving:
-                # A peer that shuts down is about to hand them over.
-                held_tags |= peer.message.kept_tags
-                continue
-            for tag in peer.message.kept_tags:
-                output_holder_by_tag[tag] = peer.member
-        return jobs.PeerItems(held_tags, output_holder_by_tag)
+        """Returns the items whose runs or partial output peers hold."""
+        # Drops the claims of peers that are gone.
+        self._directory.list_live()
+        claims = self._directory.claims
+        return jobs.PeerItems(claims.holders_by_tag, claims.keeper_by_tag)
+
+    def get_message_delay_s(self) -> float:
+        """Returns the mean age of what peers have told."""
+        return self._directory.message_delay_s
 
 
 def create_batch_membership(
--- a/siskinmount/gateway/_gateway_metrics.py
+++ b/siskinmount/gateway/_gateway_metrics.py
@@ -15,6 +15,9 @@
             what followed the last complete event.
         interrupted_runs: Interrupted runs by what became of them: counted as a
             crash, or the reason why not.
+        peer_datagrams: Datagrams of members by what was done with them.
+        part_failures: Failures of parts of the process, which were restarted,
+            by part.
         departures: Upstreams that announced in a response that they leave.
         placements: Placement decisions by outcome.
         item_runs: Runs of batch items by outcome.
@@ -32,6 +35,8 @@
         'attempts',
         'stream_ends',
         'interrupted_runs',
+        'peer_datagrams',
+        'part_failures',
         'departures',
         'placements',
         'item_runs',
@@ -62,6 +67,12 @@
             'Runs that an upstream or a connection broke off.',
             'outcome',
         )
+        self.peer_datagrams = metrics.create_counter(
+            'peer_datagrams_total', 'Datagrams between members.', 'what'
+        )
+        self.part_failures = metrics.create_counter(
+            'part_failures_total', 'Restarts of parts of the process.', 'part'
+        )
         self.departures = metrics.create_counter(
             'upstream_departures_total',
             'Upstreams that said in an answer that they leave.',
--- a/siskinmount/gateway/_item_watch.py
+++ b/siskinmount/gateway/_item_watch.py
@@ -229,14 +229,9 @@
 
     def _create_check(self) -> _Check:
         holder_by_tag: dict[str, str] = {}
-        for peer in self._directory.list_live():
-            if peer.message is None:
-                continue
-            for tag in peer.message.held_tags:
-                holder_by_tag[tag] = peer.member
-            if peer.message.is_leaving:
-                for tag in peer.message.kept_tags:
-                    holder_by_tag.setdefault(tag, peer.member)
+        self._directory.list_live()
+        for tag, holders in self._directory.claims.holders_by_tag.items():
+            holder_by_tag[tag] = holders[-1]
         return _Check(
             self._membership.list_eligible_members(),
             self._membership.list_peer_items(),
@@ -247,9 +242,7 @@
     def _iterate_oldest(self) -> Iterator[jobs.NextItem]:
         """Yields the oldest open items, at most `MAX_CHECKED_ITEMS`."""
         count = 0
-        for job in self._table.jobs.values():
-            if job.is_ended:
-                continue
+        for job in self._table.list_open():
             for item in job.open_items.values():
                 if count >= MAX_CHECKED_ITEMS:
                     return
--- a/siskinmount/gateway/_member_announcer.py
+++ b/siskinmount/gateway/_member_announcer.py
@@ -21,6 +21,7 @@
     __slots__ = (
         '_membership',
         '_address',
+        '_failure_domain',
         '_incarnation',
         '_members_log',
         '_view',
@@ -35,6 +36,7 @@
         *,
         membership: _batch_membership.BatchMembership,
         address: str,
+        failure_domain: str,
         incarnation: int,
         members_log: keyed_log.KeyedLog,
         view: fleet.FleetView,
@@ -45,6 +47,7 @@
     ) -> None:
         self._membership = membership
         self._address = address
+        self._failure_domain = failure_domain
         self._incarnation = incarnation
         self._members_log = members_log
         self._view = view
@@ -65,6 +68,7 @@
             incarnation=self._incarnation,
             sequence=sequence,
             address=self._address,
+            failure_domain=self._failure_domain,
             is_leaving=self._membership.is_leaving,
             knows_jobs=self._membership.has_current_jobs(),
             document_version=document.version if document else 0,
@@ -81,7 +85,11 @@
         record = keyed_log.KeyedRecord(
             self._membership.vm,
             orjson.dumps(
-                {'address': self._address, 'incarnation': self._incarnation}
+                {
+                    'address': self._address,
+                    'failure_domain': self._failure_domain,
+                    'incarnation': self._incarnation,
+                }
             ),
         )
         while True:
@@ -95,6 +103,7 @@
     *,
     membership: _batch_membership.BatchMembership,
     address: str,
+    failure_domain: str,
     incarnation: int,
     members_log: keyed_log.KeyedLog,
     view: fleet.FleetView,
@@ -108,6 +117,7 @@
     Args:
         membership: This member's part in running batch jobs.
         address: Host at which peers reach this member.
+        failure_domain: Failure domain of this member.
         incarnation: Number of this process, higher at each start.
         members_log: Log of the members' records.
         view: Provides the version of the document in force.
@@ -119,6 +129,7 @@
     return MemberAnnouncer(
         membership=membership,
         address=address,
+        failure_domain=failure_domain,
         incarnation=incarnation,
         members_log=members_log,
         view=view,
--- a/siskinmount/gateway/tests/members_simulation.py
+++ b/siskinmount/gateway/tests/members_simulation.py
@@ -212,6 +212,7 @@
         self._announcer = _member_announcer.create_member_announcer(
             membership=self.membership,
             address=vm,
+            failure_domain='a',
             incarnation=self.incarnation,
             members_log=None,
             view=self.view,
@@ -223,6 +224,7 @@
         self.runner = _item_runner.create_item_runner(
             membership=self.membership,
             view=self.view,
+            table=self.table,
             scheduler=self.scheduler,
             placer=placement.create_placer(self.view, self.load, self.health),
             load=self.load,
--- a/siskinmount/peering/_peer_directory.py
+++ b/siskinmount/peering/_peer_directory.py
@@ -1,6 +1,8 @@
 """The known members of the fleet, and which of them are live."""
 
 from collections.abc import Callable
+from collections.abc import Collection
+import enum
 import logging
 
 import orjson
@@ -10,19 +12,49 @@
 from siskinmount import keyed_log
 from siskinmount import placement
 from siskinmount import results
+from siskinmount.peering import _item_claims
 from siskinmount.peering import _peer_message
 
 _LOGGER = logging.getLogger(__name__)
 
 #: A member that was silent for this long counts as gone. A live member sends at
-#: least four times a second; a frozen or disconnected member must be replaced
+#: least a few times a second; a frozen or disconnected member must be replaced
 #: within the time that a batch item takes.
-SILENT_S = 1.2
-#: Interval of messages to members that are not live.
+SILENT_S = 1.5
+#: How long the batch items of a silent member remain its own. Its engines may
+#: still run them: it may be frozen, slow, or cut off from members alone. One
+#: that was started again says so at once.
+CLAIMS_KEPT_S = 2.5
+#: Interval at which members are checked for silence.
+SWEEP_INTERVAL_S = 0.05
+#: Interval of messages to members that are not live. It is shorter than the time
+#: after which a member counts as gone: of two groups of members that hear each
+#: other in part, each then hears all relays of the other, and they plan the same
+#: relays again.
 PROBE_INTERVAL_S = 1.0
-#: No messages are sent to a member that was silent for this long. A member that
-#: returns sends first, as it reads the list of members at its start.
-FORGET_AFTER_S = 60.0
+#: Interval for members that have not been heard for long: most are gone for good,
+#: as records of members stay in the log.
+RARE_PROBE_INTERVAL_S = 10.0
+RARE_PROBES_AFTER_S = 900.0
+#: Largest number of messages to members that are not live at a time.
+MAX_PROBES = 32
+#: How long after a member became known it is taken for live without a message.
+START_GRACE_S = 1.5
+#: Age of what members that send to each other directly tell, on average.
+DIRECT_DELAY_S = 0.015
+
+
+class RowOutcome(enum.Enum):
+    """What became of an encoded message."""
+
+    #: It is not newer than what was known.
+    STALE = 'stale'
+
+    #: It is newer and tells the same.
+    REPEATED = 'repeated'
+
+    #: It is newer and tells something else.
+    CHANGED = 'changed'
 
 
 class Peer:
@@ -31,23 +63,29 @@
     Attributes:
         member: Name of the VM.
         address: IP address of the VM.
+        failure_domain: Failure domain of the VM; empty if it is not known.
         incarnation: Start of the process as Unix time in ms.
         sequence: Sequence number of the last message; -1 before the first.
         heard_at_s: Monotonic time of the last message from the peer.
         known_since_s: Monotonic time at which the peer became known.
         sent_at_s: Monotonic time of the last message to the peer.
         message: The last message from the peer; None before the first.
+        row: The last message as it was received; empty before the first.
+        body: The body of that row.
     """
 
     __slots__ = (
         'member',
         'address',
+        'failure_domain',
         'incarnation',
         'sequence',
         'heard_at_s',
         'known_since_s',
         'sent_at_s',
         'message',
+        'row',
+        'body',
     )
 
     def __init__(self, member: str, address: str, incarnation: int) -> None:
@@ -59,11 +97,22 @@
         self.known_since_s = trio.current_time()
         self.sent_at_s = float('-inf')
         self.message: _peer_message.PeerMessage | None = None
+        self.failure_domain = ''
+        self.row = b''
+        self.body = b''
 
     def is_live(self) -> bool:
         """Returns whether a message of the peer came in the last `SILENT_S`."""
         return trio.current_time() - self.heard_at_s < SILENT_S
 
+    def is_expected(self) -> bool:
+        """Returns whether the peer is live, or may be as it is new."""
+        now_s = trio.current_time()
+        if now_s - self.heard_at_s < SILENT_S:
+            return True
+        is_new = now_s - self.known_since_s < START_GRACE_S
+        return is_new and self.message is None
+
 
 #: Takes the name of a peer and what it says of upstreams that leave.
 RecordDepartures = Callable[[str, dict[str, fleet.DepartureNotice]], None]
@@ -81,15 +130,26 @@
     Attributes:
         member: Name of this VM.
         peers: Other members by name.
+        claims: Batch items that peers run or hold output of.
+        version: Incremented whenever the answers of `list_live` and
+            `list_responsible` may have changed.
+        message_delay_s: Age of what live peers have told of their load.
     """
 
     __slots__ = (
         'member',
         'peers',
+        'claims',
+        'version',
+        'message_delay_s',
         '_load',
         '_crash_tracker',
         '_health',
-        '_silent',
+        '_live',
+        '_live_list',
+        '_swept_at_s',
+        '_responsible_key',
+        '_responsible',
         '_record_departures',
     )
 
@@ -102,10 +162,17 @@
     ) -> None:
         self.member = member
         self.peers: dict[str, Peer] = {}
+        self.claims = _item_claims.create_item_claims()
+        self.version = 0
+        self.message_delay_s = DIRECT_DELAY_S
         self._load = load
         self._crash_tracker = crash_tracker
         self._health = health
-        self._silent: set[str] = set()
+        self._live: dict[str, Peer] = {}
+        self._live_list: list[Peer] | None = []
+        self._swept_at_s = float('-inf')
+        self._responsible_key: tuple[int, bool, bool] | None = None
+        self._responsible: list[str] = []
         self._record_departures: RecordDepartures = _ignore_departures
 
     def watch_departures(self, record_departures: RecordDepartures) -> None:
@@ -120,7 +187,8 @@
             fields = orjson.loads(record.value)
             address = str(fields['address'])
             incarnation = int(fields['incarnation'])
-        except (ValueError, TypeError, KeyError) as error:
+            failure_domain = str(fields.get('failure_domain', ''))
+        except (ValueError, TypeError, KeyError, AttributeError) as error:
             _LOGGER.warning(
                 'member_record_invalid',
                 extra={
@@ -130,64 +198,76 @@
                 },
             )
             return
-        self._get_or_create_peer(record.key, address, incarnation)
-
-    def apply_message(self, message: _peer_message.PeerMessage) -> None:
-        """Applies a message of a member; stale ones are ignored."""
+        peer = self._get_or_create_peer(record.key, address, incarnation)
+        if peer.message is None:
+            peer.failure_domain = failure_domain
+
+    def apply_row(
+        self, row: _peer_message.PeerRow
+    ) -> RowOutcome | results.Failure:
+        """Applies an encoded message of a member."""
+        peer = self.peers.get(row.member)
+        if peer is not None and row.incarnation == peer.incarnation:
+            if row.sequence <= peer.sequence:
+                return RowOutcome.STALE
+            if row.body == peer.body and _may_be_repeated(peer.message):
+                peer.row = row.data
+                self._mark_heard(peer, row.sequence)
+                self._load.refresh_peer(peer.member, peer.message.counts)
+                return RowOutcome.REPEATED
+        message = _peer_message.decode_row(row)
+        if isinstance(message, results.Failure):
+            return message
+        if not self.apply_message(message):
+            return RowOutcome.STALE
+        peer = self.peers[row.member]
+        peer.row = row.data
+        peer.body = row.body
+        return RowOutcome.CHANGED
+
+    def apply_message(self, message: _peer_message.PeerMessage) -> bool:
+        """Applies a message of a member, and returns whether it is newer."""
         if message.member == self.member:
-            return
+            return False
         peer = self._get_or_create_peer(
             message.member, message.address, message.incarnation
         )
         if message.incarnation != peer.incarnation:
             if peer.is_live():
-                return
+                return False
             # The clock of the VM was set back between two starts.
             peer.incarnation = message.incarnation
             peer.sequence = -1
         if message.sequence <= peer.sequence:
-            return
-        if not peer.is_live():
-            self._silent.discard(peer.member)
-            _LOGGER.info(
-                'peer_heard',
-                extra={
-                    'peer': peer.member,
-                    'address': peer.address,
-                    'incarnation': peer.incarnation,
-                    'document_version': message.document_version,
-                },
-            )
-        peer.sequence = message.sequence
+            return False
+        earlier = peer.message
         peer.address = message.address
-        peer.heard_at_s = trio.current_time()
+        peer.failure_domain = message.failure_domain
         peer.message = message
+        peer.body = b''
+        self._mark_heard(peer, message.sequence)
+        if (
+            earlier is None
+            or earlier.is_leaving != message.is_leaving
+            or earlier.knows_jobs != message.knows_jobs
+        ):
+            self.version += 1
+        self._apply_claims(message)
         self._load.set_peer_counts(peer.member, message.counts)
         self._crash_tracker.apply_reports(message.crashes)
         self._health.set_peer_tallies(peer.member, message.failure_tallies)
         self._record_departures(peer.member, message.departures)
+        return True
 
     def list_live(self) -> list[Peer]:
         """Returns the live peers, and drops the counts of newly silent ones."""
-        live: list[Peer] = []
-        for peer in self.peers.values():
-            if peer.is_live():
-                live.append(peer)
-                continue
-            if peer.message is not None and peer.member not in self._silent:
-                self._silent.add(peer.member)
-                self._load.forget_peer(peer.member)
-                self._health.forget_peer(peer.member)
-                _LOGGER.info(
-                    'peer_silent',
-                    extra={
-                        'peer': peer.member,
-                        'last_heard_ms_ago': int(
-                            (trio.current_time() - peer.heard_at_s) * 1000
-                        ),
-                    },
-                )
-        return live
+        now_s = trio.current_time()
+        if now_s - self._swept_at_s >= SWEEP_INTERVAL_S:
+            self._swept_at_s = now_s
+            self._sweep(now_s)
+        if self._live_list is None:
+            self._live_list = list(self._live.values())
+        return self._live_list
 
     def list_responsible(self, is_leaving: bool, knows_jobs: bool) -> list[str]:
         """Returns the members that may start batch items.
@@ -200,19 +280,25 @@
             is_leaving: Whether this member is in a planned stop.
             knows_jobs: Whether this member can read the log of jobs.
         """
+        live = self.list_live()
+        key = (self.version, is_leaving, knows_jobs)
+        if key == self._responsible_key:
+            return self._responsible
         members: list[str] = []
         informed: list[str] = []
         if not is_leaving:
             members.append(self.member)
             if knows_jobs:
                 informed.append(self.member)
-        for peer in self.list_live():
+        for peer in live:
             if peer.message is None or peer.message.is_leaving:
                 continue
             members.append(peer.member)
             if peer.message.knows_jobs:
                 informed.append(peer.member)
-        return informed or members
+        self._responsible_key = key
+        self._responsible = informed or members
+        return self._responsible
 
     def count_informed(self) -> int:
         """Returns how many live peers can read the log of jobs.
@@ -227,32 +313,113 @@
                 count += 1
         return count
 
-    def list_due(self) -> list[Peer]:
-        """Returns the peers to send a message to now, and records the time."""
+    def list_due(self, wanted: Collection[str] | None = None) -> list[Peer]:
+        """Returns the peers to send a message to now, and records the time.
+
+        Those that are not live are sent one now and then, so that members that
+        were cut off from each other meet again.
+
+        Args:
+            wanted: Names of the live peers to send to; all if None.
+        """
         now_s = trio.current_time()
         due: list[Peer] = []
+        probes = 0
         for peer in self.peers.values():
-            if peer.is_live():
-                due.append(peer)
+            if now_s - peer.heard_at_s < SILENT_S:
+                if wanted is None or peer.member in wanted:
+                    due.append(peer)
                 continue
-            silent_s = now_s - max(peer.heard_at_s, peer.known_since_s)
-            if silent_s > FORGET_AFTER_S:
+            if probes >= MAX_PROBES:
                 continue
-            if now_s - peer.sent_at_s >= PROBE_INTERVAL_S:
+            silent_s = now_s - max(peer.heard_at_s, peer.known_since_s)
+            interval_s = PROBE_INTERVAL_S
+            if silent_s > RARE_PROBES_AFTER_S:
+                interval_s = RARE_PROBE_INTERVAL_S
+            if now_s - peer.sent_at_s >= interval_s:
                 due.append(peer)
+                probes += 1
         for peer in due:
             peer.sent_at_s = now_s
         return due
 
+    def _mark_heard(self, peer: Peer, sequence: int) -> None:
+        """Records a newer message of a peer."""
+        if peer.member not in self._live or not peer.is_live():
+            _LOGGER.info(
+                'peer_heard',
+                extra={
+                    'peer': peer.member,
+                    'address': peer.address,
+                    'incarnation': peer.incarnation,
+                    'document_version': (
+                        peer.message.document_version if peer.message else 0
+                    ),
+                },
+            )
+        peer.sequence = sequence
+        peer.heard_at_s = trio.current_time()
+        if peer.member not in self._live:
+            self._live[peer.member] = peer
+            self._mark_changed()
+
+    def _sweep(self, now_s: float) -> None:
+        """Drops what was told by peers that have become silent."""
+        for peer in list(self._live.values()):
+            if peer.is_live():
+                continue
+            del self._live[peer.member]
+            self._mark_changed()
+            self._load.forget_peer(peer.member)
+            self._health.forget_peer(peer.member)
+            _LOGGER.info(
+                'peer_silent',
+                extra={
+                    'peer': peer.member,
+                    'last_heard_ms_ago': int((now_s - peer.heard_at_s) * 1000),
+                    'claims_kept': self.claims.has_claims(peer.member),
+                },
+            )
+        for member in self.claims.list_claimants():
+            peer = self.peers[member]
+            silent_s = now_s - peer.heard_at_s
+            is_leaving = peer.message is None or peer.message.is_leaving
+            kept_s = 0.0 if is_leaving else CLAIMS_KEPT_S
+            if silent_s > SILENT_S + kept_s:
+                self._drop_claims(member, 'silent')
+
+    def _apply_claims(self, message: _peer_message.PeerMessage) -> None:
+        held = message.held_tags
+        kept = message.kept_tags
+        if message.is_leaving:
+            # A peer that shuts down is about to hand its output over.
+            held = held | kept
+            kept = set()
+        self.claims.replace(message.member, held, kept)
+
+    def _drop_claims(self, member: str, reason: str) -> None:
+        if not self.claims.has_claims(member):
+            return
+        self.claims.drop(member)
+        _LOGGER.info(
+            'peer_claims_dropped', extra={'peer': member, 'reason': reason}
+        )
+
+    def _mark_changed(self) -> None:
+        self.version += 1
+        self._live_list = None
+
     def _get_or_create_peer(
         self, member: str, address: str, incarnation: int
     ) -> Peer:
         """Returns a peer, created anew if the incarnation is later."""
         peer = self.peers.get(member)
         if peer is None or incarnation > peer.incarnation:
+            if self._live.pop(member, None) is not None:
+                self._mark_changed()
+            self._drop_claims(member, 'restarted')
             peer = Peer(member, address, incarnation)
             self.peers[member] = peer
-            self._silent.discard(member)
             _LOGGER.info(
                 'peer_known',
                 extra={
@@ -264,6 +431,18 @@
         return peer
 
 
+def _may_be_repeated(message: _peer_message.PeerMessage | None) -> bool:
+    """Returns whether an equal message tells the same a moment later.
+
+    Ages and decaying counts do not.
+    """
+    if message is None:
+        return False
+    return not (
+        message.crashes or message.failure_tallies or message.departures
+    )
+
+
 def create_peer_directory(
     member: str,
     load: placement.LoadTable,
--- a/siskinmount/peering/_peer_message.py
+++ b/siskinmount/peering/_peer_message.py
@@ -1,6 +1,14 @@
-"""The message that members of the fleet send each other."""
+"""The message that members of the fleet send each other.
 
+On the wire a message is one row: the sender's name, incarnation and sequence
+number, and a JSON body without line feeds. The body does not change as long as
+the sender has nothing new to tell, so that a row can be passed on and recognized
+as a repetition without decoding it.
+"""
+
+import math
 from typing import Any
+import urllib.parse
 
 import orjson
 
@@ -18,6 +26,7 @@
             after a restart.
         sequence: Sequence number of the message within the incarnation.
         address: IP address of the sender.
+        failure_domain: Failure domain of the sender.
         is_leaving: Whether the sender is in a planned stop.
         knows_jobs: Whether the sender can read the log of jobs.
         document_version: Version of the document in force; 0 for none.
@@ -36,6 +45,7 @@
         'incarnation',
         'sequence',
         'address',
+        'failure_domain',
         'is_leaving',
         'knows_jobs',
         'document_version',
@@ -63,6 +73,7 @@
         crashes: dict[str, list[placement.CrashReport]],
         failure_tallies: dict[str, placement.FailureTally],
         departures: dict[str, fleet.DepartureNotice] | None = None,
+        failure_domain: str = '',
     ) -> None:
         self.member = member
         self.incarnation = incarnation
@@ -77,57 +88,100 @@
         self.crashes = crashes
         self.failure_tallies = failure_tallies
         self.departures = departures or {}
+        self.failure_domain = failure_domain
+
+
+class PeerRow:
+    """An encoded message of which only the head has been read.
+
+    Attributes:
+        member: Name of the sender's VM.
+        incarnation: Start of the sender's process as Unix time in ms.
+        sequence: Sequence number of the message within the incarnation.
+        body: The rest of the message; equal if nothing else has changed.
+        data: The whole row, to be passed on.
+    """
+
+    __slots__ = ('member', 'incarnation', 'sequence', 'body', 'data')
+
+    def __init__(
+        self,
+        member: str,
+        incarnation: int,
+        sequence: int,
+        body: bytes,
+        data: bytes,
+    ) -> None:
+        self.member = member
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.body = body
+        self.data = data
 
 
 def encode_message(message: PeerMessage) -> bytes:
-    """Encodes a message."""
-    return orjson.dumps(
-        {
-            'member': message.member,
-            'incarnation': message.incarnation,
-            'sequence': message.sequence,
-            'address': message.address,
-            'leaving': message.is_leaving,
-            'knows_jobs': message.knows_jobs,
-            'version': message.document_version,
-            'counts': {
-                upstream_id: (
-                    counts.online,
-                    counts.batch,
-                    counts.newest_job,
-                )
-                for upstream_id, counts in message.counts.items()
-            },
-            'held': sorted(message.held_tags),
-            'kept': sorted(message.kept_tags),
-            # Required by members that know no reports yet.
-            'crashes': {},
-            'crash_ids': {},
-            'crash_reports': {
-                name: [
-                    (
-                        report.crash_id,
-                        round(report.age_s, 3),
-                        report.had_output,
-                    )
-                    for report in reports
-                ]
-                for name, reports in message.crashes.items()
-            },
-            'troubled': {
-                upstream_id: (round(tally.failures, 2), round(tally.runs, 2))
-                for upstream_id, tally in message.failure_tallies.items()
-            },
-            'departures': {
-                upstream_id: (notice.started_at_ms, round(notice.age_s, 3))
-                for upstream_id, notice in message.departures.items()
-            },
+    """Encodes a message as a row; what is empty is left out."""
+    fields: dict[str, object] = {
+        'address': message.address,
+        'domain': message.failure_domain,
+        'version': message.document_version,
+    }
+    if message.is_leaving:
+        fields['leaving'] = True
+    if message.knows_jobs:
+        fields['knows_jobs'] = True
+    if message.counts:
+        fields['counts'] = {
+            upstream_id: (counts.online, counts.batch, counts.newest_job)
+            for upstream_id, counts in message.counts.items()
         }
+    if message.held_tags:
+        fields['held'] = sorted(message.held_tags)
+    if message.kept_tags:
+        fields['kept'] = sorted(message.kept_tags)
+    if message.crashes:
+        fields['crash_reports'] = {
+            name: [
+                (report.crash_id, round(report.age_s, 3), report.had_output)
+                for report in reports
+            ]
+            for name, reports in message.crashes.items()
+        }
+    if message.failure_tallies:
+        fields['troubled'] = {
+            upstream_id: (round(tally.failures, 2), round(tally.runs, 2))
+            for upstream_id, tally in message.failure_tallies.items()
+        }
+    if message.departures:
+        fields['departures'] = {
+            upstream_id: (notice.started_at_ms, round(notice.age_s, 3))
+            for upstream_id, notice in message.departures.items()
+        }
+    return b'%b %d %d %b' % (
+        urllib.parse.quote(message.member, safe='').encode('ascii'),
+        message.incarnation,
+        message.sequence,
+        orjson.dumps(fields),
     )
 
 
+def split_row(data: bytes) -> PeerRow | results.Failure:
+    """Reads the head of a row, or fails with `MALFORMED_REQUEST`."""
+    parts = data.split(b' ', 3)
+    if len(parts) != 4:
+        return _malformed('a row has fewer than four parts')
+    name, incarnation, sequence, body = parts
+    try:
+        member = name.decode('ascii')
+        if '%' in member:
+            member = urllib.parse.unquote(member)
+        return PeerRow(member, int(incarnation), int(sequence), body, data)
+    except ValueError as error:
+        return _malformed(repr(error))
+
+
 def _decode_crashes(
-    fields: dict[str, Any],
+    member: str, fields: dict[str, Any]
 ) -> dict[str, list[placement.CrashReport]]:
     """Returns reports of crashes.
 
@@ -138,17 +192,16 @@
         for name, rows in fields['crash_reports'].items():
             crashes[str(name)] = [
                 placement.CrashReport(
-                    str(row[0]), max(0.0, float(row[1])), bool(row[2])
+                    str(row[0]), _read_amount(row[1]), bool(row[2])
                 )
                 for row in rows
             ]
         return crashes
     ids_by_name = fields.get('crash_ids')
     if ids_by_name is None:
-        member = str(fields['member'])
         ids_by_name = {
             name: [f'{member}/{number}' for number in range(int(count))]
-            for name, count in fields['crashes'].items()
+            for name, count in fields.get('crashes', {}).items()
         }
     for name, ids in ids_by_name.items():
         crashes[str(name)] = [
@@ -158,46 +211,108 @@
 
 
 def decode_message(data: bytes) -> PeerMessage | results.Failure:
-    """Decodes a message, or fails with `MALFORMED_REQUEST`."""
+    """Decodes a message, or fails with `MALFORMED_REQUEST`.
+
+    A member of the release before rows sends a JSON object with the same
+    fields.
+    """
+    if data.startswith(b'{'):
+        return _decode_old_message(data)
+    row = split_row(data)
+    if isinstance(row, results.Failure):
+        return row
+    return decode_row(row)
+
+
+def decode_row(row: PeerRow) -> PeerMessage | results.Failure:
+    """Decodes the body of a row, or fails with `MALFORMED_REQUEST`."""
+    try:
+        fields = orjson.loads(row.body)
+        return _create_message(
+            row.member, row.incarnation, row.sequence, fields
+        )
+    except _INVALID as error:
+        return _malformed(repr(error))
+
+
+def _decode_old_message(data: bytes) -> PeerMessage | results.Failure:
     try:
         fields = orjson.loads(data)
-        counts: dict[str, placement.UpstreamCounts] = {}
-        for upstream_id, row in fields['counts'].items():
-            counts[upstream_id] = placement.UpstreamCounts(
-                max(0, int(row[0])), max(0, int(row[1])), int(row[2])
-            )
-        failure_tallies: dict[str, placement.FailureTally] = {}
-        for upstream_id, row in fields['troubled'].items():
-            failure_tallies[upstream_id] = placement.FailureTally(
-                max(0.0, float(row[0])), max(0.0, float(row[1]))
-            )
-        departures: dict[str, fleet.DepartureNotice] = {}
-        for upstream_id, row in fields.get('departures', {}).items():
-            departures[upstream_id] = fleet.DepartureNotice(
-                int(row[0]), max(0.0, float(row[1]))
-            )
-        return PeerMessage(
-            member=str(fields['member']),
-            incarnation=int(fields['incarnation']),
-            sequence=int(fields['sequence']),
-            address=str(fields['address']),
-            is_leaving=fields['leaving'] is True,
-            knows_jobs=fields['knows_jobs'] is True,
-            document_version=int(fields['version']),
-            counts=counts,
-            held_tags={str(tag) for tag in fields['held']},
-            kept_tags={str(tag) for tag in fields['kept']},
-            crashes=_decode_crashes(fields),
-            failure_tallies=failure_tallies,
-            departures=departures,
+        return _create_message(
+            str(fields['member']),
+            int(fields['incarnation']),
+            int(fields['sequence']),
+            fields,
         )
-    except (
-        ValueError,
-        TypeError,
-        KeyError,
-        AttributeError,
-        IndexError,
-    ) as error:
-        return results.Failure(
-            results.ResultCode.MALFORMED_REQUEST, f'peer message: {error!r}'
+    except _INVALID as error:
+        return _malformed(repr(error))
+
+
+def _create_message(
+    member: str, incarnation: int, sequence: int, fields: dict[str, Any]
+) -> PeerMessage:
+    """Creates a message from decoded fields.
+
+    Raises:
+        Exception: One of `_INVALID`, if a field is missing or has a wrong type.
+    """
+    counts: dict[str, placement.UpstreamCounts] = {}
+    for upstream_id, row in fields.get('counts', {}).items():
+        counts[upstream_id] = placement.UpstreamCounts(
+            max(0, int(row[0])), max(0, int(row[1])), int(row[2])
         )
+    failure_tallies: dict[str, placement.FailureTally] = {}
+    for upstream_id, row in fields.get('troubled', {}).items():
+        failure_tallies[upstream_id] = placement.FailureTally(
+            _read_amount(row[0]), _read_amount(row[1])
+        )
+    departures: dict[str, fleet.DepartureNotice] = {}
+    for upstream_id, row in fields.get('departures', {}).items():
+        departures[upstream_id] = fleet.DepartureNotice(
+            int(row[0]), _read_amount(row[1])
+        )
+    return PeerMessage(
+        member=member,
+        incarnation=incarnation,
+        sequence=sequence,
+        address=str(fields['address']),
+        failure_domain=str(fields.get('domain', '')),
+        is_leaving=fields.get('leaving') is True,
+        knows_jobs=fields.get('knows_jobs') is True,
+        document_version=int(fields['version']),
+        counts=counts,
+        held_tags={str(tag) for tag in fields.get('held', ())},
+        kept_tags={str(tag) for tag in fields.get('kept', ())},
+        crashes=_decode_crashes(member, fields),
+        failure_tallies=failure_tallies,
+        departures=departures,
+    )
+
+
+def _read_amount(value: object) -> float:
+    """Returns a finite number that is not negative.
+
+    Raises:
+        ValueError: The value is not a finite number.
+    """
+    amount = float(value)  # type: ignore[arg-type]
+    if not math.isfinite(amount):
+        raise ValueError(f'{amount} is not finite')
+    return max(0.0, amount)
+
+
+def _malformed(reason: str) -> results.Failure:
+    return results.Failure(
+        results.ResultCode.MALFORMED_REQUEST, f'peer message: {reason}'
+    )
+
+
+#: What decoding of invalid fields may raise.
+_INVALID = (
+    ValueError,
+    TypeError,
+    KeyError,
+    AttributeError,
+    IndexError,
+    OverflowError,
+)
--- a/siskinmount/peering/tests/test_peer_directory.py
+++ b/siskinmount/peering/tests/test_peer_directory.py
@@ -96,8 +96,20 @@
         self._run(check)
 
     def test_crashes_of_a_member_that_sends_no_ids_are_its_own(self):
-        fields = orjson.loads(peering.encode_message(_make_message()))
-        del fields['crash_reports']
+        # An older member sends a JSON object without a head.
+        fields = {
+            'member': 'p',
+            'incarnation': 1,
+            'sequence': 1,
+            'address': '127.0.0.1',
+            'leaving': False,
+            'knows_jobs': True,
+            'version': 1,
+            'counts': {},
+            'held': [],
+            'kept': [],
+            'troubled': {},
+        }
         fields['crash_ids'] = {'f': ['u/1/0', 'v/1/0']}
         fields['crashes'] = {'f': 2}
         for expected in (['u/1/0', 'v/1/0'], ['p/0', 'p/1']):
--- a/siskinmount/peering/tests/test_peer_exchange.py
+++ b/siskinmount/peering/tests/test_peer_exchange.py
@@ -32,7 +32,12 @@
                 placement.create_upstream_health(crash_tracker),
             )
             exchange = peering.create_peer_exchange(
-                '127.0.0.1', 0, directory, load, create_message
+                host='127.0.0.1',
+                port=0,
+                failure_domain='a',
+                directory=directory,
+                load=load,
+                create_message=create_message,
             )
             for _ in range(2):
                 self.sent = trio.Event()
