Decide on placement and preemption by counts that are old

Load: a burst at a gateway that sees a hundredth of the traffic. Where peers place two and more requests before their counts arrive, the least loaded upstream gets all of them. A request is now drawn by the room that the unseen requests leave (placement/_fill_level.py). Of batch items at an upstream with k requests too many, the k newest give way at once, each by its own member; before, one did, and the next waited for a message. Free slots have an order that all members share, and the nth waiting item takes the nth slot. An item is not run again at an upstream that failed it while there are others. The first runs of a service count in full for the mean duration.

--- a/siskinmount/gateway/_item_preemptor.py
+++ b/siskinmount/gateway/_item_preemptor.py
@@ -81,15 +81,20 @@
                 continue
             slots = upstream.slot_count or placement.DEFAULT_SLOTS
             total = totals[upstream_id]
-            if total.online + total.batch <= slots:
+            excess = total.online + total.batch - slots
+            if excess <= 0:
                 continue
             since_s = now_s - self._preempted_at_s.get(
                 upstream_id, float('-inf')
             )
             if since_s < PREEMPTION_INTERVAL_S:
                 continue
-            newest = self._load.get_newest_peer_job(upstream_id)
-            if newest > (own.newest_job, self._member):
+            # All members see the same counts and preempt at the same time: as
+            # many items as there are too many requests, the newest first.
+            newer = self._load.count_newer_batch(
+                upstream_id, own.newest_job, self._member
+            )
+            if newer >= excess:
                 continue
             run = self._choose_victim(upstream_id)
             if run is None:
--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -27,7 +27,7 @@
 MAX_STARTS_PER_STEP = 2
 #: Maximum number of items of a removed route that are given up in one step.
 MAX_GIVE_UPS_PER_STEP = 16
-#: Time between steps: about as long as a message to all peers takes.
+#: Minimum time between steps: peers know of the items of a step at the next.
 STEP_INTERVAL_S = 0.03
 #: Time between removals of the state of closed jobs' items.
 CLEANUP_INTERVAL_S = 1.0
@@ -52,6 +52,7 @@
     __slots__ = (
         '_membership',
         '_view',
+        '_table',
         '_scheduler',
         '_placer',
         '_load',
@@ -70,6 +71,7 @@
         *,
         membership: _batch_membership.BatchMembership,
         view: fleet.FleetView,
+        table: jobs.JobTable,
         scheduler: jobs.ItemScheduler,
         placer: placement.Placer,
         load: placement.LoadTable,
@@ -80,6 +82,7 @@
     ) -> None:
         self._membership = membership
         self._view = view
+        self._table = table
         self._scheduler = scheduler
         self._placer = placer
         self._load = load
@@ -114,6 +117,10 @@
         async with trio.open_nursery() as nursery:
             while True:
                 self.stepped_at_s = trio.current_time()
+                if not self._has_work():
+                    with trio.move_on_after(IDLE_INTERVAL_S):
+                        await self._table.wait_changed()
+                    continue
                 self._preemptor.cancel_obsolete()
                 self._preemptor.preempt_overloaded()
                 started = 0
@@ -123,12 +130,22 @@
                 if trio.current_time() - cleaned_up_at_s > CLEANUP_INTERVAL_S:
                     cleaned_up_at_s = trio.current_time()
                     self._scheduler.forget_closed()
-                await trio.sleep(STEP_INTERVAL_S)
+                await trio.sleep(
+                    max(STEP_INTERVAL_S, self._membership.get_message_delay_s())
+                )
                 if started:
                     continue
                 with trio.move_on_after(IDLE_INTERVAL_S):
                     await self._load.wait_changed()
 
+    def _has_work(self) -> bool:
+        """Returns whether a step may have anything to do."""
+        return (
+            bool(self._runs)
+            or self._scheduler.has_state()
+            or self._table.has_open_items()
+        )
+
     def _update_load(self, upstream_id: str) -> None:
         """Updates the load table with the items that run at an upstream."""
         offsets: list[int] = []
@@ -142,7 +159,7 @@
     def _start_items(self, nursery: trio.Nursery) -> int:
         """Starts the next items, and returns how many."""
         started = 0
-        full_services: set[str] = set()
+        slots_by_service: dict[str, list[fleet.Upstream]] = {}
         for next_item in self._scheduler.iterate_next(self.count_free_slots):
             if started >= MAX_STARTS_PER_STEP:
                 break
@@ -166,15 +183,14 @@
                 )
                 continue
             service = route.draw_service()
-            if service in full_services:
-                continue
-            upstream = self._placer.place_batch(
-                service,
-                RESERVED_SLOTS,
-                self._preemptor.list_recently_preempted(),
+            slots = slots_by_service.get(service)
+            if slots is None:
+                slots = self._placer.list_batch_slots(service, RESERVED_SLOTS)
+                slots_by_service[service] = slots
+            upstream = placement.choose_batch_slot(
+                slots, next_item.rank, self._list_excluded(tag, service)
             )
-            if isinstance(upstream, placement.RefusalReason):
-                full_services.add(service)
+            if upstream is None:
                 continue
             run = _item_run.ItemRun(next_item, tag, upstream.upstream_id)
             self._runs[tag] = run
@@ -193,6 +209,17 @@
             started += 1
         return started
 
+    def _list_excluded(self, tag: str, service: str) -> set[str]:
+        """Returns the upstreams at which an item is not to start now."""
+        excluded = self._preemptor.list_recently_preempted()
+        progress = self._scheduler.progress.get(tag)
+        if progress is None or not progress.failed_upstreams:
+            return excluded
+        ready = {u.upstream_id for u in self._view.list_ready(service)}
+        if ready <= progress.failed_upstreams:
+            progress.failed_upstreams.clear()
+        return excluded | progress.failed_upstreams
+
     def count_free_slots(self, route_name: str) -> int:
         """Returns the free slots of all upstreams of a route.
 
@@ -361,6 +388,7 @@
             await self._result_writer.write_given_up(next_item, run.tag, reason)
             return
         if outcome is _item_client.RunOutcome.FAILED:
+            progress.failed_upstreams.add(upstream.upstream_id)
             progress.failed_attempts += 1
             if progress.failed_attempts >= route.max_attempts:
                 await self._result_writer.write_given_up(
@@ -369,10 +397,12 @@
                 return
             progress.back_off(progress.failed_attempts)
         elif outcome is _item_client.RunOutcome.LOST:
+            progress.failed_upstreams.add(upstream.upstream_id)
             progress.lost_runs += 1
             self._health.record_failure(upstream.upstream_id, reason)
             progress.back_off_interrupted()
         elif outcome is _item_client.RunOutcome.ERROR_STATUS:
+            progress.failed_upstreams.add(upstream.upstream_id)
             progress.lost_runs += 1
             self._health.record_failure(upstream.upstream_id, reason)
             progress.back_off(progress.lost_runs)
@@ -388,6 +418,7 @@
     *,
     membership: _batch_membership.BatchMembership,
     view: fleet.FleetView,
+    table: jobs.JobTable,
     scheduler: jobs.ItemScheduler,
     placer: placement.Placer,
     load: placement.LoadTable,
@@ -401,6 +432,7 @@
     Args:
         membership: Tracks whether this member may start items.
         view: Routes and upstreams.
+        table: All jobs.
         scheduler: Determines which items are next.
         placer: Chooses upstreams.
         load: Counts requests in flight per upstream.
@@ -412,6 +444,7 @@
     return ItemRunner(
         membership=membership,
         view=view,
+        table=table,
         scheduler=scheduler,
         placer=placer,
         load=load,
--- a/siskinmount/gateway/tests/test_item_runner.py
+++ b/siskinmount/gateway/tests/test_item_runner.py
@@ -14,6 +14,7 @@
 from siskinmount.gateway import _gateway_metrics
 from siskinmount.gateway import _item_client
 from siskinmount.gateway import _item_runner
+from siskinmount.jobs.tests import fake_table
 
 _RUN_S = 0.1
 _REPORT_INTERVAL_S = 0.05
@@ -133,6 +134,9 @@
     def get_view_age_ms(self):
         return 0
 
+    def get_message_delay_s(self):
+        return 0.0
+
 
 class _ResultWriter:
     """Fake of `ResultWriter` that lists each item at once."""
@@ -144,7 +148,7 @@
         del next_item.job.open_items[next_item.item.item_id]
 
 
-class _Table:
+class _Table(fake_table.FakeTable):
     """Fake of `JobTable` with one job."""
 
     def __init__(self, item_count):
@@ -154,7 +158,7 @@
         job = jobs.Job(
             job_id='j', route_name='r', host='h', accepted_at_ms=0, items=items
         )
-        self.jobs = {'j': job}
+        super().__init__(job)
 
 
 def _decode_document(source):
@@ -233,6 +237,7 @@
             runner = _item_runner.create_item_runner(
                 membership=_Membership(),
                 view=view,
+                table=table,
                 scheduler=scheduler,
                 placer=placement.create_placer(view, load, health),
                 load=load,
--- a/siskinmount/gateway/tests/test_item_runner_lines.py
+++ b/siskinmount/gateway/tests/test_item_runner_lines.py
@@ -12,17 +12,18 @@
 from siskinmount.gateway import _item_runner
 from siskinmount.gateway import _result_writer
 from siskinmount.gateway.tests import members as members_module
+from siskinmount.jobs.tests import fake_table
 from siskinmount.jobs.tests import test_job_ledger
 
 _LOGGER_NAME = 'siskinmount.gateway._item_runner'
 
 
-class _Table:
+class _Table(fake_table.FakeTable):
 
     def __init__(self):
         job = test_job_ledger.make_job('a', 1)
         job.known_since_s = trio.current_time()
-        self.jobs = {'a': job}
+        super().__init__(job)
 
 
 class _Document:
@@ -53,8 +54,8 @@
 
 class _Placer:
 
-    def place_batch(self, service, reserved_slots, excluded):
-        return _Upstream()
+    def list_batch_slots(self, service, reserved_slots):
+        return [_Upstream()]
 
     def count_free(self, service, reserved_slots):
         return 1
@@ -88,6 +89,7 @@
         self.runner = _item_runner.create_item_runner(
             membership=members.membership,
             view=_View(),
+            table=table,
             scheduler=self.scheduler,
             placer=_Placer(),
             load=members.load,
--- a/siskinmount/gateway/tests/test_item_watch.py
+++ b/siskinmount/gateway/tests/test_item_watch.py
@@ -10,18 +10,19 @@
 from siskinmount.gateway import _gateway_metrics
 from siskinmount.gateway import _item_watch
 from siskinmount.gateway.tests import members as members_module
+from siskinmount.jobs.tests import fake_table
 from siskinmount.jobs.tests import test_job_ledger
 
 _LOGGER_NAME = 'siskinmount.gateway._item_watch'
 _TAG = jobs.make_tag('a', 'i0')
 
 
-class _Table:
+class _Table(fake_table.FakeTable):
 
     def __init__(self, item_count):
         job = test_job_ledger.make_job('a', item_count)
         job.known_since_s = trio.current_time()
-        self.jobs = {'a': job}
+        super().__init__(job)
 
 
 class _Document:
--- a/siskinmount/gateway/tests/test_result_writer.py
+++ b/siskinmount/gateway/tests/test_result_writer.py
@@ -8,13 +8,14 @@
 from siskinmount.gateway import _batch_membership
 from siskinmount.gateway import _result_writer
 from siskinmount.gateway.tests import members as members_module
+from siskinmount.jobs.tests import fake_table
 from siskinmount.jobs.tests import test_job_ledger
 
 
-class _Table:
+class _Table(fake_table.FakeTable):
 
     def __init__(self):
-        self.jobs = {'a': test_job_ledger.make_job('a', 1)}
+        super().__init__(test_job_ledger.make_job('a', 1))
 
 
 class _Ledger:
--- a/siskinmount/jobs/_item_scheduler.py
+++ b/siskinmount/jobs/_item_scheduler.py
@@ -11,7 +11,9 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Container
 from collections.abc import Iterator
+from collections.abc import Mapping
 import enum
 
 import trio
@@ -39,6 +41,8 @@
         events: Data of the output events received so far, in order.
         last_event_id: Id of the last event; None before the first.
         failed_attempts: Runs for which the upstream reported a failure.
+        failed_upstreams: Upstreams that failed a run, and are not to run the
+            item again as long as there are others.
         lost_runs: Consecutive runs that were interrupted.
         not_before_s: Monotonic time before which the item is not started.
         is_complete: Whether the output is complete but not yet listed.
@@ -48,6 +52,7 @@
         'events',
         'last_event_id',
         'failed_attempts',
+        'failed_upstreams',
         'lost_runs',
         'not_before_s',
         'is_complete',
@@ -57,6 +62,7 @@
         self.events: list[str] = []
         self.last_event_id: int | None = None
         self.failed_attempts = 0
+        self.failed_upstreams: set[str] = set()
         self.lost_runs = 0
         self.not_before_s = 0.0
         self.is_complete = False
@@ -93,20 +99,24 @@
     Attributes:
         job: The job of the item.
         item: The item to run.
+        rank: Number of waiting items that take a free slot before it.
     """
 
-    __slots__ = ('job', 'item')
+    __slots__ = ('job', 'item', 'rank')
 
-    def __init__(self, job: _job.Job, item: _job.JobItem) -> None:
+    def __init__(
+        self, job: _job.Job, item: _job.JobItem, rank: int = 0
+    ) -> None:
         self.job = job
         self.item = item
+        self.rank = rank
 
 
 class PeerItems:
     """State of items at the other live members.
 
     Attributes:
-        held_tags: Items that they run or are about to list.
+        held_tags: Items that they run or are about to list, as a container.
         output_holder_by_tag: The member that holds partial output of a waiting
             item.
     """
@@ -114,7 +124,9 @@
     __slots__ = ('held_tags', 'output_holder_by_tag')
 
     def __init__(
-        self, held_tags: set[str], output_holder_by_tag: dict[str, str]
+        self,
+        held_tags: Container[str],
+        output_holder_by_tag: Mapping[str, str],
     ) -> None:
         self.held_tags = held_tags
         self.output_holder_by_tag = output_holder_by_tag
@@ -179,12 +191,14 @@
         now_s = trio.current_time()
         complete_tags = self._list_complete_tags()
         free_by_route: dict[str, int] = {}
-        for job in list(self._table.jobs.values()):
+        taken_by_route: dict[str, int] = {}
+        for job in self._table.list_open():
             if job.is_ended:
                 continue
             free_slots = free_by_route.get(job.route_name)
             if free_slots is None:
                 free_slots = count_free_slots(job.route_name)
+            taken = taken_by_route.get(job.route_name, 0)
             for item in list(job.open_items.values()):
                 if free_slots <= 0 and not complete_tags:
                     break
@@ -198,9 +212,11 @@
                     if free_slots <= 0:
                         continue
                     free_slots -= 1
+                    taken += 1
                 if self._is_own(tag, progress, peer_items, members):
-                    yield NextItem(job, item)
+                    yield NextItem(job, item, max(0, taken - 1))
             free_by_route[job.route_name] = free_slots
+            taken_by_route[job.route_name] = taken
 
     def _list_complete_tags(self) -> set[str]:
         """Returns the items whose complete output waits to be listed."""
@@ -237,6 +253,10 @@
         if len(handed.events) > len(self.get_progress(tag).events):
             self.progress[tag] = handed
 
+    def has_state(self) -> bool:
+        """Returns whether this process holds items or state of items."""
+        return bool(self.held_tags or self.progress or self.handovers)
+
     def list_kept_tags(self) -> set[str]:
         """Returns the waiting items of which this process holds output."""
         kept: set[str] = set()
@@ -300,9 +320,7 @@
         """Drops the state of items that are listed or whose job is ended."""
         open_keys: set[tuple[str, str]] = set()
         open_tags: set[str] = set()
-        for job in self._table.jobs.values():
-            if job.is_ended:
-                continue
+        for job in self._table.list_open():
             for item in job.open_items.values():
                 open_keys.add((job.job_id, item.item_id))
                 open_tags.add(self._get_tag(job, item))
--- a/siskinmount/jobs/_job_table.py
+++ b/siskinmount/jobs/_job_table.py
@@ -25,6 +25,7 @@
 
     __slots__ = (
         'jobs',
+        '_open_jobs',
         '_newest_offset',
         '_parts',
         '_first_parts',
@@ -37,6 +38,7 @@
 
     def __init__(self) -> None:
         self.jobs: dict[str, _job.Job] = {}
+        self._open_jobs: list[_job.Job] = []
         self._newest_offset = -1
         self._parts: dict[str, dict[int, bytes]] = {}
         self._first_parts: dict[str, tuple[int, bytes, int]] = {}
@@ -78,6 +80,20 @@
             self._first_parts[record.key] = (*split, record.offset)
             self._apply_if_complete(record.key, key)
 
+    def list_open(self) -> list[_job.Job]:
+        """Returns jobs in the order of their acceptance.
+
+        These are the jobs that have open items and are not ended. A job may
+        end while the caller goes through the list.
+        """
+        if not all(map(_is_open, self._open_jobs)):
+            self._open_jobs = list(filter(_is_open, self._open_jobs))
+        return self._open_jobs
+
+    def has_open_items(self) -> bool:
+        """Returns whether any job that is not ended has open items."""
+        return any(map(_is_open, self._open_jobs))
+
     def list_keys(self, job_id: str) -> list[str]:
         """Returns the keys of a job's records, the acceptance first."""
         keys = dict(self._keys_by_job.get(job_id, {}))
@@ -91,7 +107,7 @@
     def count_waiting_tokens(self, route_name: str) -> int:
         """Returns the tokens of all open items of a route."""
         total = 0
-        for job in self.jobs.values():
+        for job in self.list_open():
             if job.route_name == route_name:
                 total += job.count_waiting_tokens()
         return total
@@ -147,6 +163,7 @@
             # The job was dropped and accepted again by records that are no
             # longer kept; results and an end of the new job follow.
             del self.jobs[job.job_id]
+            self._open_jobs = list(filter(_is_open, self.jobs.values()))
             self._early_results.pop(job.job_id, None)
             self._early_ends.discard(job.job_id)
         job.known_since_s = trio.current_time()
@@ -158,6 +175,9 @@
             # A read of the newest record of each key is ordered by key, not
             # by offset.
             self.jobs = dict(sorted(self.jobs.items(), key=_get_offset))
+            self._open_jobs = list(filter(_is_open, self.jobs.values()))
+        else:
+            self._open_jobs = [*self._open_jobs, job]
         for position, result in sorted(
             self._early_results.pop(job.job_id, {}).items()
         ):
@@ -206,6 +226,7 @@
         self._first_parts.pop(base_key, None)
         if key.kind is _job_records.RecordKind.JOB:
             self.jobs.pop(key.job_id, None)
+            self._open_jobs = list(filter(_is_open, self.jobs.values()))
             self._keys_by_job.pop(key.job_id, None)
             self._early_ends.discard(key.job_id)
             self._early_results.pop(key.job_id, None)
@@ -218,6 +239,10 @@
             listener()
 
 
+def _is_open(job: _job.Job) -> bool:
+    return bool(job.open_items) and not job.is_ended
+
+
 def _get_offset(row: tuple[str, _job.Job]) -> int:
     return row[1].offset
 
--- a/siskinmount/jobs/tests/test_item_scheduler.py
+++ b/siskinmount/jobs/tests/test_item_scheduler.py
@@ -5,14 +5,15 @@
 import trio.testing
 
 from siskinmount import jobs
+from siskinmount.jobs.tests import fake_table
 from siskinmount.jobs.tests import test_job_ledger
 
 
-class _Table:
+class _Table(fake_table.FakeTable):
     """A table of jobs without a log."""
 
     def __init__(self, *names):
-        self.jobs = {}
+        super().__init__()
         for offset, name in enumerate(names):
             job = test_job_ledger.make_job(name, 4)
             job.offset = offset
--- a/siskinmount/placement/__init__.py
+++ b/siskinmount/placement/__init__.py
@@ -16,6 +16,7 @@
 from siskinmount.placement._overdue_runs import create_overdue_runs
 from siskinmount.placement._overdue_runs import OverdueRuns
 from siskinmount.placement._overdue_runs import WaitingRun
+from siskinmount.placement._placer import choose_batch_slot
 from siskinmount.placement._placer import create_placer
 from siskinmount.placement._placer import DEFAULT_SLOTS
 from siskinmount.placement._placer import NO_UPSTREAM_RETRY_MS
--- a/siskinmount/placement/_placer.py
+++ b/siskinmount/placement/_placer.py
@@ -1,11 +1,13 @@
 """Chooses the upstream of an online request or a batch item."""
 
+from collections.abc import Callable
 import enum
 import random
 
 import xxhash
 
 from siskinmount import fleet
+from siskinmount.placement import _fill_level
 from siskinmount.placement import _load_table
 from siskinmount.placement import _upstream_health
 
@@ -22,6 +24,11 @@
 #: Upstreams with at most this many more requests than the least loaded one
 #: count as equally loaded, so that prompt affinity decides among them.
 LOAD_TOLERANCE_REQUESTS = 1
+#: Requests of peers that are not seen yet from which on the counts no longer
+#: tell which upstream is the least loaded.
+MIN_UNSEEN_REQUESTS = 2.0
+#: Upstreams that are drawn for a request, of which prompt affinity takes one.
+AFFINITY_DRAWS = 2
 
 
 class RefusalReason(enum.Enum):
@@ -71,6 +78,31 @@
         self.expected_wait_ms = expected_wait_ms
 
 
+class _RunMean:
+    """A moving average of run durations.
+
+    The first samples weigh as much as each other: a member of a large fleet
+    gets a few requests a second, and a service may be far from the initial
+    value.
+
+    Attributes:
+        run_ms: The average.
+        sample_count: Number of samples.
+    """
+
+    __slots__ = ('run_ms', 'sample_count')
+
+    def __init__(self) -> None:
+        self.run_ms = 0.0
+        self.sample_count = 0
+
+    def add(self, run_ms: float) -> None:
+        """Adds a sample."""
+        self.sample_count += 1
+        weight = max(RUN_SAMPLE_WEIGHT, 1 / self.sample_count)
+        self.run_ms += (run_ms - self.run_ms) * weight
+
+
 class Placer:
     """Chooses upstreams by the counts of all processes.
 
@@ -81,18 +113,26 @@
     the rest.
     """
 
-    __slots__ = ('_view', '_load', '_health', '_run_ms_by_service')
+    __slots__ = (
+        '_view',
+        '_load',
+        '_health',
+        '_get_message_delay_s',
+        '_run_means',
+    )
 
     def __init__(
         self,
         view: fleet.FleetView,
         load: _load_table.LoadTable,
         health: _upstream_health.UpstreamHealth,
+        get_message_delay_s: Callable[[], float],
     ) -> None:
         self._view = view
         self._load = load
         self._health = health
-        self._run_ms_by_service: dict[str, float] = {}
+        self._get_message_delay_s = get_message_delay_s
+        self._run_means: dict[str, _RunMean] = {}
 
     def place_online(
         self,
@@ -139,6 +179,37 @@
         """Returns the candidate where a request starts soonest."""
         if not candidates:
             return Refusal(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_MS)
+        unseen = self._estimate_unseen(candidates)
+        if unseen < MIN_UNSEEN_REQUESTS:
+            chosen, waiting = self._choose_least_loaded(
+                candidates, affinity_key
+            )
+        else:
+            chosen, waiting = self._choose_by_room(
+                candidates, affinity_key, unseen
+            )
+        slots = chosen.slot_count or DEFAULT_SLOTS
+        wait_ms = waiting * self.get_run_ms(service) / slots
+        if wait_ms > max_wait_ms:
+            retry_ms = wait_ms - max_wait_ms + random.uniform(0, max_wait_ms)
+            return Refusal(RefusalReason.FULL, max(MIN_RETRY_MS, int(retry_ms)))
+        return Placement(chosen, waiting, wait_ms)
+
+    def _estimate_unseen(self, candidates: list[fleet.Upstream]) -> float:
+        """Returns how many requests peers have placed that are not counted."""
+        rate_per_s = self._load.estimate_peer_arrivals_per_s(
+            [upstream.upstream_id for upstream in candidates]
+        )
+        return rate_per_s * self._get_message_delay_s()
+
+    def _choose_least_loaded(
+        self, candidates: list[fleet.Upstream], affinity_key: str
+    ) -> tuple[fleet.Upstream, int]:
+        """Returns the best candidate by counts that are up to date.
+
+        Returns:
+            The candidate, and the number of requests that wait there.
+        """
         totals = self._load.sum_counts()
         scored: list[tuple[int, int, fleet.Upstream]] = []
         for upstream in candidates:
@@ -156,32 +227,59 @@
                 continue
             if total <= least_total + LOAD_TOLERANCE_REQUESTS:
                 least_loaded.append(upstream)
-        chosen = _choose_by_affinity(least_loaded, affinity_key)
-        slots = chosen.slot_count or DEFAULT_SLOTS
-        wait_ms = least_waiting * self.get_run_ms(service) / slots
-        if wait_ms > max_wait_ms:
-            retry_ms = wait_ms - max_wait_ms + random.uniform(0, max_wait_ms)
-            return Refusal(RefusalReason.FULL, max(MIN_RETRY_MS, int(retry_ms)))
-        return Placement(chosen, least_waiting, wait_ms)
+        return _choose_by_affinity(least_loaded, affinity_key), least_waiting
+
+    def _choose_by_room(
+        self,
+        candidates: list[fleet.Upstream],
+        affinity_key: str,
+        unseen: float,
+    ) -> tuple[fleet.Upstream, int]:
+        """Draws a candidate as if the unseen requests were placed with it.
+
+        Free slots are filled first, then those of batch items, which are
+        preempted, then queues.
+
+        Returns:
+            The candidate, and the expected number of requests that wait there.
+        """
+        totals = self._load.sum_counts()
+        above_slots: list[float] = []
+        online_above_slots: list[float] = []
+        free = 0
+        for upstream in candidates:
+            counts = totals.get(upstream.upstream_id, _NO_COUNTS)
+            slots = upstream.slot_count or DEFAULT_SLOTS
+            online_above_slots.append(counts.online - slots)
+            above_slots.append(counts.online + counts.batch - slots)
+            free += max(0, slots - counts.online - counts.batch)
+        amount = unseen + 1
+        loads = above_slots if free >= amount else online_above_slots
+        level = _fill_level.find_fill_level(loads, amount)
+        drawn: list[fleet.Upstream] = []
+        for index in _fill_level.draw_by_room(loads, level, AFFINITY_DRAWS):
+            drawn.append(candidates[index])
+        return _choose_by_affinity(drawn, affinity_key), max(0, round(level))
 
     def list_passed_over(self, service: str) -> list[str]:
         """Returns upstreams that leave though their entries say ready."""
         return self._view.list_passed_over(service)
 
-    def place_batch(
-        self, service: str, reserved_slots: int, excluded: set[str]
-    ) -> fleet.Upstream | RefusalReason:
-        """Returns an upstream with the most free slots beyond the reserve."""
-        rows: list[tuple[int, fleet.Upstream]] = []
+    def list_batch_slots(
+        self, service: str, reserved_slots: int
+    ) -> list[fleet.Upstream]:
+        """Returns the upstream of each free slot, the emptiest first.
+
+        Args:
+            service: Service of the items.
+            reserved_slots: Slots to leave free at each upstream.
+        """
+        slots: list[tuple[int, str, fleet.Upstream]] = []
         for free, upstream in self._list_free(service, reserved_slots):
-            if upstream.upstream_id not in excluded:
-                rows.append((free, upstream))
-        if not rows:
-            return RefusalReason.FULL
-        most = max(free for free, _ in rows)
-        return random.choice(
-            [upstream for free, upstream in rows if free == most]
-        )
+            for left in range(free):
+                slots.append((left - free, upstream.upstream_id, upstream))
+        slots.sort(key=_get_slot_order)
+        return [upstream for _, _, upstream in slots]
 
     def count_free(self, service: str, reserved_slots: int) -> int:
         """Returns the free slots of all upstreams beyond the reserve."""
@@ -205,14 +303,16 @@
 
     def record_run(self, service: str, run_ms: float) -> None:
         """Adds the duration of a successful run to the average."""
-        mean_ms = self.get_run_ms(service)
-        self._run_ms_by_service[service] = (
-            mean_ms + (run_ms - mean_ms) * RUN_SAMPLE_WEIGHT
-        )
+        mean = self._run_means.get(service)
+        if mean is None:
+            mean = _RunMean()
+            self._run_means[service] = mean
+        mean.add(run_ms)
 
     def get_run_ms(self, service: str) -> float:
         """Returns the average duration of a run."""
-        return self._run_ms_by_service.get(service, INITIAL_RUN_MS)
+        mean = self._run_means.get(service)
+        return INITIAL_RUN_MS if mean is None else mean.run_ms
 
     def _list_ready(
         self, service: str, excluded: set[str]
@@ -246,10 +346,47 @@
     return best
 
 
+def _get_slot_order(slot: tuple[int, str, fleet.Upstream]) -> tuple[int, str]:
+    return slot[:2]
+
+
+def _return_zero() -> float:
+    return 0.0
+
+
+def choose_batch_slot(
+    slots: list[fleet.Upstream], rank: int, excluded: set[str]
+) -> fleet.Upstream | None:
+    """Returns the upstream of the free slot that is an item's own.
+
+    Many members start items at the same time, before they see each other's. So
+    the free slots have an order that is the same at all members, and the item
+    that is the nth to start takes the nth slot.
+
+    Args:
+        slots: Upstreams of the free slots before any of the items starts.
+        rank: Number of items that are to start before this one.
+        excluded: Upstreams at which the item is not to start.
+    """
+    for index in range(len(slots)):
+        upstream = slots[(rank + index) % len(slots)]
+        if upstream.upstream_id not in excluded:
+            return upstream
+    return None
+
+
 def create_placer(
     view: fleet.FleetView,
     load: _load_table.LoadTable,
     health: _upstream_health.UpstreamHealth,
+    get_message_delay_s: Callable[[], float] = _return_zero,
 ) -> Placer:
-    """Creates a placer."""
-    return Placer(view, load, health)
+    """Creates a placer.
+
+    Args:
+        view: Upstreams and their states.
+        load: Requests in flight of all members.
+        health: Upstreams to avoid.
+        get_message_delay_s: Returns how old the counts of peers are.
+    """
+    return Placer(view, load, health, get_message_delay_s)
--- a/siskinmount/placement/tests/test_placer.py
+++ b/siskinmount/placement/tests/test_placer.py
@@ -132,8 +132,8 @@
             placed = placer.place_online('s', '', set(), 1)
             self.assertEqual('u2', placed.upstream.upstream_id)
             self.assertEqual(4, placer.count_free('s', 0))
-            found = placer.place_batch('s', 0, set())
-            self.assertEqual('u2', found.upstream_id)
+            slots = placer.list_batch_slots('s', 0)
+            self.assertEqual(['u2'] * 4, [slot.upstream_id for slot in slots])
 
         self._run(check)
 
@@ -159,3 +159,24 @@
                 )
 
         self._run(check)
+
+    def test_items_that_start_at_the_same_time_take_different_slots(self):
+        # Guards against members that all choose the emptiest upstream.
+        def check(placer, load, health):
+            load.set_batch('u0', 3, 1)
+            load.add_online('u1', 2)
+            slots = placer.list_batch_slots('s', 0)
+            taken = {}
+            for rank in range(len(slots)):
+                chosen = placement.choose_batch_slot(slots, rank, set())
+                name = chosen.upstream_id
+                taken[name] = taken.get(name, 0) + 1
+            self.assertEqual({'u0': 1, 'u1': 2, 'u2': 4}, taken)
+            first = placement.choose_batch_slot(slots, 0, set())
+            self.assertEqual('u2', first.upstream_id)
+            other = placement.choose_batch_slot(slots, 0, {'u2'})
+            self.assertEqual('u1', other.upstream_id)
+            all_ids = {'u0', 'u1', 'u2'}
+            self.assertIsNone(placement.choose_batch_slot(slots, 0, all_ids))
+
+        self._run(check)
