Have one member write to the log of jobs for all; pace reads of logs

Cause: 94 members append on the condition that the log ends where they have read it.

Change: above 12 members, operations are handed to one member, which appends those of all together. It is chosen by hash among the members that read the log and needs no agreement: the condition on the end of the log stays what decides, and a member that gets no outcome appends itself for 2 s. A member that the store turns away can have jobs accepted and results listed so.

Reads: an upstream renews its entry each second, and each record was a read of each member. Records that come often are read four times a second (jobs ten times); those that come seldom are read at once, as before.

--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -27,6 +27,7 @@
 from siskinmount.gateway import _item_runner
 from siskinmount.gateway import _item_watch
 from siskinmount.gateway import _jobs_api
+from siskinmount.gateway import _jobs_writer
 from siskinmount.gateway import _member_announcer
 from siskinmount.gateway import _online_context
 from siskinmount.gateway import _outside_services
@@ -43,6 +44,13 @@
 #: its connection.
 IDLE_TIMEOUT_FACTOR = 1.25
 MAX_CONNECTIONS = 6000
+#: Intervals of reads of a log that brings a record each time. Upstreams renew
+#: their entries about once a second each, and changes of them must be in force
+#: within two seconds. Members are needed when they send messages, which make
+#: them known as well. Results of items are read by callers twice a second.
+UPSTREAMS_READ_INTERVAL_S = 0.25
+MEMBERS_READ_INTERVAL_S = 0.25
+JOBS_READ_INTERVAL_S = 0.1
 
 
 class Gateway:
@@ -123,12 +131,19 @@
             outside.upstreams_log,
             self._view.apply_upstream_record,
             self._view.retain_upstreams,
+            read_interval_s=UPSTREAMS_READ_INTERVAL_S,
         )
         self._members_follower = keyed_log.create_log_follower(
-            'members', outside.members_log, self._directory.apply_record
+            'members',
+            outside.members_log,
+            self._directory.apply_record,
+            read_interval_s=MEMBERS_READ_INTERVAL_S,
         )
         self._jobs_follower = keyed_log.create_log_follower(
-            'jobs', outside.jobs_log, table.apply_record
+            'jobs',
+            outside.jobs_log,
+            table.apply_record,
+            read_interval_s=JOBS_READ_INTERVAL_S,
         )
         self._membership = _batch_membership.create_batch_membership(
             settings.vm, self._directory, self._jobs_follower
@@ -148,6 +163,7 @@
         self._announcer = _member_announcer.create_member_announcer(
             membership=self._membership,
             address=settings.control_address.host,
+            failure_domain=settings.failure_domain,
             incarnation=self._incarnation,
             members_log=outside.members_log,
             view=self._view,
@@ -174,16 +190,22 @@
             results_kept_s=settings.results_kept_s,
             log_handler=log_handler,
         )
-        placer = placement.create_placer(self._view, self._load, health)
+        placer = placement.create_placer(
+            self._view, self._load, health, self._get_message_delay_s
+        )
         self._peers_api = _peers_api.create_peers_api(
             view=self._view,
             document_follower=self._document_follower,
             upstreams_follower=self._upstreams_follower,
             directory=self._directory,
             scheduler=scheduler,
+            ledger=self._ledger,
             own_address=settings.control_address,
             seeds=settings.seeds,
         )
+        self._ledger.set_writer(
+            _jobs_writer.create_jobs_writer(self._membership, self._peers_api)
+        )
         result_writer = _result_writer.create_result_writer(
             self._membership,
             scheduler,
@@ -194,6 +216,7 @@
         self._runner = _item_runner.create_item_runner(
             membership=self._membership,
             view=self._view,
+            table=table,
             scheduler=scheduler,
             placer=placer,
             load=self._load,
@@ -299,13 +322,11 @@
         async with trio.open_nursery() as nursery:
             for server, address in self._servers:
                 await nursery.start(server.run, address)
-            nursery.start_soon(supervision.run_supervisor, 'gateway', children)
+            nursery.start_soon(self._supervise, children)
             task_status.started()
             await self._signals.wait_stop()
             self._membership.is_leaving = True
-            # A new version makes the next message to peers announce the
-            # shutdown.
-            self._load.version += 1
+            self._load.announce()
             await _graceful_shutdown.drain(
                 self._callers_server,
                 self._runner,
@@ -315,12 +336,25 @@
             nursery.cancel_scope.cancel()
         _LOGGER.info('daemon_stopped')
 
+    async def _supervise(self, children: list[supervision.Child]) -> None:
+        """Runs the parts; one that fails is restarted, and not the process."""
+        await supervision.run_supervisor(
+            'gateway',
+            children,
+            escalates=False,
+            count_failure=self._metrics.part_failures.increment,
+        )
+
     def _get_time_since_outage_s(self) -> float:
         """Returns the time since the store became reachable; 0 in an outage."""
         if not self._upstreams_follower.is_reachable:
             return 0.0
         return trio.current_time() - self._upstreams_follower.regained_at_s
 
+    def _get_message_delay_s(self) -> float:
+        """Returns the mean age of the counts of peers."""
+        return self._directory.message_delay_s
+
     def _apply_limits(self) -> None:
         """Applies the document's limits on callers' requests."""
         document = self._view.document
@@ -355,11 +389,13 @@
 
     def _create_exchange(self) -> peering.PeerExchange:
         return peering.create_peer_exchange(
-            self._settings.control_address.host,
-            self._settings.peers_port,
-            self._directory,
-            self._load,
-            self._announcer.create_message,
+            host=self._settings.control_address.host,
+            port=self._settings.peers_port,
+            failure_domain=self._settings.failure_domain,
+            directory=self._directory,
+            load=self._load,
+            create_message=self._announcer.create_message,
+            count_datagram=self._metrics.peer_datagrams.increment,
         )
 
     async def _watch_reload(self) -> None:
--- a/siskinmount/gateway/_peers_api.py
+++ b/siskinmount/gateway/_peers_api.py
@@ -23,12 +23,16 @@
 
 FLEET_PATH = '/peer/fleet'
 OUTPUT_PATH = '/peer/output'
+OPERATIONS_PATH = '/peer/operations'
 #: How long the store must be unreachable before peers are asked, and how often
 #: they are asked. Both are well below the 2 s in which a change must be in
 #: force.
 OUTAGE_THRESHOLD_S = 0.4
 POLL_INTERVAL_S = 0.4
 PEER_TIMEOUT_MS = 300
+#: Longest wait for the outcomes of operations that a peer writes: longer than
+#: the peer waits for them itself.
+OPERATIONS_TIMEOUT_MS = 1000
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
 
@@ -41,6 +45,7 @@
         '_upstreams_follower',
         '_directory',
         '_scheduler',
+        '_ledger',
         '_control_port',
         'seeds',
         '_own_host',
@@ -54,6 +59,7 @@
         upstreams_follower: keyed_log.LogFollower,
         directory: peering.PeerDirectory,
         scheduler: jobs.ItemScheduler,
+        ledger: jobs.JobLedger,
         own_address: transport.Address,
         seeds: list[transport.Address],
     ) -> None:
@@ -62,6 +68,7 @@
         self._upstreams_follower = upstreams_follower
         self._directory = directory
         self._scheduler = scheduler
+        self._ledger = ledger
         self._control_port = own_address.port
         self._own_host = own_address.host
         self.seeds = seeds
@@ -72,6 +79,8 @@
             await self._send_fleet(exchange)
         elif exchange.head.path == OUTPUT_PATH:
             await self._receive_output(exchange)
+        elif exchange.head.path == OPERATIONS_PATH:
+            await self._write_operations(exchange)
         else:
             await exchange.send_json(404, {})
 
@@ -106,6 +115,41 @@
         )
         return is_taken
 
+    async def send_operations(
+        self, member: str, body: bytes
+    ) -> bytes | results.Failure:
+        """Has a peer write operations; returns their encoded outcomes."""
+        peer = self._directory.peers.get(member)
+        if peer is None:
+            return results.Failure(
+                results.ResultCode.UPSTREAM_UNREACHABLE, 'the peer is not known'
+            )
+        return await self._call(
+            transport.Address(peer.address, self._control_port),
+            transport.ClientRequest('POST', OPERATIONS_PATH, [], body),
+            OPERATIONS_TIMEOUT_MS,
+        )
+
+    async def _write_operations(
+        self, exchange: transport.ServerExchange
+    ) -> None:
+        """Writes operations of a peer to the log of jobs."""
+        body = await exchange.read_body()
+        if isinstance(body, results.Failure):
+            await exchange.send_json(400, {})
+            return
+        operations = jobs.decode_operations(body)
+        if isinstance(operations, results.Failure):
+            _log_invalid(exchange.head.peer_host, operations.reason)
+            await exchange.send_json(400, {})
+            return
+        outcomes = await self._ledger.write_for_peer(operations)
+        await exchange.send_whole(
+            200,
+            [(b'content-type', b'application/json')],
+            jobs.encode_outcomes(outcomes),
+        )
+
     async def _receive_output(self, exchange: transport.ServerExchange) -> None:
         """Receives output of an item from a peer."""
         body = await exchange.read_body()
@@ -121,7 +165,7 @@
             progress.is_complete = fields['complete'] is True
             tag = str(fields['tag'])
         except (ValueError, TypeError, KeyError) as error:
-            _log_invalid(exchange.head.peer_host, error)
+            _log_invalid(exchange.head.peer_host, repr(error))
             await exchange.send_json(400, {})
             return
         kept = self._scheduler.progress.get(tag)
@@ -210,14 +254,17 @@
         self._apply_fleet(body, address)
 
     async def _call(
-        self, address: transport.Address, request: transport.ClientRequest
+        self,
+        address: transport.Address,
+        request: transport.ClientRequest,
+        silence_timeout_ms: int = PEER_TIMEOUT_MS,
     ) -> bytes | results.Failure:
         """Calls a peer; returns the body of a response with status 200."""
         client = transport.create_http_client(
             address,
             transport.ClientLimits(
                 connect_timeout_ms=PEER_TIMEOUT_MS,
-                silence_timeout_ms=PEER_TIMEOUT_MS,
+                silence_timeout_ms=silence_timeout_ms,
                 send_timeout_ms=PEER_TIMEOUT_MS,
             ),
         )
@@ -231,6 +278,7 @@
             return results.Failure(
                 results.ResultCode.UPSTREAM_ERROR,
                 f'the peer answered {exchange.status}',
+                results.RunState.UNKNOWN,
             )
         return body
 
@@ -247,7 +295,7 @@
             for upstream_id, age_s in fields.get('lapsed_ages_s', {}).items():
                 lapsed_ages_s[str(upstream_id)] = float(age_s)
         except (ValueError, TypeError, KeyError, AttributeError) as error:
-            _log_invalid(str(address), error)
+            _log_invalid(str(address), repr(error))
             return
         origin = f'peer {address}'
         if document:
@@ -267,13 +315,13 @@
         self._view.replace_upstreams(sources, origin, lapsed_ages_s)
 
 
-def _log_invalid(peer: str, error: Exception) -> None:
+def _log_invalid(peer: str, reason: str) -> None:
     _LOGGER.warning(
         'peer_data_invalid',
         extra={
             'code': int(results.ResultCode.MALFORMED_REQUEST),
             'peer': peer,
-            'reason': repr(error),
+            'reason': reason,
         },
     )
 
@@ -285,6 +333,7 @@
     upstreams_follower: keyed_log.LogFollower,
     directory: peering.PeerDirectory,
     scheduler: jobs.ItemScheduler,
+    ledger: jobs.JobLedger,
     own_address: transport.Address,
     seeds: list[transport.Address],
 ) -> PeersApi:
@@ -295,6 +344,7 @@
         upstreams_follower=upstreams_follower,
         directory=directory,
         scheduler=scheduler,
+        ledger=ledger,
         own_address=own_address,
         seeds=seeds,
     )
--- a/siskinmount/gateway/tests/test_peers_api.py
+++ b/siskinmount/gateway/tests/test_peers_api.py
@@ -8,6 +8,7 @@
 from siskinmount import jobs
 from siskinmount import transport
 from siskinmount.gateway import _peers_api
+from siskinmount.jobs.tests import fake_table
 
 _LOGGER_NAME = 'siskinmount.gateway._peers_api'
 
@@ -34,18 +35,15 @@
         self.status = status
 
 
-class _Table:
-
-    def __init__(self):
-        self.jobs = {}
-
-
 class PeersApiTest(testtools.TestCase):
 
     def _run(self, check):
         async def main():
             scheduler = jobs.create_item_scheduler(
-                _Table(), 'm', list, lambda: jobs.PeerItems(set(), {})
+                fake_table.FakeTable(),
+                'm',
+                list,
+                lambda: jobs.PeerItems(set(), {}),
             )
             api = _peers_api.create_peers_api(
                 view=None,
@@ -53,6 +51,7 @@
                 upstreams_follower=None,
                 directory=None,
                 scheduler=scheduler,
+                ledger=None,
                 own_address=transport.Address('127.0.0.1', 1),
                 seeds=[],
             )
--- a/siskinmount/gateway/tests/test_upstream_views.py
+++ b/siskinmount/gateway/tests/test_upstream_views.py
@@ -102,6 +102,7 @@
             ),
             upstreams_follower=self.follower,
             directory=self,
+            ledger=None,
             scheduler=None,
             own_address=transport.Address(name, 1),
             seeds=[self],
--- a/siskinmount/jobs/__init__.py
+++ b/siskinmount/jobs/__init__.py
@@ -8,6 +8,8 @@
     WriteOutcome: The outcome of an operation.
     ItemScheduler, create_item_scheduler(...): Selects the items to run next.
     choose_member(tag, members): The member responsible for an item.
+    encode_operations, decode_operations, encode_outcomes, decode_outcomes:
+        Operations that one member has another write, and their outcomes.
 """
 
 from siskinmount.jobs._item_scheduler import choose_member
@@ -24,10 +26,16 @@
 from siskinmount.jobs._job import JobItem
 from siskinmount.jobs._job_ledger import create_job_ledger
 from siskinmount.jobs._job_ledger import JobLedger
+from siskinmount.jobs._job_ledger import Outcomes
 from siskinmount.jobs._job_table import create_job_table
 from siskinmount.jobs._job_table import JobTable
+from siskinmount.jobs._operation_codec import decode_operations
+from siskinmount.jobs._operation_codec import decode_outcomes
+from siskinmount.jobs._operation_codec import encode_operations
+from siskinmount.jobs._operation_codec import encode_outcomes
 from siskinmount.jobs._operations import AcceptJob
 from siskinmount.jobs._operations import AppendResult
 from siskinmount.jobs._operations import DropJob
 from siskinmount.jobs._operations import EndJob
+from siskinmount.jobs._operations import Operation
 from siskinmount.jobs._operations import WriteOutcome
--- a/siskinmount/jobs/_job_ledger.py
+++ b/siskinmount/jobs/_job_ledger.py
@@ -4,10 +4,16 @@
 if this process has read all earlier records. Concurrent writers and calls that
 take effect late can therefore not use a position twice, accept a job twice or
 exceed a bound, and no leader has to be elected.
+
+Writers that append at the same time get in each other's way: one succeeds, the
+others read and try again. So in a large fleet members hand their operations to
+one of them, which appends those of all together. That is an optimization only:
+any member may append at any time, and one that gets no outcome does so itself.
 """
 
 import logging
 import random
+from typing import Protocol
 
 import trio
 
@@ -29,6 +35,48 @@
 #: Operations of callers are refused at once if the log has been unreachable for
 #: longer than this.
 MAX_OUTAGE_S = 0.3
+#: How long a member appends itself after the member that writes for all has not
+#: given an outcome. By then other members know if that one is gone.
+OWN_APPENDS_S = 2.0
+#: Operations handed over in one call, as long as they fit in one append.
+MAX_HANDED_OPERATIONS = 32
+#: How long a call waits for the outcomes of operations of another member.
+PEER_WAIT_S = 0.8
+#: Longest time to read what another member has written.
+READ_BACK_S = 0.3
+
+#: Outcomes of operations that another member wrote; None for those without one.
+Outcomes = list[_operations.WriteOutcome | results.Failure | None]
+
+
+class PreferredWriter(Protocol):
+    """The member that writes for all, if there is one."""
+
+    def choose(self) -> str | None:
+        """Returns its name; None if this member appends itself."""
+        ...
+
+    async def write(
+        self, writer: str, operations: list[_operations.Operation]
+    ) -> Outcomes | results.Failure:
+        """Has the member write operations, and returns their outcomes."""
+        ...
+
+
+class _NoWriter:
+    """Implements `PreferredWriter` where each member appends itself."""
+
+    __slots__ = ()
+
+    def choose(self) -> str | None:
+        """Implements `PreferredWriter.choose`."""
+        return None
+
+    async def write(
+        self, writer: str, operations: list[_operations.Operation]
+    ) -> Outcomes | results.Failure:
+        """Implements `PreferredWriter.write`; never called."""
+        raise AssertionError('there is no other writer')
 
 
 class JobLedger:
@@ -40,8 +88,11 @@
         '_table',
         '_max_call_bytes',
         '_pending',
+        '_of_peers',
         '_must_sync',
         '_wake',
+        '_writer',
+        '_own_until_s',
     )
 
     def __init__(
@@ -56,8 +107,15 @@
         self._table = table
         self._max_call_bytes = max_call_bytes
         self._pending: list[_operations.Operation] = []
+        self._of_peers: set[_operations.Operation] = set()
         self._must_sync = False
         self._wake = trio.Event()
+        self._writer: PreferredWriter = _NoWriter()
+        self._own_until_s = float('-inf')
+
+    def set_writer(self, writer: PreferredWriter) -> None:
+        """Sets what determines the member that writes for all."""
+        self._writer = writer
 
     @property
     def open_count(self) -> int:
@@ -84,7 +142,11 @@
         """Writes a caller's operation and returns its outcome."""
         follower = self._follower
         lost_s = trio.current_time() - follower.lost_at_s
-        is_unavailable = not follower.is_reachable and lost_s > MAX_OUTAGE_S
+        is_unavailable = (
+            not follower.is_reachable
+            and lost_s > MAX_OUTAGE_S
+            and self._choose_writer() is None
+        )
         if is_unavailable or len(self._pending) >= MAX_CALLER_OPERATIONS:
             return results.Failure(
                 results.ResultCode.LOG_UNAVAILABLE,
@@ -97,6 +159,25 @@
             raise AssertionError('an operation ended without an outcome')
         return operation.outcome
 
+    async def write_for_peer(
+        self, operations: list[_operations.Operation]
+    ) -> Outcomes:
+        """Writes operations of another member and returns their outcomes.
+
+        Those that are not finished in time are withdrawn; an append in progress
+        may still write them, and their member asks the log.
+        """
+        self._of_peers.update(operations)
+        for operation in operations:
+            self.submit(operation)
+        with trio.move_on_after(PEER_WAIT_S):
+            for operation in operations:
+                await operation.finished.wait()
+        for operation in operations:
+            self._of_peers.discard(operation)
+            self.withdraw(operation)
+        return [operation.outcome for operation in operations]
+
     async def run(self) -> None:
         """Writes queued operations until cancelled."""
         failures = 0
@@ -116,8 +197,13 @@
             await trio.sleep(random.uniform(ceiling_ms / 2, ceiling_ms) / 1000)
 
     async def _step(self) -> results.Failure | None:
-        """Plans and performs one append."""
-        if self._must_sync or not self._follower.is_loaded:
+        """Plans and performs one append, or has another member do so."""
+        writer = self._choose_writer()
+        if writer is not None:
+            await self._hand_over(writer)
+            return None
+        follower = self._follower
+        if self._must_sync or follower.is_pausing or not follower.is_loaded:
             failure = await self._follower.sync()
             if failure is not None:
                 return failure
@@ -151,6 +237,55 @@
         await trio.sleep(random.uniform(0, MAX_CONFLICT_PAUSE_MS) / 1000)
         return None
 
+    def _choose_writer(self) -> str | None:
+        """Returns the member to which operations are handed; None for none."""
+        if self._of_peers or trio.current_time() < self._own_until_s:
+            return None
+        return self._writer.choose()
+
+    async def _hand_over(self, writer: str) -> None:
+        """Has another member write the first operations."""
+        operations: list[_operations.Operation] = []
+        size_bytes = 0
+        for operation in self._pending[:MAX_HANDED_OPERATIONS]:
+            size_bytes += operation.estimate_bytes()
+            if operations and size_bytes > self._max_call_bytes:
+                break
+            operations.append(operation)
+        outcomes = await self._writer.write(writer, operations)
+        failure: results.Failure | None = None
+        if isinstance(outcomes, results.Failure):
+            failure = outcomes
+            outcomes = [None] * len(operations)
+        else:
+            # What this member decides next must see what was written. If that
+            # fails, the follower reads it when it can.
+            with trio.move_on_after(READ_BACK_S):
+                await self._follower.sync()
+        unfinished = 0
+        for operation, outcome in zip(operations, outcomes, strict=True):
+            if outcome is not None:
+                self._finish(operation, outcome)
+                continue
+            unfinished += 1
+            if (
+                failure is None
+                or failure.run_state is not results.RunState.NOT_RUN
+            ):
+                operation.may_have_been_written = True
+        if unfinished:
+            self._must_sync = True
+            self._own_until_s = trio.current_time() + OWN_APPENDS_S
+            _LOGGER.warning(
+                'operations_not_written_by_peer',
+                extra={
+                    'peer': writer,
+                    'operations': len(operations),
+                    'unfinished': unfinished,
+                    'reason': failure.reason if failure else 'no outcome',
+                },
+            )
+
     async def _append(
         self, records: list[keyed_log.KeyedRecord]
     ) -> keyed_log.AppendRefusal | results.Failure | None:
--- a/siskinmount/jobs/_operations.py
+++ b/siskinmount/jobs/_operations.py
@@ -11,6 +11,8 @@
 from siskinmount.jobs import _job_records
 from siskinmount.jobs import _job_table
 
+_SMALL_RECORD_BYTES = 200
+
 
 class WriteOutcome(enum.Enum):
     """Outcome of an operation that did not fail."""
@@ -55,6 +57,10 @@
         """Returns whether nobody waits for the outcome any more."""
         ...
 
+    def estimate_bytes(self) -> int:
+        """Returns about how many bytes its records have."""
+        ...
+
 
 class PlannedChanges:
     """Changes planned by earlier operations of the same append.
@@ -88,6 +94,10 @@
         """Returns False: the operation is kept until it is written."""
         return False
 
+    def estimate_bytes(self) -> int:
+        """Returns the size of a small record."""
+        return _SMALL_RECORD_BYTES
+
 
 class AcceptJob(_OperationState):
     """Accepts a job.
@@ -148,6 +158,13 @@
         """Returns whether the caller has stopped waiting."""
         return trio.current_time() > self.deadline_s
 
+    def estimate_bytes(self) -> int:
+        """Returns about how many bytes the job has."""
+        total = _SMALL_RECORD_BYTES
+        for item in self.job.items:
+            total += 2 * len(item.body) + _SMALL_RECORD_BYTES
+        return total
+
 
 class AppendResult(_OperationState):
     """Lists a result at the next position of its job.
@@ -166,6 +183,10 @@
         self.result = result
         self.max_record_bytes = max_record_bytes
 
+    def estimate_bytes(self) -> int:
+        """Returns about how many bytes the result has."""
+        return len(self.result.output) + _SMALL_RECORD_BYTES
+
     def plan(
         self, table: _job_table.JobTable, planned: PlannedChanges
     ) -> list[keyed_log.KeyedRecord] | WriteOutcome:
--- a/siskinmount/keyed_log/_log_follower.py
+++ b/siskinmount/keyed_log/_log_follower.py
@@ -60,6 +60,8 @@
         current_at_s: Estimated monotonic time at which the view last contained
             all records.
         is_reachable: Whether the last call was answered.
+        is_pausing: Whether the log may have new records, as the next read is
+            put off.
         lost_at_s: Monotonic time at which the log last became unreachable.
         regained_at_s: Monotonic time at which the log last became reachable.
     """
@@ -71,13 +73,17 @@
         'confirmed_at_s',
         'current_at_s',
         'is_reachable',
+        'is_pausing',
         'lost_at_s',
         'regained_at_s',
         '_log',
         '_on_record',
         '_on_keys',
+        '_read_interval_s',
         '_offset_by_key',
         '_changed',
+        '_has_read_records',
+        '_paced_at_s',
         '_end',
     )
 
@@ -87,6 +93,7 @@
         log: _keyed_log.KeyedLog,
         on_record: RecordCallback,
         on_keys: KeysCallback | None,
+        read_interval_s: float,
     ) -> None:
         self.name = name
         self.next_offset = 0
@@ -99,8 +106,12 @@
         self._log = log
         self._on_record = on_record
         self._on_keys = on_keys
+        self._read_interval_s = read_interval_s
+        self.is_pausing = False
         self._offset_by_key: dict[str, int] = {}
         self._changed = trio.Event()
+        self._has_read_records = False
+        self._paced_at_s = float('-inf')
         self._end: LogEnd | None = None
 
     async def run(self) -> None:
@@ -111,12 +122,31 @@
             if failure is None:
                 failures = 0
                 self._mark_reachable()
+                await self._pause()
                 continue
             failures += 1
             self._mark_lost(failure)
             ceiling_ms = min(MAX_RETRY_MS, FIRST_RETRY_MS * 2**failures)
             await trio.sleep(random.uniform(ceiling_ms / 2, ceiling_ms) / 1000)
 
+    async def _pause(self) -> None:
+        """Waits after a read that brought records soon after another.
+
+        The records of that time come with one read, and not with one each.
+        """
+        if not self._has_read_records:
+            return
+        now_s = trio.current_time()
+        due_at_s = self._paced_at_s + self._read_interval_s
+        self._paced_at_s = max(now_s, due_at_s)
+        if due_at_s <= now_s:
+            return
+        self.is_pausing = True
+        try:
+            await trio.sleep_until(due_at_s)
+        finally:
+            self.is_pausing = False
+
     async def sync(self) -> results.Failure | None:
         """Reads up to the end of the log; returns None when it is reached."""
         while True:
@@ -188,6 +218,7 @@
             )
             self.is_loaded = False
             return None
+        self._has_read_records = bool(page.records)
         self.apply_page(page)
         if self.next_offset >= page.end_offset:
             self._record_end(sent_at_s)
@@ -241,7 +272,20 @@
             self._offset_by_key.pop(record.key, None)
         else:
             self._offset_by_key[record.key] = record.offset
-        self._on_record(record)
+        try:
+            self._on_record(record)
+        except Exception:
+            # The record stays in the log: without this, each member would fail
+            # at it again and again.
+            _LOGGER.exception(
+                'record_not_applied',
+                extra={
+                    'code': int(results.ResultCode.LOG_RECORD_INVALID),
+                    'log': self.name,
+                    'key': record.key,
+                    'offset': record.offset,
+                },
+            )
 
     def _notify(self) -> None:
         self._changed.set()
@@ -299,6 +343,7 @@
     log: _keyed_log.KeyedLog,
     on_record: RecordCallback,
     on_keys: KeysCallback | None = None,
+    read_interval_s: float = 0.0,
 ) -> LogFollower:
     """Creates a follower; nothing is read before `run` or `sync`.
 
@@ -307,5 +352,6 @@
         log: The partition to follow.
         on_record: Called for each record.
         on_keys: Called with all keys after a reload.
+        read_interval_s: Shortest mean time between reads that bring records.
     """
-    return LogFollower(name, log, on_record, on_keys)
+    return LogFollower(name, log, on_record, on_keys, read_interval_s)
--- a/siskinmount/platform/_store.py
+++ b/siskinmount/platform/_store.py
@@ -152,7 +152,9 @@
             return keyed_log.AppendRefusal.END_MOVED
         document = _parse_json(body)
         offset = document.get('offset') if document else None
-        if status != 200 or not isinstance(offset, int):
+        is_expected = at_offset is None or offset == at_offset
+        if status != 200 or not isinstance(offset, int) or not is_expected:
+            # An answer with another offset belongs to another append.
             return _create_failure(
                 'append',
                 f'invalid answer with status {status}',
--- a/siskinmount/supervision/_supervisor.py
+++ b/siskinmount/supervision/_supervisor.py
@@ -38,12 +38,23 @@
         self.run = run
 
 
-async def run_supervisor(name: str, children: list[Child]) -> None:
+async def run_supervisor(
+    name: str,
+    children: list[Child],
+    *,
+    escalates: bool = True,
+    count_failure: Callable[[str], None] | None = None,
+) -> None:
     """Runs the children until all have returned.
 
     Args:
         name: Identifies the supervisor in logs.
         children: The children, which are started together.
+        escalates: Whether a child that fails too often ends the supervisor.
+            Otherwise it is restarted with the longest backoff, forever: where
+            the other children serve callers, a part that fails is better than
+            a process that ends.
+        count_failure: Told the name of each child that fails.
 
     Raises:
         RestartLimitError: A child failed more than
@@ -51,10 +62,17 @@
     """
     async with trio.open_nursery() as nursery:
         for child in children:
-            nursery.start_soon(_run_child, name, child)
+            nursery.start_soon(
+                _run_child, name, child, escalates, count_failure
+            )
 
 
-async def _run_child(supervisor_name: str, child: Child) -> None:
+async def _run_child(
+    supervisor_name: str,
+    child: Child,
+    escalates: bool,
+    count_failure: Callable[[str], None] | None,
+) -> None:
     """Runs one child, restarting it after each failure, until it returns."""
     failure_times_s: collections.deque[float] = collections.deque()
     while True:
@@ -74,7 +92,9 @@
                     'failures_in_window': len(failure_times_s),
                 },
             )
-            if len(failure_times_s) > MAX_RESTARTS_IN_WINDOW:
+            if count_failure is not None:
+                count_failure(child.name)
+            if escalates and len(failure_times_s) > MAX_RESTARTS_IN_WINDOW:
                 raise RestartLimitError(
                     f'{supervisor_name}/{child.name}'
                 ) from error
--- a/siskinmount/supervision/tests/test_supervisor.py
+++ b/siskinmount/supervision/tests/test_supervisor.py
@@ -102,3 +102,23 @@
         self.assertEqual(
             any(count > bound for count in failure_counts), bool(errors)
         )
+
+    def test_child_that_always_fails_does_not_end_its_supervisor(self):
+        failed = []
+
+        async def fail():
+            await trio.sleep(0.01)
+            raise ValueError('broken child')
+
+        async def main():
+            with trio.move_on_after(300):
+                await supervision.run_supervisor(
+                    'test',
+                    [supervision.Child('broken', fail)],
+                    escalates=False,
+                    count_failure=failed.append,
+                )
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertGreater(len(failed), 50)
+        self.assertEqual({'broken'}, set(failed))
