--- a/siskinmount/gateway/tests/test_batch_membership.py
+++ b/siskinmount/gateway/tests/test_batch_membership.py
@@ -162,3 +162,28 @@
                 self.assertTrue(must_hand_over, make_ineligible)
 
             trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_items_start_when_others_know_that_the_member_is_eligible(self):
+        # Guards against two members that both start an item.
+        async def main():
+            members = members_module.Members()
+            members.directory.message_delay_s = 0.15
+            members.membership.mark_started()
+            found = []
+            for _ in range(3):
+                await trio.sleep(
+                    _batch_membership.BATCH_AFTER_START_S if not found else 0.35
+                )
+                members.follower.current_at_s = trio.current_time()
+                await trio.sleep(0.01)
+                found.append(
+                    (
+                        members.membership.has_current_jobs(),
+                        members.membership.may_start_items(),
+                    )
+                )
+            self.assertEqual(
+                [(True, False), (True, False), (True, True)], found
+            )
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/siskinmount/gateway/tests/test_item_runner_lines.py
+++ b/siskinmount/gateway/tests/test_item_runner_lines.py
@@ -1,5 +1,7 @@
 """Lines of items that are started or passed over."""
 
+import types
+
 import testtools
 import trio
 import trio.testing
@@ -160,3 +162,32 @@
                 self.assertIn(tag, member.runner.running_tags)
 
             self._run(check)
+
+    def test_upstream_that_failed_an_item_is_left_out_while_there_are_others(
+        self,
+    ):
+        async def check(member):
+            ready = [_make_ready('a'), _make_ready('b')]
+            member.runner._view = types.SimpleNamespace(
+                list_ready=lambda service: ready
+            )
+            progress = member.scheduler.get_progress('t')
+            for failed, expected in (
+                (set(), set()),
+                ({'a'}, {'a'}),
+                ({'a', 'gone'}, {'a', 'gone'}),
+                ({'a', 'b'}, set()),
+            ):
+                progress.failed_upstreams = set(failed)
+                self.assertEqual(
+                    expected, member.runner._list_excluded('t', 's'), failed
+                )
+
+        async def main():
+            await check(_Member())
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def _make_ready(upstream_id):
+    return types.SimpleNamespace(upstream_id=upstream_id)
--- a/siskinmount/peering/tests/test_peer_directory.py
+++ b/siskinmount/peering/tests/test_peer_directory.py
@@ -73,6 +73,18 @@
     def test_invalid_datagrams_never_raise(self, data):
         self.assertIsInstance(peering.decode_message(data), results.Failure)
 
+    def test_figures_that_are_not_finite_are_refused(self):
+        # Guards against ages for which a crash never expires.
+        for name, row in (
+            ('departures', [1, 'nan']),
+            ('departures', [1, 'inf']),
+            ('troubled', ['nan', 1]),
+            ('crash_reports', [['c', 'nan', False]]),
+        ):
+            fields = {'address': 'a', 'version': 1, name: {'u': row}}
+            decoded = peering.decode_message(b'p 1 1 ' + orjson.dumps(fields))
+            self.assertIsInstance(decoded, results.Failure, (name, row))
+
     def test_counts_of_a_silent_peer_are_dropped(self):
         async def check(directory, load):
             directory.apply_message(_make_message())
--- a/siskinmount/platform/tests/test_store.py
+++ b/siskinmount/platform/tests/test_store.py
@@ -55,3 +55,26 @@
             self.assertIsInstance(page, keyed_log.LogPage)
             self.assertEqual(2, page.end_offset)
             self.assertEqual((size - 16) // 7, len(page.records))
+
+    def test_answer_of_another_append_is_not_taken_for_this_one(self):
+        # A server may send a second copy of an answer, late, on a connection
+        # that is in use again.
+        record = keyed_log.KeyedRecord('k', b'v')
+        cases = [
+            # Offset that the append is conditional on, whether it is known.
+            (5, True),
+            (None, True),
+            (4, False),
+            (6, False),
+        ]
+        for at_offset, is_known in cases:
+            body = b'{"offset": 5, "end_offset": 6}'
+            outcome = self._call(
+                b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b'
+                % (len(body), body),
+                lambda log, at=at_offset: log.append([record], at),
+            )
+            if is_known:
+                self.assertEqual(5, outcome)
+                continue
+            self.assertIs(results.RunState.UNKNOWN, outcome.run_state)
