--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -124,6 +124,7 @@
                 extra={
                     'request_id': request.request_id,
                     'fingerprint': request.fingerprint,
+                    'prompt_parts': request.caller_request.prompt_parts,
                     'upstream': upstream_id,
                     'outcome': outcome.value,
                     'reason': reason,
@@ -160,6 +161,7 @@
                 upstream_id,
                 added_output=self._event_count >= placement.MIN_ADDED_EVENTS,
                 started_at_ms=self._upstream.started_at_ms,
+                prompt_parts=self._request.caller_request.prompt_parts,
             )
             health.record_failure(upstream_id, reason)
         elif (
--- a/siskinmount/gateway/_wire.py
+++ b/siskinmount/gateway/_wire.py
@@ -17,6 +17,8 @@
         deadline_ms: How long the caller waits; None if not given.
         last_event_id: Id of the event after which the stream resumes, or None.
         affinity_key: Key that requests with a common prompt prefix share.
+        prompt_parts: Names of the parts of the prompt that other requests may
+            share, in order; equal names mean equal tokens for the same model.
         wait_ms: How long a read of results may wait for the first result.
     """
 
@@ -25,6 +27,7 @@
         'deadline_ms',
         'last_event_id',
         'affinity_key',
+        'prompt_parts',
         'wait_ms',
     )
 
@@ -35,12 +38,14 @@
         last_event_id: int | None = None,
         affinity_key: str = '',
         wait_ms: int = 0,
+        prompt_parts: tuple[str, ...] = (),
     ) -> None:
         self.request_id = request_id
         self.deadline_ms = deadline_ms
         self.last_event_id = last_event_id
         self.affinity_key = affinity_key
         self.wait_ms = wait_ms
+        self.prompt_parts = prompt_parts
 
 
 class JobCallKind(enum.Enum):
--- a/siskinmount/placement/_crash_tracker.py
+++ b/siskinmount/placement/_crash_tracker.py
@@ -90,16 +90,22 @@
         at_s: Monotonic time of its end.
         added_output: Whether it added output that the next run continues.
         started_at_ms: Start of the upstream, in Unix milliseconds.
+        prompt_parts: Names of the shared parts of the prompt.
     """
 
-    __slots__ = ('at_s', 'added_output', 'started_at_ms')
+    __slots__ = ('at_s', 'added_output', 'started_at_ms', 'prompt_parts')
 
     def __init__(
-        self, at_s: float, added_output: bool, started_at_ms: int
+        self,
+        at_s: float,
+        added_output: bool,
+        started_at_ms: int,
+        prompt_parts: tuple[str, ...],
     ) -> None:
         self.at_s = at_s
         self.added_output = added_output
         self.started_at_ms = started_at_ms
+        self.prompt_parts = prompt_parts
 
 
 class CrashTracker:
@@ -144,6 +150,7 @@
         upstream_id: str,
         added_output: bool = False,
         started_at_ms: int = 0,
+        prompt_parts: tuple[str, ...] = (),
     ) -> None:
         """Records a run that was interrupted at its upstream.
 
@@ -153,6 +160,7 @@
             added_output: Whether the run added output that the next run
                 continues.
             started_at_ms: Start of the upstream, in Unix milliseconds.
+            prompt_parts: Names of the shared parts of the prompt.
         """
         runs = self._interrupted_runs.setdefault(upstream_id, {})
         earlier = runs.get(fingerprint)
@@ -160,12 +168,13 @@
             # Another copy of the request ran there.
             added_output = False
         runs[fingerprint] = InterruptedRun(
-            trio.current_time(), added_output, started_at_ms
+            trio.current_time(), added_output, started_at_ms, prompt_parts
         )
         _LOGGER.info(
             'run_interrupted',
             extra={
                 'fingerprint': fingerprint,
+                'prompt_parts': prompt_parts,
                 'upstream': upstream_id,
                 'started_at_ms': started_at_ms,
                 'added_output': added_output,
@@ -210,6 +219,7 @@
                 'crash_counted',
                 extra={
                     'fingerprint': fingerprint,
+                    'prompt_parts': run.prompt_parts,
                     'upstream': upstream_id,
                     'crash': crash_id,
                     'had_output': run.added_output,
--- a/siskinmount/platform/_wire.py
+++ b/siskinmount/platform/_wire.py
@@ -22,6 +22,8 @@
 #: Parts of the prompt as a list of ID:TOKENS; the last part is unique to the
 #: request, the others are shared with other requests.
 _PROMPT_PARTS = b'x-prompt-prefix'
+#: Model that the parts are tokens of.
+_MODEL = b'x-model'
 _WAIT = b'x-wait-ms'
 #: Present if the engine guarantees that it did not run the request.
 _NOT_RUN = b'x-not-run'
@@ -40,6 +42,8 @@
     jobs.ItemState.GIVEN_UP: 'dead_letter',
 }
 _MAX_ID_LENGTH = 128
+#: Bounds what a gateway keeps and logs of one prompt.
+_MAX_NAMED_PARTS = 16
 #: Limit of the platform for the items of one job.
 MAX_ITEMS = 200
 #: Limit of the platform for the size of one answer with results.
@@ -73,12 +77,15 @@
         self, head: transport.RequestHead
     ) -> gateway.CallerRequest:
         """Returns the fields of the headers; invalid values are left out."""
+        part_ids = _read_shared_part_ids(head.find_header(_PROMPT_PARTS) or '')
+        model = head.find_header(_MODEL) or ''
         return gateway.CallerRequest(
             head.find_header(_REQUEST_ID) or '',
             _parse_number(head.find_header(_DEADLINE)),
             _parse_number(head.find_header(_LAST_EVENT_ID)),
-            _read_shared_part_ids(head.find_header(_PROMPT_PARTS) or ''),
+            ','.join(part_ids),
             _parse_number(head.find_header(_WAIT)) or 0,
+            _name_parts(model, part_ids),
         )
 
     def find_job_call(
@@ -326,10 +333,21 @@
     return kept
 
 
-def _read_shared_part_ids(text: str) -> str:
-    """Returns the ids of the shared parts of a prompt."""
+def _read_shared_part_ids(text: str) -> list[str]:
+    """Returns the ids of the shared parts of a prompt, in order."""
     parts = [part.partition(':')[0].strip() for part in text.split(',')]
-    return ','.join(parts[:-1])
+    return parts[:-1]
+
+
+def _name_parts(model: str, part_ids: list[str]) -> tuple[str, ...]:
+    """Returns names of the parts of a prompt, each once."""
+    names: dict[str, None] = {}
+    for part_id in part_ids:
+        if len(names) >= _MAX_NAMED_PARTS:
+            break
+        if part_id and len(part_id) + len(model) <= _MAX_ID_LENGTH:
+            names[f'{part_id}@{model}'] = None
+    return tuple(names)
 
 
 def _read_id(path: str, prefix: str) -> str:
--- a/siskinmount/platform/tests/test_wire.py
+++ b/siskinmount/platform/tests/test_wire.py
@@ -50,6 +50,7 @@
                 (b'x-deadline-ms', b'400'),
                 (b'last-event-id', b'odd'),
                 (b'x-prompt-prefix', b'aa:3, bb:4,cc:5'),
+                (b'x-model', b'm'),
             ],
             '',
         )
@@ -58,6 +59,32 @@
         self.assertEqual(400, request.deadline_ms)
         self.assertIsNone(request.last_event_id)
         self.assertEqual('aa,bb', request.affinity_key)
+        self.assertEqual(('aa@m', 'bb@m'), request.prompt_parts)
+
+    def test_names_of_prompt_parts(self):
+        cases = [
+            ('', ()),
+            ('own:5', ()),
+            ('aa:3,own:5', ('aa@m',)),
+            ('aa:3,aa:4,own:5', ('aa@m',)),
+            (',aa,:,own:5', ('aa@m',)),
+            (f'{"a" * 500}:3,bb:1,own:5', ('bb@m',)),
+            (','.join(f'{n}:1' for n in range(40)), 16),
+        ]
+        for text, expected in cases:
+            head = transport.RequestHead(
+                'POST',
+                '/p',
+                [
+                    (b'x-prompt-prefix', text.encode()),
+                    (b'x-model', b'm'),
+                ],
+                '',
+            )
+            parts = self.wire.read_caller_request(head).prompt_parts
+            if isinstance(expected, int):
+                parts = len(parts)
+            self.assertEqual(expected, parts, text)
 
     def test_upstream_headers(self):
         headers = self.wire.build_upstream_headers(
