Test that requests with a crashing part of their prompt are refused (fails)

Two gateways, 16 upstreams that crash under one part of a prompt: first, second or third; no two requests alike, sound ones with the other parts between them.

--- /dev/null
+++ b/siskinmount/gateway/tests/test_crashing_prompt_parts.py
@@ -0,0 +1,114 @@
+"""Tests of parts of prompts that crash the upstreams that run them."""
+
+import testtools
+import trio
+
+from siskinmount.gateway.tests import gateway_harness
+
+#: Crashes after which requests with the part are counted, once this time has
+#: passed.
+_CRASHES = 5
+_STABLE_WINDOW_S = 3.0
+#: Requests with the part that may still reach upstreams.
+_MAX_LATE_REQUESTS = 3
+#: The platform drops the entry of a crashed upstream after three heartbeats.
+_ENTRY_LIFETIME_S = 3.25
+_MODEL = 'm'
+
+
+class PromptTraffic:
+    """Requests of which no two have the same body, path or last part."""
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+        self._sent = 0
+
+    async def send(self, parts, gateway=None):
+        """Sends a request with some shared parts, and returns the answer."""
+        self._sent += 1
+        number = self._sent
+        if gateway is None:
+            gateway = number % len(self._fleet.gateways)
+        prompt = [f'{part}:100' for part in parts]
+        return await self._fleet.call(
+            gateway,
+            'POST',
+            f'/once/{number}',
+            f'body {number}'.encode(),
+            x_request_id=f'q{number}',
+            x_model=_MODEL,
+            x_prompt_prefix=','.join([*prompt, f'own{number}:250']),
+        )
+
+
+class CrashingPromptPartsTest(testtools.TestCase):
+
+    def _count_late_requests(self, prompts, crashing_part, sound_prompts):
+        """Returns how many requests crash upstreams after the stable window.
+
+        Args:
+            prompts: Shared parts of the requests with the crashing part, in
+                turn.
+            crashing_part: The part that crashes upstreams.
+            sound_prompts: Shared parts of requests that run meanwhile. They are
+                to be served in the end.
+        """
+        counts = []
+
+        async def expire_entry(fleet, engine_id):
+            await trio.sleep(_ENTRY_LIFETIME_S)
+            fleet.store.put('keyed.servers', engine_id, b'')
+
+        async def check(fleet):
+            for engine in fleet.engines.values():
+                engine.crashing_part = crashing_part
+            traffic = PromptTraffic(fleet)
+            async with trio.open_nursery() as nursery:
+
+                async def send(number):
+                    known = len(fleet.crashed)
+                    await traffic.send(prompts[number % len(prompts)])
+                    for engine_id in fleet.crashed[known:]:
+                        nursery.start_soon(expire_entry, fleet, engine_id)
+                    for parts in sound_prompts:
+                        await traffic.send(parts)
+
+                for number in range(_CRASHES):
+                    await send(number)
+                    await trio.sleep(0.3)
+                await trio.sleep(_STABLE_WINDOW_S)
+                known = len(fleet.crashed)
+                for number in range(8):
+                    await send(number)
+                    await trio.sleep(0.1)
+                counts.append(len(fleet.crashed) - known)
+                for parts in sound_prompts:
+                    answer = await traffic.send(parts)
+                    self.assertEqual(
+                        (200, True), (answer.status, answer.is_whole), parts
+                    )
+                nursery.cancel_scope.cancel()
+
+        gateway_harness.run_fleet(
+            check,
+            gateway_count=2,
+            engines=tuple(f'e{number}' for number in range(16)),
+        )
+        return counts[0]
+
+    def test_requests_with_a_crashing_part_of_their_prompt_are_refused(self):
+        cases = [
+            # Prompts with the part, the part, sound prompts.
+            ([['f', 'p']], 'p', [['f', 'q']]),
+            ([['p', 'q'], ['p', 'r']], 'p', [['f', 'q'], ['f', 'r']]),
+            ([['f', 'g', 'p']], 'p', [['f', 'g', 'q']]),
+            ([['f', 'p', 'q'], ['g', 'p', 'q']], 'p', [['f', 'r', 'q']]),
+        ]
+        for prompts, crashing_part, sound_prompts in cases:
+            self.assertLessEqual(
+                self._count_late_requests(
+                    prompts, crashing_part, sound_prompts
+                ),
+                _MAX_LATE_REQUESTS,
+                prompts,
+            )
--- a/standins/event_engine/_event_engine.py
+++ b/standins/event_engine/_event_engine.py
@@ -92,6 +92,11 @@
         self.began_at_s = trio.current_time()
         self.is_finished = False
 
+    def list_shared_parts(self) -> list[str]:
+        """Returns the ids of all parts of the prompt but the last."""
+        parts = self.headers.get('x-prompt-prefix', '').split(',')
+        return [part.partition(':')[0] for part in parts[:-1]]
+
 
 class EventEngine:
     """Answers requests and records the runs.
@@ -108,6 +113,8 @@
         is_leaving: Whether all answers say that the engine leaves.
         crashing_body: Body of the request that crashes the engine; None for no
             such request.
+        crashing_part: Id of the part of a prompt that crashes the engine unless
+            it is the last part; None for no such part.
         events_before_crash: Events that such a request gets before the crash.
         crash: Ends the engine's process, with all its connections.
     """
@@ -122,6 +129,7 @@
         'omits_framing',
         'is_leaving',
         'crashing_body',
+        'crashing_part',
         'events_before_crash',
         'crash',
     )
@@ -142,6 +150,7 @@
         self.omits_framing = False
         self.is_leaving = False
         self.crashing_body: bytes | None = None
+        self.crashing_part: str | None = None
         self.events_before_crash = 0
         self.crash: Callable[[], None] = lambda: None
 
@@ -251,9 +260,11 @@
 
     def _is_crash_due(self, run: EngineRun, event_count: int) -> bool:
         """Returns whether the engine crashes after so many events of a run."""
-        if self.crashing_body is None or run.body != self.crashing_body:
+        if event_count != self.events_before_crash:
             return False
-        return event_count == self.events_before_crash
+        if self.crashing_part is not None:
+            return self.crashing_part in run.list_shared_parts()
+        return self.crashing_body is not None and run.body == self.crashing_body
 
     async def _break_off(
         self, exchange: faults_module.FaultInjectingExchange
