Quarantine the part of a prompt that crashes upstreams one after the other

Cause: a crash counted against a digest of the whole request. No two of these requests are alike, so that 87 of 92 counted runs were the first or second of their digest.

Members tell each other counts that are merged by the larger ones; a few of them repeat what lasts. The store keeps what is in quarantine for a fleet that is lost together; a gateway reads it before it is ready.

--- a/siskinmount/commands/_gateway_command.py
+++ b/siskinmount/commands/_gateway_command.py
@@ -22,6 +22,7 @@
 SETTINGS_VARIABLE = 'SISKINMOUNT_SETTINGS'
 MEMBERS_TOPIC = 'keyed.siskinmount-members'
 JOBS_TOPIC = 'keyed.siskinmount-jobs'
+QUARANTINE_TOPIC = 'keyed.siskinmount-quarantine'
 
 
 def create_gateway_command() -> _command.Command:
@@ -86,6 +87,7 @@
         upstreams_log=store.open_log(platform.UPSTREAMS_TOPIC, 0),
         members_log=store.open_log(MEMBERS_TOPIC, 0),
         jobs_log=store.open_log(JOBS_TOPIC, 0),
+        quarantine_log=store.open_log(QUARANTINE_TOPIC, 0),
         wire=platform.create_wire(),
         decode_document=platform.decode_document,
         decode_upstream=platform.decode_upstream,
--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -33,6 +33,7 @@
 from siskinmount.gateway import _outside_services
 from siskinmount.gateway import _peers_api
 from siskinmount.gateway import _process_signals
+from siskinmount.gateway import _quarantine_log
 from siskinmount.gateway import _response_buffers
 from siskinmount.gateway import _result_writer
 from siskinmount.gateway import _upstream_clients
@@ -67,6 +68,7 @@
         '_overdue',
         '_directory',
         '_crash_verifier',
+        '_quarantine_log',
         '_membership',
         '_announcer',
         '_housekeeping',
@@ -116,6 +118,9 @@
         self._directory = peering.create_peer_directory(
             settings.vm, self._load, crash_tracker, health
         )
+        self._quarantine_log = _quarantine_log.create_quarantine_log(
+            outside.quarantine_log, crash_tracker.parts, self._directory
+        )
         self._metrics = _gateway_metrics.create_gateway_metrics(metrics)
         crash_tracker.watch_outcomes(self._metrics.interrupted_runs.increment)
         departures = _departure_reader.create_departure_reader(
@@ -171,6 +176,7 @@
             health=health,
             crash_tracker=crash_tracker,
             scheduler=scheduler,
+            directory=self._directory,
         )
         self._housekeeping = _housekeeping.create_housekeeping(
             membership=self._membership,
@@ -189,6 +195,7 @@
             ledger=self._ledger,
             results_kept_s=settings.results_kept_s,
             log_handler=log_handler,
+            metrics=self._metrics,
         )
         placer = placement.create_placer(
             self._view, self._load, health, self._get_message_delay_s
@@ -313,6 +320,7 @@
             supervision.Child('item_watch', self._item_watch.run),
             supervision.Child('overdue', self._overdue.run),
             supervision.Child('crash_verifier', self._crash_verifier.run),
+            supervision.Child('quarantine_log', self._quarantine_log.run),
             supervision.Child('peers_api', self._peers_api.run),
             supervision.Child('peer_exchange', self._create_exchange().run),
             supervision.Child('member_record', self._announcer.write_record),
@@ -371,7 +379,11 @@
     async def _handle_ready(self, exchange: transport.ServerExchange) -> None:
         """Answers the readiness check of the load balancer."""
         is_leaving = self._membership.is_leaving
-        is_ready = self._view.document is not None and not is_leaving
+        is_ready = (
+            self._view.document is not None
+            and self._quarantine_log.may_serve()
+            and not is_leaving
+        )
         await exchange.send_json(
             200 if is_ready else 503,
             {'ready': is_ready, 'leaving': is_leaving},
--- a/siskinmount/gateway/_gateway_metrics.py
+++ b/siskinmount/gateway/_gateway_metrics.py
@@ -15,6 +15,9 @@
             what followed the last complete event.
         interrupted_runs: Interrupted runs by what became of them: counted as a
             crash, or the reason why not.
+        quarantined_requests: Requests that were refused as they may crash
+            upstreams, by what is in quarantine.
+        quarantined_parts: Parts of prompts in quarantine.
         peer_datagrams: Datagrams of members by what was done with them.
         part_failures: Failures of parts of the process, which were restarted,
             by part.
@@ -35,6 +38,8 @@
         'attempts',
         'stream_ends',
         'interrupted_runs',
+        'quarantined_requests',
+        'quarantined_parts',
         'peer_datagrams',
         'part_failures',
         'departures',
@@ -67,6 +72,14 @@
             'Runs that an upstream or a connection broke off.',
             'outcome',
         )
+        self.quarantined_requests = metrics.create_counter(
+            'requests_quarantined_total',
+            'Requests refused as they may crash upstreams.',
+            'what',
+        )
+        self.quarantined_parts = metrics.create_gauge(
+            'quarantined_prompt_parts', 'Parts of prompts in quarantine.'
+        )
         self.peer_datagrams = metrics.create_counter(
             'peer_datagrams_total', 'Datagrams between members.', 'what'
         )
--- a/siskinmount/gateway/_housekeeping.py
+++ b/siskinmount/gateway/_housekeeping.py
@@ -11,6 +11,7 @@
 from siskinmount import telemetry
 from siskinmount.gateway import _batch_membership
 from siskinmount.gateway import _eligible_members_watch
+from siskinmount.gateway import _gateway_metrics
 from siskinmount.gateway import _upstream_clients
 
 _LOGGER = logging.getLogger(__name__)
@@ -40,6 +41,7 @@
         '_results_kept_s',
         '_log_handler',
         '_known_upstreams',
+        '_metrics',
     )
 
     def __init__(
@@ -57,6 +59,7 @@
         ledger: jobs.JobLedger,
         results_kept_s: float,
         log_handler: telemetry.BoundedHandler | None,
+        metrics: _gateway_metrics.GatewayMetrics,
     ) -> None:
         self._membership = membership
         self._view = view
@@ -70,6 +73,7 @@
         self._ledger = ledger
         self._results_kept_s = results_kept_s
         self._log_handler = log_handler
+        self._metrics = metrics
         self._known_upstreams: dict[str, fleet.Upstream] = {}
         view.add_listener(self._detect_restarts)
 
@@ -80,6 +84,10 @@
             self._view.expire_lapsed()
             self._clients.close_removed()
             self._crash_tracker.expire()
+            self._crash_tracker.parts.expire()
+            self._metrics.quarantined_parts.set(
+                len(self._crash_tracker.parts.list_quarantined())
+            )
             self._drop_expired_jobs()
             self._directory.list_live()
             self._members_watch.check()
@@ -152,6 +160,7 @@
     ledger: jobs.JobLedger,
     results_kept_s: float,
     log_handler: telemetry.BoundedHandler | None,
+    metrics: _gateway_metrics.GatewayMetrics,
 ) -> Housekeeping:
     """Creates the periodic tasks of one process.
 
@@ -168,6 +177,7 @@
         ledger: Writes the removal of jobs to the log.
         results_kept_s: Promised retention of results, from the settings.
         log_handler: Writes the log; its dropped lines are reported.
+        metrics: Its gauge of parts in quarantine is kept up to date.
     """
     return Housekeeping(
         membership=membership,
@@ -182,4 +192,5 @@
         ledger=ledger,
         results_kept_s=results_kept_s,
         log_handler=log_handler,
+        metrics=metrics,
     )
--- a/siskinmount/gateway/_member_announcer.py
+++ b/siskinmount/gateway/_member_announcer.py
@@ -29,6 +29,7 @@
         '_health',
         '_crash_tracker',
         '_scheduler',
+        '_directory',
     )
 
     def __init__(
@@ -44,6 +45,7 @@
         health: placement.UpstreamHealth,
         crash_tracker: placement.CrashTracker,
         scheduler: jobs.ItemScheduler,
+        directory: peering.PeerDirectory,
     ) -> None:
         self._membership = membership
         self._address = address
@@ -55,6 +57,7 @@
         self._health = health
         self._crash_tracker = crash_tracker
         self._scheduler = scheduler
+        self._directory = directory
 
     def create_message(self, sequence: int) -> peering.PeerMessage:
         """Creates the message that all peers get.
@@ -76,6 +79,9 @@
             held_tags=self._scheduler.held_tags,
             kept_tags=self._scheduler.list_kept_tags(),
             crashes=self._crash_tracker.list_reports(),
+            suspect_parts=self._crash_tracker.parts.list_reports(
+                len(self._directory.list_live()) + 1
+            ),
             failure_tallies=self._health.list_failure_tallies(),
             departures=self._view.departures.list_first_hand(),
         )
@@ -111,6 +117,7 @@
     health: placement.UpstreamHealth,
     crash_tracker: placement.CrashTracker,
     scheduler: jobs.ItemScheduler,
+    directory: peering.PeerDirectory,
 ) -> MemberAnnouncer:
     """Creates the announcer of this member.
 
@@ -125,6 +132,7 @@
         health: Upstreams that this member finds faulty.
         crash_tracker: Upstream crashes that this member knows.
         scheduler: Items that this member runs or keeps output of.
+        directory: Live members, which share repeated reports among them.
     """
     return MemberAnnouncer(
         membership=membership,
@@ -137,4 +145,5 @@
         health=health,
         crash_tracker=crash_tracker,
         scheduler=scheduler,
+        directory=directory,
     )
--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -78,6 +78,7 @@
         '_is_streaming',
         '_waiting',
         '_event_count',
+        '_part_run',
     )
 
     def __init__(
@@ -96,6 +97,9 @@
         self._is_streaming = request.route.kind is fleet.RouteKind.STREAMING
         self._waiting: placement.WaitingRun | None = None
         self._event_count = 0
+        self._part_run = context.crash_tracker.parts.begin_run(
+            request.caller_request.prompt_parts
+        )
         if self._is_streaming:
             self._waiting = context.overdue.begin(
                 upstream.upstream_id, request.route.target_ms
@@ -142,6 +146,10 @@
             self._context.overdue.record_first_byte(self._waiting)
             self._waiting = None
 
+    def _record_output(self) -> None:
+        """Records output that no run of a crashing request can have."""
+        self._context.crash_tracker.parts.record_output(self._part_run)
+
     def _record_outcome(
         self, outcome: AttemptOutcome, reason: str, sent_at_s: float
     ) -> None:
@@ -161,7 +169,7 @@
                 upstream_id,
                 added_output=self._event_count >= placement.MIN_ADDED_EVENTS,
                 started_at_ms=self._upstream.started_at_ms,
-                prompt_parts=self._request.caller_request.prompt_parts,
+                part_run=self._part_run,
             )
             health.record_failure(upstream_id, reason)
         elif (
@@ -263,6 +271,8 @@
                 return AttemptOutcome.TIMED_OUT, reason
             return AttemptOutcome.FAILED, reason
         response.close()
+        if 200 <= response.status < 300:
+            self._record_output()
         await self._response.send_buffered(buffered)
         if is_failure and not is_timeout:
             return AttemptOutcome.ANSWERED_FAILURE, reason
@@ -314,6 +324,7 @@
             failure = _event_stream.create_timeout_failure()
         if failure is not None:
             return AttemptOutcome.LOST, failure.reason
+        self._record_output()
         if stream.trailing_bytes:
             await self._response.send_events(response, stream.trailing_bytes)
         await self._response.finish_stream(response)
@@ -344,6 +355,8 @@
             scope.deadline = math.inf
             self._record_first_byte()
             self._event_count += len(events)
+            if self._event_count >= placement.MIN_ADDED_EVENTS:
+                self._record_output()
             await self._response.send_events(
                 response, b''.join(event.raw for event in events)
             )
--- a/siskinmount/gateway/_online_handler.py
+++ b/siskinmount/gateway/_online_handler.py
@@ -72,12 +72,9 @@
         """
         request = self._request
         while True:
-            if self._context.crash_tracker.is_quarantined(request.fingerprint):
-                return results.Failure(
-                    results.ResultCode.REQUEST_CONVICTED,
-                    'blocked: upstreams that ran this request crashed',
-                    request.get_run_state(),
-                )
+            quarantine = self._find_quarantine()
+            if quarantine is not None:
+                return quarantine
             chosen = self._place()
             if isinstance(chosen, results.Failure):
                 if self._failed_response is not None:
@@ -119,6 +116,38 @@
                 request.get_run_state(),
             )
 
+    def _find_quarantine(self) -> results.Failure | None:
+        """Returns why the request must not be run; None if it may be."""
+        request = self._request
+        tracker = self._context.crash_tracker
+        if tracker.is_quarantined(request.fingerprint):
+            self._context.metrics.quarantined_requests.increment('request')
+            return results.Failure(
+                results.ResultCode.REQUEST_CONVICTED,
+                'blocked: upstreams that ran this request crashed',
+                request.get_run_state(),
+            )
+        part = tracker.parts.find_quarantined(
+            request.caller_request.prompt_parts
+        )
+        if part is None:
+            return None
+        self._context.metrics.quarantined_requests.increment('prompt_part')
+        _LOGGER.info(
+            'request_quarantined',
+            extra={
+                'request_id': request.request_id,
+                'route': request.route.name,
+                'prompt_part': part,
+                'attempts': request.attempts,
+            },
+        )
+        return results.Failure(
+            results.ResultCode.PROMPT_PART_QUARANTINED,
+            f'blocked: upstreams that ran prompts with part {part} crashed',
+            request.get_run_state(),
+        )
+
     def _place(self) -> placement.Placement | results.Failure:
         """Chooses the next upstream, or returns why there is none."""
         request = self._request
--- a/siskinmount/gateway/_outside_services.py
+++ b/siskinmount/gateway/_outside_services.py
@@ -16,6 +16,7 @@
         upstreams_log: Log of the entries of upstreams.
         members_log: Log of the fleet's members.
         jobs_log: Log of the batch jobs.
+        quarantine_log: Log of the parts of prompts in quarantine.
         wire: Reads and writes headers and bodies.
         decode_document: Decodes a record that holds the document.
         decode_upstream: Decodes an upstream's entry.
@@ -26,6 +27,7 @@
         'upstreams_log',
         'members_log',
         'jobs_log',
+        'quarantine_log',
         'wire',
         'decode_document',
         'decode_upstream',
@@ -38,6 +40,7 @@
         upstreams_log: keyed_log.KeyedLog,
         members_log: keyed_log.KeyedLog,
         jobs_log: keyed_log.KeyedLog,
+        quarantine_log: keyed_log.KeyedLog,
         wire: _wire.Wire,
         decode_document: Callable[
             [bytes], fleet.FleetDocument | results.Failure
@@ -50,6 +53,7 @@
         self.upstreams_log = upstreams_log
         self.members_log = members_log
         self.jobs_log = jobs_log
+        self.quarantine_log = quarantine_log
         self.wire = wire
         self.decode_document = decode_document
         self.decode_upstream = decode_upstream
--- a/siskinmount/gateway/tests/gateway_harness.py
+++ b/siskinmount/gateway/tests/gateway_harness.py
@@ -21,6 +21,7 @@
 POLL_S = 0.01
 MEMBERS_TOPIC = 'keyed.members'
 JOBS_TOPIC = 'keyed.jobs'
+QUARANTINE_TOPIC = 'keyed.quarantine'
 MAX_RECORD_BYTES = 16 * 1024
 MAX_CALL_BYTES = 64 * 1024
 HOST = 'fleet.example'
@@ -273,6 +274,7 @@
                 upstreams_log=store.open_log(platform.UPSTREAMS_TOPIC, 0),
                 members_log=store.open_log(MEMBERS_TOPIC, 0),
                 jobs_log=store.open_log(JOBS_TOPIC, 0),
+                quarantine_log=store.open_log(QUARANTINE_TOPIC, 0),
                 wire=platform.create_wire(),
                 decode_document=platform.decode_document,
                 decode_upstream=platform.decode_upstream,
--- a/siskinmount/gateway/tests/members_simulation.py
+++ b/siskinmount/gateway/tests/members_simulation.py
@@ -220,6 +220,7 @@
             health=self.health,
             crash_tracker=crash_tracker,
             scheduler=self.scheduler,
+            directory=self.directory,
         )
         self.runner = _item_runner.create_item_runner(
             membership=self.membership,
--- a/siskinmount/gateway/tests/test_housekeeping.py
+++ b/siskinmount/gateway/tests/test_housekeeping.py
@@ -53,6 +53,7 @@
                 ledger=None,
                 results_kept_s=1,
                 log_handler=None,
+                metrics=None,
             )
             for upstream_id in ('a', 'b', 'c'):
                 for source in before:
--- a/siskinmount/peering/_peer_directory.py
+++ b/siskinmount/peering/_peer_directory.py
@@ -255,6 +255,9 @@
         self._apply_claims(message)
         self._load.set_peer_counts(peer.member, message.counts)
         self._crash_tracker.apply_reports(message.crashes)
+        self._crash_tracker.parts.apply_reports(
+            message.suspect_parts, peer.member
+        )
         self._health.set_peer_tallies(peer.member, message.failure_tallies)
         self._record_departures(peer.member, message.departures)
         return True
@@ -439,7 +442,10 @@
     if message is None:
         return False
     return not (
-        message.crashes or message.failure_tallies or message.departures
+        message.crashes
+        or message.failure_tallies
+        or message.departures
+        or message.suspect_parts
     )
 
 
--- a/siskinmount/peering/_peer_message.py
+++ b/siskinmount/peering/_peer_message.py
@@ -16,6 +16,10 @@
 from siskinmount import placement
 from siskinmount import results
 
+#: Above any number of crashes in sequence; a count that only grows must not be
+#: set to an absurd value by one damaged message.
+_MAX_COUNT = 1_000_000
+
 
 class PeerMessage:
     """State of a member, sent several times a second.
@@ -38,6 +42,7 @@
         failure_tallies: Upstreams that failed requests of the sender, with
             their tallies.
         departures: Upstreams that told the sender that they leave.
+        suspect_parts: Parts of prompts that may crash upstreams.
     """
 
     __slots__ = (
@@ -55,6 +60,7 @@
         'crashes',
         'failure_tallies',
         'departures',
+        'suspect_parts',
     )
 
     def __init__(
@@ -73,6 +79,7 @@
         crashes: dict[str, list[placement.CrashReport]],
         failure_tallies: dict[str, placement.FailureTally],
         departures: dict[str, fleet.DepartureNotice] | None = None,
+        suspect_parts: dict[str, placement.PartReport] | None = None,
         failure_domain: str = '',
     ) -> None:
         self.member = member
@@ -88,6 +95,7 @@
         self.crashes = crashes
         self.failure_tallies = failure_tallies
         self.departures = departures or {}
+        self.suspect_parts = suspect_parts or {}
         self.failure_domain = failure_domain
 
 
@@ -157,6 +165,11 @@
             upstream_id: (notice.started_at_ms, round(notice.age_s, 3))
             for upstream_id, notice in message.departures.items()
         }
+    if message.suspect_parts:
+        fields['suspect_parts'] = {
+            part: _encode_part(report)
+            for part, report in message.suspect_parts.items()
+        }
     return b'%b %d %d %b' % (
         urllib.parse.quote(message.member, safe='').encode('ascii'),
         message.incarnation,
@@ -165,6 +178,39 @@
     )
 
 
+def _encode_part(report: placement.PartReport) -> tuple[object, ...]:
+    served_age_s = report.served_age_s
+    if served_age_s is not None:
+        served_age_s = round(served_age_s, 3)
+    return (
+        report.sequence,
+        report.cleared_sequence,
+        report.quarantined_sequence,
+        round(report.crash_age_s, 3),
+        served_age_s,
+        sorted(report.common_parts),
+    )
+
+
+def _decode_part(row: list[Any]) -> placement.PartReport:
+    """Decodes what is known of a part.
+
+    Raises:
+        Exception: One of `_INVALID`, if a value is missing or of a wrong type.
+    """
+    served_age_s: float | None = None
+    if row[4] is not None:
+        served_age_s = _read_amount(row[4])
+    return placement.PartReport(
+        _read_count(row[0]),
+        _read_count(row[1]),
+        _read_count(row[2]),
+        _read_amount(row[3]),
+        served_age_s,
+        frozenset(str(part) for part in row[5]),
+    )
+
+
 def split_row(data: bytes) -> PeerRow | results.Failure:
     """Reads the head of a row, or fails with `MALFORMED_REQUEST`."""
     parts = data.split(b' ', 3)
@@ -271,6 +317,9 @@
         departures[upstream_id] = fleet.DepartureNotice(
             int(row[0]), _read_amount(row[1])
         )
+    suspect_parts: dict[str, placement.PartReport] = {}
+    for part, row in fields.get('suspect_parts', {}).items():
+        suspect_parts[part] = _decode_part(row)
     return PeerMessage(
         member=member,
         incarnation=incarnation,
@@ -286,6 +335,7 @@
         crashes=_decode_crashes(member, fields),
         failure_tallies=failure_tallies,
         departures=departures,
+        suspect_parts=suspect_parts,
     )
 
 
@@ -301,6 +351,18 @@
     return max(0.0, amount)
 
 
+def _read_count(value: object) -> int:
+    """Returns a number of crashes.
+
+    Raises:
+        ValueError: No fleet can have met so many.
+    """
+    count = int(value)  # type: ignore[call-overload]
+    if not 0 <= count <= _MAX_COUNT:
+        raise ValueError(f'{count} is out of range')
+    return count
+
+
 def _malformed(reason: str) -> results.Failure:
     return results.Failure(
         results.ResultCode.MALFORMED_REQUEST, f'peer message: {reason}'
--- a/siskinmount/placement/__init__.py
+++ b/siskinmount/placement/__init__.py
@@ -16,6 +16,9 @@
 from siskinmount.placement._overdue_runs import create_overdue_runs
 from siskinmount.placement._overdue_runs import OverdueRuns
 from siskinmount.placement._overdue_runs import WaitingRun
+from siskinmount.placement._part_quarantine import create_part_quarantine
+from siskinmount.placement._part_quarantine import PartQuarantine
+from siskinmount.placement._part_quarantine import PartRun
 from siskinmount.placement._placer import choose_batch_slot
 from siskinmount.placement._placer import create_placer
 from siskinmount.placement._placer import DEFAULT_SLOTS
@@ -24,5 +27,6 @@
 from siskinmount.placement._placer import Placer
 from siskinmount.placement._placer import Refusal
 from siskinmount.placement._placer import RefusalReason
+from siskinmount.placement._suspect_part import PartReport
 from siskinmount.placement._upstream_health import create_upstream_health
 from siskinmount.placement._upstream_health import UpstreamHealth
--- a/siskinmount/placement/_crash_tracker.py
+++ b/siskinmount/placement/_crash_tracker.py
@@ -17,6 +17,8 @@
 import trio
 import xxhash
 
+from siskinmount.placement import _part_quarantine
+
 _LOGGER = logging.getLogger(__name__)
 
 #: Crashes after which a request is refused. With fewer, the loss of a VM would
@@ -90,22 +92,28 @@
         at_s: Monotonic time of its end.
         added_output: Whether it added output that the next run continues.
         started_at_ms: Start of the upstream, in Unix milliseconds.
-        prompt_parts: Names of the shared parts of the prompt.
+        part_run: The run, as far as the parts of its prompt are concerned;
+            None if they are not known.
     """
 
-    __slots__ = ('at_s', 'added_output', 'started_at_ms', 'prompt_parts')
+    __slots__ = ('at_s', 'added_output', 'started_at_ms', 'part_run')
 
     def __init__(
         self,
         at_s: float,
         added_output: bool,
         started_at_ms: int,
-        prompt_parts: tuple[str, ...],
+        part_run: _part_quarantine.PartRun | None,
     ) -> None:
         self.at_s = at_s
         self.added_output = added_output
         self.started_at_ms = started_at_ms
-        self.prompt_parts = prompt_parts
+        self.part_run = part_run
+
+    @property
+    def prompt_parts(self) -> tuple[str, ...]:
+        """Names of the shared parts of the prompt."""
+        return () if self.part_run is None else self.part_run.prompt_parts
 
 
 class CrashTracker:
@@ -113,9 +121,13 @@
 
     Members tell each other of all crashes they know, with their ages, so that a
     crash is remembered as long as any of them lives.
+
+    Attributes:
+        parts: Told of crashes too, as a part of a prompt may be their cause.
     """
 
     __slots__ = (
+        'parts',
         '_crashes',
         '_interrupted_runs',
         '_detection_s',
@@ -126,6 +138,7 @@
     )
 
     def __init__(self, detection_s: float) -> None:
+        self.parts = _part_quarantine.create_part_quarantine()
         self._crashes: dict[str, dict[str, KnownCrash]] = {}
         self._interrupted_runs: dict[str, dict[str, InterruptedRun]] = {}
         self._detection_s = detection_s
@@ -150,7 +163,7 @@
         upstream_id: str,
         added_output: bool = False,
         started_at_ms: int = 0,
-        prompt_parts: tuple[str, ...] = (),
+        part_run: _part_quarantine.PartRun | None = None,
     ) -> None:
         """Records a run that was interrupted at its upstream.
 
@@ -160,21 +173,22 @@
             added_output: Whether the run added output that the next run
                 continues.
             started_at_ms: Start of the upstream, in Unix milliseconds.
-            prompt_parts: Names of the shared parts of the prompt.
+            part_run: The run, as far as the parts of its prompt are concerned.
         """
         runs = self._interrupted_runs.setdefault(upstream_id, {})
         earlier = runs.get(fingerprint)
         if earlier is not None and not earlier.added_output:
             # Another copy of the request ran there.
             added_output = False
-        runs[fingerprint] = InterruptedRun(
-            trio.current_time(), added_output, started_at_ms, prompt_parts
+        run = InterruptedRun(
+            trio.current_time(), added_output, started_at_ms, part_run
         )
+        runs[fingerprint] = run
         _LOGGER.info(
             'run_interrupted',
             extra={
                 'fingerprint': fingerprint,
-                'prompt_parts': prompt_parts,
+                'prompt_parts': run.prompt_parts,
                 'upstream': upstream_id,
                 'started_at_ms': started_at_ms,
                 'added_output': added_output,
@@ -208,6 +222,8 @@
             if now_s - run.at_s > self._detection_s:
                 self._drop(upstream_id, fingerprint, run, 'detected_late')
                 continue
+            if run.part_run is not None and not run.added_output:
+                self.parts.record_crash(run.part_run)
             if not self._has_room(fingerprint):
                 self._drop(upstream_id, fingerprint, run, 'table_full')
                 continue
