--- a/siskinmount/platform/_wire.py
+++ b/siskinmount/platform/_wire.py
@@ -345,8 +345,9 @@
     for part_id in part_ids:
         if len(names) >= _MAX_NAMED_PARTS:
             break
-        if part_id and len(part_id) + len(model) <= _MAX_ID_LENGTH:
-            names[f'{part_id}@{model}'] = None
+        name = f'{part_id}@{model}'
+        if part_id and name.isascii() and len(name) <= _MAX_ID_LENGTH:
+            names[name] = None
     return tuple(names)
 
 
--- a/siskinmount/platform/tests/test_wire.py
+++ b/siskinmount/platform/tests/test_wire.py
@@ -69,6 +69,8 @@
             ('aa:3,aa:4,own:5', ('aa@m',)),
             (',aa,:,own:5', ('aa@m',)),
             (f'{"a" * 500}:3,bb:1,own:5', ('bb@m',)),
+            # A key of the store has at most 255 bytes.
+            ('\xe9:3,bb:1,own:5', ('bb@m',)),
             (','.join(f'{n}:1' for n in range(40)), 16),
         ]
         for text, expected in cases:
@@ -76,7 +78,7 @@
                 'POST',
                 '/p',
                 [
-                    (b'x-prompt-prefix', text.encode()),
+                    (b'x-prompt-prefix', text.encode('latin-1')),
                     (b'x-model', b'm'),
                 ],
                 '',
