Soak: one part of prompts that crashes engines; a fleet that is lost together keeps what is in quarantine

The soak's callers send parts of prompts, one in three seeds also requests with a part that crashes the engine that begins to run it; engines come back after 2 s. Checked: at most three such runs later than 3 s after the fifth crash from gateways that were not disturbed, and no sound request is answered 3015.

--- a/siskinmount/gateway/tests/test_crashing_prompt_parts.py
+++ b/siskinmount/gateway/tests/test_crashing_prompt_parts.py
@@ -112,3 +112,40 @@
                 _MAX_LATE_REQUESTS,
                 prompts,
             )
+
+    def test_quarantine_outlives_the_loss_of_all_gateways(self):
+        async def check(fleet):
+            for engine in fleet.engines.values():
+                engine.crashing_part = 'p'
+            traffic = PromptTraffic(fleet)
+            for _ in range(6):
+                await traffic.send(['f', 'p'])
+                await traffic.send(['f', 'q'])
+                await trio.sleep(0.3)
+            await gateway_harness.wait_until(
+                lambda: fleet.store.read_newest_values(
+                    gateway_harness.QUARANTINE_TOPIC
+                )
+            )
+            known = len(fleet.crashed)
+            for running in fleet.gateways:
+                running.kill()
+                await running.ended.wait()
+            await trio.sleep(0.2)
+            fleet.gateways.clear()
+            for number in range(2):
+                await fleet.start_gateway(number)
+            for running in fleet.gateways:
+                await fleet.wait_ready(running)
+            for number in range(4):
+                answer = await traffic.send(['f', 'p'], number % 2)
+                self.assertEqual(503, answer.status)
+            self.assertEqual(known, len(fleet.crashed))
+            answer = await traffic.send(['f', 'q'])
+            self.assertEqual(200, answer.status)
+
+        gateway_harness.run_fleet(
+            check,
+            gateway_count=2,
+            engines=tuple(f'e{number}' for number in range(16)),
+        )
--- a/tools/soak/_callers.py
+++ b/tools/soak/_callers.py
@@ -1,6 +1,7 @@
 """Callers of streams and plain calls over persistent connections."""
 
 import random
+import zlib
 
 import trio
 
@@ -11,6 +12,10 @@
 from tools.soak import _soak_fleet
 
 PAUSE_S = 0.05
+#: Mean pause between requests that may crash engines.
+CRASHING_PAUSE_S = 0.5
+#: Second parts of the prompts of sound requests.
+SECOND_PARTS = 20
 #: Time that a caller waits for an answer beyond the deadline of its request.
 EXTRA_TIMEOUT_S = 2.0
 _KINDS = tuple(_observations.CallKind)
@@ -23,14 +28,26 @@
     about to stop.
     """
 
-    __slots__ = ('_fleet', '_rng', '_name', '_clients', '_count')
+    __slots__ = (
+        '_fleet',
+        '_rng',
+        '_name',
+        '_sends_crashing_part',
+        '_clients',
+        '_count',
+    )
 
     def __init__(
-        self, fleet: _soak_fleet.SoakFleet, seed: int, name: str
+        self,
+        fleet: _soak_fleet.SoakFleet,
+        seed: int,
+        name: str,
+        sends_crashing_part: bool = False,
     ) -> None:
         self._fleet = fleet
         self._rng = random.Random(f'{seed} {name}')
         self._name = name
+        self._sends_crashing_part = sends_crashing_part
         self._clients: dict[int, transport.HttpClient] = {}
         self._count = 0
 
@@ -38,7 +55,8 @@
         """Sends requests until the given time."""
         while trio.current_time() < until_s:
             await self._send_one()
-            await trio.sleep(self._rng.uniform(0, 2 * PAUSE_S))
+            pause_s = CRASHING_PAUSE_S if self._sends_crashing_part else PAUSE_S
+            await trio.sleep(self._rng.uniform(0, 2 * pause_s))
         for client in self._clients.values():
             client.close()
 
@@ -49,6 +67,7 @@
             f'{self._name}-{self._count}',
             self._rng.choice(_KINDS),
             gateway.number,
+            self._sends_crashing_part,
         )
         self._fleet.observed.calls.append(call)
         timeout_s = _checker.ROUTE_TIMEOUT_S + EXTRA_TIMEOUT_S
@@ -68,6 +87,8 @@
                 [
                     (b'x-request-id', call.request_id.encode()),
                     (b'x-deadline-ms', b'%d' % deadline_ms),
+                    (b'x-model', b'm'),
+                    (b'x-prompt-prefix', _format_prompt(call).encode()),
                 ],
                 call.request_id.encode(),
                 _soak_fleet.HOST.encode(),
@@ -101,3 +122,13 @@
             )
             self._clients[gateway.number] = client
         return client
+
+
+def _format_prompt(call: _observations.ObservedCall) -> str:
+    """Returns the parts of a request's prompt; no two have the same last."""
+    second = f'second-{zlib.crc32(call.request_id.encode()) % SECOND_PARTS}'
+    if call.has_crashing_part:
+        second = _observations.CRASHING_PART
+    return (
+        f'{_observations.FIRST_PART}:100,{second}:100,own-{call.request_id}:250'
+    )
--- a/tools/soak/_checker.py
+++ b/tools/soak/_checker.py
@@ -1,5 +1,6 @@
 """Compares the answers that callers received with the runs of the engines."""
 
+from siskinmount import results
 from standins import event_engine
 from tools.soak import _observations
 
@@ -18,6 +19,12 @@
 UNDISTURBED_S = 6.0
 #: Time in which the end of a job reaches all members.
 JOB_END_PROPAGATION_S = 3.0
+#: Crash under one part of a prompt after which, once a window has passed, only
+#: some more requests with it may reach engines.
+COUNTED_FROM_CRASH = 5
+PART_WINDOW_S = 3.0
+MAX_LATE_RUNS = 3
+_QUARANTINED = b'"code":%d' % results.ResultCode.PROMPT_PART_QUARANTINED
 #: Statuses that state that a request has not run.
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -35,6 +42,7 @@
         violations.extend(_check_job(job, runs))
     violations.extend(_check_leaving(observed))
     violations.extend(_check_announced(observed))
+    violations.extend(_check_crashing_part(observed))
     known = {call.request_id for call in observed.calls}
     for job in observed.jobs:
         known.update(job.item_ids)
@@ -68,6 +76,8 @@
         call.body
     ):
         violations.append(f'order: {name} got what is no part of its answer')
+    if not call.has_crashing_part and _QUARANTINED in call.body:
+        violations.append(f'quarantined: {name} has no crashing part')
     ended_at_s = call.ended_at_s
     is_late = (
         ended_at_s is None
@@ -217,6 +227,40 @@
     return violations
 
 
+def _check_crashing_part(observed: _observations.Observations) -> list[str]:
+    """Finds requests with the crashing part that should have been refused.
+
+    Those count that came later than a window after the fifth crash, at gateways
+    that were not disturbed in between.
+    """
+    if len(observed.part_crashes_at_s) < COUNTED_FROM_CRASH:
+        return []
+    fifth_at_s = sorted(observed.part_crashes_at_s)[COUNTED_FROM_CRASH - 1]
+    calls = {call.request_id: call for call in observed.calls}
+    late: list[str] = []
+    for engine in observed.engines:
+        for run in engine.runs:
+            call = calls.get(run.request_id)
+            if call is None or not call.has_crashing_part:
+                continue
+            if not engine.is_streaming:
+                continue
+            if run.began_at_s < fifth_at_s + PART_WINDOW_S:
+                continue
+            disturbances = observed.gateway_disturbances[call.gateway]
+            if any(
+                disturbance.overlaps(fifth_at_s, run.began_at_s)
+                for disturbance in disturbances
+            ):
+                continue
+            late.append(
+                f'{run.request_id} {run.began_at_s - fifth_at_s:.1f} s after'
+            )
+    if len(late) <= MAX_LATE_RUNS:
+        return []
+    return [f'crashing part: {len(late)} runs, {late}']
+
+
 def _is_undisturbed(
     observed: _observations.Observations, from_s: float, to_s: float
 ) -> bool:
--- a/tools/soak/_observations.py
+++ b/tools/soak/_observations.py
@@ -6,6 +6,11 @@
 
 from standins import event_engine
 
+#: Id of the part of a prompt that crashes engines.
+CRASHING_PART = 'crashing'
+#: Id of the first part of all prompts.
+FIRST_PART = 'first'
+
 
 class CallKind(enum.Enum):
     """Kind of a request; the value is the name of its route."""
@@ -40,6 +45,7 @@
         leaving_engine: Id of the engine that said in the answer that it
             leaves; empty if none did.
         head_at_s: Time when the head of the answer came; None without one.
+        has_crashing_part: Whether its prompt has the part that crashes engines.
     """
 
     __slots__ = (
@@ -53,9 +59,16 @@
         'is_whole',
         'leaving_engine',
         'head_at_s',
+        'has_crashing_part',
     )
 
-    def __init__(self, request_id: str, kind: CallKind, gateway: int) -> None:
+    def __init__(
+        self,
+        request_id: str,
+        kind: CallKind,
+        gateway: int,
+        has_crashing_part: bool = False,
+    ) -> None:
         self.request_id = request_id
         self.kind = kind
         self.gateway = gateway
@@ -66,6 +79,7 @@
         self.is_whole = False
         self.leaving_engine = ''
         self.head_at_s: float | None = None
+        self.has_crashing_part = has_crashing_part
 
 
 class ObservedResult:
@@ -178,6 +192,8 @@
         gateway_disturbances: Intervals with faults, by gateway number.
         store_disturbances: Intervals with faults of the store or its links.
         process_faults: Unexpected exits and log events of processes.
+        part_crashes_at_s: Times at which engines crashed under the crashing
+            part of a prompt.
     """
 
     __slots__ = (
@@ -188,6 +204,7 @@
         'gateway_disturbances',
         'store_disturbances',
         'process_faults',
+        'part_crashes_at_s',
     )
 
     def __init__(self, gateway_count: int) -> None:
@@ -200,3 +217,4 @@
         ]
         self.store_disturbances: list[Disturbance] = []
         self.process_faults: list[str] = []
+        self.part_crashes_at_s: list[float] = []
--- a/tools/soak/_soak_fleet.py
+++ b/tools/soak/_soak_fleet.py
@@ -26,6 +26,10 @@
 HOST = 'soak.example'
 DOCUMENT_TOPIC = 'keyed.op'
 UPSTREAMS_TOPIC = 'keyed.servers'
+#: Times after the crash of an engine at which another one starts, and at which
+#: its entry is dropped.
+ENGINE_RESTART_S = 2.0
+ENTRY_LIFETIME_S = 3.6
 #: Time for which a draining engine stays listed.
 DRAIN_PERIOD_S = 4.0
 #: Time for which an engine says in its answers, and not in its entry, that it
@@ -112,19 +116,23 @@
         engine: Stand-in of the engine.
         service: Service that the engine belongs to.
         proxy: Proxy of the link to the engine.
+        scope: Cancelled when the engine crashes: closes its connections and
+            refuses new ones.
     """
 
-    __slots__ = ('engine', 'service', 'proxy')
+    __slots__ = ('engine', 'service', 'proxy', 'scope')
 
     def __init__(
         self,
         engine: event_engine.EventEngine,
         service: str,
         proxy: _loopback_proxy.LoopbackProxy,
+        scope: trio.CancelScope,
     ) -> None:
         self.engine = engine
         self.service = service
         self.proxy = proxy
+        self.scope = scope
 
 
 class SoakFleet:
@@ -223,20 +231,56 @@
             event_interval_ms=EVENT_INTERVAL_MS,
             is_streaming=service == 'model',
         )
-        address = await self._nursery.start(
-            serving.serve,
-            transport.Address('127.0.0.1', 0),
-            engine.handle,
-            faults_module.Faults(),
-        )
-        proxy = _loopback_proxy.LoopbackProxy(address)
-        await self._nursery.start(proxy.run)
-        running = SoakEngine(engine, service, proxy)
+        if service == 'model':
+            engine.crashing_part = _observations.CRASHING_PART
+        scope = trio.CancelScope()
+        proxy = await self._nursery.start(self._serve_engine, engine, scope)
+        running = SoakEngine(engine, service, proxy, scope)
+
+        def crash() -> None:
+            self._nursery.start_soon(self._crash_engine, running)
+
+        engine.crash = crash
         self.observed.engines.append(engine)
         self.engines.append(running)
         self._register_engine(running, 'ready')
         return running
 
+    async def _serve_engine(
+        self,
+        engine: event_engine.EventEngine,
+        scope: trio.CancelScope,
+        task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serves an engine behind a proxy until its scope is cancelled."""
+        with scope:
+            async with trio.open_nursery() as nursery:
+                address = await nursery.start(
+                    serving.serve,
+                    transport.Address('127.0.0.1', 0),
+                    engine.handle,
+                    faults_module.Faults(),
+                )
+                proxy = _loopback_proxy.LoopbackProxy(address)
+                await nursery.start(proxy.run)
+                task_status.started(proxy)
+
+    async def _crash_engine(self, running: SoakEngine) -> None:
+        """Ends an engine, and starts another one after some seconds."""
+        if running.scope.cancel_called:
+            return
+        # The orderly end of an answer without framing, between two of its
+        # events, could not be told from a complete answer.
+        running.proxy.reset_connections()
+        running.scope.cancel()
+        self.observed.part_crashes_at_s.append(trio.current_time())
+        if running in self.engines:
+            self.engines.remove(running)
+        await trio.sleep(ENGINE_RESTART_S)
+        await self.start_engine(running.service)
+        await trio.sleep(ENTRY_LIFETIME_S - ENGINE_RESTART_S)
+        self.store.put(UPSTREAMS_TOPIC, running.engine.engine_id, b'')
+
     async def replace_engine(self, number: int) -> None:
         """Drains an engine after starting one in its place."""
         leaving = self.engines.pop(number % len(self.engines))
--- a/tools/soak/_soak_run.py
+++ b/tools/soak/_soak_run.py
@@ -15,6 +15,8 @@
 
 CALLERS = 6
 JOB_CALLERS = 3
+#: One in this number of seeds has requests that crash engines.
+CRASHING_PART_SEEDS = 3
 #: Time in which jobs must end after the last request and fault.
 COMPLETION_TIMEOUT_S = 25.0
 #: Time in which a gateway that was stopped near the end is ready again.
@@ -64,6 +66,9 @@
             for number in range(CALLERS):
                 caller = _callers.Caller(fleet, seed, f'c{number}')
                 nursery.start_soon(caller.run, until_s)
+            if seed % CRASHING_PART_SEEDS == 0:
+                caller = _callers.Caller(fleet, seed, 'crashing', True)
+                nursery.start_soon(caller.run, until_s)
             for number in range(JOB_CALLERS):
                 jobs = _job_callers.JobCaller(fleet, seed, f'j{number}')
                 nursery.start_soon(jobs.run, until_s)
--- a/tools/soak/tests/test_soak.py
+++ b/tools/soak/tests/test_soak.py
@@ -11,6 +11,8 @@
 from tools.soak import _soak_run
 
 _SEED = 1
+#: Has requests that crash engines.
+_CRASHING_SEED = 3
 _SECONDS = 8.0
 
 
@@ -28,12 +30,27 @@
             for event in _schedule.create_schedule(seed, 20):
                 self.assertLess(event.at_s, 15.0)
 
-    def test_short_run_has_no_violation(self):
+    def _run(self, seed):
+        """Returns the records of a short run, which has no violation."""
         with tempfile.TemporaryDirectory() as directory:
             observed = trio.run(
-                _soak_run.run_soak, _SEED, _SECONDS, pathlib.Path(directory)
+                _soak_run.run_soak, seed, _SECONDS, pathlib.Path(directory)
             )
         self.assertEqual([], _checker.find_violations(observed))
+        return observed
+
+    def test_requests_that_crash_engines_are_refused(self):
+        observed = self._run(_CRASHING_SEED)
+        self.assertGreaterEqual(len(observed.part_crashes_at_s), 3)
+        refused = [
+            call
+            for call in observed.calls
+            if call.has_crashing_part and call.status == 503
+        ]
+        self.assertTrue(refused)
+
+    def test_short_run_has_no_violation(self):
+        observed = self._run(_SEED)
         whole = [call for call in observed.calls if call.is_whole]
         self.assertGreater(len(whole), 20)
         self.assertTrue(any(job.accepted_at_s for job in observed.jobs))
