Have retries of a suspect prompt wait for the probe of the upstream that crashed

A stream is sent to a second upstream 4 ms after the first one crashed under it, before anybody knows of the crash: two upstreams for each request, and the second crash is no step of the sequence. With a suspect part in its prompt a retry now waits for the probe (52 ms, 150 ms at most) and begins in knowledge of it, or is refused.

--- a/siskinmount/gateway/_online_handler.py
+++ b/siskinmount/gateway/_online_handler.py
@@ -18,6 +18,9 @@
 #: Longest expected wait, in latency targets of the route. A longer one is
 #: refused: only a retry after the burst can be answered in time.
 MAX_WAIT_TARGETS = 1.5
+#: Longest wait for the first probe of an upstream that interrupted a run, which
+#: comes after 50 ms.
+MAX_CRASH_CHECK_S = 0.15
 
 
 class OnlineHandler:
@@ -103,6 +106,10 @@
                     retry_after_ms=placement.NO_UPSTREAM_RETRY_MS,
                 )
             if request.may_retry():
+                if outcome is _online_attempt.AttemptOutcome.LOST:
+                    await self._wait_for_crash_check(
+                        chosen.upstream.upstream_id
+                    )
                 continue
             if (
                 self._failed_response is not None
@@ -116,6 +123,19 @@
                 request.get_run_state(),
             )
 
+    async def _wait_for_crash_check(self, upstream_id: str) -> None:
+        """Waits until it is known whether an upstream that lost a run crashed.
+
+        Only for prompts with a suspect part: without the result, a retry may
+        crash another upstream and tell nothing new.
+        """
+        tracker = self._context.crash_tracker
+        parts = self._request.caller_request.prompt_parts
+        if not tracker.parts.has_suspect(parts):
+            return
+        with trio.move_on_after(MAX_CRASH_CHECK_S):
+            await tracker.wait_settled(upstream_id)
+
     def _find_quarantine(self) -> results.Failure | None:
         """Returns why the request must not be run; None if it may be."""
         request = self._request
--- a/siskinmount/gateway/tests/test_crashing_prompt_parts.py
+++ b/siskinmount/gateway/tests/test_crashing_prompt_parts.py
@@ -23,7 +23,7 @@
         self._fleet = fleet
         self._sent = 0
 
-    async def send(self, parts, gateway=None):
+    async def send(self, parts, gateway=None, route='once'):
         """Sends a request with some shared parts, and returns the answer."""
         self._sent += 1
         number = self._sent
@@ -33,7 +33,7 @@
         return await self._fleet.call(
             gateway,
             'POST',
-            f'/once/{number}',
+            f'/{route}/{number}',
             f'body {number}'.encode(),
             x_request_id=f'q{number}',
             x_model=_MODEL,
@@ -113,6 +113,27 @@
                 prompts,
             )
 
+    def test_retry_of_a_suspect_prompt_waits_for_the_crash_check(self):
+        # Guards against a second crash that tells nothing new.
+        async def check(fleet):
+            for engine in fleet.engines.values():
+                engine.crashing_part = 'p'
+            traffic = PromptTraffic(fleet)
+            for _ in range(5):
+                await traffic.send(['f', 'p'], route='stream')
+                for gateway in range(2):
+                    await traffic.send(['f', 'q'], gateway)
+                await trio.sleep(0.3)
+            # Two under the first request, which nobody suspects, two under the
+            # second.
+            self.assertLessEqual(len(fleet.crashed), 4)
+
+        gateway_harness.run_fleet(
+            check,
+            gateway_count=2,
+            engines=tuple(f'e{number}' for number in range(16)),
+        )
+
     def test_quarantine_outlives_the_loss_of_all_gateways(self):
         async def check(fleet):
             for engine in fleet.engines.values():
--- a/siskinmount/placement/_crash_tracker.py
+++ b/siskinmount/placement/_crash_tracker.py
@@ -133,6 +133,7 @@
         '_detection_s',
         '_unverified_upstreams',
         '_run_interrupted',
+        '_runs_settled',
         '_record_outcome',
         '_repeated_at_s',
     )
@@ -144,6 +145,7 @@
         self._detection_s = detection_s
         self._unverified_upstreams: set[str] = set()
         self._run_interrupted = trio.Event()
+        self._runs_settled = trio.Event()
         self._record_outcome: Callable[[str], None] = _ignore_outcome
         self._repeated_at_s = float('-inf')
 
@@ -213,12 +215,23 @@
         """Returns whether runs wait to be counted if the upstream is down."""
         return upstream_id in self._interrupted_runs
 
+    async def wait_settled(self, upstream_id: str) -> None:
+        """Returns once no run waits to be counted or dropped."""
+        while upstream_id in self._interrupted_runs:
+            await self._runs_settled.wait()
+
+    def _pop_interrupted_runs(
+        self, upstream_id: str
+    ) -> dict[str, InterruptedRun]:
+        """Removes and returns the runs that an upstream interrupted."""
+        self._runs_settled.set()
+        self._runs_settled = trio.Event()
+        return self._interrupted_runs.pop(upstream_id, {})
+
     def record_upstream_down(self, upstream_id: str) -> None:
         """Counts the runs that were interrupted when an upstream went down."""
         now_s = trio.current_time()
-        for fingerprint, run in self._interrupted_runs.pop(
-            upstream_id, {}
-        ).items():
+        for fingerprint, run in self._pop_interrupted_runs(upstream_id).items():
             if now_s - run.at_s > self._detection_s:
                 self._drop(upstream_id, fingerprint, run, 'detected_late')
                 continue
@@ -296,13 +309,11 @@
                 del interrupted_runs[fingerprint]
                 self._drop(upstream_id, fingerprint, run, 'upstream_serves')
         if not interrupted_runs:
-            del self._interrupted_runs[upstream_id]
+            self._pop_interrupted_runs(upstream_id)
 
     def forget_interrupted_runs(self, upstream_id: str) -> None:
         """Drops the runs that an upstream interrupted without a crash."""
-        for fingerprint, run in self._interrupted_runs.pop(
-            upstream_id, {}
-        ).items():
+        for fingerprint, run in self._pop_interrupted_runs(upstream_id).items():
             self._drop(upstream_id, fingerprint, run, 'upstream_leaves')
 
     def list_reports(self) -> dict[str, list[CrashReport]]:
@@ -387,7 +398,7 @@
             last_at_s = max(run.at_s for run in interrupted_runs.values())
             if now_s - last_at_s <= self._detection_s:
                 continue
-            del self._interrupted_runs[upstream_id]
+            self._pop_interrupted_runs(upstream_id)
             for fingerprint, run in interrupted_runs.items():
                 self._drop(upstream_id, fingerprint, run, 'expired')
 
--- a/siskinmount/placement/_part_quarantine.py
+++ b/siskinmount/placement/_part_quarantine.py
@@ -282,6 +282,16 @@
                 return part
         return None
 
+    def has_suspect(self, prompt_parts: tuple[str, ...]) -> bool:
+        """Returns whether a crash counts against a part of a prompt."""
+        if not self._suspects:
+            return False
+        for part in prompt_parts:
+            suspect = self._suspects.get(part)
+            if suspect is not None and suspect.counted:
+                return True
+        return False
+
     def list_quarantined(self) -> list[str]:
         """Returns the parts that must not be run."""
         quarantined: list[str] = []
--- a/siskinmount/placement/tests/part_crash_simulation.py
+++ b/siskinmount/placement/tests/part_crash_simulation.py
@@ -7,9 +7,9 @@
 import random
 
 import trio
-import trio.testing
 
 from siskinmount import placement
+from siskinmount.backing_services.tests import seeded_run
 
 _RESTART_S = 3.3
 _PROBE_S = 0.052
@@ -152,8 +152,13 @@
         self._start_upstream(number)
 
     def restart_member(self, number):
-        """Replaces a member by one that knows nothing."""
+        """Replaces a member by one that knows what the store has."""
+        stored = {}
+        for member in self.members:
+            for part in member.parts.list_quarantined():
+                stored[part] = member.parts.get_report(part)
         self.members[number] = placement.create_crash_tracker()
+        self.members[number].parts.apply_reports(stored, 'store')
 
     async def _tell(self, number):
         # As fast as members under load tell of changes.
@@ -216,6 +221,9 @@
             if await self._attempt(tracker, upstream, parts, is_sound):
                 self.outcome.sound_begun += is_sound and not attempt
                 return
+            if tracker.parts.has_suspect(parts):
+                # As a gateway waits for the probe of the lost upstream.
+                await trio.sleep(_PROBE_S + 0.005)
 
     async def _attempt(self, tracker, upstream, parts, is_sound):
         """Runs a request; returns whether it had its whole output."""
@@ -287,5 +295,4 @@
         await simulation.run(duration_s, disturb)
         return simulation.outcome
 
-    random.seed(seed)
-    return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    return seeded_run.run(seed, main)
