Load a large log once for all that need it, page by page, after what is urgent

Cause: the members' reads of the log of jobs kept the store busy for good. Class: retries that start all work anew against an overloaded dependency.

Now tasks that need a log share one load, and are told of its failure for 0.6 s; a read goes on with the page that it lacks, for 5 s; jobs are loaded after the list of upstreams, or 5 s after the start.

--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -52,6 +52,9 @@
 UPSTREAMS_READ_INTERVAL_S = 0.25
 MEMBERS_READ_INTERVAL_S = 0.25
 JOBS_READ_INTERVAL_S = 0.1
+#: Longest time after the start for which the log of jobs waits until the list of
+#: upstreams has been loaded.
+URGENT_LOGS_S = 5.0
 
 
 class Gateway:
@@ -62,6 +65,7 @@
         '_reload_settings',
         '_outside',
         '_signals',
+        '_started_at_s',
         '_incarnation',
         '_view',
         '_load',
@@ -99,6 +103,7 @@
         self._reload_settings = reload_settings
         self._outside = outside
         self._signals = signals
+        self._started_at_s = trio.current_time()
         self._incarnation = time.time_ns() // 1_000_000
         self._view = fleet.create_fleet_view(
             outside.decode_document, outside.decode_upstream
@@ -149,6 +154,7 @@
             outside.jobs_log,
             table.apply_record,
             read_interval_s=JOBS_READ_INTERVAL_S,
+            may_load=self._may_load_jobs,
         )
         self._membership = _batch_membership.create_batch_membership(
             settings.vm, self._directory, self._jobs_follower
@@ -314,7 +320,7 @@
             supervision.Child('documents', self._document_follower.run),
             supervision.Child('upstreams', self._upstreams_follower.run),
             supervision.Child('members', self._members_follower.run),
-            supervision.Child('jobs', self._jobs_follower.run),
+            supervision.Child('jobs', self._follow_jobs),
             supervision.Child('ledger', self._ledger.run),
             supervision.Child('items', self._runner.run),
             supervision.Child('item_watch', self._item_watch.run),
@@ -344,6 +350,22 @@
             nursery.cancel_scope.cancel()
         _LOGGER.info('daemon_stopped')
 
+    async def _follow_jobs(self) -> None:
+        """Follows the log of jobs once callers' requests can be placed."""
+        with trio.move_on_after(URGENT_LOGS_S):
+            while not self._may_load_jobs():
+                await self._upstreams_follower.wait_changed()
+        await self._jobs_follower.run()
+
+    def _may_load_jobs(self) -> bool:
+        """Returns whether what is needed to place requests is known.
+
+        The log of jobs is by far the largest, and when all members start at
+        once, the reads of it take the store many seconds.
+        """
+        waited_s = trio.current_time() - self._started_at_s
+        return self._upstreams_follower.is_loaded or waited_s >= URGENT_LOGS_S
+
     async def _supervise(self, children: list[supervision.Child]) -> None:
         """Runs the parts; one that fails is restarted, and not the process."""
         await supervision.run_supervisor(
--- a/siskinmount/keyed_log/_log_follower.py
+++ b/siskinmount/keyed_log/_log_follower.py
@@ -24,6 +24,10 @@
 #: deployments (15 Mbit/s). Larger answers may take seconds.
 SMALL_PAGE_BYTES = 100_000
 
+#: After a failed load, others that need the log are told so for this long
+#: instead of loading it again: the log may be overloaded.
+LOAD_RETRY_S = 0.6
+
 #: Called for each record in the order of offsets. After a reload that read
 #: records newer than its end, these are repeated.
 RecordCallback = Callable[[_keyed_log.KeyedRecord], None]
@@ -85,6 +89,10 @@
         '_has_read_records',
         '_paced_at_s',
         '_end',
+        '_may_load',
+        '_loading',
+        '_load_failure',
+        '_load_failed_at_s',
     )
 
     def __init__(
@@ -94,6 +102,7 @@
         on_record: RecordCallback,
         on_keys: KeysCallback | None,
         read_interval_s: float,
+        may_load: Callable[[], bool],
     ) -> None:
         self.name = name
         self.next_offset = 0
@@ -113,6 +122,10 @@
         self._has_read_records = False
         self._paced_at_s = float('-inf')
         self._end: LogEnd | None = None
+        self._may_load = may_load
+        self._loading: trio.Event | None = None
+        self._load_failure: results.Failure | None = None
+        self._load_failed_at_s = float('-inf')
 
     async def run(self) -> None:
         """Follows the log until cancelled."""
@@ -151,7 +164,7 @@
         """Reads up to the end of the log; returns None when it is reached."""
         while True:
             if not self.is_loaded:
-                failure = await self._load()
+                failure = await self._load_for_all(LOAD_RETRY_S)
                 if failure is not None:
                     return failure
             sent_at_s = trio.current_time()
@@ -202,7 +215,7 @@
     async def _step(self) -> results.Failure | None:
         """Performs one read, or a reload if needed."""
         if not self.is_loaded:
-            return await self._load()
+            return await self._load_for_all(0.0)
         sent_at_s = trio.current_time()
         page = await self._log.read(self.next_offset, LONGEST_READ_WAIT_MS)
         if isinstance(page, results.Failure):
@@ -225,6 +238,34 @@
             self.current_at_s = _estimate_answer_time(page, sent_at_s)
         return None
 
+    async def _load_for_all(self, retry_s: float) -> results.Failure | None:
+        """Loads the log once for all that wait for it at the same time.
+
+        Args:
+            retry_s: Time after a failure within which it is returned again.
+        """
+        while self._loading is not None:
+            await self._loading.wait()
+            if self.is_loaded or self._load_failure is not None:
+                return self._load_failure
+            # The task that loaded was cancelled.
+        failed_s = trio.current_time() - self._load_failed_at_s
+        if self._load_failure is not None and failed_s < retry_s:
+            return self._load_failure
+        if not self._may_load():
+            return _WAITS_FOR_OTHERS
+        loading = trio.Event()
+        self._loading = loading
+        self._load_failure = None
+        try:
+            failure = await self._load()
+            self._load_failure = failure
+            self._load_failed_at_s = trio.current_time()
+            return failure
+        finally:
+            self._loading = None
+            loading.set()
+
     async def _load(self) -> results.Failure | None:
         """Reads the newest record of each key and drops keys that are gone."""
         sent_at_s = trio.current_time()
@@ -321,6 +362,17 @@
         )
 
 
+def _allow_load() -> bool:
+    return True
+
+
+_WAITS_FOR_OTHERS = results.Failure(
+    results.ResultCode.LOG_UNAVAILABLE,
+    'logs that are needed more urgently are loaded first',
+    results.RunState.NOT_RUN,
+)
+
+
 def _get_offset(record: _keyed_log.KeyedRecord) -> int:
     return record.offset
 
@@ -344,6 +396,7 @@
     on_record: RecordCallback,
     on_keys: KeysCallback | None = None,
     read_interval_s: float = 0.0,
+    may_load: Callable[[], bool] = _allow_load,
 ) -> LogFollower:
     """Creates a follower; nothing is read before `run` or `sync`.
 
@@ -353,5 +406,6 @@
         on_record: Called for each record.
         on_keys: Called with all keys after a reload.
         read_interval_s: Shortest mean time between reads that bring records.
+        may_load: Returns whether all keys may be loaded now.
     """
-    return LogFollower(name, log, on_record, on_keys, read_interval_s)
+    return LogFollower(name, log, on_record, on_keys, read_interval_s, may_load)
--- a/siskinmount/keyed_log/tests/test_log_follower.py
+++ b/siskinmount/keyed_log/tests/test_log_follower.py
@@ -5,6 +5,7 @@
 import trio.testing
 
 from siskinmount import keyed_log
+from siskinmount import results
 
 
 class _GrowingLog:
@@ -79,3 +80,93 @@
 
         self._follow(_GrowingLog(0.1), on_record, 1, 0.0)
         self.assertEqual([0, 1, 2, 4, 5], applied[:5])
+
+
+class _FailingLog:
+    """A log whose newest records cannot be read until a set time."""
+
+    def __init__(self, works_from_s):
+        self.load_count = 0
+        self._works_from_s = works_from_s
+
+    async def read(self, from_offset, wait_ms):
+        await trio.sleep(wait_ms / 1000)
+        return keyed_log.LogPage([], 0)
+
+    async def read_newest(self):
+        self.load_count += 1
+        await trio.sleep(0.1)
+        if trio.current_time() < self._works_from_s:
+            return results.Failure(
+                results.ResultCode.LOG_UNAVAILABLE, 'the log is away'
+            )
+        return keyed_log.LogPage([], 0)
+
+
+class LoadTest(testtools.TestCase):
+
+    def test_tasks_that_need_the_log_share_one_load(self):
+        cases = [
+            # From when on the log works, loads at most, outcomes.
+            (0.0, 1, {None}),
+            (9.0, 1, {'the log is away'}),
+        ]
+        for works_from_s, most, expected in cases:
+            log = _FailingLog(works_from_s)
+            reasons = set()
+
+            async def sync(follower, delay_s, reasons=reasons):
+                await trio.sleep(delay_s)
+                failure = await follower.sync()
+                reasons.add(failure.reason if failure else None)
+
+            async def main(log=log, sync=sync):
+                follower = keyed_log.create_log_follower(
+                    'test', log, lambda record: None
+                )
+                async with trio.open_nursery() as nursery:
+                    for number in range(20):
+                        nursery.start_soon(sync, follower, number * 0.03)
+
+            trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+            self.assertEqual(most, log.load_count)
+            self.assertEqual(expected, reasons)
+
+    def test_load_goes_on_when_the_task_that_began_it_is_cancelled(self):
+        log = _FailingLog(0.0)
+
+        async def main():
+            follower = keyed_log.create_log_follower(
+                'test', log, lambda record: None
+            )
+            async with trio.open_nursery() as nursery:
+
+                async def give_up():
+                    with trio.move_on_after(0.05):
+                        await follower.sync()
+
+                nursery.start_soon(give_up)
+                await trio.sleep(0.01)
+                self.assertIsNone(await follower.sync())
+            self.assertTrue(follower.is_loaded)
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_log_that_may_wait_is_not_loaded_before_others(self):
+        log = _FailingLog(0.0)
+        is_allowed = []
+
+        async def main():
+            follower = keyed_log.create_log_follower(
+                'test',
+                log,
+                lambda record: None,
+                may_load=lambda: bool(is_allowed),
+            )
+            failure = await follower.sync()
+            self.assertIs(results.RunState.NOT_RUN, failure.run_state)
+            self.assertEqual(0, log.load_count)
+            is_allowed.append(True)
+            self.assertIsNone(await follower.sync())
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/siskinmount/platform/_store.py
+++ b/siskinmount/platform/_store.py
@@ -12,6 +12,7 @@
 import urllib.parse
 
 import orjson
+import trio
 
 from siskinmount import keyed_log
 from siskinmount import results
@@ -29,6 +30,10 @@
 #: Time that a read may take beyond its wait for a record.
 READ_SLACK_MS = 1000
 CONNECT_TIMEOUT_MS = 700
+#: Time after its last page within which a read of the newest records continues.
+#: Much shorter than the history that the store keeps, from which the changes
+#: since its first page are read.
+CONTINUED_READ_S = 5.0
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 _MAX_CONNECTIONS = 64
 _RANGE = struct.Struct('>QQ')
@@ -122,16 +127,36 @@
             return exchange.status, body
 
 
+class _NewestRead:
+    """Pages of a read of the newest records that have arrived.
+
+    Attributes:
+        records: Their records.
+        end_offset: End of the log before the first page.
+        after: Key after which the next page begins.
+        at_s: Monotonic time of the last page.
+    """
+
+    __slots__ = ('records', 'end_offset', 'after', 'at_s')
+
+    def __init__(self) -> None:
+        self.records: list[keyed_log.KeyedRecord] = []
+        self.end_offset: int | None = None
+        self.after = ''
+        self.at_s = trio.current_time()
+
+
 class TopicLog:
     """Implements `keyed_log.KeyedLog` for one partition of a topic."""
 
-    __slots__ = ('_store', '_query')
+    __slots__ = ('_store', '_query', '_unfinished')
 
     def __init__(self, store: Store, topic: str, partition: int) -> None:
         self._store = store
         self._query = urllib.parse.urlencode(
             {'topic': topic, 'part': partition}
         )
+        self._unfinished: _NewestRead | None = None
 
     async def append(
         self, records: list[keyed_log.KeyedRecord], at_offset: int | None
@@ -190,12 +215,22 @@
         return _decode_page(body, from_offset)
 
     async def read_newest(self) -> keyed_log.LogPage | results.Failure:
-        """Implements `KeyedLog.read_newest`; reads page by page."""
-        records: list[keyed_log.KeyedRecord] = []
-        end_offset: int | None = None
-        after = ''
+        """Implements `KeyedLog.read_newest`; reads page by page.
+
+        A read that failed is continued soon after with the page that it lacks:
+        while many members load a log at once, whole reads rarely succeed.
+        """
+        read = self._unfinished
+        self._unfinished = None
+        if read is None or trio.current_time() - read.at_s > CONTINUED_READ_S:
+            read = _NewestRead()
         while True:
-            page = await self._read_newest_page(after)
+            page: dict[str, object] | results.Failure | None = None
+            try:
+                page = await self._read_newest_page(read.after)
+            finally:
+                if not isinstance(page, dict) and read.after:
+                    self._unfinished = read
             if isinstance(page, results.Failure):
                 return page
             items = page.get('items')
@@ -206,18 +241,19 @@
                     'answer without items or end_offset',
                     results.RunState.NOT_RUN,
                 )
-            if end_offset is None:
-                end_offset = page_end
-            previous = after
+            if read.end_offset is None:
+                read.end_offset = page_end
+            read.at_s = trio.current_time()
+            previous = read.after
             for item in items:
                 record = _decode_newest(item)
                 if record is None:
                     continue
-                records.append(record)
-                after = record.key
+                read.records.append(record)
+                read.after = record.key
             if not page.get('has_more'):
-                return keyed_log.LogPage(records, end_offset)
-            if after == previous:
+                return keyed_log.LogPage(read.records, read.end_offset)
+            if read.after == previous:
                 return _create_failure(
                     'newest',
                     'more records are announced after a page without any',
