--- a/siskinmount/peering/tests/test_peer_directory.py
+++ b/siskinmount/peering/tests/test_peer_directory.py
@@ -1,5 +1,7 @@
 """Liveness of members, their messages, and who starts batch items."""
 
+import json
+
 import hypothesis
 from hypothesis import strategies
 import orjson
@@ -46,6 +48,57 @@
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
+    def test_messages_are_understood_by_the_next_release_and_the_one_before(
+        self,
+    ):
+        # Guards against members that do not hear each other in an upgrade.
+        async def check(directory, load):
+            report = placement.PartReport(3, 0, 3, 1.0, 2.5, frozenset({'g@m'}))
+            row = peering.encode_message(
+                _make_message(suspect_parts={'p@m': report})
+            )
+            head, _, body = row.rpartition(b' ')
+            fields = orjson.loads(body)
+            decoded = peering.decode_message(row).suspect_parts['p@m']
+            for name in placement.PartReport.__slots__:
+                self.assertEqual(getattr(report, name), getattr(decoded, name))
+            # A member of the release before sends no such field.
+            del fields['suspect_parts']
+            older = peering.decode_message(head + b' ' + orjson.dumps(fields))
+            self.assertEqual({}, older.suspect_parts)
+            self.assertEqual({'t'}, older.held_tags)
+            # One of a later release may send more.
+            fields['added_later'] = [1]
+            newer = peering.decode_message(head + b' ' + orjson.dumps(fields))
+            self.assertEqual({'t'}, newer.held_tags)
+
+        self._run(check)
+
+    def test_invalid_reports_of_parts_are_refused(self):
+        async def check(directory, load):
+            report = placement.PartReport(3, 0, 3, 1.0, 2.5, frozenset())
+            row = peering.encode_message(
+                _make_message(suspect_parts={'p': report})
+            )
+            head, _, body = row.rpartition(b' ')
+            for index, value in (
+                (0, -1),
+                (2, 10**9),
+                (3, 'soon'),
+                (4, float('inf')),
+                (5, 7),
+            ):
+                fields = orjson.loads(body)
+                fields['suspect_parts']['p'][index] = value
+                data = json.dumps(fields, separators=(',', ':')).encode()
+                self.assertIsInstance(
+                    peering.decode_message(head + b' ' + data),
+                    results.Failure,
+                    (index, value),
+                )
+
+        self._run(check)
+
     def test_message_is_decoded_as_encoded(self):
         async def check(directory, load):
             sent = _make_message(
