Tell the end of a quarantine again, to members that missed it

A member that reads the record of a quarantine from the store just before it is dropped, and joins after its end was told for a second, would refuse a sound part alone for ten minutes. Found by reading. The test fails without it.

--- a/siskinmount/placement/_part_quarantine.py
+++ b/siskinmount/placement/_part_quarantine.py
@@ -43,11 +43,11 @@
 MAX_SUSPECTS = 1000
 #: How long each message tells of a change. Some datagrams are lost.
 FRESH_REPORT_S = 1.0
-#: Interval at which a few members tell of repeated crashes and of quarantines,
-#: for members that have missed them.
+#: Interval at which a few members tell of repeated crashes, of quarantines and
+#: of their ends, for members that have missed them.
 REPEAT_INTERVAL_S = 1.0
 REPEATING_MEMBERS = 4
-#: Some 60 bytes each in a message.
+#: Some 75 bytes each in a message.
 MAX_REPORTED_PARTS = 40
 #: Interval at which peers are told that a suspect part is served.
 SERVED_REPORT_INTERVAL_S = 0.5
@@ -324,7 +324,7 @@
         for part, suspect in self._suspects.items():
             is_fresh = now_s - suspect.changed_at_s < FRESH_REPORT_S
             is_blocked = suspect.is_blocked()
-            lasts = is_blocked or suspect.counted > 1
+            lasts = suspect.quarantined_sequence > 0 or suspect.counted > 1
             if is_fresh or (is_repeated and lasts):
                 ranked.append(
                     (is_blocked, suspect.counted, suspect.changed_at_s, part)
--- a/siskinmount/placement/tests/test_part_quarantine.py
+++ b/siskinmount/placement/tests/test_part_quarantine.py
@@ -213,6 +213,23 @@
 
         _run(check)
 
+    def test_end_of_a_quarantine_is_told_again(self):
+        # Guards against a member that read the record from the store before it
+        # was dropped, and refuses a sound part alone.
+        async def check(parts):
+            _crash_in_sequence(parts, [('q',)] * 2)
+            run = parts.begin_run(('q',))
+            _crash_in_sequence(parts, [('q',)])
+            restarted = placement.create_part_quarantine()
+            restarted.apply_reports({'q': parts.get_report('q')}, 'store')
+            parts.record_output(run)
+            await trio.sleep(2)
+            self.assertEqual(['q'], restarted.list_quarantined())
+            _tell(parts, restarted)
+            self.assertEqual([], restarted.list_quarantined())
+
+        _run(check)
+
     def test_repeated_reports_are_shared_among_members(self):
         async def check(parts):
             random.seed(1)
