Test mechanisms of the quarantine that no test would have missed

Found by taking mechanisms out of scratch copies: how recently a part was served (two bounds), crashes of other parts once the cause is known, blame of the cause alone.

--- a/siskinmount/placement/tests/test_part_quarantine.py
+++ b/siskinmount/placement/tests/test_part_quarantine.py
@@ -157,6 +157,47 @@
 
         _run(check)
 
+    def test_crashes_needed_by_the_time_since_a_part_was_served(self):
+        cases = [
+            # Start of the latest output of any request after that of the part,
+            # crashes in sequence, whether it is quarantined.
+            (0.5, 9, False),
+            (3.0, 4, False),
+            (3.0, 5, True),
+            (11.0, 2, False),
+            (11.0, 3, True),
+        ]
+        for unserved_s, crashes, expected in cases:
+
+            async def check(
+                parts,
+                unserved_s=unserved_s,
+                crashes=crashes,
+                expected=expected,
+            ):
+                parts.record_output(parts.begin_run(('f',)))
+                await trio.sleep(unserved_s)
+                parts.record_output(parts.begin_run(('other',)))
+                _crash_in_sequence(parts, [('f',)] * crashes)
+                self.assertEqual(
+                    expected, bool(parts.list_quarantined()), unserved_s
+                )
+
+            _run(check)
+
+    def test_other_parts_of_the_cause_start_anew(self):
+        # Guards against a sound part that one more crash puts in quarantine.
+        async def check(parts):
+            _crash_in_sequence(parts, [('f', 'p')] * 3)
+            self.assertEqual(['p'], parts.list_quarantined())
+            _crash_in_sequence(parts, [('f', 'r')])
+            self.assertIsNone(parts.find_quarantined(('f', 's')))
+            # What crashes with the cause says nothing of other parts.
+            _crash_in_sequence(parts, [('g', 'p')])
+            self.assertIsNone(parts.get_report('g'))
+
+        _run(check)
+
     def test_member_that_has_served_nothing_decides_later(self):
         async def main():
             parts = placement.create_part_quarantine()
