--- a/siskinmount/placement/tests/test_crash_tracker.py
+++ b/siskinmount/placement/tests/test_crash_tracker.py
@@ -249,6 +249,19 @@
 
         _run(check)
 
+    def test_crash_counts_against_parts_of_prompts_of_runs_without_output(self):
+        async def check(crash_tracker):
+            for added_output, expected in ((True, None), (False, 1)):
+                run = crash_tracker.parts.begin_run(('p',))
+                crash_tracker.record_interrupted_run(
+                    'f', 'a', added_output, part_run=run
+                )
+                crash_tracker.record_upstream_down('a')
+                report = crash_tracker.parts.get_report('p')
+                self.assertEqual(expected, report and report.sequence)
+
+        _run(check)
+
     def test_single_crashes_are_told_by_their_witness_for_some_time(self):
         async def check(crash_tracker):
             crash_tracker.record_interrupted_run('own', 'a')
--- a/siskinmount/placement/tests/test_part_quarantine.py
+++ b/siskinmount/placement/tests/test_part_quarantine.py
@@ -254,6 +254,18 @@
 
         _run(check)
 
+    def test_service_of_a_suspect_part_is_told(self):
+        async def check(parts):
+            _crash_in_sequence(parts, [('f',)])
+            await trio.sleep(3)
+            self.assertEqual({}, parts.list_reports(1))
+            early = parts.begin_run(('f',))
+            early.known_sequences.clear()
+            parts.record_output(early)
+            self.assertEqual(0.0, parts.list_reports(1)['f'].served_age_s)
+
+        _run(check)
+
     def test_end_of_a_quarantine_is_told_again(self):
         # Guards against a member that read the record from the store before it
         # was dropped, and refuses a sound part alone.
