--- a/siskinmount/placement/tests/part_crash_simulation.py
+++ b/siskinmount/placement/tests/part_crash_simulation.py
@@ -16,7 +16,7 @@
 _FIRST_EVENT_S = (0.04, 0.15)
 _EVENT_INTERVAL_S = 0.026
 _EVENTS = 26
-_POISON_CRASH_S = 0.05
+_CRASH_DELAY_S = 0.05
 _LOST_DATAGRAMS = 0.01
 _SLOTS = 8
 _CRASHING_FROM_S = 2.0
@@ -87,7 +87,7 @@
         reached_times_s: Times at which requests with it reached upstreams.
         quarantined_sound: Sound parts that were in quarantine at any member.
         sound_sent: Sound requests that were sent.
-        sound_begun: Those that had output at the first upstream.
+        sound_started: Those that had output at the first upstream.
     """
 
     def __init__(self):
@@ -95,7 +95,7 @@
         self.reached_times_s = []
         self.quarantined_sound = set()
         self.sound_sent = 0
-        self.sound_begun = 0
+        self.sound_started = 0
 
     def count_late(self, window_s):
         """Returns the requests that came after the fifth crash and a window."""
@@ -219,7 +219,7 @@
             free.sort(key=lambda upstream: upstream.run_count)
             upstream = self.rng.choice(free[:3])
             if await self._attempt(tracker, upstream, parts, is_sound):
-                self.outcome.sound_begun += is_sound and not attempt
+                self.outcome.sound_started += is_sound and not attempt
                 return
             if tracker.parts.has_suspect(parts):
                 # As a gateway waits for the probe of the lost upstream.
@@ -236,7 +236,7 @@
             self._nursery.start_soon(_cancel_on_crash, upstream, scope)
             await trio.sleep(self.rng.uniform(*_FIRST_EVENT_S))
             if not is_sound:
-                await trio.sleep(_POISON_CRASH_S)
+                await trio.sleep(_CRASH_DELAY_S)
                 self.outcome.crash_times_s.append(trio.current_time())
                 self.crash(upstream.number)
                 await trio.sleep_forever()
--- a/siskinmount/placement/tests/test_part_crash_simulation.py
+++ b/siskinmount/placement/tests/test_part_crash_simulation.py
@@ -93,7 +93,7 @@
                 self.assertEqual(set(), outcome.quarantined_sound, case)
                 if disturb is None:
                     self.assertGreater(
-                        outcome.sound_begun, outcome.sound_sent / 2, case
+                        outcome.sound_started, outcome.sound_sent / 2, case
                     )
 
     def test_crashes_of_other_causes_quarantine_nothing(self):
--- a/siskinmount/platform/tests/test_store_congestion.py
+++ b/siskinmount/platform/tests/test_store_congestion.py
@@ -79,7 +79,7 @@
 class StoreCongestionTest(testtools.TestCase):
 
     def test_all_members_load_a_large_log_after_a_common_start(self):
-        # Guards against reads that are given up and begun again for ever.
+        # Guards against reads that time out and start anew without end.
         loaded = []
 
         async def main():
