--- a/siskinmount/placement/tests/test_part_quarantine.py
+++ b/siskinmount/placement/tests/test_part_quarantine.py
@@ -314,6 +314,16 @@
 
         _run(check)
 
+    def test_reports_of_old_crashes_are_not_applied(self):
+        async def check(parts):
+            for age_s, expected in ((61, None), (59, 1)):
+                report = placement.PartReport(1, 0, 0, age_s, None, frozenset())
+                parts.apply_reports({'p': report}, 'peer')
+                known = parts.get_report('p')
+                self.assertEqual(expected, known and known.sequence)
+
+        _run(check)
+
     def test_old_crashes_are_not_counted(self):
         async def check(parts):
             _crash_in_sequence(parts, [('p',)] * 2)
