Count crashes and output of a prompt part by service

Cause: its caller sends the same part to a plain service too, whose engines do not crash, and each answer there cleared the part: sequence 12, cleared 11. Two services of one model, of which one crashes, would do the same. Names of parts now end with the service at which the run is, and a request is refused for the service that was drawn for it. A name that the store cannot hold as a key is told among members only.

--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -98,7 +98,7 @@
         self._waiting: placement.WaitingRun | None = None
         self._event_count = 0
         self._part_run = context.crash_tracker.parts.begin_run(
-            request.caller_request.prompt_parts
+            request.name_prompt_parts(upstream.service)
         )
         if self._is_streaming:
             self._waiting = context.overdue.begin(
@@ -128,7 +128,7 @@
                 extra={
                     'request_id': request.request_id,
                     'fingerprint': request.fingerprint,
-                    'prompt_parts': request.caller_request.prompt_parts,
+                    'prompt_parts': self._part_run.prompt_parts,
                     'upstream': upstream_id,
                     'outcome': outcome.value,
                     'reason': reason,
--- a/siskinmount/gateway/_online_handler.py
+++ b/siskinmount/gateway/_online_handler.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from siskinmount import fleet
 from siskinmount import placement
 from siskinmount import results
 from siskinmount.gateway import _online_attempt
@@ -75,10 +76,11 @@
         """
         request = self._request
         while True:
-            quarantine = self._find_quarantine()
+            service = request.route.draw_service()
+            quarantine = self._find_quarantine(service)
             if quarantine is not None:
                 return quarantine
-            chosen = self._place()
+            chosen = self._place(service)
             if isinstance(chosen, results.Failure):
                 if self._failed_response is not None:
                     await self._response.send_buffered(self._failed_response)
@@ -107,9 +109,7 @@
                 )
             if request.may_retry():
                 if outcome is _online_attempt.AttemptOutcome.LOST:
-                    await self._wait_for_crash_check(
-                        chosen.upstream.upstream_id
-                    )
+                    await self._wait_for_crash_check(chosen.upstream)
                 continue
             if (
                 self._failed_response is not None
@@ -123,20 +123,20 @@
                 request.get_run_state(),
             )
 
-    async def _wait_for_crash_check(self, upstream_id: str) -> None:
+    async def _wait_for_crash_check(self, upstream: fleet.Upstream) -> None:
         """Waits until it is known whether an upstream that lost a run crashed.
 
         Only for prompts with a suspect part: without the result, a retry may
         crash another upstream and tell nothing new.
         """
         tracker = self._context.crash_tracker
-        parts = self._request.caller_request.prompt_parts
+        parts = self._request.name_prompt_parts(upstream.service)
         if not tracker.parts.has_suspect(parts):
             return
         with trio.move_on_after(MAX_CRASH_CHECK_S):
-            await tracker.wait_settled(upstream_id)
+            await tracker.wait_settled(upstream.upstream_id)
 
-    def _find_quarantine(self) -> results.Failure | None:
+    def _find_quarantine(self, service: str) -> results.Failure | None:
         """Returns why the request must not be run; None if it may be."""
         request = self._request
         tracker = self._context.crash_tracker
@@ -148,7 +148,7 @@
                 request.get_run_state(),
             )
         part = tracker.parts.find_quarantined(
-            request.caller_request.prompt_parts
+            request.name_prompt_parts(service)
         )
         if part is None:
             return None
@@ -168,10 +168,9 @@
             request.get_run_state(),
         )
 
-    def _place(self) -> placement.Placement | results.Failure:
+    def _place(self, service: str) -> placement.Placement | results.Failure:
         """Chooses the next upstream, or returns why there is none."""
         request = self._request
-        service = request.route.draw_service()
         affinity_key = request.caller_request.affinity_key
         max_wait_ms = request.route.target_ms * MAX_WAIT_TARGETS
         if request.attempts or request.response_started:
--- a/siskinmount/gateway/_online_request.py
+++ b/siskinmount/gateway/_online_request.py
@@ -86,6 +86,15 @@
         """Whether a part of the response has been sent to the caller."""
         return self.exchange.response_started
 
+    def name_prompt_parts(self, service: str) -> tuple[str, ...]:
+        """Returns names of the shared parts of the prompt at a service.
+
+        A part that crashes the upstreams of one service may be sound at others.
+        """
+        return tuple(
+            f'{part}@{service}' for part in self.caller_request.prompt_parts
+        )
+
     def get_run_state(self) -> results.RunState:
         """Returns the run state that may be reported to the caller."""
         if self.may_have_run:
--- a/siskinmount/gateway/_quarantine_log.py
+++ b/siskinmount/gateway/_quarantine_log.py
@@ -21,6 +21,8 @@
 #: How long a gateway that starts waits for the store before it takes requests.
 LOAD_TIMEOUT_S = 1.0
 RETRY_S = 0.5
+#: Limit of the store.
+MAX_KEY_BYTES = 255
 _SOURCE = 'store'
 
 
@@ -82,6 +84,9 @@
             report = self._parts.get_report(part)
             if report is None and not self._is_chosen(part):
                 return
+            if len(part.encode()) > MAX_KEY_BYTES:
+                # Peers tell each other of it all the same.
+                return
             record = keyed_log.KeyedRecord(part, _encode(report))
             outcome = await self._log.append([record], None)
             if not isinstance(outcome, results.Failure):
--- a/siskinmount/gateway/tests/test_crashing_prompt_parts.py
+++ b/siskinmount/gateway/tests/test_crashing_prompt_parts.py
@@ -134,6 +134,29 @@
             engines=tuple(f'e{number}' for number in range(16)),
         )
 
+    def test_output_at_another_service_does_not_clear_a_part(self):
+        # Guards against a part that crashes one service and is sound at another.
+        async def check(fleet):
+            for engine in fleet.engines.values():
+                if engine.is_streaming:
+                    engine.crashing_part = 'p'
+            traffic = PromptTraffic(fleet)
+            for _ in range(8):
+                await traffic.send(['f', 'p'])
+                for gateway in range(2):
+                    answer = await traffic.send(['f', 'p'], gateway, 'plain')
+                    self.assertEqual(200, answer.status)
+                    await traffic.send(['f', 'q'], gateway)
+                await trio.sleep(0.3)
+            self.assertLessEqual(len(fleet.crashed), 4)
+
+        gateway_harness.run_fleet(
+            check,
+            gateway_count=2,
+            engines=tuple(f'e{number}' for number in range(12)),
+            plain=('p1', 'p2'),
+        )
+
     def test_quarantine_outlives_the_loss_of_all_gateways(self):
         async def check(fleet):
             for engine in fleet.engines.values():
