Log the request rates that upstreams name, without acting on them

Now each member logs upstream_limit_named and upstream_limit_ended with the rate, the earlier one and the request, and an unsound value as upstream_limit_invalid at each power of two; the counter upstream_limit_notices_total counts all three. Responses of another request or process name nothing. No decision depends on any of this yet.

--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -34,6 +34,7 @@
 from siskinmount.gateway import _peers_api
 from siskinmount.gateway import _process_signals
 from siskinmount.gateway import _quarantine_log
+from siskinmount.gateway import _rate_limit_reader
 from siskinmount.gateway import _response_buffers
 from siskinmount.gateway import _result_writer
 from siskinmount.gateway import _upstream_clients
@@ -131,6 +132,9 @@
         departures = _departure_reader.create_departure_reader(
             outside.wire, self._view, self._load, self._metrics
         )
+        limit_reader = _rate_limit_reader.create_rate_limit_reader(
+            outside.wire, self._metrics
+        )
         clients = _upstream_clients.create_upstream_clients(self._view)
         table = jobs.create_job_table()
         self._document_follower = keyed_log.create_log_follower(
@@ -235,7 +239,12 @@
             load=self._load,
             health=health,
             client=_item_client.create_item_client(
-                clients, health, departures, outside.wire, self._metrics
+                clients,
+                health,
+                departures,
+                limit_reader,
+                outside.wire,
+                self._metrics,
             ),
             result_writer=result_writer,
             metrics=self._metrics,
@@ -259,6 +268,7 @@
             crash_tracker=crash_tracker,
             clients=clients,
             departures=departures,
+            rate_limits=limit_reader,
             buffers=_response_buffers.create_response_buffers(),
             wire=outside.wire,
             metrics=self._metrics,
--- a/siskinmount/gateway/_gateway_metrics.py
+++ b/siskinmount/gateway/_gateway_metrics.py
@@ -22,6 +22,8 @@
         part_failures: Failures of parts of the process, which were restarted,
             by part.
         departures: Upstreams that announced in a response that they leave.
+        limit_notices: Changes of the request rates that upstreams accept, by
+            what was read in a response: named, ended or invalid.
         placements: Placement decisions by outcome.
         item_runs: Runs of batch items by outcome.
         preemptions: Runs of batch items preempted by callers' requests.
@@ -43,6 +45,7 @@
         'peer_datagrams',
         'part_failures',
         'departures',
+        'limit_notices',
         'placements',
         'item_runs',
         'preemptions',
@@ -90,6 +93,11 @@
             'upstream_departures_total',
             'Upstreams that said in an answer that they leave.',
         )
+        self.limit_notices = metrics.create_counter(
+            'upstream_limit_notices_total',
+            'Changes of the rates that upstreams accept.',
+            'what',
+        )
         self.placements = metrics.create_counter(
             'placements_total', 'Decisions on placement.', 'outcome'
         )
--- a/siskinmount/gateway/_item_client.py
+++ b/siskinmount/gateway/_item_client.py
@@ -12,6 +12,7 @@
 from siskinmount.gateway import _departure_reader
 from siskinmount.gateway import _event_stream
 from siskinmount.gateway import _gateway_metrics
+from siskinmount.gateway import _rate_limit_reader
 from siskinmount.gateway import _upstream_clients
 from siskinmount.gateway import _wire
 
@@ -49,19 +50,28 @@
 class ItemClient:
     """Sends items to upstreams and collects the events of their output."""
 
-    __slots__ = ('_clients', '_health', '_departures', '_wire', '_metrics')
+    __slots__ = (
+        '_clients',
+        '_health',
+        '_departures',
+        '_rate_limits',
+        '_wire',
+        '_metrics',
+    )
 
     def __init__(
         self,
         clients: _upstream_clients.UpstreamClients,
         health: placement.UpstreamHealth,
         departures: _departure_reader.DepartureReader,
+        rate_limits: _rate_limit_reader.RateLimitReader,
         wire: _wire.Wire,
         metrics: _gateway_metrics.GatewayMetrics,
     ) -> None:
         self._clients = clients
         self._health = health
         self._departures = departures
+        self._rate_limits = rate_limits
         self._wire = wire
         self._metrics = metrics
 
@@ -88,6 +98,7 @@
         )
         client = self._clients.get_client(upstream)
         response: transport.ClientExchange | results.Failure | None = None
+        sent_at_s = trio.current_time()
         with trio.move_on_after(SILENCE_TIMEOUT_S):
             response = await client.send(request)
         if response is None:
@@ -101,6 +112,7 @@
             return RunOutcome.LOST, response.reason
         with response:
             self._departures.read(upstream, response, item.item_id)
+            self._rate_limits.read(upstream, response, item.item_id, sent_at_s)
             kind = self._wire.classify_answer(
                 response.status, response.headers, item.item_id
             )
@@ -185,8 +197,9 @@
     clients: _upstream_clients.UpstreamClients,
     health: placement.UpstreamHealth,
     departures: _departure_reader.DepartureReader,
+    rate_limits: _rate_limit_reader.RateLimitReader,
     wire: _wire.Wire,
     metrics: _gateway_metrics.GatewayMetrics,
 ) -> ItemClient:
     """Creates a client that uses the upstreams' connection pools."""
-    return ItemClient(clients, health, departures, wire, metrics)
+    return ItemClient(clients, health, departures, rate_limits, wire, metrics)
--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -209,6 +209,7 @@
         # If the send is cancelled from here on, the request may have reached
         # the upstream.
         request.may_have_run = True
+        sent_at_s = trio.current_time()
         with trio.move_on_after(self._get_first_byte_timeout_s()):
             response = await client.send(client_request)
         if response is None:
@@ -225,6 +226,9 @@
             self._context.departures.read(
                 self._upstream, response, request.request_id
             )
+            self._context.rate_limits.read(
+                self._upstream, response, request.request_id, sent_at_s
+            )
             return await self._handle_response(response)
 
     async def _handle_response(
--- a/siskinmount/gateway/_online_context.py
+++ b/siskinmount/gateway/_online_context.py
@@ -3,6 +3,7 @@
 from siskinmount import placement
 from siskinmount.gateway import _departure_reader
 from siskinmount.gateway import _gateway_metrics
+from siskinmount.gateway import _rate_limit_reader
 from siskinmount.gateway import _response_buffers
 from siskinmount.gateway import _upstream_clients
 from siskinmount.gateway import _wire
@@ -19,6 +20,7 @@
         crash_tracker: Identifies requests that crash upstreams.
         clients: Connection pools of the upstreams.
         departures: Notes responses of upstreams that leave.
+        rate_limits: Notes responses that name a request rate.
         buffers: Bounds the memory of responses that are read whole.
         wire: Reads and writes headers.
         metrics: Counters and histograms of the gateway.
@@ -32,6 +34,7 @@
         'crash_tracker',
         'clients',
         'departures',
+        'rate_limits',
         'buffers',
         'wire',
         'metrics',
@@ -47,6 +50,7 @@
         crash_tracker: placement.CrashTracker,
         clients: _upstream_clients.UpstreamClients,
         departures: _departure_reader.DepartureReader,
+        rate_limits: _rate_limit_reader.RateLimitReader,
         buffers: _response_buffers.ResponseBuffers,
         wire: _wire.Wire,
         metrics: _gateway_metrics.GatewayMetrics,
@@ -58,6 +62,7 @@
         self.crash_tracker = crash_tracker
         self.clients = clients
         self.departures = departures
+        self.rate_limits = rate_limits
         self.buffers = buffers
         self.wire = wire
         self.metrics = metrics
--- a/siskinmount/gateway/_wire.py
+++ b/siskinmount/gateway/_wire.py
@@ -163,6 +163,16 @@
         """
         ...
 
+    def read_rate_limit(
+        self, headers: transport.Headers
+    ) -> float | results.Failure | None:
+        """Returns the requests per second that an upstream accepts.
+
+        The rate is for all members together. It is None if the response names
+        none; an unsound one fails with `INVALID_FIELD`.
+        """
+        ...
+
     def build_answer_headers(
         self, headers: transport.Headers
     ) -> transport.Headers:
--- a/siskinmount/gateway/tests/online_context.py
+++ b/siskinmount/gateway/tests/online_context.py
@@ -6,6 +6,7 @@
 from siskinmount.gateway import _departure_reader
 from siskinmount.gateway import _gateway_metrics
 from siskinmount.gateway import _online_context
+from siskinmount.gateway import _rate_limit_reader
 from siskinmount.gateway import _response_buffers
 
 
@@ -34,6 +35,7 @@
         departures=_departure_reader.create_departure_reader(
             wire, view, load, metrics
         ),
+        rate_limits=_rate_limit_reader.create_rate_limit_reader(wire, metrics),
         buffers=_response_buffers.create_response_buffers(),
         wire=wire,
         metrics=metrics,
--- a/siskinmount/gateway/tests/test_item_client.py
+++ b/siskinmount/gateway/tests/test_item_client.py
@@ -57,6 +57,7 @@
                 None,
                 None,
                 None,
+                None,
                 _gateway_metrics.create_gateway_metrics(
                     telemetry.create_metrics()
                 ),
--- a/siskinmount/platform/_wire.py
+++ b/siskinmount/platform/_wire.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import re
 from typing import Any
 import urllib.parse
 
@@ -31,6 +32,9 @@
 _LEAVING = b'server-leaving'
 #: Seal of an engine; each success has one.
 _SEAL = b'x-server-seal'
+#: Requests a second that an engine in need takes from all VMs together.
+_LIMIT = b'server-limit'
+_DECIMAL_PATTERN = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
 _STATUS_MISDIRECTED = 421
 
 #: Path prefix of calls on jobs. The platform calls a job a lot.
@@ -44,6 +48,7 @@
 _MAX_ID_LENGTH = 128
 #: Bounds what a gateway keeps and logs of one prompt.
 _MAX_NAMED_PARTS = 16
+_MAX_LOGGED_CHARACTERS = 40
 #: Limit of the platform for the items of one job.
 MAX_ITEMS = 200
 #: Limit of the platform for the size of one answer with results.
@@ -278,6 +283,22 @@
         is_sealed = transport.find_header(headers, _SEAL) is not None
         return is_sealed or not 200 <= status < 300
 
+    def read_rate_limit(
+        self, headers: transport.Headers
+    ) -> float | results.Failure | None:
+        """Returns the engine's limit, or fails with `INVALID_FIELD`."""
+        texts = {value for name, value in headers if name == _LIMIT}
+        if not texts:
+            return None
+        text = b', '.join(sorted(texts)).decode('latin-1').strip()
+        if _DECIMAL_PATTERN.fullmatch(text) is None:
+            return results.Failure(
+                results.ResultCode.INVALID_FIELD,
+                'the limit is not a decimal number:'
+                f' {text[:_MAX_LOGGED_CHARACTERS]!r}',
+            )
+        return float(text)
+
     def build_answer_headers(
         self, headers: transport.Headers
     ) -> transport.Headers:
--- a/siskinmount/platform/tests/test_wire.py
+++ b/siskinmount/platform/tests/test_wire.py
@@ -159,6 +159,36 @@
                 (status, headers),
             )
 
+    def test_request_rate_that_an_engine_accepts(self):
+        cases = [
+            # Values of the header, and the rate; None if it is invalid.
+            ([b'2.5'], 2.5),
+            ([b'0'], 0.0),
+            ([b' 12 '], 12.0),
+            ([b'3', b'3'], 3.0),
+            ([b'3', b'4'], None),
+            ([b''], None),
+            ([b'nan'], None),
+            ([b'inf'], None),
+            ([b'-1'], None),
+            ([b'+1'], None),
+            ([b'1e3'], None),
+            ([b'1,5'], None),
+            ([b'.5'], None),
+            ([b'1_0'], None),
+            (['\u0663'.encode()], None),
+            ([b'9' * 400], None),
+        ]
+        for values, expected in cases:
+            headers = [(b'server-limit', value) for value in values]
+            found = self.wire.read_rate_limit([(b'x', b'1'), *headers])
+            if expected is None:
+                self.assertIsInstance(found, results.Failure, values)
+                self.assertIs(results.ResultCode.INVALID_FIELD, found.code)
+                continue
+            self.assertEqual(expected, found, values)
+        self.assertIsNone(self.wire.read_rate_limit([(b'x', b'1')]))
+
     def test_job_calls(self):
         cases = [
             ('GET', '/siskinmount/lots/j?after=3', 'read_results', 'j'),
--- a/standins/event_engine/_event_engine.py
+++ b/standins/event_engine/_event_engine.py
@@ -111,6 +111,7 @@
         omits_framing: Whether answers have neither length nor chunks and end
             with their connection.
         is_leaving: Whether all answers say that the engine leaves.
+        limit_text: Requests a second that all answers name; None for none.
         crashing_body: Body of the request that crashes the engine; None for no
             such request.
         crashing_part: Id of the part of a prompt that crashes the engine unless
@@ -128,6 +129,7 @@
         'is_streaming',
         'omits_framing',
         'is_leaving',
+        'limit_text',
         'crashing_body',
         'crashing_part',
         'events_before_crash',
@@ -149,6 +151,7 @@
         self.is_streaming = is_streaming
         self.omits_framing = False
         self.is_leaving = False
+        self.limit_text: str | None = None
         self.crashing_body: bytes | None = None
         self.crashing_part: str | None = None
         self.events_before_crash = 0
@@ -171,6 +174,8 @@
         echo = [(b'x-request-id', request_id.encode('latin-1'))]
         if self.is_leaving:
             echo.append((b'server-leaving', b'1'))
+        if self.limit_text is not None:
+            echo.append((b'server-limit', self.limit_text.encode()))
         expected = headers.get('x-expect-instance', self.engine_id)
         if fault is AnswerFault.OTHER_PROCESS or expected != self.engine_id:
             await exchange.send_whole(421, echo, b'')
