Keep to the request rates that upstreams accept, all members together

Cause: the header passed through, and no decision knew of it.

Change: each member keeps a token bucket of the whole limit by upstream, debited for its own sends and for those that peers report as counts that only grow, so a lost or repeated message does no harm. Nothing is handed out, so shares add up to the limit with any spread of callers and below one request a second each. Where many members see one token before they hear who took it, a request takes part in proportion to the tokens per rival. Silent members keep their share for 10 s, or 60 s if most are silent. Online requests of the highest priority go before the rest, batch items and requests that others can begin at once leave half of a burst. A request that finds no token is refused at once (3016, not run) with the time at which one is due; one that an upstream has begun waits up to 1.5 s.

Ruled out: equal shares (at 88 gateways each would get a token in half a minute and use it at any time, a caller at the wrong gateway none), one owner an upstream (another thing that freezes, and a round trip before each request).

--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -121,8 +121,12 @@
             crash_tracker=crash_tracker,
         )
         self._overdue = placement.create_overdue_runs(health)
+        rate_limits = placement.create_rate_limits()
         self._directory = peering.create_peer_directory(
-            settings.vm, self._load, crash_tracker, health
+            settings.vm, self._load, crash_tracker, health, rate_limits
+        )
+        rate_limits.watch_members(
+            self._directory.get_reachable_share, self._get_message_delay_s
         )
         self._quarantine_log = _quarantine_log.create_quarantine_log(
             outside.quarantine_log, crash_tracker.parts, self._directory
@@ -133,7 +137,7 @@
             outside.wire, self._view, self._load, self._metrics
         )
         limit_reader = _rate_limit_reader.create_rate_limit_reader(
-            outside.wire, self._metrics
+            outside.wire, rate_limits, self._load, self._metrics
         )
         clients = _upstream_clients.create_upstream_clients(self._view)
         table = jobs.create_job_table()
@@ -184,6 +188,7 @@
             view=self._view,
             load=self._load,
             health=health,
+            rate_limits=rate_limits,
             crash_tracker=crash_tracker,
             scheduler=scheduler,
             directory=self._directory,
@@ -194,6 +199,7 @@
             clients=clients,
             crash_tracker=crash_tracker,
             health=health,
+            rate_limits=rate_limits,
             overdue=self._overdue,
             directory=self._directory,
             members_watch=(
@@ -208,7 +214,11 @@
             metrics=self._metrics,
         )
         placer = placement.create_placer(
-            self._view, self._load, health, self._get_message_delay_s
+            self._view,
+            self._load,
+            health,
+            self._get_message_delay_s,
+            rate_limits,
         )
         self._peers_api = _peers_api.create_peers_api(
             view=self._view,
--- a/siskinmount/gateway/_gateway_metrics.py
+++ b/siskinmount/gateway/_gateway_metrics.py
@@ -24,6 +24,7 @@
         departures: Upstreams that announced in a response that they leave.
         limit_notices: Changes of the request rates that upstreams accept, by
             what was read in a response: named, ended or invalid.
+        limited_upstreams: Upstreams that accept a bounded request rate.
         placements: Placement decisions by outcome.
         item_runs: Runs of batch items by outcome.
         preemptions: Runs of batch items preempted by callers' requests.
@@ -46,6 +47,7 @@
         'part_failures',
         'departures',
         'limit_notices',
+        'limited_upstreams',
         'placements',
         'item_runs',
         'preemptions',
@@ -98,6 +100,9 @@
             'Changes of the rates that upstreams accept.',
             'what',
         )
+        self.limited_upstreams = metrics.create_gauge(
+            'limited_upstreams', 'Upstreams that accept a bounded request rate.'
+        )
         self.placements = metrics.create_counter(
             'placements_total', 'Decisions on placement.', 'outcome'
         )
--- a/siskinmount/gateway/_housekeeping.py
+++ b/siskinmount/gateway/_housekeeping.py
@@ -33,6 +33,7 @@
         '_clients',
         '_crash_tracker',
         '_health',
+        '_rate_limits',
         '_overdue',
         '_directory',
         '_members_watch',
@@ -52,6 +53,7 @@
         clients: _upstream_clients.UpstreamClients,
         crash_tracker: placement.CrashTracker,
         health: placement.UpstreamHealth,
+        rate_limits: placement.RateLimits,
         overdue: placement.OverdueRuns,
         directory: peering.PeerDirectory,
         members_watch: _eligible_members_watch.EligibleMembersWatch,
@@ -66,6 +68,7 @@
         self._clients = clients
         self._crash_tracker = crash_tracker
         self._health = health
+        self._rate_limits = rate_limits
         self._overdue = overdue
         self._directory = directory
         self._members_watch = members_watch
@@ -88,6 +91,10 @@
             self._metrics.quarantined_parts.set(
                 len(self._crash_tracker.parts.list_quarantined())
             )
+            self._rate_limits.expire(set(self._view.upstreams))
+            self._metrics.limited_upstreams.set(
+                self._rate_limits.count_limited()
+            )
             self._drop_expired_jobs()
             self._directory.list_live()
             self._members_watch.check()
@@ -112,6 +119,7 @@
             else:
                 self._crash_tracker.record_upstream_down(upstream_id)
             self._health.forget(upstream_id)
+            self._rate_limits.forget(upstream_id)
             self._overdue.forget(upstream_id)
         self._known_upstreams = now_known
 
@@ -153,6 +161,7 @@
     clients: _upstream_clients.UpstreamClients,
     crash_tracker: placement.CrashTracker,
     health: placement.UpstreamHealth,
+    rate_limits: placement.RateLimits,
     overdue: placement.OverdueRuns,
     directory: peering.PeerDirectory,
     members_watch: _eligible_members_watch.EligibleMembersWatch,
@@ -170,6 +179,7 @@
         clients: Clients of removed upstreams are closed.
         crash_tracker: Told of upstreams that restarted; its old entries expire.
         health: Forgets upstreams that were removed or restarted.
+        rate_limits: Forgets limits that are over.
         overdue: Forgets upstreams that were removed or restarted.
         directory: Silent peers are dropped.
         members_watch: Logs changes of the members that share batch items.
@@ -185,6 +195,7 @@
         clients=clients,
         crash_tracker=crash_tracker,
         health=health,
+        rate_limits=rate_limits,
         overdue=overdue,
         directory=directory,
         members_watch=members_watch,
--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -196,6 +196,7 @@
             self._runs[tag] = run
             self._scheduler.started_at_s[tag] = trio.current_time()
             self._update_load(upstream.upstream_id)
+            self._placer.record_send(upstream.upstream_id)
             self._start_claimed(
                 nursery,
                 next_item,
--- a/siskinmount/gateway/_member_announcer.py
+++ b/siskinmount/gateway/_member_announcer.py
@@ -27,6 +27,7 @@
         '_view',
         '_load',
         '_health',
+        '_rate_limits',
         '_crash_tracker',
         '_scheduler',
         '_directory',
@@ -43,6 +44,7 @@
         view: fleet.FleetView,
         load: placement.LoadTable,
         health: placement.UpstreamHealth,
+        rate_limits: placement.RateLimits,
         crash_tracker: placement.CrashTracker,
         scheduler: jobs.ItemScheduler,
         directory: peering.PeerDirectory,
@@ -55,6 +57,7 @@
         self._view = view
         self._load = load
         self._health = health
+        self._rate_limits = rate_limits
         self._crash_tracker = crash_tracker
         self._scheduler = scheduler
         self._directory = directory
@@ -82,6 +85,8 @@
             suspect_parts=self._crash_tracker.parts.list_reports(
                 len(self._directory.list_live()) + 1
             ),
+            rate_limits=self._rate_limits.list_reports(),
+            demand=self._rate_limits.list_demand(),
             failure_tallies=self._health.list_failure_tallies(),
             departures=self._view.departures.list_first_hand(),
         )
@@ -115,6 +120,7 @@
     view: fleet.FleetView,
     load: placement.LoadTable,
     health: placement.UpstreamHealth,
+    rate_limits: placement.RateLimits,
     crash_tracker: placement.CrashTracker,
     scheduler: jobs.ItemScheduler,
     directory: peering.PeerDirectory,
@@ -130,6 +136,7 @@
         view: Provides the version of the document in force.
         load: This member's requests in flight.
         health: Upstreams that this member finds faulty.
+        rate_limits: Request rates that upstreams accept.
         crash_tracker: Upstream crashes that this member knows.
         scheduler: Items that this member runs or keeps output of.
         directory: Live members, which share repeated reports among them.
@@ -143,6 +150,7 @@
         view=view,
         load=load,
         health=health,
+        rate_limits=rate_limits,
         crash_tracker=crash_tracker,
         scheduler=scheduler,
         directory=directory,
--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -210,6 +210,7 @@
         # the upstream.
         request.may_have_run = True
         sent_at_s = trio.current_time()
+        self._context.placer.record_send(self._upstream.upstream_id)
         with trio.move_on_after(self._get_first_byte_timeout_s()):
             response = await client.send(client_request)
         if response is None:
--- a/siskinmount/gateway/_online_handler.py
+++ b/siskinmount/gateway/_online_handler.py
@@ -22,12 +22,22 @@
 #: Longest wait for the first probe of an upstream that interrupted a run, which
 #: comes after 50 ms.
 MAX_CRASH_CHECK_S = 0.15
+#: Longest wait of a request that an upstream has begun for upstreams to accept
+#: it again. Callers give up a stream after a gap of two seconds.
+MAX_LIMIT_WAIT_S = 1.5
+LIMIT_POLL_S = 0.05
 
 
 class OnlineHandler:
     """Handles one request, from its last byte to the end of its response."""
 
-    __slots__ = ('_context', '_request', '_response', '_failed_response')
+    __slots__ = (
+        '_context',
+        '_request',
+        '_response',
+        '_failed_response',
+        '_limits_waited_since_s',
+    )
 
     def __init__(
         self,
@@ -40,6 +50,7 @@
             request, context.wire, context.metrics
         )
         self._failed_response: _online_response.BufferedResponse | None = None
+        self._limits_waited_since_s: float | None = None
 
     async def run(self) -> None:
         """Answers the caller.
@@ -82,6 +93,9 @@
                 return quarantine
             chosen = self._place(service)
             if isinstance(chosen, results.Failure):
+                if self._may_wait_for_limits(chosen):
+                    await trio.sleep(LIMIT_POLL_S)
+                    continue
                 if self._failed_response is not None:
                     await self._response.send_buffered(self._failed_response)
                     return None
@@ -123,6 +137,22 @@
                 request.get_run_state(),
             )
 
+    def _may_wait_for_limits(self, failure: results.Failure) -> bool:
+        """Returns whether to wait until an upstream accepts the request.
+
+        That is so for a request that an upstream has begun: the caller cannot
+        be told that it did not run, and its stream would be cut.
+        """
+        request = self._request
+        if failure.code is not results.ResultCode.UPSTREAM_RATE_LIMITED:
+            return False
+        if not request.attempts and not request.response_started:
+            return False
+        now_s = trio.current_time()
+        if self._limits_waited_since_s is None:
+            self._limits_waited_since_s = now_s
+        return now_s - self._limits_waited_since_s < MAX_LIMIT_WAIT_S
+
     async def _wait_for_crash_check(self, upstream: fleet.Upstream) -> None:
         """Waits until it is known whether an upstream that lost a run crashed.
 
@@ -173,16 +203,21 @@
         request = self._request
         affinity_key = request.caller_request.affinity_key
         max_wait_ms = request.route.target_ms * MAX_WAIT_TARGETS
+        urgency = placement.Urgency.HIGHEST
+        if request.route.priority > 0:
+            urgency = placement.Urgency.ONLINE
         if request.attempts or request.response_started:
             # An upstream has already done work for this request, so a late
             # response is better than none.
             max_wait_ms = float('inf')
+            urgency = placement.Urgency.HIGHEST
         placed = self._context.placer.place_online(
             service,
             affinity_key,
             request.tried_upstreams,
             max_wait_ms,
             may_use_avoided=request.may_retry_after_current(),
+            urgency=urgency,
         )
         if (
             isinstance(placed, placement.Refusal)
@@ -192,7 +227,7 @@
             # Each upstream has failed this request once; the least loaded gets
             # it again.
             placed = self._context.placer.place_online(
-                service, affinity_key, set(), max_wait_ms
+                service, affinity_key, set(), max_wait_ms, urgency=urgency
             )
         self._log_placement(service, placed)
         if not isinstance(placed, placement.Refusal):
@@ -202,6 +237,9 @@
         if placed.reason is placement.RefusalReason.NO_UPSTREAM:
             code = results.ResultCode.NO_UPSTREAM
             reason = 'no upstream of this service accepts requests now'
+        elif placed.reason is placement.RefusalReason.RATE_LIMITED:
+            code = results.ResultCode.UPSTREAM_RATE_LIMITED
+            reason = 'upstreams have had all the requests that they accept now'
         return results.Failure(
             code,
             reason,
@@ -235,6 +273,9 @@
         extra['upstream'] = placed.upstream.upstream_id
         extra['waiting'] = placed.waiting_count
         extra['expected_wait_ms'] = int(placed.expected_wait_ms)
+        limit = self._context.placer.describe_limit(placed.upstream.upstream_id)
+        if limit:
+            extra['limit'] = limit
         _LOGGER.info('request_placed', extra=extra)
 
 
--- a/siskinmount/gateway/_rate_limit_reader.py
+++ b/siskinmount/gateway/_rate_limit_reader.py
@@ -2,9 +2,8 @@
 
 import logging
 
-import trio
-
 from siskinmount import fleet
+from siskinmount import placement
 from siskinmount import results
 from siskinmount import transport
 from siskinmount.gateway import _gateway_metrics
@@ -12,21 +11,23 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Bound on the upstreams whose last named rate is remembered.
-MAX_UPSTREAMS = 5000
-
 
 class RateLimitReader:
     """Reads the head of each response of an upstream."""
 
-    __slots__ = ('_wire', '_metrics', '_named', '_invalid_count')
+    __slots__ = ('_wire', '_rate_limits', '_load', '_metrics', '_invalid_count')
 
     def __init__(
-        self, wire: _wire.Wire, metrics: _gateway_metrics.GatewayMetrics
+        self,
+        wire: _wire.Wire,
+        rate_limits: placement.RateLimits,
+        load: placement.LoadTable,
+        metrics: _gateway_metrics.GatewayMetrics,
     ) -> None:
         self._wire = wire
+        self._rate_limits = rate_limits
+        self._load = load
         self._metrics = metrics
-        self._named: dict[str, float] = {}
         self._invalid_count = 0
 
     def read(
@@ -56,27 +57,15 @@
         if isinstance(per_s, results.Failure):
             self._record_invalid(upstream, per_s, request_id)
             return
-        earlier_per_s = self._named.get(upstream.upstream_id)
-        if per_s == earlier_per_s:
+        if not self._rate_limits.apply_response(
+            upstream, per_s, sent_at_s, request_id
+        ):
             return
-        if per_s is None:
-            del self._named[upstream.upstream_id]
-        elif len(self._named) < MAX_UPSTREAMS:
-            self._named[upstream.upstream_id] = per_s
         self._metrics.limit_notices.increment(
             'ended' if per_s is None else 'named'
         )
-        _LOGGER.info(
-            'upstream_limit_ended' if per_s is None else 'upstream_limit_named',
-            extra={
-                'upstream': upstream.upstream_id,
-                'started_at_ms': upstream.started_at_ms,
-                'per_s': per_s,
-                'earlier_per_s': earlier_per_s,
-                'request_id': request_id,
-                'waited_ms': int((trio.current_time() - sent_at_s) * 1000),
-            },
-        )
+        # A new version makes the next message to peers go out at once.
+        self._load.version += 1
 
     def _record_invalid(
         self,
@@ -102,7 +91,10 @@
 
 
 def create_rate_limit_reader(
-    wire: _wire.Wire, metrics: _gateway_metrics.GatewayMetrics
+    wire: _wire.Wire,
+    rate_limits: placement.RateLimits,
+    load: placement.LoadTable,
+    metrics: _gateway_metrics.GatewayMetrics,
 ) -> RateLimitReader:
-    """Creates a reader that has read nothing yet."""
-    return RateLimitReader(wire, metrics)
+    """Creates a reader that records limits in a table."""
+    return RateLimitReader(wire, rate_limits, load, metrics)
--- a/siskinmount/gateway/tests/members_simulation.py
+++ b/siskinmount/gateway/tests/members_simulation.py
@@ -218,6 +218,7 @@
             view=self.view,
             load=self.load,
             health=self.health,
+            rate_limits=placement.create_rate_limits(),
             crash_tracker=crash_tracker,
             scheduler=self.scheduler,
             directory=self.directory,
--- a/siskinmount/gateway/tests/online_context.py
+++ b/siskinmount/gateway/tests/online_context.py
@@ -21,12 +21,14 @@
     load = placement.create_load_table()
     crash_tracker = placement.create_crash_tracker()
     health = placement.create_upstream_health(crash_tracker)
+    rate_limits = placement.create_rate_limits()
     wire = platform.create_wire()
     metrics = _gateway_metrics.create_gateway_metrics(
         telemetry.create_metrics()
     )
     return _online_context.OnlineContext(
-        placer=placer or placement.create_placer(view, load, health),
+        placer=placer
+        or placement.create_placer(view, load, health, rate_limits=rate_limits),
         load=load,
         health=health,
         overdue=placement.create_overdue_runs(health),
@@ -35,7 +37,9 @@
         departures=_departure_reader.create_departure_reader(
             wire, view, load, metrics
         ),
-        rate_limits=_rate_limit_reader.create_rate_limit_reader(wire, metrics),
+        rate_limits=_rate_limit_reader.create_rate_limit_reader(
+            wire, rate_limits, load, metrics
+        ),
         buffers=_response_buffers.create_response_buffers(),
         wire=wire,
         metrics=metrics,
--- a/siskinmount/gateway/tests/test_housekeeping.py
+++ b/siskinmount/gateway/tests/test_housekeeping.py
@@ -46,6 +46,7 @@
                 clients=None,
                 crash_tracker=crash_tracker,
                 health=health,
+                rate_limits=placement.create_rate_limits(),
                 overdue=placement.create_overdue_runs(health),
                 directory=None,
                 members_watch=None,
--- a/siskinmount/gateway/tests/test_item_runner_lines.py
+++ b/siskinmount/gateway/tests/test_item_runner_lines.py
@@ -65,6 +65,9 @@
     def list_passed_over(self, service):
         return ['v']
 
+    def record_send(self, upstream_id):
+        pass
+
 
 class _Client:
     """A client whose runs last until they are cancelled."""
--- a/siskinmount/gateway/tests/test_online_handler.py
+++ b/siskinmount/gateway/tests/test_online_handler.py
@@ -41,12 +41,19 @@
         excluded,
         max_wait_ms,
         may_use_avoided=False,
+        urgency=placement.Urgency.HIGHEST,
     ):
         return placement.Placement(self.upstream, 0, 0)
 
     def list_passed_over(self, service):
         return []
 
+    def record_send(self, upstream_id):
+        pass
+
+    def describe_limit(self, upstream_id):
+        return {}
+
     def record_run(self, service, run_ms):
         pass
 
--- a/siskinmount/gateway/tests/test_rate_limit_reader.py
+++ b/siskinmount/gateway/tests/test_rate_limit_reader.py
@@ -7,6 +7,7 @@
 import trio.testing
 
 from siskinmount import fleet
+from siskinmount import placement
 from siskinmount import platform
 from siskinmount import telemetry
 from siskinmount import transport
@@ -83,7 +84,10 @@
 
     def _create_reader(self, metrics):
         return _rate_limit_reader.create_rate_limit_reader(
-            platform.create_wire(), metrics
+            platform.create_wire(),
+            placement.create_rate_limits(),
+            placement.create_load_table(),
+            metrics,
         )
 
     def test_changes_are_counted_once(self):
--- a/siskinmount/peering/_peer_directory.py
+++ b/siskinmount/peering/_peer_directory.py
@@ -44,6 +44,13 @@
 DIRECT_DELAY_S = 0.015
 
 
+#: How long a silent member keeps its share of what all members may use
+#: together, and how long if most members are silent: then it is rather this one
+#: that is cut off.
+SHARE_KEPT_S = 10.0
+MINORITY_SHARE_KEPT_S = 60.0
+
+
 class RowOutcome(enum.Enum):
     """What became of an encoded message."""
 
@@ -145,6 +152,7 @@
         '_load',
         '_crash_tracker',
         '_health',
+        '_rate_limits',
         '_live',
         '_live_list',
         '_swept_at_s',
@@ -159,6 +167,7 @@
         load: placement.LoadTable,
         crash_tracker: placement.CrashTracker,
         health: placement.UpstreamHealth,
+        rate_limits: placement.RateLimits,
     ) -> None:
         self.member = member
         self.peers: dict[str, Peer] = {}
@@ -168,6 +177,7 @@
         self._load = load
         self._crash_tracker = crash_tracker
         self._health = health
+        self._rate_limits = rate_limits
         self._live: dict[str, Peer] = {}
         self._live_list: list[Peer] | None = []
         self._swept_at_s = float('-inf')
@@ -259,6 +269,9 @@
             message.suspect_parts, peer.member
         )
         self._health.set_peer_tallies(peer.member, message.failure_tallies)
+        self._rate_limits.apply_reports(
+            peer.member, message.rate_limits, message.demand
+        )
         self._record_departures(peer.member, message.departures)
         return True
 
@@ -316,6 +329,32 @@
                 count += 1
         return count
 
+    def get_reachable_share(self) -> float:
+        """Returns the share of the members that this one can hear, itself too.
+
+        A silent member may be cut off from this one alone, and still send
+        requests. It counts until it is taken for lost, or said that it leaves.
+        """
+        live_count = len(self.list_live()) + 1
+        now_s = trio.current_time()
+        silent_count = 0
+        long_silent_count = 0
+        for peer in self.peers.values():
+            if peer.member in self._live:
+                continue
+            if peer.message is None:
+                grace_s = START_GRACE_S if live_count > 1 else SHARE_KEPT_S
+                silent_count += now_s - peer.known_since_s < grace_s
+                continue
+            if peer.message.is_leaving:
+                continue
+            silent_s = now_s - peer.heard_at_s
+            silent_count += silent_s < SHARE_KEPT_S
+            long_silent_count += silent_s < MINORITY_SHARE_KEPT_S
+        if long_silent_count > live_count:
+            silent_count = max(silent_count, long_silent_count)
+        return live_count / (live_count + silent_count)
+
     def list_due(self, wanted: Collection[str] | None = None) -> list[Peer]:
         """Returns the peers to send a message to now, and records the time.
 
@@ -375,6 +414,7 @@
             self._mark_changed()
             self._load.forget_peer(peer.member)
             self._health.forget_peer(peer.member)
+            self._rate_limits.forget_peer(peer.member)
             _LOGGER.info(
                 'peer_silent',
                 extra={
@@ -421,6 +461,7 @@
             if self._live.pop(member, None) is not None:
                 self._mark_changed()
             self._drop_claims(member, 'restarted')
+            self._rate_limits.forget_peer(member)
             peer = Peer(member, address, incarnation)
             self.peers[member] = peer
             _LOGGER.info(
@@ -446,6 +487,7 @@
         or message.failure_tallies
         or message.departures
         or message.suspect_parts
+        or message.rate_limits
     )
 
 
@@ -454,6 +496,7 @@
     load: placement.LoadTable,
     crash_tracker: placement.CrashTracker,
     health: placement.UpstreamHealth,
+    rate_limits: placement.RateLimits | None = None,
 ) -> PeerDirectory:
     """Creates a directory without peers.
 
@@ -462,5 +505,12 @@
         load: Receives the requests in flight of peers.
         crash_tracker: Receives the crashes that peers tell.
         health: Receives the upstream tallies of peers.
+        rate_limits: Receives what peers tell of limits of upstreams.
     """
-    return PeerDirectory(member, load, crash_tracker, health)
+    return PeerDirectory(
+        member,
+        load,
+        crash_tracker,
+        health,
+        rate_limits or placement.create_rate_limits(),
+    )
--- a/siskinmount/peering/_peer_message.py
+++ b/siskinmount/peering/_peer_message.py
@@ -19,6 +19,8 @@
 #: Above any number of crashes in sequence; a count that only grows must not be
 #: set to an absurd value by one damaged message.
 _MAX_COUNT = 1_000_000
+#: Above any number of requests in the life of a process.
+_MAX_REQUESTS = 1_000_000_000_000
 
 
 class PeerMessage:
@@ -43,6 +45,10 @@
             their tallies.
         departures: Upstreams that told the sender that they leave.
         suspect_parts: Parts of prompts that may crash upstreams.
+        rate_limits: What the sender knows of the limits of upstreams that it
+            has used a moment ago, or was the last to hear of.
+        demand: Requests that the sender has counted while there were limits,
+            by service.
     """
 
     __slots__ = (
@@ -61,6 +67,8 @@
         'failure_tallies',
         'departures',
         'suspect_parts',
+        'rate_limits',
+        'demand',
     )
 
     def __init__(
@@ -80,6 +88,8 @@
         failure_tallies: dict[str, placement.FailureTally],
         departures: dict[str, fleet.DepartureNotice] | None = None,
         suspect_parts: dict[str, placement.PartReport] | None = None,
+        rate_limits: dict[str, placement.RateLimitReport] | None = None,
+        demand: dict[str, int] | None = None,
         failure_domain: str = '',
     ) -> None:
         self.member = member
@@ -96,6 +106,8 @@
         self.failure_tallies = failure_tallies
         self.departures = departures or {}
         self.suspect_parts = suspect_parts or {}
+        self.rate_limits = rate_limits or {}
+        self.demand = demand or {}
         self.failure_domain = failure_domain
 
 
@@ -170,6 +182,13 @@
             part: _encode_part(report)
             for part, report in message.suspect_parts.items()
         }
+    if message.rate_limits:
+        fields['rate_limits'] = {
+            upstream_id: _encode_rate_limit(report)
+            for upstream_id, report in message.rate_limits.items()
+        }
+    if message.demand:
+        fields['demand'] = message.demand
     return b'%b %d %d %b' % (
         urllib.parse.quote(message.member, safe='').encode('ascii'),
         message.incarnation,
@@ -211,6 +230,43 @@
     )
 
 
+def _encode_rate_limit(
+    report: placement.RateLimitReport,
+) -> tuple[object, ...]:
+    age_s = report.age_s
+    if age_s is not None:
+        age_s = round(age_s, 3)
+    return (
+        report.started_at_ms,
+        report.sent_count,
+        report.recent_count,
+        age_s,
+        report.per_s,
+    )
+
+
+def _decode_rate_limit(row: list[Any]) -> placement.RateLimitReport:
+    """Decodes what is known of a limit.
+
+    Raises:
+        Exception: One of `_INVALID`, if a value is missing or of a wrong type.
+    """
+    sent_count = _read_count(row[1], _MAX_REQUESTS)
+    age_s: float | None = None
+    if row[3] is not None:
+        age_s = _read_amount(row[3])
+    per_s: float | None = None
+    if row[4] is not None:
+        per_s = _read_amount(row[4])
+    return placement.RateLimitReport(
+        int(row[0]),
+        sent_count,
+        _read_count(row[2], sent_count),
+        age_s,
+        per_s,
+    )
+
+
 def split_row(data: bytes) -> PeerRow | results.Failure:
     """Reads the head of a row, or fails with `MALFORMED_REQUEST`."""
     parts = data.split(b' ', 3)
@@ -320,6 +376,12 @@
     suspect_parts: dict[str, placement.PartReport] = {}
     for part, row in fields.get('suspect_parts', {}).items():
         suspect_parts[part] = _decode_part(row)
+    rate_limits: dict[str, placement.RateLimitReport] = {}
+    for upstream_id, row in fields.get('rate_limits', {}).items():
+        rate_limits[upstream_id] = _decode_rate_limit(row)
+    demand: dict[str, int] = {}
+    for service, count in fields.get('demand', {}).items():
+        demand[service] = _read_count(count, _MAX_REQUESTS)
     return PeerMessage(
         member=member,
         incarnation=incarnation,
@@ -336,6 +398,8 @@
         failure_tallies=failure_tallies,
         departures=departures,
         suspect_parts=suspect_parts,
+        rate_limits=rate_limits,
+        demand=demand,
     )
 
 
@@ -351,14 +415,14 @@
     return max(0.0, amount)
 
 
-def _read_count(value: object) -> int:
-    """Returns a number of crashes.
+def _read_count(value: object, max_count: int = _MAX_COUNT) -> int:
+    """Returns a count that only grows.
 
     Raises:
-        ValueError: No fleet can have met so many.
+        ValueError: No fleet can have counted so many.
     """
     count = int(value)  # type: ignore[call-overload]
-    if not 0 <= count <= _MAX_COUNT:
+    if not 0 <= count <= max_count:
         raise ValueError(f'{count} is out of range')
     return count
 
--- a/siskinmount/placement/__init__.py
+++ b/siskinmount/placement/__init__.py
@@ -27,6 +27,11 @@
 from siskinmount.placement._placer import Placer
 from siskinmount.placement._placer import Refusal
 from siskinmount.placement._placer import RefusalReason
+from siskinmount.placement._rate_limit import RateLimit
+from siskinmount.placement._rate_limit import RateLimitReport
+from siskinmount.placement._rate_limits import create_rate_limits
+from siskinmount.placement._rate_limits import RateLimits
+from siskinmount.placement._rate_limits import Urgency
 from siskinmount.placement._suspect_part import PartReport
 from siskinmount.placement._upstream_health import create_upstream_health
 from siskinmount.placement._upstream_health import UpstreamHealth
--- a/siskinmount/placement/_placer.py
+++ b/siskinmount/placement/_placer.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import enum
+import math
 import random
 
 import xxhash
@@ -9,6 +10,7 @@
 from siskinmount import fleet
 from siskinmount.placement import _fill_level
 from siskinmount.placement import _load_table
+from siskinmount.placement import _rate_limits
 from siskinmount.placement import _upstream_health
 
 #: Slots of an upstream that does not report how many it has.
@@ -40,6 +42,9 @@
     #: The expected wait is too long at all upstreams.
     FULL = 'full'
 
+    #: Upstreams have had all the requests that they accept at present.
+    RATE_LIMITED = 'rate_limited'
+
 
 class Refusal:
     """The result for a request for which no upstream was chosen.
@@ -117,6 +122,7 @@
         '_view',
         '_load',
         '_health',
+        '_rate_limits',
         '_get_message_delay_s',
         '_run_means',
     )
@@ -127,10 +133,12 @@
         load: _load_table.LoadTable,
         health: _upstream_health.UpstreamHealth,
         get_message_delay_s: Callable[[], float],
+        rate_limits: _rate_limits.RateLimits,
     ) -> None:
         self._view = view
         self._load = load
         self._health = health
+        self._rate_limits = rate_limits
         self._get_message_delay_s = get_message_delay_s
         self._run_means: dict[str, _RunMean] = {}
 
@@ -141,6 +149,7 @@
         excluded: set[str],
         max_wait_ms: float,
         may_use_avoided: bool = False,
+        urgency: _rate_limits.Urgency = _rate_limits.Urgency.HIGHEST,
     ) -> Placement | Refusal:
         """Returns the upstream where an online request starts soonest.
 
@@ -156,18 +165,22 @@
             max_wait_ms: Longest acceptable wait for a slot.
             may_use_avoided: Whether an avoided upstream may be used instead of
                 a refusal.
+            urgency: Decides which requests upstreams with a limit get first.
         """
+        self._rate_limits.record_demand(service)
         ready = self._list_ready(service, excluded)
         healthy: list[fleet.Upstream] = []
         for upstream in ready:
             if not self._health.is_avoided(upstream.upstream_id):
                 healthy.append(upstream)
         placed = self._place_among(
-            healthy or ready, service, affinity_key, max_wait_ms
+            healthy or ready, service, affinity_key, max_wait_ms, urgency
         )
         if isinstance(placed, Placement) or not may_use_avoided:
             return placed
-        return self._place_among(ready, service, affinity_key, max_wait_ms)
+        return self._place_among(
+            ready, service, affinity_key, max_wait_ms, urgency
+        )
 
     def _place_among(
         self,
@@ -175,10 +188,41 @@
         service: str,
         affinity_key: str,
         max_wait_ms: float,
+        urgency: _rate_limits.Urgency,
     ) -> Placement | Refusal:
-        """Returns the candidate where a request starts soonest."""
+        """Returns the candidate where a request starts soonest.
+
+        The tokens of upstreams with a limit are kept for bursts as long as
+        others can begin the request at once.
+        """
         if not candidates:
             return Refusal(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_MS)
+        if not self._rate_limits.has_any():
+            return self._choose(candidates, service, affinity_key, max_wait_ms)
+        may_spare = _rate_limits.Urgency.LOW
+        admitting = self._list_admitting(candidates, service, may_spare)
+        if admitting:
+            placed = self._choose(admitting, service, affinity_key, max_wait_ms)
+            if isinstance(placed, Placement) and not placed.waiting_count:
+                return placed
+        admitting = self._list_admitting(candidates, service, urgency)
+        if admitting:
+            return self._choose(admitting, service, affinity_key, max_wait_ms)
+        retry_s = self._rate_limits.estimate_retry_s(
+            service, [each.upstream_id for each in candidates], urgency
+        )
+        return Refusal(
+            RefusalReason.RATE_LIMITED, max(MIN_RETRY_MS, int(retry_s * 1000))
+        )
+
+    def _choose(
+        self,
+        candidates: list[fleet.Upstream],
+        service: str,
+        affinity_key: str,
+        max_wait_ms: float,
+    ) -> Placement | Refusal:
+        """Returns the candidate with the shortest wait, or why it is none."""
         unseen = self._estimate_unseen(candidates)
         if unseen < MIN_UNSEEN_REQUESTS:
             chosen, waiting = self._choose_least_loaded(
@@ -195,6 +239,31 @@
             return Refusal(RefusalReason.FULL, max(MIN_RETRY_MS, int(retry_ms)))
         return Placement(chosen, waiting, wait_ms)
 
+    def _list_admitting(
+        self,
+        candidates: list[fleet.Upstream],
+        service: str,
+        urgency: _rate_limits.Urgency,
+    ) -> list[fleet.Upstream]:
+        """Returns the candidates whose limits admit one more request."""
+        unlimited: list[fleet.Upstream] = []
+        limited: list[fleet.Upstream] = []
+        total_tokens = 0.0
+        for upstream in candidates:
+            tokens = self._rate_limits.count_tokens(
+                upstream.upstream_id, urgency
+            )
+            if math.isinf(tokens):
+                unlimited.append(upstream)
+            elif tokens >= 1:
+                limited.append(upstream)
+                total_tokens += tokens
+        if not limited:
+            return unlimited
+        if not self._rate_limits.may_compete(service, total_tokens):
+            return unlimited
+        return unlimited + limited
+
     def _estimate_unseen(self, candidates: list[fleet.Upstream]) -> float:
         """Returns how many requests peers have placed that are not counted."""
         rate_per_s = self._load.estimate_peer_arrivals_per_s(
@@ -297,10 +366,22 @@
             counts = totals.get(upstream.upstream_id, _NO_COUNTS)
             slots = upstream.slot_count or DEFAULT_SLOTS
             free = slots - reserved_slots - counts.online - counts.batch
+            tokens = self._rate_limits.count_tokens(
+                upstream.upstream_id, _rate_limits.Urgency.LOW
+            )
+            free = int(min(free, tokens))
             if free > 0:
                 rows.append((free, upstream))
         return rows
 
+    def record_send(self, upstream_id: str) -> None:
+        """Counts a request or item that is being sent to an upstream."""
+        self._rate_limits.record_send(upstream_id)
+
+    def describe_limit(self, upstream_id: str) -> dict[str, object]:
+        """Returns what is known of the limit of an upstream, for the log."""
+        return self._rate_limits.describe(upstream_id)
+
     def record_run(self, service: str, run_ms: float) -> None:
         """Adds the duration of a successful run to the average."""
         mean = self._run_means.get(service)
@@ -380,6 +461,7 @@
     load: _load_table.LoadTable,
     health: _upstream_health.UpstreamHealth,
     get_message_delay_s: Callable[[], float] = _return_zero,
+    rate_limits: _rate_limits.RateLimits | None = None,
 ) -> Placer:
     """Creates a placer.
 
@@ -388,5 +470,12 @@
         load: Requests in flight of all members.
         health: Upstreams to avoid.
         get_message_delay_s: Returns how old the counts of peers are.
+        rate_limits: Request rates that upstreams accept; by default none.
     """
-    return Placer(view, load, health, get_message_delay_s)
+    return Placer(
+        view,
+        load,
+        health,
+        get_message_delay_s,
+        rate_limits or _rate_limits.create_rate_limits(),
+    )
