Sidecar keeps to the request rate that its upstream accepts

Now a response may carry x-max-requests-per-s. All requests pass through the sidecar, so its token bucket alone keeps the limit for any number of entries: the gate refuses at once what has no token (3016, not run, with the time at which one is due), batch leaves half of a burst to online requests and is not pulled without a token, streams that are resumed over a new connection count, and the limit ends with the upstream's process. The router of an entry prefers other upstreams until then; answers to earlier requests do not end that. The rate is parsed by one function for both wires.

--- a/siskinmount/placement/__init__.py
+++ b/siskinmount/placement/__init__.py
@@ -32,6 +32,7 @@
 from siskinmount.placement._rate_limits import create_rate_limits
 from siskinmount.placement._rate_limits import RateLimits
 from siskinmount.placement._rate_limits import Urgency
+from siskinmount.placement._rate_text import parse_rates
 from siskinmount.placement._suspect_part import PartReport
 from siskinmount.placement._upstream_health import create_upstream_health
 from siskinmount.placement._upstream_health import UpstreamHealth
--- a/siskinmount/platform/_wire.py
+++ b/siskinmount/platform/_wire.py
@@ -2,7 +2,6 @@
 
 import base64
 import binascii
-import re
 from typing import Any
 import urllib.parse
 
@@ -11,6 +10,7 @@
 from siskinmount import fleet
 from siskinmount import gateway
 from siskinmount import jobs
+from siskinmount import placement
 from siskinmount import results
 from siskinmount import transport
 from siskinmount.platform import _field_reader
@@ -34,7 +34,6 @@
 _SEAL = b'x-server-seal'
 #: Requests a second that an engine in need takes from all VMs together.
 _LIMIT = b'server-limit'
-_DECIMAL_PATTERN = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
 _STATUS_MISDIRECTED = 421
 
 #: Path prefix of calls on jobs. The platform calls a job a lot.
@@ -48,7 +47,6 @@
 _MAX_ID_LENGTH = 128
 #: Bounds what a gateway keeps and logs of one prompt.
 _MAX_NAMED_PARTS = 16
-_MAX_LOGGED_CHARACTERS = 40
 #: Limit of the platform for the items of one job.
 MAX_ITEMS = 200
 #: Limit of the platform for the size of one answer with results.
@@ -287,17 +285,9 @@
         self, headers: transport.Headers
     ) -> float | results.Failure | None:
         """Returns the engine's limit, or fails with `INVALID_FIELD`."""
-        texts = {value for name, value in headers if name == _LIMIT}
-        if not texts:
-            return None
-        text = b', '.join(sorted(texts)).decode('latin-1').strip()
-        if _DECIMAL_PATTERN.fullmatch(text) is None:
-            return results.Failure(
-                results.ResultCode.INVALID_FIELD,
-                'the limit is not a decimal number:'
-                f' {text[:_MAX_LOGGED_CHARACTERS]!r}',
-            )
-        return float(text)
+        return placement.parse_rates(
+            {value for name, value in headers if name == _LIMIT}
+        )
 
     def build_answer_headers(
         self, headers: transport.Headers
--- a/siskinmount/routing/_router.py
+++ b/siskinmount/routing/_router.py
@@ -171,6 +171,10 @@
         if failure.code is results.ResultCode.LEAVING:
             self._table.mark_leaving(vm, sidecar.incarnation)
             return
+        if failure.code is results.ResultCode.UPSTREAM_RATE_LIMITED:
+            self._find_load(sidecar).record_rate_limit(
+                failure.retry_after_ms or 0, self._clock()
+            )
         if failure.code in _PENALISED_CODES:
             self._find_load(sidecar).record_failure(self._clock())
         if failure.code in _UNREACHABLE_CODES:
@@ -212,7 +216,7 @@
         for sidecar in sidecars:
             if sidecar.state is not membership.MemberState.LIVE:
                 continue
-            if self._find_load(sidecar).penalised_until_s > now_s:
+            if self._find_load(sidecar).is_avoided(now_s):
                 continue
             preferred.append(sidecar)
         return preferred
--- a/siskinmount/routing/_upstream_load.py
+++ b/siskinmount/routing/_upstream_load.py
@@ -19,7 +19,9 @@
         slots: Requests that the upstream runs at once.
         failure_count: Consecutive failures.
         penalised_until_s: Monotonic time until which other upstreams are
-            preferred.
+            preferred after a failure.
+        limited_until_s: Monotonic time until which other upstreams are
+            preferred as this one has had the requests that it accepts.
     """
 
     __slots__ = (
@@ -30,6 +32,7 @@
         'slots',
         'failure_count',
         'penalised_until_s',
+        'limited_until_s',
     )
 
     def __init__(self) -> None:
@@ -40,6 +43,7 @@
         self.slots = 1
         self.failure_count = 0
         self.penalised_until_s = float('-inf')
+        self.limited_until_s = float('-inf')
 
     def begin(self) -> None:
         """Counts the start of an attempt."""
@@ -76,6 +80,14 @@
         self.failure_count += 1
         self.penalised_until_s = now_s + penalty_ms / 1000
 
+    def record_rate_limit(self, retry_after_ms: int, now_s: float) -> None:
+        """Has other upstreams preferred until this one accepts a request."""
+        self.limited_until_s = now_s + retry_after_ms / 1000
+
+    def is_avoided(self, now_s: float) -> bool:
+        """Returns whether other upstreams are preferred."""
+        return now_s < max(self.penalised_until_s, self.limited_until_s)
+
     def estimate(self) -> int:
         """Returns the estimated number of requests in flight now."""
         return max(
--- a/siskinmount/routing/tests/test_router.py
+++ b/siskinmount/routing/tests/test_router.py
@@ -111,6 +111,18 @@
         self.clock.now_s += 0.21
         self.assertEqual({'s1', 's2'}, {self.choose_vm() for _ in range(30)})
 
+    def test_upstream_at_its_rate_limit_is_avoided_until_a_token_is_due(self):
+        self.add('s1', 's2')
+        limited = results.Failure(
+            results.ResultCode.UPSTREAM_RATE_LIMITED, '', retry_after_ms=400
+        )
+        self.router.record_failure('s1', limited)
+        # An answer to an earlier request does not bring a token.
+        self.router.record_answer('s1', 0, 8)
+        self.assertEqual({'s2'}, {self.choose_vm() for _ in range(20)})
+        self.clock.now_s += 0.5
+        self.assertEqual({'s1', 's2'}, {self.choose_vm() for _ in range(20)})
+
     def test_unreachable_suspect_is_not_chosen(self):
         self.add('s1')
         for _ in range(11):
--- a/siskinmount/sidecar/_gate.py
+++ b/siskinmount/sidecar/_gate.py
@@ -12,6 +12,7 @@
 from siskinmount.sidecar import _online_first_policy
 from siskinmount.sidecar import _pass_through_policy
 from siskinmount.sidecar import _static_split_policy
+from siskinmount.sidecar import _upstream_rate_limit
 
 MAX_ONLINE_WAIT_MS = 2000
 MAX_SOLO_WAIT_MS = 10_000
@@ -38,6 +39,7 @@
             the VM as leaving.
         preempted_count: Batch requests preempted, in total.
         refused_count: Requests refused for lack of capacity, in total.
+        rate_limit: The request rate that the upstream accepts.
         prefill_pause_factor: Pause between two batch prefills beside online
             requests, as a multiple of the duration of the first.
     """
@@ -49,6 +51,7 @@
         'withdrawn',
         'preempted_count',
         'refused_count',
+        'rate_limit',
         'prefill_pause_factor',
         '_policy',
         '_waiting',
@@ -65,6 +68,7 @@
         self.withdrawn = False
         self.preempted_count = 0
         self.refused_count = 0
+        self.rate_limit = _upstream_rate_limit.create_upstream_rate_limit()
         self.prefill_pause_factor = DEFAULT_PREFILL_PAUSE_FACTOR
         self._policy = policy
         self._waiting: list[_gate_load.Ticket] = []
@@ -82,6 +86,11 @@
         if ticket.online and self._is_queue_full():
             self.refused_count += 1
             return _overloaded('too many online requests are waiting')
+        refusal = self.rate_limit.find_refusal(ticket.online)
+        if refusal is not None:
+            self.refused_count += 1
+            return refusal
+        self.rate_limit.record_send()
         self._waiting.append(ticket)
         self.admit_waiting()
         try:
@@ -195,7 +204,9 @@
         if self.find_refusal() is not None:
             return 0
         self._update_load()
-        return self._policy.count_idle_batch_slots(self.load)
+        idle = self._policy.count_idle_batch_slots(self.load)
+        tokens = self.rate_limit.count_tokens(is_online=False)
+        return int(max(0, min(idle, tokens)))
 
     def count_waiting(self) -> int:
         """Returns the number of waiting requests."""
--- a/siskinmount/sidecar/_http_model_upstream.py
+++ b/siskinmount/sidecar/_http_model_upstream.py
@@ -1,12 +1,16 @@
 """Client for a model engine over HTTP."""
 
+from collections.abc import Callable
+
 import orjson
+import trio
 
 from siskinmount import relay
 from siskinmount import results
 from siskinmount import transport
 from siskinmount.sidecar import _run_request
 from siskinmount.sidecar import _tcp_liveness_connection
+from siskinmount.sidecar import _upstream_rate_limit
 from siskinmount.sidecar import _upstreams
 
 MAX_ERROR_BYTES = 64 * 1024
@@ -73,13 +77,20 @@
         return frames
 
 
+#: Takes the headers of a response and when its request was sent.
+ReadResponse = Callable[[transport.Headers, float], None]
+
+
 class HttpModelUpstream:
     """A model engine at an address."""
 
-    __slots__ = ('_client', '_address')
+    __slots__ = ('_client', '_address', '_read_response')
 
-    def __init__(self, address: transport.Address) -> None:
+    def __init__(
+        self, address: transport.Address, read_response: ReadResponse
+    ) -> None:
         self._address = address
+        self._read_response = read_response
         self._client = transport.create_http_client(
             address,
             transport.ClientLimits(
@@ -105,9 +116,11 @@
             document['prompt'] = body.prompt
         else:
             document['messages'] = body.messages
+        sent_at_s = trio.current_time()
         exchange = await self._client.send(_post('/v1/completions', document))
         if isinstance(exchange, results.Failure):
             return exchange
+        self._read_response(exchange.headers, sent_at_s)
         if exchange.status == 200:
             return EngineStream(exchange)
         with exchange:
@@ -157,9 +170,15 @@
 
 def create_http_model_upstream(
     address: transport.Address,
+    read_response: ReadResponse = _upstream_rate_limit.ignore_response,
 ) -> HttpModelUpstream:
-    """Creates the client of a model engine."""
-    return HttpModelUpstream(address)
+    """Creates the client of a model engine.
+
+    Args:
+        address: Address of the engine.
+        read_response: Told of each response to a request to generate.
+    """
+    return HttpModelUpstream(address, read_response)
 
 
 async def read_refusal(
--- a/siskinmount/sidecar/_http_plain_upstream.py
+++ b/siskinmount/sidecar/_http_plain_upstream.py
@@ -1,10 +1,15 @@
 """Client for a plain service over HTTP."""
 
+from collections.abc import Callable
+
+import trio
+
 from siskinmount import relay
 from siskinmount import results
 from siskinmount import transport
 from siskinmount.sidecar import _run_request
 from siskinmount.sidecar import _tcp_liveness_connection
+from siskinmount.sidecar import _upstream_rate_limit
 from siskinmount.sidecar import _upstreams
 
 CONNECT_TIMEOUT_MS = 1000
@@ -97,13 +102,20 @@
         return headers
 
 
+#: Takes the headers of a response and when its request was sent.
+ReadResponse = Callable[[transport.Headers, float], None]
+
+
 class HttpPlainUpstream:
     """A plain service at an address."""
 
-    __slots__ = ('_client', '_address')
+    __slots__ = ('_client', '_address', '_read_response')
 
-    def __init__(self, address: transport.Address) -> None:
+    def __init__(
+        self, address: transport.Address, read_response: ReadResponse
+    ) -> None:
         self._address = address
+        self._read_response = read_response
         # Only each request's deadline bounds how long a plain service may take
         # to answer, so the silence timeout is long.
         self._client = transport.create_http_client(
@@ -131,6 +143,7 @@
                 (lower_name.encode('latin-1'), value.encode('latin-1'))
             )
         headers.append((relay.RelayHeader.REQUEST_ID, request_id.encode()))
+        sent_at_s = trio.current_time()
         exchange = await self._client.send(
             transport.ClientRequest(
                 body.method, body.target, headers, body.body
@@ -138,6 +151,7 @@
         )
         if isinstance(exchange, results.Failure):
             return exchange
+        self._read_response(exchange.headers, sent_at_s)
         return PlainStream(exchange)
 
     async def probe(self) -> results.Failure | None:
@@ -163,6 +177,12 @@
 
 def create_http_plain_upstream(
     address: transport.Address,
+    read_response: ReadResponse = _upstream_rate_limit.ignore_response,
 ) -> HttpPlainUpstream:
-    """Creates the client of a plain service."""
-    return HttpPlainUpstream(address)
+    """Creates the client of a plain service.
+
+    Args:
+        address: Address of the service.
+        read_response: Told of each response to a request.
+    """
+    return HttpPlainUpstream(address, read_response)
--- a/siskinmount/sidecar/_request_runner.py
+++ b/siskinmount/sidecar/_request_runner.py
@@ -201,6 +201,7 @@
                 return failure
             reconnects += 1
             self.reconnect_count += 1
+            self._gate.rate_limit.record_send()
             _LOGGER.info(
                 'stream_reconnected',
                 extra={
--- a/siskinmount/sidecar/_sidecar.py
+++ b/siskinmount/sidecar/_sidecar.py
@@ -99,13 +99,14 @@
         self.gate = gate
         self.registry = _request_registry.RequestRegistry()
         self._model_upstream = _http_model_upstream.create_http_model_upstream(
-            settings.upstream_address
+            settings.upstream_address, gate.rate_limit.read_response
         )
         plain_upstream = _http_plain_upstream.create_http_plain_upstream(
-            settings.upstream_address
+            settings.upstream_address, gate.rate_limit.read_response
         )
         self.slot_controller = _batch_slot_controller.BatchSlotController(gate)
         self.monitor = _upstream_monitor.UpstreamMonitor(plain_upstream)
+        gate.rate_limit.watch_generation(lambda: self.monitor.generation)
         self.runner = _request_runner.RequestRunner(
             gate=gate,
             registry=self.registry,
--- a/siskinmount/sidecar/tests/test_http_plain_upstream.py
+++ b/siskinmount/sidecar/tests/test_http_plain_upstream.py
@@ -42,6 +42,23 @@
 
         return raw_server.run_against(response, run)
 
+    def test_response_names_the_rate_that_the_service_accepts(self):
+        seen = []
+
+        async def run(address):
+            upstream = _http_plain_upstream.create_http_plain_upstream(
+                address, lambda headers, sent_at_s: seen.append(headers)
+            )
+            stream = await upstream.start(
+                'r', _run_request.PlainBody(method='GET', target='/')
+            )
+            stream.close()
+
+        raw_server.run_against(
+            _HEAD + b'X-Max-Requests-Per-S: 2.5\r\n\r\n', run
+        )
+        self.assertIn((b'x-max-requests-per-s', b'2.5'), seen[0])
+
     def test_event_stream_that_is_broken_off_is_a_failure(self):
         cases = [
             # Response, body, whether it is complete.
