Give tokens of a limited upstream to batch before requests with another choice

A request that another upstream can begin at once now leaves three quarters of a burst, batch half: an item that runs seven seconds needs one token, and at an upstream with a limit no caller takes its slot, while at the others it is begun again after each burst. Reports of recent requests go before those of old responses where a message has room for 64 only.

Tests of the placer, of messages between releases, of invalid reports, of the share of silent members, and of a request that waits after it has run.

--- a/siskinmount/gateway/tests/test_online_handler.py
+++ b/siskinmount/gateway/tests/test_online_handler.py
@@ -31,6 +31,7 @@
             started_at_ms=0,
         )
         self.received_body_bytes = 0
+        self.sent_count = 0
         self._answer_after_s = answer_after_s
         self._parts = [b'body', b'']
 
@@ -83,6 +84,30 @@
         pass
 
 
+class _LimitedUpstream(_Upstream):
+    """Accepts the nth attempt after so many refusals, by n."""
+
+    def __init__(self, refusals, statuses=(200,)):
+        super().__init__(0, 0)
+        self.calls = []
+        self._refusals = dict(refusals)
+        self._statuses = list(statuses)
+
+    def place_online(self, *args, **options):
+        attempt = 1 + self.sent_count
+        self.calls.append(attempt)
+        if self._refusals.get(attempt, 0):
+            self._refusals[attempt] -= 1
+            return placement.Refusal(placement.RefusalReason.RATE_LIMITED, 100)
+        return super().place_online(*args, **options)
+
+    async def send(self, request):
+        self.sent_count += 1
+        self.status = self._statuses.pop(0)
+        self._parts = [b'body', b'']
+        return await super().send(request)
+
+
 class _Exchange:
     """Fake of a caller's exchange that takes 50 ms to send a response."""
 
@@ -102,11 +127,18 @@
 
 class OnlineHandlerTest(testtools.TestCase):
 
-    def _run(self, answer_after_s, kind=fleet.RouteKind.IDEMPOTENT, status=200):
+    def _run(
+        self,
+        answer_after_s,
+        kind=fleet.RouteKind.IDEMPOTENT,
+        status=200,
+        upstream=None,
+        max_attempts=1,
+    ):
         exchange = _Exchange()
+        upstream = upstream or _Upstream(answer_after_s, status)
 
         async def main():
-            upstream = _Upstream(answer_after_s, status)
             context = online_context.create_online_context(
                 upstream, placer=upstream
             )
@@ -118,6 +150,7 @@
                 shares=(fleet.ServiceShare('s', 1),),
                 timeout_ms=5000,
                 target_ms=100,
+                max_attempts=max_attempts,
             )
             request = _online_request.OnlineRequest(
                 exchange,
@@ -146,6 +179,18 @@
                 return
             await trio.sleep(0.01)
 
+    def test_request_is_refused_at_once_while_upstreams_accept_no_more(self):
+        upstream = _LimitedUpstream(refusals={1: 9, 2: 9})
+        self.assertEqual([(503, b'own')], self._run(0, upstream=upstream))
+        self.assertEqual([1], upstream.calls)
+
+    def test_request_that_an_upstream_has_begun_waits_for_a_token(self):
+        # Guards against ending a request as not run after it has run.
+        upstream = _LimitedUpstream(refusals={2: 3}, statuses=[500, 200])
+        answers = self._run(0, upstream=upstream, max_attempts=2)
+        self.assertEqual([(200, b'body')], answers)
+        self.assertEqual([1, 2, 2, 2, 2], upstream.calls)
+
     def test_received_response_is_delivered_after_the_deadline(self):
         self.assertEqual([(200, b'body')], self._run(0.38))
 
--- a/siskinmount/peering/tests/test_peer_directory.py
+++ b/siskinmount/peering/tests/test_peer_directory.py
@@ -74,6 +74,114 @@
 
         self._run(check)
 
+    def test_reports_of_rate_limits_pass_between_releases(self):
+        async def check(directory, load):
+            reports = {
+                'u': placement.RateLimitReport(7, 12, 3, 0.25, 2.5),
+                'ended': placement.RateLimitReport(7, 12, 0, 1.0, None),
+                'unanswered': placement.RateLimitReport(7, 1, 1, None, None),
+            }
+            row = peering.encode_message(
+                _make_message(rate_limits=reports, demand={'s': 40})
+            )
+            decoded = peering.decode_message(row)
+            self.assertEqual({'s': 40}, decoded.demand)
+            self.assertEqual(reports.keys(), decoded.rate_limits.keys())
+            for upstream_id, report in reports.items():
+                for name in placement.RateLimitReport.__slots__:
+                    self.assertEqual(
+                        getattr(report, name),
+                        getattr(decoded.rate_limits[upstream_id], name),
+                    )
+            # A member of the release before sends no such fields.
+            head, _, body = row.rpartition(b' ')
+            fields = orjson.loads(body)
+            del fields['rate_limits'], fields['demand']
+            older = peering.decode_message(head + b' ' + orjson.dumps(fields))
+            self.assertEqual(({}, {}), (older.rate_limits, older.demand))
+            self.assertEqual({'t'}, older.held_tags)
+
+        self._run(check)
+
+    def test_invalid_reports_of_rate_limits_are_refused(self):
+        async def check(directory, load):
+            report = placement.RateLimitReport(7, 12, 3, 0.25, 2.5)
+            row = peering.encode_message(
+                _make_message(rate_limits={'u': report})
+            )
+            head, _, body = row.rpartition(b' ')
+            cases = [
+                (0, 'x'),
+                (1, -1),
+                (1, 10**15),
+                (2, 13),
+                (3, 'soon'),
+                (4, float('nan')),
+                (4, float('inf')),
+                (4, 'many'),
+            ]
+            for index, value in cases:
+                fields = orjson.loads(body)
+                fields['rate_limits']['u'][index] = value
+                data = json.dumps(fields, separators=(',', ':')).encode()
+                self.assertIsInstance(
+                    peering.decode_message(head + b' ' + data),
+                    results.Failure,
+                    (index, value),
+                )
+
+        self._run(check)
+
+    def test_silent_members_keep_their_share_for_a_time(self):
+        cases = [
+            # Live peers, silent ones, seconds of silence, and the share.
+            (3, 0, 0, 1.0),
+            (3, 1, 1.0, 1.0),
+            (3, 1, 5.0, 4 / 5),
+            (3, 1, 12.0, 1.0),
+            # Most are silent: this member is rather cut off itself.
+            (1, 6, 30.0, 2 / 8),
+            (0, 6, 30.0, 1 / 7),
+            (0, 6, 70.0, 1.0),
+        ]
+        for live, silent, seconds, expected in cases:
+
+            async def check(
+                directory,
+                load,
+                live=live,
+                silent=silent,
+                seconds=seconds,
+                expected=expected,
+            ):
+                names = [f'p{number}' for number in range(live + silent)]
+                sequence = 1
+                for name in names:
+                    directory.apply_message(_make_message(member=name))
+                for _ in range(round(seconds * 4)):
+                    await trio.sleep(0.25)
+                    sequence += 1
+                    for name in names[:live]:
+                        directory.apply_message(
+                            _make_message(member=name, sequence=sequence)
+                        )
+                self.assertAlmostEqual(
+                    expected, directory.get_reachable_share()
+                )
+
+            self._run(check)
+
+    def test_a_member_that_said_that_it_leaves_keeps_no_share(self):
+        async def check(directory, load):
+            directory.apply_message(_make_message(member='p'))
+            directory.apply_message(
+                _make_message(member='p', sequence=2, is_leaving=True)
+            )
+            await trio.sleep(3)
+            self.assertEqual(1, directory.get_reachable_share())
+
+        self._run(check)
+
     def test_invalid_reports_of_parts_are_refused(self):
         async def check(directory, load):
             report = placement.PartReport(3, 0, 3, 1.0, 2.5, frozenset())
--- a/siskinmount/placement/_placer.py
+++ b/siskinmount/placement/_placer.py
@@ -199,8 +199,9 @@
             return Refusal(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_MS)
         if not self._rate_limits.has_any():
             return self._choose(candidates, service, affinity_key, max_wait_ms)
-        may_spare = _rate_limits.Urgency.LOW
-        admitting = self._list_admitting(candidates, service, may_spare)
+        admitting = self._list_admitting(
+            candidates, service, _rate_limits.Urgency.SPARE
+        )
         if admitting:
             placed = self._choose(admitting, service, affinity_key, max_wait_ms)
             if isinstance(placed, Placement) and not placed.waiting_count:
@@ -367,7 +368,7 @@
             slots = upstream.slot_count or DEFAULT_SLOTS
             free = slots - reserved_slots - counts.online - counts.batch
             tokens = self._rate_limits.count_tokens(
-                upstream.upstream_id, _rate_limits.Urgency.LOW
+                upstream.upstream_id, _rate_limits.Urgency.BATCH
             )
             free = int(min(free, tokens))
             if free > 0:
--- a/siskinmount/placement/_rate_limits.py
+++ b/siskinmount/placement/_rate_limits.py
@@ -43,8 +43,11 @@
     #: Other requests of callers.
     ONLINE = 0.25
 
-    #: Requests that other upstreams could begin at once, and batch items.
-    LOW = 0.5
+    #: Batch items.
+    BATCH = 0.5
+
+    #: Requests that other upstreams could begin at once.
+    SPARE = 0.75
 
 
 class RateLimits:
@@ -193,14 +196,14 @@
 
     def list_reports(self) -> dict[str, _rate_limit.RateLimitReport]:
         """Returns what peers must be told, by upstream."""
-        reports: dict[str, _rate_limit.RateLimitReport] = {}
+        recent: dict[str, _rate_limit.RateLimitReport] = {}
+        others: dict[str, _rate_limit.RateLimitReport] = {}
         for upstream_id, limit in self._limits.items():
-            if len(reports) >= MAX_REPORTS:
-                break
             report = limit.create_report()
-            if report is not None:
-                reports[upstream_id] = report
-        return reports
+            if report is None:
+                continue
+            (recent if report.recent_count else others)[upstream_id] = report
+        return dict(list((recent | others).items())[:MAX_REPORTS])
 
     def list_demand(self) -> dict[str, int]:
         """Returns how many requests this member has counted, by service."""
--- a/siskinmount/placement/tests/test_placer.py
+++ b/siskinmount/placement/tests/test_placer.py
@@ -32,6 +32,107 @@
     return view
 
 
+class LimitedUpstreamsTest(testtools.TestCase):
+
+    def _run(self, check, upstreams=3):
+        async def main():
+            await trio.sleep(100)
+            view = _make_view(upstreams)
+            load = placement.create_load_table()
+            health = placement.create_upstream_health(
+                placement.create_crash_tracker()
+            )
+            limits = placement.create_rate_limits()
+            placer = placement.create_placer(
+                view, load, health, rate_limits=limits
+            )
+
+            def place(count, **options):
+                """Places requests; returns upstreams, or the last refusal."""
+                placed_at = []
+                for _ in range(count):
+                    placed = placer.place_online('s', '', set(), 0, **options)
+                    if isinstance(placed, placement.Refusal):
+                        return placed
+                    upstream_id = placed.upstream.upstream_id
+                    load.add_online(upstream_id, 1)
+                    placer.record_send(upstream_id)
+                    placed_at.append(upstream_id)
+                return placed_at
+
+            def name(upstream_id, per_s):
+                limits.apply_response(
+                    view.upstreams[upstream_id],
+                    per_s,
+                    trio.current_time(),
+                    'q',
+                )
+
+            self.limits = limits
+            await check(placer, place, name)
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    async def _fill(self):
+        """Waits until all upstreams have all the tokens that they can have."""
+        for _ in range(40):
+            await trio.sleep(0.25)
+            self.limits.expire({'u0', 'u1', 'u2'})
+
+    def test_others_get_what_an_upstream_does_not_accept(self):
+        async def check(placer, place, name):
+            name('u0', 1.0)
+            self.assertNotIn('u0', place(8))
+            # All slots of the others are taken.
+            self.assertIs(placement.RefusalReason.FULL, place(1).reason)
+            await trio.sleep(0.9)
+            self.assertIs(placement.RefusalReason.FULL, place(1).reason)
+            await trio.sleep(0.2)
+            self.assertEqual(['u0'], place(1))
+
+        self._run(check)
+
+    def test_tokens_are_kept_while_others_can_begin_at_once(self):
+        async def check(placer, place, name):
+            name('u0', 2.0)
+            await trio.sleep(0.9)
+            # One and a half tokens: enough for a request that needs one.
+            self.assertNotIn('u0', place(8))
+            self.assertEqual(['u0'], place(1))
+            # A full bucket is used, as further tokens would be lost.
+            await self._fill()
+            name('u1', 2.0)
+            self.assertEqual(['u0'], place(1))
+
+        self._run(check)
+
+    def test_request_is_refused_until_a_token_is_due(self):
+        async def check(placer, place, name):
+            for upstream_id in ('u0', 'u1', 'u2'):
+                name(upstream_id, 2.0)
+            refusal = place(1)
+            self.assertIs(placement.RefusalReason.RATE_LIMITED, refusal.reason)
+            self.assertEqual(500, refusal.retry_after_ms)
+            await trio.sleep(0.5)
+            self.assertEqual(3, len(place(3)))
+
+        self._run(check)
+
+    def test_less_urgent_requests_leave_tokens(self):
+        async def check(placer, place, name):
+            name('u0', 4.0)
+            await trio.sleep(0.45)
+            less = placement.Urgency.ONLINE
+            self.assertIsInstance(place(1, urgency=less), placement.Refusal)
+            self.assertEqual([], placer.list_batch_slots('s', 0))
+            self.assertEqual(['u0'], place(1))
+            await self._fill()
+            self.assertEqual(4, len(placer.list_batch_slots('s', 0)))
+            self.assertEqual(['u0'], place(1, urgency=less))
+
+        self._run(check, upstreams=1)
+
+
 class PlacerTest(testtools.TestCase):
 
     def _run(self, check, **options):
--- a/siskinmount/placement/tests/test_rate_limits.py
+++ b/siskinmount/placement/tests/test_rate_limits.py
@@ -10,7 +10,7 @@
 from siskinmount import placement
 from siskinmount import transport
 
-_LOW = placement.Urgency.LOW
+_BATCH = placement.Urgency.BATCH
 _HIGHEST = placement.Urgency.HIGHEST
 
 
@@ -60,7 +60,7 @@
 
     def test_upstreams_without_a_limit_take_any_number(self):
         async def check(limits):
-            self.assertEqual(float('inf'), limits.count_tokens('u', _LOW))
+            self.assertEqual(float('inf'), limits.count_tokens('u', _BATCH))
             self.assertFalse(_name(limits, None))
             self.assertFalse(limits.has_any())
             limits.record_send('u')
@@ -89,7 +89,7 @@
                 self.assertAlmostEqual(
                     highest, limits.count_tokens('u', _HIGHEST)
                 )
-                self.assertAlmostEqual(low, limits.count_tokens('u', _LOW))
+                self.assertAlmostEqual(low, limits.count_tokens('u', _BATCH))
 
             _run(check)
 
@@ -230,9 +230,12 @@
         async def check(limits):
             for number in range(6000):
                 _name(limits, 1.0, _make_upstream(f'u{number}'))
-                limits.record_send(f'u{number}')
+            limits.record_send('u4000')
             self.assertEqual(5000, limits.count_limited())
-            self.assertEqual(64, len(limits.list_reports()))
+            reports = limits.list_reports()
+            self.assertEqual(64, len(reports))
+            # Requests are told first.
+            self.assertIn('u4000', reports)
             for _ in range(400):
                 await trio.sleep(0.25)
                 limits.expire(set())
--- a/siskinmount/sidecar/_upstream_rate_limit.py
+++ b/siskinmount/sidecar/_upstream_rate_limit.py
@@ -70,7 +70,7 @@
         limit = self._find_limit()
         if limit is None or limit.per_s is None:
             return math.inf
-        urgency = placement.Urgency.LOW
+        urgency = placement.Urgency.BATCH
         if is_online:
             urgency = placement.Urgency.HIGHEST
         return limit.get_tokens(1.0) - urgency.value * (limit.burst - 1)
