Soak: engines that name a request rate

Callers' requests from gateways that were not disturbed since are held to one and a half times the rate and five more in 4 s.

--- a/tools/soak/_checker.py
+++ b/tools/soak/_checker.py
@@ -24,6 +24,12 @@
 COUNTED_FROM_CRASH = 5
 PART_WINDOW_S = 3.0
 MAX_LATE_RUNS = 3
+#: Time after which gateways are held to a rate that an engine names, and what
+#: it may get in a window of time.
+LIMIT_STABLE_S = 3.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA_REQUESTS = 5
 _QUARANTINED = b'"code":%d' % results.ResultCode.PROMPT_PART_QUARANTINED
 #: Statuses that state that a request has not run.
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -43,6 +49,8 @@
     violations.extend(_check_leaving(observed))
     violations.extend(_check_announced(observed))
     violations.extend(_check_crashing_part(observed))
+    for limit in observed.limits:
+        violations.extend(_check_limit(observed, limit))
     known = {call.request_id for call in observed.calls}
     for job in observed.jobs:
         known.update(job.item_ids)
@@ -261,6 +269,43 @@
     return [f'crashing part: {len(late)} runs, {late}']
 
 
+def _check_limit(
+    observed: _observations.Observations, limit: _observations.NamedLimit
+) -> list[str]:
+    """Finds the first window with more requests than an engine's rate allows.
+
+    Requests of callers count, from gateways that were not disturbed since the
+    rate was named.
+    """
+    calls = {call.request_id: call for call in observed.calls}
+    engines = {engine.engine_id: engine for engine in observed.engines}
+    counted: list[float] = []
+    for run in engines[limit.engine_id].runs:
+        call = calls.get(run.request_id)
+        began_at_s = run.began_at_s
+        if call is None or began_at_s < limit.named_at_s + LIMIT_STABLE_S:
+            continue
+        if began_at_s > limit.ended_at_s:
+            continue
+        disturbances = observed.gateway_disturbances[call.gateway]
+        if not any(
+            disturbance.overlaps(limit.named_at_s, began_at_s)
+            for disturbance in disturbances
+        ):
+            counted.append(began_at_s)
+    allowed = LIMIT_FACTOR * limit.per_s * LIMIT_WINDOW_S + LIMIT_EXTRA_REQUESTS
+    for from_s in counted:
+        count = sum(
+            from_s <= at_s < from_s + LIMIT_WINDOW_S for at_s in counted
+        )
+        if count > allowed:
+            return [
+                f'limit: {limit.engine_id} got {count} requests in'
+                f' {LIMIT_WINDOW_S} s at {limit.per_s} a second'
+            ]
+    return []
+
+
 def _is_undisturbed(
     observed: _observations.Observations, from_s: float, to_s: float
 ) -> bool:
--- a/tools/soak/_observations.py
+++ b/tools/soak/_observations.py
@@ -181,6 +181,25 @@
         self.announced_at_s = trio.current_time()
 
 
+class NamedLimit:
+    """A time in which an engine named a request rate.
+
+    Attributes:
+        engine_id: Id of the engine.
+        per_s: Requests per second that it accepts.
+        named_at_s: Time from which its answers name the rate.
+        ended_at_s: Time from which they do not; infinite before.
+    """
+
+    __slots__ = ('engine_id', 'per_s', 'named_at_s', 'ended_at_s')
+
+    def __init__(self, engine_id: str, per_s: float) -> None:
+        self.engine_id = engine_id
+        self.per_s = per_s
+        self.named_at_s = trio.current_time()
+        self.ended_at_s = float('inf')
+
+
 class Observations:
     """Input of the checks.
 
@@ -194,6 +213,7 @@
         process_faults: Unexpected exits and log events of processes.
         part_crashes_at_s: Times at which engines crashed under the crashing
             part of a prompt.
+        limits: Request rates that engines named.
     """
 
     __slots__ = (
@@ -205,6 +225,7 @@
         'store_disturbances',
         'process_faults',
         'part_crashes_at_s',
+        'limits',
     )
 
     def __init__(self, gateway_count: int) -> None:
@@ -218,3 +239,4 @@
         self.store_disturbances: list[Disturbance] = []
         self.process_faults: list[str] = []
         self.part_crashes_at_s: list[float] = []
+        self.limits: list[NamedLimit] = []
--- a/tools/soak/_soak_run.py
+++ b/tools/soak/_soak_run.py
@@ -7,6 +7,7 @@
 
 from standins import processes
 from tools.soak import _callers
+from tools.soak import _engine_limiter
 from tools.soak import _fault_injector
 from tools.soak import _job_callers
 from tools.soak import _observations
@@ -17,6 +18,9 @@
 JOB_CALLERS = 3
 #: One in this number of seeds has requests that crash engines.
 CRASHING_PART_SEEDS = 3
+#: One in this number of seeds, from 2 on, has engines that name a request rate.
+LIMIT_SEEDS = 4
+FIRST_LIMIT_SEED = 2
 #: Time in which jobs must end after the last request and fault.
 COMPLETION_TIMEOUT_S = 25.0
 #: Time in which a gateway that was stopped near the end is ready again.
@@ -69,6 +73,10 @@
             if seed % CRASHING_PART_SEEDS == 0:
                 caller = _callers.Caller(fleet, seed, 'crashing', True)
                 nursery.start_soon(caller.run, until_s)
+            if seed % LIMIT_SEEDS == FIRST_LIMIT_SEED:
+                nursery.start_soon(
+                    _engine_limiter.limit_engines, fleet, until_s, seconds
+                )
             for number in range(JOB_CALLERS):
                 jobs = _job_callers.JobCaller(fleet, seed, f'j{number}')
                 nursery.start_soon(jobs.run, until_s)
--- a/tools/soak/tests/test_checker.py
+++ b/tools/soak/tests/test_checker.py
@@ -54,6 +54,39 @@
         call.ended_at_s = call.sent_at_s + took_s
         observed.calls.append(call)
 
+    def test_engine_that_gets_more_than_its_rate(self):
+        cases = [
+            # Requests, time between them, disturbance of the gateway, found.
+            (18, 0.1, False, ['limit']),
+            (17, 0.1, False, []),
+            (18, 0.1, True, []),
+            (18, 0.5, False, []),
+        ]
+        for count, pause_s, is_disturbed, expected in cases:
+
+            def arrange(
+                observed,
+                engine,
+                count=count,
+                pause_s=pause_s,
+                is_disturbed=is_disturbed,
+            ):
+                observed.limits.append(_observations.NamedLimit('e', 2.0))
+                if is_disturbed:
+                    observed.gateway_disturbances[0].append(
+                        _observations.Disturbance(trio.current_time())
+                    )
+                for number in range(count):
+                    name = f'r{number}'
+                    call = _observations.ObservedCall(
+                        name, _observations.CallKind.PLAIN, 0
+                    )
+                    call.ended_at_s = call.sent_at_s
+                    observed.calls.append(call)
+                    self._run(engine, name, 4 + number * pause_s)
+
+            self.assertEqual(expected, self._find(arrange))
+
     def _job(self, observed, results=None, ended=False, accepted=True):
         job = _observations.ObservedJob('j', ['i'])
         if accepted:
--- a/tools/soak/tests/test_soak.py
+++ b/tools/soak/tests/test_soak.py
@@ -16,6 +16,9 @@
 _CRASHING_SEED = 303
 _CRASHING_SECONDS = 15.0
 _SECONDS = 8.0
+#: Has engines that name a request rate.
+_LIMITED_SEED = 2
+_LIMITED_SECONDS = 15.0
 
 
 class SoakTest(testtools.TestCase):
@@ -51,6 +54,16 @@
         ]
         self.assertTrue(refused)
 
+    def test_engines_that_name_a_rate_get_no_more(self):
+        observed = self._run(_LIMITED_SEED, _LIMITED_SECONDS)
+        self.assertTrue(observed.limits)
+        refused = [
+            call
+            for call in observed.calls
+            if b'UPSTREAM_RATE_LIMITED' in call.body
+        ]
+        self.assertTrue(refused)
+
     def test_short_run_has_no_violation(self):
         observed = self._run(_SEED, _SECONDS)
         whole = [call for call in observed.calls if call.is_whole]
