--- a/siskinmount/peering/_peer_directory.py
+++ b/siskinmount/peering/_peer_directory.py
@@ -156,6 +156,8 @@
         '_live',
         '_live_list',
         '_swept_at_s',
+        '_share',
+        '_share_swept_at_s',
         '_responsible_key',
         '_responsible',
         '_record_departures',
@@ -181,6 +183,8 @@
         self._live: dict[str, Peer] = {}
         self._live_list: list[Peer] | None = []
         self._swept_at_s = float('-inf')
+        self._share = 1.0
+        self._share_swept_at_s = float('-inf')
         self._responsible_key: tuple[int, bool, bool] | None = None
         self._responsible: list[str] = []
         self._record_departures: RecordDepartures = _ignore_departures
@@ -336,6 +340,14 @@
         requests. It counts until it is taken for lost, or said that it leaves.
         """
         live_count = len(self.list_live()) + 1
+        if self._swept_at_s == self._share_swept_at_s:
+            return self._share
+        self._share_swept_at_s = self._swept_at_s
+        self._share = self._compute_share(live_count)
+        return self._share
+
+    def _compute_share(self, live_count: int) -> float:
+        """Returns the share of some members, this one included."""
         now_s = trio.current_time()
         silent_count = 0
         long_silent_count = 0
