Log software versions of upstreams, and what callers resume, without acting on them

No line told whether a stream went on at another version in one answer, over a caller's tries, or at a process that its entry does not describe. upstream_known, request_placed, attempt_ended and item_run_started now hold the version; request_placed also the last event id and the id in Resumes.

--- a/siskinmount/fleet/_fleet_view.py
+++ b/siskinmount/fleet/_fleet_view.py
@@ -324,6 +324,7 @@
             and earlier.address == decoded.address
             and earlier.slot_count == decoded.slot_count
             and earlier.service == decoded.service
+            and earlier.software_version == decoded.software_version
         ):
             return was_lapsed or has_returned
         _LOGGER.info(
@@ -334,6 +335,7 @@
                 'address': str(decoded.address),
                 'state': decoded.state.value,
                 'started_at_ms': decoded.started_at_ms,
+                'software_version': decoded.software_version,
                 'offset': offset,
             },
         )
--- a/siskinmount/fleet/_upstream.py
+++ b/siskinmount/fleet/_upstream.py
@@ -26,6 +26,8 @@
         slot_count: Requests that the upstream runs at once; 0 if unknown.
         started_at_ms: Unix time of the start of the process; changes with a
             restart.
+        software_version: Version of the upstream's software; empty if unknown.
+            Versions have no order.
     """
 
     __slots__ = (
@@ -36,6 +38,7 @@
         'state',
         'slot_count',
         'started_at_ms',
+        'software_version',
     )
 
     def __init__(
@@ -48,6 +51,7 @@
         state: UpstreamState,
         slot_count: int,
         started_at_ms: int,
+        software_version: str = '',
     ) -> None:
         self.upstream_id = upstream_id
         self.service = service
@@ -56,3 +60,4 @@
         self.state = state
         self.slot_count = slot_count
         self.started_at_ms = started_at_ms
+        self.software_version = software_version
--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -242,6 +242,7 @@
         known_s = trio.current_time() - next_item.job.known_since_s
         upstream = self._view.upstreams.get(run.upstream_id)
         service = upstream.service if upstream is not None else ''
+        version = upstream.software_version if upstream is not None else ''
         _LOGGER.info(
             'item_run_started',
             extra={
@@ -249,6 +250,7 @@
                 'item': next_item.item.item_id,
                 'tag': run.tag,
                 'upstream': run.upstream_id,
+                'software_version': version,
                 'because': 'output_kept' if progress.events else 'responsible',
                 'members': len(self._membership.list_eligible_members()),
                 'has_current_jobs': self._membership.has_current_jobs(),
--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -130,6 +130,7 @@
                     'fingerprint': request.fingerprint,
                     'prompt_parts': self._part_run.prompt_parts,
                     'upstream': upstream_id,
+                    'software_version': self._upstream.software_version,
                     'outcome': outcome.value,
                     'reason': reason,
                     'took_ms': int((trio.current_time() - sent_at_s) * 1000),
--- a/siskinmount/gateway/_online_handler.py
+++ b/siskinmount/gateway/_online_handler.py
@@ -260,6 +260,10 @@
             'document_version': request.document_version,
             'waited_ms': request.get_elapsed_ms(),
         }
+        if request.last_event_id is not None:
+            extra['last_event_id'] = request.last_event_id
+        if request.caller_request.last_event_id is not None:
+            extra['resumes'] = request.caller_request.resumed_request_id
         passed_over = self._context.placer.list_passed_over(service)
         if passed_over:
             extra['leaving'] = passed_over
@@ -271,6 +275,7 @@
             return
         self._context.metrics.placements.increment('placed')
         extra['upstream'] = placed.upstream.upstream_id
+        extra['software_version'] = placed.upstream.software_version
         extra['waiting'] = placed.waiting_count
         extra['expected_wait_ms'] = int(placed.expected_wait_ms)
         limit = self._context.placer.describe_limit(placed.upstream.upstream_id)
--- a/siskinmount/gateway/_wire.py
+++ b/siskinmount/gateway/_wire.py
@@ -16,6 +16,8 @@
         request_id: Id of this attempt of the caller; empty if none is given.
         deadline_ms: How long the caller waits; None if not given.
         last_event_id: Id of the event after which the stream resumes, or None.
+        resumed_request_id: Id of the attempt of the caller that brought the
+            first event of the stream that it resumes; empty if none is given.
         affinity_key: Key that requests with a common prompt prefix share.
         prompt_parts: Names of the parts of the prompt that other requests may
             share, in order; equal names mean equal tokens for the same model.
@@ -26,6 +28,7 @@
         'request_id',
         'deadline_ms',
         'last_event_id',
+        'resumed_request_id',
         'affinity_key',
         'prompt_parts',
         'wait_ms',
@@ -39,10 +42,12 @@
         affinity_key: str = '',
         wait_ms: int = 0,
         prompt_parts: tuple[str, ...] = (),
+        resumed_request_id: str = '',
     ) -> None:
         self.request_id = request_id
         self.deadline_ms = deadline_ms
         self.last_event_id = last_event_id
+        self.resumed_request_id = resumed_request_id
         self.affinity_key = affinity_key
         self.wait_ms = wait_ms
         self.prompt_parts = prompt_parts
--- a/siskinmount/platform/_fleet_codec.py
+++ b/siskinmount/platform/_fleet_codec.py
@@ -168,6 +168,7 @@
                 f'the state {state_word!r} is unknown'
             )
         zone = fields.get('zone')
+        version = fields.get('version')
         return fleet.Upstream(
             upstream_id=upstream_id,
             service=_field_reader.read_string(fields, 'service'),
@@ -176,6 +177,7 @@
             state=state,
             slot_count=_field_reader.read_integer(fields, 'slot_count', 0),
             started_at_ms=_field_reader.read_integer(fields, 'born', 0),
+            software_version=version if isinstance(version, str) else '',
         )
     except (_field_reader.FieldError, ValueError) as error:
         return results.Failure(
--- a/siskinmount/platform/_wire.py
+++ b/siskinmount/platform/_wire.py
@@ -20,6 +20,9 @@
 #: Id of the only engine that may run the request.
 _EXPECTED_UPSTREAM = b'x-expect-instance'
 _LAST_EVENT_ID = b'last-event-id'
+#: Id of the caller's attempt that brought the first event of the stream that
+#: the request resumes.
+_RESUMES = b'resumes'
 #: Parts of the prompt as a list of ID:TOKENS; the last part is unique to the
 #: request, the others are shared with other requests.
 _PROMPT_PARTS = b'x-prompt-prefix'
@@ -89,6 +92,7 @@
             ','.join(part_ids),
             _parse_number(head.find_header(_WAIT)) or 0,
             _name_parts(model, part_ids),
+            _read_resumed_id(head.find_header(_RESUMES) or ''),
         )
 
     def find_job_call(
@@ -362,6 +366,13 @@
     return tuple(names)
 
 
+def _read_resumed_id(text: str) -> str:
+    """Returns the id of a request, or an empty text if it is unsound."""
+    text = text.strip()
+    is_sound = text.isascii() and text.isprintable() and ' ' not in text
+    return text if is_sound and len(text) <= _MAX_ID_LENGTH else ''
+
+
 def _read_id(path: str, prefix: str) -> str:
     return urllib.parse.unquote(path[len(prefix) :])
 
