--- a/siskinmount/gateway/tests/gateway_harness.py
+++ b/siskinmount/gateway/tests/gateway_harness.py
@@ -192,7 +192,9 @@
         for running in self.gateways:
             await self.wait_ready(running)
 
-    async def start_engine(self, engine_id, service, is_streaming):
+    async def start_engine(
+        self, engine_id, service, is_streaming, version='v1'
+    ):
         """Starts an engine and registers it in the store."""
         engine = event_engine.create_event_engine(
             engine_id, is_streaming=is_streaming
@@ -211,7 +213,7 @@
         self.engines[engine_id] = engine
         self.engine_faults[engine_id] = faults
         self.addresses[engine_id] = address
-        self.list_engine(engine_id, service, address)
+        self.list_engine(engine_id, service, address, version=version)
         return engine
 
     async def _serve_engine(self, engine, faults, scope, task_status):
@@ -223,13 +225,21 @@
                 task_status=task_status,
             )
 
-    def list_engine(self, engine_id, service, address, state='ready', born=1):
+    def list_engine(
+        self,
+        engine_id,
+        service,
+        address,
+        state='ready',
+        born=1,
+        version='v1',
+    ):
         """Writes an engine's entry to the store."""
         entry = {
             'service': service,
             'address': str(address),
             'zone': 'a',
-            'version': 'v1',
+            'version': version,
             'slot_count': 8,
             'state': state,
             'born': born,
--- /dev/null
+++ b/siskinmount/gateway/tests/test_software_versions.py
@@ -0,0 +1,208 @@
+"""Tests that no stream or item joins output of two software versions."""
+
+import testtools
+import trio
+
+from siskinmount.gateway.tests import gateway_harness
+from standins import event_engine
+
+_FAULT = event_engine.AnswerFault
+_BODY = b'prompt'
+_EVENTS = 6
+
+
+def _make_events(request_id, first, last=_EVENTS):
+    return b''.join(
+        event_engine.make_event(request_id, number)
+        for number in range(first, last + 1)
+    )
+
+
+async def _call(fleet, number, request_id, **headers):
+    return await fleet.call(
+        number, 'POST', '/stream/x', _BODY, x_request_id=request_id, **headers
+    )
+
+
+async def _restart_gateways(fleet):
+    """Kills all gateways at once and starts them again."""
+    killed = list(fleet.gateways)
+    fleet.gateways.clear()
+    for running in killed:
+        running.kill()
+    for running in killed:
+        await running.ended.wait()
+    for number in range(len(killed)):
+        await fleet.wait_ready(await fleet.start_gateway(number))
+
+
+class OneAnswerTest(testtools.TestCase):
+    """A stream that its engine breaks off, within one answer."""
+
+    def _run_broken_stream(self, versions):
+        """Has engine e1, of v1, break off a stream after two events.
+
+        Args:
+            versions: Versions of the other engines, by id.
+
+        Returns:
+            The answer, and the runs of the other engines by id.
+        """
+        seen = {}
+
+        async def check(fleet):
+            fleet.engines['e1'].answer_faults = [_FAULT.CUT_MIDWAY]
+            seen['answer'] = None
+            await fleet.start_gateway(0)
+            await fleet.wait_ready(fleet.gateways[0])
+            # Alone, e1 gets the request; the others are listed meanwhile.
+            fleet.engines['e1'].event_interval_ms = 150
+            async with trio.open_nursery() as nursery:
+
+                async def send():
+                    seen['answer'] = await _call(fleet, 0, 'q1')
+
+                nursery.start_soon(send)
+                await gateway_harness.wait_until(
+                    lambda: fleet.engines['e1'].runs
+                )
+                for engine_id, version in versions.items():
+                    await fleet.start_engine(engine_id, 'model', True, version)
+            seen['runs'] = {
+                engine_id: fleet.engines[engine_id].runs
+                for engine_id in versions
+            }
+
+        gateway_harness.run_fleet(check, gateway_count=0, engines=('e1',))
+        return seen['answer'], seen['runs']
+
+    def test_stream_is_not_joined_from_two_versions_within_one_answer(self):
+        answer, runs = self._run_broken_stream({'e2': 'v2'})
+        self.assertEqual([], runs['e2'])
+        self.assertIn(
+            answer.body, [_make_events('q1', 1), _make_events('q1', 1, 2)]
+        )
+
+    def test_stream_goes_on_at_an_engine_of_its_version(self):
+        answer, runs = self._run_broken_stream(
+            {'e2': 'v2', 'e3': 'v1', 'e4': 'v2'}
+        )
+        self.assertTrue(answer.is_whole)
+        self.assertEqual(_make_events('q1', 1), answer.body)
+        self.assertEqual([], runs['e2'] + runs['e4'])
+
+
+class CallersTriesTest(testtools.TestCase):
+    """Streams that callers take up again."""
+
+    def _run(self, check, gateway_count=2, engines=('old',)):
+        gateway_harness.run_fleet(
+            check, gateway_count=gateway_count, engines=engines
+        )
+
+    async def _begin(self, fleet, number, request_id, engine_id):
+        """Sends a request until a given engine begins its stream."""
+        attempt = 0
+        while True:
+            attempt += 1
+            name = f'{request_id}-{attempt}'
+            fleet.engines[engine_id].answer_faults = [_FAULT.CUT_BETWEEN_EVENTS]
+            await _call(fleet, number, name)
+            fleet.engines[engine_id].answer_faults = []
+            if any(r.request_id == name for r in fleet.engines[engine_id].runs):
+                return name
+
+    def test_take_up_after_all_gateways_were_lost_is_not_joined(self):
+        # The version that began the stream has left meanwhile.
+        async def check(fleet):
+            name = await self._begin(fleet, 0, 'q', 'old')
+            await fleet.start_engine('new', 'model', True, 'v2')
+            fleet.store.put('keyed.servers', 'old', b'')
+            await _restart_gateways(fleet)
+            await trio.sleep(0.5)
+            answer = await _call(
+                fleet, 1, 'again', last_event_id=3, resumes=name
+            )
+            self.assertEqual(503, answer.status)
+            self.assertEqual([], fleet.engines['new'].runs)
+
+        self._run(check)
+
+    def test_take_up_after_all_gateways_were_lost_goes_on_at_its_version(self):
+        async def check(fleet):
+            name = await self._begin(fleet, 0, 'q', 'old')
+            await fleet.start_engine('new', 'model', True, 'v2')
+            await _restart_gateways(fleet)
+            await trio.sleep(0.5)
+            for number in range(6):
+                answer = await _call(
+                    fleet,
+                    number % 2,
+                    f'again-{number}',
+                    last_event_id=3,
+                    resumes=name,
+                )
+                self.assertEqual(200, answer.status)
+                self.assertEqual(
+                    _make_events(f'again-{number}', 4), answer.body
+                )
+            self.assertEqual([], fleet.engines['new'].runs)
+
+        self._run(check)
+
+    def test_streams_of_two_versions_go_on_at_theirs_after_all_were_lost(self):
+        async def check(fleet):
+            await fleet.start_engine('new', 'model', True, 'v2')
+            await trio.sleep(0.5)
+            names = {}
+            for engine_id in ('old', 'new'):
+                names[engine_id] = await self._begin(
+                    fleet, 0, f'q-{engine_id}', engine_id
+                )
+            await _restart_gateways(fleet)
+            await trio.sleep(0.5)
+            for engine_id, name in names.items():
+                for number in range(4):
+                    answer = await _call(
+                        fleet,
+                        number % 2,
+                        f'again-{engine_id}-{number}',
+                        last_event_id=3,
+                        resumes=name,
+                    )
+                    self.assertEqual(200, answer.status)
+            for engine_id, engine in fleet.engines.items():
+                for run in engine.runs:
+                    if run.request_id.startswith('again-'):
+                        self.assertIn(f'-{engine_id}-', run.request_id)
+
+        self._run(check)
+
+
+class ItemTest(testtools.TestCase):
+
+    def test_item_does_not_go_on_at_another_version(self):
+        async def check(fleet):
+            fleet.engines['old'].answer_faults = [_FAULT.CUT_BETWEEN_EVENTS]
+            fleet.engines['old'].event_interval_ms = 100
+            self.assertEqual(
+                202,
+                (
+                    await fleet.submit(
+                        0, 'job', [gateway_harness.make_item('i1')]
+                    )
+                ).status,
+            )
+            await gateway_harness.wait_until(lambda: fleet.engines['old'].runs)
+            await fleet.start_engine('new', 'model', True, 'v2')
+            fleet.store.put('keyed.servers', 'old', b'')
+            document = await fleet.wait_results(0, 'job', 1)
+            self.assertEqual(
+                gateway_harness.make_output('i1'),
+                document['results'][0]['output'],
+            )
+            self.assertEqual(
+                [1], [run.first_event for run in fleet.engines['new'].runs]
+            )
+
+        gateway_harness.run_fleet(check, engines=('old',))
