Batch items go on only at the software version that wrote their output

Change: kept output names the service and version that wrote it. An upstream whose version is unknown has one that no other process shares.

--- a/siskinmount/fleet/__init__.py
+++ b/siskinmount/fleet/__init__.py
@@ -9,5 +9,6 @@
 from siskinmount.fleet._document import ServiceShare
 from siskinmount.fleet._fleet_view import create_fleet_view
 from siskinmount.fleet._fleet_view import FleetView
+from siskinmount.fleet._software import Software
 from siskinmount.fleet._upstream import Upstream
 from siskinmount.fleet._upstream import UpstreamState
--- a/siskinmount/fleet/_upstream.py
+++ b/siskinmount/fleet/_upstream.py
@@ -3,6 +3,7 @@
 import enum
 
 from siskinmount import transport
+from siskinmount.fleet import _software
 
 
 class UpstreamState(enum.Enum):
@@ -61,3 +62,14 @@
         self.slot_count = slot_count
         self.started_at_ms = started_at_ms
         self.software_version = software_version
+
+    @property
+    def software(self) -> _software.Software:
+        """What the upstream runs.
+
+        An unknown version is taken for one that no other process has.
+        """
+        version = self.software_version
+        if not version:
+            version = f'?{self.upstream_id}/{self.started_at_ms}'
+        return _software.Software(self.service, version)
--- a/siskinmount/gateway/_item_client.py
+++ b/siskinmount/gateway/_item_client.py
@@ -125,7 +125,7 @@
                 await response.discard_body()
                 return _classify_status(response.status)
             return await self._collect_events(
-                response, progress, item.item_id, upstream.upstream_id
+                response, progress, item.item_id, upstream
             )
 
     async def _collect_events(
@@ -133,7 +133,7 @@
         response: transport.ClientExchange,
         progress: jobs.ItemProgress,
         item_id: str,
-        upstream_id: str,
+        upstream: fleet.Upstream,
     ) -> tuple[RunOutcome, str]:
         """Adds the events of a stream to `progress` until the stream ends.
 
@@ -145,12 +145,14 @@
             response,
             self._metrics,
             request_id=item_id,
-            upstream_id=upstream_id,
+            upstream_id=upstream.upstream_id,
             last_event_id=progress.last_event_id,
         )
         outcome = RunOutcome.LOST, _event_stream.create_timeout_failure().reason
         with trio.CancelScope() as scope:
-            outcome = await self._add_events(stream, response, progress, scope)
+            outcome = await self._add_events(
+                stream, response, progress, upstream.software, scope
+            )
         if scope.cancelled_caught or outcome[0] is RunOutcome.DONE:
             return outcome
         if response.received_body_bytes > MAX_OUTPUT_BYTES:
@@ -163,6 +165,7 @@
         stream: _event_stream.EventStream,
         response: transport.ClientExchange,
         progress: jobs.ItemProgress,
+        software: fleet.Software,
         scope: trio.CancelScope,
     ) -> tuple[RunOutcome, str]:
         """Adds events to `progress`; the scope's deadline is the next event's."""
@@ -177,6 +180,8 @@
             if response.received_body_bytes > MAX_OUTPUT_BYTES:
                 return RunOutcome.LOST, 'the output is too large'
             progress.lost_runs = 0
+            progress.service = software.service
+            progress.software_version = software.version
             progress.last_event_id = stream.last_event_id
             for event in events:
                 for line in event.read_data():
--- a/siskinmount/gateway/tests/test_item_client.py
+++ b/siskinmount/gateway/tests/test_item_client.py
@@ -4,6 +4,7 @@
 import trio
 import trio.testing
 
+from siskinmount import fleet
 from siskinmount import jobs
 from siskinmount import telemetry
 from siskinmount import transport
@@ -29,6 +30,18 @@
             self.assertIs(expected, outcome, status)
 
 
+_UPSTREAM = fleet.Upstream(
+    upstream_id='u',
+    service='s',
+    address=transport.Address('127.0.0.1', 1),
+    failure_domain='a',
+    state=fleet.UpstreamState.READY,
+    slot_count=1,
+    started_at_ms=1,
+    software_version='v1',
+)
+
+
 class _PacedResponse:
     """Fake of a streamed response whose chunks come at an interval."""
 
@@ -65,7 +78,7 @@
             progress = jobs.ItemProgress()
             began_at_s = trio.current_time()
             outcome, _ = await client._collect_events(
-                _PacedResponse(chunks, interval_s), progress, 'i', 'u'
+                _PacedResponse(chunks, interval_s), progress, 'i', _UPSTREAM
             )
             return outcome, trio.current_time() - began_at_s, progress.events
 
--- a/siskinmount/gateway/tests/test_item_runner_lines.py
+++ b/siskinmount/gateway/tests/test_item_runner_lines.py
@@ -49,9 +49,13 @@
         self.document = _Document()
         self.upstreams = {}
 
+    def list_ready(self, service):
+        return [_Upstream()]
+
 
 class _Upstream:
     upstream_id = 'u'
+    software = fleet.Software('s', 'v1')
 
 
 class _Placer:
@@ -142,6 +146,8 @@
                 progress = member.scheduler.get_progress(tag)
                 progress.events = events
                 progress.last_event_id = last_event_id
+                progress.service = 's'
+                progress.software_version = 'v1'
                 member.members.follower.current_at_s = trio.current_time()
                 await trio.sleep(1)
                 (line,) = lines
--- a/siskinmount/jobs/_item_scheduler.py
+++ b/siskinmount/jobs/_item_scheduler.py
@@ -46,6 +46,10 @@
         lost_runs: Consecutive runs that were interrupted.
         not_before_s: Monotonic time before which the item is not started.
         is_complete: Whether the output is complete but not yet listed.
+        service: Service that wrote the output; empty if there is none.
+        software_version: Version of its software, which alone may go on with
+            the output.
+        kept_since_s: Monotonic time since which the output waits for a run.
     """
 
     __slots__ = (
@@ -56,6 +60,9 @@
         'lost_runs',
         'not_before_s',
         'is_complete',
+        'service',
+        'software_version',
+        'kept_since_s',
     )
 
     def __init__(self) -> None:
@@ -66,6 +73,16 @@
         self.lost_runs = 0
         self.not_before_s = 0.0
         self.is_complete = False
+        self.service = ''
+        self.software_version = ''
+        self.kept_since_s = 0.0
+
+    def drop_output(self) -> None:
+        """Drops the output, so that the next run starts from the beginning."""
+        self.events.clear()
+        self.last_event_id = None
+        self.service = ''
+        self.software_version = ''
 
     def back_off(self, failures: int) -> None:
         """Delays the next run, with exponential back-off by failures."""
