--- a/siskinmount/commands/_gateway_command.py
+++ b/siskinmount/commands/_gateway_command.py
@@ -23,6 +23,8 @@
 MEMBERS_TOPIC = 'keyed.siskinmount-members'
 JOBS_TOPIC = 'keyed.siskinmount-jobs'
 QUARANTINE_TOPIC = 'keyed.siskinmount-quarantine'
+VERSIONS_TOPIC = 'keyed.siskinmount-versions'
+ORIGINS_TOPIC = 'keyed.siskinmount-origins'
 
 
 def create_gateway_command() -> _command.Command:
@@ -88,6 +90,8 @@
         members_log=store.open_log(MEMBERS_TOPIC, 0),
         jobs_log=store.open_log(JOBS_TOPIC, 0),
         quarantine_log=store.open_log(QUARANTINE_TOPIC, 0),
+        versions_log=store.open_log(VERSIONS_TOPIC, 0),
+        origins_log=store.open_log(ORIGINS_TOPIC, 0),
         wire=platform.create_wire(),
         decode_document=platform.decode_document,
         decode_upstream=platform.decode_upstream,
--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -12,6 +12,7 @@
 from siskinmount import keyed_log
 from siskinmount import peering
 from siskinmount import placement
+from siskinmount import stream_origins
 from siskinmount import supervision
 from siskinmount import telemetry
 from siskinmount import transport
@@ -30,6 +31,8 @@
 from siskinmount.gateway import _jobs_writer
 from siskinmount.gateway import _member_announcer
 from siskinmount.gateway import _online_context
+from siskinmount.gateway import _origin_finder
+from siskinmount.gateway import _origin_registrar
 from siskinmount.gateway import _outside_services
 from siskinmount.gateway import _peers_api
 from siskinmount.gateway import _process_signals
@@ -38,6 +41,7 @@
 from siskinmount.gateway import _response_buffers
 from siskinmount.gateway import _result_writer
 from siskinmount.gateway import _upstream_clients
+from siskinmount.gateway import _version_keeper
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -74,6 +78,8 @@
         '_directory',
         '_crash_verifier',
         '_quarantine_log',
+        '_version_keeper',
+        '_origin_recorder',
         '_membership',
         '_announcer',
         '_housekeeping',
@@ -131,7 +137,24 @@
         self._quarantine_log = _quarantine_log.create_quarantine_log(
             outside.quarantine_log, crash_tracker.parts, self._directory
         )
+        stream_versions = stream_origins.create_version_table()
+        self._version_keeper = _version_keeper.create_version_keeper(
+            outside.versions_log, stream_versions, self._view, self._directory
+        )
+        self._origin_recorder = stream_origins.create_origin_recorder(
+            outside.origins_log, settings.vm
+        )
         self._metrics = _gateway_metrics.create_gateway_metrics(metrics)
+        origin_table = stream_origins.create_origin_table()
+        origins = _origin_finder.create_origin_finder(
+            table=origin_table,
+            versions=stream_versions,
+            log=outside.origins_log,
+            view=self._view,
+            directory=self._directory,
+            metrics=self._metrics,
+            get_outage_s=self._get_outage_s,
+        )
         crash_tracker.watch_outcomes(self._metrics.interrupted_runs.increment)
         departures = _departure_reader.create_departure_reader(
             outside.wire, self._view, self._load, self._metrics
@@ -192,6 +215,7 @@
             crash_tracker=crash_tracker,
             scheduler=scheduler,
             directory=self._directory,
+            stream_versions=stream_versions,
         )
         self._housekeeping = _housekeeping.create_housekeeping(
             membership=self._membership,
@@ -201,6 +225,7 @@
             health=health,
             rate_limits=rate_limits,
             overdue=self._overdue,
+            origins=origins,
             directory=self._directory,
             members_watch=(
                 _eligible_members_watch.create_eligible_members_watch(
@@ -227,9 +252,11 @@
             directory=self._directory,
             scheduler=scheduler,
             ledger=self._ledger,
+            origins=origins,
             own_address=settings.control_address,
             seeds=settings.seeds,
         )
+        origins.set_peers(self._peers_api.ask_origin)
         self._ledger.set_writer(
             _jobs_writer.create_jobs_writer(self._membership, self._peers_api)
         )
@@ -279,6 +306,14 @@
             clients=clients,
             departures=departures,
             rate_limits=limit_reader,
+            origins=origins,
+            registrar=_origin_registrar.create_origin_registrar(
+                origin_table,
+                stream_versions,
+                self._origin_recorder,
+                self._view,
+                self._metrics,
+            ),
             buffers=_response_buffers.create_response_buffers(),
             wire=outside.wire,
             metrics=self._metrics,
@@ -347,6 +382,8 @@
             supervision.Child('overdue', self._overdue.run),
             supervision.Child('crash_verifier', self._crash_verifier.run),
             supervision.Child('quarantine_log', self._quarantine_log.run),
+            supervision.Child('version_keeper', self._version_keeper.run),
+            supervision.Child('origin_recorder', self._origin_recorder.run),
             supervision.Child('peers_api', self._peers_api.run),
             supervision.Child('peer_exchange', self._create_exchange().run),
             supervision.Child('member_record', self._announcer.write_record),
@@ -401,6 +438,12 @@
             return 0.0
         return trio.current_time() - self._upstreams_follower.regained_at_s
 
+    def _get_outage_s(self) -> float:
+        """Returns for how long the store has been out of reach; 0 if it is not."""
+        if self._upstreams_follower.is_reachable:
+            return 0.0
+        return trio.current_time() - self._upstreams_follower.lost_at_s
+
     def _get_message_delay_s(self) -> float:
         """Returns the mean age of the counts of peers."""
         return self._directory.message_delay_s
@@ -424,6 +467,7 @@
         is_ready = (
             self._view.document is not None
             and self._quarantine_log.may_serve()
+            and self._version_keeper.may_serve()
             and not is_leaving
         )
         await exchange.send_json(
--- a/siskinmount/gateway/_gateway_metrics.py
+++ b/siskinmount/gateway/_gateway_metrics.py
@@ -31,6 +31,9 @@
         items_waiting: Open items without a run, by reason.
         oldest_open_item: Age in s of the oldest open item; 0 if there is none.
         resumes: Streams resumed at another upstream.
+        stream_origins: Streams that callers resume, by how it was found out
+            what began them.
+        stream_begins: Streams that began, by what became of their record.
         disconnects: Callers that disconnected before their response ended.
     """
 
@@ -54,6 +57,8 @@
         'items_waiting',
         'oldest_open_item',
         'resumes',
+        'stream_origins',
+        'stream_begins',
         'disconnects',
     )
 
@@ -120,6 +125,14 @@
         self.oldest_open_item = metrics.create_gauge(
             'oldest_open_item_s', 'Age of the oldest open item in seconds.'
         )
+        self.stream_origins = metrics.create_counter(
+            'stream_origins_total',
+            'Streams that callers resume, by how their origin was found.',
+            'source',
+        )
+        self.stream_begins = metrics.create_counter(
+            'stream_begins_total', 'Streams that began.', 'record'
+        )
         self.resumes = metrics.create_counter(
             'stream_resumes_total', 'Streams that went on elsewhere.'
         )
--- a/siskinmount/gateway/_housekeeping.py
+++ b/siskinmount/gateway/_housekeeping.py
@@ -12,6 +12,7 @@
 from siskinmount.gateway import _batch_membership
 from siskinmount.gateway import _eligible_members_watch
 from siskinmount.gateway import _gateway_metrics
+from siskinmount.gateway import _origin_finder
 from siskinmount.gateway import _upstream_clients
 
 _LOGGER = logging.getLogger(__name__)
@@ -35,6 +36,7 @@
         '_health',
         '_rate_limits',
         '_overdue',
+        '_origins',
         '_directory',
         '_members_watch',
         '_table',
@@ -55,6 +57,7 @@
         health: placement.UpstreamHealth,
         rate_limits: placement.RateLimits,
         overdue: placement.OverdueRuns,
+        origins: _origin_finder.OriginFinder,
         directory: peering.PeerDirectory,
         members_watch: _eligible_members_watch.EligibleMembersWatch,
         table: jobs.JobTable,
@@ -70,6 +73,7 @@
         self._health = health
         self._rate_limits = rate_limits
         self._overdue = overdue
+        self._origins = origins
         self._directory = directory
         self._members_watch = members_watch
         self._table = table
@@ -91,6 +95,7 @@
             self._metrics.quarantined_parts.set(
                 len(self._crash_tracker.parts.list_quarantined())
             )
+            self._origins.expire()
             self._rate_limits.expire(set(self._view.upstreams))
             self._metrics.limited_upstreams.set(
                 self._rate_limits.count_limited()
@@ -163,6 +168,7 @@
     health: placement.UpstreamHealth,
     rate_limits: placement.RateLimits,
     overdue: placement.OverdueRuns,
+    origins: _origin_finder.OriginFinder,
     directory: peering.PeerDirectory,
     members_watch: _eligible_members_watch.EligibleMembersWatch,
     table: jobs.JobTable,
@@ -181,6 +187,7 @@
         health: Forgets upstreams that were removed or restarted.
         rate_limits: Forgets limits that are over.
         overdue: Forgets upstreams that were removed or restarted.
+        origins: Forgets streams that cannot be resumed any more.
         directory: Silent peers are dropped.
         members_watch: Logs changes of the members that share batch items.
         table: All jobs.
@@ -197,6 +204,7 @@
         health=health,
         rate_limits=rate_limits,
         overdue=overdue,
+        origins=origins,
         directory=directory,
         members_watch=members_watch,
         table=table,
--- a/siskinmount/gateway/_member_announcer.py
+++ b/siskinmount/gateway/_member_announcer.py
@@ -9,6 +9,7 @@
 from siskinmount import peering
 from siskinmount import placement
 from siskinmount import results
+from siskinmount import stream_origins
 from siskinmount.gateway import _batch_membership
 
 #: Delay before a failed write of the member record is retried.
@@ -31,6 +32,7 @@
         '_crash_tracker',
         '_scheduler',
         '_directory',
+        '_stream_versions',
     )
 
     def __init__(
@@ -48,6 +50,7 @@
         crash_tracker: placement.CrashTracker,
         scheduler: jobs.ItemScheduler,
         directory: peering.PeerDirectory,
+        stream_versions: stream_origins.VersionTable,
     ) -> None:
         self._membership = membership
         self._address = address
@@ -61,6 +64,7 @@
         self._crash_tracker = crash_tracker
         self._scheduler = scheduler
         self._directory = directory
+        self._stream_versions = stream_versions
 
     def create_message(self, sequence: int) -> peering.PeerMessage:
         """Creates the message that all peers get.
@@ -87,6 +91,7 @@
             ),
             rate_limits=self._rate_limits.list_reports(),
             demand=self._rate_limits.list_demand(),
+            stream_versions=dict(self._stream_versions.rows),
             failure_tallies=self._health.list_failure_tallies(),
             departures=self._view.departures.list_first_hand(),
         )
@@ -124,6 +129,7 @@
     crash_tracker: placement.CrashTracker,
     scheduler: jobs.ItemScheduler,
     directory: peering.PeerDirectory,
+    stream_versions: stream_origins.VersionTable,
 ) -> MemberAnnouncer:
     """Creates the announcer of this member.
 
@@ -140,6 +146,7 @@
         crash_tracker: Upstream crashes that this member knows.
         scheduler: Items that this member runs or keeps output of.
         directory: Live members, which share repeated reports among them.
+        stream_versions: At what streams without a record began.
     """
     return MemberAnnouncer(
         membership=membership,
@@ -154,4 +161,5 @@
         crash_tracker=crash_tracker,
         scheduler=scheduler,
         directory=directory,
+        stream_versions=stream_versions,
     )
--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -14,6 +14,7 @@
 from siskinmount.gateway import _online_context
 from siskinmount.gateway import _online_request
 from siskinmount.gateway import _online_response
+from siskinmount.gateway import _origin_registrar
 from siskinmount.gateway import _response_buffers
 from siskinmount.gateway import _wire
 
@@ -49,6 +50,10 @@
     #: The upstream answered with an error; nothing has been sent to the caller.
     FAILED = 'failed'
 
+    #: The upstream has begun the stream, which could not be recorded in time;
+    #: nothing has been sent to the caller.
+    UNRECORDED = 'unrecorded'
+
     #: The upstream ended the run at its deadline, which is no sign of a faulty
     #: upstream; nothing has been sent to the caller.
     TIMED_OUT = 'out_of_time'
@@ -79,6 +84,7 @@
         '_waiting',
         '_event_count',
         '_part_run',
+        '_begin',
     )
 
     def __init__(
@@ -100,6 +106,7 @@
         self._part_run = context.crash_tracker.parts.begin_run(
             request.name_prompt_parts(upstream.service)
         )
+        self._begin: _origin_registrar.StreamBegin | None = None
         if self._is_streaming:
             self._waiting = context.overdue.begin(
                 upstream.upstream_id, request.route.target_ms
@@ -205,6 +212,10 @@
             request.body,
             (head.find_header(b'host') or '').encode('latin-1'),
         )
+        if request.is_resumable_stream and request.software is None:
+            self._begin = self._context.registrar.begin(
+                request, self._upstream.software
+            )
         client = self._context.clients.get_client(self._upstream)
         response: transport.ClientExchange | results.Failure | None = None
         # If the send is cancelled from here on, the request may have reached
@@ -326,6 +337,8 @@
         # third of what an event costs.
         with trio.CancelScope() as scope:
             failure = await self._forward_events(stream, response, scope)
+        if failure is _NOT_RECORDED:
+            return AttemptOutcome.UNRECORDED, failure.reason
         if scope.cancelled_caught:
             failure = _event_stream.create_timeout_failure()
         if failure is not None:
@@ -363,12 +376,22 @@
             self._event_count += len(events)
             if self._event_count >= placement.MIN_ADDED_EVENTS:
                 self._record_output()
+            if not await self._confirm_begin():
+                return _NOT_RECORDED
             await self._response.send_events(
                 response, b''.join(event.raw for event in events)
             )
             self._request.last_event_id = stream.last_event_id
             silence_s = self._get_event_gap_timeout_s()
 
+    async def _confirm_begin(self) -> bool:
+        """Returns whether events of this run may be sent to the caller."""
+        begin = self._begin
+        if begin is None:
+            return True
+        self._begin = None
+        return await self._context.registrar.confirm(self._request, begin)
+
     def _get_first_byte_timeout_s(self) -> float:
         """Returns the timeout for the first byte; infinite without a retry."""
         if not self._request.may_retry_after_current():
@@ -387,6 +410,13 @@
         return max(MIN_TIMEOUT_MS, gap_ms * EVENT_GAP_TIMEOUT_GAPS) / 1000
 
 
+_NOT_RECORDED = results.Failure(
+    results.ResultCode.LOG_UNAVAILABLE,
+    'the origin of the stream could not be recorded',
+    results.RunState.UNKNOWN,
+)
+
+
 def _too_large(reason: str) -> results.Failure:
     return results.Failure(
         results.ResultCode.UPSTREAM_LOST, reason, results.RunState.RAN
--- a/siskinmount/gateway/_online_context.py
+++ b/siskinmount/gateway/_online_context.py
@@ -3,6 +3,8 @@
 from siskinmount import placement
 from siskinmount.gateway import _departure_reader
 from siskinmount.gateway import _gateway_metrics
+from siskinmount.gateway import _origin_finder
+from siskinmount.gateway import _origin_registrar
 from siskinmount.gateway import _rate_limit_reader
 from siskinmount.gateway import _response_buffers
 from siskinmount.gateway import _upstream_clients
@@ -21,6 +23,8 @@
         clients: Connection pools of the upstreams.
         departures: Notes responses of upstreams that leave.
         rate_limits: Notes responses that name a request rate.
+        origins: Finds out what began a stream that a caller resumes.
+        registrar: Registers what begins a stream.
         buffers: Bounds the memory of responses that are read whole.
         wire: Reads and writes headers.
         metrics: Counters and histograms of the gateway.
@@ -35,6 +39,8 @@
         'clients',
         'departures',
         'rate_limits',
+        'origins',
+        'registrar',
         'buffers',
         'wire',
         'metrics',
@@ -51,6 +57,8 @@
         clients: _upstream_clients.UpstreamClients,
         departures: _departure_reader.DepartureReader,
         rate_limits: _rate_limit_reader.RateLimitReader,
+        origins: _origin_finder.OriginFinder,
+        registrar: _origin_registrar.OriginRegistrar,
         buffers: _response_buffers.ResponseBuffers,
         wire: _wire.Wire,
         metrics: _gateway_metrics.GatewayMetrics,
@@ -63,6 +71,8 @@
         self.clients = clients
         self.departures = departures
         self.rate_limits = rate_limits
+        self.origins = origins
+        self.registrar = registrar
         self.buffers = buffers
         self.wire = wire
         self.metrics = metrics
--- a/siskinmount/gateway/_online_handler.py
+++ b/siskinmount/gateway/_online_handler.py
@@ -86,8 +86,15 @@
             The failure to send, or None if the response has been sent.
         """
         request = self._request
+        if request.resumes_stream:
+            found = await self._context.origins.find(request)
+            if isinstance(found, results.Failure):
+                return found
+            request.software = found
         while True:
-            service = request.route.draw_service()
+            service = self._draw_service()
+            if service is None:
+                return self._create_version_failure()
             quarantine = self._find_quarantine(service)
             if quarantine is not None:
                 return quarantine
@@ -122,6 +129,8 @@
                     retry_after_ms=placement.NO_UPSTREAM_RETRY_MS,
                 )
             if request.may_retry():
+                if outcome is _online_attempt.AttemptOutcome.UNRECORDED:
+                    request.tried_upstreams.discard(chosen.upstream.upstream_id)
                 if outcome is _online_attempt.AttemptOutcome.LOST:
                     await self._wait_for_crash_check(chosen.upstream)
                 continue
@@ -137,6 +146,27 @@
                 request.get_run_state(),
             )
 
+    def _draw_service(self) -> str | None:
+        """Returns the service of the next attempt.
+
+        It is None if the service that began the stream has left the route.
+        """
+        request = self._request
+        if request.software is None:
+            return request.route.draw_service()
+        for share in request.route.shares:
+            if share.service == request.software.service:
+                return share.service
+        return None
+
+    def _create_version_failure(self) -> results.Failure:
+        request = self._request
+        return results.Failure(
+            results.ResultCode.STREAM_VERSION_UNAVAILABLE,
+            f'no upstream runs {request.software}, which began the stream',
+            request.get_run_state(),
+        )
+
     def _may_wait_for_limits(self, failure: results.Failure) -> bool:
         """Returns whether to wait until an upstream accepts the request.
 
@@ -201,19 +231,22 @@
     def _place(self, service: str) -> placement.Placement | results.Failure:
         """Chooses the next upstream, or returns why there is none."""
         request = self._request
-        affinity_key = request.caller_request.affinity_key
         max_wait_ms = request.route.target_ms * MAX_WAIT_TARGETS
         urgency = placement.Urgency.HIGHEST
         if request.route.priority > 0:
             urgency = placement.Urgency.ONLINE
+        if request.software is not None:
+            # The caller has the begin of the response: a late end is better
+            # than none.
+            max_wait_ms = max(max_wait_ms, request.get_remaining_ms())
+            urgency = placement.Urgency.HIGHEST
         if request.attempts or request.response_started:
             # An upstream has already done work for this request, so a late
             # response is better than none.
             max_wait_ms = float('inf')
             urgency = placement.Urgency.HIGHEST
-        placed = self._context.placer.place_online(
+        placed = self._place_at(
             service,
-            affinity_key,
             request.tried_upstreams,
             max_wait_ms,
             may_use_avoided=request.may_retry_after_current(),
@@ -226,12 +259,17 @@
         ):
             # Each upstream has failed this request once; the least loaded gets
             # it again.
-            placed = self._context.placer.place_online(
-                service, affinity_key, set(), max_wait_ms, urgency=urgency
+            placed = self._place_at(
+                service, set(), max_wait_ms, urgency=urgency
             )
         self._log_placement(service, placed)
         if not isinstance(placed, placement.Refusal):
             return placed
+        if (
+            request.software is not None
+            and placed.reason is placement.RefusalReason.NO_UPSTREAM
+        ):
+            return self._create_version_failure()
         code = results.ResultCode.OVERLOADED
         reason = 'the expected wait for an upstream is too long'
         if placed.reason is placement.RefusalReason.NO_UPSTREAM:
@@ -247,6 +285,34 @@
             retry_after_ms=placed.retry_after_ms,
         )
 
+    def _place_at(
+        self,
+        service: str,
+        excluded: set[str],
+        max_wait_ms: float,
+        *,
+        may_use_avoided: bool = False,
+        urgency: placement.Urgency,
+    ) -> placement.Placement | placement.Refusal:
+        """Chooses an upstream that may run the request.
+
+        A new stream keeps to the version that needs no record while none can be
+        written, if that version serves.
+        """
+        request = self._request
+        software = request.software
+        if software is None and request.is_resumable_stream:
+            software = self._context.registrar.choose_software(service)
+        return self._context.placer.place_online(
+            service,
+            request.caller_request.affinity_key,
+            excluded,
+            max_wait_ms,
+            may_use_avoided=may_use_avoided,
+            urgency=urgency,
+            software=software,
+        )
+
     def _log_placement(
         self, service: str, placed: placement.Placement | placement.Refusal
     ) -> None:
--- a/siskinmount/gateway/_online_request.py
+++ b/siskinmount/gateway/_online_request.py
@@ -5,6 +5,7 @@
 from siskinmount import fleet
 from siskinmount import placement
 from siskinmount import results
+from siskinmount import stream_origins
 from siskinmount import transport
 from siskinmount.gateway import _wire
 
@@ -28,6 +29,9 @@
         last_event_id: Id of the last event that the caller has, or None.
         may_have_run: Whether an upstream may have started to run it.
         buffered_bytes: Bytes of upstreams' responses that are held for it.
+        software: What began the stream of which the caller has events; nothing
+            else may go on with it. None before the first event.
+        record_count: Runs that were recorded as a begin of the stream.
     """
 
     __slots__ = (
@@ -45,6 +49,8 @@
         'last_event_id',
         'may_have_run',
         'buffered_bytes',
+        'software',
+        'record_count',
     )
 
     def __init__(
@@ -75,6 +81,8 @@
         self.last_event_id = caller_request.last_event_id
         self.may_have_run = False
         self.buffered_bytes = 0
+        self.software: fleet.Software | None = None
+        self.record_count = 0
 
     @property
     def request_id(self) -> str:
@@ -86,6 +94,29 @@
         """Whether a part of the response has been sent to the caller."""
         return self.exchange.response_started
 
+    @property
+    def is_resumable_stream(self) -> bool:
+        """Whether the response is a stream that may be resumed."""
+        is_stream = self.route.kind is fleet.RouteKind.STREAMING
+        return is_stream and self.route.may_repeat()
+
+    @property
+    def resumes_stream(self) -> bool:
+        """Whether the caller resumes a stream of which it has events."""
+        return self.is_resumable_stream and bool(
+            self.caller_request.last_event_id
+        )
+
+    def make_stream_key(self, request_id: str) -> stream_origins.StreamKey:
+        """Returns the key of the stream that an attempt of the caller began.
+
+        Args:
+            request_id: Id of that attempt.
+        """
+        return stream_origins.make_stream_key(
+            request_id, f'{self.fingerprint} {self.caller_request.prompt_key}'
+        )
+
     def name_prompt_parts(self, service: str) -> tuple[str, ...]:
         """Returns names of the shared parts of the prompt at a service.
 
--- /dev/null
+++ b/siskinmount/gateway/_origin_finder.py
@@ -0,0 +1,364 @@
+"""Finds out which software began a stream that a caller resumes."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import enum
+import logging
+import time
+
+import trio
+
+from siskinmount import fleet
+from siskinmount import keyed_log
+from siskinmount import peering
+from siskinmount import results
+from siskinmount import stream_origins
+from siskinmount.gateway import _gateway_metrics
+from siskinmount.gateway import _online_request
+
+_LOGGER = logging.getLogger(__name__)
+
+#: Longest wait for the log of origins, and for peers if it cannot be read. A
+#: calm store answers in 10 ms, a slow one in 300 ms.
+READ_TIMEOUT_S = 0.5
+#: Retry-after where the store could not be read.
+UNREADABLE_RETRY_MS = 400
+#: An upstream that started later than this ago may be younger than a stream.
+YOUNG_UPSTREAM_S = 10.0
+
+
+class OriginSource(enum.Enum):
+    """How the origin of a stream was found, or why it was not."""
+
+    #: The stream began at this member.
+    OWN = 'own'
+
+    #: A record in the log names it.
+    RECORD = 'record'
+
+    #: A peer knows it.
+    PEER = 'peer'
+
+    #: There is no record of the stream, so it began at the assumed version.
+    NO_RECORD = 'no_record'
+
+    #: No other version has been listed for longer than a stream lasts.
+    ONLY_VERSION = 'only_version'
+
+    #: The attempt that the caller names belongs to another request.
+    OTHER_REQUEST = 'other_request'
+
+    #: Several versions come into question.
+    AMBIGUOUS = 'ambiguous'
+
+    #: Neither the log nor a peer could be asked.
+    UNREADABLE = 'unreadable'
+
+    def is_found(self) -> bool:
+        """Returns whether the origin is known."""
+        return self in (
+            OriginSource.OWN,
+            OriginSource.RECORD,
+            OriginSource.PEER,
+            OriginSource.NO_RECORD,
+            OriginSource.ONLY_VERSION,
+        )
+
+
+class FoundOrigin:
+    """The result of a search.
+
+    Attributes:
+        source: How the origin was found, or why it was not.
+        software: The software that began the stream; None if not found.
+    """
+
+    __slots__ = ('source', 'software')
+
+    def __init__(
+        self, source: OriginSource, software: fleet.Software | None = None
+    ) -> None:
+        self.source = source
+        self.software = software
+
+
+class PeerOrigin:
+    """What a peer says of a stream.
+
+    Attributes:
+        software: What began it; None if the peer does not know it.
+        is_unrecorded: Whether the peer has read the log to its end and found
+            no record.
+    """
+
+    __slots__ = ('software', 'is_unrecorded')
+
+    def __init__(
+        self, software: fleet.Software | None, is_unrecorded: bool
+    ) -> None:
+        self.software = software
+        self.is_unrecorded = is_unrecorded
+
+
+#: Asks peers which software began a stream.
+AskPeers = Callable[[stream_origins.StreamKey], Awaitable[PeerOrigin]]
+
+
+class OriginFinder:
+    """Finds origins in memory, in the log, at peers, or by what is not there."""
+
+    __slots__ = (
+        '_table',
+        '_versions',
+        '_follower',
+        '_view',
+        '_directory',
+        '_metrics',
+        '_get_outage_s',
+        '_ask_peers',
+        '_reading',
+        '_read_sent_at_s',
+        '_is_read',
+    )
+
+    def __init__(
+        self,
+        table: stream_origins.OriginTable,
+        versions: stream_origins.VersionTable,
+        log: keyed_log.KeyedLog,
+        view: fleet.FleetView,
+        directory: peering.PeerDirectory,
+        metrics: _gateway_metrics.GatewayMetrics,
+        get_outage_s: Callable[[], float],
+    ) -> None:
+        self._table = table
+        self._versions = versions
+        self._follower = keyed_log.create_log_follower(
+            'stream_origins', log, self._apply_record
+        )
+        self._view = view
+        self._directory = directory
+        self._metrics = metrics
+        self._get_outage_s = get_outage_s
+        self._ask_peers: AskPeers = _ask_nobody
+        self._reading: trio.Event | None = None
+        self._read_sent_at_s = float('-inf')
+        self._is_read = False
+
+    def set_peers(self, ask_peers: AskPeers) -> None:
+        """Sets the function that asks peers when the log cannot be read."""
+        self._ask_peers = ask_peers
+
+    async def find(
+        self, request: _online_request.OnlineRequest
+    ) -> fleet.Software | results.Failure:
+        """Returns what began the stream that a request resumes.
+
+        Fails with `STREAM_ORIGIN_UNKNOWN`.
+        """
+        caller = request.caller_request
+        key = request.make_stream_key(caller.resumed_request_id)
+        found = await self._find(key, request.route)
+        source = found.source
+        self._metrics.stream_origins.increment(source.value)
+        extra = {
+            'request_id': request.request_id,
+            'route': request.route.name,
+            'resumes': caller.resumed_request_id,
+            'last_event_id': caller.last_event_id,
+            'source': source.value,
+            'software': str(found.software or ''),
+            'log_age_ms': self._get_log_age_ms(),
+            'waited_ms': request.get_elapsed_ms(),
+        }
+        if source.is_found() and found.software is not None:
+            _LOGGER.info('stream_origin_found', extra=extra)
+            return found.software
+        _LOGGER.info('stream_origin_not_found', extra=extra)
+        is_unreadable = source is OriginSource.UNREADABLE
+        return results.Failure(
+            results.ResultCode.STREAM_ORIGIN_UNKNOWN,
+            'it is not known which software version began the stream',
+            results.RunState.NOT_RUN,
+            retry_after_ms=UNREADABLE_RETRY_MS if is_unreadable else None,
+        )
+
+    async def find_for_peer(self, key: stream_origins.StreamKey) -> PeerOrigin:
+        """Returns what this member knows of a stream."""
+        software = self._table.find_own(key)
+        if software is not None:
+            return PeerOrigin(software, False)
+        is_read = await self._read_log()
+        software = self._table.find(key)
+        is_foreign = self._table.has_foreign(key)
+        return PeerOrigin(software, is_read and not is_foreign)
+
+    def expire(self) -> None:
+        """Forgets streams that cannot be resumed any more."""
+        self._table.expire()
+
+    async def _find(
+        self, key: stream_origins.StreamKey, route: fleet.FleetRoute
+    ) -> FoundOrigin:
+        own = self._table.find_own(key)
+        if own is not None:
+            return FoundOrigin(OriginSource.OWN, own)
+        is_read = await self._read_log()
+        recorded = self._table.find(key)
+        if recorded is not None:
+            return FoundOrigin(OriginSource.RECORD, recorded)
+        if self._table.has_foreign(key):
+            return FoundOrigin(OriginSource.OTHER_REQUEST)
+        if not is_read:
+            told = PeerOrigin(None, False)
+            with trio.move_on_after(READ_TIMEOUT_S):
+                told = await self._ask_peers(key)
+            if told.software is not None:
+                return FoundOrigin(OriginSource.PEER, told.software)
+            is_read = told.is_unrecorded
+        return self._assume(key, route, is_read)
+
+    def _assume(
+        self,
+        key: stream_origins.StreamKey,
+        route: fleet.FleetRoute,
+        is_unrecorded: bool,
+    ) -> FoundOrigin:
+        """Returns the origin of a stream of which no record was found.
+
+        Args:
+            key: The stream.
+            route: The route of the request.
+            is_unrecorded: Whether the log was read to its end.
+        """
+        if len(route.shares) != 1:
+            return FoundOrigin(OriginSource.AMBIGUOUS)
+        service = route.shares[0].service
+        is_outage = not is_unrecorded and self._is_outage_for_all()
+        only = self._versions.find_only_version(
+            service, stream_origins.STREAM_LIFE_S
+        )
+        if only is not None and (is_unrecorded or is_outage):
+            return FoundOrigin(OriginSource.ONLY_VERSION, only)
+        assumed = self._versions.get_assumed(service)
+        if is_outage:
+            # Nothing can have been recorded, and members have kept to the
+            # assumed version.
+            is_unrecorded = self._get_outage_s() > stream_origins.STREAM_LIFE_S
+        if not is_unrecorded:
+            return FoundOrigin(OriginSource.UNREADABLE)
+        if assumed is None or not self._may_have_begun(assumed):
+            return FoundOrigin(OriginSource.AMBIGUOUS)
+        older_age_s = self._directory.get_older_release_age_s()
+        if older_age_s < stream_origins.STREAM_LIFE_S:
+            # Members of an earlier release record nothing.
+            return FoundOrigin(OriginSource.AMBIGUOUS)
+        if self._table.list_of_request(key) - {assumed}:
+            # The caller may name a wrong attempt of this request.
+            return FoundOrigin(OriginSource.AMBIGUOUS)
+        return FoundOrigin(OriginSource.NO_RECORD, assumed)
+
+    def _is_outage_for_all(self) -> bool:
+        """Returns whether the store is rather lost to all than to this one."""
+        if self._get_outage_s() <= 0:
+            return False
+        return self._directory.get_reachable_share() > 0.5
+
+    def _may_have_begun(self, software: fleet.Software) -> bool:
+        """Returns whether upstreams of a software are older than a stream.
+
+        Where another version has older ones and this one does not, it has come
+        back, and streams of the time between have begun elsewhere.
+        """
+        limit_ms = (time.time() - YOUNG_UPSTREAM_S) * 1000
+        has_older_other = False
+        for upstream in self._view.upstreams.values():
+            if upstream.service != software.service:
+                continue
+            if upstream.started_at_ms > limit_ms:
+                continue
+            if upstream.software == software:
+                return True
+            has_older_other = True
+        return not has_older_other
+
+    async def _read_log(self) -> bool:
+        """Reads the log to its end, once for all who need it at a time."""
+        arrived_at_s = trio.current_time()
+        with trio.move_on_after(READ_TIMEOUT_S):
+            while self._read_sent_at_s < arrived_at_s:
+                if self._reading is not None:
+                    await self._reading.wait()
+                    continue
+                await self._read_once()
+            return self._is_read
+        return False
+
+    async def _read_once(self) -> None:
+        reading = trio.Event()
+        self._reading = reading
+        sent_at_s = trio.current_time()
+        is_read = False
+        try:
+            failure = await self._follower.sync()
+            is_read = failure is None
+        finally:
+            self._reading = None
+            self._read_sent_at_s = sent_at_s
+            self._is_read = is_read
+            reading.set()
+
+    def _apply_record(self, record: keyed_log.KeyedRecord) -> None:
+        if record.value is None:
+            self._table.apply_record(record.key, [])
+            return
+        origins = stream_origins.decode_origins(record.value)
+        if isinstance(origins, results.Failure):
+            _LOGGER.warning(
+                'stream_origins_invalid',
+                extra={
+                    'code': int(origins.code),
+                    'key': record.key,
+                    'reason': origins.reason,
+                },
+            )
+            origins = []
+        self._table.apply_record(record.key, origins)
+
+    def _get_log_age_ms(self) -> int | None:
+        """Returns the age of what is known of the log; None if never read."""
+        end = self._follower.get_end()
+        if end is None:
+            return None
+        return int((trio.current_time() - end.seen_at_s) * 1000)
+
+
+async def _ask_nobody(key: stream_origins.StreamKey) -> PeerOrigin:
+    return PeerOrigin(None, False)
+
+
+def create_origin_finder(
+    *,
+    table: stream_origins.OriginTable,
+    versions: stream_origins.VersionTable,
+    log: keyed_log.KeyedLog,
+    view: fleet.FleetView,
+    directory: peering.PeerDirectory,
+    metrics: _gateway_metrics.GatewayMetrics,
+    get_outage_s: Callable[[], float],
+) -> OriginFinder:
+    """Creates a finder; the log is read when a stream is resumed.
+
+    Args:
+        table: Origins that are known here.
+        versions: At what streams without a record began.
+        log: Log of the origins of streams.
+        view: Listed upstreams.
+        directory: Members, some of which may record nothing.
+        metrics: Counts how origins were found.
+        get_outage_s: Returns for how long the store has been out of reach; 0 if
+            it is not.
+    """
+    return OriginFinder(
+        table, versions, log, view, directory, metrics, get_outage_s
+    )
--- /dev/null
+++ b/siskinmount/gateway/_origin_registrar.py
@@ -0,0 +1,165 @@
+"""Registers what begins a stream, before its first event is sent."""
+
+import logging
+
+import trio
+
+from siskinmount import fleet
+from siskinmount import stream_origins
+from siskinmount.gateway import _gateway_metrics
+from siskinmount.gateway import _online_request
+
+_LOGGER = logging.getLogger(__name__)
+
+#: Longest wait of the first event for its record, where the request may run
+#: elsewhere, and where it may not. Latency objectives are 300 ms and more, and a
+#: calm store answers while the prompt is read.
+RECORD_WAIT_S = 0.15
+LAST_RECORD_WAIT_S = 1.0
+
+
+class StreamBegin:
+    """A run that may begin a stream.
+
+    Attributes:
+        origin: The stream and the software of the run.
+        record: Its record; None if it needs none.
+    """
+
+    __slots__ = ('origin', 'record')
+
+    def __init__(
+        self,
+        origin: stream_origins.StreamOrigin,
+        record: stream_origins.PendingRecord | None,
+    ) -> None:
+        self.origin = origin
+        self.record = record
+
+
+class OriginRegistrar:
+    """Notes and records the streams that begin at this member."""
+
+    __slots__ = ('_table', '_versions', '_recorder', '_view', '_metrics')
+
+    def __init__(
+        self,
+        table: stream_origins.OriginTable,
+        versions: stream_origins.VersionTable,
+        recorder: stream_origins.OriginRecorder,
+        view: fleet.FleetView,
+        metrics: _gateway_metrics.GatewayMetrics,
+    ) -> None:
+        self._table = table
+        self._versions = versions
+        self._recorder = recorder
+        self._view = view
+        self._metrics = metrics
+
+    def begin(
+        self, request: _online_request.OnlineRequest, software: fleet.Software
+    ) -> StreamBegin:
+        """Has a run recorded if need be; called before the run is sent."""
+        origin = stream_origins.StreamOrigin(
+            request.make_stream_key(request.request_id),
+            software,
+            request.record_count,
+        )
+        # Without a record, it could be taken for another run of the request.
+        has_other_run = bool(
+            request.record_count
+            or self._table.list_of_request(origin.key) - {software}
+        )
+        if (
+            not has_other_run
+            and len(request.route.shares) == 1
+            and not self._versions.needs_record(software)
+        ):
+            return StreamBegin(origin, None)
+        request.record_count += 1
+        return StreamBegin(origin, self._recorder.submit(origin))
+
+    async def confirm(
+        self, request: _online_request.OnlineRequest, begin: StreamBegin
+    ) -> bool:
+        """Returns whether the events of a run may be sent to the caller.
+
+        They may not if the run could be taken for one of the assumed version
+        after the loss of this member. Where that version serves nothing, no
+        stream can be continued there by mistake.
+        """
+        outcome = 'not_needed'
+        if begin.record is not None:
+            outcome = 'recorded'
+            wait_s = LAST_RECORD_WAIT_S
+            if request.may_retry_after_current():
+                wait_s = RECORD_WAIT_S
+            with trio.move_on_after(wait_s):
+                await begin.record.recorded.wait()
+            if not begin.record.recorded.is_set():
+                outcome = 'given_up'
+                if not self.serves_assumed(begin.origin.software.service):
+                    outcome = 'unrecorded'
+        self._metrics.stream_begins.increment(outcome)
+        if begin.record is not None:
+            _LOGGER.info(
+                'stream_begun',
+                extra={
+                    'request_id': request.request_id,
+                    'software': str(begin.origin.software),
+                    'ordinal': begin.origin.ordinal,
+                    'waited_ms': int(
+                        (trio.current_time() - begin.record.submitted_at_s)
+                        * 1000
+                    ),
+                    'outcome': outcome,
+                },
+            )
+        if outcome == 'given_up':
+            return False
+        self.note(request, begin.origin)
+        return True
+
+    def note(
+        self,
+        request: _online_request.OnlineRequest,
+        origin: stream_origins.StreamOrigin,
+    ) -> None:
+        """Binds a request to the software whose events its caller gets."""
+        request.software = origin.software
+        self._table.note_begin(origin)
+
+    def choose_software(self, service: str) -> fleet.Software | None:
+        """Returns what new streams keep to while none can be recorded."""
+        if self._recorder.is_available() or not self.serves_assumed(service):
+            return None
+        return self._versions.get_assumed(service)
+
+    def serves_assumed(self, service: str) -> bool:
+        """Returns whether an upstream of the assumed version takes requests."""
+        assumed = self._versions.get_assumed(service)
+        if assumed is None:
+            return False
+        for upstream in self._view.list_ready(service):
+            if upstream.software == assumed:
+                return True
+        return False
+
+
+def create_origin_registrar(
+    table: stream_origins.OriginTable,
+    versions: stream_origins.VersionTable,
+    recorder: stream_origins.OriginRecorder,
+    view: fleet.FleetView,
+    metrics: _gateway_metrics.GatewayMetrics,
+) -> OriginRegistrar:
+    """Creates a registrar.
+
+    Args:
+        table: Remembers the streams that begin here.
+        versions: Says which streams need a record.
+        recorder: Writes records.
+        view: Upstreams that take requests.
+        metrics: Counts begins of streams by what became of their record.
+    """
+    return OriginRegistrar(table, versions, recorder, view, metrics)
--- a/siskinmount/gateway/_outside_services.py
+++ b/siskinmount/gateway/_outside_services.py
@@ -17,6 +17,9 @@
         members_log: Log of the fleet's members.
         jobs_log: Log of the batch jobs.
         quarantine_log: Log of the parts of prompts in quarantine.
+        versions_log: Log of the versions at which streams without a record
+            began, by service.
+        origins_log: Log of what began streams.
         wire: Reads and writes headers and bodies.
         decode_document: Decodes a record that holds the document.
         decode_upstream: Decodes an upstream's entry.
@@ -28,6 +31,8 @@
         'members_log',
         'jobs_log',
         'quarantine_log',
+        'versions_log',
+        'origins_log',
         'wire',
         'decode_document',
         'decode_upstream',
@@ -41,6 +46,8 @@
         members_log: keyed_log.KeyedLog,
         jobs_log: keyed_log.KeyedLog,
         quarantine_log: keyed_log.KeyedLog,
+        versions_log: keyed_log.KeyedLog,
+        origins_log: keyed_log.KeyedLog,
         wire: _wire.Wire,
         decode_document: Callable[
             [bytes], fleet.FleetDocument | results.Failure
@@ -54,6 +61,8 @@
         self.members_log = members_log
         self.jobs_log = jobs_log
         self.quarantine_log = quarantine_log
+        self.versions_log = versions_log
+        self.origins_log = origins_log
         self.wire = wire
         self.decode_document = decode_document
         self.decode_upstream = decode_upstream
--- a/siskinmount/gateway/_peers_api.py
+++ b/siskinmount/gateway/_peers_api.py
@@ -8,6 +8,7 @@
 import base64
 import logging
 import random
+import urllib.parse
 
 import orjson
 import trio
@@ -17,19 +18,26 @@
 from siskinmount import keyed_log
 from siskinmount import peering
 from siskinmount import results
+from siskinmount import stream_origins
 from siskinmount import transport
+from siskinmount.gateway import _origin_finder
 
 _LOGGER = logging.getLogger(__name__)
 
 FLEET_PATH = '/peer/fleet'
 OUTPUT_PATH = '/peer/output'
 OPERATIONS_PATH = '/peer/operations'
+ORIGIN_PATH = '/peer/origin'
+#: Largest number of peers that are asked what began a stream.
+MAX_ASKED_PEERS = 12
 #: How long the store must be unreachable before peers are asked, and how often
 #: they are asked. Both are well below the 2 s in which a change must be in
 #: force.
 OUTAGE_THRESHOLD_S = 0.4
 POLL_INTERVAL_S = 0.4
 PEER_TIMEOUT_MS = 300
+#: Longest wait for a peer that may have to read the log.
+ORIGIN_TIMEOUT_MS = 450
 #: Longest wait for the outcomes of operations that a peer writes: longer than
 #: the peer waits for them itself.
 OPERATIONS_TIMEOUT_MS = 1000
@@ -46,6 +54,7 @@
         '_directory',
         '_scheduler',
         '_ledger',
+        '_origins',
         '_control_port',
         'seeds',
         '_own_host',
@@ -60,6 +69,7 @@
         directory: peering.PeerDirectory,
         scheduler: jobs.ItemScheduler,
         ledger: jobs.JobLedger,
+        origins: _origin_finder.OriginFinder,
         own_address: transport.Address,
         seeds: list[transport.Address],
     ) -> None:
@@ -69,6 +79,7 @@
         self._directory = directory
         self._scheduler = scheduler
         self._ledger = ledger
+        self._origins = origins
         self._control_port = own_address.port
         self._own_host = own_address.host
         self.seeds = seeds
@@ -81,6 +92,8 @@
             await self._receive_output(exchange)
         elif exchange.head.path == OPERATIONS_PATH:
             await self._write_operations(exchange)
+        elif exchange.head.path == ORIGIN_PATH:
+            await self._send_origin(exchange)
         else:
             await exchange.send_json(404, {})
 
@@ -91,12 +104,17 @@
         peer = self._directory.peers.get(member)
         if peer is None:
             return False
+        if not progress.is_complete and peer.is_older_release():
+            # It would go on with the output at any version.
+            return False
         body = orjson.dumps(
             {
                 'tag': tag,
                 'events': progress.events,
                 'last_event_id': progress.last_event_id,
                 'complete': progress.is_complete,
+                'service': progress.service,
+                'software_version': progress.software_version,
             }
         )
         response = await self._call(
@@ -130,6 +148,79 @@
             OPERATIONS_TIMEOUT_MS,
         )
 
+    async def ask_origin(
+        self, key: stream_origins.StreamKey
+    ) -> _origin_finder.PeerOrigin:
+        """Asks peers at the same time which software began a stream.
+
+        The first that knows it counts, else one that has read the log.
+        """
+        peers = list(self._directory.list_live())
+        if len(peers) > MAX_ASKED_PEERS:
+            peers = random.sample(peers, MAX_ASKED_PEERS)
+        best = _origin_finder.PeerOrigin(None, False)
+        async with trio.open_nursery() as nursery:
+
+            async def ask(peer: peering.Peer) -> None:
+                nonlocal best
+                told = await self._ask_origin_of(peer, key)
+                if best.software is not None or told is None:
+                    return
+                if told.software is not None or told.is_unrecorded:
+                    best = told
+                if told.software is not None:
+                    nursery.cancel_scope.cancel()
+
+            for peer in peers:
+                nursery.start_soon(ask, peer)
+        return best
+
+    async def _ask_origin_of(
+        self, peer: peering.Peer, key: stream_origins.StreamKey
+    ) -> _origin_finder.PeerOrigin | None:
+        """Asks one peer; returns None if it gives no sound answer."""
+        query = urllib.parse.urlencode(
+            {'attempt': key.first_attempt, 'fingerprint': key.fingerprint}
+        )
+        body = await self._call(
+            transport.Address(peer.address, self._control_port),
+            transport.ClientRequest('GET', f'{ORIGIN_PATH}?{query}'),
+            ORIGIN_TIMEOUT_MS,
+        )
+        if isinstance(body, results.Failure):
+            # A peer of an earlier release answers 404.
+            return None
+        try:
+            fields = orjson.loads(body)
+            software: fleet.Software | None = None
+            if fields['version']:
+                software = fleet.Software(
+                    str(fields['service']), str(fields['version'])
+                )
+            return _origin_finder.PeerOrigin(
+                software, fields['is_unrecorded'] is True
+            )
+        except (ValueError, TypeError, KeyError) as error:
+            _log_invalid(peer.member, repr(error))
+            return None
+
+    async def _send_origin(self, exchange: transport.ServerExchange) -> None:
+        """Sends a peer what is known here of a stream."""
+        query = exchange.head.query
+        told = await self._origins.find_for_peer(
+            stream_origins.StreamKey(
+                query.get('attempt', ''), query.get('fingerprint', '')
+            )
+        )
+        await exchange.send_json(
+            200,
+            {
+                'service': told.software.service if told.software else '',
+                'version': told.software.version if told.software else '',
+                'is_unrecorded': told.is_unrecorded,
+            },
+        )
+
     async def _write_operations(
         self, exchange: transport.ServerExchange
     ) -> None:
@@ -163,6 +254,11 @@
             if fields['last_event_id'] is not None:
                 progress.last_event_id = int(fields['last_event_id'])
             progress.is_complete = fields['complete'] is True
+            progress.service = str(fields.get('service', ''))
+            progress.software_version = str(fields.get('software_version', ''))
+            if not progress.is_complete and not progress.software_version:
+                # A member of an earlier release does not tell what wrote it.
+                progress.drop_output()
             tag = str(fields['tag'])
         except (ValueError, TypeError, KeyError) as error:
             _log_invalid(exchange.head.peer_host, repr(error))
@@ -334,6 +430,7 @@
     directory: peering.PeerDirectory,
     scheduler: jobs.ItemScheduler,
     ledger: jobs.JobLedger,
+    origins: _origin_finder.OriginFinder,
     own_address: transport.Address,
     seeds: list[transport.Address],
 ) -> PeersApi:
@@ -345,6 +442,7 @@
         directory=directory,
         scheduler=scheduler,
         ledger=ledger,
+        origins=origins,
         own_address=own_address,
         seeds=seeds,
     )
--- a/siskinmount/gateway/_wire.py
+++ b/siskinmount/gateway/_wire.py
@@ -22,6 +22,8 @@
         prompt_parts: Names of the parts of the prompt that other requests may
             share, in order; equal names mean equal tokens for the same model.
         wait_ms: How long a read of results may wait for the first result.
+        prompt_key: Text that is the same for all attempts of a request and
+            names all parts of its prompt, also those of its own.
     """
 
     __slots__ = (
@@ -32,6 +34,7 @@
         'affinity_key',
         'prompt_parts',
         'wait_ms',
+        'prompt_key',
     )
 
     def __init__(
@@ -43,6 +46,7 @@
         wait_ms: int = 0,
         prompt_parts: tuple[str, ...] = (),
         resumed_request_id: str = '',
+        prompt_key: str = '',
     ) -> None:
         self.request_id = request_id
         self.deadline_ms = deadline_ms
@@ -51,6 +55,7 @@
         self.affinity_key = affinity_key
         self.wait_ms = wait_ms
         self.prompt_parts = prompt_parts
+        self.prompt_key = prompt_key
 
 
 class JobCallKind(enum.Enum):
--- a/siskinmount/gateway/tests/gateway_harness.py
+++ b/siskinmount/gateway/tests/gateway_harness.py
@@ -22,6 +22,8 @@
 MEMBERS_TOPIC = 'keyed.members'
 JOBS_TOPIC = 'keyed.jobs'
 QUARANTINE_TOPIC = 'keyed.quarantine'
+VERSIONS_TOPIC = 'keyed.versions'
+ORIGINS_TOPIC = 'keyed.origins'
 MAX_RECORD_BYTES = 16 * 1024
 MAX_CALL_BYTES = 64 * 1024
 HOST = 'fleet.example'
@@ -285,6 +287,8 @@
                 members_log=store.open_log(MEMBERS_TOPIC, 0),
                 jobs_log=store.open_log(JOBS_TOPIC, 0),
                 quarantine_log=store.open_log(QUARANTINE_TOPIC, 0),
+                versions_log=store.open_log(VERSIONS_TOPIC, 0),
+                origins_log=store.open_log(ORIGINS_TOPIC, 0),
                 wire=platform.create_wire(),
                 decode_document=platform.decode_document,
                 decode_upstream=platform.decode_upstream,
--- a/siskinmount/gateway/tests/members_simulation.py
+++ b/siskinmount/gateway/tests/members_simulation.py
@@ -16,6 +16,7 @@
 from siskinmount import peering
 from siskinmount import placement
 from siskinmount import results
+from siskinmount import stream_origins
 from siskinmount import supervision
 from siskinmount import telemetry
 from siskinmount import transport
@@ -222,6 +223,7 @@
             crash_tracker=crash_tracker,
             scheduler=self.scheduler,
             directory=self.directory,
+            stream_versions=stream_origins.create_version_table(),
         )
         self.runner = _item_runner.create_item_runner(
             membership=self.membership,
--- a/siskinmount/gateway/tests/online_context.py
+++ b/siskinmount/gateway/tests/online_context.py
@@ -1,11 +1,15 @@
 """Creates the context of online requests with fake clients."""
 
+from siskinmount import fleet
 from siskinmount import placement
 from siskinmount import platform
+from siskinmount import stream_origins
 from siskinmount import telemetry
 from siskinmount.gateway import _departure_reader
 from siskinmount.gateway import _gateway_metrics
 from siskinmount.gateway import _online_context
+from siskinmount.gateway import _origin_finder
+from siskinmount.gateway import _origin_registrar
 from siskinmount.gateway import _rate_limit_reader
 from siskinmount.gateway import _response_buffers
 
@@ -23,9 +27,13 @@
     health = placement.create_upstream_health(crash_tracker)
     rate_limits = placement.create_rate_limits()
     wire = platform.create_wire()
+    view = view or fleet.create_fleet_view(None, None)
     metrics = _gateway_metrics.create_gateway_metrics(
         telemetry.create_metrics()
     )
+    table = stream_origins.create_origin_table()
+    versions = stream_origins.create_version_table()
+    recorder = stream_origins.create_origin_recorder(None, 'm')
     return _online_context.OnlineContext(
         placer=placer
         or placement.create_placer(view, load, health, rate_limits=rate_limits),
@@ -40,6 +48,18 @@
         rate_limits=_rate_limit_reader.create_rate_limit_reader(
             wire, rate_limits, load, metrics
         ),
+        origins=_origin_finder.create_origin_finder(
+            table=table,
+            versions=versions,
+            log=None,
+            view=view,
+            directory=None,
+            metrics=metrics,
+            get_outage_s=lambda: 0.0,
+        ),
+        registrar=_origin_registrar.create_origin_registrar(
+            table, versions, recorder, view, metrics
+        ),
         buffers=_response_buffers.create_response_buffers(),
         wire=wire,
         metrics=metrics,
--- a/siskinmount/gateway/tests/test_housekeeping.py
+++ b/siskinmount/gateway/tests/test_housekeeping.py
@@ -48,6 +48,7 @@
                 health=health,
                 rate_limits=placement.create_rate_limits(),
                 overdue=placement.create_overdue_runs(health),
+                origins=None,
                 directory=None,
                 members_watch=None,
                 table=None,
--- a/siskinmount/gateway/tests/test_online_handler.py
+++ b/siskinmount/gateway/tests/test_online_handler.py
@@ -43,6 +43,7 @@
         max_wait_ms,
         may_use_avoided=False,
         urgency=placement.Urgency.HIGHEST,
+        software=None,
     ):
         return placement.Placement(self.upstream, 0, 0)
 
--- a/siskinmount/gateway/tests/test_peers_api.py
+++ b/siskinmount/gateway/tests/test_peers_api.py
@@ -52,6 +52,7 @@
                 directory=None,
                 scheduler=scheduler,
                 ledger=None,
+                origins=None,
                 own_address=transport.Address('127.0.0.1', 1),
                 seeds=[],
             )
--- a/siskinmount/gateway/tests/test_software_versions.py
+++ b/siskinmount/gateway/tests/test_software_versions.py
@@ -18,9 +18,9 @@
     )
 
 
-async def _call(fleet, number, request_id, **headers):
+async def _call(fleet, number, request_id, body=_BODY, **headers):
     return await fleet.call(
-        number, 'POST', '/stream/x', _BODY, x_request_id=request_id, **headers
+        number, 'POST', '/stream/x', body, x_request_id=request_id, **headers
     )
 
 
@@ -107,7 +107,7 @@
             attempt += 1
             name = f'{request_id}-{attempt}'
             fleet.engines[engine_id].answer_faults = [_FAULT.CUT_BETWEEN_EVENTS]
-            await _call(fleet, number, name)
+            await _call(fleet, number, name, name.encode())
             fleet.engines[engine_id].answer_faults = []
             if any(r.request_id == name for r in fleet.engines[engine_id].runs):
                 return name
@@ -121,7 +121,12 @@
             await _restart_gateways(fleet)
             await trio.sleep(0.5)
             answer = await _call(
-                fleet, 1, 'again', last_event_id=3, resumes=name
+                fleet,
+                1,
+                'again',
+                name.encode(),
+                last_event_id=3,
+                resumes=name,
             )
             self.assertEqual(503, answer.status)
             self.assertEqual([], fleet.engines['new'].runs)
@@ -139,6 +144,7 @@
                     fleet,
                     number % 2,
                     f'again-{number}',
+                    name.encode(),
                     last_event_id=3,
                     resumes=name,
                 )
@@ -167,6 +173,7 @@
                         fleet,
                         number % 2,
                         f'again-{engine_id}-{number}',
+                        name.encode(),
                         last_event_id=3,
                         resumes=name,
                     )
--- a/siskinmount/gateway/tests/test_upstream_views.py
+++ b/siskinmount/gateway/tests/test_upstream_views.py
@@ -104,6 +104,7 @@
             directory=self,
             ledger=None,
             scheduler=None,
+            origins=None,
             own_address=transport.Address(name, 1),
             seeds=[self],
         )
--- a/siskinmount/peering/_peer_directory.py
+++ b/siskinmount/peering/_peer_directory.py
@@ -12,6 +12,7 @@
 from siskinmount import keyed_log
 from siskinmount import placement
 from siskinmount import results
+from siskinmount import stream_origins
 from siskinmount.peering import _item_claims
 from siskinmount.peering import _peer_message
 
@@ -112,6 +113,11 @@
         """Returns whether a message of the peer came in the last `SILENT_S`."""
         return trio.current_time() - self.heard_at_s < SILENT_S
 
+    def is_older_release(self) -> bool:
+        """Returns whether the peer knows nothing of software versions."""
+        message = self.message
+        return message is not None and message.stream_versions is None
+
     def is_expected(self) -> bool:
         """Returns whether the peer is live, or may be as it is new."""
         now_s = trio.current_time()
@@ -125,6 +131,16 @@
 RecordDepartures = Callable[[str, dict[str, fleet.DepartureNotice]], None]
 
 
+#: Takes the name of a peer and the rows that it tells.
+RecordVersions = Callable[[str, dict[str, stream_origins.VersionRow]], None]
+
+
+def _ignore_versions(
+    peer: str, rows: dict[str, stream_origins.VersionRow]
+) -> None:
+    """Ignores what a peer says."""
+
+
 def _ignore_departures(
     peer: str, notices: dict[str, fleet.DepartureNotice]
 ) -> None:
@@ -161,6 +177,7 @@
         '_responsible_key',
         '_responsible',
         '_record_departures',
+        '_record_versions',
     )
 
     def __init__(
@@ -188,6 +205,11 @@
         self._responsible_key: tuple[int, bool, bool] | None = None
         self._responsible: list[str] = []
         self._record_departures: RecordDepartures = _ignore_departures
+        self._record_versions: RecordVersions = _ignore_versions
+
+    def watch_versions(self, record_versions: RecordVersions) -> None:
+        """Sets the function that gets the rows of versions of peers."""
+        self._record_versions = record_versions
 
     def watch_departures(self, record_departures: RecordDepartures) -> None:
         """Sets the function that gets the departures that peers tell of."""
@@ -277,6 +299,8 @@
             peer.member, message.rate_limits, message.demand
         )
         self._record_departures(peer.member, message.departures)
+        if message.stream_versions is not None:
+            self._record_versions(peer.member, message.stream_versions)
         return True
 
     def list_live(self) -> list[Peer]:
@@ -320,6 +344,33 @@
         self._responsible = informed or members
         return self._responsible
 
+    def get_older_release_age_s(self) -> float:
+        """Returns the time since a member that records no streams was heard.
+
+        It is infinite if there was none.
+        """
+        heard_at_s = float('-inf')
+        for peer in self.peers.values():
+            if peer.is_older_release():
+                heard_at_s = max(heard_at_s, peer.heard_at_s)
+        return trio.current_time() - heard_at_s
+
+    def is_row_confirmed(self, service: str, generation: int) -> bool:
+        """Returns whether all other members know a row of versions.
+
+        A member that has been silent for `MINORITY_SHARE_KEPT_S` is not asked.
+        """
+        now_s = trio.current_time()
+        for peer in self.peers.values():
+            last_at_s = max(peer.heard_at_s, peer.known_since_s)
+            if now_s - last_at_s > MINORITY_SHARE_KEPT_S:
+                continue
+            rows = peer.message.stream_versions if peer.message else None
+            row = rows.get(service) if rows else None
+            if row is None or row.generation < generation:
+                return False
+        return True
+
     def count_informed(self) -> int:
         """Returns how many live peers can read the log of jobs.
 
--- a/siskinmount/peering/_peer_message.py
+++ b/siskinmount/peering/_peer_message.py
@@ -15,6 +15,7 @@
 from siskinmount import fleet
 from siskinmount import placement
 from siskinmount import results
+from siskinmount import stream_origins
 
 #: Above any number of crashes in sequence; a count that only grows must not be
 #: set to an absurd value by one damaged message.
@@ -49,6 +50,8 @@
             has used a moment ago, or was the last to hear of.
         demand: Requests that the sender has counted while there were limits,
             by service.
+        stream_versions: At what the sender takes streams without a record to
+            have begun, by service; None from a release that records none.
     """
 
     __slots__ = (
@@ -69,6 +72,7 @@
         'suspect_parts',
         'rate_limits',
         'demand',
+        'stream_versions',
     )
 
     def __init__(
@@ -90,6 +94,7 @@
         suspect_parts: dict[str, placement.PartReport] | None = None,
         rate_limits: dict[str, placement.RateLimitReport] | None = None,
         demand: dict[str, int] | None = None,
+        stream_versions: dict[str, stream_origins.VersionRow] | None = None,
         failure_domain: str = '',
     ) -> None:
         self.member = member
@@ -108,6 +113,7 @@
         self.suspect_parts = suspect_parts or {}
         self.rate_limits = rate_limits or {}
         self.demand = demand or {}
+        self.stream_versions = stream_versions
         self.failure_domain = failure_domain
 
 
@@ -189,6 +195,11 @@
         }
     if message.demand:
         fields['demand'] = message.demand
+    if message.stream_versions is not None:
+        fields['stream_versions'] = {
+            service: (row.generation, row.assumed_version, row.is_settled)
+            for service, row in message.stream_versions.items()
+        }
     return b'%b %d %d %b' % (
         urllib.parse.quote(message.member, safe='').encode('ascii'),
         message.incarnation,
@@ -382,6 +393,13 @@
     demand: dict[str, int] = {}
     for service, count in fields.get('demand', {}).items():
         demand[service] = _read_count(count, _MAX_REQUESTS)
+    stream_versions: dict[str, stream_origins.VersionRow] | None = None
+    if 'stream_versions' in fields:
+        stream_versions = {}
+        for service, row in fields['stream_versions'].items():
+            stream_versions[service] = stream_origins.VersionRow(
+                _read_count(row[0]), str(row[1]), row[2] is True
+            )
     return PeerMessage(
         member=member,
         incarnation=incarnation,
@@ -400,6 +418,7 @@
         suspect_parts=suspect_parts,
         rate_limits=rate_limits,
         demand=demand,
+        stream_versions=stream_versions,
     )
 
 
--- a/siskinmount/placement/_placer.py
+++ b/siskinmount/placement/_placer.py
@@ -150,6 +150,7 @@
         max_wait_ms: float,
         may_use_avoided: bool = False,
         urgency: _rate_limits.Urgency = _rate_limits.Urgency.HIGHEST,
+        software: fleet.Software | None = None,
     ) -> Placement | Refusal:
         """Returns the upstream where an online request starts soonest.
 
@@ -166,9 +167,12 @@
             may_use_avoided: Whether an avoided upstream may be used instead of
                 a refusal.
             urgency: Decides which requests upstreams with a limit get first.
+            software: Only upstreams that run this may be chosen; None for any.
         """
         self._rate_limits.record_demand(service)
         ready = self._list_ready(service, excluded)
+        if software is not None:
+            ready = [each for each in ready if each.software == software]
         healthy: list[fleet.Upstream] = []
         for upstream in ready:
             if not self._health.is_avoided(upstream.upstream_id):
--- a/siskinmount/platform/_wire.py
+++ b/siskinmount/platform/_wire.py
@@ -83,7 +83,8 @@
         self, head: transport.RequestHead
     ) -> gateway.CallerRequest:
         """Returns the fields of the headers; invalid values are left out."""
-        part_ids = _read_shared_part_ids(head.find_header(_PROMPT_PARTS) or '')
+        prompt_parts = head.find_header(_PROMPT_PARTS) or ''
+        part_ids = _read_shared_part_ids(prompt_parts)
         model = head.find_header(_MODEL) or ''
         return gateway.CallerRequest(
             head.find_header(_REQUEST_ID) or '',
@@ -93,6 +94,7 @@
             _parse_number(head.find_header(_WAIT)) or 0,
             _name_parts(model, part_ids),
             _read_resumed_id(head.find_header(_RESUMES) or ''),
+            prompt_parts,
         )
 
     def find_job_call(
--- a/tools/tests/test_import_direction.py
+++ b/tools/tests/test_import_direction.py
@@ -15,7 +15,7 @@
     ('relay', 'configuration', 'backing_services', 'rpc'),
     ('membership', 'state', 'objectives', 'keyed_log'),
     ('routing', 'admission', 'batch', 'fleet', 'jobs'),
-    ('placement',),
+    ('placement', 'stream_origins'),
     ('peering',),
     ('sidecar', 'entry', 'gateway'),
     ('platform',),
