Nothing goes on with a stream whose upstream turns out to be another version; tests of origins

Cause: an upstream may start again under its id in another version, and its entry is read later. A stream that ran there is of either process. Change: before a stream goes on, the list of upstreams is read to its end (once for all that need it). A run whose upstream is listed as another version meanwhile makes its stream one that cannot be resumed, here and, by a record, elsewhere.

--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -307,6 +307,9 @@
             departures=departures,
             rate_limits=limit_reader,
             origins=origins,
+            upstreams_sync=keyed_log.create_shared_sync(
+                self._upstreams_follower
+            ),
             registrar=_origin_registrar.create_origin_registrar(
                 origin_table,
                 stream_versions,
--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -120,8 +120,15 @@
         sent_at_s = trio.current_time()
         outcome = AttemptOutcome.LOST
         reason = _CANCELLED
+        if request.is_resumable_stream and request.software is None:
+            self._begin = self._context.registrar.begin(
+                request, self._upstream.software
+            )
         try:
-            outcome, reason = await self._send()
+            with self._context.registrar.follow_run(
+                request, self._begin, self._upstream
+            ):
+                outcome, reason = await self._send()
         finally:
             self._context.load.add_online(upstream_id, -1)
             if self._waiting is not None:
@@ -212,10 +219,6 @@
             request.body,
             (head.find_header(b'host') or '').encode('latin-1'),
         )
-        if request.is_resumable_stream and request.software is None:
-            self._begin = self._context.registrar.begin(
-                request, self._upstream.software
-            )
         client = self._context.clients.get_client(self._upstream)
         response: transport.ClientExchange | results.Failure | None = None
         # If the send is cancelled from here on, the request may have reached
--- a/siskinmount/gateway/_online_context.py
+++ b/siskinmount/gateway/_online_context.py
@@ -1,5 +1,6 @@
 """State and services that all online requests share."""
 
+from siskinmount import keyed_log
 from siskinmount import placement
 from siskinmount.gateway import _departure_reader
 from siskinmount.gateway import _gateway_metrics
@@ -25,6 +26,7 @@
         rate_limits: Notes responses that name a request rate.
         origins: Finds out what began a stream that a caller resumes.
         registrar: Registers what begins a stream.
+        upstreams_sync: Brings the list of upstreams up to date.
         buffers: Bounds the memory of responses that are read whole.
         wire: Reads and writes headers.
         metrics: Counters and histograms of the gateway.
@@ -41,6 +43,7 @@
         'rate_limits',
         'origins',
         'registrar',
+        'upstreams_sync',
         'buffers',
         'wire',
         'metrics',
@@ -59,6 +62,7 @@
         rate_limits: _rate_limit_reader.RateLimitReader,
         origins: _origin_finder.OriginFinder,
         registrar: _origin_registrar.OriginRegistrar,
+        upstreams_sync: keyed_log.SharedSync,
         buffers: _response_buffers.ResponseBuffers,
         wire: _wire.Wire,
         metrics: _gateway_metrics.GatewayMetrics,
@@ -73,6 +77,7 @@
         self.rate_limits = rate_limits
         self.origins = origins
         self.registrar = registrar
+        self.upstreams_sync = upstreams_sync
         self.buffers = buffers
         self.wire = wire
         self.metrics = metrics
--- a/siskinmount/gateway/_online_handler.py
+++ b/siskinmount/gateway/_online_handler.py
@@ -26,6 +26,9 @@
 #: it again. Callers give up a stream after a gap of two seconds.
 MAX_LIMIT_WAIT_S = 1.5
 LIMIT_POLL_S = 0.05
+#: Longest wait for the list of upstreams to be brought up to date before a
+#: stream goes on: half of the shortest gap that routes allow.
+VIEW_READ_TIMEOUT_S = 0.15
 
 
 class OnlineHandler:
@@ -98,6 +101,9 @@
             quarantine = self._find_quarantine(service)
             if quarantine is not None:
                 return quarantine
+            if request.software is not None:
+                # An upstream may have started again in another version.
+                await self._context.upstreams_sync.read(VIEW_READ_TIMEOUT_S)
             chosen = self._place(service)
             if isinstance(chosen, results.Failure):
                 if self._may_wait_for_limits(chosen):
--- a/siskinmount/gateway/_origin_finder.py
+++ b/siskinmount/gateway/_origin_finder.py
@@ -116,9 +116,7 @@
         '_metrics',
         '_get_outage_s',
         '_ask_peers',
-        '_reading',
-        '_read_sent_at_s',
-        '_is_read',
+        '_sync',
     )
 
     def __init__(
@@ -141,9 +139,7 @@
         self._metrics = metrics
         self._get_outage_s = get_outage_s
         self._ask_peers: AskPeers = _ask_nobody
-        self._reading: trio.Event | None = None
-        self._read_sent_at_s = float('-inf')
-        self._is_read = False
+        self._sync = keyed_log.create_shared_sync(self._follower)
 
     def set_peers(self, ask_peers: AskPeers) -> None:
         """Sets the function that asks peers when the log cannot be read."""
@@ -188,7 +184,7 @@
         software = self._table.find_own(key)
         if software is not None:
             return PeerOrigin(software, False)
-        is_read = await self._read_log()
+        is_read = await self._sync.read(READ_TIMEOUT_S)
         software = self._table.find(key)
         is_foreign = self._table.has_foreign(key)
         return PeerOrigin(software, is_read and not is_foreign)
@@ -203,7 +199,7 @@
         own = self._table.find_own(key)
         if own is not None:
             return FoundOrigin(OriginSource.OWN, own)
-        is_read = await self._read_log()
+        is_read = await self._sync.read(READ_TIMEOUT_S)
         recorded = self._table.find(key)
         if recorded is not None:
             return FoundOrigin(OriginSource.RECORD, recorded)
@@ -282,32 +278,6 @@
             has_older_other = True
         return not has_older_other
 
-    async def _read_log(self) -> bool:
-        """Reads the log to its end, once for all who need it at a time."""
-        arrived_at_s = trio.current_time()
-        with trio.move_on_after(READ_TIMEOUT_S):
-            while self._read_sent_at_s < arrived_at_s:
-                if self._reading is not None:
-                    await self._reading.wait()
-                    continue
-                await self._read_once()
-            return self._is_read
-        return False
-
-    async def _read_once(self) -> None:
-        reading = trio.Event()
-        self._reading = reading
-        sent_at_s = trio.current_time()
-        is_read = False
-        try:
-            failure = await self._follower.sync()
-            is_read = failure is None
-        finally:
-            self._reading = None
-            self._read_sent_at_s = sent_at_s
-            self._is_read = is_read
-            reading.set()
-
     def _apply_record(self, record: keyed_log.KeyedRecord) -> None:
         if record.value is None:
             self._table.apply_record(record.key, [])
--- a/siskinmount/gateway/_origin_registrar.py
+++ b/siskinmount/gateway/_origin_registrar.py
@@ -1,5 +1,7 @@
 """Registers what begins a stream, before its first event is sent."""
 
+from collections.abc import Iterator
+import contextlib
 import logging
 
 import trio
@@ -24,9 +26,10 @@
     Attributes:
         origin: The stream and the software of the run.
         record: Its record; None if it needs none.
+        is_uncertain: Whether the upstream has turned out to run something else.
     """
 
-    __slots__ = ('origin', 'record')
+    __slots__ = ('origin', 'record', 'is_uncertain')
 
     def __init__(
         self,
@@ -35,12 +38,39 @@
     ) -> None:
         self.origin = origin
         self.record = record
+        self.is_uncertain = False
+
+
+class _Run:
+    """A run in progress of a stream that may be resumed.
+
+    Attributes:
+        request: The caller's request.
+        begin: The begin that the run may be; None if it goes on.
+    """
+
+    __slots__ = ('request', 'begin')
+
+    def __init__(
+        self,
+        request: _online_request.OnlineRequest,
+        begin: StreamBegin | None,
+    ) -> None:
+        self.request = request
+        self.begin = begin
 
 
 class OriginRegistrar:
     """Notes and records the streams that begin at this member."""
 
-    __slots__ = ('_table', '_versions', '_recorder', '_view', '_metrics')
+    __slots__ = (
+        '_table',
+        '_versions',
+        '_recorder',
+        '_view',
+        '_metrics',
+        '_runs',
+    )
 
     def __init__(
         self,
@@ -55,6 +85,70 @@
         self._recorder = recorder
         self._view = view
         self._metrics = metrics
+        # Runs in progress by upstream, with what it is taken to run.
+        self._runs: dict[str, dict[_Run, fleet.Software]] = {}
+        view.add_listener(self._detect_other_software)
+
+    @contextlib.contextmanager
+    def follow_run(
+        self,
+        request: _online_request.OnlineRequest,
+        begin: StreamBegin | None,
+        upstream: fleet.Upstream,
+    ) -> Iterator[None]:
+        """Watches, during a run, for what its upstream turns out to run."""
+        run = _Run(request, begin)
+        runs = self._runs.setdefault(upstream.upstream_id, {})
+        runs[run] = upstream.software
+        try:
+            yield
+        finally:
+            runs.pop(run, None)
+            if not runs and self._runs.get(upstream.upstream_id) is runs:
+                del self._runs[upstream.upstream_id]
+
+    def _detect_other_software(self) -> None:
+        """Handles runs at upstreams that have started again as another version.
+
+        A run that goes on may have begun at either process, so nothing may go
+        on with its stream.
+        """
+        for upstream_id, runs in self._runs.items():
+            upstream = self._view.upstreams.get(upstream_id)
+            if upstream is None:
+                continue
+            for run, software in list(runs.items()):
+                if upstream.software == software:
+                    continue
+                del runs[run]
+                self._drop_origin(run, upstream_id)
+
+    def _drop_origin(self, run: '_Run', upstream_id: str) -> None:
+        """Makes a stream one that cannot be resumed, here and elsewhere."""
+        request = run.request
+        if run.begin is not None:
+            run.begin.is_uncertain = True
+        _LOGGER.info(
+            'stream_origin_uncertain',
+            extra={
+                'request_id': request.request_id,
+                'upstream': upstream_id,
+                'software': str(request.software or ''),
+            },
+        )
+        if request.software is None:
+            return
+        unknown = stream_origins.StreamOrigin(
+            request.make_stream_key(
+                request.caller_request.resumed_request_id or request.request_id
+            ),
+            fleet.Software(request.software.service, f'?{upstream_id}'),
+            request.record_count + 1,
+        )
+        request.record_count += 1
+        request.software = unknown.software
+        self._table.note_begin(unknown)
+        self._recorder.submit(unknown)
 
     def begin(
         self, request: _online_request.OnlineRequest, software: fleet.Software
@@ -115,7 +209,7 @@
                     'outcome': outcome,
                 },
             )
-        if outcome == 'given_up':
+        if outcome == 'given_up' or begin.is_uncertain:
             return False
         self.note(request, begin.origin)
         return True
--- a/siskinmount/gateway/tests/online_context.py
+++ b/siskinmount/gateway/tests/online_context.py
@@ -14,6 +14,13 @@
 from siskinmount.gateway import _response_buffers
 
 
+class _UpToDate:
+    """Fake of `keyed_log.SharedSync` for a view that is up to date."""
+
+    async def read(self, timeout_s):
+        return True
+
+
 def create_online_context(clients, view=None, placer=None):
     """Returns a context that has recorded nothing yet.
 
@@ -57,6 +64,7 @@
             metrics=metrics,
             get_outage_s=lambda: 0.0,
         ),
+        upstreams_sync=_UpToDate(),
         registrar=_origin_registrar.create_origin_registrar(
             table, versions, recorder, view, metrics
         ),
--- a/siskinmount/gateway/tests/test_software_versions.py
+++ b/siskinmount/gateway/tests/test_software_versions.py
@@ -91,6 +91,32 @@
         self.assertEqual(_make_events('q1', 1), answer.body)
         self.assertEqual([], runs['e2'] + runs['e4'])
 
+    def test_stream_of_an_engine_that_became_another_version_is_cut(self):
+        # It may have begun at the process before or after the restart.
+        seen = []
+
+        async def check(fleet):
+            fleet.engines['e1'].answer_faults = [_FAULT.CUT_BETWEEN_EVENTS]
+            fleet.engines['e1'].event_interval_ms = 300
+            async with trio.open_nursery() as nursery:
+
+                async def send():
+                    seen.append(await _call(fleet, 0, 'q1'))
+
+                nursery.start_soon(send)
+                await gateway_harness.wait_until(
+                    lambda: fleet.engines['e1'].runs
+                )
+                fleet.list_engine(
+                    'e1', 'model', fleet.addresses['e1'], version='v2', born=2
+                )
+                await fleet.start_engine('e3', 'model', True, 'v1')
+            self.assertEqual([], fleet.engines['e3'].runs)
+            self.assertEqual(1, len(fleet.engines['e1'].runs))
+
+        gateway_harness.run_fleet(check, engines=('e1',))
+        self.assertFalse(seen[0].is_whole)
+
 
 class CallersTriesTest(testtools.TestCase):
     """Streams that callers take up again."""
--- a/siskinmount/keyed_log/__init__.py
+++ b/siskinmount/keyed_log/__init__.py
@@ -16,3 +16,5 @@
 from siskinmount.keyed_log._log_follower import LogEnd
 from siskinmount.keyed_log._log_follower import LogFollower
 from siskinmount.keyed_log._log_follower import LONGEST_READ_WAIT_MS
+from siskinmount.keyed_log._shared_sync import create_shared_sync
+from siskinmount.keyed_log._shared_sync import SharedSync
