--- a/siskinmount/gateway/_origin_finder.py
+++ b/siskinmount/gateway/_origin_finder.py
@@ -261,22 +261,25 @@
         return self._directory.get_reachable_share() > 0.5
 
     def _may_have_begun(self, software: fleet.Software) -> bool:
-        """Returns whether upstreams of a software are older than a stream.
+        """Returns whether a software did not come back after a stream began.
 
-        Where another version has older ones and this one does not, it has come
-        back, and streams of the time between have begun elsewhere.
+        If all its upstreams are young, and another version has older ones, a
+        stream may have begun at that one while this one was away.
         """
         limit_ms = (time.time() - YOUNG_UPSTREAM_S) * 1000
+        is_listed = False
         has_older_other = False
         for upstream in self._view.upstreams.values():
             if upstream.service != software.service:
                 continue
-            if upstream.started_at_ms > limit_ms:
+            is_young = upstream.started_at_ms > limit_ms
+            if upstream.software != software:
+                has_older_other = has_older_other or not is_young
                 continue
-            if upstream.software == software:
+            if not is_young:
                 return True
-            has_older_other = True
-        return not has_older_other
+            is_listed = True
+        return not (is_listed and has_older_other)
 
     def _apply_record(self, record: keyed_log.KeyedRecord) -> None:
         if record.value is None:
