Keep streams to the version without records while the log is slow or loses answers

Cause: a recorder that had failed counted as usable again after a second without a try, and an append whose answer was lost was waited for longer than first events wait. Change: while appends fail, the recorder tries without waiting streams; an append times out after four mean times of an answer (60 ms at least) and is repeated at once; a mean over 100 ms counts as unusable. A stream whose append was not sent is taken back. The run after one that could not be recorded needs no record.

--- a/siskinmount/gateway/_online_handler.py
+++ b/siskinmount/gateway/_online_handler.py
@@ -136,7 +136,9 @@
                 )
             if request.may_retry():
                 if outcome is _online_attempt.AttemptOutcome.UNRECORDED:
+                    # The upstream has not failed.
                     request.tried_upstreams.discard(chosen.upstream.upstream_id)
+                    request.must_begin_unrecorded = True
                 if outcome is _online_attempt.AttemptOutcome.LOST:
                     await self._wait_for_crash_check(chosen.upstream)
                 continue
@@ -308,7 +310,9 @@
         request = self._request
         software = request.software
         if software is None and request.is_resumable_stream:
-            software = self._context.registrar.choose_software(service)
+            software = self._context.registrar.choose_software(
+                service, request.must_begin_unrecorded
+            )
         return self._context.placer.place_online(
             service,
             request.caller_request.affinity_key,
--- a/siskinmount/gateway/_online_request.py
+++ b/siskinmount/gateway/_online_request.py
@@ -32,6 +32,8 @@
         software: What began the stream of which the caller has events; nothing
             else may go on with it. None before the first event.
         record_count: Runs that were recorded as a begin of the stream.
+        must_begin_unrecorded: Whether a run could not be recorded in time, so
+            that the next one is to need no record.
     """
 
     __slots__ = (
@@ -51,6 +53,7 @@
         'buffered_bytes',
         'software',
         'record_count',
+        'must_begin_unrecorded',
     )
 
     def __init__(
@@ -83,6 +86,7 @@
         self.buffered_bytes = 0
         self.software: fleet.Software | None = None
         self.record_count = 0
+        self.must_begin_unrecorded = False
 
     @property
     def request_id(self) -> str:
--- a/siskinmount/gateway/_origin_registrar.py
+++ b/siskinmount/gateway/_origin_registrar.py
@@ -17,7 +17,7 @@
 #: elsewhere, and where it may not. Latency objectives are 300 ms and more, and a
 #: calm store answers while the prompt is read.
 RECORD_WAIT_S = 0.15
-LAST_RECORD_WAIT_S = 1.0
+LAST_RECORD_WAIT_S = 0.5
 
 
 class StreamBegin:
@@ -192,6 +192,8 @@
                 await begin.record.recorded.wait()
             if not begin.record.recorded.is_set():
                 outcome = 'given_up'
+                if self._recorder.withdraw(begin.record):
+                    request.record_count -= 1
                 if not self.serves_assumed(begin.origin.software.service):
                     outcome = 'unrecorded'
         self._metrics.stream_begins.increment(outcome)
@@ -223,9 +225,17 @@
         request.software = origin.software
         self._table.note_begin(origin)
 
-    def choose_software(self, service: str) -> fleet.Software | None:
-        """Returns what new streams keep to while none can be recorded."""
-        if self._recorder.is_available() or not self.serves_assumed(service):
+    def choose_software(
+        self, service: str, must_need_no_record: bool
+    ) -> fleet.Software | None:
+        """Returns what a new stream keeps to; None for any software.
+
+        While nothing can be recorded, that is the version that needs no record,
+        if it serves.
+        """
+        if self._recorder.is_available() and not must_need_no_record:
+            return None
+        if not self.serves_assumed(service):
             return None
         return self._versions.get_assumed(service)
 
--- a/siskinmount/gateway/tests/test_software_versions.py
+++ b/siskinmount/gateway/tests/test_software_versions.py
@@ -5,6 +5,7 @@
 
 from siskinmount.gateway.tests import gateway_harness
 from standins import event_engine
+from standins import faults as faults_module
 
 _FAULT = event_engine.AnswerFault
 _BODY = b'prompt'
@@ -211,6 +212,137 @@
 
         self._run(check)
 
+    def test_take_up_of_a_take_up_names_the_first_attempt(self):
+        async def check(fleet):
+            await fleet.start_engine('new', 'model', True, 'v2')
+            await trio.sleep(0.5)
+            name = await self._begin(fleet, 0, 'q', 'new')
+            for number in range(4):
+                # The second of each pair is broken off as well.
+                await _restart_gateways(fleet)
+                answer = await _call(
+                    fleet,
+                    number % 2,
+                    f'again-{number}',
+                    name.encode(),
+                    last_event_id=2 + number % 2,
+                    resumes=name,
+                )
+                self.assertEqual(200, answer.status)
+            for run in fleet.engines['old'].runs:
+                self.assertFalse(run.request_id.startswith('again-'))
+
+        self._run(check)
+
+    def test_take_up_that_names_nothing_sound_is_not_joined(self):
+        async def check(fleet):
+            await fleet.start_engine('new', 'model', True, 'v2')
+            await trio.sleep(0.5)
+            name = await self._begin(fleet, 0, 'q', 'new')
+            other = await self._begin(fleet, 0, 'other', 'old')
+            await _restart_gateways(fleet)
+            for number, resumes in enumerate((None, 'a b', 'x' * 300, 'z')):
+                headers = {'resumes': resumes} if resumes else {}
+                answer = await _call(
+                    fleet,
+                    number % 2,
+                    f'again-{number}',
+                    name.encode(),
+                    last_event_id=3,
+                    **headers,
+                )
+                self.assertEqual(503, answer.status, resumes)
+            # The request of another caller, which began at the other version.
+            answer = await _call(
+                fleet,
+                0,
+                'again-o',
+                name.encode(),
+                last_event_id=3,
+                resumes=other,
+            )
+            for run in fleet.engines['old'].runs:
+                self.assertFalse(run.request_id.startswith('again-'))
+
+        self._run(check)
+
+    def test_take_up_while_the_store_is_silent_asks_the_member_that_knows(self):
+        async def check(fleet):
+            await fleet.start_engine('new', 'model', True, 'v2')
+            await trio.sleep(0.5)
+            names = {}
+            for engine_id in ('old', 'new'):
+                names[engine_id] = await self._begin(
+                    fleet, 0, f'q-{engine_id}', engine_id
+                )
+            fleet.store_faults.begin_outage(
+                faults_module.FaultMode.SILENT, 60_000
+            )
+            await trio.sleep(0.5)
+            for engine_id, name in names.items():
+                answer = await _call(
+                    fleet,
+                    1,
+                    f'again-{engine_id}',
+                    name.encode(),
+                    last_event_id=3,
+                    resumes=name,
+                )
+                self.assertEqual(200, answer.status)
+                self.assertIn(
+                    f'again-{engine_id}',
+                    [run.request_id for run in fleet.engines[engine_id].runs],
+                )
+
+        self._run(check)
+
+    def test_new_streams_keep_to_the_assumed_version_without_the_store(self):
+        async def check(fleet):
+            await fleet.start_engine('new', 'model', True, 'v2')
+            await trio.sleep(0.5)
+            fleet.store_faults.begin_outage(
+                faults_module.FaultMode.SILENT, 60_000
+            )
+            # The first one at each gateway may be one that cannot be recorded.
+            failed = 0
+            for number in range(12):
+                answer = await _call(fleet, number % 2, f'q{number}')
+                failed += answer.status != 200
+            self.assertLessEqual(failed, 2)
+            for number in range(12):
+                answer = await _call(fleet, number % 2, f'r{number}')
+                self.assertEqual(200, answer.status)
+                self.assertTrue(answer.is_whole)
+            ids = [run.request_id for run in fleet.engines['old'].runs]
+            for number in range(12):
+                self.assertIn(f'r{number}', ids)
+
+        self._run(check)
+
+    def test_stream_of_an_engine_without_a_version_goes_on_there_alone(self):
+        for version in (None, 7):
+
+            async def check(fleet, version=version):
+                await fleet.start_engine('odd', 'model', True, version)
+                await fleet.start_engine('odd2', 'model', True, version)
+                await trio.sleep(0.5)
+                name = await self._begin(fleet, 0, 'q', 'odd')
+                await _restart_gateways(fleet)
+                answer = await _call(
+                    fleet,
+                    0,
+                    'again',
+                    name.encode(),
+                    last_event_id=3,
+                    resumes=name,
+                )
+                self.assertEqual(200, answer.status)
+                self.assertEqual(
+                    'again', fleet.engines['odd'].runs[-1].request_id
+                )
+
+            self._run(check)
+
 
 class ItemTest(testtools.TestCase):
 
--- a/siskinmount/stream_origins/_origin_recorder.py
+++ b/siskinmount/stream_origins/_origin_recorder.py
@@ -8,6 +8,7 @@
 
 import collections
 import logging
+import math
 
 import trio
 
@@ -29,16 +30,22 @@
 #: Keys that a process leaves out after those that the one before it has written:
 #: appends of that one may still take effect.
 RESTART_GAP_KEYS = 64
-#: Timeout of the first append, doubled with each failure. A calm store answers
-#: in 10 ms.
-FIRST_TIMEOUT_S = 0.25
+#: Timeout of an append in mean times of an answer, doubled with each failure.
+#: Answers may be lost, and the first event of a stream waits for one.
+TIMEOUT_ANSWERS = 4.0
+MIN_TIMEOUT_S = 0.06
 MAX_TIMEOUT_S = 1.0
+#: Pause before the second retry, doubled with each further one; the first
+#: follows at once.
 FIRST_RETRY_S = 0.05
 MAX_RETRY_S = 0.5
+#: Weight of a new sample in the moving average of the time of an answer.
+ANSWER_SAMPLE_WEIGHT = 0.3
+INITIAL_ANSWER_S = 0.01
+#: Longest mean time of an answer with which first events can wait for records.
+MAX_USABLE_ANSWER_S = 0.1
 #: A stream that was not recorded for this long has been given up.
 PENDING_LIFE_S = 5.0
-#: How long after a failed append streams keep to the version that needs none.
-AVOID_S = 1.0
 #: Largest number of streams in one record; the store takes 256 KB.
 MAX_RECORD_STREAMS = 2000
 
@@ -50,14 +57,16 @@
         origin: The stream and the software that begins it.
         submitted_at_s: Monotonic time since which it waits.
         recorded: Set once the record is in the log.
+        may_be_recorded: Whether an append with it has been sent.
     """
 
-    __slots__ = ('origin', 'submitted_at_s', 'recorded')
+    __slots__ = ('origin', 'submitted_at_s', 'recorded', 'may_be_recorded')
 
     def __init__(self, origin: _origin_table.StreamOrigin) -> None:
         self.origin = origin
         self.submitted_at_s = trio.current_time()
         self.recorded = trio.Event()
+        self.may_be_recorded = False
 
 
 class _OpenRecord:
@@ -94,7 +103,7 @@
         '_resting',
         '_next_number',
         '_failures',
-        '_failed_at_s',
+        '_answer_s',
     )
 
     def __init__(self, log: keyed_log.KeyedLog, member: str) -> None:
@@ -110,7 +119,7 @@
         )
         self._next_number: int | None = None
         self._failures = 0
-        self._failed_at_s = float('-inf')
+        self._answer_s = INITIAL_ANSWER_S
 
     def submit(self, origin: _origin_table.StreamOrigin) -> PendingRecord:
         """Has a stream recorded, and returns what can be waited for."""
@@ -119,20 +128,28 @@
         self._submitted.set()
         return pending
 
+    def withdraw(self, pending: PendingRecord) -> bool:
+        """Takes a stream back; returns whether it is certainly not recorded."""
+        if pending.may_be_recorded or pending not in self._pending:
+            return False
+        self._pending.remove(pending)
+        return True
+
     def is_available(self) -> bool:
         """Returns whether streams are recorded in good time at present."""
-        if not self._failures:
-            return True
-        return trio.current_time() - self._failed_at_s >= AVOID_S
+        return not self._failures and self._answer_s < MAX_USABLE_ANSWER_S
 
     async def run(self) -> None:
-        """Writes records, forever."""
+        """Writes records, forever; while that fails, tries again and again."""
         while True:
-            await self._submitted.wait()
+            wait_s = math.inf if self.is_available() else MAX_RETRY_S
+            with trio.move_on_after(wait_s):
+                await self._submitted.wait()
             self._drop_given_up()
             if not self._pending:
                 self._submitted = trio.Event()
-                continue
+                if self.is_available():
+                    continue
             if not await self._prepare_keys():
                 self._record_failure('the keys in use are not known')
                 await self._pause()
@@ -148,10 +165,12 @@
             await self._pause()
             return
         origins = record.origins + [pending.origin for pending in batch]
-        timeout_s = self._get_backed_off_s(FIRST_TIMEOUT_S, MAX_TIMEOUT_S)
+        for pending in batch:
+            pending.may_be_recorded = True
         outcome: object = None
         self.append_count += 1
-        with trio.move_on_after(timeout_s):
+        sent_at_s = trio.current_time()
+        with trio.move_on_after(self._get_timeout_s()):
             outcome = await self._log.append(
                 [
                     keyed_log.KeyedRecord(
@@ -166,7 +185,7 @@
             del self._pending[: len(batch)]
             for pending in batch:
                 pending.recorded.set()
-            self._record_success(len(batch))
+            self._record_success(trio.current_time() - sent_at_s)
             return
         reason = 'no answer within the timeout'
         if isinstance(outcome, results.Failure):
@@ -245,18 +264,22 @@
                 kept.append(pending)
         self._pending = kept
 
-    def _record_success(self, count: int) -> None:
+    def _record_success(self, answer_s: float) -> None:
+        self._answer_s += (answer_s - self._answer_s) * ANSWER_SAMPLE_WEIGHT
         if not self._failures:
             return
         _LOGGER.info(
             'stream_origins_recorded_again',
-            extra={'failures': self._failures, 'streams': count},
+            extra={
+                'failures': self._failures,
+                'answer_ms': int(self._answer_s * 1000),
+                'waiting': len(self._pending),
+            },
         )
         self._failures = 0
 
     def _record_failure(self, reason: str) -> None:
         self._failures += 1
-        self._failed_at_s = trio.current_time()
         if self._failures & (self._failures - 1):
             return
         _LOGGER.warning(
@@ -265,17 +288,22 @@
                 'code': int(results.ResultCode.LOG_UNAVAILABLE),
                 'reason': reason,
                 'failures': self._failures,
-                'streams': len(self._pending),
+                'waiting': len(self._pending),
             },
         )
 
+    def _get_timeout_s(self) -> float:
+        """Returns the timeout of the next append."""
+        expected_s = max(MIN_TIMEOUT_S, self._answer_s * TIMEOUT_ANSWERS)
+        return min(MAX_TIMEOUT_S, expected_s * 2 ** min(10, self._failures))
+
     async def _pause(self) -> None:
         """Waits before the next append, by the number of failures."""
-        await trio.sleep(self._get_backed_off_s(FIRST_RETRY_S, MAX_RETRY_S))
-
-    def _get_backed_off_s(self, first_s: float, max_s: float) -> float:
-        """Returns a time that doubles with each failure in sequence."""
-        return min(max_s, first_s * 2 ** min(10, self._failures))
+        if self._failures < 2:
+            return
+        await trio.sleep(
+            min(MAX_RETRY_S, FIRST_RETRY_S * 2 ** min(10, self._failures - 2))
+        )
 
 
 def create_origin_recorder(
