--- a/siskinmount/gateway/_origin_registrar.py
+++ b/siskinmount/gateway/_origin_registrar.py
@@ -183,6 +183,7 @@
         stream can be continued there by mistake.
         """
         outcome = 'not_needed'
+        waiting_since_s = trio.current_time()
         if begin.record is not None:
             outcome = 'recorded'
             wait_s = LAST_RECORD_WAIT_S
@@ -204,9 +205,8 @@
                     'request_id': request.request_id,
                     'software': str(begin.origin.software),
                     'ordinal': begin.origin.ordinal,
-                    'waited_ms': int(
-                        (trio.current_time() - begin.record.submitted_at_s)
-                        * 1000
+                    'held_ms': int(
+                        (trio.current_time() - waiting_since_s) * 1000
                     ),
                     'outcome': outcome,
                 },
