--- a/siskinmount/gateway/_origin_registrar.py
+++ b/siskinmount/gateway/_origin_registrar.py
@@ -192,11 +192,12 @@
             with trio.move_on_after(wait_s):
                 await begin.record.recorded.wait()
             if not begin.record.recorded.is_set():
-                outcome = 'given_up'
-                if self._recorder.withdraw(begin.record):
-                    request.record_count -= 1
-                if not self.serves_assumed(begin.origin.software.service):
-                    outcome = 'unrecorded'
+                # The recorder goes on trying for a while.
+                outcome = 'unrecorded'
+                if self.serves_assumed(begin.origin.software.service):
+                    outcome = 'given_up'
+                    if self._recorder.withdraw(begin.record):
+                        request.record_count -= 1
         self._metrics.stream_begins.increment(outcome)
         if begin.record is not None:
             _LOGGER.info(
