Entries and sidecars go on with tokens only at the version that wrote them

Change: an engine may name its software version in a response. The sidecar passes it on with the first token, and refuses a run whose tokens are of another version, before it is sent if the version of the engine's process is known, else before a token is passed on. An entry leaves out upstreams that were seen in another version; callers get the version as system_fingerprint and bring it back as answer_fingerprint. Items keep it with their output, in the log too; an idempotent one starts from the beginning at another version, another one is returned. Engines that name no version count as one version, as before.

--- a/siskinmount/batch/_item_dispatcher.py
+++ b/siskinmount/batch/_item_dispatcher.py
@@ -241,11 +241,14 @@
         attempt = job.attempts.get(lease.index)
         body: dict[str, Any] = orjson.loads(text)
         tokens = owner.resume_tokens.get(job.job_id, lease.index)
+        version = owner.resume_tokens.get_version(job.job_id, lease.index)
         stopped = job.stopped.get(lease.index)
         if stopped is not None:
             tokens = list(stopped.resume_tokens)
+            version = stopped.resume_version
         if tokens:
             body['resume_tokens'] = tokens
+            body['resume_version'] = version
         return _pull_messages.PulledItem(
             job=job.job_id,
             index=lease.index,
--- a/siskinmount/batch/_item_reports.py
+++ b/siskinmount/batch/_item_reports.py
@@ -284,6 +284,7 @@
     ) -> state.PendingRecord | results.Failure | None:
         """Requeues an item that was preempted by online requests."""
         tokens: list[str] = []
+        version = ''
         if report.output is not None:
             given = report.output.get('resume_tokens')
             if not isinstance(given, list):
@@ -291,10 +292,12 @@
             if not all(isinstance(token, str) for token in given):
                 return self._process_unknown(job, report)
             tokens = given
+            # A sidecar of an earlier release names no version.
+            version = str(report.output.get('resume_version', ''))
         lease = self._state.leases.find(job.job_id, report.index)
         if lease is None:
             return None
-        return self._state.return_item(job, lease, tokens)
+        return self._state.return_item(job, lease, tokens, version)
 
     def _process_failed(
         self, job: _job.Job, report: _report_messages.ItemReport
--- a/siskinmount/batch/_owner_state.py
+++ b/siskinmount/batch/_owner_state.py
@@ -234,6 +234,7 @@
         job: _job.Job,
         lease: _lease_table.Lease,
         resume_tokens: list[str] | None = None,
+        resume_version: str = '',
     ) -> state.PendingRecord | results.Failure | None:
         """Returns an item that was not sent, or was stopped and can resume.
 
@@ -244,7 +245,9 @@
         """
         if job.submitted.idempotent:
             if resume_tokens:
-                self.resume_tokens.put(job.job_id, lease.index, resume_tokens)
+                self.resume_tokens.put(
+                    job.job_id, lease.index, resume_tokens, resume_version
+                )
             self.leases.remove(lease)
             self.requeue(job, lease.index)
             return None
@@ -255,6 +258,7 @@
                     index=lease.index,
                     lease=lease.lease_id,
                     resume_tokens=resume_tokens or [],
+                    resume_version=resume_version,
                 )
             )
         )
@@ -354,27 +358,48 @@
 class _ResumeTokens:
     """Partial output of interrupted items, up to a number of tokens."""
 
-    __slots__ = ('_max_tokens', '_tokens_by_item', '_token_count')
+    __slots__ = (
+        '_max_tokens',
+        '_tokens_by_item',
+        '_version_by_item',
+        '_token_count',
+    )
 
     def __init__(self, max_tokens: int) -> None:
         self._max_tokens = max_tokens
         self._tokens_by_item: dict[tuple[str, int], list[str]] = {}
+        self._version_by_item: dict[tuple[str, int], str] = {}
         self._token_count = 0
 
-    def put(self, job_id: str, index: int, tokens: list[str]) -> None:
-        """Stores an item's tokens unless that would exceed the limit."""
+    def put(
+        self, job_id: str, index: int, tokens: list[str], version: str
+    ) -> None:
+        """Stores an item's tokens unless that would exceed the limit.
+
+        Args:
+            job_id: Id of the job.
+            index: Index of the item.
+            tokens: The tokens.
+            version: Software version that wrote them; empty if unknown.
+        """
         self.pop(job_id, index)
         if self._token_count + len(tokens) > self._max_tokens:
             return
         self._tokens_by_item[(job_id, index)] = tokens
+        self._version_by_item[(job_id, index)] = version
         self._token_count += len(tokens)
 
     def get(self, job_id: str, index: int) -> list[str]:
         """Returns an item's tokens, empty if none are stored."""
         return self._tokens_by_item.get((job_id, index), [])
 
+    def get_version(self, job_id: str, index: int) -> str:
+        """Returns the software version that wrote an item's tokens."""
+        return self._version_by_item.get((job_id, index), '')
+
     def pop(self, job_id: str, index: int) -> None:
         """Removes an item's tokens."""
+        self._version_by_item.pop((job_id, index), None)
         tokens = self._tokens_by_item.pop((job_id, index), None)
         if tokens is not None:
             self._token_count -= len(tokens)
--- a/siskinmount/batch/tests/test_batch_owner.py
+++ b/siskinmount/batch/tests/test_batch_owner.py
@@ -231,11 +231,15 @@
                     batch_fixtures.report(
                         item,
                         batch.ReportedOutcome.YIELDED,
-                        output={'resume_tokens': ['a', 'b']},
+                        output={
+                            'resume_tokens': ['a', 'b'],
+                            'resume_version': 'v1',
+                        },
                     )
                 )
             [item] = (await owner.batch.pull(batch_fixtures.pull())).items
             self.assertEqual(['a', 'b'], item.body['resume_tokens'])
+            self.assertEqual('v1', item.body['resume_version'])
 
         self.run_with_log(check)
 
--- a/siskinmount/batch/tests/test_non_idempotent_items.py
+++ b/siskinmount/batch/tests/test_non_idempotent_items.py
@@ -127,7 +127,10 @@
                 batch_fixtures.report(
                     item,
                     batch.ReportedOutcome.YIELDED,
-                    output={'resume_tokens': ['a', 'b']},
+                    output={
+                        'resume_tokens': ['a', 'b'],
+                        'resume_version': 'v1',
+                    },
                 )
             )
             owner.stream.resign()
@@ -135,6 +138,7 @@
             successor = await batch_fixtures.start_owner(log, nursery, 'vm-b')
             [again] = (await successor.batch.pull(batch_fixtures.pull())).items
             self.assertEqual(['a', 'b'], again.body['resume_tokens'])
+            self.assertEqual('v1', again.body['resume_version'])
             await successor.batch.report(batch_fixtures.report(again))
             self.assertEqual((1, 0, 0), self.counts(successor))
 
--- a/siskinmount/entry/_item_bodies.py
+++ b/siskinmount/entry/_item_bodies.py
@@ -58,7 +58,7 @@
     )
     if isinstance(request, results.Failure):
         return request
-    return request.encode_run_body([])
+    return request.encode_run_body([], '')
 
 
 def _parse_plain_item(
--- a/siskinmount/entry/_model_calls.py
+++ b/siskinmount/entry/_model_calls.py
@@ -45,6 +45,7 @@
         caller=caller.name,
         first_token=identity.first_token,
         answer_so_far=request.answer_so_far,
+        answer_version=request.answer_version,
         model=request,
     )
     access.retries.earn(request.service.name)
@@ -113,6 +114,7 @@
         for frame in frames:
             if isinstance(frame, relay.TokenFrame):
                 recorder.record_token()
+                formatter.software_version = execution.software_version
                 events.append(formatter.format_token(frame.index, frame.text))
                 continue
             if isinstance(frame, relay.EndFrame):
@@ -151,7 +153,9 @@
                 continue
             await exchange.send_json(
                 200,
-                formatter.format_response(execution.token_texts, frame),
+                formatter.format_response(
+                    execution.token_texts, frame, execution.software_version
+                ),
                 [(b'x-request-id', formatter.request_id.encode('ascii'))],
             )
             recorder.record_success()
--- a/siskinmount/entry/_model_request.py
+++ b/siskinmount/entry/_model_request.py
@@ -29,6 +29,8 @@
         model_name: The model name as given by the caller.
         answer_so_far: Texts of the response's tokens that the caller has
             already, sent when it resumes a response; empty otherwise.
+        answer_version: Software version that wrote these, which the caller got
+            as `system_fingerprint`; empty if there was none.
     """
 
     __slots__ = (
@@ -41,6 +43,7 @@
         'session',
         'model_name',
         'answer_so_far',
+        'answer_version',
     )
 
     def __init__(
@@ -55,6 +58,7 @@
         session: str,
         model_name: str,
         answer_so_far: list[str],
+        answer_version: str = '',
     ) -> None:
         self.service = service
         self.is_chat = is_chat
@@ -65,6 +69,7 @@
         self.session = session
         self.model_name = model_name
         self.answer_so_far = answer_so_far
+        self.answer_version = answer_version
 
     def content_text(self) -> str:
         """Returns the canonical text of the prompt or the messages."""
@@ -75,11 +80,14 @@
             parts.append(f'{message["role"]}: {message["content"]}')
         return '\n'.join(parts)
 
-    def encode_run_body(self, resume_tokens: list[str]) -> bytes:
+    def encode_run_body(
+        self, resume_tokens: list[str], resume_version: str
+    ) -> bytes:
         """Returns the body for `/run`.
 
         Args:
             resume_tokens: Texts of the tokens generated so far.
+            resume_version: Software version that wrote them.
         """
         return orjson.dumps(
             {
@@ -87,6 +95,7 @@
                 'messages': self.messages,
                 'max_tokens': self.max_tokens,
                 'resume_tokens': resume_tokens,
+                'resume_version': resume_version,
             }
         )
 
@@ -137,6 +146,9 @@
     answer_so_far = _read_answer_so_far(fields, max_tokens)
     if isinstance(answer_so_far, results.Failure):
         return answer_so_far
+    answer_version = _get_field(fields, 'answer_fingerprint', '')
+    if not isinstance(answer_version, str):
+        return _invalid('answer_fingerprint must be a string')
     content = _read_messages(fields) if is_chat else _read_prompt(fields)
     if isinstance(content, results.Failure):
         return content
@@ -150,6 +162,7 @@
         session=session,
         model_name=str(fields['model']),
         answer_so_far=answer_so_far,
+        answer_version=answer_version,
     )
 
 
--- a/siskinmount/entry/_request_execution.py
+++ b/siskinmount/entry/_request_execution.py
@@ -62,7 +62,9 @@
         self._access = access
         self._request = request
         self._progress = _response_progress.ResponseProgress(
-            request.first_token, request.answer_so_far
+            request.first_token,
+            request.answer_so_far,
+            request.answer_version,
         )
         self._must_attach = request.first_token > 0
         self._attempt: _upstream_attempt.UpstreamAttempt | None = None
@@ -77,6 +79,11 @@
         """Texts of all tokens of the response so far."""
         return self._progress.token_texts
 
+    @property
+    def software_version(self) -> str:
+        """Version that wrote the tokens; empty if the engine names none."""
+        return self._progress.software_version
+
     async def receive_frames(self) -> list[relay.Frame] | results.Failure:
         """Returns the next frames, or the final failure of the request."""
         while True:
@@ -190,14 +197,19 @@
         """
         request = self._request
         router = self._access.router
+        excluded_vms = self._excluded_vms
+        if self.token_texts:
+            excluded_vms = excluded_vms | self._access.list_other_versions(
+                self.software_version
+            )
         if solo:
             return router.choose_first_ranked(
-                request.service.name, request.fingerprint, self._excluded_vms
+                request.service.name, request.fingerprint, excluded_vms
             )
         return router.choose(
             request.service.name,
             request.affinity_key,
-            self._excluded_vms,
+            excluded_vms,
             request.request_class,
         )
 
--- a/siskinmount/entry/_response_formatter.py
+++ b/siskinmount/entry/_response_formatter.py
@@ -18,14 +18,17 @@
 
     Attributes:
         request_id: Identifier of the response.
+        software_version: Version that writes the response; empty if the engine
+            names none. Callers get it as `system_fingerprint`.
     """
 
-    __slots__ = ('request_id', '_request', '_created_s')
+    __slots__ = ('request_id', 'software_version', '_request', '_created_s')
 
     def __init__(
         self, request: _model_request.ModelRequest, request_id: str
     ) -> None:
         self.request_id = request_id
+        self.software_version = ''
         self._request = request
         self._created_s = int(time.time())
 
@@ -65,9 +68,10 @@
         return b'event: error\ndata: %b\n\n' % orjson.dumps(body.to_json())
 
     def format_response(
-        self, texts: list[str], end: relay.EndFrame
+        self, texts: list[str], end: relay.EndFrame, software_version: str
     ) -> dict[str, object]:
         """Returns the body of a response that is not streamed."""
+        self.software_version = software_version
         text = ''.join(texts)
         if self._request.is_chat:
             message = {'role': 'assistant', 'content': text}
@@ -89,13 +93,16 @@
             object_name = 'chat.completion.chunk'
         else:
             object_name = 'chat.completion'
-        return {
+        envelope: dict[str, object] = {
             'id': self.request_id,
             'object': object_name,
             'created': self._created_s,
             'model': self._request.model_name,
             'choices': [choice],
         }
+        if self.software_version:
+            envelope['system_fingerprint'] = self.software_version
+        return envelope
 
 
 def _usage(end: relay.EndFrame) -> dict[str, int]:
--- a/siskinmount/entry/_response_progress.py
+++ b/siskinmount/entry/_response_progress.py
@@ -15,12 +15,15 @@
     Attributes:
         token_texts: Texts of all tokens so far, including those that the
             caller received through another entry.
+        software_version: Version of the engine that wrote them; empty if there
+            are none or the engine names none.
         head_received: Whether the response head of a plain service has been
             received.
     """
 
     __slots__ = (
         'token_texts',
+        'software_version',
         'head_received',
         '_first_token',
         '_body_bytes_received',
@@ -28,9 +31,13 @@
     )
 
     def __init__(
-        self, first_token: int, answer_so_far: Sequence[str] = ()
+        self,
+        first_token: int,
+        answer_so_far: Sequence[str] = (),
+        software_version: str = '',
     ) -> None:
         self.token_texts: list[str] = list(answer_so_far)
+        self.software_version = software_version
         self.head_received = False
         self._first_token = first_token
         self._body_bytes_received = 0
@@ -70,6 +77,8 @@
                 f'received token {frame.index}, expected {expected}',
                 results.RunState.RAN,
             )
+        if not self.token_texts:
+            self.software_version = frame.software_version
         self.token_texts.append(frame.text)
         # The caller already has the tokens before `_first_token`; they are
         # kept because another upstream needs them to resume.
--- a/siskinmount/entry/_run_request.py
+++ b/siskinmount/entry/_run_request.py
@@ -26,6 +26,8 @@
         first_token: Index of the first token that the caller still needs.
         answer_so_far: Texts of the tokens before `first_token`, if the caller
             sent them.
+        answer_version: Software version that wrote these, as the caller names
+            it; empty if it names none.
     """
 
     __slots__ = (
@@ -39,6 +41,7 @@
         'caller',
         'first_token',
         'answer_so_far',
+        'answer_version',
         '_model',
         '_plain',
     )
@@ -56,6 +59,7 @@
         caller: str,
         first_token: int = 0,
         answer_so_far: Sequence[str] = (),
+        answer_version: str = '',
         model: '_model_request.ModelRequest | None' = None,
         plain: 'PlainRequest | None' = None,
     ) -> None:
@@ -69,20 +73,24 @@
         self.caller = caller
         self.first_token = first_token
         self.answer_so_far = answer_so_far
+        self.answer_version = answer_version
         self._model = model
         self._plain = plain
 
-    def encode_body(self, resume_tokens: list[str]) -> bytes:
+    def encode_body(
+        self, resume_tokens: list[str], resume_version: str
+    ) -> bytes:
         """Returns the body for `/run`.
 
         Args:
             resume_tokens: Texts of the tokens generated so far.
+            resume_version: Software version that wrote them.
         """
         if self._plain is not None:
             return self._plain.encode()
         if self._model is None:
             raise ValueError('run request has neither model nor plain content')
-        return self._model.encode_run_body(resume_tokens)
+        return self._model.encode_run_body(resume_tokens, resume_version)
 
 
 class PlainRequest:
--- a/siskinmount/entry/_upstream_access.py
+++ b/siskinmount/entry/_upstream_access.py
@@ -27,6 +27,7 @@
         '_limits',
         '_clients',
         '_crash_reports',
+        '_version_by_vm',
     )
 
     def __init__(
@@ -42,6 +43,7 @@
         self._limits = limits
         self._clients: dict[transport.Address, transport.HttpClient] = {}
         self._crash_reports = crash_reports
+        self._version_by_vm: dict[str, str] = {}
 
     def find_client(self, member: membership.Member) -> transport.HttpClient:
         """Returns the connection pool for a sidecar."""
@@ -61,10 +63,23 @@
                 continue
             self._clients.pop(address).close()
 
+    def list_other_versions(self, software_version: str) -> set[str]:
+        """Returns the VMs whose engine was last seen in another version."""
+        others: set[str] = set()
+        for vm, version in self._version_by_vm.items():
+            if version != software_version:
+                others.add(vm)
+        return others
+
     def record_load(
         self, member: membership.Member, exchange: transport.ClientExchange
     ) -> None:
-        """Reports the load in a sidecar's response headers to the router."""
+        """Records load and version in the headers of a sidecar's response."""
+        version = exchange.find_header(relay.RelayHeader.SOFTWARE_VERSION)
+        if version:
+            self._version_by_vm[member.vm] = version
+        else:
+            self._version_by_vm.pop(member.vm, None)
         in_flight = exchange.find_header(relay.RelayHeader.IN_FLIGHT)
         slots = exchange.find_header(relay.RelayHeader.SLOTS)
         if in_flight is None or slots is None:
--- a/siskinmount/entry/_upstream_attempt.py
+++ b/siskinmount/entry/_upstream_attempt.py
@@ -168,7 +168,10 @@
                 'POST',
                 f'/run/{self._request.service.name}',
                 self._create_headers(attach_only),
-                self._request.encode_body(self._progress.token_texts),
+                self._request.encode_body(
+                    self._progress.token_texts,
+                    self._progress.software_version,
+                ),
             )
         )
         if isinstance(exchange, results.Failure):
--- a/siskinmount/entry/tests/scripted_sidecar.py
+++ b/siskinmount/entry/tests/scripted_sidecar.py
@@ -34,6 +34,8 @@
         self.vm = vm
         self.incarnation = 7
         self.scripts = list(scripts)
+        self.version = ''
+        self.resume_versions = []
         self.runs = []
         self.attaches = []
         self.solos = []
@@ -68,9 +70,9 @@
             )
         else:
             self.solos.append(head.find_header(relay.RelayHeader.SOLO))
-            self.runs.append(
-                (orjson.loads(body).get('resume_tokens'), from_token)
-            )
+            document = orjson.loads(body)
+            self.runs.append((document.get('resume_tokens'), from_token))
+            self.resume_versions.append(document.get('resume_version'))
             script = self.scripts.pop(0)
         if isinstance(script, results.Failure):
             await self._refuse(exchange, script)
@@ -103,6 +105,7 @@
             (relay.RelayHeader.IN_FLIGHT, b'0'),
             (relay.RelayHeader.SLOTS, b'8'),
             (relay.RelayHeader.INCARNATION, b'%d' % self.incarnation),
+            (relay.RelayHeader.SOFTWARE_VERSION, self.version.encode()),
         ]
 
 
@@ -142,8 +145,14 @@
 class PromptModel:
     """Fakes a `ModelRequest`."""
 
-    def encode_run_body(self, resume_tokens):
-        return orjson.dumps({'prompt': 'p', 'resume_tokens': resume_tokens})
+    def encode_run_body(self, resume_tokens, resume_version):
+        return orjson.dumps(
+            {
+                'prompt': 'p',
+                'resume_tokens': resume_tokens,
+                'resume_version': resume_version,
+            }
+        )
 
 
 def create_run_request(
@@ -151,6 +160,7 @@
     idempotent=True,
     first_token=0,
     answer_so_far=(),
+    answer_version='',
     fingerprint='f',
     deadline_s=10,
 ):
@@ -165,5 +175,6 @@
         caller='c',
         first_token=first_token,
         answer_so_far=answer_so_far,
+        answer_version=answer_version,
         model=PromptModel(),
     )
--- a/siskinmount/entry/tests/test_request_execution.py
+++ b/siskinmount/entry/tests/test_request_execution.py
@@ -237,3 +237,55 @@
         failure = self.run_request([sidecar], first_token=2)['failure']
         self.assertEqual(results.ResultCode.NO_SUCH_REQUEST, failure.code)
         self.assertEqual([], sidecar.runs)
+
+    def test_lost_run_names_the_version_that_wrote_its_tokens(self):
+        shared = [
+            [relay.TokenFrame(0, 't0', 'v1'), *_tokens(1), _LOST],
+            [relay.TokenFrame(2, 't2', 'v1'), _END],
+        ]
+        sidecars = [
+            scripted_sidecar.ScriptedSidecar('a'),
+            scripted_sidecar.ScriptedSidecar('b'),
+        ]
+        for sidecar in sidecars:
+            sidecar.scripts = shared
+        outcome = self.run_request(sidecars)
+        self.assert_complete(outcome)
+        self.assertEqual('v1', outcome['run'].software_version)
+        versions = sidecars[0].resume_versions + sidecars[1].resume_versions
+        self.assertEqual(['', 'v1'], sorted(versions))
+
+    def test_upstreams_of_another_version_do_not_go_on_with_a_response(self):
+        refusal = results.Failure(
+            results.ResultCode.STREAM_VERSION_UNAVAILABLE, 'another version'
+        )
+        sidecars = []
+        for number in range(9):
+            sidecar = scripted_sidecar.ScriptedSidecar(f's{number}')
+            sidecar.version = 'v1' if number == 4 else 'v2'
+            sidecar.scripts = [refusal]
+            if number == 4:
+                sidecar.scripts = [[relay.TokenFrame(2, 't2', 'v1'), _END]]
+            sidecars.append(sidecar)
+        outcome = self.run_request(
+            sidecars,
+            first_token=2,
+            answer_so_far=['t0', 't1'],
+            answer_version='v1',
+        )
+        # All have told their versions while the run was looked for.
+        self.assert_complete(outcome, ('t2',))
+        self.assertEqual(['v1'], sidecars[4].resume_versions)
+
+    def test_response_that_no_upstream_may_go_on_with_is_refused(self):
+        refusal = results.Failure(
+            results.ResultCode.STREAM_VERSION_UNAVAILABLE, 'another version'
+        )
+        sidecar = scripted_sidecar.ScriptedSidecar('a', refusal)
+        failure = self.run_request(
+            [sidecar], first_token=2, answer_so_far=['t0', 't1']
+        )['failure']
+        self.assertEqual(
+            results.ResultCode.STREAM_VERSION_UNAVAILABLE, failure.code
+        )
+        self.assertIs(results.RunState.NOT_RUN, failure.run_state)
--- a/siskinmount/relay/_frame_codec.py
+++ b/siskinmount/relay/_frame_codec.py
@@ -14,7 +14,10 @@
 def encode_frame(frame: _frames.Frame) -> bytes:
     """Encodes a frame as one line."""
     if isinstance(frame, _frames.TokenFrame):
-        return orjson.dumps({'i': frame.index, 't': frame.text}) + b'\n'
+        token: dict[str, object] = {'i': frame.index, 't': frame.text}
+        if frame.software_version:
+            token['v'] = frame.software_version
+        return orjson.dumps(token) + b'\n'
     if isinstance(frame, _frames.KeepAliveFrame):
         return _KEEP_ALIVE_LINE
     if isinstance(frame, _frames.HeadFrame):
@@ -95,7 +98,11 @@
             frame.
     """
     if 't' in document:
-        return _frames.TokenFrame(int(document['i']), str(document['t']))
+        return _frames.TokenFrame(
+            int(document['i']),
+            str(document['t']),
+            str(document.get('v', '')),
+        )
     if 'k' in document:
         return _frames.KeepAliveFrame()
     if 'head' in document:
--- a/siskinmount/relay/_frames.py
+++ b/siskinmount/relay/_frames.py
@@ -9,13 +9,18 @@
     Attributes:
         index: Position in the whole answer, from 0, including resumed tokens.
         text: Text of the token.
+        software_version: Version of the engine that wrote it, on the first
+            token that a reader gets; empty if the engine names none.
     """
 
-    __slots__ = ('index', 'text')
+    __slots__ = ('index', 'text', 'software_version')
 
-    def __init__(self, index: int, text: str) -> None:
+    def __init__(
+        self, index: int, text: str, software_version: str = ''
+    ) -> None:
         self.index = index
         self.text = text
+        self.software_version = software_version
 
 
 class HeadFrame:
--- a/siskinmount/relay/_header_names.py
+++ b/siskinmount/relay/_header_names.py
@@ -42,3 +42,6 @@
 
     #: Incarnation of the responding process.
     INCARNATION = b'x-incarnation'
+
+    #: Software version that the engine of the VM was last seen to run.
+    SOFTWARE_VERSION = b'x-software-version'
--- a/siskinmount/sidecar/_batch_item.py
+++ b/siskinmount/sidecar/_batch_item.py
@@ -158,8 +158,8 @@
         confirmed_at_s = self.leased_until_s - self.lease_ms / 1000
         return trio.current_time() - confirmed_at_s < MAX_CONFIRMATION_AGE_S
 
-    def set_resume_tokens(self, tokens: list[str]) -> None:
-        """Makes the next run resume after `tokens`."""
+    def set_resume_tokens(self, tokens: list[str], version: str) -> None:
+        """Makes the next run resume after `tokens`, which a version wrote."""
         if not isinstance(self.body, _run_request.ModelBody):
             return
         self.body = _run_request.ModelBody(
@@ -167,6 +167,7 @@
             messages=self.body.messages,
             max_tokens=self.body.max_tokens,
             resume_tokens=tokens,
+            resume_version=version,
         )
 
 
--- a/siskinmount/sidecar/_batch_puller.py
+++ b/siskinmount/sidecar/_batch_puller.py
@@ -294,9 +294,18 @@
                 # An item that is returned at once may be handed out to this
                 # sidecar again at once.
                 await trio.sleep(SUSPECT_RETURN_DELAY_S)
+            if _is_of_other_version(running):
+                if not item.idempotent:
+                    # Returned at once, it may come back at once.
+                    await trio.sleep(SUSPECT_RETURN_DELAY_S)
+                    break
+                item.set_resume_tokens([], '')
+                continue
             if not self._may_resume(item):
                 break
-            item.set_resume_tokens(running.collect_tokens())
+            item.set_resume_tokens(
+                running.collect_tokens(), running.software_version
+            )
         self._finish(item)
 
     def _may_resume(self, item: _batch_item.BatchItem) -> bool:
@@ -437,6 +446,14 @@
                 await trio.sleep(RETRY_DELAY_S)
 
 
+def _is_of_other_version(running: _running_request.RunningRequest) -> bool:
+    """Returns whether the tokens to go on after are of another version."""
+    failure = running.failure
+    if failure is None:
+        return False
+    return failure.code is results.ResultCode.STREAM_VERSION_UNAVAILABLE
+
+
 def _was_refused_as_suspect(running: _running_request.RunningRequest) -> bool:
     """Returns whether a run was refused because an upstream crashed on it."""
     failure = running.failure
--- a/siskinmount/sidecar/_http_model_upstream.py
+++ b/siskinmount/sidecar/_http_model_upstream.py
@@ -27,9 +27,12 @@
 class EngineStream:
     """Parses the server-sent events of one answer."""
 
-    __slots__ = ('_exchange', '_pending', '_skipped_bytes')
+    __slots__ = ('software_version', '_exchange', '_pending', '_skipped_bytes')
 
     def __init__(self, exchange: transport.ClientExchange) -> None:
+        self.software_version = (
+            exchange.find_header(relay.RelayHeader.SOFTWARE_VERSION) or ''
+        )
         self._exchange = exchange
         self._pending = b''
         self._skipped_bytes = 0
@@ -104,7 +107,7 @@
         request_id: str,
         body: _run_request.ModelBody,
         resume_tokens: list[str],
-    ) -> _upstreams.UpstreamStream | results.Failure:
+    ) -> _upstreams.ModelStream | results.Failure:
         """Starts to generate after `resume_tokens`."""
         document: dict[str, object] = {
             'request_id': request_id,
--- a/siskinmount/sidecar/_item_report.py
+++ b/siskinmount/sidecar/_item_report.py
@@ -21,7 +21,10 @@
     if failure is None:
         return _create_answer_report(item, running)
     not_run = failure.run_state is results.RunState.NOT_RUN
-    yielded = not_run or failure.code is results.ResultCode.BATCH_YIELDED
+    yielded = not_run or failure.code in (
+        results.ResultCode.BATCH_YIELDED,
+        results.ResultCode.STREAM_VERSION_UNAVAILABLE,
+    )
     if yielded and item.may_continue and not item.cancelled:
         return _create_yield_report(item, failure.reason)
     outcome = batch.ReportedOutcome.FAILED
@@ -139,9 +142,13 @@
     if not isinstance(item.body, _run_request.ModelBody):
         return None
     tokens = item.body.resume_tokens
+    version = item.body.resume_version
     if item.running is not None:
         tokens = item.running.collect_tokens()
-    return {'resume_tokens': tokens} if tokens else None
+        version = item.running.software_version
+    if not tokens:
+        return None
+    return {'resume_tokens': tokens, 'resume_version': version}
 
 
 def _count_new_tokens(running: _running_request.RunningRequest) -> int:
--- a/siskinmount/sidecar/_request_failures.py
+++ b/siskinmount/sidecar/_request_failures.py
@@ -30,6 +30,18 @@
     )
 
 
+def create_version_failure(
+    running: _running_request.RunningRequest, found: str
+) -> results.Failure:
+    """Returns the refusal to go on with what another version has written."""
+    return results.Failure(
+        results.ResultCode.STREAM_VERSION_UNAVAILABLE,
+        f'the upstream runs version {found!r}, the tokens are of'
+        f' {running.software_version!r}',
+        determine_run_state(running),
+    )
+
+
 def determine_run_state(
     running: _running_request.RunningRequest,
 ) -> results.RunState:
--- a/siskinmount/sidecar/_request_runner.py
+++ b/siskinmount/sidecar/_request_runner.py
@@ -52,6 +52,7 @@
         'crashes',
         'plain_timeout_ms',
         '_prompt_sizes',
+        '_software',
     )
 
     def __init__(
@@ -69,6 +70,8 @@
         self._gate = gate
         self._registry = registry
         self._monitor = monitor
+        # Process of the upstream and the version that it was seen to run.
+        self._software: tuple[int, str] = (-1, '')
         self._model_upstream = model_upstream
         self._plain_upstream = plain_upstream
         self._record_gap = record_gap
@@ -188,6 +191,8 @@
             failure = await self._generate(running, body, ticket)
             if failure is None:
                 return None
+            if failure.code is results.ResultCode.STREAM_VERSION_UNAVAILABLE:
+                return failure
             if failure.run_state is results.RunState.NOT_RUN:
                 self._monitor.mark_unreachable(failure)
                 return _request_failures.correct_run_state(failure, running)
@@ -242,6 +247,15 @@
             code = results.ResultCode.UPSTREAM_ERROR
         return results.Failure(code, failure.reason, run_state)
 
+    def get_software_version(self) -> str | None:
+        """Returns what the upstream's process was seen to run.
+
+        It is None before the first response of that process, and empty if it
+        names no version.
+        """
+        generation, version = self._software
+        return version if generation == self._monitor.generation else None
+
     async def _generate(
         self,
         running: _running_request.RunningRequest,
@@ -250,6 +264,9 @@
     ) -> results.Failure | None:
         """Appends the frames of one stream; returns why it ended early."""
         tokens = running.collect_tokens()
+        known = self.get_software_version()
+        if tokens and known is not None and known != running.software_version:
+            return _request_failures.create_version_failure(running, known)
         was_sent = running.sent_to_upstream
         running.sent_to_upstream = True
         stream = await self._model_upstream.start(
@@ -260,6 +277,15 @@
             running.sent_to_upstream = was_sent or not not_run
             return stream
         try:
+            self._software = (
+                running.upstream_generation,
+                stream.software_version,
+            )
+            if tokens and stream.software_version != running.software_version:
+                return _request_failures.create_version_failure(
+                    running, stream.software_version
+                )
+            running.software_version = stream.software_version
             return await self._copy_tokens(
                 running, ticket, stream, len(tokens), body.max_tokens
             )
--- a/siskinmount/sidecar/_run_handler.py
+++ b/siskinmount/sidecar/_run_handler.py
@@ -205,12 +205,16 @@
         await exchange.start_stream(200, self._answer_headers())
         for frame in running.list_frames_before_start(from_token):
             await exchange.send_chunk(relay.encode_frame(frame))
+        is_version_told = False
         position = running.find_position(from_token)
         sent_at_s = trio.current_time()
         while True:
             frames = running.frames[position : position + FRAMES_PER_CHUNK]
             if frames:
                 position += len(frames)
+                if not is_version_told:
+                    frames = _tell_version(frames, running.software_version)
+                    is_version_told = True
                 await exchange.send_chunk(
                     b''.join([relay.encode_frame(frame) for frame in frames])
                 )
@@ -259,6 +263,17 @@
         )
 
 
+def _tell_version(
+    frames: list[relay.Frame], software_version: str
+) -> list[relay.Frame]:
+    """Returns the frames with the version on the first one, if a token."""
+    first = frames[0]
+    if not software_version or not isinstance(first, relay.TokenFrame):
+        return frames
+    told = relay.TokenFrame(first.index, first.text, software_version)
+    return [told, *frames[1:]]
+
+
 async def _cancel_when_gone(
     exchange: transport.ServerExchange, scope: trio.CancelScope
 ) -> None:
--- a/siskinmount/sidecar/_run_request.py
+++ b/siskinmount/sidecar/_run_request.py
@@ -24,9 +24,17 @@
             ones.
         resume_tokens: Existing tokens of the answer, after which generation
             resumes.
+        resume_version: Software version that wrote these tokens, which alone
+            may go on with them; empty if it has none.
     """
 
-    __slots__ = ('prompt', 'messages', 'max_tokens', 'resume_tokens')
+    __slots__ = (
+        'prompt',
+        'messages',
+        'max_tokens',
+        'resume_tokens',
+        'resume_version',
+    )
 
     def __init__(
         self,
@@ -35,11 +43,13 @@
         messages: list[object] | None = None,
         max_tokens: int = DEFAULT_MAX_TOKENS,
         resume_tokens: list[str] | None = None,
+        resume_version: str = '',
     ) -> None:
         self.prompt = prompt
         self.messages = messages
         self.max_tokens = max_tokens
         self.resume_tokens = resume_tokens or []
+        self.resume_version = resume_version
 
 
 class PlainBody:
@@ -189,6 +199,7 @@
         messages=messages,
         max_tokens=max_tokens,
         resume_tokens=[str(text) for text in document.get('resume_tokens', ())],
+        resume_version=str(document.get('resume_version', '')),
     )
 
 
--- a/siskinmount/sidecar/_running_request.py
+++ b/siskinmount/sidecar/_running_request.py
@@ -53,6 +53,8 @@
         reader_generation: Incremented with each reader that attaches.
         fully_read: Whether a reader has received the last frame.
         size_bytes: Estimated memory of the output.
+        software_version: Version that wrote the tokens, resumed ones included;
+            empty if there are none or the upstream names none.
     """
 
     __slots__ = (
@@ -70,6 +72,7 @@
         'reader_generation',
         'fully_read',
         'size_bytes',
+        'software_version',
         '_changed',
     )
 
@@ -88,6 +91,9 @@
         self.reader_generation = 0
         self.fully_read = False
         self.size_bytes = 0
+        self.software_version = ''
+        if isinstance(request.body, _run_request.ModelBody):
+            self.software_version = request.body.resume_version
         self._changed: trio.Event | None = None
 
     @property
--- a/siskinmount/sidecar/_sidecar.py
+++ b/siskinmount/sidecar/_sidecar.py
@@ -312,7 +312,9 @@
     def list_answer_headers(self) -> transport.Headers:
         """Returns the headers of every answer to an entry."""
         in_flight = self.gate.count_in_flight()
+        version = self.runner.get_software_version() or ''
         return [
+            (relay.RelayHeader.SOFTWARE_VERSION, version.encode('latin-1')),
             (relay.RelayHeader.IN_FLIGHT, b'%d' % in_flight),
             (relay.RelayHeader.SLOTS, b'%d' % self.gate.load.slots),
             (relay.RelayHeader.VM, self.settings.identity.vm.encode('latin-1')),
--- a/siskinmount/sidecar/_upstreams.py
+++ b/siskinmount/sidecar/_upstreams.py
@@ -22,6 +22,17 @@
         ...
 
 
+class ModelStream(UpstreamStream, Protocol):
+    """Tokens of a model engine.
+
+    Attributes:
+        software_version: Version of the software that writes them; empty if the
+            response names none.
+    """
+
+    software_version: str
+
+
 class LivenessConnection(Protocol):
     """Connection that shows whether the upstream's process has exited.
 
@@ -62,7 +73,7 @@
         request_id: str,
         body: _run_request.ModelBody,
         resume_tokens: list[str],
-    ) -> UpstreamStream | results.Failure:
+    ) -> ModelStream | results.Failure:
         """Starts to generate after `resume_tokens`."""
         ...
 
--- a/siskinmount/sidecar/tests/fakes.py
+++ b/siskinmount/sidecar/tests/fakes.py
@@ -32,6 +32,7 @@
 class FakeStream:
 
     def __init__(self, upstream, request_id, index, end):
+        self.software_version = upstream.software_version
         self._upstream = upstream
         self._request_id = request_id
         self._process = upstream.process
@@ -65,6 +66,7 @@
 
     def __init__(self):
         self.process = 1
+        self.software_version = ''
         self.alive = True
         self.frozen = False
         self.cut_count = 0
@@ -184,6 +186,7 @@
         prompt=keywords.pop('prompt', 'words'),
         max_tokens=tokens,
         resume_tokens=keywords.pop('resume_tokens', []),
+        resume_version=keywords.pop('resume_version', ''),
     )
     return sidecar.RunRequest(
         request_id=request_id,
--- a/siskinmount/sidecar/tests/test_batch_puller.py
+++ b/siskinmount/sidecar/tests/test_batch_puller.py
@@ -46,10 +46,10 @@
         self.down = False
         self.accepts_reports = True
 
-    def add(self, count, tokens=3, job='j', idempotent=True):
+    def add(self, count, tokens=3, job='j', idempotent=True, **body):
         for _ in range(count):
             index = len(self.waiting) + 100 * len(self.credits)
-            self.waiting.append((job, index, tokens, idempotent))
+            self.waiting.append((job, index, tokens, idempotent, body))
 
     async def pull(self, credit, wait_ms):
         self.credits.append(credit)
@@ -60,13 +60,13 @@
             return self._failure()
         items = []
         while self.waiting and len(items) < credit:
-            job, index, tokens, idempotent = self.waiting.pop(0)
+            job, index, tokens, idempotent, body = self.waiting.pop(0)
             items.append(
                 create_pulled(
                     job=job,
                     index=index,
                     idempotent=idempotent,
-                    body={'prompt': 'p', 'max_tokens': tokens},
+                    body={'prompt': 'p', 'max_tokens': tokens, **body},
                 )
             )
         return items
@@ -324,6 +324,36 @@
 
             self.run_puller(check)
 
+    def test_item_of_another_version_starts_from_the_beginning(self):
+        async def check(harness, puller, entries, start_online):
+            harness.upstream.software_version = 'v2'
+            entries[0].add(
+                1, tokens=4, resume_tokens=['x0', 'x1'], resume_version='v1'
+            )
+            await trio.sleep(3)
+            self.assertEqual(['done'], entries[0].outcomes())
+            self.assertEqual('t0t1t2t3', entries[0].reports[0].output['text'])
+
+        self.run_puller(check)
+
+    def test_non_idempotent_item_of_another_version_is_returned(self):
+        async def check(harness, puller, entries, start_online):
+            harness.upstream.software_version = 'v2'
+            entries[0].add(
+                1,
+                tokens=4,
+                idempotent=False,
+                resume_tokens=['x0', 'x1'],
+                resume_version='v1',
+            )
+            await trio.sleep(10)
+            report, *_ = entries[0].reports
+            self.assertEqual('yielded', report.outcome.value)
+            self.assertEqual(['x0', 'x1'], report.output['resume_tokens'])
+            self.assertEqual('v1', report.output['resume_version'])
+
+        self.run_puller(check)
+
     def test_non_idempotent_item_resumes_where_it_stopped(self):
         async def check(harness, puller, entries, start_online):
             entries[0].add(2, tokens=20, idempotent=False)
--- a/siskinmount/sidecar/tests/test_request_runner.py
+++ b/siskinmount/sidecar/tests/test_request_runner.py
@@ -192,6 +192,74 @@
 
         self.run_harness(check, slots=1)
 
+    def test_tokens_go_on_only_at_the_version_that_wrote_them(self):
+        cases = [
+            # Version of the upstream, of the tokens, whether it goes on.
+            ('v1', 'v1', True),
+            ('v2', 'v1', False),
+            ('v1', '', False),
+            ('', 'v1', False),
+            ('', '', True),
+        ]
+        for version, wrote, goes_on in cases:
+            # The second run is refused before it is sent.
+            for known, sent in ((False, 1), (True, 1 if goes_on else 0)):
+
+                async def check(
+                    harness,
+                    start,
+                    version=version,
+                    wrote=wrote,
+                    goes_on=goes_on,
+                    known=known,
+                    sent=sent,
+                ):
+                    harness.upstream.software_version = version
+                    if known:
+                        await start('a').wait_ended()
+                    before = len(harness.upstream.started)
+                    resumed = start(
+                        'b', resume_tokens=['t0'], resume_version=wrote
+                    )
+                    await resumed.wait_ended()
+                    self.assertEqual(
+                        sent, len(harness.upstream.started) - before
+                    )
+                    if goes_on:
+                        self.assertEqual(
+                            ['t1', 't2', 'end'],
+                            fakes.describe_frames(resumed.frames),
+                        )
+                        return
+                    self.assertEqual(1, len(resumed.frames))
+                    self.assertEqual(
+                        results.ResultCode.STREAM_VERSION_UNAVAILABLE,
+                        resumed.failure.code,
+                    )
+                    self.assertEqual(
+                        known,
+                        resumed.failure.run_state is results.RunState.NOT_RUN,
+                    )
+
+                self.run_harness(check)
+
+    def test_version_of_a_process_that_ended_is_not_taken_for_the_next(self):
+        async def check(harness, start):
+            harness.upstream.software_version = 'v1'
+            await start('a').wait_ended()
+            harness.upstream.crash()
+            harness.upstream.alive = True
+            harness.upstream.software_version = 'v2'
+            await harness.monitor.check()
+            self.assertIsNone(harness.runner.get_software_version())
+            resumed = start('b', resume_tokens=['t0'], resume_version='v2')
+            await resumed.wait_ended()
+            self.assertEqual(
+                ['t1', 't2', 'end'], fakes.describe_frames(resumed.frames)
+            )
+
+        self.run_harness(check)
+
     def test_slot_is_released_after_a_fault_of_the_cancellation(self):
         async def check(harness, start):
             async def fail(request_id):
