--- a/standins/event_engine/_event_engine.py
+++ b/standins/event_engine/_event_engine.py
@@ -111,6 +111,7 @@
         omits_framing: Whether answers have neither length nor chunks and end
             with their connection.
         is_leaving: Whether all answers say that the engine leaves.
+        version: Version of the software, which each event names; empty for none.
         limit_text: Requests a second that all answers name; None for none.
         crashing_body: Body of the request that crashes the engine; None for no
             such request.
@@ -129,6 +130,7 @@
         'is_streaming',
         'omits_framing',
         'is_leaving',
+        'version',
         'limit_text',
         'crashing_body',
         'crashing_part',
@@ -151,6 +153,7 @@
         self.is_streaming = is_streaming
         self.omits_framing = False
         self.is_leaving = False
+        self.version = ''
         self.limit_text: str | None = None
         self.crashing_body: bytes | None = None
         self.crashing_part: str | None = None
@@ -245,7 +248,7 @@
             nursery.start_soon(cancel_on_disconnect)
             fault_event = (run.first_event + self.event_count) // 2
             for number in range(run.first_event, self.event_count + 1):
-                event = make_event(run.request_id, number)
+                event = make_event(run.request_id, number, self.version)
                 if number == fault_event and fault in _CUTS:
                     if fault is AnswerFault.CUT_MIDWAY:
                         await exchange.send_chunk(event[: len(event) // 2])
@@ -281,9 +284,10 @@
         await exchange.finish()
 
 
-def make_event(request_id: str, number: int) -> bytes:
+def make_event(request_id: str, number: int, version: str = '') -> bytes:
     """Returns an event as a server-sent event."""
-    return f'id: {number}\ndata: {request_id}-{number}\n\n'.encode()
+    mark = f'@{version}' if version else ''
+    return f'id: {number}\ndata: {request_id}-{number}{mark}\n\n'.encode()
 
 
 def create_event_engine(
--- a/tools/soak/_callers.py
+++ b/tools/soak/_callers.py
@@ -16,6 +16,9 @@
 CRASHING_PAUSE_S = 0.5
 #: Second parts of the prompts of sound requests.
 SECOND_PARTS = 20
+#: Tries of a caller to get the rest of a stream that was broken off.
+MAX_RESUMES = 2
+RESUME_PAUSE_S = 0.2
 #: Time that a caller waits for an answer beyond the deadline of its request.
 EXTRA_TIMEOUT_S = 2.0
 _KINDS = tuple(_observations.CallKind)
@@ -69,6 +72,31 @@
             gateway.number,
             self._sends_crashing_part,
         )
+        await self._send(gateway, call)
+        for _ in range(MAX_RESUMES):
+            last_event_id = call.get_last_event_id()
+            is_stream = call.kind is _observations.CallKind.STREAM
+            if call.is_whole or not is_stream or not last_event_id:
+                return
+            await trio.sleep(self._rng.uniform(0, 2 * RESUME_PAUSE_S))
+            self._count += 1
+            gateway = self._rng.choice(self._fleet.gateways)
+            earlier = call
+            call = _observations.ObservedCall(
+                f'{self._name}-{self._count}',
+                earlier.kind,
+                gateway.number,
+                first=earlier.first or earlier,
+                last_event_id=last_event_id,
+            )
+            await self._send(gateway, call)
+            if call.status != 200:
+                call = earlier
+
+    async def _send(
+        self, gateway: _soak_fleet.SoakGateway, call: _observations.ObservedCall
+    ) -> None:
+        """Sends one request, and records what comes of it in time."""
         self._fleet.observed.calls.append(call)
         timeout_s = _checker.ROUTE_TIMEOUT_S + EXTRA_TIMEOUT_S
         with trio.move_on_after(timeout_s):
@@ -80,17 +108,22 @@
     ) -> None:
         """Sends a request and records its status and body."""
         deadline_ms = int(_checker.ROUTE_TIMEOUT_S * 1000)
+        request = call.first or call
+        headers = [
+            (b'x-request-id', call.request_id.encode()),
+            (b'x-deadline-ms', b'%d' % deadline_ms),
+            (b'x-model', b'm'),
+            (b'x-prompt-prefix', _format_prompt(request).encode()),
+        ]
+        if call.first is not None:
+            headers.append((b'last-event-id', b'%d' % call.last_event_id))
+            headers.append((b'resumes', call.first.request_id.encode()))
         answer = await self._find_client(gateway).send(
             transport.ClientRequest(
                 'POST',
                 f'/{call.kind.value}/x',
-                [
-                    (b'x-request-id', call.request_id.encode()),
-                    (b'x-deadline-ms', b'%d' % deadline_ms),
-                    (b'x-model', b'm'),
-                    (b'x-prompt-prefix', _format_prompt(call).encode()),
-                ],
-                call.request_id.encode(),
+                headers,
+                request.request_id.encode(),
                 _soak_fleet.HOST.encode(),
             )
         )
--- a/tools/soak/_checker.py
+++ b/tools/soak/_checker.py
@@ -1,5 +1,7 @@
 """Compares the answers that callers received with the runs of the engines."""
 
+import re
+
 from siskinmount import results
 from standins import event_engine
 from tools.soak import _observations
@@ -30,6 +32,8 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_EXTRA_REQUESTS = 5
+#: Version of the engine, at the end of the data of each event.
+_VERSION_MARK = re.compile(rb'@v\d+')
 _QUARANTINED = b'"code":%d' % results.ResultCode.PROMPT_PART_QUARANTINED
 #: Statuses that state that a request has not run.
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -49,6 +53,7 @@
     violations.extend(_check_leaving(observed))
     violations.extend(_check_announced(observed))
     violations.extend(_check_crashing_part(observed))
+    violations.extend(_check_versions(observed))
     for limit in observed.limits:
         violations.extend(_check_limit(observed, limit))
     known = {call.request_id for call in observed.calls}
@@ -74,15 +79,16 @@
         violations.append(f'twice: {name} ran {run_count} times')
     if call.status in _NOT_RUN_STATUSES and run_count:
         violations.append(f'refused: {name} got {call.status} and ran')
+    body = _VERSION_MARK.sub(b'', call.body)
     if (
         call.status == 200
         and call.is_whole
-        and call.body != _make_expected_body(call)
+        and body != _make_expected_body(call)
     ):
         violations.append(f'answer: {name} got {len(call.body)} other bytes')
-    if call.status == 200 and not _make_expected_body(call).startswith(
-        call.body
-    ):
+    # A version that was cut short is left.
+    body = body.partition(b'@')[0]
+    if call.status == 200 and not _make_expected_body(call).startswith(body):
         violations.append(f'order: {name} got what is no part of its answer')
     if not call.has_crashing_part and _QUARANTINED in call.body:
         violations.append(f'quarantined: {name} has no crashing part')
@@ -101,7 +107,7 @@
     if not call.kind.is_stream():
         return b'answer to ' + call.request_id.encode()
     events: list[bytes] = []
-    for number in range(1, EVENT_COUNT + 1):
+    for number in range(call.last_event_id + 1, EVENT_COUNT + 1):
         events.append(event_engine.make_event(call.request_id, number))
     return b''.join(events)
 
@@ -174,11 +180,29 @@
     expected = '\n'.join(
         f'{result.item_id}-{number}' for number in range(1, EVENT_COUNT + 1)
     )
-    if result.output != expected:
+    versions = set(_VERSION_MARK.findall(result.output.encode()))
+    if len(versions) > 1:
+        return [f'versions: {result.item_id} is of {sorted(versions)}']
+    output = _VERSION_MARK.sub(b'', result.output.encode()).decode()
+    if output != expected:
         return [f'result: {result.item_id} of {job.job_id} has other text']
     return []
 
 
+def _check_versions(observed: _observations.Observations) -> list[str]:
+    """Finds streams with events of several versions, over all their tries."""
+    versions: dict[str, set[bytes]] = {}
+    for call in observed.calls:
+        first = call.first or call
+        found = versions.setdefault(first.request_id, set())
+        found.update(_VERSION_MARK.findall(call.body))
+    violations: list[str] = []
+    for request_id, found in versions.items():
+        if len(found) > 1:
+            violations.append(f'versions: {request_id} is of {sorted(found)}')
+    return violations
+
+
 def _check_leaving(observed: _observations.Observations) -> list[str]:
     """Finds runs that began too long after their engine announced draining."""
     violations: list[str] = []
--- a/tools/soak/_observations.py
+++ b/tools/soak/_observations.py
@@ -46,6 +46,9 @@
             leaves; empty if none did.
         head_at_s: Time when the head of the answer came; None without one.
         has_crashing_part: Whether its prompt has the part that crashes engines.
+        first: The attempt that brought the first event of the stream that this
+            one resumes; None if it resumes none.
+        last_event_id: Id of the event after which it goes on; 0 for none.
     """
 
     __slots__ = (
@@ -60,6 +63,8 @@
         'leaving_engine',
         'head_at_s',
         'has_crashing_part',
+        'first',
+        'last_event_id',
     )
 
     def __init__(
@@ -68,6 +73,8 @@
         kind: CallKind,
         gateway: int,
         has_crashing_part: bool = False,
+        first: 'ObservedCall | None' = None,
+        last_event_id: int = 0,
     ) -> None:
         self.request_id = request_id
         self.kind = kind
@@ -80,6 +87,12 @@
         self.leaving_engine = ''
         self.head_at_s: float | None = None
         self.has_crashing_part = has_crashing_part
+        self.first = first
+        self.last_event_id = last_event_id
+
+    def get_last_event_id(self) -> int:
+        """Returns the id of the last complete event that the caller has."""
+        return self.last_event_id + self.body.count(b'\n\n')
 
 
 class ObservedResult:
--- a/tools/soak/_soak_fleet.py
+++ b/tools/soak/_soak_fleet.py
@@ -144,6 +144,7 @@
         store_faults: Faults applied to all answers of the store.
         gateways: Gateways, by number.
         engines: Engines that are listed now.
+        version_count: Number of versions that model engines run side by side.
     """
 
     __slots__ = (
@@ -152,6 +153,7 @@
         'store_faults',
         'gateways',
         'engines',
+        'version_count',
         '_nursery',
         '_group',
         '_directory',
@@ -172,6 +174,7 @@
         self.store = keyed_store.create_keyed_store(self.store_faults)
         self.gateways: list[SoakGateway] = []
         self.engines: list[SoakEngine] = []
+        self.version_count = 1
         self._nursery = nursery
         self._group = group
         self._directory = directory
@@ -232,6 +235,7 @@
             is_streaming=service == 'model',
         )
         if service == 'model':
+            engine.version = f'v{self._engine_count % self.version_count}'
             engine.crashing_part = _observations.CRASHING_PART
         scope = trio.CancelScope()
         proxy = await self._nursery.start(self._serve_engine, engine, scope)
@@ -351,7 +355,7 @@
             'service': running.service,
             'address': str(running.proxy.address),
             'zone': 'a',
-            'version': 'v1',
+            'version': running.engine.version,
             'slot_count': 8,
             'state': state,
             'born': 1,
--- a/tools/soak/_soak_run.py
+++ b/tools/soak/_soak_run.py
@@ -21,6 +21,10 @@
 #: One in this number of seeds, from 2 on, has engines that name a request rate.
 LIMIT_SEEDS = 4
 FIRST_LIMIT_SEED = 2
+#: One in this number of seeds, from 1 on, has engines of several versions.
+VERSION_SEEDS = 3
+FIRST_VERSION_SEED = 1
+VERSIONS = 3
 #: Time in which jobs must end after the last request and fault.
 COMPLETION_TIMEOUT_S = 25.0
 #: Time in which a gateway that was stopped near the end is ready again.
@@ -42,6 +46,8 @@
             fleet = _soak_fleet.SoakFleet(
                 nursery, group, directory, _choose_host_base()
             )
+            if seed % VERSION_SEEDS == FIRST_VERSION_SEED:
+                fleet.version_count = VERSIONS
             await fleet.start()
             for gateway in fleet.gateways:
                 nursery.start_soon(fleet.watch_gateway, gateway)
--- a/tools/soak/tests/test_checker.py
+++ b/tools/soak/tests/test_checker.py
@@ -54,6 +54,57 @@
         call.ended_at_s = call.sent_at_s + took_s
         observed.calls.append(call)
 
+    def test_stream_of_two_versions(self):
+        def make(versions, first=1):
+            return b''.join(
+                event_engine.make_event('r', first + n, version)
+                for n, version in enumerate(versions)
+            )
+
+        cases = [
+            # Versions of the first answer, of the rest, found.
+            (['v1', 'v1'], ['v1'], []),
+            (['v1', 'v2'], ['v1'], ['versions']),
+            (['v1', 'v1'], ['v2'], ['versions']),
+            (['', ''], [''], []),
+        ]
+        for first_versions, rest_versions, found in cases:
+
+            def arrange(
+                observed,
+                engine,
+                first_versions=first_versions,
+                rest_versions=rest_versions,
+            ):
+                kind = _observations.CallKind.STREAM
+                self._call(observed, kind, 200, make(first_versions), False)
+                first = observed.calls[-1]
+                self._call(observed, kind, 200, make(rest_versions, 3), False)
+                rest = observed.calls[-1]
+                rest.first = first
+                rest.last_event_id = first.get_last_event_id()
+                self.assertEqual(2, rest.last_event_id)
+
+            self.assertEqual(found, self._find(arrange), first_versions)
+
+    def test_item_of_two_versions(self):
+        for versions, found in (
+            (['v1'] * _checker.EVENT_COUNT, []),
+            (['v1'] * 3 + ['v2'] * (_checker.EVENT_COUNT - 3), ['versions']),
+        ):
+
+            def arrange(observed, engine, versions=versions):
+                job = _observations.ObservedJob('j', ['i'])
+                job.accepted_at_s = 1.0
+                output = '\n'.join(
+                    f'i-{n + 1}@{version}' for n, version in enumerate(versions)
+                )
+                result = _observations.ObservedResult('i', 'completed', output)
+                job.reads.append((0, [result]))
+                observed.jobs.append(job)
+
+            self.assertEqual(found, self._find(arrange), versions)
+
     def test_engine_that_gets_more_than_its_rate(self):
         cases = [
             # Requests, time between them, disturbance of the gateway, found.
--- a/tools/soak/tests/test_soak.py
+++ b/tools/soak/tests/test_soak.py
@@ -69,3 +69,5 @@
         whole = [call for call in observed.calls if call.is_whole]
         self.assertGreater(len(whole), 20)
         self.assertTrue(any(job.accepted_at_s for job in observed.jobs))
+        versions = {engine.version for engine in observed.engines}
+        self.assertGreater(len(versions), 1)
