--- a/siskinmount/gateway/tests/test_version_keeper.py
+++ b/siskinmount/gateway/tests/test_version_keeper.py
@@ -172,6 +172,26 @@
 
         self._run(check)
 
+    def test_members_of_an_earlier_release_are_waited_for(self):
+        # Streams that these begin are not recorded.
+        async def check(log, members):
+            (member,) = members
+            for _ in range(80):
+                member.members.hear('p')
+                await trio.sleep(1)
+            self.assertEqual((1, '', False), member.get_row())
+            rows = {'s': stream_origins.VersionRow(1, '', False)}
+            for _ in range(40):
+                member.members.hear('p', stream_versions=rows)
+                await trio.sleep(1)
+            self.assertEqual((2, 'v1', True), member.get_row())
+
+        async def start_with_older_member(log, members):
+            members[0].members.hear('p')
+            await check(log, members)
+
+        self._run(start_with_older_member)
+
     def test_invalid_records_are_left_out(self):
         async def check(log, members):
             log.values['s'] = b'{"generation": "x"}'
--- a/siskinmount/peering/tests/test_peer_directory.py
+++ b/siskinmount/peering/tests/test_peer_directory.py
@@ -1,6 +1,7 @@
 """Liveness of members, their messages, and who starts batch items."""
 
 import json
+import math
 
 import hypothesis
 from hypothesis import strategies
@@ -13,6 +14,7 @@
 from siskinmount import peering
 from siskinmount import placement
 from siskinmount import results
+from siskinmount import stream_origins
 
 
 def _make_message(member='p', incarnation=1, sequence=1, **fields):
@@ -132,6 +134,51 @@
 
         self._run(check)
 
+    def test_rows_of_versions_pass_between_releases(self):
+        async def check(directory, load):
+            rows = {'s': stream_origins.VersionRow(4, 'v1', True)}
+            data = peering.encode_message(_make_message(stream_versions=rows))
+            row = peering.decode_message(data).stream_versions['s']
+            self.assertEqual(
+                (4, 'v1', True),
+                (row.generation, row.assumed_version, row.is_settled),
+            )
+            # A member of the release before sends no such field.
+            head, _, body = data.rpartition(b' ')
+            fields = orjson.loads(body)
+            del fields['stream_versions']
+            older = peering.decode_message(head + b' ' + orjson.dumps(fields))
+            self.assertIsNone(older.stream_versions)
+            self.assertEqual({'t'}, older.held_tags)
+            for invalid in ([1], ['x', 'v', True], [-1, 'v', True], None, 7):
+                fields['stream_versions'] = {'s': invalid}
+                self.assertIsInstance(
+                    peering.decode_message(head + b' ' + orjson.dumps(fields)),
+                    results.Failure,
+                    invalid,
+                )
+
+        self._run(check)
+
+    def test_members_that_record_nothing_are_told_from_others(self):
+        async def check(directory, load):
+            self.assertEqual(math.inf, directory.get_older_release_age_s())
+            directory.apply_message(_make_message())
+            await trio.sleep(2)
+            self.assertEqual(2, directory.get_older_release_age_s())
+            self.assertFalse(directory.is_row_confirmed('s', 1))
+            rows = {'s': stream_origins.VersionRow(1, 'v1', True)}
+            directory.apply_message(
+                _make_message(sequence=2, stream_versions=rows)
+            )
+            self.assertEqual(math.inf, directory.get_older_release_age_s())
+            self.assertTrue(directory.is_row_confirmed('s', 1))
+            self.assertFalse(directory.is_row_confirmed('s', 2))
+            await trio.sleep(61)
+            self.assertTrue(directory.is_row_confirmed('s', 2))
+
+        self._run(check)
+
     def test_silent_members_keep_their_share_for_a_time(self):
         cases = [
             # Live peers, silent ones, seconds of silence, and the share.
