--- a/siskinmount/gateway/_origin_registrar.py
+++ b/siskinmount/gateway/_origin_registrar.py
@@ -97,6 +97,9 @@
         upstream: fleet.Upstream,
     ) -> Iterator[None]:
         """Watches, during a run, for what its upstream turns out to run."""
+        if not request.is_resumable_stream:
+            yield
+            return
         run = _Run(request, begin)
         runs = self._runs.setdefault(upstream.upstream_id, {})
         runs[run] = upstream.software
@@ -123,7 +126,7 @@
                 del runs[run]
                 self._drop_origin(run, upstream_id)
 
-    def _drop_origin(self, run: '_Run', upstream_id: str) -> None:
+    def _drop_origin(self, run: _Run, upstream_id: str) -> None:
         """Makes a stream one that cannot be resumed, here and elsewhere."""
         request = run.request
         if run.begin is not None:
