--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -13,6 +13,7 @@
 from siskinmount.gateway import _batch_membership
 from siskinmount.gateway import _gateway_metrics
 from siskinmount.gateway import _item_client
+from siskinmount.gateway import _item_continuation
 from siskinmount.gateway import _item_preemptor
 from siskinmount.gateway import _item_run
 from siskinmount.gateway import _result_writer
@@ -39,9 +40,6 @@
 #: How long a route may be missing from the document before its items are given
 #: up.
 ROUTE_REMOVAL_GRACE_S = 5.0
-#: How long an item with output waits for a slot of the version that wrote it
-#: while others are free. A run from the beginning takes about as long.
-OUTPUT_WAIT_S = 2.0
 
 
 class ItemRunner:
@@ -65,6 +63,7 @@
         '_runs',
         '_preemptor',
         '_result_writer',
+        '_continuation',
         '_route_missing_since_s',
         'stepped_at_s',
     )
@@ -97,6 +96,9 @@
             self._runs, view, load, scheduler, metrics, membership.vm
         )
         self._result_writer = result_writer
+        self._continuation = _item_continuation.create_item_continuation(
+            view, scheduler
+        )
         self._route_missing_since_s: dict[str, float] = {}
         self.stepped_at_s = 0.0
 
@@ -185,7 +187,7 @@
                     tag,
                 )
                 continue
-            service = self._draw_service(next_item, tag, route)
+            service = self._continuation.draw_service(next_item, tag, route)
             slots = slots_by_service.get(service)
             if slots is None:
                 slots = self._placer.list_batch_slots(service, RESERVED_SLOTS)
@@ -194,7 +196,7 @@
                 slots,
                 next_item.rank,
                 self._list_excluded(tag, service)
-                | self._list_other_software(next_item, tag, slots),
+                | self._continuation.list_other_software(next_item, tag, slots),
             )
             if upstream is None:
                 continue
@@ -227,72 +229,6 @@
             progress.failed_upstreams.clear()
         return excluded | progress.failed_upstreams
 
-    def _draw_service(
-        self, next_item: jobs.NextItem, tag: str, route: fleet.FleetRoute
-    ) -> str:
-        """Returns the service of the next run.
-
-        Kept output goes on at the service and version that wrote it. If none of
-        that version takes runs any more, the item starts from the beginning.
-        """
-        progress = self._scheduler.progress.get(tag)
-        if progress is None or not progress.events:
-            return route.draw_service()
-        services = {share.service for share in route.shares}
-        software = fleet.Software(progress.service, progress.software_version)
-        if software.service in services:
-            for upstream in self._view.list_ready(software.service):
-                if upstream.software == software:
-                    return software.service
-        self._drop_output(next_item, progress, 'no upstream of its version')
-        return route.draw_service()
-
-    def _list_other_software(
-        self,
-        next_item: jobs.NextItem,
-        tag: str,
-        slots: list[fleet.Upstream],
-    ) -> set[str]:
-        """Returns the upstreams that cannot go on with the output of an item.
-
-        An item that has waited for `OUTPUT_WAIT_S` starts from the beginning
-        where there is a slot.
-        """
-        progress = self._scheduler.progress.get(tag)
-        if progress is None or not progress.events:
-            return set()
-        software = fleet.Software(progress.service, progress.software_version)
-        others = {
-            upstream.upstream_id
-            for upstream in slots
-            if upstream.software != software
-        }
-        waited_s = trio.current_time() - progress.kept_since_s
-        has_own = any(upstream.software == software for upstream in slots)
-        if not others or has_own or waited_s < OUTPUT_WAIT_S:
-            return others
-        self._drop_output(next_item, progress, 'no free slot of its version')
-        return set()
-
-    def _drop_output(
-        self,
-        next_item: jobs.NextItem,
-        progress: jobs.ItemProgress,
-        reason: str,
-    ) -> None:
-        _LOGGER.info(
-            'item_output_dropped',
-            extra={
-                'job': next_item.job.job_id,
-                'item': next_item.item.item_id,
-                'service': progress.service,
-                'software_version': progress.software_version,
-                'events': len(progress.events),
-                'reason': reason,
-            },
-        )
-        progress.drop_output()
-
     def count_free_slots(self, route_name: str) -> int:
         """Returns the free slots of all upstreams of a route.
 
