Do not assume the version of streams that outlast their records

Cause: records and rows are made for streams of 30 s at most; a route may have a longer timeout. Change: on such routes a stream without a record goes on only if one version has been listed for as long. Result: test_streams_that_outlast_their_records_are_not_assumed.

--- a/siskinmount/gateway/_origin_finder.py
+++ b/siskinmount/gateway/_origin_finder.py
@@ -231,9 +231,8 @@
             return FoundOrigin(OriginSource.AMBIGUOUS)
         service = route.shares[0].service
         is_outage = not is_unrecorded and self._is_outage_for_all()
-        only = self._versions.find_only_version(
-            service, stream_origins.STREAM_LIFE_S
-        )
+        life_s = max(stream_origins.STREAM_LIFE_S, route.timeout_ms / 1000)
+        only = self._versions.find_only_version(service, life_s)
         if only is not None and (is_unrecorded or is_outage):
             return FoundOrigin(OriginSource.ONLY_VERSION, only)
         assumed = self._versions.get_assumed(service)
@@ -245,6 +244,9 @@
             return FoundOrigin(OriginSource.UNREADABLE)
         if assumed is None or not self._may_have_begun(assumed):
             return FoundOrigin(OriginSource.AMBIGUOUS)
+        if life_s > stream_origins.STREAM_LIFE_S:
+            # A record may have been dropped before the stream has ended.
+            return FoundOrigin(OriginSource.AMBIGUOUS)
         older_age_s = self._directory.get_older_release_age_s()
         if older_age_s < stream_origins.STREAM_LIFE_S:
             # Members of an earlier release record nothing.
--- a/siskinmount/gateway/tests/test_origin_finder.py
+++ b/siskinmount/gateway/tests/test_origin_finder.py
@@ -84,6 +84,7 @@
         outage_s=0.0,
         reachable_share=1.0,
         services=('s',),
+        timeout_ms=5000,
     ):
         self.resumes = resumes
         self.log = _Log(list(records), is_away)
@@ -97,6 +98,7 @@
         self.outage_s = outage_s
         self.reachable_share = reachable_share
         self.services = services
+        self.timeout_ms = timeout_ms
 
 
 class OriginFinderTest(testtools.TestCase):
@@ -144,7 +146,7 @@
                 shares=tuple(
                     fleet.ServiceShare(name, 1) for name in case.services
                 ),
-                timeout_ms=5000,
+                timeout_ms=case.timeout_ms,
                 target_ms=100,
                 resumable=True,
             )
@@ -237,6 +239,38 @@
             ]
         )
 
+    def test_streams_that_outlast_their_records_are_not_assumed(self):
+        self._check(
+            [
+                (
+                    'several versions',
+                    _Case(timeout_ms=31_000),
+                    _Source.AMBIGUOUS,
+                    None,
+                ),
+                (
+                    'one version for as long',
+                    _Case(timeout_ms=60_000, listed=(_V2,)),
+                    _Source.ONLY_VERSION,
+                    _V2,
+                ),
+                (
+                    'a version that left meanwhile',
+                    _Case(
+                        timeout_ms=120_000, listed=(_V2,), listed_before=(_V1,)
+                    ),
+                    _Source.AMBIGUOUS,
+                    None,
+                ),
+                (
+                    'recorded',
+                    _Case(timeout_ms=60_000, records=[_make_record('q', _V2)]),
+                    _Source.RECORD,
+                    _V2,
+                ),
+            ]
+        )
+
     def test_unsound_attempt_of_a_recorded_request_is_not_assumed(self):
         records = [_make_record('q', _V2)]
         for resumes in ('', 'unknown'):
