--- a/siskinmount/gateway/_online_handler.py
+++ b/siskinmount/gateway/_online_handler.py
@@ -27,7 +27,7 @@
 MAX_LIMIT_WAIT_S = 1.5
 LIMIT_POLL_S = 0.05
 #: Longest wait for the list of upstreams to be brought up to date before a
-#: stream goes on: half of the shortest gap that routes allow.
+#: stream goes on: less than the shortest gap that routes allow.
 VIEW_READ_TIMEOUT_S = 0.15
 
 
@@ -142,6 +142,12 @@
                 if outcome is _online_attempt.AttemptOutcome.LOST:
                     await self._wait_for_crash_check(chosen.upstream)
                 continue
+            if outcome is _online_attempt.AttemptOutcome.UNRECORDED:
+                return results.Failure(
+                    results.ResultCode.LOG_UNAVAILABLE,
+                    'what began the stream could not be recorded',
+                    request.get_run_state(),
+                )
             if (
                 self._failed_response is not None
                 and not request.response_started
