Take no version for the only one over a time longer than versions are remembered

A route with a timeout over 120 s could have had a version forgotten that a stream began at. Test: test_only_version_of_a_time (fails without the bound).

--- a/siskinmount/gateway/_version_keeper.py
+++ b/siskinmount/gateway/_version_keeper.py
@@ -25,8 +25,6 @@
 RETRY_S = 0.5
 #: How long a gateway that starts waits for the rows before it takes requests.
 LOAD_TIMEOUT_S = 1.0
-#: How long versions that are not listed any more are remembered.
-SEEN_KEPT_S = 120.0
 _STORE = 'store'
 
 
@@ -74,7 +72,7 @@
             self.is_loaded = True
         while True:
             self._record_listed()
-            self._table.forget_unlisted(SEEN_KEPT_S)
+            self._table.forget_unlisted()
             for service in self._list_services():
                 await self._check(service)
             interval_s = CHECK_INTERVAL_S
--- a/siskinmount/stream_origins/_version_table.py
+++ b/siskinmount/stream_origins/_version_table.py
@@ -8,6 +8,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+#: How long versions that are not listed any more are remembered.
+SEEN_KEPT_S = 120.0
+
 
 class VersionRow:
     """What streams of one service without a record began at.
@@ -107,10 +110,11 @@
     ) -> fleet.Software | None:
         """Returns the only software of a service in the last `window_s`.
 
-        It is None if there were several, or if this process is younger.
+        It is None if there were several, if this process is younger, or if that
+        is longer than versions are remembered.
         """
         limit_s = trio.current_time() - window_s
-        if self._began_at_s > limit_s:
+        if self._began_at_s > limit_s or window_s > SEEN_KEPT_S:
             return None
         seen: list[fleet.Software] = []
         for software, seen_at_s in self._seen_at_s.items():
@@ -118,9 +122,9 @@
                 seen.append(software)
         return seen[0] if len(seen) == 1 else None
 
-    def forget_unlisted(self, window_s: float) -> None:
-        """Forgets software that was not listed for `window_s`."""
-        limit_s = trio.current_time() - window_s
+    def forget_unlisted(self) -> None:
+        """Forgets software that was not listed for `SEEN_KEPT_S`."""
+        limit_s = trio.current_time() - SEEN_KEPT_S
         for software, seen_at_s in list(self._seen_at_s.items()):
             if seen_at_s < limit_s:
                 del self._seen_at_s[software]
