--- a/siskinmount/gateway/tests/test_peers_api.py
+++ b/siskinmount/gateway/tests/test_peers_api.py
@@ -1,5 +1,7 @@
 """Output of items that this member receives from its peers."""
 
+import types
+
 import orjson
 import testtools
 import trio
@@ -107,3 +109,92 @@
                 )
 
             self._run(check)
+
+    def test_output_of_an_unknown_version_is_dropped(self):
+        cases = [
+            # Fields beside the output, events that are kept.
+            ({'complete': False}, 0),
+            ({'complete': True}, 2),
+            (
+                {
+                    'complete': False,
+                    'service': 's',
+                    'software_version': 'v1',
+                },
+                2,
+            ),
+        ]
+        for fields, kept in cases:
+
+            async def check(api, scheduler, fields=fields, kept=kept):
+                body = {'tag': 't', 'events': ['a', 'b'], 'last_event_id': 2}
+                await api.handle(_Exchange(orjson.dumps({**body, **fields})))
+                progress = scheduler.get_progress('t')
+                self.assertEqual(kept, len(progress.events), fields)
+                version = fields.get('software_version', '')
+                self.assertEqual(version, progress.software_version)
+
+            self._run(check)
+
+    def test_incomplete_output_is_not_handed_to_an_earlier_release(self):
+        calls = []
+
+        async def call(address, request, silence_timeout_ms=0):
+            calls.append(orjson.loads(request.body))
+            return b''
+
+        for is_older, is_complete, expected in (
+            (True, False, False),
+            (True, True, True),
+            (False, False, True),
+        ):
+
+            async def check(
+                api,
+                scheduler,
+                is_older=is_older,
+                is_complete=is_complete,
+                expected=expected,
+            ):
+                peer = types.SimpleNamespace(
+                    address='127.0.0.9', is_older_release=lambda: is_older
+                )
+                api = _Api(peer, call)
+                progress = jobs.ItemProgress()
+                progress.events = ['a']
+                progress.is_complete = is_complete
+                progress.service = 's'
+                progress.software_version = 'v1'
+                self.assertEqual(
+                    expected, await api.hand_over('t', progress, 'p')
+                )
+
+            self._run(check)
+        self.assertEqual(2, len(calls))
+        self.assertEqual(
+            {('s', 'v1')},
+            {(body['service'], body['software_version']) for body in calls},
+        )
+
+
+class _Api(_peers_api.PeersApi):
+    """Calls one peer by a function of the test."""
+
+    __slots__ = ('_call_peer',)
+
+    def __init__(self, peer, call_peer):
+        super().__init__(
+            view=None,
+            document_follower=None,
+            upstreams_follower=None,
+            directory=types.SimpleNamespace(peers={'p': peer}),
+            scheduler=None,
+            ledger=None,
+            origins=None,
+            own_address=transport.Address('127.0.0.1', 1),
+            seeds=[],
+        )
+        self._call_peer = call_peer
+
+    async def _call(self, address, request, silence_timeout_ms=0):
+        return await self._call_peer(address, request)
--- a/siskinmount/gateway/tests/test_software_versions.py
+++ b/siskinmount/gateway/tests/test_software_versions.py
@@ -212,6 +212,31 @@
 
         self._run(check)
 
+    def test_take_up_does_not_reach_an_engine_that_has_changed_its_version(
+        self,
+    ):
+        async def check(fleet):
+            name = await self._begin(fleet, 0, 'q', 'old')
+            begun = len(fleet.engines['old'].runs)
+            # The next read of the list is put off for a moment after this one.
+            fleet.list_engine('old', 'model', fleet.addresses['old'], 'ready')
+            await trio.sleep(0.02)
+            fleet.list_engine(
+                'old', 'model', fleet.addresses['old'], version='v2', born=2
+            )
+            answer = await _call(
+                fleet,
+                0,
+                'again',
+                name.encode(),
+                last_event_id=3,
+                resumes=name,
+            )
+            self.assertEqual(503, answer.status)
+            self.assertEqual(begun, len(fleet.engines['old'].runs))
+
+        self._run(check)
+
     def test_take_up_of_a_take_up_names_the_first_attempt(self):
         async def check(fleet):
             await fleet.start_engine('new', 'model', True, 'v2')
--- a/siskinmount/stream_origins/tests/test_origin_recorder.py
+++ b/siskinmount/stream_origins/tests/test_origin_recorder.py
@@ -183,6 +183,24 @@
 
         self._run(check)
 
+    def test_late_append_of_the_process_before_overwrites_nothing(self):
+        async def check(log, recorder):
+            await _submit(recorder, 'q').recorded.wait()
+            await trio.sleep(_origin_recorder.RECORD_OPEN_S + 1)
+            log.faults = [_Fault.LATE]
+            _submit(recorder, 'r')
+            await trio.sleep(0.02)
+            async with trio.open_nursery() as nursery:
+                successor = stream_origins.create_origin_recorder(log, 'm')
+                nursery.start_soon(successor.run)
+                second = _submit(successor, 's')
+                await second.recorded.wait()
+                await trio.sleep(2 * _LATE_S)
+                nursery.cancel_scope.cancel()
+            self.assertIn(second.origin.key.first_attempt, log.list_streams())
+
+        self._run(check)
+
     def test_number_of_keys_is_bounded(self):
         async def check(log, recorder):
             for number in range(1200):
--- a/siskinmount/stream_origins/tests/test_origin_table.py
+++ b/siskinmount/stream_origins/tests/test_origin_table.py
@@ -34,7 +34,10 @@
         async def check(table):
             table.apply_record('m/1', [_origin('q', _V2, 1)])
             table.apply_record('m/0', [_origin('q', _V1, 0)])
+            table.apply_record('m/2', [_origin('r', _V1, 0)])
+            table.apply_record('m/3', [_origin('r', _V2, 1)])
             self.assertEqual(_V2, table.find(_key('q')))
+            self.assertEqual(_V2, table.find(_key('r')))
             self.assertIsNone(table.find_own(_key('q')))
 
         self._run(check)
