Start an item again if those of its version have failed it

The one engine of the version that had written five of its events broke that run off. As there were others, it was left out; the others run another version; and as it had a free slot, the output was not dropped either. The item waited for good. Change: what is left out for a failure counts as no slot of the item's version; the wait of 2 s runs from the last event and not from the last run.

--- a/siskinmount/gateway/_item_continuation.py
+++ b/siskinmount/gateway/_item_continuation.py
@@ -45,32 +45,44 @@
         self._drop_output(next_item, progress, 'no upstream of its version')
         return route.draw_service()
 
-    def list_other_software(
+    def list_excluded(
         self,
         next_item: jobs.NextItem,
         tag: str,
         slots: list[fleet.Upstream],
+        excluded: set[str],
     ) -> set[str]:
-        """Returns the upstreams that cannot go on with the output of an item.
+        """Returns the upstreams at which an item is not to run now.
 
-        An item that has waited for `OUTPUT_WAIT_S` starts from the beginning
-        where there is a slot.
+        With output, these are also all of other software. An item that has
+        waited for `OUTPUT_WAIT_S` starts from the beginning where there is a
+        slot.
+
+        Args:
+            next_item: The item.
+            tag: Its tag.
+            slots: The upstream of each free slot.
+            excluded: Upstreams that are left out for other reasons.
         """
         progress = self._scheduler.progress.get(tag)
         if progress is None or not progress.events:
-            return set()
+            return excluded
         software = fleet.Software(progress.service, progress.software_version)
-        others = {
-            upstream.upstream_id
-            for upstream in slots
-            if upstream.software != software
-        }
+        others: set[str] = set()
+        may_go_on = False
+        may_start = False
+        for upstream in slots:
+            is_excluded = upstream.upstream_id in excluded
+            if upstream.software == software:
+                may_go_on = may_go_on or not is_excluded
+                continue
+            others.add(upstream.upstream_id)
+            may_start = may_start or not is_excluded
         waited_s = trio.current_time() - progress.kept_since_s
-        has_own = any(upstream.software == software for upstream in slots)
-        if not others or has_own or waited_s < OUTPUT_WAIT_S:
-            return others
+        if may_go_on or not may_start or waited_s < OUTPUT_WAIT_S:
+            return excluded | others
         self._drop_output(next_item, progress, 'no free slot of its version')
-        return set()
+        return excluded
 
     def _drop_output(
         self,
--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -195,8 +195,9 @@
             upstream = placement.choose_batch_slot(
                 slots,
                 next_item.rank,
-                self._list_excluded(tag, service)
-                | self._continuation.list_other_software(next_item, tag, slots),
+                self._continuation.list_excluded(
+                    next_item, tag, slots, self._list_excluded(tag, service)
+                ),
             )
             if upstream is None:
                 continue
@@ -374,7 +375,8 @@
                 )
         finally:
             del self._runs[run.tag]
-            progress.kept_since_s = trio.current_time()
+            if progress.last_event_id != resumed_from:
+                progress.kept_since_s = trio.current_time()
             self._update_load(upstream.upstream_id)
         self._metrics.item_runs.increment(outcome.value)
         _LOGGER.info(
--- a/siskinmount/gateway/tests/test_item_continuation.py
+++ b/siskinmount/gateway/tests/test_item_continuation.py
@@ -100,18 +100,25 @@
 
     def test_item_waits_for_a_slot_of_its_version_for_a_time(self):
         cases = [
-            # Free slots, waited, left out, output kept.
-            ([_A1, _C2, _D2], 9.0, {'c2', 'd2'}, True),
-            ([_C2, _D2], 1.0, {'c2', 'd2'}, True),
-            ([_C2, _D2], 2.5, set(), False),
-            ([], 9.0, set(), True),
+            # Free slots, left out already, waited, left out, output kept.
+            ([_A1, _C2, _D2], set(), 9.0, {'c2', 'd2'}, True),
+            ([_C2, _D2], set(), 1.0, {'c2', 'd2'}, True),
+            ([_C2, _D2], set(), 2.5, set(), False),
+            ([], set(), 9.0, set(), True),
+            # The only one of its version has failed the item.
+            ([_A1, _C2], {'a1'}, 1.0, {'a1', 'c2'}, True),
+            ([_A1, _C2], {'a1'}, 2.5, {'a1'}, False),
+            ([_A1, _B1, _C2], {'a1'}, 2.5, {'a1', 'c2'}, True),
+            # There is none to start at either.
+            ([_C2], {'c2'}, 2.5, {'c2'}, True),
         ]
-        for slots, waited_s, expected, is_kept in cases:
+        for slots, excluded, waited_s, expected, is_kept in cases:
 
             async def check(
                 continuation,
                 progress,
                 slots=slots,
+                excluded=excluded,
                 waited_s=waited_s,
                 expected=expected,
                 is_kept=is_kept,
@@ -119,7 +126,9 @@
                 await trio.sleep(waited_s)
                 self.assertEqual(
                     expected,
-                    continuation.list_other_software(_NEXT_ITEM, 't', slots),
+                    continuation.list_excluded(
+                        _NEXT_ITEM, 't', slots, excluded
+                    ),
                 )
                 self.assertEqual(is_kept, bool(progress.events))
 
@@ -128,8 +137,8 @@
     def test_item_without_output_may_start_anywhere(self):
         async def check(continuation, progress):
             self.assertEqual(
-                set(),
-                continuation.list_other_software(_NEXT_ITEM, 't', [_A1, _C2]),
+                {'c2'},
+                continuation.list_excluded(_NEXT_ITEM, 't', [_A1, _C2], {'c2'}),
             )
 
         self._run(check, [_A1, _C2], has_output=False)
--- a/siskinmount/gateway/tests/test_software_versions.py
+++ b/siskinmount/gateway/tests/test_software_versions.py
@@ -397,3 +397,18 @@
             )
 
         gateway_harness.run_fleet(check, engines=('old',))
+
+    def test_item_goes_on_if_the_only_engine_of_its_version_has_failed_it(self):
+        async def check(fleet):
+            fleet.engines['old'].answer_faults = [_FAULT.CUT_BETWEEN_EVENTS]
+            fleet.engines['old'].event_interval_ms = 50
+            await fleet.submit(0, 'job', [gateway_harness.make_item('i1')])
+            await gateway_harness.wait_until(lambda: fleet.engines['old'].runs)
+            await fleet.start_engine('new', 'model', True, 'v2')
+            document = await fleet.wait_results(0, 'job', 1)
+            self.assertEqual(
+                gateway_harness.make_output('i1'),
+                document['results'][0]['output'],
+            )
+
+        gateway_harness.run_fleet(check, engines=('old',))
--- a/siskinmount/jobs/_item_scheduler.py
+++ b/siskinmount/jobs/_item_scheduler.py
@@ -49,7 +49,7 @@
         service: Service that wrote the output; empty if there is none.
         software_version: Version of its software, which alone may go on with
             the output.
-        kept_since_s: Monotonic time since which the output waits for a run.
+        kept_since_s: Monotonic time since which the output has not grown.
     """
 
     __slots__ = (
