--- a/siskinmount/sidecar/tests/fakes.py
+++ b/siskinmount/sidecar/tests/fakes.py
@@ -148,6 +148,7 @@
         self.cancelled = []
         self.documents = []
         self.padding = ''
+        self.software_version = ''
 
     async def handle(self, exchange):
         if exchange.head.path == '/v1/state':
@@ -159,7 +160,9 @@
             await exchange.send_json(200, {})
             return
         self.documents.append(document)
-        await exchange.start_stream(200, [])
+        await exchange.start_stream(
+            200, [(b'x-software-version', self.software_version.encode())]
+        )
         first = len(document['resume_tokens'])
         for index in range(first, document['max_tokens']):
             await self.allowed.acquire()
--- a/siskinmount/sidecar/tests/test_sidecar.py
+++ b/siskinmount/sidecar/tests/test_sidecar.py
@@ -12,8 +12,10 @@
 from siskinmount.sidecar.tests import fakes
 
 
-def _run_request(request_id, tokens=3, headers=(), service='model-service'):
-    body = orjson.dumps({'prompt': 'a', 'max_tokens': tokens})
+def _run_request(
+    request_id, tokens=3, headers=(), service='model-service', **fields
+):
+    body = orjson.dumps({'prompt': 'a', 'max_tokens': tokens, **fields})
     return transport.ClientRequest(
         'POST',
         f'/run/{service}',
@@ -89,6 +91,34 @@
 
         self.run_with_sidecar(check)
 
+    def test_version_of_the_engine_is_told_and_required(self):
+        async def check(engine, daemon, client):
+            engine.software_version = 'v1'
+            engine.allow(8)
+            for request_id in ('a', 'b'):
+                with await client.send(_run_request(request_id)) as exchange:
+                    reader = relay.FrameReader()
+                    frames = []
+                    while chunk := await exchange.receive_chunk():
+                        frames.extend(reader.feed(chunk))
+                self.assertEqual(
+                    ['v1', '', ''],
+                    [frame.software_version for frame in frames[:3]],
+                )
+            # Known since the first answer.
+            self.assertEqual('v1', exchange.find_header(b'x-software-version'))
+            rest = {'resume_tokens': ['t0']}
+            for version, status in (('v1', 200), ('v2', 503), ('', 503)):
+                request = _run_request(
+                    f'c{version}', resume_version=version, **rest
+                )
+                with await client.send(request) as exchange:
+                    self.assertEqual(status, exchange.status, version)
+                    await exchange.read_body(9999)
+            self.assertEqual(3, len(engine.documents))
+
+        self.run_with_sidecar(check)
+
     def test_refusals(self):
         async def check(engine, daemon, client):
             attach = [(relay.RelayHeader.ATTACH_ONLY, b'1')]
