--- a/siskinmount/gateway/_gateway_metrics.py
+++ b/siskinmount/gateway/_gateway_metrics.py
@@ -33,7 +33,7 @@
         resumes: Streams resumed at another upstream.
         stream_origins: Streams that callers resume, by how it was found out
             what began them.
-        stream_begins: Streams that began, by what became of their record.
+        streams_started: Streams that began, by what became of their record.
         disconnects: Callers that disconnected before their response ended.
     """
 
@@ -58,7 +58,7 @@
         'oldest_open_item',
         'resumes',
         'stream_origins',
-        'stream_begins',
+        'streams_started',
         'disconnects',
     )
 
@@ -130,8 +130,8 @@
             'Streams that callers resume, by how their origin was found.',
             'source',
         )
-        self.stream_begins = metrics.create_counter(
-            'stream_begins_total', 'Streams that began.', 'record'
+        self.streams_started = metrics.create_counter(
+            'streams_started_total', 'Streams that began.', 'record'
         )
         self.resumes = metrics.create_counter(
             'stream_resumes_total', 'Streams that went on elsewhere.'
--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -50,7 +50,7 @@
     #: The upstream answered with an error; nothing has been sent to the caller.
     FAILED = 'failed'
 
-    #: The upstream has begun the stream, which could not be recorded in time;
+    #: The upstream has started the stream, which could not be recorded in time;
     #: nothing has been sent to the caller.
     UNRECORDED = 'unrecorded'
 
@@ -84,7 +84,7 @@
         '_waiting',
         '_event_count',
         '_part_run',
-        '_begin',
+        '_stream_start',
     )
 
     def __init__(
@@ -106,7 +106,7 @@
         self._part_run = context.crash_tracker.parts.begin_run(
             request.name_prompt_parts(upstream.service)
         )
-        self._begin: _origin_registrar.StreamBegin | None = None
+        self._stream_start: _origin_registrar.StreamStart | None = None
         if self._is_streaming:
             self._waiting = context.overdue.begin(
                 upstream.upstream_id, request.route.target_ms
@@ -121,12 +121,12 @@
         outcome = AttemptOutcome.LOST
         reason = _CANCELLED
         if request.is_resumable_stream and request.software is None:
-            self._begin = self._context.registrar.begin(
+            self._stream_start = self._context.registrar.start(
                 request, self._upstream.software
             )
         try:
             with self._context.registrar.follow_run(
-                request, self._begin, self._upstream
+                request, self._stream_start, self._upstream
             ):
                 outcome, reason = await self._send()
         finally:
@@ -379,7 +379,7 @@
             self._event_count += len(events)
             if self._event_count >= placement.MIN_ADDED_EVENTS:
                 self._record_output()
-            if not await self._confirm_begin():
+            if not await self._confirm_start():
                 return _NOT_RECORDED
             await self._response.send_events(
                 response, b''.join(event.raw for event in events)
@@ -387,13 +387,13 @@
             self._request.last_event_id = stream.last_event_id
             silence_s = self._get_event_gap_timeout_s()
 
-    async def _confirm_begin(self) -> bool:
+    async def _confirm_start(self) -> bool:
         """Returns whether events of this run may be sent to the caller."""
-        begin = self._begin
-        if begin is None:
+        start = self._stream_start
+        if start is None:
             return True
-        self._begin = None
-        return await self._context.registrar.confirm(self._request, begin)
+        self._stream_start = None
+        return await self._context.registrar.confirm(self._request, start)
 
     def _get_first_byte_timeout_s(self) -> float:
         """Returns the timeout for the first byte; infinite without a retry."""
--- a/siskinmount/gateway/_online_handler.py
+++ b/siskinmount/gateway/_online_handler.py
@@ -138,7 +138,7 @@
                 if outcome is _online_attempt.AttemptOutcome.UNRECORDED:
                     # The upstream has not failed.
                     request.tried_upstreams.discard(chosen.upstream.upstream_id)
-                    request.must_begin_unrecorded = True
+                    request.must_start_unrecorded = True
                 if outcome is _online_attempt.AttemptOutcome.LOST:
                     await self._wait_for_crash_check(chosen.upstream)
                 continue
@@ -250,7 +250,7 @@
         if request.route.priority > 0:
             urgency = placement.Urgency.ONLINE
         if request.software is not None:
-            # The caller has the begin of the response: a late end is better
+            # The caller has the start of the response: a late end is better
             # than none.
             max_wait_ms = max(max_wait_ms, request.get_remaining_ms())
             urgency = placement.Urgency.HIGHEST
@@ -317,7 +317,7 @@
         software = request.software
         if software is None and request.is_resumable_stream:
             software = self._context.registrar.choose_software(
-                service, request.must_begin_unrecorded
+                service, request.must_start_unrecorded
             )
         return self._context.placer.place_online(
             service,
--- a/siskinmount/gateway/_online_request.py
+++ b/siskinmount/gateway/_online_request.py
@@ -31,8 +31,8 @@
         buffered_bytes: Bytes of upstreams' responses that are held for it.
         software: What began the stream of which the caller has events; nothing
             else may go on with it. None before the first event.
-        record_count: Runs that were recorded as a begin of the stream.
-        must_begin_unrecorded: Whether a run could not be recorded in time, so
+        record_count: Runs that were recorded as the start of the stream.
+        must_start_unrecorded: Whether a run could not be recorded in time, so
             that the next one is to need no record.
     """
 
@@ -53,7 +53,7 @@
         'buffered_bytes',
         'software',
         'record_count',
-        'must_begin_unrecorded',
+        'must_start_unrecorded',
     )
 
     def __init__(
@@ -86,7 +86,7 @@
         self.buffered_bytes = 0
         self.software: fleet.Software | None = None
         self.record_count = 0
-        self.must_begin_unrecorded = False
+        self.must_start_unrecorded = False
 
     @property
     def request_id(self) -> str:
--- a/siskinmount/gateway/_origin_finder.py
+++ b/siskinmount/gateway/_origin_finder.py
@@ -242,7 +242,7 @@
             is_unrecorded = self._get_outage_s() > stream_origins.STREAM_LIFE_S
         if not is_unrecorded:
             return FoundOrigin(OriginSource.UNREADABLE)
-        if assumed is None or not self._may_have_begun(assumed):
+        if assumed is None or not self._may_have_started(assumed):
             return FoundOrigin(OriginSource.AMBIGUOUS)
         if life_s > stream_origins.STREAM_LIFE_S:
             # A record may have been dropped before the stream has ended.
@@ -262,11 +262,11 @@
             return False
         return self._directory.get_reachable_share() > 0.5
 
-    def _may_have_begun(self, software: fleet.Software) -> bool:
+    def _may_have_started(self, software: fleet.Software) -> bool:
         """Returns whether a software did not come back after a stream began.
 
         If all its upstreams are young, and another version has older ones, a
-        stream may have begun at that one while this one was away.
+        stream may have started at that one while this one was away.
         """
         limit_ms = (time.time() - YOUNG_UPSTREAM_S) * 1000
         is_listed = False
--- a/siskinmount/gateway/_origin_registrar.py
+++ b/siskinmount/gateway/_origin_registrar.py
@@ -1,4 +1,4 @@
-"""Registers what begins a stream, before its first event is sent."""
+"""Registers which software starts a stream, before its first event is sent."""
 
 from collections.abc import Iterator
 import contextlib
@@ -20,8 +20,8 @@
 LAST_RECORD_WAIT_S = 0.5
 
 
-class StreamBegin:
-    """A run that may begin a stream.
+class StreamStart:
+    """A run whose events may be the first of a stream.
 
     Attributes:
         origin: The stream and the software of the run.
@@ -46,22 +46,22 @@
 
     Attributes:
         request: The caller's request.
-        begin: The begin that the run may be; None if it goes on.
+        start: The start that the run may be; None if it goes on with a stream.
     """
 
-    __slots__ = ('request', 'begin')
+    __slots__ = ('request', 'start')
 
     def __init__(
         self,
         request: _online_request.OnlineRequest,
-        begin: StreamBegin | None,
+        start: StreamStart | None,
     ) -> None:
         self.request = request
-        self.begin = begin
+        self.start = start
 
 
 class OriginRegistrar:
-    """Notes and records the streams that begin at this member."""
+    """Notes and records the streams that start at this member."""
 
     __slots__ = (
         '_table',
@@ -93,14 +93,14 @@
     def follow_run(
         self,
         request: _online_request.OnlineRequest,
-        begin: StreamBegin | None,
+        start: StreamStart | None,
         upstream: fleet.Upstream,
     ) -> Iterator[None]:
         """Watches, during a run, for what its upstream turns out to run."""
         if not request.is_resumable_stream:
             yield
             return
-        run = _Run(request, begin)
+        run = _Run(request, start)
         runs = self._runs.setdefault(upstream.upstream_id, {})
         runs[run] = upstream.software
         try:
@@ -113,7 +113,7 @@
     def _detect_other_software(self) -> None:
         """Handles runs at upstreams that have started again as another version.
 
-        A run that goes on may have begun at either process, so nothing may go
+        A run that goes on may have started at either process, so nothing may go
         on with its stream.
         """
         for upstream_id, runs in self._runs.items():
@@ -129,8 +129,8 @@
     def _drop_origin(self, run: _Run, upstream_id: str) -> None:
         """Makes a stream one that cannot be resumed, here and elsewhere."""
         request = run.request
-        if run.begin is not None:
-            run.begin.is_uncertain = True
+        if run.start is not None:
+            run.start.is_uncertain = True
         _LOGGER.info(
             'stream_origin_uncertain',
             extra={
@@ -150,12 +150,12 @@
         )
         request.record_count += 1
         request.software = unknown.software
-        self._table.note_begin(unknown)
+        self._table.add_own(unknown)
         self._recorder.submit(unknown)
 
-    def begin(
+    def start(
         self, request: _online_request.OnlineRequest, software: fleet.Software
-    ) -> StreamBegin:
+    ) -> StreamStart:
         """Has a run recorded if need be; called before the run is sent."""
         origin = stream_origins.StreamOrigin(
             request.make_stream_key(request.request_id),
@@ -172,12 +172,12 @@
             and len(request.route.shares) == 1
             and not self._versions.needs_record(software)
         ):
-            return StreamBegin(origin, None)
+            return StreamStart(origin, None)
         request.record_count += 1
-        return StreamBegin(origin, self._recorder.submit(origin))
+        return StreamStart(origin, self._recorder.submit(origin))
 
     async def confirm(
-        self, request: _online_request.OnlineRequest, begin: StreamBegin
+        self, request: _online_request.OnlineRequest, start: StreamStart
     ) -> bool:
         """Returns whether the events of a run may be sent to the caller.
 
@@ -187,37 +187,37 @@
         """
         outcome = 'not_needed'
         waiting_since_s = trio.current_time()
-        if begin.record is not None:
+        if start.record is not None:
             outcome = 'recorded'
             wait_s = LAST_RECORD_WAIT_S
             if request.may_retry_after_current():
                 wait_s = RECORD_WAIT_S
             with trio.move_on_after(wait_s):
-                await begin.record.recorded.wait()
-            if not begin.record.recorded.is_set():
+                await start.record.recorded.wait()
+            if not start.record.recorded.is_set():
                 # The recorder goes on trying for a while.
                 outcome = 'unrecorded'
-                if self.serves_assumed(begin.origin.software.service):
+                if self.serves_assumed(start.origin.software.service):
                     outcome = 'given_up'
-                    if self._recorder.withdraw(begin.record):
+                    if self._recorder.withdraw(start.record):
                         request.record_count -= 1
-        self._metrics.stream_begins.increment(outcome)
-        if begin.record is not None:
+        self._metrics.streams_started.increment(outcome)
+        if start.record is not None:
             _LOGGER.info(
-                'stream_begun',
+                'stream_started',
                 extra={
                     'request_id': request.request_id,
-                    'software': str(begin.origin.software),
-                    'ordinal': begin.origin.ordinal,
+                    'software': str(start.origin.software),
+                    'ordinal': start.origin.ordinal,
                     'held_ms': int(
                         (trio.current_time() - waiting_since_s) * 1000
                     ),
                     'outcome': outcome,
                 },
             )
-        if outcome == 'given_up' or begin.is_uncertain:
+        if outcome == 'given_up' or start.is_uncertain:
             return False
-        self.note(request, begin.origin)
+        self.note(request, start.origin)
         return True
 
     def note(
@@ -227,7 +227,7 @@
     ) -> None:
         """Binds a request to the software whose events its caller gets."""
         request.software = origin.software
-        self._table.note_begin(origin)
+        self._table.add_own(origin)
 
     def choose_software(
         self, service: str, must_need_no_record: bool
@@ -264,10 +264,10 @@
     """Creates a registrar.
 
     Args:
-        table: Remembers the streams that begin here.
+        table: Remembers the streams that start here.
         versions: Says which streams need a record.
         recorder: Writes records.
         view: Upstreams that take requests.
-        metrics: Counts begins of streams by what became of their record.
+        metrics: Counts started streams by what became of their record.
     """
     return OriginRegistrar(table, versions, recorder, view, metrics)
--- a/siskinmount/gateway/tests/test_origin_registrar.py
+++ b/siskinmount/gateway/tests/test_origin_registrar.py
@@ -57,7 +57,7 @@
 
 class OriginRegistrarTest(testtools.TestCase):
 
-    def _begin(
+    def _start(
         self,
         *,
         recorded_after_s,
@@ -94,18 +94,18 @@
                 ),
                 may_retry_after_current=lambda: may_retry,
             )
-            begun_at_s = trio.current_time()
-            begin = registrar.begin(request, _V2)
-            may_begin = await registrar.confirm(request, begin)
-            return may_begin, request, trio.current_time() - begun_at_s
+            started_at_s = trio.current_time()
+            start = registrar.start(request, _V2)
+            may_start = await registrar.confirm(request, start)
+            return may_start, request, trio.current_time() - started_at_s
 
         return trio.run(
             main, clock=trio.testing.MockClock(autojump_threshold=0)
         )
 
     def test_first_event_waits_for_the_record(self):
-        may_begin, request, took_s = self._begin(recorded_after_s=0.1)
-        self.assertTrue(may_begin)
+        may_start, request, took_s = self._start(recorded_after_s=0.1)
+        self.assertTrue(may_start)
         self.assertEqual(_V2, request.software)
         self.assertAlmostEqual(0.1, took_s)
 
@@ -114,25 +114,25 @@
             (True, _origin_registrar.RECORD_WAIT_S),
             (False, _origin_registrar.LAST_RECORD_WAIT_S),
         ):
-            may_begin, request, took_s = self._begin(
+            may_start, request, took_s = self._start(
                 recorded_after_s=None, may_retry=may_retry
             )
-            self.assertFalse(may_begin)
+            self.assertFalse(may_start)
             self.assertIsNone(request.software)
             self.assertAlmostEqual(wait_s, took_s)
             # It may be in the log all the same: the next run needs one too.
             self.assertEqual(1, request.record_count)
 
     def test_run_that_was_certainly_not_recorded_leaves_nothing(self):
-        may_begin, request, _ = self._begin(
+        may_start, request, _ = self._start(
             recorded_after_s=None, may_withdraw=True
         )
-        self.assertFalse(may_begin)
+        self.assertFalse(may_start)
         self.assertEqual(0, request.record_count)
 
     def test_stream_begins_unrecorded_where_none_can_be_joined(self):
-        may_begin, request, _ = self._begin(
+        may_start, request, _ = self._start(
             recorded_after_s=None, listed=('v2',)
         )
-        self.assertTrue(may_begin)
+        self.assertTrue(may_start)
         self.assertEqual(_V2, request.software)
--- a/siskinmount/stream_origins/_origin_recorder.py
+++ b/siskinmount/stream_origins/_origin_recorder.py
@@ -1,6 +1,6 @@
 """Records what began a stream, before its first event reaches the caller.
 
-Streams that begin while an append is under way are recorded together by the next
+Streams that start while an append is under way are recorded together by the next
 one. Each record holds the streams of a few seconds, under a key of this member
 that is used again only after a rest: by then its streams cannot be resumed any
 more, and no append of it that was not answered can still take effect.
--- a/siskinmount/stream_origins/_origin_table.py
+++ b/siskinmount/stream_origins/_origin_table.py
@@ -7,7 +7,7 @@
 
 from siskinmount import fleet
 
-#: How long after its begin a stream may be resumed. Callers try within the
+#: How long after its start a stream may be resumed. Callers try within the
 #: timeout of their route, 5 s at the deployments.
 STREAM_LIFE_S = 30.0
 #: Largest number of streams that began here and are remembered.
@@ -112,14 +112,14 @@
     __slots__ = ('_own', '_own_index', '_recorded', '_recorded_index')
 
     def __init__(self) -> None:
-        # In the order of their begin.
+        # In the order of their start.
         self._own: list[tuple[float, StreamOrigin]] = []
         self._own_index = _Index()
         self._recorded: dict[str, list[StreamOrigin]] = {}
         self._recorded_index = _Index()
 
-    def note_begin(self, origin: StreamOrigin) -> None:
-        """Remembers a stream that begins here."""
+    def add_own(self, origin: StreamOrigin) -> None:
+        """Remembers a stream that starts here."""
         self._own.append((trio.current_time(), origin))
         self._own_index.add(origin)
         if len(self._own) > MAX_OWN_STREAMS:
@@ -137,7 +137,7 @@
             self._recorded_index.add(origin)
 
     def find_own(self, key: StreamKey) -> fleet.Software | None:
-        """Returns what began a stream here; None if it did not begin here."""
+        """Returns what started a stream here; None if it did not start here."""
         return _get_last(self._own_index.list_by_attempt(key), key)
 
     def find(self, key: StreamKey) -> fleet.Software | None:
--- a/siskinmount/stream_origins/tests/test_origin_table.py
+++ b/siskinmount/stream_origins/tests/test_origin_table.py
@@ -44,7 +44,7 @@
 
     def test_attempt_of_another_request_is_not_taken_for_this_one(self):
         async def check(table):
-            table.note_begin(_origin('q', _V1, fingerprint='other'))
+            table.add_own(_origin('q', _V1, fingerprint='other'))
             self.assertIsNone(table.find(_key('q')))
             self.assertTrue(table.has_foreign(_key('q')))
             self.assertFalse(table.has_foreign(_key('r')))
@@ -66,9 +66,9 @@
 
     def test_own_streams_are_forgotten_after_their_life(self):
         async def check(table):
-            table.note_begin(_origin('q', _V1))
+            table.add_own(_origin('q', _V1))
             await trio.sleep(stream_origins.STREAM_LIFE_S - 1)
-            table.note_begin(_origin('r', _V1))
+            table.add_own(_origin('r', _V1))
             table.expire()
             self.assertEqual(_V1, table.find(_key('q')))
             await trio.sleep(2)
