Review: a fault of a script is no verdict

Cause: an exception of a script would have ended it with 1, the status of a broken rule, and SIGTERM would have left its gateways behind.

Change: both end it with 2 and end the processes that it started; a script ends after 114 s whatever happens.

--- a/review/harness/rig.py
+++ b/review/harness/rig.py
@@ -1,6 +1,8 @@
 """Starts gateways with the commands of the deploy file, before stand-ins."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import json
 import os
 import pathlib
@@ -25,6 +27,8 @@
 EXIT_HELD = 0
 EXIT_BROKEN = 1
 EXIT_CANNOT_RUN = 2
+#: Longest time of a case, within the 120 s that it may take.
+MAX_LENGTH_S = 114.0
 
 
 class CannotRunError(Exception):
@@ -240,20 +244,28 @@
     return os.environ.get('TROUBLE', '1') != '0'
 
 
-def run(main: object, folder: pathlib.Path) -> None:
-    """Runs a case, and exits with its verdict."""
+def run(main: Callable[[Rig], Awaitable[int]], folder: pathlib.Path) -> None:
+    """Runs a case, and exits with its verdict.
+
+    A fault of the script itself is no verdict: the case could not be run.
+    """
+    signal.signal(signal.SIGTERM, _exit_on_signal)
     rig = Rig(folder)
+    verdict = EXIT_CANNOT_RUN
     try:
-        verdict = asyncio.run(main(rig))
-    except (CannotRunError, OSError) as error:
+        verdict = asyncio.run(asyncio.wait_for(main(rig), MAX_LENGTH_S))
+    except Exception as error:
         rig.record.write('cannot_run', reason=repr(error))
         print(f'could not run: {error!r}')
-        verdict = EXIT_CANNOT_RUN
     finally:
         rig.close()
     sys.exit(verdict)
 
 
+def _exit_on_signal(unused_number: int, unused_frame: object) -> None:
+    sys.exit(EXIT_CANNOT_RUN)
+
+
 def _find_free_ports(base: str, count: int) -> int:
     """Returns the first of six ports that are free at all addresses."""
     for _ in range(50):
