Take the end of a connection for the end of a body only if its process lives

Cause: a body without length or chunks counted as complete whenever its last byte ended an event, or always for plain answers. The kernel closes the connections of a killed process in order, so nothing in the bytes shows it.

Change: the client of such a server keeps one connection open besides those in use, and at the end of such a body asks whether a new one is accepted and whether one that was open before the last bytes still is. Items, callers' streams and plain answers at the gateway, and answers of plain services at the sidecar go by that; where it shows nothing, by the upstream's entry. Answers of peers without framing are refused.

Tried and dropped: to count a spare connection that was reset as a sign of an exit; a server with too many connections resets them.

--- a/siskinmount/gateway/_event_stream.py
+++ b/siskinmount/gateway/_event_stream.py
@@ -4,6 +4,8 @@
 broken off is taken for complete by neither.
 """
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import logging
 
 import trio
@@ -17,8 +19,13 @@
 _END_TEXTS = {
     transport.StreamEnd.WITHIN_EVENT: 'within an event',
     transport.StreamEnd.BEFORE_EVENTS: 'before its first event',
+    transport.StreamEnd.BETWEEN_EVENTS: 'as the process of its upstream ended',
 }
 
+#: Returns whether the upstream lived through the end of a body that has neither
+#: a length nor chunks.
+CheckUnframedEnd = Callable[[], Awaitable[bool]]
+
 
 class EventStream:
     """The events of one response, in order and without gaps.
@@ -28,12 +35,16 @@
             request continues after; None if there is none.
         waiting_since_s: Monotonic time since which the next event is awaited.
             Bytes that complete none do not change it.
+        empty_end_id: Id of the event after which an upstream sent none, in a
+            body without a length or chunks; None if there was no such body.
     """
 
     __slots__ = (
         'last_event_id',
         'waiting_since_s',
+        'empty_end_id',
         '_response',
+        '_check_unframed_end',
         '_metrics',
         '_request_id',
         '_upstream_id',
@@ -49,10 +60,14 @@
         request_id: str,
         upstream_id: str,
         last_event_id: int | None,
+        empty_end_id: int | None,
+        check_unframed_end: CheckUnframedEnd,
     ) -> None:
         self.last_event_id = last_event_id
         self.waiting_since_s = 0.0
+        self.empty_end_id = empty_end_id
         self._response = response
+        self._check_unframed_end = check_unframed_end
         self._metrics = metrics
         self._request_id = request_id
         self._upstream_id = upstream_id
@@ -86,7 +101,7 @@
             if isinstance(chunk, results.Failure):
                 return chunk
             if not chunk:
-                failure = self._judge_end()
+                failure = await self._judge_end()
                 return [] if failure is None else failure
             events = self._accept(self._splitter.split(chunk))
             if self._splitter.is_overlong and self._failure is None:
@@ -116,11 +131,14 @@
             self._has_progress = self._has_progress or event.has_fields
         return accepted
 
-    def _judge_end(self) -> results.Failure | None:
+    async def _judge_end(self) -> results.Failure | None:
         """Returns why the stream is not complete, or None if it is."""
         framing = self._response.body_framing
         end = self._splitter.find_end()
-        is_complete = transport.is_stream_complete(end, framing)
+        if framing is transport.BodyFraming.CONNECTION_END:
+            is_complete = await self._is_unframed_complete(end)
+        else:
+            is_complete = transport.is_stream_complete(end, framing)
         self._metrics.stream_ends.increment(framing.value, end.value)
         if not is_complete or framing is transport.BodyFraming.CONNECTION_END:
             _LOGGER.info(
@@ -140,6 +158,24 @@
             return None
         return _lost(f'the stream was broken off {_END_TEXTS[end]}')
 
+    async def _is_unframed_complete(self, end: transport.StreamEnd) -> bool:
+        """Returns whether a stream that ends with its connection is complete.
+
+        If a stream that continues has no event, it must have ended there twice:
+        one upstream may have been broken off before its first event.
+        """
+        framing = transport.BodyFraming.CONNECTION_END
+        if transport.is_stream_complete(end, framing):
+            return await self._check_unframed_end()
+        if end is transport.StreamEnd.WITHIN_EVENT:
+            return False
+        if self.last_event_id is None or not await self._check_unframed_end():
+            return False
+        if self.empty_end_id == self.last_event_id:
+            return True
+        self.empty_end_id = self.last_event_id
+        return False
+
 
 def create_timeout_failure() -> results.Failure:
     """Returns the failure of a stream whose next event did not come in time."""
@@ -159,6 +195,8 @@
     request_id: str,
     upstream_id: str,
     last_event_id: int | None,
+    empty_end_id: int | None,
+    check_unframed_end: CheckUnframedEnd,
 ) -> EventStream:
     """Creates the reader of a response of which no body byte was read yet.
 
@@ -168,7 +206,15 @@
         request_id: Id of the request or batch item, for the log.
         upstream_id: The upstream, for the log.
         last_event_id: Id of the event that the response continues after.
+        empty_end_id: That of the last response to the same request.
+        check_unframed_end: Called once if the body has no framing.
     """
     return EventStream(
-        response, metrics, request_id, upstream_id, last_event_id
+        response,
+        metrics,
+        request_id,
+        upstream_id,
+        last_event_id,
+        empty_end_id,
+        check_unframed_end,
     )
--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -40,6 +40,7 @@
 from siskinmount.gateway import _rate_limit_reader
 from siskinmount.gateway import _response_buffers
 from siskinmount.gateway import _result_writer
+from siskinmount.gateway import _unframed_end
 from siskinmount.gateway import _upstream_clients
 from siskinmount.gateway import _version_keeper
 
@@ -267,6 +268,13 @@
             self._peers_api.hand_over,
             settings.max_record_bytes,
         )
+        upstreams_sync = keyed_log.create_shared_sync(self._upstreams_follower)
+        end_check = _unframed_end.create_unframed_end_check(
+            self._view,
+            upstreams_sync,
+            self._metrics,
+            settings.upstream_heartbeat_ms,
+        )
         self._runner = _item_runner.create_item_runner(
             membership=self._membership,
             view=self._view,
@@ -282,6 +290,7 @@
                 limit_reader,
                 outside.wire,
                 self._metrics,
+                end_check,
             ),
             result_writer=result_writer,
             metrics=self._metrics,
@@ -307,9 +316,8 @@
             departures=departures,
             rate_limits=limit_reader,
             origins=origins,
-            upstreams_sync=keyed_log.create_shared_sync(
-                self._upstreams_follower
-            ),
+            upstreams_sync=upstreams_sync,
+            end_check=end_check,
             registrar=_origin_registrar.create_origin_registrar(
                 origin_table,
                 stream_versions,
--- a/siskinmount/gateway/_gateway_metrics.py
+++ b/siskinmount/gateway/_gateway_metrics.py
@@ -13,6 +13,9 @@
         attempts: Attempts at upstreams by outcome.
         stream_ends: Ends of upstreams' streams, by framing of the body and by
             what followed the last complete event.
+        unframed_ends: Ends of bodies without a length or chunks, by what was
+            found of the upstream's process, and by whether they count as
+            complete.
         interrupted_runs: Interrupted runs by what became of them: counted as a
             crash, or the reason why not.
         quarantined_requests: Requests that were refused as they may crash
@@ -43,6 +46,7 @@
         'responses',
         'attempts',
         'stream_ends',
+        'unframed_ends',
         'interrupted_runs',
         'quarantined_requests',
         'quarantined_parts',
@@ -77,6 +81,12 @@
             'framing',
             'end',
         )
+        self.unframed_ends = metrics.create_counter(
+            'upstream_unframed_ends_total',
+            'Ends of bodies without length or chunks.',
+            'process',
+            'outcome',
+        )
         self.interrupted_runs = metrics.create_counter(
             'interrupted_runs_total',
             'Runs that an upstream or a connection broke off.',
--- a/siskinmount/gateway/_item_client.py
+++ b/siskinmount/gateway/_item_client.py
@@ -1,6 +1,7 @@
 """Runs a batch item at one upstream."""
 
 import enum
+import functools
 
 import trio
 
@@ -13,6 +14,7 @@
 from siskinmount.gateway import _event_stream
 from siskinmount.gateway import _gateway_metrics
 from siskinmount.gateway import _rate_limit_reader
+from siskinmount.gateway import _unframed_end
 from siskinmount.gateway import _upstream_clients
 from siskinmount.gateway import _wire
 
@@ -57,6 +59,7 @@
         '_rate_limits',
         '_wire',
         '_metrics',
+        '_end_check',
     )
 
     def __init__(
@@ -67,6 +70,7 @@
         rate_limits: _rate_limit_reader.RateLimitReader,
         wire: _wire.Wire,
         metrics: _gateway_metrics.GatewayMetrics,
+        end_check: _unframed_end.UnframedEndCheck,
     ) -> None:
         self._clients = clients
         self._health = health
@@ -74,6 +78,7 @@
         self._rate_limits = rate_limits
         self._wire = wire
         self._metrics = metrics
+        self._end_check = end_check
 
     async def run(
         self,
@@ -147,12 +152,21 @@
             request_id=item_id,
             upstream_id=upstream.upstream_id,
             last_event_id=progress.last_event_id,
+            empty_end_id=progress.empty_end_id,
+            check_unframed_end=functools.partial(
+                self._end_check.is_complete,
+                response,
+                upstream,
+                item_id,
+                may_wait=True,
+            ),
         )
         outcome = RunOutcome.LOST, _event_stream.create_timeout_failure().reason
         with trio.CancelScope() as scope:
             outcome = await self._add_events(
                 stream, response, progress, upstream.software, scope
             )
+        progress.empty_end_id = stream.empty_end_id
         if scope.cancelled_caught or outcome[0] is RunOutcome.DONE:
             return outcome
         if response.received_body_bytes > MAX_OUTPUT_BYTES:
@@ -205,6 +219,9 @@
     rate_limits: _rate_limit_reader.RateLimitReader,
     wire: _wire.Wire,
     metrics: _gateway_metrics.GatewayMetrics,
+    end_check: _unframed_end.UnframedEndCheck,
 ) -> ItemClient:
     """Creates a client that uses the upstreams' connection pools."""
-    return ItemClient(clients, health, departures, rate_limits, wire, metrics)
+    return ItemClient(
+        clients, health, departures, rate_limits, wire, metrics, end_check
+    )
--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -1,6 +1,7 @@
 """One attempt to have a request answered by one upstream."""
 
 import enum
+import functools
 import logging
 import math
 
@@ -280,6 +281,11 @@
             return AttemptOutcome.LOST, body.reason
         if self._request.response_started:
             return AttemptOutcome.LOST, f'{reason} while resuming a stream'
+        is_unframed = (
+            response.body_framing is transport.BodyFraming.CONNECTION_END
+        )
+        if is_unframed and not await self._is_end_complete(response):
+            return AttemptOutcome.LOST, 'the upstream ended with its response'
         buffered = _online_response.BufferedResponse(
             response.status, response.headers, body
         )
@@ -298,6 +304,14 @@
             return AttemptOutcome.ANSWERED_FAILURE, reason
         return AttemptOutcome.ANSWERED, reason
 
+    async def _is_end_complete(
+        self, response: transport.ClientExchange
+    ) -> bool:
+        """Returns whether a body without framing that has ended is complete."""
+        return await self._context.end_check.is_complete(
+            response, self._upstream, self._request.request_id
+        )
+
     async def _read_whole(
         self, response: transport.ClientExchange
     ) -> bytes | results.Failure:
@@ -334,12 +348,17 @@
             request_id=self._request.request_id,
             upstream_id=self._upstream.upstream_id,
             last_event_id=self._request.last_event_id,
+            empty_end_id=self._request.empty_end_id,
+            check_unframed_end=functools.partial(
+                self._is_end_complete, response
+            ),
         )
         failure: results.Failure | None = None
         # One scope for all events: to enter and leave one for each costs a
         # third of what an event costs.
         with trio.CancelScope() as scope:
             failure = await self._forward_events(stream, response, scope)
+        self._request.empty_end_id = stream.empty_end_id
         if failure is _NOT_RECORDED:
             return AttemptOutcome.UNRECORDED, failure.reason
         if scope.cancelled_caught:
--- a/siskinmount/gateway/_online_context.py
+++ b/siskinmount/gateway/_online_context.py
@@ -8,6 +8,7 @@
 from siskinmount.gateway import _origin_registrar
 from siskinmount.gateway import _rate_limit_reader
 from siskinmount.gateway import _response_buffers
+from siskinmount.gateway import _unframed_end
 from siskinmount.gateway import _upstream_clients
 from siskinmount.gateway import _wire
 
@@ -27,6 +28,7 @@
         origins: Finds out what began a stream that a caller resumes.
         registrar: Registers what begins a stream.
         upstreams_sync: Brings the list of upstreams up to date.
+        end_check: Judges ends of bodies without framing.
         buffers: Bounds the memory of responses that are read whole.
         wire: Reads and writes headers.
         metrics: Counters and histograms of the gateway.
@@ -44,6 +46,7 @@
         'origins',
         'registrar',
         'upstreams_sync',
+        'end_check',
         'buffers',
         'wire',
         'metrics',
@@ -63,6 +66,7 @@
         origins: _origin_finder.OriginFinder,
         registrar: _origin_registrar.OriginRegistrar,
         upstreams_sync: keyed_log.SharedSync,
+        end_check: _unframed_end.UnframedEndCheck,
         buffers: _response_buffers.ResponseBuffers,
         wire: _wire.Wire,
         metrics: _gateway_metrics.GatewayMetrics,
@@ -78,6 +82,7 @@
         self.origins = origins
         self.registrar = registrar
         self.upstreams_sync = upstreams_sync
+        self.end_check = end_check
         self.buffers = buffers
         self.wire = wire
         self.metrics = metrics
--- a/siskinmount/gateway/_online_request.py
+++ b/siskinmount/gateway/_online_request.py
@@ -27,6 +27,8 @@
         not_run_count: Attempts that the upstream did not run.
         tried_upstreams: Upstreams that failed to answer the request.
         last_event_id: Id of the last event that the caller has, or None.
+        empty_end_id: Id of the event after which an upstream sent none, without
+            showing that there is none; None if that has not been so.
         may_have_run: Whether an upstream may have started to run it.
         buffered_bytes: Bytes of upstreams' responses that are held for it.
         software: What began the stream of which the caller has events; nothing
@@ -49,6 +51,7 @@
         'not_run_count',
         'tried_upstreams',
         'last_event_id',
+        'empty_end_id',
         'may_have_run',
         'buffered_bytes',
         'software',
@@ -82,6 +85,7 @@
         self.not_run_count = 0
         self.tried_upstreams: set[str] = set()
         self.last_event_id = caller_request.last_event_id
+        self.empty_end_id: int | None = None
         self.may_have_run = False
         self.buffered_bytes = 0
         self.software: fleet.Software | None = None
--- a/siskinmount/gateway/_peers_api.py
+++ b/siskinmount/gateway/_peers_api.py
@@ -368,7 +368,9 @@
         if isinstance(exchange, results.Failure):
             return exchange
         with exchange:
-            body = await exchange.read_body(MAX_RESPONSE_BYTES)
+            body = exchange.find_framing_fault()
+            if body is None:
+                body = await exchange.read_body(MAX_RESPONSE_BYTES)
         client.close()
         if exchange.status != 200:
             return results.Failure(
--- a/siskinmount/gateway/tests/gateway_harness.py
+++ b/siskinmount/gateway/tests/gateway_harness.py
@@ -195,7 +195,12 @@
             await self.wait_ready(running)
 
     async def start_engine(
-        self, engine_id, service, is_streaming, version='v1'
+        self,
+        engine_id,
+        service,
+        is_streaming,
+        version='v1',
+        idle_timeout_ms=75_000,
     ):
         """Starts an engine and registers it in the store."""
         engine = event_engine.create_event_engine(
@@ -210,7 +215,7 @@
 
         engine.crash = crash
         address = await self._nursery.start(
-            self._serve_engine, engine, faults, scope
+            self._serve_engine, engine, faults, scope, idle_timeout_ms
         )
         self.engines[engine_id] = engine
         self.engine_faults[engine_id] = faults
@@ -218,13 +223,16 @@
         self.list_engine(engine_id, service, address, version=version)
         return engine
 
-    async def _serve_engine(self, engine, faults, scope, task_status):
+    async def _serve_engine(
+        self, engine, faults, scope, idle_timeout_ms, task_status
+    ):
         with scope:
             await serving.serve(
                 transport.Address('127.0.0.1', 0),
                 engine.handle,
                 faults,
                 task_status=task_status,
+                limits=transport.ServerLimits(idle_timeout_ms=idle_timeout_ms),
             )
 
     def list_engine(
@@ -235,6 +243,7 @@
         state='ready',
         born=1,
         version='v1',
+        seq_no=1,
     ):
         """Writes an engine's entry to the store."""
         entry = {
@@ -245,6 +254,7 @@
             'slot_count': 8,
             'state': state,
             'born': born,
+            'seq_no': seq_no,
         }
         self.store.put('keyed.servers', engine_id, orjson.dumps(entry))
 
--- a/siskinmount/gateway/tests/online_context.py
+++ b/siskinmount/gateway/tests/online_context.py
@@ -12,6 +12,7 @@
 from siskinmount.gateway import _origin_registrar
 from siskinmount.gateway import _rate_limit_reader
 from siskinmount.gateway import _response_buffers
+from siskinmount.gateway import _unframed_end
 
 
 class _UpToDate:
@@ -65,6 +66,9 @@
             get_outage_s=lambda: 0.0,
         ),
         upstreams_sync=_UpToDate(),
+        end_check=_unframed_end.create_unframed_end_check(
+            view, _UpToDate(), metrics, heartbeat_ms=1200
+        ),
         registrar=_origin_registrar.create_origin_registrar(
             table, versions, recorder, view, metrics
         ),
--- a/siskinmount/gateway/tests/test_event_stream.py
+++ b/siskinmount/gateway/tests/test_event_stream.py
@@ -36,8 +36,19 @@
 
 class EventStreamTest(testtools.TestCase):
 
-    def _read(self, framing, chunks, last_event_id=None):
+    def _read(
+        self,
+        framing,
+        chunks,
+        last_event_id=None,
+        empty_end_id=None,
+        is_serving=True,
+    ):
         """Returns ids of the events, reason of a failure, line and stream."""
+
+        async def check():
+            return is_serving
+
         self.metrics = _gateway_metrics.create_gateway_metrics(
             telemetry.create_metrics()
         )
@@ -47,6 +58,8 @@
             request_id='q',
             upstream_id='u',
             last_event_id=last_event_id,
+            empty_end_id=empty_end_id,
+            check_unframed_end=check,
         )
         ids = []
 
@@ -132,3 +145,27 @@
                 )
             counted = self.metrics.stream_ends.get(framing.value, end)
             self.assertEqual(1, counted)
+
+    def test_unframed_end_is_no_end_if_the_process_has_exited(self):
+        exited = 'the stream was broken off as the process of its upstream'
+        for chunks in ([_event(1)], [_event(1), b'\n']):
+            _, reason, _ = self._read(_CONNECTION_END, chunks, is_serving=False)
+            self.assertTrue(reason.startswith(exited), reason)
+        _, reason, _ = self._read(_CHUNKED, [_event(1)], is_serving=False)
+        self.assertIsNone(reason)
+
+    def test_unframed_continuation_without_events_must_end_there_twice(self):
+        # Else the item whose upstream exited after its last event never ends.
+        cases = [
+            # Last event, id of an earlier empty end, process, failure, noted.
+            (7, None, True, _BEFORE, 7),
+            (7, 7, True, None, 7),
+            (7, 5, True, _BEFORE, 7),
+            (7, 7, False, _BEFORE, 7),
+            (None, None, True, _BEFORE, None),
+        ]
+        for last, earlier, is_serving, failure, noted in cases:
+            _, reason, stream = self._read(
+                _CONNECTION_END, [], last, earlier, is_serving
+            )
+            self.assertEqual((failure, noted), (reason, stream.empty_end_id))
--- a/siskinmount/gateway/tests/test_item_client.py
+++ b/siskinmount/gateway/tests/test_item_client.py
@@ -10,6 +10,7 @@
 from siskinmount import transport
 from siskinmount.gateway import _gateway_metrics
 from siskinmount.gateway import _item_client
+from siskinmount.gateway import _unframed_end
 
 _Outcome = _item_client.RunOutcome
 
@@ -65,14 +66,18 @@
         """Returns the outcome, when it came, and the collected events."""
 
         async def main():
+            metrics = _gateway_metrics.create_gateway_metrics(
+                telemetry.create_metrics()
+            )
             client = _item_client.create_item_client(
                 None,
                 None,
                 None,
                 None,
                 None,
-                _gateway_metrics.create_gateway_metrics(
-                    telemetry.create_metrics()
+                metrics,
+                _unframed_end.create_unframed_end_check(
+                    None, None, metrics, 1200
                 ),
             )
             progress = jobs.ItemProgress()
--- a/siskinmount/gateway/tests/test_online_handler.py
+++ b/siskinmount/gateway/tests/test_online_handler.py
@@ -21,6 +21,7 @@
     def __init__(self, answer_after_s, status):
         self.status = status
         self.headers = [(b'x-request-id', b'q')]
+        self.body_framing = transport.BodyFraming.LENGTH
         self.upstream = fleet.Upstream(
             upstream_id='u',
             service='s',
--- a/siskinmount/jobs/_item_scheduler.py
+++ b/siskinmount/jobs/_item_scheduler.py
@@ -40,6 +40,8 @@
     Attributes:
         events: Data of the output events received so far, in order.
         last_event_id: Id of the last event; None before the first.
+        empty_end_id: Id of the event after which an upstream sent none, without
+            showing that there is none; None if that has not been so.
         failed_attempts: Runs for which the upstream reported a failure.
         failed_upstreams: Upstreams that failed a run, and are not to run the
             item again as long as there are others.
@@ -55,6 +57,7 @@
     __slots__ = (
         'events',
         'last_event_id',
+        'empty_end_id',
         'failed_attempts',
         'failed_upstreams',
         'lost_runs',
@@ -68,6 +71,7 @@
     def __init__(self) -> None:
         self.events: list[str] = []
         self.last_event_id: int | None = None
+        self.empty_end_id: int | None = None
         self.failed_attempts = 0
         self.failed_upstreams: set[str] = set()
         self.lost_runs = 0
@@ -81,6 +85,7 @@
         """Drops the output, so that the next run starts from the beginning."""
         self.events.clear()
         self.last_event_id = None
+        self.empty_end_id = None
         self.service = ''
         self.software_version = ''
 
--- a/siskinmount/sidecar/_http_plain_upstream.py
+++ b/siskinmount/sidecar/_http_plain_upstream.py
@@ -15,6 +15,8 @@
 CONNECT_TIMEOUT_MS = 1000
 SILENCE_TIMEOUT_MS = 600_000
 MAX_CONNECTIONS = 1024
+#: Longest time between the closings of the connections of a process that exits.
+SETTLE_S = 0.01
 _EVENT_STREAM = 'text/event-stream'
 
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -57,10 +59,10 @@
                 chunk.code, chunk.reason, results.RunState.RAN
             )
         if not chunk:
-            if self._is_broken_off():
+            if await self._is_broken_off():
                 return results.Failure(
                     results.ResultCode.UPSTREAM_LOST,
-                    'the event stream was broken off',
+                    'the response was broken off',
                     results.RunState.RAN,
                 )
             return [relay.EndFrame()]
@@ -85,10 +87,22 @@
                 return True
         return self._splitter.is_overlong
 
-    def _is_broken_off(self) -> bool:
-        """Returns whether an event stream ended before it was complete."""
-        return self._splitter is not None and not transport.is_stream_complete(
-            self._splitter.find_end(), self._exchange.body_framing
+    async def _is_broken_off(self) -> bool:
+        """Returns whether the body ended before it was complete.
+
+        One that ends with its connection is broken off if the process of the
+        service has ended, too.
+        """
+        framing = self._exchange.body_framing
+        if self._splitter is not None and not transport.is_stream_complete(
+            self._splitter.find_end(), framing
+        ):
+            return True
+        if framing is not transport.BodyFraming.CONNECTION_END:
+            return False
+        return await self._exchange.check_process(SETTLE_S) not in (
+            transport.ServerProcess.SERVING,
+            transport.ServerProcess.UNKNOWN,
         )
 
     def _list_headers(self) -> list[tuple[str, str]]:
--- a/siskinmount/sidecar/tests/test_http_plain_upstream.py
+++ b/siskinmount/sidecar/tests/test_http_plain_upstream.py
@@ -19,7 +19,7 @@
 
 class HttpPlainUpstreamTest(testtools.TestCase):
 
-    def _read(self, response):
+    def _read(self, response, exits=False):
         """Returns the body and the last frame, or the failure in its place."""
 
         async def run(address):
@@ -40,7 +40,7 @@
                         stream.close()
                         return body, frame
 
-        return raw_server.run_against(response, run)
+        return raw_server.run_against(response, run, exits=exits)
 
     def test_response_names_the_rate_that_the_service_accepts(self):
         seen = []
@@ -74,3 +74,17 @@
             self.assertEqual(
                 is_complete, isinstance(last, relay.EndFrame), response
             )
+
+    def test_unframed_response_of_a_service_that_exits_is_a_failure(self):
+        # What was sent before the exit may be a part of the response.
+        for response in (_EVENTS + _EVENT, _HEAD + b'\r\nplain'):
+            _, last = self._read(response, exits=True)
+            self.assertIsInstance(last, results.Failure, response)
+
+    def test_framed_response_of_a_service_that_exits_is_complete(self):
+        for response in (
+            _CHUNKED_EVENTS + b'0\r\n\r\n',
+            _HEAD + b'content-length: 5\r\n\r\nplain',
+        ):
+            _, last = self._read(response, exits=True)
+            self.assertIsInstance(last, relay.EndFrame, response)
--- a/siskinmount/transport/__init__.py
+++ b/siskinmount/transport/__init__.py
@@ -25,3 +25,4 @@
 from siskinmount.transport._listen_failure import run_listening
 from siskinmount.transport._server_exchange import RequestHead
 from siskinmount.transport._server_exchange import ServerExchange
+from siskinmount.transport._server_process import ServerProcess
--- a/siskinmount/transport/_client_exchange.py
+++ b/siskinmount/transport/_client_exchange.py
@@ -1,15 +1,16 @@
 """Client side of one HTTP request and its response."""
 
-from collections.abc import Callable
-import select
+from typing import Protocol
 
 import h11
 import trio
 
 from siskinmount import results
 from siskinmount.transport import _body_framing
+from siskinmount.transport import _client_connection
 from siskinmount.transport import _headers
 from siskinmount.transport import _limits
+from siskinmount.transport import _server_process
 from siskinmount.transport import _socket_io
 
 READ_BYTES = 64 * 1024
@@ -87,47 +88,45 @@
     return None
 
 
-class ClientConnection:
-    """A client connection that carries one request at a time.
+class ConnectionPool(Protocol):
+    """The connections of a client, as a response needs them."""
 
-    Attributes:
-        stream: The socket.
-        parser: State of the HTTP protocol.
-        idle_since_s: Monotonic time of the last use.
-        reused: Whether the connection has completed a request before.
-        timed_out: Whether the server did not respond within the time limit.
-        request_sent_at_s: Monotonic time at which the last request was sent.
-        max_idle_s: Maximum idle time before reuse, from the keep-alive
-            timeout that the server announced; infinite without one.
-        received_bytes: Bytes received since the last request was sent.
-    """
+    def release(
+        self,
+        connection: _client_connection.ClientConnection,
+        reusable: bool,
+        max_idle_s: float | None,
+    ) -> None:
+        """Takes a connection back after a request.
 
-    __slots__ = (
-        'stream',
-        'parser',
-        'idle_since_s',
-        'reused',
-        'timed_out',
-        'request_sent_at_s',
-        'max_idle_s',
-        'received_bytes',
-    )
+        Args:
+            connection: The connection.
+            reusable: Whether it may carry another request.
+            max_idle_s: Longest idle time before a reuse, as far as the server
+                has announced a timeout; else None.
+        """
+        ...
 
-    def __init__(self, stream: trio.SocketStream) -> None:
-        self.stream = stream
-        self.parser = h11.Connection(h11.CLIENT)
-        self.idle_since_s = trio.current_time()
-        self.reused = False
-        self.timed_out = False
-        self.request_sent_at_s = self.idle_since_s
-        self.max_idle_s = float('inf')
-        self.received_bytes = 0
+    async def keep_idle_connection(self) -> float:
+        """Opens a connection if there is none besides those in use.
 
-    def is_usable(self) -> bool:
-        """Returns whether the idle socket has neither data nor EOF to read."""
-        poller = select.poll()
-        poller.register(self.stream.socket.fileno(), select.POLLIN)
-        return not poller.poll(0)
+        Returns:
+            Monotonic time at which all idle connections were open.
+        """
+        ...
+
+    async def check_process(
+        self, served_after_s: float, settle_s: float
+    ) -> _server_process.ServerProcess:
+        """Returns whether the process that served after a time still does.
+
+        Args:
+            served_after_s: Monotonic time after which the process sent bytes of
+                a response.
+            settle_s: Longest time between the closings of the connections of a
+                process that exits.
+        """
+        ...
 
 
 class ClientExchange:
@@ -147,7 +146,8 @@
         'received_body_bytes',
         '_connection',
         '_limits',
-        '_release',
+        '_pool',
+        '_is_released',
     )
 
     def __init__(
@@ -155,9 +155,9 @@
         method: str,
         status: int,
         headers: _headers.Headers,
-        connection: ClientConnection,
+        connection: _client_connection.ClientConnection,
         limits: _limits.ClientLimits,
-        release: Callable[[ClientConnection, bool], None],
+        pool: ConnectionPool,
     ) -> None:
         self.status = status
         self.headers = headers
@@ -167,7 +167,8 @@
         self.received_body_bytes = 0
         self._connection = connection
         self._limits = limits
-        self._release: Callable[[ClientConnection, bool], None] | None = release
+        self._pool = pool
+        self._is_released = False
 
     def find_header(self, name: bytes) -> str | None:
         """Returns the first value of a header, by lower-case name."""
@@ -199,10 +200,27 @@
                 return b''.join(parts)
             if self._has_excess_framing():
                 return _connection_lost('the body is framed in too many bytes')
+            if self.body_framing is _body_framing.BodyFraming.CONNECTION_END:
+                self._connection.begin_wait(
+                    await self._pool.keep_idle_connection()
+                )
             failure = await receive_into(self._connection, self._limits)
             if failure is not None:
                 return failure
 
+    async def check_process(
+        self, settle_s: float
+    ) -> _server_process.ServerProcess:
+        """Returns whether the process that sent the response still serves.
+
+        Args:
+            settle_s: Longest time between the closings of the connections of a
+                process that exits.
+        """
+        return await self._pool.check_process(
+            self._connection.served_after_s, settle_s
+        )
+
     def _has_excess_framing(self) -> bool:
         """Returns whether the body is lost in what frames it."""
         framing_bytes = (
@@ -262,8 +280,9 @@
 
     def close(self) -> None:
         """Returns the connection to the pool, or closes it if not reusable."""
-        if self._release is None:
+        if self._is_released:
             return
+        self._is_released = True
         parser = self._connection.parser
         # Bytes after the response were not requested: do not reuse.
         reusable = (
@@ -271,9 +290,9 @@
             and parser.their_state is h11.DONE
             and not parser.trailing_data[0]
         )
-        self._connection.max_idle_s = _parse_max_idle_s(self.headers)
-        self._release(self._connection, reusable)
-        self._release = None
+        self._pool.release(
+            self._connection, reusable, _parse_max_idle_s(self.headers)
+        )
 
     def __enter__(self) -> 'ClientExchange':
         return self
@@ -282,18 +301,19 @@
         self.close()
 
 
-def _parse_max_idle_s(headers: _headers.Headers) -> float:
+def _parse_max_idle_s(headers: _headers.Headers) -> float | None:
     """Returns the timeout of the `Keep-Alive` header, reduced by a margin."""
     text = _headers.find_header(headers, b'keep-alive') or ''
     for part in text.split(','):
         name, _, value = part.strip().partition('=')
         if name.lower() == 'timeout' and value.isdigit():
             return int(value) * MAX_IDLE_SHARE
-    return float('inf')
+    return None
 
 
 async def receive_into(
-    connection: ClientConnection, limits: _limits.ClientLimits
+    connection: _client_connection.ClientConnection,
+    limits: _limits.ClientLimits,
 ) -> results.Failure | None:
     """Reads bytes from the socket into the parser."""
     data: bytes | None = None
@@ -312,8 +332,7 @@
             f'no data received for {limits.silence_timeout_ms} ms',
             results.RunState.UNKNOWN,
         )
-    connection.received_bytes += len(data)
-    connection.parser.receive_data(data)
+    connection.add_received(data)
     return None
 
 
--- a/siskinmount/transport/_http_client.py
+++ b/siskinmount/transport/_http_client.py
@@ -5,9 +5,21 @@
 
 from siskinmount import results
 from siskinmount.transport import _address
+from siskinmount.transport import _body_framing
+from siskinmount.transport import _client_connection
 from siskinmount.transport import _client_exchange
+from siskinmount.transport import _idle_connections
 from siskinmount.transport import _keep_alive
 from siskinmount.transport import _limits
+from siskinmount.transport import _server_process
+
+#: Longest time for which a response waits for the connection that is to show
+#: whether its server exits, and time between two attempts to open it.
+MAX_IDLE_CONNECT_S = 0.1
+IDLE_CONNECT_INTERVAL_S = 0.5
+#: Connections that are opened to learn whether a server still accepts any. One
+#: that is accepted and then closed may be due to an exit, or to a full server.
+MAX_CHECK_CONNECTIONS = 2
 
 
 class HttpClient:
@@ -18,7 +30,15 @@
         in_use_count: Number of connections with a request in progress.
     """
 
-    __slots__ = ('address', 'in_use_count', '_limits', '_idle', '_slots')
+    __slots__ = (
+        'address',
+        'in_use_count',
+        '_limits',
+        '_idle',
+        '_slots',
+        '_omits_framing',
+        '_not_opened_before_s',
+    )
 
     def __init__(
         self, address: _address.Address, limits: _limits.ClientLimits
@@ -26,8 +46,13 @@
         self.address = address
         self.in_use_count = 0
         self._limits = limits
-        self._idle: list[_client_exchange.ClientConnection] = []
+        self._idle = _idle_connections.create_idle_connections(
+            limits.idle_timeout_ms / 1000
+        )
         self._slots = trio.Semaphore(limits.max_connections)
+        # Whether the body of the last response ended with its connection.
+        self._omits_framing = False
+        self._not_opened_before_s = float('-inf')
 
     async def send(
         self, request: _client_exchange.ClientRequest
@@ -38,15 +63,14 @@
         `NOT_RUN` only if no byte of the request was written.
         """
         await self._slots.acquire()
-        connection: _client_exchange.ClientConnection | None = None
+        connection: _client_connection.ClientConnection | None = None
         exchange: _client_exchange.ClientExchange | None = None
         try:
             connected = await self._connect()
             if isinstance(connected, results.Failure):
                 return connected
             connection = connected
-            connection.request_sent_at_s = trio.current_time()
-            connection.received_bytes = 0
+            connection.begin_request()
             response = await self._exchange(connection, request)
             if isinstance(response, results.Failure):
                 return response
@@ -56,9 +80,13 @@
                 list(response.headers),
                 connection,
                 self._limits,
-                self._release,
+                self,
             )
             self.in_use_count += 1
+            self._omits_framing = (
+                exchange.body_framing
+                is _body_framing.BodyFraming.CONNECTION_END
+            )
             return exchange
         finally:
             if exchange is None:
@@ -68,22 +96,67 @@
 
     def close(self) -> None:
         """Closes all idle connections."""
-        while self._idle:
-            _close_socket(self._idle.pop())
+        self._idle.close_all()
+
+    async def keep_idle_connection(self) -> float:
+        """Implements `ConnectionPool.keep_idle_connection`.
+
+        The connection shows whether the server exits, and carries the next
+        request. Waits for `MAX_IDLE_CONNECT_S` at most.
+        """
+        self._idle.close_unusable()
+        now_s = trio.current_time()
+        if not self._idle and now_s >= self._not_opened_before_s:
+            self._not_opened_before_s = now_s + IDLE_CONNECT_INTERVAL_S
+            with trio.move_on_after(MAX_IDLE_CONNECT_S):
+                connection = await self._open()
+                if not isinstance(connection, results.Failure):
+                    self._idle.add(connection)
+                    self._not_opened_before_s = float('-inf')
+        return self._idle.mark_open()
+
+    async def check_process(
+        self, served_after_s: float, settle_s: float
+    ) -> _server_process.ServerProcess:
+        """Implements `ConnectionPool.check_process`.
+
+        The connection that is opened for this carries the next request.
+        """
+        for _ in range(MAX_CHECK_CONNECTIONS):
+            connection = await self._open()
+            if isinstance(connection, results.Failure):
+                return _server_process.ServerProcess.GONE
+            if await self._add_if_open(connection, settle_s):
+                break
+        return self._idle.judge_process(served_after_s)
+
+    async def _add_if_open(
+        self,
+        connection: _client_connection.ClientConnection,
+        settle_s: float,
+    ) -> bool:
+        """Returns whether a new connection is still open after a time."""
+        is_open = False
+        try:
+            await trio.sleep(settle_s)
+            is_open = connection.is_usable()
+        finally:
+            if is_open:
+                self._idle.add(connection)
+            else:
+                connection.close()
+        return is_open
 
     async def _connect(
         self,
-    ) -> _client_exchange.ClientConnection | results.Failure:
+    ) -> _client_connection.ClientConnection | results.Failure:
         """Returns a usable idle connection, or opens a new one."""
-        while self._idle:
-            connection = self._idle.pop()
-            idle_s = trio.current_time() - connection.idle_since_s
-            fresh = idle_s < min(
-                self._limits.idle_timeout_ms / 1000, connection.max_idle_s
-            )
-            if fresh and connection.is_usable():
-                return connection
-            _close_socket(connection)
+        return self._idle.take() or await self._open()
+
+    async def _open(
+        self,
+    ) -> _client_connection.ClientConnection | results.Failure:
+        """Opens a connection."""
         try:
             with trio.move_on_after(
                 self._limits.connect_timeout_ms / 1000
@@ -95,11 +168,11 @@
             return self._unreachable(str(error))
         if scope.cancelled_caught:
             return self._unreachable('connect timed out')
-        connection = _client_exchange.ClientConnection(stream)
+        connection = _client_connection.ClientConnection(stream)
         try:
             _keep_alive.enable_keep_alive(stream)
         except OSError as error:
-            _close_socket(connection)
+            connection.close()
             return self._unreachable(str(error))
         return connection
 
@@ -111,7 +184,7 @@
 
     async def _exchange(
         self,
-        connection: _client_exchange.ClientConnection,
+        connection: _client_connection.ClientConnection,
         request: _client_exchange.ClientRequest,
     ) -> h11.Response | results.Failure:
         """Writes the request and reads the head of the response."""
@@ -140,6 +213,8 @@
                 results.ResultCode.UPSTREAM_SILENT,
                 'timed out while sending the request',
             )
+        if self._omits_framing:
+            connection.begin_wait(await self.keep_idle_connection())
         while True:
             try:
                 event = connection.parser.next_event()
@@ -167,42 +242,34 @@
             if failure is not None:
                 return failure
 
-    def _discard(self, connection: _client_exchange.ClientConnection) -> None:
+    def _discard(self, connection: _client_connection.ClientConnection) -> None:
         """Closes a connection and, after a time-out, older idle connections.
 
         The cause of a time-out often affects all connections to the server, and
         each would cost another time-out. Connections that have completed a
         request since the timed-out one was sent are kept.
         """
-        _close_socket(connection)
-        if not connection.timed_out:
-            return
-        kept: list[_client_exchange.ClientConnection] = []
-        for idle in self._idle:
-            if idle.idle_since_s >= connection.request_sent_at_s:
-                kept.append(idle)
-                continue
-            _close_socket(idle)
-        self._idle = kept
+        connection.close()
+        if connection.timed_out:
+            self._idle.close_unused_since(connection.request_sent_at_s)
 
-    def _release(
-        self, connection: _client_exchange.ClientConnection, reusable: bool
+    def release(
+        self,
+        connection: _client_connection.ClientConnection,
+        reusable: bool,
+        max_idle_s: float | None,
     ) -> None:
-        """Returns a connection to the pool after a request."""
+        """Implements `ConnectionPool.release`."""
+        if max_idle_s is not None:
+            self._idle.server_timeout_s = max_idle_s
         self.in_use_count -= 1
         self._slots.release()
         if not reusable:
             self._discard(connection)
             return
         connection.parser.start_next_cycle()
-        connection.idle_since_s = trio.current_time()
         connection.reused = True
-        self._idle.append(connection)
-
-
-def _close_socket(connection: _client_exchange.ClientConnection) -> None:
-    """Closes a connection's socket immediately."""
-    connection.stream.socket.close()
+        self._idle.add(connection)
 
 
 def _outcome_unknown(code: results.ResultCode, reason: str) -> results.Failure:
--- a/standins/event_engine/_event_engine.py
+++ b/standins/event_engine/_event_engine.py
@@ -49,6 +49,10 @@
     #: The stream stops halfway, and the connection stays open.
     STALL_MIDWAY = 'stall_midway'
 
+    #: The process exits in the middle of the answer, between two events. Its
+    #: connections are closed in order, as the kernel does.
+    EXIT_MIDWAY = 'exit_midway'
+
 
 _CUTS = (AnswerFault.CUT_MIDWAY, AnswerFault.CUT_BETWEEN_EVENTS)
 
@@ -215,12 +219,16 @@
         if self.omits_framing:
             exchange.omit_framing()
         if not self.is_streaming:
-            run.is_finished = True
             if self.omits_framing:
                 await exchange.start_stream(200, echo)
-                await exchange.send_chunk(b'answer to ' + body)
+                await exchange.send_chunk(b'answer to ')
+                if fault is AnswerFault.EXIT_MIDWAY:
+                    await self._exit(exchange)
+                run.is_finished = True
+                await exchange.send_chunk(body)
                 await exchange.finish()
                 return
+            run.is_finished = True
             await exchange.send_whole(200, echo, b'answer to ' + body)
             return
         await self._stream(exchange, run, echo, fault)
@@ -255,6 +263,8 @@
                     await self._break_off(exchange)
                     nursery.cancel_scope.cancel()
                     return
+                if number == fault_event and fault is AnswerFault.EXIT_MIDWAY:
+                    await self._exit(exchange)
                 if number == fault_event and fault is AnswerFault.STALL_MIDWAY:
                     await trio.sleep_forever()
                 await exchange.send_chunk(event)
@@ -283,6 +293,15 @@
         # The end of an unframed body is the same whether it is complete or not.
         await exchange.finish()
 
+    async def _exit(
+        self, exchange: faults_module.FaultInjectingExchange
+    ) -> None:
+        """Ends the process; an unframed answer is not reset."""
+        if self.omits_framing:
+            await exchange.finish()
+        self.crash()
+        await trio.sleep_forever()
+
 
 def make_event(request_id: str, number: int, version: str = '') -> bytes:
     """Returns an event as a server-sent event."""
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -20,6 +20,7 @@
     faults: faults_module.Faults,
     background_tasks: tuple[BackgroundTask, ...] = (),
     task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+    limits: transport.ServerLimits | None = None,
 ) -> None:
     """Serves until cancelled.
 
@@ -29,9 +30,10 @@
         faults: The faults that affect the handler.
         background_tasks: Run concurrently with the server.
         task_status: Receives the address that the server listens on.
+        limits: Limits of the server, if not the default ones.
     """
     server = transport.create_http_server(
-        faults_module.create_fault_injecting_handler(handler, faults)
+        faults_module.create_fault_injecting_handler(handler, faults), limits
     )
     async with trio.open_nursery() as nursery:
         for task in background_tasks:
--- a/tools/soak/_soak_fleet.py
+++ b/tools/soak/_soak_fleet.py
@@ -270,14 +270,19 @@
                 task_status.started(proxy)
 
     async def _crash_engine(self, running: SoakEngine) -> None:
-        """Ends an engine, and starts another one after some seconds."""
+        """Ends an engine under a request with the crashing part."""
+        if not running.scope.cancel_called:
+            self.observed.part_crashes_at_s.append(trio.current_time())
+        await self.end_engine(running)
+
+    async def end_engine(self, running: SoakEngine) -> None:
+        """Ends an engine, and starts another one after some seconds.
+
+        Its connections are closed in order, as those of a process that exits.
+        """
         if running.scope.cancel_called:
             return
-        # The orderly end of an answer without framing, between two of its
-        # events, could not be told from a complete answer.
-        running.proxy.reset_connections()
         running.scope.cancel()
-        self.observed.part_crashes_at_s.append(trio.current_time())
         if running in self.engines:
             self.engines.remove(running)
         await trio.sleep(ENGINE_RESTART_S)
--- a/tools/soak/_soak_run.py
+++ b/tools/soak/_soak_run.py
@@ -7,6 +7,7 @@
 
 from standins import processes
 from tools.soak import _callers
+from tools.soak import _engine_exits
 from tools.soak import _engine_limiter
 from tools.soak import _fault_injector
 from tools.soak import _job_callers
@@ -25,6 +26,9 @@
 VERSION_SEEDS = 3
 FIRST_VERSION_SEED = 1
 VERSIONS = 3
+#: One in this number of seeds, from 1 on, has engines that exit.
+EXIT_SEEDS = 4
+FIRST_EXIT_SEED = 1
 #: Time in which jobs must end after the last request and fault.
 COMPLETION_TIMEOUT_S = 25.0
 #: Time in which a gateway that was stopped near the end is ready again.
@@ -83,6 +87,10 @@
                 nursery.start_soon(
                     _engine_limiter.limit_engines, fleet, until_s, seconds
                 )
+            if seed % EXIT_SEEDS == FIRST_EXIT_SEED:
+                nursery.start_soon(
+                    _engine_exits.exit_engines, fleet, seed, until_s, seconds
+                )
             for number in range(JOB_CALLERS):
                 jobs = _job_callers.JobCaller(fleet, seed, f'j{number}')
                 nursery.start_soon(jobs.run, until_s)
