Take no version for the only one at a member that is cut off

Callers would see: during a release, a stream that began at an engine of a new version through another gateway, and is taken up at one that has lost the store and its peers, goes on at the old version (report of operators, ORDER).

Cause: a member that could not read the log of origins, and whose peers gave no answer, took the store for lost to all as long as its peers counted as reachable, which they do for a second and more after they fell silent. It then went by the versions that it had listed itself, while others list more.

Change: peers tell whether they can read the log, and the store counts as lost to all only if most of those that were asked say so.

Three cases of test_origin_finder.py said "outage for all" without an answer of a peer; they now give the answer that makes it one, and expect the same.

--- a/siskinmount/gateway/_origin_finder.py
+++ b/siskinmount/gateway/_origin_finder.py
@@ -89,15 +89,43 @@
         software: What began it; None if the peer does not know it.
         is_unrecorded: Whether the peer has read the log to its end and found
             no record.
+        is_log_lost: Whether the peer cannot read the log.
     """
 
-    __slots__ = ('software', 'is_unrecorded')
+    __slots__ = ('software', 'is_unrecorded', 'is_log_lost')
 
     def __init__(
-        self, software: fleet.Software | None, is_unrecorded: bool
+        self,
+        software: fleet.Software | None,
+        is_unrecorded: bool,
+        is_log_lost: bool = False,
     ) -> None:
         self.software = software
         self.is_unrecorded = is_unrecorded
+        self.is_log_lost = is_log_lost
+
+
+def combine_answers(asked_count: int, answers: list[PeerOrigin]) -> PeerOrigin:
+    """Returns what several peers say together.
+
+    One that knows the stream counts, else one that has read the log. The log is
+    lost if most of all that were asked say so: those that do not answer may be
+    able to read it.
+
+    Args:
+        asked_count: Number of peers that were asked.
+        answers: What those that have answered say.
+    """
+    for answer in answers:
+        if answer.software is not None:
+            return answer
+    for answer in answers:
+        if answer.is_unrecorded:
+            return answer
+    lost_count = sum(answer.is_log_lost for answer in answers)
+    return PeerOrigin(
+        None, False, not asked_count or 2 * lost_count > asked_count
+    )
 
 
 #: Asks peers which software began a stream.
@@ -187,7 +215,9 @@
         is_read = await self._sync.read(READ_TIMEOUT_S)
         software = self._table.find(key)
         is_foreign = self._table.has_foreign(key)
-        return PeerOrigin(software, is_read and not is_foreign)
+        return PeerOrigin(
+            software, is_read and not is_foreign, is_log_lost=not is_read
+        )
 
     def expire(self) -> None:
         """Forgets streams that cannot be resumed any more."""
@@ -205,6 +235,7 @@
             return FoundOrigin(OriginSource.RECORD, recorded)
         if self._table.has_foreign(key):
             return FoundOrigin(OriginSource.OTHER_REQUEST)
+        is_outage = False
         if not is_read:
             told = PeerOrigin(None, False)
             with trio.move_on_after(READ_TIMEOUT_S):
@@ -212,13 +243,15 @@
             if told.software is not None:
                 return FoundOrigin(OriginSource.PEER, told.software)
             is_read = told.is_unrecorded
-        return self._assume(key, route, is_read)
+            is_outage = told.is_log_lost and self._is_store_lost()
+        return self._assume(key, route, is_read, is_outage)
 
     def _assume(
         self,
         key: stream_origins.StreamKey,
         route: fleet.FleetRoute,
         is_unrecorded: bool,
+        is_outage: bool,
     ) -> FoundOrigin:
         """Returns the origin of a stream of which no record was found.
 
@@ -226,11 +259,11 @@
             key: The stream.
             route: The route of the request.
             is_unrecorded: Whether the log was read to its end.
+            is_outage: Whether it is lost to all members.
         """
         if len(route.shares) != 1:
             return FoundOrigin(OriginSource.AMBIGUOUS)
         service = route.shares[0].service
-        is_outage = not is_unrecorded and self._is_outage_for_all()
         life_s = max(stream_origins.STREAM_LIFE_S, route.timeout_ms / 1000)
         only = self._versions.find_only_version(service, life_s)
         if only is not None and (is_unrecorded or is_outage):
@@ -256,8 +289,8 @@
             return FoundOrigin(OriginSource.AMBIGUOUS)
         return FoundOrigin(OriginSource.NO_RECORD, assumed)
 
-    def _is_outage_for_all(self) -> bool:
-        """Returns whether the store is rather lost to all than to this one."""
+    def _is_store_lost(self) -> bool:
+        """Returns whether this member, among most others, has lost the store."""
         if self._get_outage_s() <= 0:
             return False
         return self._directory.get_reachable_share() > 0.5
--- a/siskinmount/gateway/_peers_api.py
+++ b/siskinmount/gateway/_peers_api.py
@@ -151,29 +151,24 @@
     async def ask_origin(
         self, key: stream_origins.StreamKey
     ) -> _origin_finder.PeerOrigin:
-        """Asks peers at the same time which software began a stream.
-
-        The first that knows it counts, else one that has read the log.
-        """
+        """Asks peers at the same time which software began a stream."""
         peers = list(self._directory.list_live())
         if len(peers) > MAX_ASKED_PEERS:
             peers = random.sample(peers, MAX_ASKED_PEERS)
-        best = _origin_finder.PeerOrigin(None, False)
+        answers: list[_origin_finder.PeerOrigin] = []
         async with trio.open_nursery() as nursery:
 
             async def ask(peer: peering.Peer) -> None:
-                nonlocal best
                 told = await self._ask_origin_of(peer, key)
-                if best.software is not None or told is None:
+                if told is None:
                     return
-                if told.software is not None or told.is_unrecorded:
-                    best = told
+                answers.append(told)
                 if told.software is not None:
                     nursery.cancel_scope.cancel()
 
             for peer in peers:
                 nursery.start_soon(ask, peer)
-        return best
+        return _origin_finder.combine_answers(len(peers), answers)
 
     async def _ask_origin_of(
         self, peer: peering.Peer, key: stream_origins.StreamKey
@@ -198,9 +193,12 @@
                     str(fields['service']), str(fields['version'])
                 )
             return _origin_finder.PeerOrigin(
-                software, fields['is_unrecorded'] is True
+                software,
+                fields['is_unrecorded'] is True,
+                # A peer of an earlier release does not tell.
+                fields.get('is_log_lost') is True,
             )
-        except (ValueError, TypeError, KeyError) as error:
+        except (ValueError, TypeError, KeyError, AttributeError) as error:
             _log_invalid(peer.member, repr(error))
             return None
 
@@ -218,6 +216,7 @@
                 'service': told.software.service if told.software else '',
                 'version': told.software.version if told.software else '',
                 'is_unrecorded': told.is_unrecorded,
+                'is_log_lost': told.is_log_lost,
             },
         )
 
--- a/siskinmount/gateway/tests/test_origin_finder.py
+++ b/siskinmount/gateway/tests/test_origin_finder.py
@@ -21,6 +21,8 @@
 _SETTLED_AT_V1 = stream_origins.VersionRow(1, 'v1', True)
 _Source = _origin_finder.OriginSource
 _PeerOrigin = _origin_finder.PeerOrigin
+#: What most peers say in an outage of the store.
+_LOST_TO_PEERS = _PeerOrigin(None, False, is_log_lost=True)
 
 
 class _Log:
@@ -213,7 +215,7 @@
                 ),
                 (
                     'outage for all, longer than a stream lasts',
-                    _Case(is_away=True, outage_s=31.0),
+                    _Case(is_away=True, told=_LOST_TO_PEERS, outage_s=31.0),
                     _Source.NO_RECORD,
                     _V1,
                 ),
@@ -288,13 +290,18 @@
                 ('cut off', _Case(is_away=True), _Source.UNREADABLE, None),
                 (
                     'outage that is younger than the stream may be',
-                    _Case(is_away=True, outage_s=20.0),
+                    _Case(is_away=True, told=_LOST_TO_PEERS, outage_s=20.0),
                     _Source.UNREADABLE,
                     None,
                 ),
                 (
                     'cut off from most members too',
-                    _Case(is_away=True, outage_s=90.0, reachable_share=0.2),
+                    _Case(
+                        is_away=True,
+                        told=_LOST_TO_PEERS,
+                        outage_s=90.0,
+                        reachable_share=0.2,
+                    ),
                     _Source.UNREADABLE,
                     None,
                 ),
@@ -307,6 +314,21 @@
             ]
         )
 
+    def test_cut_off_member_takes_no_version_for_the_only_one(self):
+        # Upstreams of others may have joined since, and its peers count as
+        # reachable until they have been silent for a while.
+        cases = []
+        for name, told in (
+            ('no peer answers', _PeerOrigin(None, False)),
+            ('peers do not know', _PeerOrigin(None, False, is_log_lost=False)),
+        ):
+            for outage_s in (0.1, 1.0, 90.0):
+                case = _Case(
+                    listed=(_V1,), is_away=True, told=told, outage_s=outage_s
+                )
+                cases.append((name, case, _Source.UNREADABLE, None))
+        self._check(cases)
+
     def test_only_version_for_longer_than_a_stream_lasts_began_it(self):
         self._check(
             [
@@ -318,7 +340,12 @@
                 ),
                 (
                     'outage for all',
-                    _Case(listed=(_V2,), is_away=True, outage_s=1.0),
+                    _Case(
+                        listed=(_V2,),
+                        is_away=True,
+                        told=_LOST_TO_PEERS,
+                        outage_s=1.0,
+                    ),
                     _Source.ONLY_VERSION,
                     _V2,
                 ),
@@ -364,3 +391,36 @@
         found = self._find(case, resume_count=50)
         self.assertEqual({_V1}, {each.software for each in found})
         self.assertEqual(1, case.log.read_count)
+
+    def test_outage_for_all_is_told_by_most_peers(self):
+        # Or by their absence, if this is the only member.
+        lost = _LOST_TO_PEERS
+        nothing = _PeerOrigin(None, False)
+        read = _PeerOrigin(None, True)
+        known = _PeerOrigin(_V2, False)
+        cases = [
+            # Peers asked, what those that answer say, combined answer.
+            (0, [], lost),
+            (3, [], nothing),
+            (3, [lost], nothing),
+            (4, [lost, lost], nothing),
+            (3, [lost, lost], lost),
+            (3, [lost, lost, nothing], lost),
+            (3, [lost, lost, read], read),
+            (3, [lost, read, known], known),
+        ]
+        for asked_count, answers, expected in cases:
+            combined = _origin_finder.combine_answers(asked_count, answers)
+            self.assertEqual(
+                (
+                    expected.software,
+                    expected.is_unrecorded,
+                    expected.is_log_lost,
+                ),
+                (
+                    combined.software,
+                    combined.is_unrecorded,
+                    combined.is_log_lost,
+                ),
+                (asked_count, len(answers)),
+            )
