Lead the rest of a stream or item to the process that is listed

Cause: the version of a process is known from the list of upstreams only. Where the list could not be read, the last one counted, although the upstream had closed its connections since.

Change: an upstream that shows a sign of an exit since it wrote its entry gets the rest of a stream, or of an item's output, only over a connection that was open before; otherwise another one is chosen. A sign is a refused or closed connection, or a crash that this member or a peer has counted.

Two tests of test_software_versions.py fail on the commit before and pass.

--- a/siskinmount/fleet/_fleet_view.py
+++ b/siskinmount/fleet/_fleet_view.py
@@ -33,6 +33,8 @@
         document: The newest valid document; None before the first.
         upstreams: Upstreams by id, including lapsed ones.
         upstream_sources: The encoded entries by id, to be sent to peers.
+        written_at_s: Monotonic time, by id, at which the upstream was last
+            known to have written its entry.
         departures: What upstreams said in responses on their departure.
     """
 
@@ -40,6 +42,7 @@
         'document',
         'upstreams',
         'upstream_sources',
+        'written_at_s',
         'departures',
         '_decode_document',
         '_decode_upstream',
@@ -55,6 +58,7 @@
         self.document: _document.FleetDocument | None = None
         self.upstreams: dict[str, _upstream.Upstream] = {}
         self.upstream_sources: dict[str, bytes] = {}
+        self.written_at_s: dict[str, float] = {}
         self.departures = _announced_departures.create_announced_departures()
         self._decode_document = decode_document
         self._decode_upstream = decode_upstream
@@ -287,6 +291,7 @@
     def _remove(self, upstream_id: str, origin: str) -> None:
         self._lapsed_at_s.pop(upstream_id, None)
         self.upstream_sources.pop(upstream_id, None)
+        self.written_at_s.pop(upstream_id, None)
         self.departures.apply_removal(upstream_id)
         if self.upstreams.pop(upstream_id, None) is None:
             return
@@ -318,6 +323,7 @@
         earlier = self.upstreams.get(upstream_id)
         self.upstreams[upstream_id] = decoded
         self.upstream_sources[upstream_id] = source
+        self.written_at_s[upstream_id] = self._estimate_written_since_s(offset)
         if earlier is not None and (
             earlier.state is decoded.state
             and earlier.started_at_ms == decoded.started_at_ms
--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -29,6 +29,7 @@
 from siskinmount.gateway import _item_watch
 from siskinmount.gateway import _jobs_api
 from siskinmount.gateway import _jobs_writer
+from siskinmount.gateway import _listed_processes
 from siskinmount.gateway import _member_announcer
 from siskinmount.gateway import _online_context
 from siskinmount.gateway import _origin_finder
@@ -269,6 +270,13 @@
             settings.max_record_bytes,
         )
         upstreams_sync = keyed_log.create_shared_sync(self._upstreams_follower)
+        processes = _listed_processes.create_listed_processes(
+            self._view,
+            clients,
+            crash_tracker,
+            upstreams_sync,
+            settings.upstream_heartbeat_ms,
+        )
         end_check = _unframed_end.create_unframed_end_check(
             self._view,
             upstreams_sync,
@@ -285,6 +293,7 @@
             health=health,
             client=_item_client.create_item_client(
                 clients,
+                processes,
                 health,
                 departures,
                 limit_reader,
@@ -313,6 +322,7 @@
             overdue=self._overdue,
             crash_tracker=crash_tracker,
             clients=clients,
+            processes=processes,
             departures=departures,
             rate_limits=limit_reader,
             origins=origins,
--- a/siskinmount/gateway/_item_client.py
+++ b/siskinmount/gateway/_item_client.py
@@ -13,6 +13,7 @@
 from siskinmount.gateway import _departure_reader
 from siskinmount.gateway import _event_stream
 from siskinmount.gateway import _gateway_metrics
+from siskinmount.gateway import _listed_processes
 from siskinmount.gateway import _rate_limit_reader
 from siskinmount.gateway import _unframed_end
 from siskinmount.gateway import _upstream_clients
@@ -22,6 +23,11 @@
 SILENCE_TIMEOUT_S = 3.0
 #: Largest output of one item; members that hand output over accept as much.
 MAX_OUTPUT_BYTES = 4 * 1024 * 1024
+#: Failures to send a request that are no failures of the upstream.
+_NO_UPSTREAM_FAULTS = (
+    results.ResultCode.MALFORMED_REQUEST,
+    results.ResultCode.STALE_INCARNATION,
+)
 
 
 class RunOutcome(enum.Enum):
@@ -54,6 +60,7 @@
 
     __slots__ = (
         '_clients',
+        '_processes',
         '_health',
         '_departures',
         '_rate_limits',
@@ -65,6 +72,7 @@
     def __init__(
         self,
         clients: _upstream_clients.UpstreamClients,
+        processes: _listed_processes.ListedProcesses,
         health: placement.UpstreamHealth,
         departures: _departure_reader.DepartureReader,
         rate_limits: _rate_limit_reader.RateLimitReader,
@@ -73,6 +81,7 @@
         end_check: _unframed_end.UnframedEndCheck,
     ) -> None:
         self._clients = clients
+        self._processes = processes
         self._health = health
         self._departures = departures
         self._rate_limits = rate_limits
@@ -101,15 +110,18 @@
             item.body,
             next_item.job.host.encode('latin-1'),
         )
+        opened_before_s: float | None = None
+        if progress.events:
+            opened_before_s = self._processes.find_connection_bound(upstream)
         client = self._clients.get_client(upstream)
         response: transport.ClientExchange | results.Failure | None = None
         sent_at_s = trio.current_time()
         with trio.move_on_after(SILENCE_TIMEOUT_S):
-            response = await client.send(request)
+            response = await client.send(request, opened_before_s)
         if response is None:
             return RunOutcome.LOST, 'no response within the timeout'
         if isinstance(response, results.Failure):
-            if response.code is results.ResultCode.MALFORMED_REQUEST:
+            if response.code in _NO_UPSTREAM_FAULTS:
                 return RunOutcome.NOT_RUN, response.reason
             if response.run_state is results.RunState.NOT_RUN:
                 self._health.mark_down(upstream.upstream_id, response.reason)
@@ -214,6 +226,7 @@
 
 def create_item_client(
     clients: _upstream_clients.UpstreamClients,
+    processes: _listed_processes.ListedProcesses,
     health: placement.UpstreamHealth,
     departures: _departure_reader.DepartureReader,
     rate_limits: _rate_limit_reader.RateLimitReader,
@@ -223,5 +236,12 @@
 ) -> ItemClient:
     """Creates a client that uses the upstreams' connection pools."""
     return ItemClient(
-        clients, health, departures, rate_limits, wire, metrics, end_check
+        clients,
+        processes,
+        health,
+        departures,
+        rate_limits,
+        wire,
+        metrics,
+        end_check,
     )
--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -220,6 +220,11 @@
             request.body,
             (head.find_header(b'host') or '').encode('latin-1'),
         )
+        opened_before_s: float | None = None
+        if request.software is not None:
+            opened_before_s = self._context.processes.find_connection_bound(
+                self._upstream
+            )
         client = self._context.clients.get_client(self._upstream)
         response: transport.ClientExchange | results.Failure | None = None
         # If the send is cancelled from here on, the request may have reached
@@ -228,12 +233,14 @@
         sent_at_s = trio.current_time()
         self._context.placer.record_send(self._upstream.upstream_id)
         with trio.move_on_after(self._get_first_byte_timeout_s()):
-            response = await client.send(client_request)
+            response = await client.send(client_request, opened_before_s)
         if response is None:
             return AttemptOutcome.LOST, 'no response within the timeout'
         if isinstance(response, results.Failure):
             if response.run_state is results.RunState.NOT_RUN:
                 request.may_have_run = request.attempts > 0
+                if response.code is results.ResultCode.STALE_INCARNATION:
+                    return AttemptOutcome.NOT_RUN, response.reason
                 self._context.health.mark_down(
                     self._upstream.upstream_id, response.reason
                 )
--- a/siskinmount/gateway/_online_context.py
+++ b/siskinmount/gateway/_online_context.py
@@ -4,6 +4,7 @@
 from siskinmount import placement
 from siskinmount.gateway import _departure_reader
 from siskinmount.gateway import _gateway_metrics
+from siskinmount.gateway import _listed_processes
 from siskinmount.gateway import _origin_finder
 from siskinmount.gateway import _origin_registrar
 from siskinmount.gateway import _rate_limit_reader
@@ -23,6 +24,7 @@
         overdue: Detects requests whose first byte is overdue.
         crash_tracker: Identifies requests that crash upstreams.
         clients: Connection pools of the upstreams.
+        processes: Leads the rest of a stream to processes that are listed.
         departures: Notes responses of upstreams that leave.
         rate_limits: Notes responses that name a request rate.
         origins: Finds out what began a stream that a caller resumes.
@@ -41,6 +43,7 @@
         'overdue',
         'crash_tracker',
         'clients',
+        'processes',
         'departures',
         'rate_limits',
         'origins',
@@ -61,6 +64,7 @@
         overdue: placement.OverdueRuns,
         crash_tracker: placement.CrashTracker,
         clients: _upstream_clients.UpstreamClients,
+        processes: _listed_processes.ListedProcesses,
         departures: _departure_reader.DepartureReader,
         rate_limits: _rate_limit_reader.RateLimitReader,
         origins: _origin_finder.OriginFinder,
@@ -77,6 +81,7 @@
         self.overdue = overdue
         self.crash_tracker = crash_tracker
         self.clients = clients
+        self.processes = processes
         self.departures = departures
         self.rate_limits = rate_limits
         self.origins = origins
--- a/siskinmount/gateway/tests/gateway_harness.py
+++ b/siskinmount/gateway/tests/gateway_harness.py
@@ -19,6 +19,7 @@
 
 TEST_TIMEOUT_S = 40
 POLL_S = 0.01
+RESTART_S = 0.1
 MEMBERS_TOPIC = 'keyed.members'
 JOBS_TOPIC = 'keyed.jobs'
 QUARANTINE_TOPIC = 'keyed.quarantine'
@@ -203,6 +204,32 @@
         idle_timeout_ms=75_000,
     ):
         """Starts an engine and registers it in the store."""
+        engine, address = await self._start_process(
+            engine_id,
+            is_streaming,
+            transport.Address('127.0.0.1', 0),
+            idle_timeout_ms,
+        )
+        self.list_engine(engine_id, service, address, version=version)
+        return engine
+
+    async def restart_engine(self, engine_id, is_streaming=True):
+        """Ends an engine and starts it again under its id and address.
+
+        Its entry stays as it was.
+        """
+        address = self.addresses[engine_id]
+        self.engines[engine_id].crash()
+        await trio.sleep(RESTART_S)
+        engine, _ = await self._start_process(
+            engine_id, is_streaming, address, 75_000
+        )
+        return engine
+
+    async def _start_process(
+        self, engine_id, is_streaming, address, idle_timeout_ms
+    ):
+        """Starts the process of an engine; returns it and its address."""
         engine = event_engine.create_event_engine(
             engine_id, is_streaming=is_streaming
         )
@@ -215,20 +242,19 @@
 
         engine.crash = crash
         address = await self._nursery.start(
-            self._serve_engine, engine, faults, scope, idle_timeout_ms
+            self._serve_engine, engine, faults, scope, address, idle_timeout_ms
         )
         self.engines[engine_id] = engine
         self.engine_faults[engine_id] = faults
         self.addresses[engine_id] = address
-        self.list_engine(engine_id, service, address, version=version)
-        return engine
+        return engine, address
 
     async def _serve_engine(
-        self, engine, faults, scope, idle_timeout_ms, task_status
+        self, engine, faults, scope, address, idle_timeout_ms, task_status
     ):
         with scope:
             await serving.serve(
-                transport.Address('127.0.0.1', 0),
+                address,
                 engine.handle,
                 faults,
                 task_status=task_status,
--- a/siskinmount/gateway/tests/online_context.py
+++ b/siskinmount/gateway/tests/online_context.py
@@ -7,6 +7,7 @@
 from siskinmount import telemetry
 from siskinmount.gateway import _departure_reader
 from siskinmount.gateway import _gateway_metrics
+from siskinmount.gateway import _listed_processes
 from siskinmount.gateway import _online_context
 from siskinmount.gateway import _origin_finder
 from siskinmount.gateway import _origin_registrar
@@ -18,6 +19,9 @@
 class _UpToDate:
     """Fake of `keyed_log.SharedSync` for a view that is up to date."""
 
+    confirmed_at_s = 0.0
+    regained_at_s = float('-inf')
+
     async def read(self, timeout_s):
         return True
 
@@ -50,6 +54,9 @@
         overdue=placement.create_overdue_runs(health),
         crash_tracker=crash_tracker,
         clients=clients,
+        processes=_listed_processes.create_listed_processes(
+            view, clients, crash_tracker, _UpToDate(), heartbeat_ms=1200
+        ),
         departures=_departure_reader.create_departure_reader(
             wire, view, load, metrics
         ),
--- a/siskinmount/gateway/tests/test_item_client.py
+++ b/siskinmount/gateway/tests/test_item_client.py
@@ -75,6 +75,7 @@
                 None,
                 None,
                 None,
+                None,
                 metrics,
                 _unframed_end.create_unframed_end_check(
                     None, None, metrics, 1200
--- a/siskinmount/gateway/tests/test_online_handler.py
+++ b/siskinmount/gateway/tests/test_online_handler.py
@@ -63,7 +63,7 @@
     def get_client(self, upstream):
         return self
 
-    async def send(self, request):
+    async def send(self, request, *unused):
         await trio.sleep(self._answer_after_s)
         return self
 
@@ -103,7 +103,7 @@
             return placement.Refusal(placement.RefusalReason.RATE_LIMITED, 100)
         return super().place_online(*args, **options)
 
-    async def send(self, request):
+    async def send(self, request, *unused):
         self.sent_count += 1
         self.status = self._statuses.pop(0)
         self._parts = [b'body', b'']
--- a/siskinmount/gateway/tests/test_online_handler_properties.py
+++ b/siskinmount/gateway/tests/test_online_handler_properties.py
@@ -146,7 +146,10 @@
     def get_client(self, upstream):
         return self
 
-    async def send(self, request):
+    def find_last_closing_s(self):
+        return float('-inf')
+
+    async def send(self, request, *unused):
         behaviour, cut_after = self._last_script
         if self._scripts:
             behaviour, cut_after = self._scripts.pop(0)
--- a/siskinmount/gateway/tests/test_software_versions.py
+++ b/siskinmount/gateway/tests/test_software_versions.py
@@ -118,6 +118,33 @@
         gateway_harness.run_fleet(check, engines=('e1',))
         self.assertFalse(seen[0].is_whole)
 
+    def test_stream_does_not_go_on_at_an_engine_whose_restart_is_not_listed(
+        self,
+    ):
+        # Its entry could not be written, as the store is silent; that it ended
+        # its connections is all that shows the restart.
+        bodies = []
+
+        async def check(fleet):
+            for engine in fleet.engines.values():
+                engine.version = 'v1'
+            while not all(engine.runs for engine in fleet.engines.values()):
+                await _call(fleet, 0, 'warm')
+            fleet.store_faults.begin_outage(
+                faults_module.FaultMode.SILENT, 60_000
+            )
+            restarted = await fleet.restart_engine('e2')
+            restarted.version = 'v2'
+            fleet.engines['e1'].answer_faults = [_FAULT.CUT_MIDWAY] * 4
+            for number in range(30):
+                answer = await _call(fleet, 0, f'q{number}')
+                bodies.append(answer.body)
+            self.assertLess(len(fleet.engines['e1'].answer_faults), 4)
+
+        gateway_harness.run_fleet(check, engines=('e1', 'e2'))
+        for body in bodies:
+            self.assertFalse(b'@v1' in body and b'@v2' in body, body)
+
 
 class CallersTriesTest(testtools.TestCase):
     """Streams that callers take up again."""
@@ -412,3 +439,39 @@
             )
 
         gateway_harness.run_fleet(check, engines=('old',))
+
+    def test_item_does_not_go_on_at_an_engine_whose_restart_is_not_listed(self):
+        seen = []
+
+        async def check(fleet):
+            for engine in fleet.engines.values():
+                engine.version = 'v1'
+            warm = [gateway_harness.make_item(f'w{n}') for n in range(16)]
+            await fleet.submit(0, 'warm', warm)
+            await fleet.wait_results(0, 'warm', 16)
+            await fleet.submit(
+                0, 'job', [gateway_harness.make_item(f'i{n}') for n in range(8)]
+            )
+            for engine in fleet.engines.values():
+                engine.event_interval_ms = 200
+            fleet.engines['e1'].answer_faults = [_FAULT.CUT_BETWEEN_EVENTS] * 4
+            await gateway_harness.wait_until(
+                lambda: len(fleet.engines['e2'].runs) > 10
+            )
+            fleet.store_faults.begin_outage(
+                faults_module.FaultMode.SILENT, 1500
+            )
+            restarted = await fleet.restart_engine('e2')
+            restarted.version = 'v2'
+            # The store is back for almost a heartbeat before it is listed.
+            await trio.sleep(2.5)
+            fleet.list_engine(
+                'e2', 'model', fleet.addresses['e2'], version='v2', born=2
+            )
+            document = await fleet.wait_results(0, 'job', 8)
+            seen.extend(document['results'])
+
+        gateway_harness.run_fleet(check, engines=('e1', 'e2'))
+        for result in seen:
+            output = result['output']
+            self.assertFalse('@v1' in output and '@v2' in output, output)
--- a/siskinmount/keyed_log/_shared_sync.py
+++ b/siskinmount/keyed_log/_shared_sync.py
@@ -16,6 +16,16 @@
         self._sent_at_s = float('-inf')
         self._is_read = False
 
+    @property
+    def confirmed_at_s(self) -> float:
+        """Monotonic time that the view is at least as new as."""
+        return self._follower.confirmed_at_s
+
+    @property
+    def regained_at_s(self) -> float:
+        """Monotonic time at which the log last became reachable."""
+        return self._follower.regained_at_s
+
     async def read(self, timeout_s: float) -> bool:
         """Returns whether all that the log held at the call has been applied.
 
--- a/siskinmount/placement/_crash_tracker.py
+++ b/siskinmount/placement/_crash_tracker.py
@@ -360,6 +360,15 @@
                 )
             self._expire_crashes(fingerprint)
 
+    def has_crashed_since(self, upstream_id: str, at_s: float) -> bool:
+        """Returns whether a crash of an upstream after a time is known."""
+        prefix = f'{upstream_id}/'
+        for crashes in self._crashes.values():
+            for crash_id, crash in crashes.items():
+                if crash.at_s >= at_s and crash_id.startswith(prefix):
+                    return True
+        return False
+
     def is_quarantined(self, fingerprint: str) -> bool:
         """Returns whether a request must not be run any more."""
         crashes = self._crashes.get(fingerprint, {}).values()
--- a/siskinmount/placement/tests/test_crash_tracker.py
+++ b/siskinmount/placement/tests/test_crash_tracker.py
@@ -358,3 +358,26 @@
             ('h', '/p', b''),
         ):
             self.assertNotEqual(name, placement.make_fingerprint(*other))
+
+    def test_crashes_of_an_upstream_since_a_time(self):
+        # Whether this member or a peer has counted them.
+        async def check(crash_tracker):
+            await trio.sleep(10.0)
+            crash_tracker.record_interrupted_run('f', 'own')
+            crash_tracker.record_upstream_down('own')
+            crash_tracker.apply_reports(_report('told/7/0', age_s=2.0))
+            for upstream_id, at_s, expected in (
+                ('own', 9.0, True),
+                ('own', 11.0, False),
+                ('told', 7.0, True),
+                ('told', 9.0, False),
+                ('tol', 7.0, False),
+            ):
+                now_s = trio.current_time() - 10.0
+                self.assertEqual(
+                    expected,
+                    crash_tracker.has_crashed_since(upstream_id, now_s + at_s),
+                    (upstream_id, at_s),
+                )
+
+        _run(check)
--- a/siskinmount/transport/_client_connection.py
+++ b/siskinmount/transport/_client_connection.py
@@ -15,6 +15,7 @@
         opened_at_s: Monotonic time at which it was opened.
         idle_since_s: Monotonic time of the last use.
         reused: Whether the connection has completed a request before.
+        has_ended: Whether the server's side has ended or broken.
         timed_out: Whether the server did not respond within the time limit.
         request_sent_at_s: Monotonic time at which the last request was sent.
         served_after_s: Monotonic time after which the server sent the last bytes
@@ -30,6 +31,7 @@
         'opened_at_s',
         'idle_since_s',
         'reused',
+        'has_ended',
         'timed_out',
         'request_sent_at_s',
         'served_after_s',
@@ -44,6 +46,7 @@
         self.opened_at_s = trio.current_time()
         self.idle_since_s = self.opened_at_s
         self.reused = False
+        self.has_ended = False
         self.timed_out = False
         self.request_sent_at_s = self.opened_at_s
         self.served_after_s = self.opened_at_s
@@ -76,9 +79,19 @@
         """Passes bytes to the parser; empty bytes are the connection's end."""
         if data:
             self.served_after_s = self._waiting_since_s
+        else:
+            self.has_ended = True
         self.received_bytes += len(data)
         self.parser.receive_data(data)
 
+    def has_broken_off(self) -> bool:
+        """Returns whether the server has ended it before a complete response."""
+        return self.has_ended and self.parser.their_state not in (
+            h11.DONE,
+            h11.MUST_CLOSE,
+            h11.CLOSED,
+        )
+
     def close(self) -> None:
         """Closes the socket immediately."""
         self.stream.socket.close()
--- a/siskinmount/transport/_client_exchange.py
+++ b/siskinmount/transport/_client_exchange.py
@@ -324,6 +324,7 @@
             with trio.move_on_after(limits.silence_timeout_ms / 1000):
                 data = await _socket_io.receive(connection.stream, READ_BYTES)
     except trio.BrokenResourceError as error:
+        connection.has_ended = True
         return _connection_lost(str(error))
     if data is None:
         connection.timed_out = True
--- a/siskinmount/transport/_http_client.py
+++ b/siskinmount/transport/_http_client.py
@@ -38,6 +38,7 @@
         '_slots',
         '_omits_framing',
         '_not_opened_before_s',
+        '_closed_at_s',
     )
 
     def __init__(
@@ -53,20 +54,30 @@
         # Whether the body of the last response ended with its connection.
         self._omits_framing = False
         self._not_opened_before_s = float('-inf')
+        self._closed_at_s = float('-inf')
 
     async def send(
-        self, request: _client_exchange.ClientRequest
+        self,
+        request: _client_exchange.ClientRequest,
+        opened_before_s: float | None = None,
     ) -> _client_exchange.ClientExchange | results.Failure:
         """Sends a request and waits for the head of the response.
 
         The returned exchange must be closed. The run state of a failure is
         `NOT_RUN` only if no byte of the request was written.
+
+        Args:
+            request: The request.
+            opened_before_s: Monotonic time before which the connection must
+                have been opened, so that the request reaches the process of
+                then; without one fails with `STALE_INCARNATION`. None if any
+                connection will do.
         """
         await self._slots.acquire()
         connection: _client_connection.ClientConnection | None = None
         exchange: _client_exchange.ClientExchange | None = None
         try:
-            connected = await self._connect()
+            connected = await self._connect(opened_before_s)
             if isinstance(connected, results.Failure):
                 return connected
             connection = connected
@@ -94,6 +105,16 @@
                 if connection is not None:
                     self._discard(connection)
 
+    def find_last_closing_s(self) -> float:
+        """Returns the time of the last sign that the server's process ended.
+
+        That is a connection that it has refused, closed outside of a response,
+        or broken off while it kept no other. The time is monotonic; -inf if
+        there was none.
+        """
+        self._idle.close_unusable()
+        return max(self._closed_at_s, self._idle.found_closed_at_s)
+
     def close(self) -> None:
         """Closes all idle connections."""
         self._idle.close_all()
@@ -148,10 +169,18 @@
         return is_open
 
     async def _connect(
-        self,
+        self, opened_before_s: float | None
     ) -> _client_connection.ClientConnection | results.Failure:
         """Returns a usable idle connection, or opens a new one."""
-        return self._idle.take() or await self._open()
+        if opened_before_s is None:
+            return self._idle.take() or await self._open()
+        kept = self._idle.take(opened_before_s)
+        if kept is not None:
+            return kept
+        return results.Failure(
+            results.ResultCode.STALE_INCARNATION,
+            f'{self.address} may be another process by now',
+        )
 
     async def _open(
         self,
@@ -165,6 +194,7 @@
                     self.address.host, self.address.port
                 )
         except OSError as error:
+            self._closed_at_s = trio.current_time()
             return self._unreachable(str(error))
         if scope.cancelled_caught:
             return self._unreachable('connect timed out')
@@ -249,10 +279,21 @@
         each would cost another time-out. Connections that have completed a
         request since the timed-out one was sent are kept.
         """
+        if connection.has_broken_off() and not self._is_serving_others(
+            connection
+        ):
+            self._closed_at_s = trio.current_time()
         connection.close()
         if connection.timed_out:
             self._idle.close_unused_since(connection.request_sent_at_s)
 
+    def _is_serving_others(
+        self, connection: _client_connection.ClientConnection
+    ) -> bool:
+        """Returns whether the server has broken off one connection alone."""
+        process = self._idle.judge_process(connection.served_after_s)
+        return process is _server_process.ServerProcess.SERVING
+
     def release(
         self,
         connection: _client_connection.ClientConnection,
--- a/siskinmount/transport/_idle_connections.py
+++ b/siskinmount/transport/_idle_connections.py
@@ -12,11 +12,14 @@
     """The idle connections of a client.
 
     Attributes:
+        found_closed_at_s: Monotonic time at which a connection was last found
+            closed by the server; -inf if none was.
         server_timeout_s: Idle time after which the server closes connections,
             less a margin, as far as it has announced that; else infinite.
     """
 
     __slots__ = (
+        'found_closed_at_s',
         'server_timeout_s',
         '_idle_timeout_s',
         '_connections',
@@ -24,6 +27,7 @@
     )
 
     def __init__(self, idle_timeout_s: float) -> None:
+        self.found_closed_at_s = float('-inf')
         self.server_timeout_s = float('inf')
         self._idle_timeout_s = idle_timeout_s
         self._connections: list[_client_connection.ClientConnection] = []
@@ -38,11 +42,23 @@
         connection.idle_since_s = trio.current_time()
         self._connections.append(connection)
 
-    def take(self) -> _client_connection.ClientConnection | None:
-        """Removes and returns the newest usable connection."""
-        while self._connections:
-            connection = self._connections.pop()
-            if self._is_fresh(connection) and connection.is_usable():
+    def take(
+        self, opened_before_s: float = float('inf')
+    ) -> _client_connection.ClientConnection | None:
+        """Removes and returns the newest usable connection.
+
+        Args:
+            opened_before_s: Monotonic time before which it must have been
+                opened.
+        """
+        for index in reversed(range(len(self._connections))):
+            connection = self._connections[index]
+            if connection.opened_at_s > opened_before_s:
+                continue
+            del self._connections[index]
+            if not connection.is_usable():
+                self.found_closed_at_s = trio.current_time()
+            elif self._is_fresh(connection):
                 return connection
             connection.close()
         return None
@@ -113,6 +129,7 @@
         A server resets connections if it has too many. The exit of a process
         that resets an idle one resets the one of the response, too.
         """
+        self.found_closed_at_s = trio.current_time()
         if not events & select.POLLERR:
             self._closed_after_s = max(
                 self._closed_after_s, connection.known_open_at_s
