Use no entry of another writer that is unsound, and no number in it as a size

Cause: the decoder of entries took defaults for missing fields and cut numbers to integers; free slots were listed one by one; an answer without the id of its request counted as the engine's own from status 300 on.

Change: what each engine writes must be there and sound, and the id must fit a header; the order of free slots is computed; an answer without the id is nobody's. Keys that are no text no longer hide a page of newest records. Bounds for the keep-alive timeout and event ids, and one tuple of errors for all decoders of the gateway. Stand-ins write whole entries; the test entry of test_fleet_codec.py, which lacked three fields, is whole now.

--- a/siskinmount/fleet/_fleet_view.py
+++ b/siskinmount/fleet/_fleet_view.py
@@ -47,6 +47,7 @@
         '_decode_document',
         '_decode_upstream',
         '_lapsed_at_s',
+        '_invalid_count',
         '_listeners',
         '_get_lost_age_s',
         '_get_log_end',
@@ -63,6 +64,7 @@
         self._decode_document = decode_document
         self._decode_upstream = decode_upstream
         self._lapsed_at_s: dict[str, float] = {}
+        self._invalid_count = 0
         self._listeners: list[Callable[[], None]] = []
         self._get_lost_age_s: Callable[[], float] = _return_infinity
         self._get_log_end: Callable[[], keyed_log.LogEnd | None] = _return_none
@@ -305,17 +307,7 @@
         """Applies an entry; returns whether it says anything new."""
         decoded = self._decode_upstream(upstream_id, source)
         if isinstance(decoded, results.Failure):
-            _LOGGER.error(
-                'upstream_entry_invalid',
-                extra={
-                    'code': int(decoded.code),
-                    'upstream': upstream_id,
-                    'reason': decoded.reason,
-                    'offset': offset,
-                },
-            )
-            self._remove(upstream_id, 'invalid entry')
-            return True
+            return self._drop_invalid(upstream_id, decoded, offset)
         was_lapsed = self._lapsed_at_s.pop(upstream_id, None) is not None
         has_returned = self.departures.apply_entry(
             decoded, self._estimate_written_since_s(offset)
@@ -347,6 +339,32 @@
         )
         return True
 
+    def _drop_invalid(
+        self, upstream_id: str, failure: results.Failure, offset: int
+    ) -> bool:
+        """Drops an upstream whose entry is invalid; returns whether it was known.
+
+        Another writer may write many such entries, so a line is written at each
+        power of two, and for each upstream that is dropped.
+        """
+        is_known = upstream_id in self.upstreams
+        self._invalid_count += 1
+        is_power_of_two = not self._invalid_count & (self._invalid_count - 1)
+        if is_known or is_power_of_two:
+            _LOGGER.error(
+                'upstream_entry_invalid',
+                extra={
+                    'code': int(failure.code),
+                    'upstream': ascii(upstream_id)[1:-1],
+                    'reason': failure.reason,
+                    'offset': offset,
+                    'count': self._invalid_count,
+                },
+            )
+        if is_known:
+            self._remove(upstream_id, 'invalid entry')
+        return is_known
+
     def _estimate_written_since_s(self, offset: int) -> float:
         """Returns a time at or after which a record was written.
 
--- a/siskinmount/gateway/_item_continuation.py
+++ b/siskinmount/gateway/_item_continuation.py
@@ -49,7 +49,7 @@
         self,
         next_item: jobs.NextItem,
         tag: str,
-        slots: list[fleet.Upstream],
+        upstreams: list[fleet.Upstream],
         excluded: set[str],
     ) -> set[str]:
         """Returns the upstreams at which an item is not to run now.
@@ -61,7 +61,7 @@
         Args:
             next_item: The item.
             tag: Its tag.
-            slots: The upstream of each free slot.
+            upstreams: Upstreams with free slots.
             excluded: Upstreams that are left out for other reasons.
         """
         progress = self._scheduler.progress.get(tag)
@@ -71,7 +71,7 @@
         others: set[str] = set()
         may_go_on = False
         may_start = False
-        for upstream in slots:
+        for upstream in upstreams:
             is_excluded = upstream.upstream_id in excluded
             if upstream.software == software:
                 may_go_on = may_go_on or not is_excluded
--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -164,7 +164,7 @@
     def _start_items(self, nursery: trio.Nursery) -> int:
         """Starts the next items, and returns how many."""
         started = 0
-        slots_by_service: dict[str, list[fleet.Upstream]] = {}
+        slots_by_service: dict[str, placement.BatchSlots] = {}
         for next_item in self._scheduler.iterate_next(self.count_free_slots):
             if started >= MAX_STARTS_PER_STEP:
                 break
@@ -192,11 +192,13 @@
             if slots is None:
                 slots = self._placer.list_batch_slots(service, RESERVED_SLOTS)
                 slots_by_service[service] = slots
-            upstream = placement.choose_batch_slot(
-                slots,
+            upstream = slots.choose(
                 next_item.rank,
                 self._continuation.list_excluded(
-                    next_item, tag, slots, self._list_excluded(tag, service)
+                    next_item,
+                    tag,
+                    slots.upstreams,
+                    self._list_excluded(tag, service),
                 ),
             )
             if upstream is None:
--- a/siskinmount/gateway/_peers_api.py
+++ b/siskinmount/gateway/_peers_api.py
@@ -198,7 +198,7 @@
                 # A peer of an earlier release does not tell.
                 fields.get('is_log_lost') is True,
             )
-        except (ValueError, TypeError, KeyError, AttributeError) as error:
+        except results.DECODING_ERRORS as error:
             _log_invalid(peer.member, repr(error))
             return None
 
@@ -259,7 +259,7 @@
                 # A member of an earlier release does not tell what wrote it.
                 progress.drop_output()
             tag = str(fields['tag'])
-        except (ValueError, TypeError, KeyError) as error:
+        except results.DECODING_ERRORS as error:
             _log_invalid(exchange.head.peer_host, repr(error))
             await exchange.send_json(400, {})
             return
@@ -391,7 +391,7 @@
             lapsed_ages_s: dict[str, float] = {}
             for upstream_id, age_s in fields.get('lapsed_ages_s', {}).items():
                 lapsed_ages_s[str(upstream_id)] = float(age_s)
-        except (ValueError, TypeError, KeyError, AttributeError) as error:
+        except results.DECODING_ERRORS as error:
             _log_invalid(str(address), repr(error))
             return
         origin = f'peer {address}'
--- a/siskinmount/gateway/_quarantine_log.py
+++ b/siskinmount/gateway/_quarantine_log.py
@@ -139,7 +139,7 @@
             None,
             frozenset(str(part) for part in fields['common_parts']),
         )
-    except (ValueError, TypeError, KeyError, OverflowError) as error:
+    except results.DECODING_ERRORS as error:
         _LOGGER.warning(
             'quarantine_record_invalid',
             extra={
--- a/siskinmount/gateway/_version_keeper.py
+++ b/siskinmount/gateway/_version_keeper.py
@@ -214,7 +214,7 @@
             str(fields['assumed_version']),
             fields['is_settled'] is True,
         )
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except results.DECODING_ERRORS as error:
         _LOGGER.warning(
             'assumed_version_invalid',
             extra={
--- a/siskinmount/gateway/tests/gateway_harness.py
+++ b/siskinmount/gateway/tests/gateway_harness.py
@@ -279,6 +279,7 @@
             'version': version,
             'slot_count': 8,
             'state': state,
+            'cold_left_ms': 0,
             'born': born,
             'seq_no': seq_no,
         }
--- a/siskinmount/gateway/tests/rate_limit_simulation.py
+++ b/siskinmount/gateway/tests/rate_limit_simulation.py
@@ -261,7 +261,7 @@
             if rank >= len(slots):
                 continue
             ended_turn = turn
-            upstream = placement.choose_batch_slot(slots, rank, set())
+            upstream = slots.choose(rank, set())
             counts = member.load.own.get(upstream.upstream_id)
             running = counts.batch if counts is not None else 0
             member.load.set_batch(upstream.upstream_id, running + 1, 0)
--- a/siskinmount/gateway/tests/test_item_runner_lines.py
+++ b/siskinmount/gateway/tests/test_item_runner_lines.py
@@ -8,6 +8,7 @@
 
 from siskinmount import fleet
 from siskinmount import jobs
+from siskinmount import placement
 from siskinmount import telemetry
 from siskinmount.gateway import _gateway_metrics
 from siskinmount.gateway import _item_client
@@ -61,7 +62,7 @@
 class _Placer:
 
     def list_batch_slots(self, service, reserved_slots):
-        return [_Upstream()]
+        return placement.create_batch_slots([(1, _Upstream())])
 
     def count_free(self, service, reserved_slots):
         return 1
--- a/siskinmount/gateway/tests/test_online.py
+++ b/siskinmount/gateway/tests/test_online.py
@@ -1,5 +1,6 @@
 """Tests of callers' responses when engines or the store fail."""
 
+import orjson
 import testtools
 import trio
 
@@ -293,3 +294,66 @@
 
         gateway_harness.run_fleet(check, gateway_count=2, engines=())
         self.assertEqual([200], seen)
+
+
+class OddEntryTest(testtools.TestCase):
+    """Guards against harm by one entry that another writer has written."""
+
+    def _run(self, key, changes, value=None):
+        """Writes an odd entry; requests and items are then served as before."""
+        seen = []
+
+        async def check(fleet):
+            entry = {
+                'service': 'model',
+                'address': str(fleet.gateways[0].ready_address),
+                'zone': 'a',
+                'version': 'v1',
+                'slot_count': 64,
+                'state': 'ready',
+                'cold_left_ms': 0,
+                'seq_no': 1,
+                'born': 1,
+                **changes,
+            }
+            source = orjson.dumps(entry) if value is None else value
+            for service in ('model', 'plain'):
+                fleet.store.put(
+                    'keyed.servers',
+                    (key + service.encode()).decode('utf-8', 'surrogateescape'),
+                    source.replace(b'"model"', b'"%b"' % service.encode()),
+                )
+            await trio.sleep(0.3)
+            statuses = set()
+            for number in range(12):
+                for path in ('/stream/x', '/once/x', '/plain/x', '/booking/x'):
+                    answer = await fleet.call(
+                        0, 'POST', path, b'b', x_request_id=f'q{number}'
+                    )
+                    statuses.add(answer.status)
+            items = [gateway_harness.make_item(f'i{n}') for n in range(6)]
+            await fleet.submit(0, 'j1', items)
+            await fleet.wait_results(0, 'j1', 6)
+            self.assertEqual({200}, statuses, (key, changes))
+            seen.append(True)
+
+        gateway_harness.run_fleet(check, plain=('p1',))
+        self.assertEqual([True], seen)
+
+    def test_unsound_field_harms_nobody(self):
+        for changes in (
+            {'slot_count': 10**9},
+            {'slot_count': 1e300},
+            {'cold_left_ms': -1},
+            {'address': '127.0.0.1:99999'},
+            {'address': 'no.such.host.example:80'},
+            {'zone': None},
+        ):
+            self._run(b'odd-', changes)
+
+    def test_id_that_is_no_text_harms_nobody(self):
+        self._run(b'\xff\xfe\x81', {})
+        self._run('ñ'.encode(), {})
+
+    def test_deep_nesting_harms_nobody(self):
+        self._run(b'odd-', {}, b'{"new": ' + b'[' * 50_000)
--- a/siskinmount/jobs/_job_records.py
+++ b/siskinmount/jobs/_job_records.py
@@ -140,7 +140,7 @@
                 for row in fields['items']
             ],
         )
-    except (ValueError, TypeError, KeyError) as error:
+    except results.DECODING_ERRORS as error:
         return _invalid(f'job: {error!r}')
 
 
@@ -164,7 +164,7 @@
             _job.ItemState(fields['state']),
             str(fields['output']),
         )
-    except (ValueError, TypeError, KeyError) as error:
+    except results.DECODING_ERRORS as error:
         return _invalid(f'result: {error!r}')
 
 
--- a/siskinmount/jobs/_operation_codec.py
+++ b/siskinmount/jobs/_operation_codec.py
@@ -30,7 +30,7 @@
     """Decodes operations, or fails with `MALFORMED_REQUEST`."""
     try:
         return [_decode_operation(row) for row in orjson.loads(data)]
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except results.DECODING_ERRORS as error:
         return _malformed(repr(error))
 
 
@@ -66,7 +66,7 @@
     try:
         rows = orjson.loads(data)
         outcomes = [_decode_outcome(row) for row in rows]
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except results.DECODING_ERRORS as error:
         return _malformed(repr(error))
     if len(outcomes) != count:
         return _malformed(f'{count} outcomes expected, got {len(outcomes)}')
--- a/siskinmount/peering/_peer_directory.py
+++ b/siskinmount/peering/_peer_directory.py
@@ -224,7 +224,7 @@
             address = str(fields['address'])
             incarnation = int(fields['incarnation'])
             failure_domain = str(fields.get('failure_domain', ''))
-        except (ValueError, TypeError, KeyError, AttributeError) as error:
+        except results.DECODING_ERRORS as error:
             _LOGGER.warning(
                 'member_record_invalid',
                 extra={
--- a/siskinmount/peering/_peer_message.py
+++ b/siskinmount/peering/_peer_message.py
@@ -20,6 +20,8 @@
 #: Above any number of crashes in sequence; a count that only grows must not be
 #: set to an absurd value by one damaged message.
 _MAX_COUNT = 1_000_000
+#: Crashes of one request that a member of an earlier release may tell.
+_MAX_CRASHES = 1000
 #: Above any number of requests in the life of a process.
 _MAX_REQUESTS = 1_000_000_000_000
 
@@ -226,7 +228,7 @@
     """Decodes what is known of a part.
 
     Raises:
-        Exception: One of `_INVALID`, if a value is missing or of a wrong type.
+        Exception: One of `DECODING_ERRORS`, if a value is missing or of a wrong type.
     """
     served_age_s: float | None = None
     if row[4] is not None:
@@ -260,7 +262,7 @@
     """Decodes what is known of a limit.
 
     Raises:
-        Exception: One of `_INVALID`, if a value is missing or of a wrong type.
+        Exception: One of `DECODING_ERRORS`, if a value is missing or of a wrong type.
     """
     sent_count = _read_count(row[1], _MAX_REQUESTS)
     age_s: float | None = None
@@ -313,7 +315,10 @@
     ids_by_name = fields.get('crash_ids')
     if ids_by_name is None:
         ids_by_name = {
-            name: [f'{member}/{number}' for number in range(int(count))]
+            name: [
+                f'{member}/{number}'
+                for number in range(_read_count(count, _MAX_CRASHES))
+            ]
             for name, count in fields.get('crashes', {}).items()
         }
     for name, ids in ids_by_name.items():
@@ -344,7 +349,7 @@
         return _create_message(
             row.member, row.incarnation, row.sequence, fields
         )
-    except _INVALID as error:
+    except results.DECODING_ERRORS as error:
         return _malformed(repr(error))
 
 
@@ -357,7 +362,7 @@
             int(fields['sequence']),
             fields,
         )
-    except _INVALID as error:
+    except results.DECODING_ERRORS as error:
         return _malformed(repr(error))
 
 
@@ -367,7 +372,7 @@
     """Creates a message from decoded fields.
 
     Raises:
-        Exception: One of `_INVALID`, if a field is missing or has a wrong type.
+        Exception: One of `DECODING_ERRORS`, if a field is missing or has a wrong type.
     """
     counts: dict[str, placement.UpstreamCounts] = {}
     for upstream_id, row in fields.get('counts', {}).items():
@@ -450,14 +455,3 @@
     return results.Failure(
         results.ResultCode.MALFORMED_REQUEST, f'peer message: {reason}'
     )
-
-
-#: What decoding of invalid fields may raise.
-_INVALID = (
-    ValueError,
-    TypeError,
-    KeyError,
-    AttributeError,
-    IndexError,
-    OverflowError,
-)
--- a/siskinmount/placement/__init__.py
+++ b/siskinmount/placement/__init__.py
@@ -4,6 +4,8 @@
 mean request rate for two seconds while batch items occupy all free slots.
 """
 
+from siskinmount.placement._batch_slots import BatchSlots
+from siskinmount.placement._batch_slots import create_batch_slots
 from siskinmount.placement._crash_tracker import CrashReport
 from siskinmount.placement._crash_tracker import CrashTracker
 from siskinmount.placement._crash_tracker import create_crash_tracker
@@ -19,7 +21,6 @@
 from siskinmount.placement._part_quarantine import create_part_quarantine
 from siskinmount.placement._part_quarantine import PartQuarantine
 from siskinmount.placement._part_quarantine import PartRun
-from siskinmount.placement._placer import choose_batch_slot
 from siskinmount.placement._placer import create_placer
 from siskinmount.placement._placer import DEFAULT_SLOTS
 from siskinmount.placement._placer import NO_UPSTREAM_RETRY_MS
--- a/siskinmount/placement/_placer.py
+++ b/siskinmount/placement/_placer.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from siskinmount import fleet
+from siskinmount.placement import _batch_slots
 from siskinmount.placement import _fill_level
 from siskinmount.placement import _load_table
 from siskinmount.placement import _rate_limits
@@ -341,19 +342,16 @@
 
     def list_batch_slots(
         self, service: str, reserved_slots: int
-    ) -> list[fleet.Upstream]:
+    ) -> _batch_slots.BatchSlots:
         """Returns the upstream of each free slot, the emptiest first.
 
         Args:
             service: Service of the items.
             reserved_slots: Slots to leave free at each upstream.
         """
-        slots: list[tuple[int, str, fleet.Upstream]] = []
-        for free, upstream in self._list_free(service, reserved_slots):
-            for left in range(free):
-                slots.append((left - free, upstream.upstream_id, upstream))
-        slots.sort(key=_get_slot_order)
-        return [upstream for _, _, upstream in slots]
+        return _batch_slots.create_batch_slots(
+            self._list_free(service, reserved_slots)
+        )
 
     def count_free(self, service: str, reserved_slots: int) -> int:
         """Returns the free slots of all upstreams beyond the reserve."""
@@ -432,35 +430,10 @@
     return best
 
 
-def _get_slot_order(slot: tuple[int, str, fleet.Upstream]) -> tuple[int, str]:
-    return slot[:2]
-
-
 def _return_zero() -> float:
     return 0.0
 
 
-def choose_batch_slot(
-    slots: list[fleet.Upstream], rank: int, excluded: set[str]
-) -> fleet.Upstream | None:
-    """Returns the upstream of the free slot that is an item's own.
-
-    Many members start items at the same time, before they see each other's. So
-    the free slots have an order that is the same at all members, and the item
-    that is the nth to start takes the nth slot.
-
-    Args:
-        slots: Upstreams of the free slots before any of the items starts.
-        rank: Number of items that are to start before this one.
-        excluded: Upstreams at which the item is not to start.
-    """
-    for index in range(len(slots)):
-        upstream = slots[(rank + index) % len(slots)]
-        if upstream.upstream_id not in excluded:
-            return upstream
-    return None
-
-
 def create_placer(
     view: fleet.FleetView,
     load: _load_table.LoadTable,
--- a/siskinmount/placement/tests/test_placer.py
+++ b/siskinmount/placement/tests/test_placer.py
@@ -124,7 +124,7 @@
             await trio.sleep(0.45)
             less = placement.Urgency.ONLINE
             self.assertIsInstance(place(1, urgency=less), placement.Refusal)
-            self.assertEqual([], placer.list_batch_slots('s', 0))
+            self.assertEqual(0, len(placer.list_batch_slots('s', 0)))
             self.assertEqual(['u0'], place(1))
             await self._fill()
             # Four tokens, but one of the four slots is taken.
@@ -270,15 +270,15 @@
             slots = placer.list_batch_slots('s', 0)
             taken = {}
             for rank in range(len(slots)):
-                chosen = placement.choose_batch_slot(slots, rank, set())
+                chosen = slots.choose(rank, set())
                 name = chosen.upstream_id
                 taken[name] = taken.get(name, 0) + 1
             self.assertEqual({'u0': 1, 'u1': 2, 'u2': 4}, taken)
-            first = placement.choose_batch_slot(slots, 0, set())
+            first = slots.choose(0, set())
             self.assertEqual('u2', first.upstream_id)
-            other = placement.choose_batch_slot(slots, 0, {'u2'})
+            other = slots.choose(0, {'u2'})
             self.assertEqual('u1', other.upstream_id)
             all_ids = {'u0', 'u1', 'u2'}
-            self.assertIsNone(placement.choose_batch_slot(slots, 0, all_ids))
+            self.assertIsNone(slots.choose(0, all_ids))
 
         self._run(check)
--- a/siskinmount/platform/_fleet_codec.py
+++ b/siskinmount/platform/_fleet_codec.py
@@ -1,5 +1,6 @@
 """Decodes the document and the upstream entries of the platform."""
 
+import ipaddress
 import logging
 from typing import Any
 
@@ -22,6 +23,10 @@
     'ready': fleet.UpstreamState.READY,
     'draining': fleet.UpstreamState.LEAVING,
 }
+#: More slots than a process can have.
+_MAX_SLOTS = 10_000
+#: Largest whole number that all readers of JSON represent exactly.
+_MAX_COUNT = 2**53 - 1
 _DEFAULT_TIMEOUT_MS = 15_000
 _DEFAULT_HEADER_BYTES = 16 * 1024
 _DEFAULT_BODY_BYTES = 4 * 1024 * 1024
@@ -151,35 +156,61 @@
 def decode_upstream(
     upstream_id: str, source: bytes
 ) -> fleet.Upstream | results.Failure:
-    """Decodes the entry of an upstream, or fails with `LOG_RECORD_INVALID`."""
+    """Decodes the entry of an upstream, or fails with `LOG_RECORD_INVALID`.
+
+    Another writer may have written it. What an upstream always writes must be
+    there and sound; fields that are not known are not looked at. An upstream
+    whose entry names no version runs one that is not known.
+    """
     try:
+        if not _is_header_value(upstream_id):
+            raise _field_reader.FieldError('the id cannot stand in a header')
         fields = orjson.loads(source)
         if not isinstance(fields, dict):
             raise _field_reader.FieldError('the entry is not an object')
-        address = transport.parse_address(
-            _field_reader.read_string(fields, 'address')
-        )
-        if isinstance(address, results.Failure):
-            raise _field_reader.FieldError(address.reason)
-        state_word = _field_reader.read_string(fields, 'state')
+        state_word = _field_reader.read_name(fields, 'state')
         state = _STATES.get(state_word)
         if state is None:
             raise _field_reader.FieldError(
                 f'the state {state_word!r} is unknown'
             )
-        zone = fields.get('zone')
+        _field_reader.read_whole(fields, 'seq_no', _MAX_COUNT)
+        _field_reader.read_whole(fields, 'cold_left_ms', _MAX_COUNT)
         version = fields.get('version')
+        if isinstance(version, str) and version:
+            version = _field_reader.read_name(fields, 'version')
         return fleet.Upstream(
             upstream_id=upstream_id,
-            service=_field_reader.read_string(fields, 'service'),
-            address=address,
-            failure_domain=zone if isinstance(zone, str) else '',
+            service=_field_reader.read_name(fields, 'service'),
+            address=_decode_address(_field_reader.read_name(fields, 'address')),
+            failure_domain=_field_reader.read_name(fields, 'zone'),
             state=state,
-            slot_count=_field_reader.read_integer(fields, 'slot_count', 0),
-            started_at_ms=_field_reader.read_integer(fields, 'born', 0),
+            slot_count=_field_reader.read_whole(
+                fields, 'slot_count', _MAX_SLOTS
+            ),
+            started_at_ms=_field_reader.read_whole(
+                fields, 'born', _MAX_COUNT, 0
+            ),
             software_version=version if isinstance(version, str) else '',
         )
     except (_field_reader.FieldError, ValueError) as error:
         return results.Failure(
             results.ResultCode.LOG_RECORD_INVALID, f'entry: {error}'
         )
+
+
+def _is_header_value(text: str) -> bool:
+    """Returns whether a text is a word that the value of a header may be."""
+    is_sound = text.isascii() and text.isprintable() and ' ' not in text
+    return is_sound and 0 < len(text) <= _field_reader.MAX_NAME_LENGTH
+
+
+def _decode_address(text: str) -> transport.Address:
+    """Decodes the address of a process, which has an IP address and a port."""
+    address = transport.parse_address(text)
+    if isinstance(address, results.Failure):
+        raise _field_reader.FieldError(address.reason)
+    host = ipaddress.ip_address(address.host)
+    if host.is_unspecified or host.is_multicast or not address.port:
+        raise _field_reader.FieldError(f'{text!r} is no address of a process')
+    return address
--- a/siskinmount/platform/_store.py
+++ b/siskinmount/platform/_store.py
@@ -7,6 +7,7 @@
 
 import base64
 import binascii
+import json
 import logging
 import struct
 import urllib.parse
@@ -249,8 +250,14 @@
                 record = _decode_newest(item)
                 if record is None:
                     continue
-                read.records.append(record)
                 read.after = record.key
+                read.records.append(
+                    keyed_log.KeyedRecord(
+                        _replace_surrogates(record.key),
+                        record.value,
+                        record.offset,
+                    )
+                )
             if not page.get('has_more'):
                 return keyed_log.LogPage(read.records, read.end_offset)
             if read.after == previous:
@@ -264,7 +271,11 @@
         self, after: str
     ) -> dict[str, object] | results.Failure:
         """Reads a page of the newest records whose keys follow `after`."""
-        condition = f'&{urllib.parse.urlencode({"after": after})}'
+        # Keys of other writers may be no text.
+        after_query = urllib.parse.urlencode(
+            {'after': after}, errors='surrogatepass'
+        )
+        condition = f'&{after_query}'
         request = transport.ClientRequest(
             'GET',
             f'/siskinmount/log-newest?{self._query}'
@@ -334,7 +345,7 @@
         return None
     key = item.get('key')
     offset = item.get('offset')
-    if not isinstance(key, str) or not isinstance(offset, int):
+    if not isinstance(key, str) or type(offset) is not int:
         _LOGGER.warning(
             'store_record_invalid',
             extra={'code': int(results.ResultCode.LOG_RECORD_INVALID)},
@@ -347,11 +358,24 @@
     return keyed_log.KeyedRecord(key, value or None, offset)
 
 
+def _replace_surrogates(key: str) -> str:
+    """Returns a key of which each part that is no text is marked as such."""
+    return key.encode('utf-16', 'surrogatepass').decode('utf-16', 'replace')
+
+
 def _parse_json(body: bytes) -> dict[str, object] | None:
+    """Returns the object that an answer holds; None if it holds none.
+
+    A key of another writer may be no text. Other records must be read all the
+    same, which only the slower parser of the standard library does.
+    """
     try:
         document = orjson.loads(body)
     except orjson.JSONDecodeError:
-        return None
+        try:
+            document = json.loads(body)
+        except (ValueError, RecursionError):
+            return None
     return document if isinstance(document, dict) else None
 
 
--- a/siskinmount/platform/_wire.py
+++ b/siskinmount/platform/_wire.py
@@ -270,7 +270,8 @@
             return gateway.AnswerKind.OTHER_PROCESS
         if transport.find_header(headers, _NOT_RUN) is not None:
             return gateway.AnswerKind.NOT_RUN
-        if echoed is None and 200 <= status < 300:
+        if echoed is None and request_id:
+            # Each engine echoes the id, so this is none.
             return gateway.AnswerKind.FOREIGN
         return gateway.AnswerKind.OWN
 
--- a/siskinmount/platform/tests/test_fleet_codec.py
+++ b/siskinmount/platform/tests/test_fleet_codec.py
@@ -27,9 +27,21 @@
     'address': '10.0.0.1:80',
     'zone': 'z',
     'state': 'ready',
+    'version': 'v1',
     'slot_count': 8,
+    'cold_left_ms': 0,
+    'seq_no': 4,
     'born': 7,
 }
+_REQUIRED = (
+    'service',
+    'address',
+    'zone',
+    'state',
+    'slot_count',
+    'cold_left_ms',
+    'seq_no',
+)
 _JSON = strategies.recursive(
     strategies.none()
     | strategies.booleans()
@@ -147,3 +159,72 @@
             del entry[name]
         decoded = platform.decode_upstream('i', orjson.dumps(entry))
         self.assertIsInstance(decoded, (fleet.Upstream, results.Failure))
+
+    def _encode(self, **fields):
+        return orjson.dumps({**_ENTRY, **fields})
+
+    def test_entry_that_lacks_what_upstreams_write_names_none(self):
+        for name in _REQUIRED:
+            entry = dict(_ENTRY)
+            del entry[name]
+            decoded = platform.decode_upstream('i', orjson.dumps(entry))
+            self.assertIsInstance(decoded, results.Failure, name)
+
+    def test_entry_with_an_unsound_field_names_no_upstream(self):
+        whole_numbers = ('slot_count', 'cold_left_ms', 'seq_no', 'born')
+        cases = []
+        for name in whole_numbers:
+            for value in (-1, 0.5, 8.0, 2**53, 1e300, True, '8', None, [8], {}):
+                if (name, value) != ('born', None):
+                    cases.append({name: value})
+        cases.append({'born': 'x'})
+        cases.append({'slot_count': 10**9})
+        for name in ('service', 'zone', 'state', 'address'):
+            for value in ('', 7, None, ['s'], 's\n', 'x' * 300, 's\u202e'):
+                cases.append({name: value})
+        cases.append({'version': 'v\r\nx'})
+        for host in ('h.example', '10.0.0.1.2', '0.0.0.0', '224.0.0.1', ''):
+            cases.append({'address': f'{host}:80'})
+        for port in ('0', '65536', '-1', '8e1', '', '1' * 400):
+            cases.append({'address': f'10.0.0.1:{port}'})
+        cases.append({'state': 'started'})
+        for fields in cases:
+            decoded = platform.decode_upstream('i', self._encode(**fields))
+            self.assertIsInstance(decoded, results.Failure, fields)
+
+    def test_number_that_no_type_holds_names_no_upstream(self):
+        for text in (b'1e999', b'-1e999', b'9' * 400, b'NaN'):
+            source = self._encode().replace(
+                b'"slot_count":8', b'"slot_count":' + text
+            )
+            decoded = platform.decode_upstream('i', source)
+            self.assertIsInstance(decoded, results.Failure, text)
+
+    def test_entry_that_is_no_sound_text_names_no_upstream(self):
+        for source in (
+            self._encode().replace(b'"z"', b'"\\ud800"'),
+            self._encode().replace(b'"z"', b'"\xff"'),
+            b'[' * 100_000,
+            b'[' * 100_000 + b']' * 100_000,
+            b'',
+            b'null',
+        ):
+            decoded = platform.decode_upstream('i', source)
+            self.assertIsInstance(decoded, results.Failure, source[:20])
+
+    def test_id_that_no_header_can_hold_names_no_upstream(self):
+        for upstream_id in ('', 'i\ufffd', 'i j', 'i\n', 'i\x00', 'x' * 300):
+            decoded = platform.decode_upstream(upstream_id, self._encode())
+            self.assertIsInstance(decoded, results.Failure, repr(upstream_id))
+
+    def test_fields_of_a_newer_release_are_not_looked_at(self):
+        for value in (None, -1, 1e300, 'x', [[[]]], {'a': {'b': 1}}):
+            decoded = platform.decode_upstream('i', self._encode(new=value))
+            self.assertIsInstance(decoded, fleet.Upstream, value)
+
+    def test_entry_without_a_start_or_a_version_names_an_upstream(self):
+        for name in ('born', 'version'):
+            entry = dict(_ENTRY)
+            del entry[name]
+            decoded = platform.decode_upstream('i', orjson.dumps(entry))
+            self.assertIsInstance(decoded, fleet.Upstream, name)
--- a/siskinmount/platform/tests/test_store.py
+++ b/siskinmount/platform/tests/test_store.py
@@ -78,3 +78,38 @@
                 self.assertEqual(5, outcome)
                 continue
             self.assertIs(results.RunState.UNKNOWN, outcome.run_state)
+
+    def test_keys_that_are_no_text_do_not_hide_other_records(self):
+        # Another writer may have written them; a header cannot hold them.
+        odd_items = (
+            b'{"key": "\\ud800", "value": "eA==", "offset": 1}',
+            b'{"key": "\\udcff\\udcfe", "value": "eA==", "offset": 1}',
+            b'{"key": "\\ufffd", "value": "eA==", "offset": 1}',
+            b'{"key": 7, "value": "eA==", "offset": 1}',
+            b'{"key": "b", "value": "eA==", "offset": true}',
+            b'{"key": "b", "value": "eA==", "offset": 1e400}',
+        )
+        for odd in odd_items:
+            text = b'{"items": [%b, %b], "has_more": false, "end_offset": 9}'
+            page = self._call(
+                _UNFRAMED + text % (odd, _ITEM), lambda log: log.read_newest()
+            )
+            self.assertIsInstance(page, keyed_log.LogPage, odd)
+            keys = [record.key for record in page.records]
+            self.assertEqual('a', keys[-1], odd)
+            for key in keys[:-1]:
+                self.assertIn('\ufffd', key)
+
+    def test_record_whose_key_is_no_text_has_a_key_that_says_so(self):
+        body = struct.pack('>QQ', 2, 0) + _record(b'\xff\xfe\x81', b'1')
+        page = self._call(
+            _UNFRAMED + body + _record(b'a', b'1'), lambda log: log.read(0, 0)
+        )
+        odd, sound = page.records
+        self.assertIn('\ufffd', odd.key)
+        self.assertEqual(('a', 1), (sound.key, sound.offset))
+
+    def test_page_without_end_of_nesting_is_a_failure(self):
+        for body in (b'[' * 200_000, b'{"items": ' + b'[' * 200_000):
+            page = self._call(_UNFRAMED + body, lambda log: log.read_newest())
+            self.assertIsInstance(page, results.Failure)
--- a/siskinmount/platform/tests/test_wire.py
+++ b/siskinmount/platform/tests/test_wire.py
@@ -129,6 +129,10 @@
                 gateway.AnswerKind.FOREIGN,
             ),
             (200, [], gateway.AnswerKind.FOREIGN),
+            # A process that is no engine, at an address of another's entry.
+            (404, [], gateway.AnswerKind.FOREIGN),
+            (302, [], gateway.AnswerKind.FOREIGN),
+            (500, [], gateway.AnswerKind.FOREIGN),
         ]
         for status, headers, expected in cases:
             self.assertIs(
--- a/siskinmount/stream_origins/_record_codec.py
+++ b/siskinmount/stream_origins/_record_codec.py
@@ -41,7 +41,7 @@
                 origins.append(
                     _origin_table.StreamOrigin(key, software, int(ordinal))
                 )
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except results.DECODING_ERRORS as error:
         return results.Failure(
             results.ResultCode.LOG_RECORD_INVALID, f'origins: {error!r}'
         )
--- a/siskinmount/transport/_client_exchange.py
+++ b/siskinmount/transport/_client_exchange.py
@@ -17,6 +17,8 @@
 #: Longest time to read the rest of a response whose head was enough.
 DISCARD_TIMEOUT_S = 0.5
 MAX_DISCARDED_BYTES = 1024 * 1024
+#: Longest keep-alive timeout that is believed, in digits of seconds.
+MAX_TIMEOUT_DIGITS = 6
 #: Share of the server's keep-alive timeout after which a connection is not
 #: reused, lest a request is sent while the server closes the connection.
 MAX_IDLE_SHARE = 0.75
@@ -306,7 +308,10 @@
     text = _headers.find_header(headers, b'keep-alive') or ''
     for part in text.split(','):
         name, _, value = part.strip().partition('=')
-        if name.lower() == 'timeout' and value.isdigit():
+        is_number = value.isascii() and value.isdigit()
+        if name.lower() != 'timeout' or not is_number:
+            continue
+        if len(value) <= MAX_TIMEOUT_DIGITS:
             return int(value) * MAX_IDLE_SHARE
     return None
 
--- a/siskinmount/transport/_event_splitter.py
+++ b/siskinmount/transport/_event_splitter.py
@@ -11,6 +11,8 @@
 _USUAL_BEGINNINGS = (_ID_FIELD, _DATA_FIELD)
 #: Longest event, with the blank lines and comments before it.
 MAX_EVENT_BYTES = 256 * 1024
+#: Longest id of an event that counts as a number.
+MAX_ID_DIGITS = 15
 #: Bytes at the end of a remainder that may be a part of a blank line.
 _BLANK_LINE_OVERLAP = 3
 #: The end of an event: a blank line. Lines end with LF or CRLF; a CR alone ends
@@ -186,7 +188,9 @@
         if not line.startswith(_ID_FIELD):
             continue
         text = line[len(_ID_FIELD) :].strip()
-        return int(text) if text.isdigit() else None
+        if not text.isdigit() or len(text) > MAX_ID_DIGITS:
+            return None
+        return int(text)
     return None
 
 
--- a/siskinmount/transport/tests/test_event_splitter.py
+++ b/siskinmount/transport/tests/test_event_splitter.py
@@ -59,3 +59,13 @@
             self.assertEqual(data, raw + splitter.remainder)
             ids = [event.event_id for event in events if event.has_fields]
             self.assertEqual([1, 2, 3], ids, size)
+
+    def test_id_that_is_too_long_for_a_number_counts_as_none(self):
+        for digits, expected in (
+            (b'9' * 15, 10**15 - 1),
+            (b'9' * 16, None),
+            (b'9' * 5000, None),
+        ):
+            splitter = _event_splitter.create_event_splitter()
+            (event,) = splitter.split(b'id: ' + digits + b'\n\n')
+            self.assertEqual(expected, event.event_id)
--- a/standins/keyed_store/_keyed_store.py
+++ b/standins/keyed_store/_keyed_store.py
@@ -1,9 +1,9 @@
 """In-memory implementation of the log calls of the platform's store."""
 
 import base64
+import json
 import struct
 
-import orjson
 import trio
 
 from siskinmount import results
@@ -55,7 +55,7 @@
             offset = self.end_offset
             self.records.append(content)
             size = content[0] if content else 0
-            key = content[1 : 1 + size].decode()
+            key = content[1 : 1 + size].decode('utf-8', 'surrogateescape')
             value = content[1 + size :]
             if value:
                 self.latest_offset_by_key[key] = offset
@@ -232,13 +232,13 @@
         await exchange.send_whole(
             200,
             [(b'content-type', b'application/json')],
-            orjson.dumps(
+            json.dumps(
                 {
                     'items': items,
                     'has_more': len(keys) > _MAX_ITEMS_PER_PAGE,
                     'end_offset': partition.end_offset,
                 }
-            ),
+            ).encode('ascii'),
         )
 
 
@@ -255,7 +255,8 @@
 
 
 def _encode_record(key: str, value: bytes) -> bytes:
-    encoded = key.encode()
+    # Bytes of a key that are no text are given as lone surrogates.
+    encoded = key.encode('utf-8', 'surrogateescape')
     return bytes((len(encoded),)) + encoded + value
 
 
--- a/tools/slopes/_gateway_fleet.py
+++ b/tools/slopes/_gateway_fleet.py
@@ -164,6 +164,7 @@
                     'version': 'v1',
                     'slot_count': SLOT_COUNT,
                     'state': 'ready',
+                    'cold_left_ms': 0,
                     'born': 1,
                     'seq_no': sequence,
                 }
--- a/tools/soak/_soak_fleet.py
+++ b/tools/soak/_soak_fleet.py
@@ -247,7 +247,7 @@
         engine.crash = crash
         self.observed.engines.append(engine)
         self.engines.append(running)
-        self._register_engine(running, 'ready')
+        self.register_engine(running, 'ready')
         return running
 
     async def _serve_engine(
@@ -297,7 +297,7 @@
         leaving.engine.is_leaving = True
         await trio.sleep(SILENT_LEAVING_S)
         await self.start_engine(leaving.service)
-        self._register_engine(leaving, 'draining')
+        self.register_engine(leaving, 'draining')
         engine_id = leaving.engine.engine_id
         self.observed.leaving.append(_observations.LeavingEngine(engine_id))
         await trio.sleep(DRAIN_PERIOD_S)
@@ -355,7 +355,8 @@
                         f'{process.name}: {text}'
                     )
 
-    def _register_engine(self, running: SoakEngine, state: str) -> None:
+    def register_engine(self, running: SoakEngine, state: str) -> None:
+        """Writes the entry of an engine."""
         entry = {
             'service': running.service,
             'address': str(running.proxy.address),
@@ -363,7 +364,9 @@
             'version': running.engine.version,
             'slot_count': 8,
             'state': state,
+            'cold_left_ms': 0,
             'born': 1,
+            'seq_no': 1,
         }
         self.store.put(
             UPSTREAMS_TOPIC, running.engine.engine_id, orjson.dumps(entry)
--- a/tools/soak/_soak_run.py
+++ b/tools/soak/_soak_run.py
@@ -12,6 +12,7 @@
 from tools.soak import _fault_injector
 from tools.soak import _job_callers
 from tools.soak import _observations
+from tools.soak import _odd_entries
 from tools.soak import _schedule
 from tools.soak import _soak_fleet
 
@@ -29,6 +30,9 @@
 #: One in this number of seeds, from 1 on, has engines that exit.
 EXIT_SEEDS = 4
 FIRST_EXIT_SEED = 1
+#: One in this number of seeds, from 3 on, has entries of another writer.
+ODD_ENTRY_SEEDS = 4
+FIRST_ODD_ENTRY_SEED = 3
 #: Time in which jobs must end after the last request and fault.
 COMPLETION_TIMEOUT_S = 25.0
 #: Time in which a gateway that was stopped near the end is ready again.
@@ -91,6 +95,10 @@
                 nursery.start_soon(
                     _engine_exits.exit_engines, fleet, seed, until_s, seconds
                 )
+            if seed % ODD_ENTRY_SEEDS == FIRST_ODD_ENTRY_SEED:
+                nursery.start_soon(
+                    _odd_entries.write_odd_entries, fleet, seed, until_s
+                )
             for number in range(JOB_CALLERS):
                 jobs = _job_callers.JobCaller(fleet, seed, f'j{number}')
                 nursery.start_soon(jobs.run, until_s)
