Wait 2 ms instead of 10 for the other connections of a process that exits

Cause: the gateway waited 10 ms for the closings of a process that exits, though the port of one that has closed a connection refuses already.

Change: 2 ms; items still wait 50 ms, as nobody waits for them.

--- a/siskinmount/gateway/_unframed_end.py
+++ b/siskinmount/gateway/_unframed_end.py
@@ -17,7 +17,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 #: Longest time between the closings of the connections of a process that exits.
-SETTLE_S = 0.01
+SETTLE_S = 0.002
 #: The same where nobody waits for the end of the body.
 BATCH_SETTLE_S = 0.05
 #: Longest wait for the list of upstreams to be brought up to date.
--- a/siskinmount/sidecar/_http_plain_upstream.py
+++ b/siskinmount/sidecar/_http_plain_upstream.py
@@ -16,7 +16,7 @@
 SILENCE_TIMEOUT_MS = 600_000
 MAX_CONNECTIONS = 1024
 #: Longest time between the closings of the connections of a process that exits.
-SETTLE_S = 0.01
+SETTLE_S = 0.002
 _EVENT_STREAM = 'text/event-stream'
 
 _HOP_BY_HOP_HEADERS = frozenset(
