Go on without the store where nothing speaks against it; keep no idle connection that is not wanted

A gateway that had its list of upstreams from a peer, and had never read the log, could go on with no stream: no sign of an exit at all was compared with no time of an entry, and counted as a later one.

An upstream that announces an idle timeout of 0 got a new connection for each part of a body without framing: 46 connections for three responses.

--- a/siskinmount/gateway/_listed_processes.py
+++ b/siskinmount/gateway/_listed_processes.py
@@ -48,7 +48,7 @@
         """
         listed_at_s = self._find_listed_at_s(upstream)
         client = self._clients.get_client(upstream)
-        if client.find_last_closing_s() >= listed_at_s:
+        if client.find_last_closing_s() > listed_at_s:
             return listed_at_s
         if self._crash_tracker.has_crashed_since(
             upstream.upstream_id, listed_at_s
--- a/siskinmount/transport/_http_client.py
+++ b/siskinmount/transport/_http_client.py
@@ -20,6 +20,8 @@
 #: whether its server exits, and time between two attempts to open it.
 MAX_IDLE_CONNECT_S = 0.1
 IDLE_CONNECT_INTERVAL_S = 0.5
+#: Shortest idle timeout of a server with which an idle connection is kept.
+MIN_SERVER_TIMEOUT_S = 0.5
 #: Connections that are opened to learn whether a server still accepts any. One
 #: that is accepted and then closed may be due to an exit, or to a full server.
 MAX_CHECK_CONNECTIONS = 2
@@ -139,7 +141,8 @@
         """
         self._idle.close_unusable()
         now_s = trio.current_time()
-        if not self._idle and now_s >= self._not_opened_before_s:
+        is_kept = self._idle.server_timeout_s >= MIN_SERVER_TIMEOUT_S
+        if is_kept and not self._idle and now_s >= self._not_opened_before_s:
             self._not_opened_before_s = now_s + IDLE_CONNECT_INTERVAL_S
             with trio.move_on_after(MAX_IDLE_CONNECT_S):
                 connection = await self._open()
--- a/siskinmount/transport/tests/test_server_process.py
+++ b/siskinmount/transport/tests/test_server_process.py
@@ -185,3 +185,37 @@
                 return state
 
         self.assertEqual(_STATES.UNKNOWN, trio.run(main))
+
+    def test_server_that_keeps_no_idle_connection_gets_no_more_of_them(self):
+        # Guards against a new connection for each part of a response.
+        accepted = []
+
+        async def serve(stream):
+            accepted.append(stream)
+            async with stream:
+                if not await stream.receive_some(4096):
+                    return
+                await stream.send_all(
+                    b'HTTP/1.1 200 OK\r\nkeep-alive: timeout=0\r\n\r\n'
+                )
+                for _ in range(20):
+                    await stream.send_all(b'part')
+                    await trio.sleep(0.005)
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+                nursery.start_soon(trio.serve_listeners, serve, listeners)
+                port = listeners[0].socket.getsockname()[1]
+                client = transport.create_http_client(
+                    transport.Address('127.0.0.1', port)
+                )
+                for _ in range(3):
+                    with await client.send(
+                        transport.ClientRequest('GET', '/')
+                    ) as response:
+                        await response.read_body(1000)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        self.assertLessEqual(len(accepted), 6)
