--- a/siskinmount/transport/tests/test_body_end.py
+++ b/siskinmount/transport/tests/test_body_end.py
@@ -71,3 +71,14 @@
         )
         self.assertEqual(b'', outcome)
         self.assertIs(transport.BodyFraming.LENGTH, framing)
+
+    def test_keep_alive_timeout_that_no_float_holds_is_not_believed(self):
+        # Guards against an error in the task of the request.
+        response = (
+            _HEAD + b'content-length: 4\r\nkeep-alive: timeout=%b\r\n\r\n'
+        )
+        outcome, _ = self._read(
+            response % (b'9' * 400) + b'body',
+            read=lambda exchange: exchange.read_body(100),
+        )
+        self.assertEqual(b'body', outcome)
