Ask a live member that has not been heard, before it is taken for gone

Cause: a relay passes each row on once, so a row has one last way to each member, and a relay's own row has one way of two datagrams. Members send a row each 0.3 s; five lost in sequence, and a live member counts as gone: its share of limits, its load and its batch items are then given to others.

Ruled out: a choice of a relay that flaps (no relay_silent beside the loss), and load (virtual time). Weighed: to repeat rows in the next digest doubles the bytes of a relay, whose link may be 15 Mbit/s.

Change: a live member that was silent for 0.7 s is sent a query, and answers with its row.

Without losses no datagram is added.

--- a/siskinmount/peering/_peer_datagram.py
+++ b/siskinmount/peering/_peer_datagram.py
@@ -26,6 +26,12 @@
     #: Rows of a relay and of members that report to it, to another relay.
     EXCHANGE = b'X'
 
+    #: A member's own row, to one that it has not heard for some time.
+    QUERY = b'Q'
+
+    #: A member's own row, to one that has sent a query.
+    ANSWER = b'A'
+
 
 class PeerDatagram:
     """A decoded datagram.
--- a/siskinmount/peering/_peer_directory.py
+++ b/siskinmount/peering/_peer_directory.py
@@ -28,6 +28,12 @@
 CLAIMS_KEPT_S = 2.5
 #: Interval at which members are checked for silence.
 SWEEP_INTERVAL_S = 0.05
+#: How long a live member may be silent before it is sent a query, and the
+#: interval of queries to it. Its messages may have been lost between relays.
+QUERIED_AFTER_S = 0.7
+QUERY_INTERVAL_S = 0.2
+#: Largest number of queries at a time.
+MAX_QUERIES = 32
 #: Interval of messages to members that are not live. It is shorter than the time
 #: after which a member counts as gone: of two groups of members that hear each
 #: other in part, each then hears all relays of the other, and they plan the same
@@ -77,6 +83,7 @@
         heard_at_s: Monotonic time of the last message from the peer.
         known_since_s: Monotonic time at which the peer became known.
         sent_at_s: Monotonic time of the last message to the peer.
+        queried_at_s: Monotonic time of the last query to the peer.
         message: The last message from the peer; None before the first.
         row: The last message as it was received; empty before the first.
         body: The body of that row.
@@ -91,6 +98,7 @@
         'heard_at_s',
         'known_since_s',
         'sent_at_s',
+        'queried_at_s',
         'message',
         'row',
         'body',
@@ -104,6 +112,7 @@
         self.heard_at_s = float('-inf')
         self.known_since_s = trio.current_time()
         self.sent_at_s = float('-inf')
+        self.queried_at_s = float('-inf')
         self.message: _peer_message.PeerMessage | None = None
         self.failure_domain = ''
         self.row = b''
@@ -448,6 +457,24 @@
             peer.sent_at_s = now_s
         return due
 
+    def list_overdue(self) -> list[Peer]:
+        """Returns live peers to send a query to now, and records the time.
+
+        These have not been heard for longer than their messages take.
+        """
+        now_s = trio.current_time()
+        overdue: list[Peer] = []
+        for peer in self._live.values():
+            if now_s - peer.heard_at_s < QUERIED_AFTER_S:
+                continue
+            if now_s - peer.queried_at_s < QUERY_INTERVAL_S:
+                continue
+            peer.queried_at_s = now_s
+            overdue.append(peer)
+            if len(overdue) == MAX_QUERIES:
+                break
+        return overdue
+
     def _mark_heard(self, peer: Peer, sequence: int) -> None:
         """Records a newer message of a peer."""
         if peer.member not in self._live or not peer.is_live():
--- a/siskinmount/peering/_peer_exchange.py
+++ b/siskinmount/peering/_peer_exchange.py
@@ -52,6 +52,12 @@
 #: Datagrams that are read before other tasks get their turn.
 MAX_DATAGRAMS_PER_TURN = 64
 
+#: Datagrams whose rows are passed on to other relays.
+_REPORTED_KINDS = (
+    _peer_datagram.DatagramKind.REPORT,
+    _peer_datagram.DatagramKind.COPY,
+)
+
 CreateMessage = Callable[[int], _peer_message.PeerMessage]
 #: Takes what was done with a datagram, such as `sent_report`.
 CountDatagram = Callable[[str], None]
@@ -92,6 +98,7 @@
         '_choice',
         '_reporters',
         '_exchanged_at_s',
+        '_queriers',
         '_reported_rows',
         '_fresh_rows',
         '_own_row',
@@ -127,6 +134,7 @@
         self._choice = _relay_choice.create_relay_choice()
         self._reporters: dict[str, _Reporter] = {}
         self._exchanged_at_s: dict[str, float] = {}
+        self._queriers: set[str] = set()
         self._reported_rows: dict[str, bytes] = {}
         self._fresh_rows: dict[str, bytes] = {}
         self._own_row = b''
@@ -211,7 +219,7 @@
         """
         if kind is _peer_datagram.DatagramKind.DIGEST:
             return
-        if kind is not _peer_datagram.DatagramKind.EXCHANGE:
+        if kind in _REPORTED_KINDS:
             self._reported_rows[row.member] = row.data
         elif not self._reporters:
             return
@@ -229,6 +237,9 @@
             self._choice.record_answer(sender)
         elif kind is _peer_datagram.DatagramKind.EXCHANGE:
             self._exchanged_at_s[sender] = trio.current_time()
+        elif kind is _peer_datagram.DatagramKind.QUERY:
+            self._queriers.add(sender)
+            self._wake.set()
         elif kind is _peer_datagram.DatagramKind.REPORT:
             reporter = self._reporters.get(sender)
             if reporter is None:
@@ -282,6 +293,7 @@
             yield from self._create_digests(now_s, own_rows)
         if not self.plan.is_relay and is_own_due:
             yield from self._create_reports()
+        yield from self._create_queries()
         self._reported_rows.clear()
         self._fresh_rows.clear()
 
@@ -373,6 +385,26 @@
             )
             yield from self._address(kind, datagrams, peer)
 
+    def _create_queries(self) -> Iterator[tuple[bytes, str]]:
+        """Yields this member's row for the overdue, and for those that ask."""
+        targets = [
+            (_peer_datagram.DatagramKind.QUERY, peer)
+            for peer in self._directory.list_overdue()
+        ]
+        for name in self._queriers:
+            targets.append(
+                (
+                    _peer_datagram.DatagramKind.ANSWER,
+                    self._directory.peers[name],
+                )
+            )
+        self._queriers.clear()
+        for kind, peer in targets:
+            datagrams = _peer_datagram.encode_datagrams(
+                kind, self._directory.member, [self._own_row]
+            )
+            yield from self._address(kind, datagrams, peer)
+
     def _address(
         self,
         kind: _peer_datagram.DatagramKind,
--- a/siskinmount/peering/tests/exchange_network.py
+++ b/siskinmount/peering/tests/exchange_network.py
@@ -94,6 +94,7 @@
         members: Running members by name.
         loss_share: Share of the datagrams that are lost.
         is_cut: Tells of two names whether datagrams between them are lost.
+        is_lost: Tells of a receiver's name and a datagram whether it is lost.
         received: Number of datagrams that arrived, by name.
     """
 
@@ -101,6 +102,7 @@
         self.members = {}
         self.loss_share = 0.0
         self.is_cut = lambda one, other: False
+        self.is_lost = lambda name, data: False
         self.received = collections.Counter()
         self._nursery = nursery
         self._rng = random.Random(seed)
@@ -146,6 +148,8 @@
         sender.sent_count += 1
         if self._rng.random() < self.loss_share:
             return
+        if self.is_lost(name, data):
+            return
         if not self.is_cut(sender.name, name):
             self._nursery.start_soon(self._deliver, name, data)
 
--- a/siskinmount/peering/tests/test_relays.py
+++ b/siskinmount/peering/tests/test_relays.py
@@ -292,6 +292,34 @@
 
         self._run(check, 40)
 
+    def test_member_whose_rows_relays_lose_is_asked(self):
+        # The rows of one live member were lost five times in sequence, and it
+        # was taken for gone.
+        async def check(network):
+            network.is_lost = lambda name, data: (
+                name == 'm3'
+                and not data[1:].startswith(b'm5\n')
+                and b'\nm5 ' in data
+            )
+            for _ in range(40):
+                await trio.sleep(0.1)
+                self.assertEqual([], network.list_unheard())
+
+        self._run(check, 40)
+
+    def test_dead_member_is_queried_a_few_times_only(self):
+        async def check(network):
+            network.kill('m5')
+            await trio.sleep(_peer_directory.SILENT_S + 0.2)
+            queries = []
+            network.is_lost = lambda name, data: (
+                data.startswith(b'Q') and queries.append(name)
+            )
+            await trio.sleep(2)
+            self.assertEqual([], queries)
+
+        self._run(check, 40)
+
     def test_halves_that_were_cut_off_meet_again(self):
         async def check(network):
             for length_s in (5, 70):
