Take a connection that could not be opened for an exit only if it was refused

What callers saw: bodies without framing of an upstream whose queue of new connections is full were taken for cut short: 502 for a plain answer that may not run twice, a second run elsewhere for other requests and for items.

Cause: the check at the end of such a body opens a connection, and took each failure for an exit of the process. A process that exits closes its listener, so that its host refuses. A full queue drops what opens a connection, for seconds; a connection may also fail as this process is short of descriptors. Neither says anything of the upstream. The same failures counted as a sign that the process had ended, which kept the rest of other streams from it.

Change: only a refusal counts. Else the connections from before decide, and without one the entry.

--- a/siskinmount/transport/_http_client.py
+++ b/siskinmount/transport/_http_client.py
@@ -16,8 +16,8 @@
 from siskinmount.transport import _limits
 from siskinmount.transport import _server_process
 
-#: Longest time for which a response waits for the connection that is to show
-#: whether its server exits, and time between two attempts to open it.
+#: Longest time for which a response waits for a connection that is to show
+#: whether its server exits, and time between two attempts to keep one open.
 MAX_IDLE_CONNECT_S = 0.1
 IDLE_CONNECT_INTERVAL_S = 0.5
 #: Shortest idle timeout of a server with which an idle connection is kept.
@@ -30,6 +30,23 @@
 EarlierConnections = weakref.WeakSet[_client_connection.ClientConnection]
 
 
+class _ConnectFault:
+    """Why no connection was opened.
+
+    Attributes:
+        reason: The reason, for the log.
+        is_refused: Whether the host answered that nothing listens there. Other
+            faults say nothing of the server's process: its queue may be full,
+            the way to it slow, or this process short of descriptors.
+    """
+
+    __slots__ = ('reason', 'is_refused')
+
+    def __init__(self, reason: str, is_refused: bool = False) -> None:
+        self.reason = reason
+        self.is_refused = is_refused
+
+
 class HttpClient:
     """Sends requests to one server over kept-alive connections.
 
@@ -146,7 +163,7 @@
             self._not_opened_before_s = now_s + IDLE_CONNECT_INTERVAL_S
             with trio.move_on_after(MAX_IDLE_CONNECT_S):
                 connection = await self._open()
-                if not isinstance(connection, results.Failure):
+                if not isinstance(connection, _ConnectFault):
                     self._idle.add(connection)
                     self._not_opened_before_s = float('-inf')
         return self._idle.mark_open()
@@ -159,10 +176,15 @@
         The connection that is opened for this carries the next request.
         """
         for _ in range(MAX_CHECK_CONNECTIONS):
-            connection = await self._open()
-            if isinstance(connection, results.Failure):
-                return _server_process.ServerProcess.GONE
-            if await self._add_if_open(connection, settle_s):
+            opened: _client_connection.ClientConnection | _ConnectFault
+            opened = _ConnectFault('connect takes long')
+            with trio.move_on_after(MAX_IDLE_CONNECT_S):
+                opened = await self._open()
+            if isinstance(opened, _ConnectFault):
+                if opened.is_refused:
+                    return _server_process.ServerProcess.GONE
+                break
+            if await self._add_if_open(opened, settle_s):
                 break
         return self._idle.judge_process(served_after_s)
 
@@ -191,7 +213,12 @@
         """Returns a usable idle connection, or opens a new one."""
         if opened_before_s is None:
             kept = self._idle.take(float('inf'), excluded)
-            return kept or await self._open()
+            if kept is not None:
+                return kept
+            opened = await self._open()
+            if isinstance(opened, _ConnectFault):
+                return self._unreachable(opened.reason)
+            return opened
         kept = self._idle.take(opened_before_s, excluded)
         if kept is not None:
             return kept
@@ -202,7 +229,7 @@
 
     async def _open(
         self,
-    ) -> _client_connection.ClientConnection | results.Failure:
+    ) -> _client_connection.ClientConnection | _ConnectFault:
         """Opens a connection."""
         try:
             with trio.move_on_after(
@@ -212,16 +239,18 @@
                     self.address.host, self.address.port
                 )
         except OSError as error:
-            self._closed_at_s = trio.current_time()
-            return self._unreachable(str(error))
+            is_refused = _is_refusal(error)
+            if is_refused:
+                self._closed_at_s = trio.current_time()
+            return _ConnectFault(str(error), is_refused)
         if scope.cancelled_caught:
-            return self._unreachable('connect timed out')
+            return _ConnectFault('connect timed out')
         connection = _client_connection.ClientConnection(stream)
         try:
             _keep_alive.enable_keep_alive(stream)
         except OSError as error:
             connection.close()
-            return self._unreachable(str(error))
+            return _ConnectFault(str(error))
         return connection
 
     def _unreachable(self, reason: str) -> results.Failure:
@@ -331,6 +360,20 @@
         self._idle.add(connection)
 
 
+def _is_refusal(error: OSError) -> bool:
+    """Returns whether the host has answered that it accepts no connection.
+
+    Trio names the faults of all addresses as the cause of its own.
+    """
+    causes: list[BaseException | None] = [error, error.__cause__]
+    if isinstance(error.__cause__, BaseExceptionGroup):
+        causes.extend(error.__cause__.exceptions)
+    for cause in causes:
+        if isinstance(cause, (ConnectionRefusedError, ConnectionResetError)):
+            return True
+    return False
+
+
 def _outcome_unknown(code: results.ResultCode, reason: str) -> results.Failure:
     return results.Failure(code, reason, results.RunState.UNKNOWN)
 
--- a/siskinmount/transport/_server_process.py
+++ b/siskinmount/transport/_server_process.py
@@ -13,12 +13,12 @@
     #: A connection from before the end of the response is still open.
     SERVING = 'serving'
 
-    #: A process accepts connections; no connection from before shows whether it
-    #: is the same.
+    #: No connection from before shows whether a process that accepts connections
+    #: is the same, and none was refused.
     UNKNOWN = 'unknown'
 
-    #: All connections from before have been closed; a process accepts new ones.
+    #: All connections from before have been closed; none was refused.
     CLOSED_CONNECTIONS = 'closed_connections'
 
-    #: No connection can be opened.
+    #: The host refuses connections, as nothing listens there.
     GONE = 'gone'
--- a/siskinmount/transport/tests/test_server_process.py
+++ b/siskinmount/transport/tests/test_server_process.py
@@ -1,6 +1,8 @@
 """Tests of what a client finds out about the process behind a response."""
 
 import contextlib
+import os
+import resource
 import socket
 import struct
 
@@ -51,6 +53,17 @@
             self.finished.set()
 
 
+@contextlib.contextmanager
+def _fill_queue(address):
+    """Has the host drop what opens more connections, as nobody accepts them."""
+    with contextlib.ExitStack() as stack:
+        for _ in range(3):
+            filler = stack.enter_context(socket.socket())
+            filler.setblocking(False)
+            filler.connect_ex(address)
+        yield
+
+
 class ServerProcessTest(testtools.TestCase):
 
     def _run(self, check):
@@ -186,6 +199,55 @@
 
         self.assertEqual(_STATES.UNKNOWN, trio.run(main))
 
+    def test_server_whose_queue_of_new_connections_is_full(self):
+        # It was taken for gone as no connection could be opened, and what it
+        # had sent in full for cut short.
+        async def main():
+            with socket.socket() as listener:
+                listener.bind(('127.0.0.1', 0))
+                listener.listen(0)
+                address = listener.getsockname()
+                client = transport.create_http_client(
+                    transport.Address(*address),
+                    transport.ClientLimits(connect_timeout_ms=300),
+                )
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._serve_once, listener)
+                    response = await client.send(
+                        transport.ClientRequest('GET', '/')
+                    )
+                self.assertEqual(b'part', await response.read_body(100))
+                with _fill_queue(address):
+                    return await response.check_process(_SETTLE_S)
+
+        self.assertEqual(_STATES.UNKNOWN, trio.run(main))
+
+    async def _serve_once(self, listener):
+        accepted, _ = await trio.to_thread.run_sync(listener.accept)
+        with accepted:
+            accepted.recv(4096)
+            accepted.sendall(_HEAD + b'part')
+
+    def test_client_without_descriptors_knows_nothing_of_the_server(self):
+        async def check(nursery, process, client):
+            response = await self._send(process, client)
+            process.may_finish.set()
+            await process.finished.wait()
+            self.assertEqual(b'', await response.receive_chunk())
+            limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+            used = len(os.listdir('/proc/self/fd'))
+            # That of the folder is free again.
+            resource.setrlimit(
+                resource.RLIMIT_NOFILE, (min(used, 8), limits[1])
+            )
+            try:
+                state = await response.check_process(_SETTLE_S)
+            finally:
+                resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+            self.assertEqual(_STATES.UNKNOWN, state)
+
+        self._run(check)
+
     def test_server_that_keeps_no_idle_connection_gets_no_more_of_them(self):
         # Guards against a new connection for each part of a response.
         accepted = []
