Wait for the heartbeat of an upstream that closes idle connections for callers too

What callers saw: an upstream whose answers end with their connection, and which closes idle connections after less than a second (no Keep-Alive names that), had some of its answers taken for cut short: a stream that may not be repeated was not ended properly, a booking that was made answered 502, others run again elsewhere.

Cause: an idle connection that is closed between the last bytes and the end looks like the exit of the process. Items waited for the upstream's next entry to decide; callers' requests did not.

Change: all wait, two heartbeats at most and no longer than the request or the next event may take. The entry must have a larger number than the last: entries need not name the start of their process, and the first one of a successor under the same id and address was taken for a heartbeat. A version that changed counts as another process as well.

--- a/siskinmount/fleet/_upstream.py
+++ b/siskinmount/fleet/_upstream.py
@@ -29,6 +29,8 @@
             restart.
         software_version: Version of the upstream's software; empty if unknown.
             Versions have no order.
+        entry_number: Number of the entry; each that the process writes has a
+            larger one.
     """
 
     __slots__ = (
@@ -40,6 +42,7 @@
         'slot_count',
         'started_at_ms',
         'software_version',
+        'entry_number',
     )
 
     def __init__(
@@ -53,6 +56,7 @@
         slot_count: int,
         started_at_ms: int,
         software_version: str = '',
+        entry_number: int = 0,
     ) -> None:
         self.upstream_id = upstream_id
         self.service = service
@@ -62,6 +66,7 @@
         self.slot_count = slot_count
         self.started_at_ms = started_at_ms
         self.software_version = software_version
+        self.entry_number = entry_number
 
     @property
     def software(self) -> _software.Software:
--- a/siskinmount/gateway/_item_client.py
+++ b/siskinmount/gateway/_item_client.py
@@ -172,7 +172,7 @@
                 response,
                 upstream,
                 item_id,
-                may_wait=True,
+                settle_s=_unframed_end.BATCH_SETTLE_S,
             ),
         )
         outcome = RunOutcome.LOST, _event_stream.create_timeout_failure().reason
--- a/siskinmount/gateway/_unframed_end.py
+++ b/siskinmount/gateway/_unframed_end.py
@@ -50,25 +50,26 @@
         upstream: fleet.Upstream,
         request_id: str,
         *,
-        may_wait: bool = False,
+        settle_s: float = SETTLE_S,
     ) -> bool:
         """Returns whether a body that has ended is complete, and logs why.
 
+        Waits for the next heartbeat of an upstream that closed its other
+        connections too, as some do with idle ones.
+
         Args:
             response: The response, of which the end has been read.
             upstream: The upstream that the request was sent to.
             request_id: Id of the request or batch item, for the log.
-            may_wait: Whether to wait for the next heartbeat of an upstream that
-                closed its other connections too, as some do with idle ones.
+            settle_s: Longest time between the closings of the connections of a
+                process that exits.
         """
-        process = await response.check_process(
-            BATCH_SETTLE_S if may_wait else SETTLE_S
-        )
+        process = await response.check_process(settle_s)
         is_complete = process is transport.ServerProcess.SERVING
         if process is transport.ServerProcess.UNKNOWN:
             await self._upstreams_sync.read(VIEW_READ_TIMEOUT_S)
             is_complete = self._is_listed(upstream)
-        elif process is transport.ServerProcess.CLOSED_CONNECTIONS and may_wait:
+        elif process is transport.ServerProcess.CLOSED_CONNECTIONS:
             is_complete = await self._wait_for_heartbeat(upstream)
         outcome = 'complete' if is_complete else 'broken_off'
         self._metrics.unframed_ends.increment(process.value, outcome)
@@ -86,29 +87,29 @@
         return is_complete
 
     def _is_listed(self, upstream: fleet.Upstream) -> bool:
-        """Returns whether an upstream is listed with the same start."""
+        """Returns whether an upstream is listed as the same process."""
         listed = self._view.upstreams.get(upstream.upstream_id)
         return (
             listed is not None
             and listed.started_at_ms == upstream.started_at_ms
             and listed.address == upstream.address
+            and listed.software_version == upstream.software_version
         )
 
     async def _wait_for_heartbeat(self, upstream: fleet.Upstream) -> bool:
         """Returns whether an upstream writes its entry again without a restart.
 
         What the log held at the call may be from before the end of the body.
+        A process that has started again counts its entries anew.
         """
         if not await self._upstreams_sync.read(VIEW_READ_TIMEOUT_S):
             return False
-        source = self._view.upstream_sources.get(upstream.upstream_id)
+        listed = self._view.upstreams.get(upstream.upstream_id)
         with trio.move_on_after(self._entry_timeout_s):
-            while self._is_listed(upstream):
-                if (
-                    self._view.upstream_sources.get(upstream.upstream_id)
-                    != source
-                ):
-                    return True
+            while listed is not None and self._is_listed(upstream):
+                current = self._view.upstreams[upstream.upstream_id]
+                if current.entry_number != listed.entry_number:
+                    return current.entry_number > listed.entry_number
                 await trio.sleep(ENTRY_POLL_S)
         return False
 
--- a/siskinmount/gateway/tests/test_unframed_end.py
+++ b/siskinmount/gateway/tests/test_unframed_end.py
@@ -24,10 +24,10 @@
         engine.omits_framing = True
 
 
-async def _send_heartbeats(fleet, engine_id):
+async def _send_heartbeats(fleet, engine_id, service='model'):
     for seq_no in itertools.count():
         address = fleet.addresses[engine_id]
-        fleet.list_engine(engine_id, 'model', address, seq_no=seq_no)
+        fleet.list_engine(engine_id, service, address, seq_no=seq_no)
         await trio.sleep(HEARTBEAT_S)
 
 
@@ -177,3 +177,39 @@
             self.assertEqual(16, len(engine.runs))
 
         gateway_harness.run_fleet(check, engines=())
+
+    def test_callers_of_an_upstream_that_closes_idle_connections(self):
+        # A booking was answered 502 though it was made, and a stream was
+        # continued elsewhere after its end.
+        answers = []
+
+        async def check(fleet):
+            idle = {'idle_timeout_ms': 130}
+            engine = await fleet.start_engine('e1', 'model', True, **idle)
+            engine.event_interval_ms = 50
+            plain = await fleet.start_engine('p1', 'plain', False, **idle)
+            _omit_framing(fleet)
+
+            async def call(target, number):
+                answers.append(
+                    await fleet.call(
+                        0, 'POST', target, b'x', x_request_id=f'{number}-q'
+                    )
+                )
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_send_heartbeats, fleet, 'e1')
+                nursery.start_soon(_send_heartbeats, fleet, 'p1', 'plain')
+                async with trio.open_nursery() as callers:
+                    for number in range(8):
+                        callers.start_soon(call, '/once/x', number)
+                        callers.start_soon(call, '/booking/x', f'b{number}')
+                        await trio.sleep(0.05)
+                nursery.cancel_scope.cancel()
+            self.assertEqual(8, len(engine.runs))
+            self.assertEqual(8, len(plain.runs))
+
+        gateway_harness.run_fleet(check, engines=())
+        for answer in answers:
+            self.assertEqual(200, answer.status)
+            self.assertTrue(answer.is_whole)
--- a/siskinmount/platform/_fleet_codec.py
+++ b/siskinmount/platform/_fleet_codec.py
@@ -174,7 +174,6 @@
             raise _field_reader.FieldError(
                 f'the state {state_word!r} is unknown'
             )
-        _field_reader.read_whole(fields, 'seq_no', _MAX_COUNT)
         _field_reader.read_whole(fields, 'cold_left_ms', _MAX_COUNT)
         version = fields.get('version')
         if isinstance(version, str) and version:
@@ -192,6 +191,7 @@
                 fields, 'born', _MAX_COUNT, 0
             ),
             software_version=version if isinstance(version, str) else '',
+            entry_number=_field_reader.read_whole(fields, 'seq_no', _MAX_COUNT),
         )
     except (_field_reader.FieldError, ValueError) as error:
         return results.Failure(
