Read the first bytes of a response while another connection is opened

What callers saw: the first token of an upstream whose answers end with their connection came up to 100 ms later, twice a second, while that upstream's queue of new connections was full.

Cause: the connection that is to show whether the upstream exits was opened before the head of the response was read.

Change: it is opened while the bytes are awaited; those that have come wait for one round trip of it, 5 ms, at most.

--- a/siskinmount/transport/_client_exchange.py
+++ b/siskinmount/transport/_client_exchange.py
@@ -109,11 +109,12 @@
         """
         ...
 
-    async def keep_idle_connection(self) -> float:
-        """Opens a connection if there is none besides those in use.
+    async def receive_unframed(
+        self, connection: _client_connection.ClientConnection
+    ) -> results.Failure | None:
+        """Reads bytes of a body that ends with its connection.
 
-        Returns:
-            Monotonic time at which all idle connections were open.
+        Another connection is kept open besides those in use.
         """
         ...
 
@@ -203,10 +204,9 @@
             if self._has_excess_framing():
                 return _connection_lost('the body is framed in too many bytes')
             if self.body_framing is _body_framing.BodyFraming.CONNECTION_END:
-                self._connection.begin_wait(
-                    await self._pool.keep_idle_connection()
-                )
-            failure = await receive_into(self._connection, self._limits)
+                failure = await self._pool.receive_unframed(self._connection)
+            else:
+                failure = await receive_into(self._connection, self._limits)
             if failure is not None:
                 return failure
 
--- a/siskinmount/transport/_http_client.py
+++ b/siskinmount/transport/_http_client.py
@@ -16,10 +16,12 @@
 from siskinmount.transport import _limits
 from siskinmount.transport import _server_process
 
-#: Longest time for which a response waits for a connection that is to show
-#: whether its server exits, and time between two attempts to keep one open.
+#: Longest time in which a connection that is to show whether a server exits is
+#: opened, and time between two attempts to keep one open.
 MAX_IDLE_CONNECT_S = 0.1
 IDLE_CONNECT_INTERVAL_S = 0.5
+#: Longest time for which bytes that have come wait for it: a round trip.
+MAX_OPENING_DELAY_S = 0.005
 #: Shortest idle timeout of a server with which an idle connection is kept.
 MIN_SERVER_TIMEOUT_S = 0.5
 #: Connections that are opened to learn whether a server still accepts any. One
@@ -150,23 +152,42 @@
         """Closes all idle connections."""
         self._idle.close_all()
 
-    async def keep_idle_connection(self) -> float:
-        """Implements `ConnectionPool.keep_idle_connection`.
+    async def receive_unframed(
+        self, connection: _client_connection.ClientConnection
+    ) -> results.Failure | None:
+        """Implements `ConnectionPool.receive_unframed`.
 
-        The connection shows whether the server exits, and carries the next
-        request. Waits for `MAX_IDLE_CONNECT_S` at most.
+        The other connection shows whether the server exits, and carries the
+        next request.
         """
         self._idle.close_unusable()
         now_s = trio.current_time()
         is_kept = self._idle.server_timeout_s >= MIN_SERVER_TIMEOUT_S
-        if is_kept and not self._idle and now_s >= self._not_opened_before_s:
-            self._not_opened_before_s = now_s + IDLE_CONNECT_INTERVAL_S
-            with trio.move_on_after(MAX_IDLE_CONNECT_S):
-                connection = await self._open()
-                if not isinstance(connection, _ConnectFault):
-                    self._idle.add(connection)
-                    self._not_opened_before_s = float('-inf')
-        return self._idle.mark_open()
+        if self._idle or not is_kept or now_s < self._not_opened_before_s:
+            connection.begin_wait(self._idle.mark_open())
+            return await _client_exchange.receive_into(connection, self._limits)
+        self._not_opened_before_s = now_s + IDLE_CONNECT_INTERVAL_S
+        failure: results.Failure | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._open_idle, connection)
+            failure = await _client_exchange.receive_into(
+                connection, self._limits
+            )
+            nursery.cancel_scope.deadline = (
+                trio.current_time() + MAX_OPENING_DELAY_S
+            )
+        return failure
+
+    async def _open_idle(
+        self, waiting: _client_connection.ClientConnection
+    ) -> None:
+        """Opens a connection while another waits for bytes."""
+        with trio.move_on_after(MAX_IDLE_CONNECT_S):
+            opened = await self._open()
+            if not isinstance(opened, _ConnectFault):
+                self._idle.add(opened)
+                self._not_opened_before_s = float('-inf')
+                waiting.begin_wait(self._idle.mark_open())
 
     async def check_process(
         self, served_after_s: float, settle_s: float
@@ -290,8 +311,6 @@
                 results.ResultCode.UPSTREAM_SILENT,
                 'timed out while sending the request',
             )
-        if self._omits_framing:
-            connection.begin_wait(await self.keep_idle_connection())
         while True:
             try:
                 event = connection.parser.next_event()
@@ -313,9 +332,12 @@
                     results.ResultCode.UPSTREAM_LOST,
                     'the head of the response is too large',
                 )
-            failure = await _client_exchange.receive_into(
-                connection, self._limits
-            )
+            if self._omits_framing:
+                failure = await self.receive_unframed(connection)
+            else:
+                failure = await _client_exchange.receive_into(
+                    connection, self._limits
+                )
             if failure is not None:
                 return failure
 
--- a/siskinmount/transport/tests/test_server_process.py
+++ b/siskinmount/transport/tests/test_server_process.py
@@ -11,6 +11,7 @@
 
 from siskinmount import results
 from siskinmount import transport
+from siskinmount.transport import _http_client
 
 _HEAD = b'HTTP/1.1 200 OK\r\n\r\n'
 _SETTLE_S = 0.02
@@ -222,10 +223,45 @@
 
         self.assertEqual(_STATES.UNKNOWN, trio.run(main))
 
-    async def _serve_once(self, listener):
+    def test_response_does_not_wait_for_another_connection(self):
+        # The first bytes were read only once another connection was open.
+        self.patch(_http_client, 'MAX_IDLE_CONNECT_S', 60)
+
+        async def main():
+            with socket.socket() as listener:
+                listener.bind(('127.0.0.1', 0))
+                listener.listen(0)
+                address = listener.getsockname()
+                client = transport.create_http_client(
+                    transport.Address(*address),
+                    transport.ClientLimits(connect_timeout_ms=60_000),
+                )
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._serve_once, listener)
+                    response = await client.send(
+                        transport.ClientRequest('GET', '/')
+                    )
+                # Another connection is opened meanwhile; it carries the next.
+                await response.read_body(100)
+                response.close()
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._serve_once, listener, True)
+                    await trio.sleep(0.05)
+                    with trio.fail_after(5):
+                        response = await client.send(
+                            transport.ClientRequest('GET', '/')
+                        )
+                        return await response.read_body(100)
+
+        self.assertEqual(b'part', trio.run(main))
+
+    async def _serve_once(self, listener, fills_queue=False):
         accepted, _ = await trio.to_thread.run_sync(listener.accept)
-        with accepted:
-            accepted.recv(4096)
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(accepted)
+            if fills_queue:
+                stack.enter_context(_fill_queue(listener.getsockname()))
+            await trio.to_thread.run_sync(accepted.recv, 4096)
             accepted.sendall(_HEAD + b'part')
 
     def test_client_without_descriptors_knows_nothing_of_the_server(self):
