--- a/siskinmount/platform/_fleet_codec.py
+++ b/siskinmount/platform/_fleet_codec.py
@@ -1,5 +1,6 @@
 """Decodes the document and the upstream entries of the platform."""
 
+import functools
 import ipaddress
 import logging
 from typing import Any
@@ -25,6 +26,9 @@
 }
 #: More slots than a process can have.
 _MAX_SLOTS = 10_000
+#: Texts of entries whose checks are remembered: upstreams write them again with
+#: each heartbeat.
+_MAX_KNOWN_TEXTS = 4096
 #: Largest whole number that all readers of JSON represent exactly.
 _MAX_COUNT = 2**53 - 1
 _DEFAULT_TIMEOUT_MS = 15_000
@@ -199,12 +203,14 @@
         )
 
 
+@functools.lru_cache(_MAX_KNOWN_TEXTS)
 def _is_header_value(text: str) -> bool:
     """Returns whether a text is a word that the value of a header may be."""
     is_sound = text.isascii() and text.isprintable() and ' ' not in text
     return is_sound and 0 < len(text) <= _field_reader.MAX_NAME_LENGTH
 
 
+@functools.lru_cache(_MAX_KNOWN_TEXTS)
 def _decode_address(text: str) -> transport.Address:
     """Decodes the address of a process, which has an IP address and a port."""
     address = transport.parse_address(text)
