--- a/tools/soak/_callers.py
+++ b/tools/soak/_callers.py
@@ -1,5 +1,6 @@
 """Callers of streams and plain calls over persistent connections."""
 
+from collections.abc import Callable
 import random
 import zlib
 
@@ -72,6 +73,31 @@
             gateway.number,
             self._sends_crashing_part,
         )
+        await self._send_and_take_up(
+            gateway, call, lambda: self._rng.choice(self._fleet.gateways)
+        )
+
+    async def send_stream(
+        self,
+        gateway: _soak_fleet.SoakGateway,
+        second: _soak_fleet.SoakGateway,
+    ) -> None:
+        """Sends a stream to one gateway, and takes it up at another."""
+        self._count += 1
+        call = _observations.ObservedCall(
+            f'{self._name}-{self._count}',
+            _observations.CallKind.STREAM,
+            gateway.number,
+        )
+        await self._send_and_take_up(gateway, call, lambda: second)
+
+    async def _send_and_take_up(
+        self,
+        gateway: _soak_fleet.SoakGateway,
+        call: _observations.ObservedCall,
+        choose_next: Callable[[], _soak_fleet.SoakGateway],
+    ) -> None:
+        """Sends a request; a stream that is broken off is taken up."""
         await self._send(gateway, call)
         for _ in range(MAX_RESUMES):
             last_event_id = call.get_last_event_id()
@@ -80,7 +106,7 @@
                 return
             await trio.sleep(self._rng.uniform(0, 2 * RESUME_PAUSE_S))
             self._count += 1
-            gateway = self._rng.choice(self._fleet.gateways)
+            gateway = choose_next()
             earlier = call
             call = _observations.ObservedCall(
                 f'{self._name}-{self._count}',
--- a/tools/soak/_soak_fleet.py
+++ b/tools/soak/_soak_fleet.py
@@ -145,6 +145,7 @@
         gateways: Gateways, by number.
         engines: Engines that are listed now.
         version_count: Number of versions that model engines run side by side.
+        release: The version of model engines that start, if there is one.
     """
 
     __slots__ = (
@@ -154,6 +155,7 @@
         'gateways',
         'engines',
         'version_count',
+        'release',
         '_nursery',
         '_group',
         '_directory',
@@ -175,6 +177,7 @@
         self.gateways: list[SoakGateway] = []
         self.engines: list[SoakEngine] = []
         self.version_count = 1
+        self.release: int | None = None
         self._nursery = nursery
         self._group = group
         self._directory = directory
@@ -235,7 +238,10 @@
             is_streaming=service == 'model',
         )
         if service == 'model':
-            engine.version = f'v{self._engine_count % self.version_count}'
+            version = self._engine_count % self.version_count
+            if self.release is not None:
+                version = self.release
+            engine.version = f'v{version}'
             engine.crashing_part = _observations.CRASHING_PART
         scope = trio.CancelScope()
         proxy = await self._nursery.start(self._serve_engine, engine, scope)
--- a/tools/soak/_soak_run.py
+++ b/tools/soak/_soak_run.py
@@ -10,6 +10,7 @@
 from tools.soak import _engine_exits
 from tools.soak import _engine_limiter
 from tools.soak import _fault_injector
+from tools.soak import _isolated_gateway
 from tools.soak import _job_callers
 from tools.soak import _observations
 from tools.soak import _odd_entries
@@ -34,6 +35,9 @@
 #: One in this number of seeds, from 3 on, has entries of another writer.
 ODD_ENTRY_SEEDS = 4
 FIRST_ODD_ENTRY_SEED = 3
+#: One in this number of seeds, from 6 on, isolates gateways in a release.
+ISOLATION_SEEDS = 12
+FIRST_ISOLATION_SEED = 6
 #: One in this number of seeds has engines that repeat refusals.
 REFUSAL_SEEDS = 4
 FIRST_REFUSAL_SEED = 0
@@ -60,6 +64,8 @@
             )
             if seed % VERSION_SEEDS == FIRST_VERSION_SEED:
                 fleet.version_count = VERSIONS
+            if seed % ISOLATION_SEEDS == FIRST_ISOLATION_SEED:
+                fleet.release = 0
             await fleet.start()
             for gateway in fleet.gateways:
                 nursery.start_soon(fleet.watch_gateway, gateway)
@@ -103,6 +109,14 @@
                 nursery.start_soon(
                     _odd_entries.write_odd_entries, fleet, seed, until_s
                 )
+            if seed % ISOLATION_SEEDS == FIRST_ISOLATION_SEED:
+                nursery.start_soon(
+                    _isolated_gateway.isolate_gateways,
+                    fleet,
+                    seed,
+                    until_s,
+                    seconds,
+                )
             if seed % REFUSAL_SEEDS == FIRST_REFUSAL_SEED:
                 nursery.start_soon(
                     _repeated_refusals.repeat_refusals, fleet, seed, until_s
