--- a/siskinmount/transport/tests/test_server_process.py
+++ b/siskinmount/transport/tests/test_server_process.py
@@ -54,6 +54,15 @@
             self.finished.set()
 
 
+@contextlib.contextmanager
+def _open_listener():
+    """Yields a listener with room for one connection that waits."""
+    with socket.socket() as listener:
+        listener.bind(('127.0.0.1', 0))
+        listener.listen(0)
+        yield listener
+
+
 @contextlib.contextmanager
 def _fill_queue(address):
     """Has the host drop what opens more connections, as nobody accepts them."""
@@ -204,21 +213,10 @@
         # It was taken for gone as no connection could be opened, and what it
         # had sent in full for cut short.
         async def main():
-            with socket.socket() as listener:
-                listener.bind(('127.0.0.1', 0))
-                listener.listen(0)
-                address = listener.getsockname()
-                client = transport.create_http_client(
-                    transport.Address(*address),
-                    transport.ClientLimits(connect_timeout_ms=300),
-                )
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._serve_once, listener)
-                    response = await client.send(
-                        transport.ClientRequest('GET', '/')
-                    )
+            with _open_listener() as listener:
+                client, response = await self._send_first(listener, 300)
                 self.assertEqual(b'part', await response.read_body(100))
-                with _fill_queue(address):
+                with _fill_queue(listener.getsockname()):
                     return await response.check_process(_SETTLE_S)
 
         self.assertEqual(_STATES.UNKNOWN, trio.run(main))
@@ -228,19 +226,8 @@
         self.patch(_http_client, 'MAX_IDLE_CONNECT_S', 60)
 
         async def main():
-            with socket.socket() as listener:
-                listener.bind(('127.0.0.1', 0))
-                listener.listen(0)
-                address = listener.getsockname()
-                client = transport.create_http_client(
-                    transport.Address(*address),
-                    transport.ClientLimits(connect_timeout_ms=60_000),
-                )
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._serve_once, listener)
-                    response = await client.send(
-                        transport.ClientRequest('GET', '/')
-                    )
+            with _open_listener() as listener:
+                client, response = await self._send_first(listener, 60_000)
                 # Another connection is opened meanwhile; it carries the next.
                 await response.read_body(100)
                 response.close()
@@ -255,6 +242,17 @@
 
         self.assertEqual(b'part', trio.run(main))
 
+    async def _send_first(self, listener, connect_timeout_ms):
+        """Returns a client and the response to its first request."""
+        client = transport.create_http_client(
+            transport.Address(*listener.getsockname()),
+            transport.ClientLimits(connect_timeout_ms=connect_timeout_ms),
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._serve_once, listener)
+            response = await client.send(transport.ClientRequest('GET', '/'))
+        return client, response
+
     async def _serve_once(self, listener, fills_queue=False):
         accepted, _ = await trio.to_thread.run_sync(listener.accept)
         with contextlib.ExitStack() as stack:
