--- a/siskinmount/peering/tests/test_relays.py
+++ b/siskinmount/peering/tests/test_relays.py
@@ -307,7 +307,7 @@
 
         self._run(check, 40)
 
-    def test_dead_member_is_queried_a_few_times_only(self):
+    def test_member_that_counts_as_gone_is_queried_no_more(self):
         async def check(network):
             network.kill('m5')
             await trio.sleep(_peer_directory.SILENT_S + 0.2)
