--- a/siskinmount/gateway/tests/gateway_harness.py
+++ b/siskinmount/gateway/tests/gateway_harness.py
@@ -172,6 +172,8 @@
         self.engines = {}
         self.engine_faults = {}
         self.crashed = []
+        # Limits of callers; None for those of any client.
+        self.caller_limits = None
         self.addresses = {}
         self.gateways = []
         self.results_kept_s = 120
@@ -349,7 +351,12 @@
     async def call(self, number, method, target, body=b'', **headers):
         """Sends a caller's request to a gateway."""
         return await call(
-            self.gateways[number].address, method, target, body, **headers
+            self.gateways[number].address,
+            method,
+            target,
+            body,
+            limits=self.caller_limits,
+            **headers,
         )
 
     async def submit(self, number, job_id, items):
@@ -398,9 +405,9 @@
     return '\n'.join(f'{item_id}-{n}' for n in range(1, event_count + 1))
 
 
-async def call(address, method, target, body=b'', **headers):
+async def call(address, method, target, body=b'', limits=None, **headers):
     """Sends one request on a new connection; returns None if it fails."""
-    client = transport.create_http_client(address)
+    client = transport.create_http_client(address, limits)
     pairs = []
     for name, value in headers.items():
         pairs.append(
--- a/siskinmount/gateway/tests/test_endless_answers.py
+++ b/siskinmount/gateway/tests/test_endless_answers.py
@@ -3,6 +3,7 @@
 import testtools
 import trio
 
+from siskinmount import transport
 from siskinmount.gateway.tests import gateway_harness
 from siskinmount.transport.tests import endless_server
 
@@ -53,6 +54,11 @@
         """Runs `check(fleet, server)` with an endless upstream."""
 
         async def main(fleet):
+            # Nor must the caller's patience: gateway, upstream and caller share
+            # one thread, which is busy with the bytes.
+            fleet.caller_limits = transport.ClientLimits(
+                silence_timeout_ms=_TIMEOUT_MS
+            )
             fleet.store.put(
                 'keyed.op',
                 'config',
