--- a/review/harness/rig.py
+++ b/review/harness/rig.py
@@ -172,6 +172,13 @@
             'platform.address': '{}:{}'.format(*self.store.address),
             'platform.record_bytes': '262144',
             'platform.call_bytes': '2097152',
+            'bounds.strict_revoke': '',
+            'bounds.revoke_ms': '',
+            'bounds.quota_window_s': '',
+            'bounds.quota_excess': '',
+            'bounds.quota_slack': '',
+            'limits.memory_mb': '',
+            'limits.max_fds': '',
         }
         return re.sub(
             r'\{\{([a-z_.0-9]+)\}\}', lambda m: values[m.group(1)], template
--- a/siskinmount/admission/__init__.py
+++ b/siskinmount/admission/__init__.py
@@ -3,4 +3,7 @@
 from siskinmount.admission._admission import Admission
 from siskinmount.admission._admission import CapacitySource
 from siskinmount.admission._admission import create_admission
+from siskinmount.admission._customer_quotas import CustomerQuotas
+from siskinmount.admission._customer_quotas import QuotaTicket
+from siskinmount.admission._customer_quotas import create_customer_quotas
 from siskinmount.admission._ticket import Ticket
--- a/siskinmount/configuration/_gateway_settings.py
+++ b/siskinmount/configuration/_gateway_settings.py
@@ -3,6 +3,11 @@
 from siskinmount import transport
 from siskinmount.configuration import _daemon_settings
 
+DEFAULT_KEY_MAX_AGE_MS = 5000
+DEFAULT_QUOTA_WINDOW_S = 5.0
+DEFAULT_QUOTA_EXCESS_SHARE = 0.1
+DEFAULT_QUOTA_SLACK_REQUESTS = 20
+
 
 class GatewaySettings:
     """Settings of a gateway.
@@ -25,6 +30,16 @@
         stop_grace_s: Time between the stop signal and forced termination.
         results_kept_s: Minimum retention time of job results.
         seeds: Control addresses of members to contact at start.
+        strict_revocation: Whether requests under a key run only while the
+            gateway can show that the key is young enough.
+        key_max_age_ms: Greatest age of that proof.
+        quota_window_s: Span in which a customer's quota is checked.
+        quota_excess_share: Share by which a customer may exceed its quota.
+        quota_slack_requests: Requests by which a customer may exceed it
+            besides.
+        memory_bytes: Memory that the process may use; 0 if it is not known.
+        max_descriptors: File descriptors that the process may have open; 0 if
+            their number is not known.
     """
 
     __slots__ = (
@@ -44,6 +59,13 @@
         'stop_grace_s',
         'results_kept_s',
         'seeds',
+        'strict_revocation',
+        'key_max_age_ms',
+        'quota_window_s',
+        'quota_excess_share',
+        'quota_slack_requests',
+        'memory_bytes',
+        'max_descriptors',
     )
 
     def __init__(
@@ -65,6 +87,13 @@
         stop_grace_s: float,
         results_kept_s: float,
         seeds: list[transport.Address],
+        strict_revocation: bool = False,
+        key_max_age_ms: int = DEFAULT_KEY_MAX_AGE_MS,
+        quota_window_s: float = DEFAULT_QUOTA_WINDOW_S,
+        quota_excess_share: float = DEFAULT_QUOTA_EXCESS_SHARE,
+        quota_slack_requests: int = DEFAULT_QUOTA_SLACK_REQUESTS,
+        memory_bytes: int = 0,
+        max_descriptors: int = 0,
     ) -> None:
         self.vm = vm
         self.region = region
@@ -82,3 +111,10 @@
         self.stop_grace_s = stop_grace_s
         self.results_kept_s = results_kept_s
         self.seeds = seeds
+        self.strict_revocation = strict_revocation
+        self.key_max_age_ms = key_max_age_ms
+        self.quota_window_s = quota_window_s
+        self.quota_excess_share = quota_excess_share
+        self.quota_slack_requests = quota_slack_requests
+        self.memory_bytes = memory_bytes
+        self.max_descriptors = max_descriptors
--- a/siskinmount/configuration/_section_reader.py
+++ b/siskinmount/configuration/_section_reader.py
@@ -51,6 +51,17 @@
         self.faults = faults
         self._known_keys: set[str] = set()
 
+    def ignore_empty_values(self) -> None:
+        """Makes keys without a value count as missing.
+
+        A platform that fills in a template leaves a value that it does not
+        have empty.
+        """
+        for key, entry in list(self.section.entries.items()):
+            if not entry.value:
+                self._known_keys.add(key)
+                del self.section.entries[key]
+
     def has(self, key: str) -> bool:
         """Returns whether the section has the key."""
         return key in self.section.entries
--- a/siskinmount/configuration/_settings_parser.py
+++ b/siskinmount/configuration/_settings_parser.py
@@ -20,11 +20,16 @@
 _MAX_PORT = 65_535
 _DEFAULT_HEARTBEAT_MS = 1200
 _MAX_GRACE_S = 3600
+_MAX_WINDOW_S = 3600
+_MAX_SLACK_REQUESTS = 1_000_000
+_MAX_MEMORY_MB = 1 << 20
+_MIB = 1 << 20
+_MAX_DESCRIPTORS = 1 << 24
 
 _ENTRY_SECTIONS = ('daemon', 'platform', 'state', 'seeds', 'limits')
 _SIDECAR_SECTIONS = ('daemon', 'platform', 'upstream', 'gate', 'seeds')
-_GATEWAY_SECTIONS = ('daemon', 'store', 'seeds')
-_OPTIONAL_SECTIONS = ('state', 'limits', 'gate')
+_GATEWAY_SECTIONS = ('daemon', 'store', 'seeds', 'keys', 'quotas', 'limits')
+_OPTIONAL_SECTIONS = ('state', 'limits', 'gate', 'keys', 'quotas')
 
 SettingsFaults = list[_document_fault.DocumentFault]
 
@@ -66,6 +71,11 @@
     source = _SettingsSections(text, _GATEWAY_SECTIONS)
     daemon = source.get_reader('daemon')
     store = source.get_reader('store')
+    keys = source.get_reader('keys')
+    quotas = source.get_reader('quotas')
+    limits = source.get_reader('limits')
+    for reader in (keys, quotas, limits):
+        reader.ignore_empty_values()
     settings = _gateway_settings.GatewaySettings(
         vm=daemon.read_text('vm'),
         region=daemon.read_text('region'),
@@ -89,6 +99,32 @@
         stop_grace_s=daemon.read_float('stop_grace_s', 0, _MAX_GRACE_S),
         results_kept_s=daemon.read_float('results_kept_s', 0, _MAX_RETENTION_S),
         seeds=source.get_reader('seeds').read_addresses('addresses'),
+        strict_revocation=keys.read_bool('strict_revocation', False),
+        key_max_age_ms=_read_timeout(
+            keys, 'max_age_ms', _gateway_settings.DEFAULT_KEY_MAX_AGE_MS
+        ),
+        quota_window_s=quotas.read_float(
+            'window_s',
+            0.1,
+            _MAX_WINDOW_S,
+            _gateway_settings.DEFAULT_QUOTA_WINDOW_S,
+        ),
+        quota_excess_share=quotas.read_float(
+            'excess_share',
+            0,
+            1,
+            _gateway_settings.DEFAULT_QUOTA_EXCESS_SHARE,
+        ),
+        quota_slack_requests=quotas.read_int(
+            'slack_requests',
+            0,
+            _MAX_SLACK_REQUESTS,
+            _gateway_settings.DEFAULT_QUOTA_SLACK_REQUESTS,
+        ),
+        memory_bytes=limits.read_int('memory_mb', 0, _MAX_MEMORY_MB, 0) * _MIB,
+        max_descriptors=limits.read_int(
+            'max_descriptors', 0, _MAX_DESCRIPTORS, 0
+        ),
     )
     faults = source.collect_faults()
     return faults or settings
--- a/siskinmount/configuration/tests/test_gateway_settings.py
+++ b/siskinmount/configuration/tests/test_gateway_settings.py
@@ -24,6 +24,13 @@
     'platform.call_bytes': '2097152',
     'heartbeat_ms': '700',
     'seeds': '10.0.0.1:3,10.0.0.2:3',
+    'bounds.strict_revoke': 'true',
+    'bounds.revoke_ms': '4000',
+    'bounds.quota_window_s': '6',
+    'bounds.quota_excess': '0.2',
+    'bounds.quota_slack': '30',
+    'limits.memory_mb': '160',
+    'limits.max_fds': '1675',
 }
 
 
@@ -41,6 +48,32 @@
         self.assertEqual(2, len(settings.seeds))
         self.assertEqual(8, settings.stop_grace_s)
         self.assertEqual(700, settings.upstream_heartbeat_ms)
+        self.assertTrue(settings.strict_revocation)
+        self.assertEqual(4000, settings.key_max_age_ms)
+        self.assertEqual(160 * 1024 * 1024, settings.memory_bytes)
+        self.assertEqual(1675, settings.max_descriptors)
+
+    def test_values_that_the_platform_lacks_get_defaults(self):
+        lacking = {}
+        for name in _VALUES:
+            if name.startswith('limits.') or name in (
+                'bounds.strict_revoke',
+                'bounds.revoke_ms',
+                'bounds.quota_window_s',
+                'bounds.quota_excess',
+                'bounds.quota_slack',
+            ):
+                lacking[name] = ''
+        settings = configuration.parse_gateway_settings(
+            _render({**_VALUES, **lacking})
+        )
+        self.assertFalse(settings.strict_revocation)
+        self.assertEqual(5000, settings.key_max_age_ms)
+        self.assertEqual(5, settings.quota_window_s)
+        self.assertEqual(0.1, settings.quota_excess_share)
+        self.assertEqual(20, settings.quota_slack_requests)
+        self.assertEqual(0, settings.memory_bytes)
+        self.assertEqual(0, settings.max_descriptors)
 
     def test_template_without_seeds_is_valid(self):
         settings = configuration.parse_gateway_settings(
@@ -56,6 +89,9 @@
             ('bounds.grace_s', 'long', 'stop_grace_s'),
             ('platform.call_bytes', '-1', 'max_call_bytes'),
             ('heartbeat_ms', '0', 'upstream_heartbeat_ms'),
+            ('bounds.strict_revoke', 'yes', 'strict_revocation'),
+            ('bounds.quota_window_s', '-1', 'window_s'),
+            ('limits.memory_mb', 'all', 'memory_mb'),
         ]
         for name, value, key in cases:
             faults = configuration.parse_gateway_settings(
--- a/tools/tests/test_import_direction.py
+++ b/tools/tests/test_import_direction.py
@@ -13,7 +13,7 @@
     ('results',),
     ('supervision', 'transport', 'telemetry'),
     ('relay', 'configuration', 'backing_services', 'rpc'),
-    ('membership', 'state', 'objectives', 'keyed_log'),
+    ('membership', 'state', 'objectives', 'keyed_log', 'customers'),
     ('routing', 'admission', 'batch', 'fleet', 'jobs'),
     ('placement', 'stream_origins'),
     ('peering',),
