--- a/siskinmount/customers/__init__.py
+++ b/siskinmount/customers/__init__.py
@@ -1,7 +1,7 @@
 """Customers of the fleet, their keys, and how fresh these must be."""
 
 from siskinmount.customers._customer import Customer
-from siskinmount.customers._key_age import KeyAge
 from siskinmount.customers._key_age import create_key_age
+from siskinmount.customers._key_age import KeyAge
 
 __all__ = ['Customer', 'KeyAge', 'create_key_age']
