Bound the age of the keys: proofs by the boot clock, further reads, peers

Cause: with strict revocation no request may run under a key that was revoked longer ago than the bound, and nothing said how old the document in force was.

Change: each read of the document log that reaches its end gives a proof with the boot time before it was sent. A newest document that was refused gives no proof. Without strict_revocation nothing is sent and nothing refused.

--- a/siskinmount/fleet/_fleet_view.py
+++ b/siskinmount/fleet/_fleet_view.py
@@ -36,10 +36,14 @@
         written_at_s: Monotonic time, by id, at which the upstream was last
             known to have written its entry.
         departures: What upstreams said in responses on their departure.
+        logged_version: Version of the newest document in the log; None if
+            there is none, or if it was refused. Then the document in force is
+            not known to be the newest, and may have keys that were revoked.
     """
 
     __slots__ = (
         'document',
+        'logged_version',
         'upstreams',
         'upstream_sources',
         'written_at_s',
@@ -57,6 +61,7 @@
         self, decode_document: DecodeDocument, decode_upstream: DecodeUpstream
     ) -> None:
         self.document: _document.FleetDocument | None = None
+        self.logged_version: int | None = None
         self.upstreams: dict[str, _upstream.Upstream] = {}
         self.upstream_sources: dict[str, bytes] = {}
         self.written_at_s: dict[str, float] = {}
@@ -130,16 +135,26 @@
 
     def apply_document_record(self, record: keyed_log.KeyedRecord) -> None:
         """Applies a record of the log of documents."""
-        if record.key != 'config' or record.value is None:
+        if record.key != 'config':
             return
-        self.apply_document(record.value, f'log offset {record.offset}')
+        # It stays None if an exception ends the call.
+        self.logged_version = None
+        if record.value is None:
+            return
+        self.logged_version = self.apply_document(
+            record.value, f'log offset {record.offset}'
+        )
 
-    def apply_document(self, source: bytes, origin: str) -> None:
+    def apply_document(self, source: bytes, origin: str) -> int | None:
         """Puts a document in force if it is valid and newer.
 
         Args:
             source: The encoded document.
             origin: Where the document came from, for the log.
+
+        Returns:
+            The version of the document if the one in force is the same or
+            newer; None if it was refused.
         """
         decoded = self._decode_document(source)
         if isinstance(decoded, results.Failure):
@@ -151,10 +166,24 @@
                     'origin': origin,
                 },
             )
-            return
+            return None
         current = self.document
         if current is not None and decoded.version <= current.version:
-            return
+            is_same = decoded.version == current.version
+            if not is_same or decoded.source == current.source:
+                return decoded.version
+            _LOGGER.error(
+                'document_refused',
+                extra={
+                    'code': int(results.ResultCode.DOCUMENT_INVALID),
+                    'reason': (
+                        f'version {decoded.version} is in force with other'
+                        ' content'
+                    ),
+                    'origin': origin,
+                },
+            )
+            return None
         self.document = decoded
         _LOGGER.info(
             'document_in_force',
@@ -166,6 +195,7 @@
             },
         )
         self._notify()
+        return decoded.version
 
     def apply_upstream_record(self, record: keyed_log.KeyedRecord) -> None:
         """Applies a record of the log of upstreams."""
--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -7,6 +7,7 @@
 import trio
 
 from siskinmount import configuration
+from siskinmount import customers
 from siskinmount import fleet
 from siskinmount import jobs
 from siskinmount import keyed_log
@@ -29,6 +30,7 @@
 from siskinmount.gateway import _item_watch
 from siskinmount.gateway import _jobs_api
 from siskinmount.gateway import _jobs_writer
+from siskinmount.gateway import _key_proofs
 from siskinmount.gateway import _listed_processes
 from siskinmount.gateway import _member_announcer
 from siskinmount.gateway import _online_context
@@ -87,6 +89,8 @@
         '_housekeeping',
         '_metrics',
         '_document_follower',
+        '_key_age',
+        '_key_proofs',
         '_upstreams_follower',
         '_members_follower',
         '_jobs_follower',
@@ -166,8 +170,25 @@
         )
         clients = _upstream_clients.create_upstream_clients(self._view)
         table = jobs.create_job_table()
+        key_max_age_s = None
+        if settings.strict_revocation:
+            key_max_age_s = settings.key_max_age_ms / 1000
+        self._key_age = customers.create_key_age(
+            key_max_age_s, get_version=self._get_document_version
+        )
         self._document_follower = keyed_log.create_log_follower(
-            'document', outside.document_log, self._view.apply_document_record
+            'document',
+            outside.document_log,
+            self._view.apply_document_record,
+            read_wait_ms=_key_proofs.compute_read_wait_ms(key_max_age_s),
+            boot_clock=self._key_age.get_time_s,
+        )
+        self._key_proofs = _key_proofs.create_key_proofs(
+            self._key_age,
+            self._view,
+            outside.document_log,
+            self._document_follower,
+            self._metrics,
         )
         self._upstreams_follower = keyed_log.create_log_follower(
             'upstreams',
@@ -255,6 +276,7 @@
             scheduler=scheduler,
             ledger=self._ledger,
             origins=origins,
+            key_proofs=self._key_proofs,
             own_address=settings.control_address,
             seeds=settings.seeds,
         )
@@ -394,6 +416,7 @@
         )
         children = [
             supervision.Child('documents', self._document_follower.run),
+            supervision.Child('key_proofs', self._key_proofs.run),
             supervision.Child('upstreams', self._upstreams_follower.run),
             supervision.Child('members', self._members_follower.run),
             supervision.Child('jobs', self._follow_jobs),
@@ -469,6 +492,11 @@
         """Returns the mean age of the counts of peers."""
         return self._directory.message_delay_s
 
+    def _get_document_version(self) -> int | None:
+        """Returns the version of the document in force; None without one."""
+        document = self._view.document
+        return document.version if document else None
+
     def _apply_limits(self) -> None:
         """Applies the document's limits on callers' requests."""
         document = self._view.document
@@ -489,6 +517,7 @@
             self._view.document is not None
             and self._quarantine_log.may_serve()
             and self._version_keeper.may_serve()
+            and self._key_proofs.may_serve()
             and not is_leaving
         )
         await exchange.send_json(
--- a/siskinmount/gateway/_gateway_metrics.py
+++ b/siskinmount/gateway/_gateway_metrics.py
@@ -38,6 +38,12 @@
             what began them.
         streams_started: Streams that began, by what became of their record.
         disconnects: Callers that disconnected before their response ended.
+        key_proofs: Proofs that the keys in force are the newest, by source
+            (store or peer).
+        key_reads: Further reads of the end of the log of documents, by outcome.
+        keys_outdated: Times at which the keys became too old for requests.
+        key_proof_age: Age in s of the newest proof; -1 without one. Only where
+            strict revocation is on.
     """
 
     __slots__ = (
@@ -64,6 +70,10 @@
         'stream_origins',
         'streams_started',
         'disconnects',
+        'key_proofs',
+        'key_reads',
+        'keys_outdated',
+        'key_proof_age',
     )
 
     def __init__(self, metrics: telemetry.Metrics) -> None:
@@ -149,6 +159,23 @@
         self.disconnects = metrics.create_counter(
             'callers_gone_total', 'Callers that left early.'
         )
+        self.key_proofs = metrics.create_counter(
+            'key_proofs_total',
+            'Proofs that the keys in force are the newest.',
+            'source',
+        )
+        self.key_reads = metrics.create_counter(
+            'key_reads_total',
+            'Further reads of the end of the log of documents.',
+            'outcome',
+        )
+        self.keys_outdated = metrics.create_counter(
+            'keys_outdated_total', 'Times at which the keys became too old.'
+        )
+        self.key_proof_age = metrics.create_gauge(
+            'key_proof_age_s',
+            'Age of the newest proof that the keys are current.',
+        )
 
 
 def create_gateway_metrics(metrics: telemetry.Metrics) -> GatewayMetrics:
--- a/siskinmount/gateway/_outside_services.py
+++ b/siskinmount/gateway/_outside_services.py
@@ -41,7 +41,7 @@
     def __init__(
         self,
         *,
-        document_log: keyed_log.KeyedLog,
+        document_log: keyed_log.EndReadableLog,
         upstreams_log: keyed_log.KeyedLog,
         members_log: keyed_log.KeyedLog,
         jobs_log: keyed_log.KeyedLog,
--- a/siskinmount/gateway/_peers_api.py
+++ b/siskinmount/gateway/_peers_api.py
@@ -20,6 +20,7 @@
 from siskinmount import results
 from siskinmount import stream_origins
 from siskinmount import transport
+from siskinmount.gateway import _key_proofs
 from siskinmount.gateway import _origin_finder
 
 _LOGGER = logging.getLogger(__name__)
@@ -42,6 +43,8 @@
 #: the peer waits for them itself.
 OPERATIONS_TIMEOUT_MS = 1000
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+#: Digits of the largest number that is read from a query of a peer.
+MAX_NUMBER_DIGITS = 18
 
 
 class PeersApi:
@@ -55,6 +58,7 @@
         '_scheduler',
         '_ledger',
         '_origins',
+        '_key_proofs',
         '_control_port',
         'seeds',
         '_own_host',
@@ -70,6 +74,7 @@
         scheduler: jobs.ItemScheduler,
         ledger: jobs.JobLedger,
         origins: _origin_finder.OriginFinder,
+        key_proofs: _key_proofs.KeyProofs,
         own_address: transport.Address,
         seeds: list[transport.Address],
     ) -> None:
@@ -80,6 +85,7 @@
         self._scheduler = scheduler
         self._ledger = ledger
         self._origins = origins
+        self._key_proofs = key_proofs
         self._control_port = own_address.port
         self._own_host = own_address.host
         self.seeds = seeds
@@ -281,28 +287,49 @@
         await exchange.send_json(200, {})
 
     async def _send_fleet(self, exchange: transport.ServerExchange) -> None:
-        """Sends a peer the document and the upstreams."""
+        """Sends a peer the document and the upstreams.
+
+        What the peer says that it holds is left out: it may ask for the age of
+        the document alone, while the document is large and the path slow.
+        """
+        query = exchange.head.query
         document = self._view.document
+        version = document.version if document else None
+        source = document.source if document else b''
+        if version is not None and _is_held(query, 'version', version):
+            source = b''
         rows: dict[str, str] = {}
-        for upstream_id, source in self._view.upstream_sources.items():
-            rows[upstream_id] = base64.b64encode(source).decode('ascii')
+        lapsed_ages_s: dict[str, float] = {}
+        offset = self._upstreams_follower.next_offset
+        if not _is_held(query, 'upstreams_offset', offset):
+            for upstream_id, entry in self._view.upstream_sources.items():
+                rows[upstream_id] = base64.b64encode(entry).decode('ascii')
+            lapsed_ages_s = self._view.list_lapsed_ages_s()
         await exchange.send_json(
             200,
             {
-                'document': base64.b64encode(
-                    document.source if document else b''
-                ).decode('ascii'),
+                'document': base64.b64encode(source).decode('ascii'),
+                'document_version': version,
+                'document_age_ms': self._key_proofs.get_document_age_ms(),
                 'upstreams': rows,
-                'lapsed_ages_s': self._view.list_lapsed_ages_s(),
-                'upstreams_offset': self._upstreams_follower.next_offset,
+                'lapsed_ages_s': lapsed_ages_s,
+                'upstreams_offset': offset,
             },
         )
 
     async def run(self) -> None:
-        """Asks a peer for the fleet while the store is out of reach."""
+        """Asks a peer for the fleet while the store is out of reach.
+
+        Also while the proof of the keys grows old: the store may answer too
+        slowly. The peer is drawn anew each time, so that the calls are spread
+        over the members; a proof goes from member to member with its age.
+        """
         while True:
             await trio.sleep(POLL_INTERVAL_S)
-            if not self._is_store_unavailable():
+            is_asking = (
+                self._is_store_unavailable() or self._key_proofs.needs_peer()
+            )
+            if not is_asking:
                 continue
             address = self._choose_peer_address()
             if address is not None:
@@ -337,8 +364,16 @@
 
     async def _fetch_fleet(self, address: transport.Address) -> None:
         """Fetches a peer's fleet, and applies what is newer."""
+        document = self._view.document
+        held = {'upstreams_offset': self._upstreams_follower.next_offset}
+        if document is not None:
+            held['version'] = document.version
+        asked_at_s = self._key_proofs.get_time_s()
         body = await self._call(
-            address, transport.ClientRequest('GET', FLEET_PATH)
+            address,
+            transport.ClientRequest(
+                'GET', f'{FLEET_PATH}?{urllib.parse.urlencode(held)}'
+            ),
         )
         if isinstance(body, results.Failure):
             _LOGGER.info(
@@ -346,7 +381,7 @@
                 extra={'peer': str(address), 'reason': body.reason},
             )
             return
-        self._apply_fleet(body, address)
+        self._apply_fleet(body, address, asked_at_s)
 
     async def _call(
         self,
@@ -379,11 +414,21 @@
             )
         return body
 
-    def _apply_fleet(self, body: bytes, address: transport.Address) -> None:
-        """Applies a peer's document and upstreams if they are newer."""
+    def _apply_fleet(
+        self, body: bytes, address: transport.Address, asked_at_s: float
+    ) -> None:
+        """Applies a peer's document and upstreams if they are newer.
+
+        Args:
+            body: The answer.
+            address: Address of the peer.
+            asked_at_s: Time by the clock of the proofs before it was asked.
+        """
         try:
             fields = orjson.loads(body)
             document = base64.b64decode(fields['document'])
+            version = fields.get('document_version')
+            age_ms = fields.get('document_age_ms')
             offset = int(fields['upstreams_offset'])
             sources: dict[str, bytes] = {}
             for upstream_id, text in fields['upstreams'].items():
@@ -396,7 +441,8 @@
             return
         origin = f'peer {address}'
         if document:
-            self._view.apply_document(document, origin)
+            version = self._view.apply_document(document, origin)
+        self._key_proofs.record_peer(str(address), asked_at_s, version, age_ms)
         if offset <= self._upstreams_follower.next_offset:
             return
         _LOGGER.info(
@@ -412,6 +458,16 @@
         self._view.replace_upstreams(sources, origin, lapsed_ages_s)
 
 
+def _is_held(query: dict[str, str], name: str, own: int) -> bool:
+    """Returns whether a peer says that it holds what is here, or newer.
+
+    Members of earlier releases do not tell.
+    """
+    text = query.get(name, '')
+    is_number = len(text) <= MAX_NUMBER_DIGITS and text.isdecimal()
+    return is_number and int(text) >= own
+
+
 def _log_invalid(peer: str, reason: str) -> None:
     _LOGGER.warning(
         'peer_data_invalid',
@@ -432,6 +488,7 @@
     scheduler: jobs.ItemScheduler,
     ledger: jobs.JobLedger,
     origins: _origin_finder.OriginFinder,
+    key_proofs: _key_proofs.KeyProofs,
     own_address: transport.Address,
     seeds: list[transport.Address],
 ) -> PeersApi:
@@ -444,6 +501,7 @@
         scheduler=scheduler,
         ledger=ledger,
         origins=origins,
+        key_proofs=key_proofs,
         own_address=own_address,
         seeds=seeds,
     )
--- a/siskinmount/gateway/tests/test_peers_api.py
+++ b/siskinmount/gateway/tests/test_peers_api.py
@@ -55,6 +55,7 @@
                 scheduler=scheduler,
                 ledger=None,
                 origins=None,
+                key_proofs=None,
                 own_address=transport.Address('127.0.0.1', 1),
                 seeds=[],
             )
@@ -191,6 +192,7 @@
             scheduler=None,
             ledger=None,
             origins=None,
+            key_proofs=None,
             own_address=transport.Address('127.0.0.1', 1),
             seeds=[],
         )
--- a/siskinmount/gateway/tests/test_upstream_views.py
+++ b/siskinmount/gateway/tests/test_upstream_views.py
@@ -1,6 +1,7 @@
 """Views of upstreams of members that read the log or ask each other."""
 
 import types
+import urllib.parse
 
 import hypothesis
 from hypothesis import strategies
@@ -9,10 +10,14 @@
 import trio
 import trio.testing
 
+from siskinmount import customers
 from siskinmount import fleet
 from siskinmount import keyed_log
 from siskinmount import results
+from siskinmount import telemetry
 from siskinmount import transport
+from siskinmount.gateway import _gateway_metrics
+from siskinmount.gateway import _key_proofs
 from siskinmount.gateway import _peers_api
 from siskinmount.keyed_log.tests import unsteady_log
 
@@ -63,7 +68,10 @@
     """A call of a peer that does not leave the process."""
 
     def __init__(self, path):
-        self.head = types.SimpleNamespace(path=path)
+        path, _, query = path.partition('?')
+        self.head = types.SimpleNamespace(
+            path=path, query=dict(urllib.parse.parse_qsl(query))
+        )
         self.body = None
 
     async def send_json(self, status, document):
@@ -105,6 +113,15 @@
             ledger=None,
             scheduler=None,
             origins=None,
+            key_proofs=_key_proofs.create_key_proofs(
+                customers.create_key_age(None, trio.current_time),
+                self.view,
+                None,
+                self.follower,
+                _gateway_metrics.create_gateway_metrics(
+                    telemetry.create_metrics()
+                ),
+            ),
             own_address=transport.Address(name, 1),
             seeds=[self],
         )
--- a/siskinmount/keyed_log/__init__.py
+++ b/siskinmount/keyed_log/__init__.py
@@ -2,12 +2,14 @@
 
 Public API:
     KeyedLog: Protocol of one partition.
+    EndReadableLog: Protocol of one that can be asked for its end alone.
     KeyedRecord, LogPage, OffsetExpired, AppendRefusal: Arguments and results.
     LogFollower, create_log_follower(name, log, on_record): Follows a partition.
     LogEnd: Where a log ended when it was read.
 """
 
 from siskinmount.keyed_log._keyed_log import AppendRefusal
+from siskinmount.keyed_log._keyed_log import EndReadableLog
 from siskinmount.keyed_log._keyed_log import KeyedLog
 from siskinmount.keyed_log._keyed_log import KeyedRecord
 from siskinmount.keyed_log._keyed_log import LogPage
--- a/siskinmount/keyed_log/_keyed_log.py
+++ b/siskinmount/keyed_log/_keyed_log.py
@@ -97,3 +97,22 @@
         a read from there on misses no record but may repeat some.
         """
         ...
+
+
+class EndReadableLog(KeyedLog, Protocol):
+    """A keyed log that can also be asked for its end alone."""
+
+    async def read_end(
+        self, from_offset: int, with_records: bool
+    ) -> LogPage | OffsetExpired | results.Failure:
+        """Reads where the log ends, without a limit on the time.
+
+        Several such reads may run at once, beside one of `read`. The caller
+        bounds the time: a late answer still says where the log ended.
+
+        Args:
+            from_offset: Offset of the first record to read.
+            with_records: Whether to receive the records; else the page has
+                none.
+        """
+        ...
--- a/siskinmount/keyed_log/_log_follower.py
+++ b/siskinmount/keyed_log/_log_follower.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import logging
 import random
+import time
 
 import trio
 
@@ -33,6 +34,10 @@
 RecordCallback = Callable[[_keyed_log.KeyedRecord], None]
 #: Called with all keys in the log after a reload.
 KeysCallback = Callable[[set[str]], None]
+#: Called after a read that reached the end of the log, with the time by the
+#: boot clock before the read was sent: the view contains all records that the
+#: log had at that time.
+EndCallback = Callable[[float], None]
 
 
 class LogEnd:
@@ -68,6 +73,10 @@
             put off.
         lost_at_s: Monotonic time at which the log last became unreachable.
         regained_at_s: Monotonic time at which the log last became reachable.
+        confirmed_at_boot_s: Time by the boot clock, which counts while the
+            machine is suspended, at which the last read that reached the end
+            of the log was sent. A load does not count: it may go on with pages
+            that were read earlier.
     """
 
     __slots__ = (
@@ -75,6 +84,7 @@
         'next_offset',
         'is_loaded',
         'confirmed_at_s',
+        'confirmed_at_boot_s',
         'current_at_s',
         'is_reachable',
         'is_pausing',
@@ -93,6 +103,9 @@
         '_loading',
         '_load_failure',
         '_load_failed_at_s',
+        '_read_wait_ms',
+        '_boot_clock',
+        '_on_end',
     )
 
     def __init__(
@@ -103,11 +116,14 @@
         on_keys: KeysCallback | None,
         read_interval_s: float,
         may_load: Callable[[], bool],
+        read_wait_ms: int,
+        boot_clock: Callable[[], float],
     ) -> None:
         self.name = name
         self.next_offset = 0
         self.is_loaded = False
         self.confirmed_at_s = float('-inf')
+        self.confirmed_at_boot_s = float('-inf')
         self.current_at_s = float('-inf')
         self.is_reachable = True
         self.lost_at_s = float('-inf')
@@ -126,6 +142,13 @@
         self._loading: trio.Event | None = None
         self._load_failure: results.Failure | None = None
         self._load_failed_at_s = float('-inf')
+        self._read_wait_ms = read_wait_ms
+        self._boot_clock = boot_clock
+        self._on_end: EndCallback = _ignore_end
+
+    def watch_end(self, on_end: EndCallback) -> None:
+        """Sets the function that is told of reads that reached the end."""
+        self._on_end = on_end
 
     async def run(self) -> None:
         """Follows the log until cancelled."""
@@ -168,6 +191,7 @@
                 if failure is not None:
                     return failure
             sent_at_s = trio.current_time()
+            sent_at_boot_s = self._boot_clock()
             page = await self._log.read(self.next_offset, 0)
             if isinstance(page, results.Failure):
                 return page
@@ -177,8 +201,34 @@
             self.apply_page(page)
             if self.next_offset >= page.end_offset:
                 self._record_end(sent_at_s)
+                self._confirm(sent_at_boot_s)
                 return None
 
+    async def read_end(
+        self, log: _keyed_log.EndReadableLog, with_records: bool
+    ) -> results.Failure | None:
+        """Reads where the log ends, beside the reads of `run`.
+
+        Returns None also if the log turns out to have further records.
+
+        Args:
+            log: The followed log.
+            with_records: Whether to receive and apply them.
+        """
+        sent_at_s = trio.current_time()
+        sent_at_boot_s = self._boot_clock()
+        page = await log.read_end(self.next_offset, with_records)
+        if isinstance(page, results.Failure):
+            return page
+        if isinstance(page, _keyed_log.OffsetExpired):
+            # The next read of `run` finds the same and loads the log.
+            return None
+        self.apply_page(page)
+        if self.is_loaded and self.next_offset >= page.end_offset:
+            self._record_end(sent_at_s)
+            self._confirm(sent_at_boot_s)
+        return None
+
     def apply_page(self, page: _keyed_log.LogPage) -> None:
         """Applies the records of a page that have not been applied yet."""
         is_changed = False
@@ -212,12 +262,18 @@
         self.confirmed_at_s = sent_at_s
         self._end = LogEnd(self.next_offset, sent_at_s)
 
+    def _confirm(self, sent_at_boot_s: float) -> None:
+        """Records that a read sent at this boot time reached the end."""
+        self.confirmed_at_boot_s = max(self.confirmed_at_boot_s, sent_at_boot_s)
+        self._on_end(sent_at_boot_s)
+
     async def _step(self) -> results.Failure | None:
         """Performs one read, or a reload if needed."""
         if not self.is_loaded:
             return await self._load_for_all(0.0)
         sent_at_s = trio.current_time()
-        page = await self._log.read(self.next_offset, LONGEST_READ_WAIT_MS)
+        sent_at_boot_s = self._boot_clock()
+        page = await self._log.read(self.next_offset, self._read_wait_ms)
         if isinstance(page, results.Failure):
             return page
         if isinstance(page, _keyed_log.OffsetExpired):
@@ -235,6 +291,7 @@
         self.apply_page(page)
         if self.next_offset >= page.end_offset:
             self._record_end(sent_at_s)
+            self._confirm(sent_at_boot_s)
             self.current_at_s = _estimate_answer_time(page, sent_at_s)
         return None
 
@@ -366,6 +423,14 @@
     return True
 
 
+def _ignore_end(sent_at_boot_s: float) -> None:
+    del sent_at_boot_s
+
+
+def _read_boot_clock() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 _WAITS_FOR_OTHERS = results.Failure(
     results.ResultCode.LOG_UNAVAILABLE,
     'logs that are needed more urgently are loaded first',
@@ -397,6 +462,8 @@
     on_keys: KeysCallback | None = None,
     read_interval_s: float = 0.0,
     may_load: Callable[[], bool] = _allow_load,
+    read_wait_ms: int = LONGEST_READ_WAIT_MS,
+    boot_clock: Callable[[], float] = _read_boot_clock,
 ) -> LogFollower:
     """Creates a follower; nothing is read before `run` or `sync`.
 
@@ -407,5 +474,18 @@
         on_keys: Called with all keys after a reload.
         read_interval_s: Shortest mean time between reads that bring records.
         may_load: Returns whether all keys may be loaded now.
+        read_wait_ms: Longest wait of one read for a new record, at most
+            `LONGEST_READ_WAIT_MS`.
+        boot_clock: Returns seconds, those of a suspension of the machine
+            included.
     """
-    return LogFollower(name, log, on_record, on_keys, read_interval_s, may_load)
+    return LogFollower(
+        name,
+        log,
+        on_record,
+        on_keys,
+        read_interval_s,
+        may_load,
+        read_wait_ms,
+        boot_clock,
+    )
--- a/siskinmount/platform/_store.py
+++ b/siskinmount/platform/_store.py
@@ -31,6 +31,9 @@
 #: Time that a read may take beyond its wait for a record.
 READ_SLACK_MS = 1000
 CONNECT_TIMEOUT_MS = 700
+#: Longest silence in calls whose callers bound the time: longer than any bound
+#: on the age of keys within which an answer is of use.
+PATIENT_TIMEOUT_MS = 20_000
 #: Time after its last page within which a read of the newest records continues.
 #: Much shorter than the history that the store keeps, from which the changes
 #: since its first page are read.
@@ -62,7 +65,7 @@
 class Store:
     """HTTP client of the platform's store."""
 
-    __slots__ = ('_client', '_long_poll_client', '_metrics')
+    __slots__ = ('_client', '_long_poll_client', '_patient_client', '_metrics')
 
     def __init__(
         self, address: transport.Address, metrics: telemetry.Metrics
@@ -88,6 +91,16 @@
                 idle_timeout_ms=20_000,
             ),
         )
+        self._patient_client = transport.create_http_client(
+            address,
+            transport.ClientLimits(
+                max_connections=_MAX_CONNECTIONS,
+                connect_timeout_ms=CONNECT_TIMEOUT_MS,
+                silence_timeout_ms=PATIENT_TIMEOUT_MS,
+                send_timeout_ms=CALL_TIMEOUT_MS,
+                idle_timeout_ms=20_000,
+            ),
+        )
         self._metrics = StoreMetrics(metrics)
 
     def open_log(self, topic: str, partition: int) -> 'TopicLog':
@@ -127,6 +140,37 @@
                 )
             return exchange.status, body
 
+    async def call_patiently(
+        self, name: str, request: transport.ClientRequest, max_bytes: int
+    ) -> tuple[int, bytes] | results.Failure:
+        """Makes a call and returns status and beginning of the answer's body.
+
+        The caller bounds the time. If the body is much longer, the connection
+        is closed before it has been received.
+
+        Args:
+            name: Name of the call in metrics and errors.
+            request: The request to send.
+            max_bytes: Number of bytes of the body that suffice.
+        """
+        exchange = await self._patient_client.send(request)
+        if isinstance(exchange, results.Failure):
+            self._metrics.calls.increment(name, exchange.code.name.lower())
+            return _create_failure(name, exchange.reason, exchange.run_state)
+        body = bytearray()
+        with exchange:
+            self._metrics.calls.increment(name, str(exchange.status))
+            while len(body) < max_bytes:
+                chunk = await exchange.receive_chunk()
+                if isinstance(chunk, results.Failure):
+                    return _create_failure(
+                        name, chunk.reason, results.RunState.UNKNOWN
+                    )
+                if not chunk:
+                    break
+                body += chunk
+        return exchange.status, bytes(body)
+
 
 class _NewestRead:
     """Pages of a read of the newest records that have arrived.
@@ -215,6 +259,35 @@
             )
         return _decode_page(body, from_offset)
 
+    async def read_end(
+        self, from_offset: int, with_records: bool
+    ) -> keyed_log.LogPage | keyed_log.OffsetExpired | results.Failure:
+        """Implements `EndReadableLog.read_end`."""
+        request = transport.ClientRequest(
+            'GET',
+            f'/siskinmount/log-read?{self._query}&from={from_offset}&wait_ms=0',
+        )
+        answer = await self._store.call_patiently(
+            'read_end',
+            request,
+            MAX_ANSWER_BYTES if with_records else _RANGE.size,
+        )
+        if isinstance(answer, results.Failure):
+            return answer
+        status, body = answer
+        if status == 410:
+            return keyed_log.OffsetExpired(0)
+        if status != 200:
+            return _create_failure(
+                'read_end',
+                f'the store answered {status}',
+                results.RunState.NOT_RUN,
+            )
+        if with_records or len(body) < _RANGE.size:
+            return _decode_page(body, from_offset)
+        end_offset, _ = _RANGE.unpack_from(body)
+        return keyed_log.LogPage([], end_offset)
+
     async def read_newest(self) -> keyed_log.LogPage | results.Failure:
         """Implements `KeyedLog.read_newest`; reads page by page.
 
