--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,8 @@
 setup: $(VENV)/.installed
 
 test: setup
-	$(BIN)/python -m pytest -n 4
+	$(BIN)/python -m pytest -n 0 -m serial
+	$(BIN)/python -m pytest -n 4 -m 'not serial'
 
 format: setup
 	$(BIN)/ruff check --fix --quiet .
