--- a/siskinmount/gateway/_key_proofs.py
+++ b/siskinmount/gateway/_key_proofs.py
@@ -49,7 +49,6 @@
         '_metrics',
         '_source',
         '_running',
-        '_is_receiving',
         '_last_sent_at_s',
         '_last_took_s',
         '_is_failing',
@@ -70,7 +69,6 @@
         self._metrics = metrics
         self._source = ''
         self._running = 0
-        self._is_receiving = False
         self._last_sent_at_s = float('-inf')
         self._last_took_s = 0.0
         self._is_failing = False
@@ -162,24 +160,14 @@
         return trio.current_time() - self._last_sent_at_s >= interval_s
 
     async def _read(self, max_age_s: float) -> None:
-        """Sends one further read, of bounded time.
-
-        It receives records only while the follower's own reads fail, and one
-        read at a time does: a large document that is received several times at
-        once takes as many times as long.
-        """
-        with_records = not self._follower.is_reachable
-        with_records = with_records and not self._is_receiving
-        self._is_receiving = self._is_receiving or with_records
+        """Sends one further read, of bounded time."""
         began_at_s = trio.current_time()
         failure: results.Failure | None = _TIMED_OUT
         try:
             with trio.move_on_after(READ_TIMEOUT_SHARE * max_age_s):
-                failure = await self._follower.read_end(self._log, with_records)
+                failure = await self._follower.read_end(self._log)
         finally:
             self._running -= 1
-            if with_records:
-                self._is_receiving = False
             self._last_took_s = trio.current_time() - began_at_s
         self._log_read(failure)
 
@@ -259,7 +247,7 @@
     """
     if max_age_s is None:
         return keyed_log.LONGEST_READ_WAIT_MS
-    wait_ms = int(FOLLOWER_WAIT_SHARE * max_age_s * 1000)
+    wait_ms = round(FOLLOWER_WAIT_SHARE * max_age_s * 1000)
     return min(keyed_log.LONGEST_READ_WAIT_MS, wait_ms)
 
 
--- a/siskinmount/keyed_log/_keyed_log.py
+++ b/siskinmount/keyed_log/_keyed_log.py
@@ -103,16 +103,16 @@
     """A keyed log that can also be asked for its end alone."""
 
     async def read_end(
-        self, from_offset: int, with_records: bool
+        self, from_offset: int
     ) -> LogPage | OffsetExpired | results.Failure:
         """Reads where the log ends, without a limit on the time.
 
         Several such reads may run at once, beside one of `read`. The caller
-        bounds the time: a late answer still says where the log ended.
+        bounds the time: a late answer still says where the log ended. Records
+        that another read is receiving may be left out: large ones that are
+        received several times at once take as many times as long.
 
         Args:
             from_offset: Offset of the first record to read.
-            with_records: Whether to receive the records; else the page has
-                none.
         """
         ...
--- a/siskinmount/keyed_log/_log_follower.py
+++ b/siskinmount/keyed_log/_log_follower.py
@@ -205,19 +205,18 @@
                 return None
 
     async def read_end(
-        self, log: _keyed_log.EndReadableLog, with_records: bool
+        self, log: _keyed_log.EndReadableLog
     ) -> results.Failure | None:
         """Reads where the log ends, beside the reads of `run`.
 
-        Returns None also if the log turns out to have further records.
+        Returns None also if the log has records that another read receives.
 
         Args:
             log: The followed log.
-            with_records: Whether to receive and apply them.
         """
         sent_at_s = trio.current_time()
         sent_at_boot_s = self._boot_clock()
-        page = await log.read_end(self.next_offset, with_records)
+        page = await log.read_end(self.next_offset)
         if isinstance(page, results.Failure):
             return page
         if isinstance(page, _keyed_log.OffsetExpired):
--- a/siskinmount/platform/_store.py
+++ b/siskinmount/platform/_store.py
@@ -108,7 +108,11 @@
         return TopicLog(self, topic, partition)
 
     async def call(
-        self, name: str, request: transport.ClientRequest, may_wait: bool
+        self,
+        name: str,
+        request: transport.ClientRequest,
+        may_wait: bool,
+        receivers: '_Receivers | None' = None,
     ) -> tuple[int, bytes] | results.Failure:
         """Makes a call and returns status and body of the answer.
 
@@ -119,7 +123,9 @@
             name: Name of the call in metrics and errors.
             request: The request to send.
             may_wait: Whether the store may wait for a record before it answers.
+            receivers: Counts the calls whose answers are being received.
         """
+        receivers = receivers or _Receivers()
         client = self._long_poll_client if may_wait else self._client
         exchange = await client.send(request)
         if isinstance(exchange, results.Failure):
@@ -127,7 +133,11 @@
             return _create_failure(name, exchange.reason, exchange.run_state)
         with exchange:
             self._metrics.calls.increment(name, str(exchange.status))
-            body = await exchange.read_body(MAX_ANSWER_BYTES)
+            receivers.count += 1
+            try:
+                body = await exchange.read_body(MAX_ANSWER_BYTES)
+            finally:
+                receivers.count -= 1
             if isinstance(body, results.Failure):
                 return _create_failure(
                     name, body.reason, results.RunState.UNKNOWN
@@ -141,17 +151,20 @@
             return exchange.status, body
 
     async def call_patiently(
-        self, name: str, request: transport.ClientRequest, max_bytes: int
+        self,
+        name: str,
+        request: transport.ClientRequest,
+        receivers: '_Receivers',
     ) -> tuple[int, bytes] | results.Failure:
-        """Makes a call and returns status and beginning of the answer's body.
+        """Makes a call, whose time the caller bounds.
 
-        The caller bounds the time. If the body is much longer, the connection
-        is closed before it has been received.
+        The body is cut off after its header, and the connection closed, if the
+        answer to another call is being received when this one begins.
 
         Args:
             name: Name of the call in metrics and errors.
             request: The request to send.
-            max_bytes: Number of bytes of the body that suffice.
+            receivers: Counts the calls whose answers are being received.
         """
         exchange = await self._patient_client.send(request)
         if isinstance(exchange, results.Failure):
@@ -160,18 +173,42 @@
         body = bytearray()
         with exchange:
             self._metrics.calls.increment(name, str(exchange.status))
-            while len(body) < max_bytes:
-                chunk = await exchange.receive_chunk()
-                if isinstance(chunk, results.Failure):
-                    return _create_failure(
-                        name, chunk.reason, results.RunState.UNKNOWN
-                    )
-                if not chunk:
-                    break
-                body += chunk
+            is_first = receivers.count == 0
+            receivers.count += is_first
+            try:
+                while is_first or len(body) <= _RANGE.size:
+                    chunk = await exchange.receive_chunk()
+                    if isinstance(chunk, results.Failure):
+                        return _create_failure(
+                            name, chunk.reason, results.RunState.UNKNOWN
+                        )
+                    if not chunk:
+                        break
+                    body += chunk
+                    if len(body) > MAX_ANSWER_BYTES:
+                        return _create_failure(
+                            name,
+                            f'the body exceeds {MAX_ANSWER_BYTES} bytes',
+                            results.RunState.UNKNOWN,
+                        )
+            finally:
+                receivers.count -= is_first
         return exchange.status, bytes(body)
 
 
+class _Receivers:
+    """Number of calls whose answers are being received.
+
+    Attributes:
+        count: Their number.
+    """
+
+    __slots__ = ('count',)
+
+    def __init__(self) -> None:
+        self.count = 0
+
+
 class _NewestRead:
     """Pages of a read of the newest records that have arrived.
 
@@ -194,7 +231,7 @@
 class TopicLog:
     """Implements `keyed_log.KeyedLog` for one partition of a topic."""
 
-    __slots__ = ('_store', '_query', '_unfinished')
+    __slots__ = ('_store', '_query', '_unfinished', '_receivers')
 
     def __init__(self, store: Store, topic: str, partition: int) -> None:
         self._store = store
@@ -202,6 +239,7 @@
             {'topic': topic, 'part': partition}
         )
         self._unfinished: _NewestRead | None = None
+        self._receivers = _Receivers()
 
     async def append(
         self, records: list[keyed_log.KeyedRecord], at_offset: int | None
@@ -241,7 +279,9 @@
             f'/siskinmount/log-read?{self._query}&from={from_offset}'
             f'&wait_ms={wait_ms}',
         )
-        answer = await self._store.call('read', request, wait_ms > 0)
+        answer = await self._store.call(
+            'read', request, wait_ms > 0, self._receivers
+        )
         if isinstance(answer, results.Failure):
             return answer
         status, body = answer
@@ -260,7 +300,7 @@
         return _decode_page(body, from_offset)
 
     async def read_end(
-        self, from_offset: int, with_records: bool
+        self, from_offset: int
     ) -> keyed_log.LogPage | keyed_log.OffsetExpired | results.Failure:
         """Implements `EndReadableLog.read_end`."""
         request = transport.ClientRequest(
@@ -268,9 +308,7 @@
             f'/siskinmount/log-read?{self._query}&from={from_offset}&wait_ms=0',
         )
         answer = await self._store.call_patiently(
-            'read_end',
-            request,
-            MAX_ANSWER_BYTES if with_records else _RANGE.size,
+            'read_end', request, self._receivers
         )
         if isinstance(answer, results.Failure):
             return answer
@@ -283,10 +321,7 @@
                 f'the store answered {status}',
                 results.RunState.NOT_RUN,
             )
-        if with_records or len(body) < _RANGE.size:
-            return _decode_page(body, from_offset)
-        end_offset, _ = _RANGE.unpack_from(body)
-        return keyed_log.LogPage([], end_offset)
+        return _decode_page(body, from_offset)
 
     async def read_newest(self) -> keyed_log.LogPage | results.Failure:
         """Implements `KeyedLog.read_newest`; reads page by page.
