--- a/siskinmount/gateway/tests/gateway_harness.py
+++ b/siskinmount/gateway/tests/gateway_harness.py
@@ -177,6 +177,8 @@
         self.addresses = {}
         self.gateways = []
         self.results_kept_s = 120
+        # Further settings of the gateways, by name.
+        self.settings = {}
 
     async def start(self, gateway_count, engine_ids, plain_ids=()):
         """Starts all parts and waits until the gateways are ready."""
@@ -315,6 +317,7 @@
             stop_grace_s=6,
             results_kept_s=self.results_kept_s,
             seeds=[],
+            **self.settings,
         )
         running.settings = settings
         daemon = gateway.create_gateway(
--- a/siskinmount/gateway/tests/key_proof_simulation.py
+++ b/siskinmount/gateway/tests/key_proof_simulation.py
@@ -189,9 +189,13 @@
 
 
 class _PeersApi(_peers_api.PeersApi):
-    """Calls peers within the process."""
+    """Calls peers within the process, or by a function of the test."""
+
+    call_peer = None
 
     async def _call(self, address, request):
+        if self.call_peer is not None:
+            return await self.call_peer(address, request)
         asker = self.seeds[0]
         peer = asker.world.members[address.host]
         await asker.wait_unfrozen()
--- a/siskinmount/gateway/tests/test_key_proofs.py
+++ b/siskinmount/gateway/tests/test_key_proofs.py
@@ -1,13 +1,16 @@
 """Age of keys at members whose store, peers and machines fail."""
 
+import base64
 import logging
 
 import hypothesis
 from hypothesis import strategies
+import orjson
 import testtools
 import trio
 import trio.testing
 
+from siskinmount import transport
 from siskinmount.gateway import _key_proofs
 from siskinmount.gateway.tests import key_proof_simulation as simulation
 
@@ -332,6 +335,31 @@
 
 class PeerProofTest(testtools.TestCase):
 
+    def test_peer_of_an_earlier_release_gives_the_document_and_no_proof(self):
+        # Guards against an answer without an age that counts as new, or that
+        # is refused as a whole.
+        async def check(world, members, nursery):
+            fields = {
+                'document': base64.b64encode(world.store.sources[0]).decode(),
+                'upstreams': {},
+                'upstreams_offset': 0,
+            }
+            for age_ms, expected in ((None, False), (100, True)):
+                if age_ms is not None:
+                    fields['document_age_ms'] = age_ms
+                member = simulation.Member(world, 'other')
+
+                async def call(address, request):
+                    return orjson.dumps(fields)
+
+                member.api.call_peer = call
+                address = transport.Address('m0', 1)
+                await member.api._fetch_fleet(address)
+                self.assertEqual(1, member.view.document.version)
+                self.assertEqual(expected, member.key_age.is_current())
+
+        _run(check)
+
     def test_ages_that_prove_nothing_are_dropped(self):
         # Guards against a proof of the future, or of nothing, by a peer of
         # another release or with a fault.
--- a/siskinmount/platform/tests/test_store.py
+++ b/siskinmount/platform/tests/test_store.py
@@ -56,6 +56,27 @@
             self.assertEqual(2, page.end_offset)
             self.assertEqual((size - 16) // 7, len(page.records))
 
+    def test_end_that_is_broken_off_shows_that_more_follow(self):
+        # Guards against a proof that a log has no further records by an answer
+        # whose records are missing, or that says nothing of its end.
+        whole = struct.pack('>QQ', 2, 0) + _record(b'a', b'1') * 2
+        for size in range(len(whole) + 1):
+            page = self._call(
+                _UNFRAMED + whole[:size], lambda log: log.read_end(0)
+            )
+            if size < 16:
+                self.assertIsInstance(page, results.Failure)
+                continue
+            self.assertEqual(2, page.end_offset)
+            self.assertEqual((size - 16) // 7, len(page.records))
+        for status in (b'429 Busy', b'503 Busy', b'410 Gone'):
+            page = self._call(
+                b'HTTP/1.1 %b\r\ncontent-length: 16\r\n\r\n' % status
+                + struct.pack('>QQ', 0, 0),
+                lambda log: log.read_end(0),
+            )
+            self.assertFalse(isinstance(page, keyed_log.LogPage), status)
+
     def test_answer_of_another_append_is_not_taken_for_this_one(self):
         # A server may send a second copy of an answer, late, on a connection
         # that is in use again.
