Hold back starting and recovered upstreams by a common window

Cause: placement by load prefers an upstream without requests, so one that has just started got requests for all its slots from all members at once. Change: placement._upstream_paces keeps a window for each start, decided from sums of answers over all members (field paces of peer messages). Online requests and batch slots respect it; run times are kept per route and upstream. A start is known from the member's own reading of the log, cold_left_ms or peers, never from wall clocks. RunMeanTest now asks RunTimes, which took the service means over from the placer, with the same figures. The placer's record_run is gone.

--- a/siskinmount/fleet/_upstream.py
+++ b/siskinmount/fleet/_upstream.py
@@ -31,6 +31,8 @@
             Versions have no order.
         entry_number: Number of the entry; each that the process writes has a
             larger one.
+        cold_left_ms: How much longer the upstream is slow after its start, as
+            it said in its entry; 0 if it is not.
     """
 
     __slots__ = (
@@ -43,6 +45,7 @@
         'started_at_ms',
         'software_version',
         'entry_number',
+        'cold_left_ms',
     )
 
     def __init__(
@@ -57,6 +60,7 @@
         started_at_ms: int,
         software_version: str = '',
         entry_number: int = 0,
+        cold_left_ms: int = 0,
     ) -> None:
         self.upstream_id = upstream_id
         self.service = service
@@ -67,6 +71,7 @@
         self.started_at_ms = started_at_ms
         self.software_version = software_version
         self.entry_number = entry_number
+        self.cold_left_ms = cold_left_ms
 
     @property
     def software(self) -> _software.Software:
--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -121,7 +121,9 @@
         crash_tracker = placement.create_crash_tracker(
             settings.upstream_heartbeat_ms
         )
-        health = placement.create_upstream_health(crash_tracker)
+        paces = placement.create_upstream_paces(self._view, self._load)
+        run_times = placement.create_run_times()
+        health = placement.create_upstream_health(crash_tracker, paces)
         self._crash_verifier = _crash_verifier.create_crash_verifier(
             view=self._view,
             load=self._load,
@@ -131,7 +133,7 @@
         self._overdue = placement.create_overdue_runs(health)
         rate_limits = placement.create_rate_limits()
         self._directory = peering.create_peer_directory(
-            settings.vm, self._load, crash_tracker, health, rate_limits
+            settings.vm, self._load, crash_tracker, health, rate_limits, paces
         )
         rate_limits.watch_members(
             self._directory.get_reachable_share, self._get_message_delay_s
@@ -214,6 +216,7 @@
             load=self._load,
             health=health,
             rate_limits=rate_limits,
+            paces=paces,
             crash_tracker=crash_tracker,
             scheduler=scheduler,
             directory=self._directory,
@@ -226,6 +229,8 @@
             crash_tracker=crash_tracker,
             health=health,
             rate_limits=rate_limits,
+            paces=paces,
+            run_times=run_times,
             overdue=self._overdue,
             origins=origins,
             directory=self._directory,
@@ -246,6 +251,8 @@
             health,
             self._get_message_delay_s,
             rate_limits,
+            paces,
+            run_times,
         )
         self._peers_api = _peers_api.create_peers_api(
             view=self._view,
@@ -295,6 +302,7 @@
                 clients,
                 processes,
                 health,
+                paces,
                 departures,
                 limit_reader,
                 outside.wire,
@@ -320,6 +328,8 @@
             load=self._load,
             health=health,
             overdue=self._overdue,
+            paces=paces,
+            run_times=run_times,
             crash_tracker=crash_tracker,
             clients=clients,
             processes=processes,
--- a/siskinmount/gateway/_gateway_metrics.py
+++ b/siskinmount/gateway/_gateway_metrics.py
@@ -28,6 +28,7 @@
         limit_notices: Changes of the request rates that upstreams accept, by
             what was read in a response: named, ended or invalid.
         limited_upstreams: Upstreams that accept a bounded request rate.
+        paced_upstreams: Starting or recovered upstreams that have a window.
         placements: Placement decisions by outcome.
         item_runs: Runs of batch items by outcome.
         preemptions: Runs of batch items preempted by callers' requests.
@@ -55,6 +56,7 @@
         'departures',
         'limit_notices',
         'limited_upstreams',
+        'paced_upstreams',
         'placements',
         'item_runs',
         'preemptions',
@@ -118,6 +120,10 @@
         self.limited_upstreams = metrics.create_gauge(
             'limited_upstreams', 'Upstreams that accept a bounded request rate.'
         )
+        self.paced_upstreams = metrics.create_gauge(
+            'paced_upstreams',
+            'Starting or recovered upstreams that have a window.',
+        )
         self.placements = metrics.create_counter(
             'placements_total', 'Decisions on placement.', 'outcome'
         )
--- a/siskinmount/gateway/_housekeeping.py
+++ b/siskinmount/gateway/_housekeeping.py
@@ -35,6 +35,8 @@
         '_crash_tracker',
         '_health',
         '_rate_limits',
+        '_paces',
+        '_run_times',
         '_overdue',
         '_origins',
         '_directory',
@@ -56,6 +58,8 @@
         crash_tracker: placement.CrashTracker,
         health: placement.UpstreamHealth,
         rate_limits: placement.RateLimits,
+        paces: placement.UpstreamPaces,
+        run_times: placement.RunTimes,
         overdue: placement.OverdueRuns,
         origins: _origin_finder.OriginFinder,
         directory: peering.PeerDirectory,
@@ -72,6 +76,8 @@
         self._crash_tracker = crash_tracker
         self._health = health
         self._rate_limits = rate_limits
+        self._paces = paces
+        self._run_times = run_times
         self._overdue = overdue
         self._origins = origins
         self._directory = directory
@@ -100,6 +106,9 @@
             self._metrics.limited_upstreams.set(
                 self._rate_limits.count_limited()
             )
+            self._paces.expire()
+            self._metrics.paced_upstreams.set(self._paces.count_windows())
+            self._run_times.expire()
             self._drop_expired_jobs()
             self._directory.list_live()
             self._members_watch.check()
@@ -126,7 +135,9 @@
             self._health.forget(upstream_id)
             self._rate_limits.forget(upstream_id)
             self._overdue.forget(upstream_id)
+            self._run_times.forget(upstream_id)
         self._known_upstreams = now_known
+        self._paces.apply_listing()
 
     def _drop_expired_jobs(self) -> None:
         """Drops closed jobs whose retention of results is over."""
@@ -167,6 +178,8 @@
     crash_tracker: placement.CrashTracker,
     health: placement.UpstreamHealth,
     rate_limits: placement.RateLimits,
+    paces: placement.UpstreamPaces,
+    run_times: placement.RunTimes,
     overdue: placement.OverdueRuns,
     origins: _origin_finder.OriginFinder,
     directory: peering.PeerDirectory,
@@ -186,6 +199,8 @@
         crash_tracker: Told of upstreams that restarted; its old entries expire.
         health: Forgets upstreams that were removed or restarted.
         rate_limits: Forgets limits that are over.
+        paces: Told of starts of upstreams; ends windows that are over.
+        run_times: Forgets upstreams that were removed or restarted.
         overdue: Forgets upstreams that were removed or restarted.
         origins: Forgets streams that cannot be resumed any more.
         directory: Silent peers are dropped.
@@ -203,6 +218,8 @@
         crash_tracker=crash_tracker,
         health=health,
         rate_limits=rate_limits,
+        paces=paces,
+        run_times=run_times,
         overdue=overdue,
         origins=origins,
         directory=directory,
--- a/siskinmount/gateway/_item_client.py
+++ b/siskinmount/gateway/_item_client.py
@@ -23,6 +23,9 @@
 SILENCE_TIMEOUT_S = 3.0
 #: Largest output of one item; members that hand output over accept as much.
 MAX_OUTPUT_BYTES = 4 * 1024 * 1024
+#: Name under which times to the first event of items are kept; the names of
+#: routes are of callers' requests.
+_ITEMS_ROUTE = 'batch items'
 #: Failures to send a request that are no failures of the upstream.
 _NO_UPSTREAM_FAULTS = (
     results.ResultCode.MALFORMED_REQUEST,
@@ -62,6 +65,7 @@
         '_clients',
         '_processes',
         '_health',
+        '_paces',
         '_departures',
         '_rate_limits',
         '_wire',
@@ -74,6 +78,7 @@
         clients: _upstream_clients.UpstreamClients,
         processes: _listed_processes.ListedProcesses,
         health: placement.UpstreamHealth,
+        paces: placement.UpstreamPaces,
         departures: _departure_reader.DepartureReader,
         rate_limits: _rate_limit_reader.RateLimitReader,
         wire: _wire.Wire,
@@ -83,6 +88,7 @@
         self._clients = clients
         self._processes = processes
         self._health = health
+        self._paces = paces
         self._departures = departures
         self._rate_limits = rate_limits
         self._wire = wire
@@ -138,13 +144,14 @@
             if kind is _wire.AnswerKind.FOREIGN:
                 return RunOutcome.LOST, 'response belongs to another request'
             if kind is not _wire.AnswerKind.OWN:
+                self._paces.record_bad_answer(upstream)
                 await response.discard_body()
                 return RunOutcome.NOT_RUN, kind.value
             if response.status != 200:
                 await response.discard_body()
                 return _classify_status(response.status)
             return await self._collect_events(
-                response, progress, item.item_id, upstream
+                response, progress, item.item_id, upstream, sent_at_s
             )
 
     async def _collect_events(
@@ -153,6 +160,7 @@
         progress: jobs.ItemProgress,
         item_id: str,
         upstream: fleet.Upstream,
+        sent_at_s: float,
     ) -> tuple[RunOutcome, str]:
         """Adds the events of a stream to `progress` until the stream ends.
 
@@ -178,7 +186,7 @@
         outcome = RunOutcome.LOST, _event_stream.create_timeout_failure().reason
         with trio.CancelScope() as scope:
             outcome = await self._add_events(
-                stream, response, progress, upstream.software, scope
+                stream, response, progress, upstream, sent_at_s, scope
             )
         progress.empty_end_id = stream.empty_end_id
         if scope.cancelled_caught or outcome[0] is RunOutcome.DONE:
@@ -193,10 +201,13 @@
         stream: _event_stream.EventStream,
         response: transport.ClientExchange,
         progress: jobs.ItemProgress,
-        software: fleet.Software,
+        upstream: fleet.Upstream,
+        sent_at_s: float,
         scope: trio.CancelScope,
     ) -> tuple[RunOutcome, str]:
         """Adds events to `progress`; the scope's deadline is the next event's."""
+        software = upstream.software
+        is_begun = False
         while True:
             stream.begin_wait()
             scope.deadline = stream.waiting_since_s + SILENCE_TIMEOUT_S
@@ -205,6 +216,14 @@
                 return RunOutcome.LOST, events.reason
             if not events:
                 return RunOutcome.DONE, 'complete'
+            if not is_begun:
+                is_begun = True
+                self._paces.record_answer(
+                    upstream,
+                    _ITEMS_ROUTE,
+                    (trio.current_time() - sent_at_s) * 1000,
+                    None,
+                )
             if response.received_body_bytes > MAX_OUTPUT_BYTES:
                 return RunOutcome.LOST, 'the output is too large'
             progress.lost_runs = 0
@@ -230,6 +249,7 @@
     clients: _upstream_clients.UpstreamClients,
     processes: _listed_processes.ListedProcesses,
     health: placement.UpstreamHealth,
+    paces: placement.UpstreamPaces,
     departures: _departure_reader.DepartureReader,
     rate_limits: _rate_limit_reader.RateLimitReader,
     wire: _wire.Wire,
@@ -241,6 +261,7 @@
         clients,
         processes,
         health,
+        paces,
         departures,
         rate_limits,
         wire,
--- a/siskinmount/gateway/_member_announcer.py
+++ b/siskinmount/gateway/_member_announcer.py
@@ -29,6 +29,7 @@
         '_load',
         '_health',
         '_rate_limits',
+        '_paces',
         '_crash_tracker',
         '_scheduler',
         '_directory',
@@ -47,6 +48,7 @@
         load: placement.LoadTable,
         health: placement.UpstreamHealth,
         rate_limits: placement.RateLimits,
+        paces: placement.UpstreamPaces,
         crash_tracker: placement.CrashTracker,
         scheduler: jobs.ItemScheduler,
         directory: peering.PeerDirectory,
@@ -61,6 +63,7 @@
         self._load = load
         self._health = health
         self._rate_limits = rate_limits
+        self._paces = paces
         self._crash_tracker = crash_tracker
         self._scheduler = scheduler
         self._directory = directory
@@ -92,6 +95,7 @@
             rate_limits=self._rate_limits.list_reports(),
             demand=self._rate_limits.list_demand(),
             stream_versions=dict(self._stream_versions.rows),
+            paces=self._paces.list_reports(),
             failure_tallies=self._health.list_failure_tallies(),
             departures=self._view.departures.list_first_hand(),
         )
@@ -126,6 +130,7 @@
     load: placement.LoadTable,
     health: placement.UpstreamHealth,
     rate_limits: placement.RateLimits,
+    paces: placement.UpstreamPaces,
     crash_tracker: placement.CrashTracker,
     scheduler: jobs.ItemScheduler,
     directory: peering.PeerDirectory,
@@ -143,6 +148,7 @@
         load: This member's requests in flight.
         health: Upstreams that this member finds faulty.
         rate_limits: Request rates that upstreams accept.
+        paces: Windows of starting and recovered upstreams.
         crash_tracker: Upstream crashes that this member knows.
         scheduler: Items that this member runs or keeps output of.
         directory: Live members, which share repeated reports among them.
@@ -158,6 +164,7 @@
         load=load,
         health=health,
         rate_limits=rate_limits,
+        paces=paces,
         crash_tracker=crash_tracker,
         scheduler=scheduler,
         directory=directory,
--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -83,6 +83,8 @@
         '_upstream',
         '_is_streaming',
         '_waiting',
+        '_sent_at_s',
+        '_has_first_byte',
         '_event_count',
         '_part_run',
         '_stream_start',
@@ -103,6 +105,8 @@
         # Only for a stream is the first byte expected long before the end.
         self._is_streaming = request.route.kind is fleet.RouteKind.STREAMING
         self._waiting: placement.WaitingRun | None = None
+        self._sent_at_s = trio.current_time()
+        self._has_first_byte = False
         self._event_count = 0
         self._part_run = context.crash_tracker.parts.begin_run(
             request.name_prompt_parts(upstream.service)
@@ -154,10 +158,27 @@
             )
         if outcome is AttemptOutcome.ANSWERED:
             run_ms = (trio.current_time() - sent_at_s) * 1000
-            self._context.placer.record_run(self._upstream.service, run_ms)
+            self._context.run_times.record(
+                self._upstream, request.route.name, run_ms
+            )
         return outcome
 
-    def _record_first_byte(self) -> None:
+    def _record_first_byte(self, took_ms: float | None = None) -> None:
+        """Records the first event or, of other answers, the head.
+
+        Args:
+            took_ms: Time from sending the request; until now if None.
+        """
+        if not self._has_first_byte:
+            self._has_first_byte = True
+            if took_ms is None:
+                took_ms = (trio.current_time() - self._sent_at_s) * 1000
+            self._context.paces.record_answer(
+                self._upstream,
+                self._request.route.name,
+                took_ms,
+                self._request.route.target_ms,
+            )
         if self._waiting is not None:
             self._context.overdue.record_first_byte(self._waiting)
             self._waiting = None
@@ -196,6 +217,15 @@
             health.record_failure(
                 upstream_id, 'no first byte before the deadline'
             )
+        elif outcome is AttemptOutcome.TIMED_OUT or self._is_late(outcome):
+            self._context.paces.record_bad_answer(self._upstream)
+
+    def _is_late(self, outcome: AttemptOutcome) -> bool:
+        """Returns whether the caller has left after waiting too long."""
+        if outcome is not AttemptOutcome.LOST or self._has_first_byte:
+            return False
+        waited_ms = (trio.current_time() - self._sent_at_s) * 1000
+        return waited_ms > self._request.route.target_ms
 
     async def _send(self) -> tuple[AttemptOutcome, str]:
         """Sends the request and forwards the response.
@@ -231,6 +261,7 @@
         # the upstream.
         request.may_have_run = True
         sent_at_s = trio.current_time()
+        self._sent_at_s = sent_at_s
         self._context.placer.record_send(self._upstream.upstream_id)
         with trio.move_on_after(self._get_first_byte_timeout_s()):
             response = await client.send(
@@ -269,6 +300,7 @@
             return AttemptOutcome.LOST, 'response belongs to another request'
         if kind is not _wire.AnswerKind.OWN:
             request.may_have_run = request.attempts > 0
+            self._context.paces.record_bad_answer(self._upstream)
             await response.discard_body()
             if kind is _wire.AnswerKind.OTHER_PROCESS:
                 self._context.health.mark_down(
@@ -284,6 +316,7 @@
         self, response: transport.ClientExchange
     ) -> tuple[AttemptOutcome, str]:
         """Reads a response to its end; forwards it, or keeps it for a retry."""
+        head_ms = (trio.current_time() - self._sent_at_s) * 1000
         body = await self._read_whole(response)
         reason = f'status {response.status}'
         if isinstance(body, results.Failure):
@@ -306,6 +339,8 @@
                 return AttemptOutcome.TIMED_OUT, reason
             return AttemptOutcome.FAILED, reason
         response.close()
+        if response.status < 500:
+            self._record_first_byte(head_ms)
         if 200 <= response.status < 300:
             self._record_output()
         await self._response.send_buffered(buffered)
--- a/siskinmount/gateway/_online_context.py
+++ b/siskinmount/gateway/_online_context.py
@@ -22,6 +22,8 @@
         load: Counts requests in flight per upstream.
         health: Records failures and successes of upstreams.
         overdue: Detects requests whose first byte is overdue.
+        paces: Judges answers of starting and recovered upstreams.
+        run_times: Records how long runs take.
         crash_tracker: Identifies requests that crash upstreams.
         clients: Connection pools of the upstreams.
         processes: Leads the rest of a stream to processes that are listed.
@@ -41,6 +43,8 @@
         'load',
         'health',
         'overdue',
+        'paces',
+        'run_times',
         'crash_tracker',
         'clients',
         'processes',
@@ -62,6 +66,8 @@
         load: placement.LoadTable,
         health: placement.UpstreamHealth,
         overdue: placement.OverdueRuns,
+        paces: placement.UpstreamPaces,
+        run_times: placement.RunTimes,
         crash_tracker: placement.CrashTracker,
         clients: _upstream_clients.UpstreamClients,
         processes: _listed_processes.ListedProcesses,
@@ -79,6 +85,8 @@
         self.load = load
         self.health = health
         self.overdue = overdue
+        self.paces = paces
+        self.run_times = run_times
         self.crash_tracker = crash_tracker
         self.clients = clients
         self.processes = processes
--- a/siskinmount/gateway/tests/members_simulation.py
+++ b/siskinmount/gateway/tests/members_simulation.py
@@ -220,6 +220,7 @@
             load=self.load,
             health=self.health,
             rate_limits=placement.create_rate_limits(),
+            paces=placement.create_upstream_paces(self.view, self.load),
             crash_tracker=crash_tracker,
             scheduler=self.scheduler,
             directory=self.directory,
--- a/siskinmount/gateway/tests/online_context.py
+++ b/siskinmount/gateway/tests/online_context.py
@@ -36,10 +36,12 @@
     """
     load = placement.create_load_table()
     crash_tracker = placement.create_crash_tracker()
-    health = placement.create_upstream_health(crash_tracker)
     rate_limits = placement.create_rate_limits()
     wire = platform.create_wire()
     view = view or fleet.create_fleet_view(None, None)
+    paces = placement.create_upstream_paces(view, load)
+    run_times = placement.create_run_times()
+    health = placement.create_upstream_health(crash_tracker, paces)
     metrics = _gateway_metrics.create_gateway_metrics(
         telemetry.create_metrics()
     )
@@ -48,10 +50,19 @@
     recorder = stream_origins.create_origin_recorder(None, 'm')
     return _online_context.OnlineContext(
         placer=placer
-        or placement.create_placer(view, load, health, rate_limits=rate_limits),
+        or placement.create_placer(
+            view,
+            load,
+            health,
+            rate_limits=rate_limits,
+            paces=paces,
+            run_times=run_times,
+        ),
         load=load,
         health=health,
         overdue=placement.create_overdue_runs(health),
+        paces=paces,
+        run_times=run_times,
         crash_tracker=crash_tracker,
         clients=clients,
         processes=_listed_processes.create_listed_processes(
--- a/siskinmount/gateway/tests/test_housekeeping.py
+++ b/siskinmount/gateway/tests/test_housekeeping.py
@@ -47,6 +47,10 @@
                 crash_tracker=crash_tracker,
                 health=health,
                 rate_limits=placement.create_rate_limits(),
+                paces=placement.create_upstream_paces(
+                    view, placement.create_load_table()
+                ),
+                run_times=placement.create_run_times(),
                 overdue=placement.create_overdue_runs(health),
                 origins=None,
                 directory=None,
--- a/siskinmount/gateway/tests/test_item_client.py
+++ b/siskinmount/gateway/tests/test_item_client.py
@@ -6,6 +6,7 @@
 
 from siskinmount import fleet
 from siskinmount import jobs
+from siskinmount import placement
 from siskinmount import telemetry
 from siskinmount import transport
 from siskinmount.gateway import _gateway_metrics
@@ -73,6 +74,7 @@
                 None,
                 None,
                 None,
+                placement.create_upstream_paces(None, None),
                 None,
                 None,
                 None,
@@ -84,7 +86,11 @@
             progress = jobs.ItemProgress()
             began_at_s = trio.current_time()
             outcome, _ = await client._collect_events(
-                _PacedResponse(chunks, interval_s), progress, 'i', _UPSTREAM
+                _PacedResponse(chunks, interval_s),
+                progress,
+                'i',
+                _UPSTREAM,
+                0.0,
             )
             return outcome, trio.current_time() - began_at_s, progress.events
 
--- a/siskinmount/gateway/tests/test_online_handler.py
+++ b/siskinmount/gateway/tests/test_online_handler.py
@@ -57,9 +57,6 @@
     def describe_limit(self, upstream_id):
         return {}
 
-    def record_run(self, service, run_ms):
-        pass
-
     def get_client(self, upstream):
         return self
 
--- a/siskinmount/peering/_peer_directory.py
+++ b/siskinmount/peering/_peer_directory.py
@@ -178,6 +178,7 @@
         '_crash_tracker',
         '_health',
         '_rate_limits',
+        '_paces',
         '_live',
         '_live_list',
         '_swept_at_s',
@@ -196,6 +197,7 @@
         crash_tracker: placement.CrashTracker,
         health: placement.UpstreamHealth,
         rate_limits: placement.RateLimits,
+        paces: placement.UpstreamPaces | None,
     ) -> None:
         self.member = member
         self.peers: dict[str, Peer] = {}
@@ -206,6 +208,7 @@
         self._crash_tracker = crash_tracker
         self._health = health
         self._rate_limits = rate_limits
+        self._paces = paces
         self._live: dict[str, Peer] = {}
         self._live_list: list[Peer] | None = []
         self._swept_at_s = float('-inf')
@@ -307,6 +310,8 @@
         self._rate_limits.apply_reports(
             peer.member, message.rate_limits, message.demand
         )
+        if self._paces is not None:
+            self._paces.apply_reports(peer.member, message.paces)
         self._record_departures(peer.member, message.departures)
         if message.stream_versions is not None:
             self._record_versions(peer.member, message.stream_versions)
@@ -505,6 +510,8 @@
             self._load.forget_peer(peer.member)
             self._health.forget_peer(peer.member)
             self._rate_limits.forget_peer(peer.member)
+            if self._paces is not None:
+                self._paces.forget_peer(peer.member)
             _LOGGER.info(
                 'peer_silent',
                 extra={
@@ -587,6 +594,7 @@
     crash_tracker: placement.CrashTracker,
     health: placement.UpstreamHealth,
     rate_limits: placement.RateLimits | None = None,
+    paces: placement.UpstreamPaces | None = None,
 ) -> PeerDirectory:
     """Creates a directory without peers.
 
@@ -596,6 +604,7 @@
         crash_tracker: Receives the crashes that peers tell.
         health: Receives the upstream tallies of peers.
         rate_limits: Receives what peers tell of limits of upstreams.
+        paces: Receives what peers tell of starting upstreams.
     """
     return PeerDirectory(
         member,
@@ -603,4 +612,5 @@
         crash_tracker,
         health,
         rate_limits or placement.create_rate_limits(),
+        paces,
     )
--- a/siskinmount/peering/_peer_message.py
+++ b/siskinmount/peering/_peer_message.py
@@ -24,6 +24,8 @@
 _MAX_CRASHES = 1000
 #: Above any number of requests in the life of a process.
 _MAX_REQUESTS = 1_000_000_000_000
+#: Rows of windows of starting upstreams in one message.
+_MAX_PACES = 64
 
 
 class PeerMessage:
@@ -54,6 +56,7 @@
             by service.
         stream_versions: At what the sender takes streams without a record to
             have begun, by service; None from a release that records none.
+        paces: Answers of starting and recovered upstreams to the sender.
     """
 
     __slots__ = (
@@ -75,6 +78,7 @@
         'rate_limits',
         'demand',
         'stream_versions',
+        'paces',
     )
 
     def __init__(
@@ -97,6 +101,7 @@
         rate_limits: dict[str, placement.RateLimitReport] | None = None,
         demand: dict[str, int] | None = None,
         stream_versions: dict[str, stream_origins.VersionRow] | None = None,
+        paces: dict[str, placement.PaceReport] | None = None,
         failure_domain: str = '',
     ) -> None:
         self.member = member
@@ -116,6 +121,7 @@
         self.rate_limits = rate_limits or {}
         self.demand = demand or {}
         self.stream_versions = stream_versions
+        self.paces = paces or {}
         self.failure_domain = failure_domain
 
 
@@ -202,6 +208,16 @@
             service: (row.generation, row.assumed_version, row.is_settled)
             for service, row in message.stream_versions.items()
         }
+    if message.paces:
+        fields['paces'] = {
+            upstream_id: (
+                report.started_at_ms,
+                report.good,
+                report.bad,
+                report.episode,
+            )
+            for upstream_id, report in message.paces.items()
+        }
     return b'%b %d %d %b' % (
         urllib.parse.quote(message.member, safe='').encode('ascii'),
         message.incarnation,
@@ -280,6 +296,31 @@
     )
 
 
+def _decode_paces(rows: object) -> dict[str, placement.PaceReport]:
+    """Returns reports of windows; invalid ones are left out.
+
+    They must not cost the rest of the message, without which its sender counts
+    as silent.
+    """
+    paces: dict[str, placement.PaceReport] = {}
+    if not isinstance(rows, dict):
+        return paces
+    for upstream_id, row in list(rows.items())[:_MAX_PACES]:
+        try:
+            started_at_ms, good, bad = (int(value) for value in row[:3])
+            episode = int(row[3]) if len(row) > 3 else 0
+        except results.DECODING_ERRORS:
+            continue
+        if (
+            0 <= min(good, bad, episode)
+            and max(good, bad, episode) < _MAX_COUNT
+        ):
+            paces[upstream_id] = placement.PaceReport(
+                started_at_ms, good, bad, episode
+            )
+    return paces
+
+
 def split_row(data: bytes) -> PeerRow | results.Failure:
     """Reads the head of a row, or fails with `MALFORMED_REQUEST`."""
     parts = data.split(b' ', 3)
@@ -424,6 +465,7 @@
         rate_limits=rate_limits,
         demand=demand,
         stream_versions=stream_versions,
+        paces=_decode_paces(fields.get('paces')),
     )
 
 
--- a/siskinmount/placement/__init__.py
+++ b/siskinmount/placement/__init__.py
@@ -34,6 +34,11 @@
 from siskinmount.placement._rate_limits import RateLimits
 from siskinmount.placement._rate_limits import Urgency
 from siskinmount.placement._rate_text import parse_rates
+from siskinmount.placement._run_times import create_run_times
+from siskinmount.placement._run_times import RunTimes
 from siskinmount.placement._suspect_part import PartReport
 from siskinmount.placement._upstream_health import create_upstream_health
 from siskinmount.placement._upstream_health import UpstreamHealth
+from siskinmount.placement._upstream_pace import PaceReport
+from siskinmount.placement._upstream_paces import create_upstream_paces
+from siskinmount.placement._upstream_paces import UpstreamPaces
--- a/siskinmount/placement/_load_table.py
+++ b/siskinmount/placement/_load_table.py
@@ -6,6 +6,8 @@
 
 from siskinmount.placement import _arrival_rates
 
+#: Slots of an upstream that does not report how many it has.
+DEFAULT_SLOTS = 8
 #: Counts of a peer that has been silent for this long are ignored. A peer sends
 #: at least a few times a second, and some datagrams are lost.
 PEER_COUNTS_TIMEOUT_S = 1.0
@@ -133,6 +135,10 @@
         for upstream_id, entry in known.counts.items():
             self._add_total(upstream_id, -entry.online, -entry.batch)
 
+    def count_peers(self) -> int:
+        """Returns how many peers have counts."""
+        return len(self._by_peer)
+
     def announce(self) -> None:
         """Has the next message to peers sent at once, without a new count."""
         self.version += 1
--- a/siskinmount/placement/_placer.py
+++ b/siskinmount/placement/_placer.py
@@ -12,13 +12,11 @@
 from siskinmount.placement import _fill_level
 from siskinmount.placement import _load_table
 from siskinmount.placement import _rate_limits
+from siskinmount.placement import _run_times
 from siskinmount.placement import _upstream_health
+from siskinmount.placement import _upstream_paces
 
-#: Slots of an upstream that does not report how many it has.
-DEFAULT_SLOTS = 8
-#: Weight of a new sample in the moving average of run durations.
-RUN_SAMPLE_WEIGHT = 0.05
-INITIAL_RUN_MS = 700.0
+DEFAULT_SLOTS = _load_table.DEFAULT_SLOTS
 #: Retry-after for callers if no upstream takes requests. Entries of upstreams
 #: change with their heartbeats, about once a second.
 NO_UPSTREAM_RETRY_MS = 400
@@ -84,31 +82,6 @@
         self.expected_wait_ms = expected_wait_ms
 
 
-class _RunMean:
-    """A moving average of run durations.
-
-    The first samples weigh as much as each other: a member of a large fleet
-    gets a few requests a second, and a service may be far from the initial
-    value.
-
-    Attributes:
-        run_ms: The average.
-        sample_count: Number of samples.
-    """
-
-    __slots__ = ('run_ms', 'sample_count')
-
-    def __init__(self) -> None:
-        self.run_ms = 0.0
-        self.sample_count = 0
-
-    def add(self, run_ms: float) -> None:
-        """Adds a sample."""
-        self.sample_count += 1
-        weight = max(RUN_SAMPLE_WEIGHT, 1 / self.sample_count)
-        self.run_ms += (run_ms - self.run_ms) * weight
-
-
 class Placer:
     """Chooses upstreams by the counts of all processes.
 
@@ -125,7 +98,8 @@
         '_health',
         '_rate_limits',
         '_get_message_delay_s',
-        '_run_means',
+        '_paces',
+        '_run_times',
     )
 
     def __init__(
@@ -135,13 +109,16 @@
         health: _upstream_health.UpstreamHealth,
         get_message_delay_s: Callable[[], float],
         rate_limits: _rate_limits.RateLimits,
+        paces: _upstream_paces.UpstreamPaces,
+        run_times: _run_times.RunTimes,
     ) -> None:
         self._view = view
         self._load = load
         self._health = health
         self._rate_limits = rate_limits
         self._get_message_delay_s = get_message_delay_s
-        self._run_means: dict[str, _RunMean] = {}
+        self._paces = paces
+        self._run_times = run_times
 
     def place_online(
         self,
@@ -178,15 +155,51 @@
         for upstream in ready:
             if not self._health.is_avoided(upstream.upstream_id):
                 healthy.append(upstream)
-        placed = self._place_among(
-            healthy or ready, service, affinity_key, max_wait_ms, urgency
+        candidates = healthy or ready
+        placed = self._place_paced(
+            candidates, service, affinity_key, max_wait_ms, urgency
         )
-        if isinstance(placed, Placement) or not may_use_avoided:
+        if (
+            isinstance(placed, Placement)
+            or not may_use_avoided
+            or len(candidates) == len(ready)
+        ):
             return placed
-        return self._place_among(
+        return self._place_paced(
             ready, service, affinity_key, max_wait_ms, urgency
         )
 
+    def _place_paced(
+        self,
+        candidates: list[fleet.Upstream],
+        service: str,
+        affinity_key: str,
+        max_wait_ms: float,
+        urgency: _rate_limits.Urgency,
+    ) -> Placement | Refusal:
+        """Returns the candidate where a request starts soonest.
+
+        Those whose window is full are used only instead of a refusal, and if
+        they are so many that the others cannot serve in their place.
+        """
+        if not self._paces.has_any():
+            return self._place_among(
+                candidates, service, affinity_key, max_wait_ms, urgency
+            )
+        with_room = self._paces.list_with_room(candidates)
+        full_count = len(candidates) - len(with_room)
+        if with_room:
+            placed = self._place_among(
+                with_room, service, affinity_key, max_wait_ms, urgency
+            )
+            if isinstance(placed, Placement) or 2 * full_count < len(
+                candidates
+            ):
+                return placed
+        return self._place_among(
+            candidates, service, affinity_key, max_wait_ms, urgency
+        )
+
     def _place_among(
         self,
         candidates: list[fleet.Upstream],
@@ -239,11 +252,11 @@
                 candidates, affinity_key, unseen
             )
         slots = chosen.slot_count or DEFAULT_SLOTS
-        wait_ms = waiting * self.get_run_ms(service) / slots
+        wait_ms = waiting * self._run_times.get_run_ms(service) / slots
         if wait_ms > max_wait_ms:
             retry_ms = wait_ms - max_wait_ms + random.uniform(0, max_wait_ms)
             return Refusal(RefusalReason.FULL, max(MIN_RETRY_MS, int(retry_ms)))
-        return Placement(chosen, waiting, wait_ms)
+        return Placement(chosen, math.ceil(waiting), wait_ms)
 
     def _list_admitting(
         self,
@@ -279,19 +292,29 @@
 
     def _choose_least_loaded(
         self, candidates: list[fleet.Upstream], affinity_key: str
-    ) -> tuple[fleet.Upstream, int]:
+    ) -> tuple[fleet.Upstream, float]:
         """Returns the best candidate by counts that are up to date.
 
+        A request at a slow upstream weighs as much as those that others would
+        have run in its time.
+
         Returns:
-            The candidate, and the number of requests that wait there.
+            The candidate, and the number of requests that wait there, in runs
+            of average length.
         """
         totals = self._load.sum_counts()
-        scored: list[tuple[int, int, fleet.Upstream]] = []
+        is_uneven = self._run_times.has_uneven()
+        scored: list[tuple[float, float, fleet.Upstream]] = []
         for upstream in candidates:
             counts = totals.get(upstream.upstream_id, _NO_COUNTS)
             slots = upstream.slot_count or DEFAULT_SLOTS
-            waiting = max(0, counts.online + 1 - slots)
-            scored.append((waiting, counts.online + counts.batch, upstream))
+            waiting: float = max(0, counts.online + 1 - slots)
+            total: float = counts.online + counts.batch
+            if is_uneven:
+                ratio = self._run_times.get_ratio(upstream.upstream_id)
+                waiting *= ratio
+                total = (total + 1) * ratio - 1
+            scored.append((waiting, total, upstream))
         least_waiting = min(score[0] for score in scored)
         least_total = min(
             total for waiting, total, _ in scored if waiting == least_waiting
@@ -321,11 +344,18 @@
         totals = self._load.sum_counts()
         above_slots: list[float] = []
         online_above_slots: list[float] = []
-        free = 0
+        free = 0.0
+        is_uneven = self._run_times.has_uneven()
+        has_paces = self._paces.has_any()
         for upstream in candidates:
             counts = totals.get(upstream.upstream_id, _NO_COUNTS)
-            slots = upstream.slot_count or DEFAULT_SLOTS
+            slots: float = upstream.slot_count or DEFAULT_SLOTS
+            if has_paces:
+                slots = self._paces.limit_slots(upstream, slots)
             online_above_slots.append(counts.online - slots)
+            if is_uneven:
+                ratio = self._run_times.get_ratio(upstream.upstream_id)
+                slots = slots / max(1.0, ratio)
             above_slots.append(counts.online + counts.batch - slots)
             free += max(0, slots - counts.online - counts.batch)
         amount = unseen + 1
@@ -362,6 +392,7 @@
     ) -> list[tuple[int, fleet.Upstream]]:
         """Returns the upstreams that batch may use and their free slots."""
         totals = self._load.sum_counts()
+        has_paces = self._paces.has_any()
         rows: list[tuple[int, fleet.Upstream]] = []
         for upstream in self._view.list_ready(service):
             if self._health.is_avoided(upstream.upstream_id):
@@ -369,6 +400,8 @@
             counts = totals.get(upstream.upstream_id, _NO_COUNTS)
             slots = upstream.slot_count or DEFAULT_SLOTS
             free = slots - reserved_slots - counts.online - counts.batch
+            if has_paces:
+                free = self._paces.limit_batch(upstream, counts, free)
             tokens = self._rate_limits.count_tokens(
                 upstream.upstream_id, _rate_limits.Urgency.BATCH
             )
@@ -385,19 +418,6 @@
         """Returns what is known of the limit of an upstream, for the log."""
         return self._rate_limits.describe(upstream_id)
 
-    def record_run(self, service: str, run_ms: float) -> None:
-        """Adds the duration of a successful run to the average."""
-        mean = self._run_means.get(service)
-        if mean is None:
-            mean = _RunMean()
-            self._run_means[service] = mean
-        mean.add(run_ms)
-
-    def get_run_ms(self, service: str) -> float:
-        """Returns the average duration of a run."""
-        mean = self._run_means.get(service)
-        return INITIAL_RUN_MS if mean is None else mean.run_ms
-
     def _list_ready(
         self, service: str, excluded: set[str]
     ) -> list[fleet.Upstream]:
@@ -440,6 +460,8 @@
     health: _upstream_health.UpstreamHealth,
     get_message_delay_s: Callable[[], float] = _return_zero,
     rate_limits: _rate_limits.RateLimits | None = None,
+    paces: _upstream_paces.UpstreamPaces | None = None,
+    run_times: _run_times.RunTimes | None = None,
 ) -> Placer:
     """Creates a placer.
 
@@ -449,6 +471,8 @@
         health: Upstreams to avoid.
         get_message_delay_s: Returns how old the counts of peers are.
         rate_limits: Request rates that upstreams accept; by default none.
+        paces: Windows of starting and recovered upstreams; by default none.
+        run_times: How long runs take; by default none is known.
     """
     return Placer(
         view,
@@ -456,4 +480,6 @@
         health,
         get_message_delay_s,
         rate_limits or _rate_limits.create_rate_limits(),
+        paces or _upstream_paces.create_upstream_paces(view, load),
+        run_times or _run_times.create_run_times(),
     )
--- a/siskinmount/placement/_upstream_health.py
+++ b/siskinmount/placement/_upstream_health.py
@@ -13,6 +13,7 @@
 
 from siskinmount.placement import _crash_tracker
 from siskinmount.placement import _failure_tally
+from siskinmount.placement import _upstream_paces
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -41,6 +42,7 @@
 
     __slots__ = (
         '_crash_tracker',
+        '_paces',
         '_failures',
         '_avoid_until_s',
         '_tallies',
@@ -50,8 +52,13 @@
         '_above_failure_limit',
     )
 
-    def __init__(self, crash_tracker: _crash_tracker.CrashTracker) -> None:
+    def __init__(
+        self,
+        crash_tracker: _crash_tracker.CrashTracker,
+        paces: _upstream_paces.UpstreamPaces | None,
+    ) -> None:
         self._crash_tracker = crash_tracker
+        self._paces = paces
         self._failures: dict[str, int] = {}
         self._avoid_until_s: dict[str, float] = {}
         self._tallies: dict[str, _failure_tally.FailureTally] = {}
@@ -60,11 +67,21 @@
         self._summed_at_s = float('-inf')
         self._above_failure_limit: set[str] = set()
 
-    def record_failure(self, upstream_id: str, reason: str) -> None:
-        """Records a failed call and avoids the upstream for a time."""
+    def record_failure(
+        self, upstream_id: str, reason: str, is_down: bool = False
+    ) -> None:
+        """Records a failed call and avoids the upstream for a time.
+
+        Args:
+            upstream_id: Upstream that failed.
+            reason: What happened, for the log.
+            is_down: Whether the upstream accepts no connections.
+        """
         self._get_tally(upstream_id).add_run(is_failure=True)
         failures = self._failures.get(upstream_id, 0) + 1
         self._failures[upstream_id] = failures
+        if self._paces is not None:
+            self._paces.record_failure(upstream_id, failures, is_down)
         avoid_s = min(MAX_AVOID_S, FIRST_AVOID_S * 2 ** (failures - 1))
         self._avoid_until_s[upstream_id] = trio.current_time() + avoid_s
         _LOGGER.info(
@@ -80,7 +97,7 @@
     def mark_down(self, upstream_id: str, reason: str) -> None:
         """Records that an upstream does not accept connections."""
         self._crash_tracker.record_upstream_down(upstream_id)
-        self.record_failure(upstream_id, reason)
+        self.record_failure(upstream_id, reason, is_down=True)
 
     def record_success(
         self, upstream_id: str, began_at_s: float = float('-inf')
@@ -191,6 +208,8 @@
         """Records and logs that an upstream's share crossed the limit."""
         if exceeds_limit:
             self._above_failure_limit.add(upstream_id)
+            if self._paces is not None:
+                self._paces.begin_recovery(upstream_id, 'failure share')
         else:
             self._above_failure_limit.discard(upstream_id)
         own = self._get_tally(upstream_id)
@@ -208,6 +227,12 @@
 
 def create_upstream_health(
     crash_tracker: _crash_tracker.CrashTracker,
+    paces: _upstream_paces.UpstreamPaces | None = None,
 ) -> UpstreamHealth:
-    """Creates an `UpstreamHealth` without failures."""
-    return UpstreamHealth(crash_tracker)
+    """Creates an `UpstreamHealth` without failures.
+
+    Args:
+        crash_tracker: Told of upstreams that are down, and of completed runs.
+        paces: Told of failures; None if upstreams are not held back.
+    """
+    return UpstreamHealth(crash_tracker, paces)
--- a/siskinmount/placement/tests/test_stale_load.py
+++ b/siskinmount/placement/tests/test_stale_load.py
@@ -216,19 +216,14 @@
 
     def test_first_runs_of_a_service_count_in_full(self):
         async def main():
-            load = placement.create_load_table()
-            health = placement.create_upstream_health(
-                placement.create_crash_tracker()
-            )
-            placer = placement.create_placer(
-                test_placer._make_view(1), load, health
-            )
+            run_times = placement.create_run_times()
+            upstream = test_placer._make_view(1).upstreams['u0']
             for run_ms in (40, 60):
-                placer.record_run('s', run_ms)
-            self.assertEqual(50, placer.get_run_ms('s'))
+                run_times.record(upstream, 'r', run_ms)
+            self.assertEqual(50, run_times.get_run_ms('s'))
             for _ in range(100):
-                placer.record_run('s', 50)
-            placer.record_run('s', 150)
-            self.assertAlmostEqual(55, placer.get_run_ms('s'))
+                run_times.record(upstream, 'r', 50)
+            run_times.record(upstream, 'r', 150)
+            self.assertAlmostEqual(55, run_times.get_run_ms('s'))
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/siskinmount/platform/_fleet_codec.py
+++ b/siskinmount/platform/_fleet_codec.py
@@ -178,7 +178,6 @@
             raise _field_reader.FieldError(
                 f'the state {state_word!r} is unknown'
             )
-        _field_reader.read_whole(fields, 'cold_left_ms', _MAX_COUNT)
         version = fields.get('version')
         if isinstance(version, str) and version:
             version = _field_reader.read_name(fields, 'version')
@@ -196,6 +195,9 @@
             ),
             software_version=version if isinstance(version, str) else '',
             entry_number=_field_reader.read_whole(fields, 'seq_no', _MAX_COUNT),
+            cold_left_ms=_field_reader.read_whole(
+                fields, 'cold_left_ms', _MAX_COUNT
+            ),
         )
     except (_field_reader.FieldError, ValueError) as error:
         return results.Failure(
