--- a/siskinmount/gateway/_online_handler.py
+++ b/siskinmount/gateway/_online_handler.py
@@ -363,6 +363,9 @@
         limit = self._context.placer.describe_limit(placed.upstream.upstream_id)
         if limit:
             extra['limit'] = limit
+        window = self._context.paces.describe(placed.upstream)
+        if window:
+            extra['window'] = window
         _LOGGER.info('request_placed', extra=extra)
 
 
--- a/siskinmount/peering/tests/test_peer_directory.py
+++ b/siskinmount/peering/tests/test_peer_directory.py
@@ -134,6 +134,65 @@
 
         self._run(check)
 
+    def test_reports_of_windows_pass_between_members(self):
+        # Guards against members that hold an upstream back by unlike windows.
+        async def check(directory, load):
+            reports = {'u': placement.PaceReport(1_700_000_000_000, 7, 2, 3)}
+            row = peering.encode_message(_make_message(paces=reports))
+            decoded = peering.decode_message(row).paces['u']
+            self.assertEqual(
+                (1_700_000_000_000, 7, 2, 3),
+                (
+                    decoded.started_at_ms,
+                    decoded.good,
+                    decoded.bad,
+                    decoded.episode,
+                ),
+            )
+            none = peering.decode_message(
+                peering.encode_message(_make_message())
+            )
+            self.assertEqual({}, none.paces)
+
+        self._run(check)
+
+    def test_invalid_reports_of_windows_cost_only_themselves(self):
+        # Guards against a member that counts as silent for one damaged row.
+        async def check(directory, load):
+            head, _, body = peering.encode_message(_make_message()).rpartition(
+                b' {'
+            )
+            fields = orjson.loads(b'{' + body)
+            bad_rows = [
+                None,
+                7,
+                [],
+                [1, 2],
+                [1, -1, 0],
+                [1, 0, 10**9],
+                [1, 0, 0, -1],
+                ['x', 0, 0],
+                [1, None, 0],
+                {'a': 1},
+                [1, 1e400, 0],
+            ]
+            for bad_row in bad_rows:
+                fields['paces'] = {'a': [5, 1, 0], 'b': bad_row}
+                encoded = json.dumps(fields).replace('Infinity', '1e99')
+                decoded = peering.decode_message(head + b' ' + encoded.encode())
+                self.assertEqual(['a'], list(decoded.paces), bad_row)
+            for rows in ([], 'x', 5, None):
+                fields['paces'] = rows
+                decoded = peering.decode_message(
+                    head + b' ' + orjson.dumps(fields)
+                )
+                self.assertEqual({}, decoded.paces, rows)
+            fields['paces'] = {f'u{n}': [1, 0, 0] for n in range(200)}
+            decoded = peering.decode_message(head + b' ' + orjson.dumps(fields))
+            self.assertEqual(64, len(decoded.paces))
+
+        self._run(check)
+
     def test_rows_of_versions_pass_between_releases(self):
         async def check(directory, load):
             rows = {'s': stream_origins.VersionRow(4, 'v1', True)}
--- a/siskinmount/placement/_upstream_paces.py
+++ b/siskinmount/placement/_upstream_paces.py
@@ -311,6 +311,8 @@
 
     def describe(self, upstream: fleet.Upstream) -> dict[str, object]:
         """Returns what the window of an upstream rests on, for the log."""
+        if not self._paces:
+            return {}
         pace = self._find(upstream)
         return {} if pace is None else _describe(pace)
 
