--- a/siskinmount/fleet/_document.py
+++ b/siskinmount/fleet/_document.py
@@ -3,6 +3,8 @@
 import enum
 import random
 
+from siskinmount import customers as customers_module
+
 
 class RouteKind(enum.Enum):
     """Kind of a route; decides whether its requests may be repeated."""
@@ -52,7 +54,9 @@
         max_gap_ms: Longest time between events; 0 if none is declared.
         run_target_ms: Time within which the items of a batch job are due.
         retention_s: Time after which an item of a batch job may be given up.
-        max_waiting_tokens: Bound on the tokens of open items; 0 for none.
+        max_waiting_tokens: Bound on the tokens of the open items of a customer,
+            or of all callers without one together; 0 for none.
+        public: Whether requests need no key.
     """
 
     __slots__ = (
@@ -70,6 +74,7 @@
         'run_target_ms',
         'retention_s',
         'max_waiting_tokens',
+        'public',
     )
 
     def __init__(
@@ -89,6 +94,7 @@
         run_target_ms: int = 0,
         retention_s: float = 0,
         max_waiting_tokens: int = 0,
+        public: bool = False,
     ) -> None:
         self.name = name
         self.host = host
@@ -104,6 +110,7 @@
         self.run_target_ms = run_target_ms
         self.retention_s = retention_s
         self.max_waiting_tokens = max_waiting_tokens
+        self.public = public
 
     def draw_service(self) -> str:
         """Returns the name of a service, chosen at random by weight."""
@@ -178,6 +185,8 @@
         services: Services by name.
         limits: Bounds on what callers may send.
         source: The document as published, to be sent to peers.
+        customers: Customers by their keys; None if the document defines none,
+            so that no request needs a key.
     """
 
     __slots__ = (
@@ -186,6 +195,7 @@
         'services',
         'limits',
         'source',
+        'customers',
         '_routes_by_host',
     )
 
@@ -196,12 +206,14 @@
         services: dict[str, FleetService],
         limits: CallerLimits,
         source: bytes,
+        customers: customers_module.CustomerTable | None = None,
     ) -> None:
         self.version = version
         self.routes = routes
         self.services = services
         self.limits = limits
         self.source = source
+        self.customers = customers
         self._routes_by_host: dict[str, list[FleetRoute]] = {}
         for route in routes:
             self._routes_by_host.setdefault(route.host, []).append(route)
@@ -215,6 +227,13 @@
                 return route
         return None
 
+    def has_public_batch_route(self) -> bool:
+        """Returns whether callers without a key may submit jobs."""
+        for route in self.routes:
+            if route.kind is RouteKind.BATCH and route.public:
+                return True
+        return False
+
     def find_route_by_name(self, name: str) -> FleetRoute | None:
         """Returns the route with a name."""
         for route in self.routes:
--- a/siskinmount/fleet/_fleet_view.py
+++ b/siskinmount/fleet/_fleet_view.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from siskinmount import customers
 from siskinmount import keyed_log
 from siskinmount import results
 from siskinmount.fleet import _announced_departures
@@ -141,6 +142,10 @@
             source: The encoded document.
             origin: Where the document came from, for the log.
         """
+        current = self.document
+        if current is not None and source == current.source:
+            # Peers send their whole document each time that they are asked.
+            return
         decoded = self._decode_document(source)
         if isinstance(decoded, results.Failure):
             _LOGGER.error(
@@ -152,9 +157,12 @@
                 },
             )
             return
-        current = self.document
         if current is not None and decoded.version <= current.version:
             return
+        table = decoded.customers
+        if table is not None:
+            table.keep_limits(current.customers if current else None)
+            _log_findings(table, decoded.version)
         self.document = decoded
         _LOGGER.info(
             'document_in_force',
@@ -163,6 +171,8 @@
                 'earlier_version': current.version if current else None,
                 'origin': origin,
                 'routes': len(decoded.routes),
+                'customers': len(table.customers) if table else None,
+                'keys': table.count_keys() if table else None,
             },
         )
         self._notify()
@@ -380,6 +390,23 @@
             listener()
 
 
+def _log_findings(table: customers.CustomerTable, version: int) -> None:
+    """Logs invalid fields of customers, a bounded number for a document."""
+    for finding in table.findings:
+        _LOGGER.error(
+            'customer_invalid',
+            extra={
+                'code': int(results.ResultCode.DOCUMENT_INVALID),
+                'version': version,
+                'position': finding.position,
+                'customer': finding.customer,
+                'field': finding.field,
+                'reason': finding.reason,
+                'findings': table.finding_count,
+            },
+        )
+
+
 def _return_infinity() -> float:
     return float('inf')
 
--- a/siskinmount/gateway/_callers_api.py
+++ b/siskinmount/gateway/_callers_api.py
@@ -8,6 +8,7 @@
 from siskinmount import fleet
 from siskinmount import results
 from siskinmount import transport
+from siskinmount.gateway import _customer_check
 from siskinmount.gateway import _failure_responses
 from siskinmount.gateway import _jobs_api
 from siskinmount.gateway import _online_context
@@ -23,7 +24,7 @@
 class CallersApi:
     """Handles callers' requests."""
 
-    __slots__ = ('_view', '_context', '_jobs_api')
+    __slots__ = ('_view', '_context', '_jobs_api', '_customer_check')
 
     def __init__(
         self,
@@ -34,6 +35,7 @@
         self._view = view
         self._context = context
         self._jobs_api = jobs_api
+        self._customer_check = context.customer_check
 
     async def handle(self, exchange: transport.ServerExchange) -> None:
         """Answers one request.
@@ -46,32 +48,18 @@
         head = exchange.head
         wire = self._context.wire
         request = wire.read_caller_request(head)
-        body = await exchange.read_body()
-        began_at_s = trio.current_time()
-        if isinstance(body, results.Failure):
-            await self._refuse(exchange, request, body)
-            return
         call = wire.find_job_call(head)
         if isinstance(call, results.Failure):
             await self._refuse(exchange, request, call)
             return
-        if call is not None:
-            await self._run_until_disconnect(
-                exchange,
-                request,
-                self._jobs_api.handle_call(exchange, request, call),
-            )
-            return
         document = self._view.document
         if document is None:
             await self._refuse(exchange, request, _NO_DOCUMENT)
             return
-        host = (head.find_header(b'host') or '').lower()
-        route = document.find_route(host, head.target.partition('?')[0])
-        if route is None:
-            route = document.find_route(
-                host.rpartition(':')[0], head.target.partition('?')[0]
-            )
+        if call is not None:
+            await self._handle_job_call(exchange, request, call)
+            return
+        route = _find_route(document, head)
         if route is None:
             failure = results.Failure(
                 results.ResultCode.NO_SUCH_ROUTE,
@@ -79,26 +67,78 @@
             )
             await self._refuse(exchange, request, failure)
             return
-        if route.kind is fleet.RouteKind.BATCH:
-            await self._run_until_disconnect(
+        caller = self._customer_check.admit(route, wire.read_key(head))
+        if isinstance(caller, _customer_check.CustomerRefusal):
+            await self._refuse_customer(exchange, request, caller)
+            return
+        online: _online_request.OnlineRequest | None = None
+        try:
+            body = await exchange.read_body()
+            if isinstance(body, results.Failure):
+                await self._refuse(exchange, request, body, caller.name)
+                return
+            if route.kind is fleet.RouteKind.BATCH:
+                await self._run_until_disconnect(
+                    exchange,
+                    request,
+                    self._jobs_api.submit(
+                        exchange, request, route, body, caller
+                    ),
+                    caller.name,
+                )
+                return
+            online = _online_request.OnlineRequest(
                 exchange,
+                route,
                 request,
-                self._jobs_api.submit(exchange, request, route, body),
+                body,
+                document.version,
+                trio.current_time(),
+                caller,
+            )
+            run = _online_handler.create_online_handler(self._context, online)
+            await self._run_until_disconnect(
+                exchange, request, run.run(), caller.name
             )
+        finally:
+            if online is None or not online.may_have_run:
+                caller.give_back()
+
+    async def _handle_job_call(
+        self,
+        exchange: transport.ServerExchange,
+        request: _wire.CallerRequest,
+        call: _wire.JobCall,
+    ) -> None:
+        """Handles a call on a job, which needs a key of its customer."""
+        caller = self._customer_check.identify(
+            self._context.wire.read_key(exchange.head)
+        )
+        if isinstance(
+            caller, _customer_check.CustomerRefusal
+        ) and not self._jobs_api.may_need_no_key(call):
+            if not self._jobs_api.is_log_loaded:
+                # The job may be one that needs no key.
+                caller.failure = _JOBS_NOT_LOADED
+            await self._refuse_customer(exchange, request, caller)
+            return
+        body = await exchange.read_body()
+        if isinstance(body, results.Failure):
+            await self._refuse(exchange, request, body)
             return
-        run = _online_handler.create_online_handler(
-            self._context,
-            _online_request.OnlineRequest(
-                exchange, route, request, body, document.version, began_at_s
-            ),
+        await self._run_until_disconnect(
+            exchange,
+            request,
+            self._jobs_api.handle_call(exchange, request, call, caller),
+            caller.name,
         )
-        await self._run_until_disconnect(exchange, request, run.run())
 
     async def _run_until_disconnect(
         self,
         exchange: transport.ServerExchange,
         request: _wire.CallerRequest,
         work: Awaitable[None],
+        customer: str,
     ) -> None:
         """Runs the work, and cancels it if the caller disconnects."""
         is_disconnected = False
@@ -116,7 +156,10 @@
         if not is_disconnected:
             return
         self._context.metrics.disconnects.increment()
-        _LOGGER.info('caller_gone', extra={'request_id': request.request_id})
+        _LOGGER.info(
+            'caller_gone',
+            extra={'request_id': request.request_id, 'customer': customer},
+        )
         raise trio.BrokenResourceError('the caller disconnected')
 
     async def _refuse(
@@ -124,6 +167,7 @@
         exchange: transport.ServerExchange,
         request: _wire.CallerRequest,
         failure: results.Failure,
+        customer: str = '',
     ) -> None:
         """Sends a failure for a request that is not forwarded."""
         status = await _failure_responses.send_failure(
@@ -134,6 +178,7 @@
             'request_refused',
             extra={
                 'request_id': request.request_id,
+                'customer': customer,
                 'status': status,
                 'code': int(failure.code),
                 'reason': failure.reason,
@@ -142,6 +187,37 @@
             },
         )
 
+    async def _refuse_customer(
+        self,
+        exchange: transport.ServerExchange,
+        request: _wire.CallerRequest,
+        refusal: _customer_check.CustomerRefusal,
+    ) -> None:
+        """Refuses a request because of its key or customer.
+
+        The line for it is bounded: refusals cost callers nothing, so that there
+        may be any number of them.
+        """
+        self._customer_check.record_refusal(
+            refusal, request.request_id, exchange.head.target
+        )
+        status = await _failure_responses.send_failure(
+            exchange, self._context.wire, refusal.failure, request.request_id
+        )
+        self._context.metrics.responses.increment('refused', str(status))
+
+
+def _find_route(
+    document: fleet.FleetDocument, head: transport.RequestHead
+) -> fleet.FleetRoute | None:
+    """Returns the route of a request, by its host with or without port."""
+    host = (head.find_header(b'host') or '').lower()
+    path = head.target.partition('?')[0]
+    route = document.find_route(host, path)
+    if route is not None:
+        return route
+    return document.find_route(host.rpartition(':')[0], path)
+
 
 _NO_DOCUMENT = results.Failure(
     results.ResultCode.NO_CONFIGURATION,
@@ -149,6 +225,12 @@
     retry_after_ms=NO_DOCUMENT_RETRY_MS,
 )
 
+_JOBS_NOT_LOADED = results.Failure(
+    results.ResultCode.LOG_UNAVAILABLE,
+    'the jobs have not been loaded yet',
+    retry_after_ms=NO_DOCUMENT_RETRY_MS,
+)
+
 
 def create_callers_api(
     view: fleet.FleetView,
--- a/siskinmount/gateway/_failure_responses.py
+++ b/siskinmount/gateway/_failure_responses.py
@@ -8,6 +8,7 @@
     results.ResultCode.MALFORMED_REQUEST: 400,
     results.ResultCode.INVALID_FIELD: 400,
     results.ResultCode.ITEM_INVALID: 400,
+    results.ResultCode.UNAUTHENTICATED: 401,
     results.ResultCode.REQUEST_TIMEOUT: 408,
     results.ResultCode.BODY_TOO_LARGE: 413,
     results.ResultCode.JOB_TOO_LARGE: 413,
@@ -15,6 +16,7 @@
     results.ResultCode.NO_SUCH_JOB: 404,
     results.ResultCode.METHOD_NOT_ALLOWED: 405,
     results.ResultCode.BACKLOG_FULL: 429,
+    results.ResultCode.CALLER_OVER_LIMIT: 429,
     results.ResultCode.DEADLINE_EXCEEDED: 504,
     results.ResultCode.LOG_APPEND_UNKNOWN: 504,
 }
--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -6,7 +6,9 @@
 
 import trio
 
+from siskinmount import admission
 from siskinmount import configuration
+from siskinmount import customers
 from siskinmount import fleet
 from siskinmount import jobs
 from siskinmount import keyed_log
@@ -19,6 +21,7 @@
 from siskinmount.gateway import _batch_membership
 from siskinmount.gateway import _callers_api
 from siskinmount.gateway import _crash_verifier
+from siskinmount.gateway import _customer_check
 from siskinmount.gateway import _departure_reader
 from siskinmount.gateway import _eligible_members_watch
 from siskinmount.gateway import _gateway_metrics
@@ -86,6 +89,8 @@
         '_announcer',
         '_housekeeping',
         '_metrics',
+        '_key_age',
+        '_customer_check',
         '_document_follower',
         '_upstreams_follower',
         '_members_follower',
@@ -147,6 +152,16 @@
             outside.origins_log, settings.vm
         )
         self._metrics = _gateway_metrics.create_gateway_metrics(metrics)
+        max_age_s: float | None = None
+        if settings.strict_revocation:
+            max_age_s = settings.key_max_age_ms / 1000
+        self._key_age = customers.create_key_age(max_age_s)
+        self._customer_check = _customer_check.create_customer_check(
+            self._view,
+            self._key_age,
+            admission.create_customer_quotas(),
+            self._metrics,
+        )
         origin_table = stream_origins.create_origin_table()
         origins = _origin_finder.create_origin_finder(
             table=origin_table,
@@ -300,6 +315,7 @@
                 outside.wire,
                 self._metrics,
                 end_check,
+                self._view,
             ),
             result_writer=result_writer,
             metrics=self._metrics,
@@ -338,6 +354,7 @@
             buffers=_response_buffers.create_response_buffers(),
             wire=outside.wire,
             metrics=self._metrics,
+            customer_check=self._customer_check,
         )
         callers_api = _callers_api.create_callers_api(
             self._view,
@@ -349,6 +366,8 @@
                 follower=self._jobs_follower,
                 metrics=self._metrics,
                 max_record_bytes=settings.max_record_bytes,
+                view=self._view,
+                customer_check=self._customer_check,
             ),
         )
         self._limits = transport.ServerLimits(
@@ -489,6 +508,7 @@
             self._view.document is not None
             and self._quarantine_log.may_serve()
             and self._version_keeper.may_serve()
+            and self._customer_check.can_check_keys()
             and not is_leaving
         )
         await exchange.send_json(
--- a/siskinmount/gateway/_gateway_metrics.py
+++ b/siskinmount/gateway/_gateway_metrics.py
@@ -38,6 +38,8 @@
             what began them.
         streams_started: Streams that began, by what became of their record.
         disconnects: Callers that disconnected before their response ended.
+        customer_refusals: Requests refused because of their key or customer, by
+            reason.
     """
 
     __slots__ = (
@@ -64,6 +66,7 @@
         'stream_origins',
         'streams_started',
         'disconnects',
+        'customer_refusals',
     )
 
     def __init__(self, metrics: telemetry.Metrics) -> None:
@@ -149,6 +152,11 @@
         self.disconnects = metrics.create_counter(
             'callers_gone_total', 'Callers that left early.'
         )
+        self.customer_refusals = metrics.create_counter(
+            'customer_refusals_total',
+            'Requests refused because of their key or customer.',
+            'reason',
+        )
 
 
 def create_gateway_metrics(metrics: telemetry.Metrics) -> GatewayMetrics:
--- a/siskinmount/gateway/_item_client.py
+++ b/siskinmount/gateway/_item_client.py
@@ -67,6 +67,7 @@
         '_wire',
         '_metrics',
         '_end_check',
+        '_view',
     )
 
     def __init__(
@@ -79,6 +80,7 @@
         wire: _wire.Wire,
         metrics: _gateway_metrics.GatewayMetrics,
         end_check: _unframed_end.UnframedEndCheck,
+        view: fleet.FleetView,
     ) -> None:
         self._clients = clients
         self._processes = processes
@@ -88,6 +90,7 @@
         self._wire = wire
         self._metrics = metrics
         self._end_check = end_check
+        self._view = view
 
     async def run(
         self,
@@ -105,7 +108,10 @@
             'POST',
             item.path,
             self._wire.build_item_headers(
-                item, upstream.upstream_id, progress.last_event_id
+                item,
+                upstream.upstream_id,
+                progress.last_event_id,
+                self._get_upstream_customer(next_item.job),
             ),
             item.body,
             next_item.job.host.encode('latin-1'),
@@ -147,6 +153,15 @@
                 response, progress, item.item_id, upstream
             )
 
+    def _get_upstream_customer(self, job: jobs.Job) -> str | None:
+        """Returns the `customer` for `Wire.build_item_headers`."""
+        document = self._view.document
+        if job.customer or (
+            document is not None and document.customers is not None
+        ):
+            return job.customer
+        return None
+
     async def _collect_events(
         self,
         response: transport.ClientExchange,
@@ -235,6 +250,7 @@
     wire: _wire.Wire,
     metrics: _gateway_metrics.GatewayMetrics,
     end_check: _unframed_end.UnframedEndCheck,
+    view: fleet.FleetView,
 ) -> ItemClient:
     """Creates a client that uses the upstreams' connection pools."""
     return ItemClient(
@@ -246,4 +262,5 @@
         wire,
         metrics,
         end_check,
+        view,
     )
--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -258,6 +258,7 @@
             'item_run_started',
             extra={
                 'job': next_item.job.job_id,
+                'customer': next_item.job.customer,
                 'item': next_item.item.item_id,
                 'tag': run.tag,
                 'upstream': run.upstream_id,
@@ -339,6 +340,7 @@
                 extra={
                     'code': int(results.ResultCode.INVARIANT_BROKEN),
                     'job': next_item.job.job_id,
+                    'customer': next_item.job.customer,
                     'item': next_item.item.item_id,
                     'tag': tag,
                 },
@@ -385,6 +387,7 @@
             'item_run_ended',
             extra={
                 'job': next_item.job.job_id,
+                'customer': next_item.job.customer,
                 'item': next_item.item.item_id,
                 'upstream': upstream.upstream_id,
                 'outcome': outcome.value,
--- a/siskinmount/gateway/_item_watch.py
+++ b/siskinmount/gateway/_item_watch.py
@@ -398,6 +398,7 @@
             'item_waiting',
             extra={
                 'job': next_item.job.job_id,
+                'customer': next_item.job.customer,
                 'item': next_item.item.item_id,
                 'tag': tag,
                 'waiting_s': round(waiting_s, 1),
--- a/siskinmount/gateway/_jobs_api.py
+++ b/siskinmount/gateway/_jobs_api.py
@@ -10,6 +10,7 @@
 from siskinmount import keyed_log
 from siskinmount import results
 from siskinmount import transport
+from siskinmount.gateway import _customer_check
 from siskinmount.gateway import _failure_responses
 from siskinmount.gateway import _gateway_metrics
 from siskinmount.gateway import _wire
@@ -41,6 +42,8 @@
         '_follower',
         '_metrics',
         '_max_record_bytes',
+        '_view',
+        '_customer_check',
     )
 
     def __init__(
@@ -52,6 +55,8 @@
         follower: keyed_log.LogFollower,
         metrics: _gateway_metrics.GatewayMetrics,
         max_record_bytes: int,
+        view: fleet.FleetView,
+        customer_check: _customer_check.CustomerCheck,
     ) -> None:
         self._wire = wire
         self._table = table
@@ -59,6 +64,8 @@
         self._follower = follower
         self._metrics = metrics
         self._max_record_bytes = max_record_bytes
+        self._view = view
+        self._customer_check = customer_check
 
     async def submit(
         self,
@@ -66,22 +73,38 @@
         request: _wire.CallerRequest,
         route: fleet.FleetRoute,
         body: bytes,
+        caller: _customer_check.AdmittedCaller,
     ) -> None:
-        """Accepts a job, or sends the reason why not."""
+        """Accepts a job, or sends the reason why not.
+
+        The key is checked again: the body may have taken long to arrive.
+        """
         began_at_s = trio.current_time()
+        refusal = self._customer_check.recheck(caller)
+        if refusal is not None:
+            await self._refuse(exchange, request, 'submit', refusal)
+            return
         job = self._wire.decode_job(
-            request.request_id, route, body, int(time.time() * 1000)
+            request.request_id,
+            route,
+            body,
+            int(time.time() * 1000),
+            self._customer_check.get_upstream_customer(caller),
         )
         if isinstance(job, results.Failure):
-            await self._send_failure(exchange, request, 'submit', job)
+            await self._send_failure(
+                exchange, request, 'submit', job, caller.name
+            )
             return
         outcome = await self._accept_job(job, request, route, began_at_s)
         if isinstance(outcome, results.Failure):
-            await self._send_failure(exchange, request, 'submit', outcome)
+            await self._send_failure(
+                exchange, request, 'submit', outcome, caller.name
+            )
             return
         await exchange.send_json(202, {'job_id': job.job_id})
         self._record_response(
-            'submit', 202, request, job.job_id, began_at_s, len(job.items)
+            'submit', 202, request, job, began_at_s, len(job.items)
         )
 
     async def _accept_job(
@@ -92,8 +115,9 @@
         began_at_s: float,
     ) -> results.Failure | None:
         """Writes a job to the log; returns None once it is there."""
-        if job.job_id in self._table.jobs:
-            return None
+        known = self._table.jobs.get(job.job_id)
+        if known is not None:
+            return jobs.find_id_conflict(known, job.customer)
         time_ms: float = SUBMIT_TIMEOUT_MS
         if request.deadline_ms is not None:
             time_ms = min(time_ms, request.deadline_ms * SUBMIT_DEADLINE_SHARE)
@@ -117,21 +141,38 @@
         exchange: transport.ServerExchange,
         request: _wire.CallerRequest,
         call: _wire.JobCall,
+        caller: (
+            _customer_check.AdmittedCaller | _customer_check.CustomerRefusal
+        ),
     ) -> None:
-        """Handles a call on a submitted job."""
+        """Handles a call on a submitted job.
+
+        Args:
+            exchange: The caller's connection.
+            request: Values read from the headers.
+            call: The call.
+            caller: Whose call it is, or why that is not known; it is then
+                answered only if the job needs no key.
+        """
         began_at_s = trio.current_time()
+        refusal: _customer_check.CustomerRefusal | None = None
+        if isinstance(caller, _customer_check.CustomerRefusal):
+            refusal = caller
         job = self._table.jobs.get(call.job_id)
         if job is None:
             failure = await self._follower.sync()
             if failure is not None:
                 await self._send_failure(
-                    exchange, request, call.kind.value, failure
+                    exchange, request, call.kind.value, failure, caller.name
                 )
                 return
             job = self._table.jobs.get(call.job_id)
-        if job is None:
+        if refusal is not None and (job is None or not self._needs_no_key(job)):
+            await self._refuse(exchange, request, call.kind.value, refusal)
+            return
+        if job is None or not self._may_use(job, caller.name):
             await self._send_failure(
-                exchange, request, call.kind.value, _NO_SUCH_JOB
+                exchange, request, call.kind.value, _NO_SUCH_JOB, caller.name
             )
             return
         if call.kind is _wire.JobCallKind.READ_RESULTS:
@@ -141,6 +182,39 @@
         else:
             await self._end_job(exchange, request, job, began_at_s)
 
+    @property
+    def is_log_loaded(self) -> bool:
+        """Whether all jobs of the log are known, but for the newest."""
+        return self._follower.is_loaded
+
+    def may_need_no_key(self, call: _wire.JobCall) -> bool:
+        """Returns whether a call without a valid key may have to be answered.
+
+        A job that is not known here may be on a public route; the log is read
+        for such callers only where there is one.
+        """
+        job = self._table.jobs.get(call.job_id)
+        if job is not None:
+            return self._needs_no_key(job)
+        document = self._view.document
+        return document is not None and document.has_public_batch_route()
+
+    def _needs_no_key(self, job: jobs.Job) -> bool:
+        """Returns whether a job has no customer or is on a public route."""
+        if not job.customer:
+            return True
+        document = self._view.document
+        if document is None:
+            return False
+        route = document.find_route_by_name(job.route_name)
+        return route is not None and route.public
+
+    def _may_use(self, job: jobs.Job, customer: str) -> bool:
+        """Returns whether a job exists for a customer."""
+        if not self._customer_check.has_customers():
+            return True
+        return job.customer == customer or self._needs_no_key(job)
+
     async def _read_results(
         self,
         exchange: transport.ServerExchange,
@@ -162,7 +236,11 @@
                 failure = await self._follower.sync()
                 if failure is not None:
                     await self._send_failure(
-                        exchange, request, call.kind.value, failure
+                        exchange,
+                        request,
+                        call.kind.value,
+                        failure,
+                        job.customer,
                     )
                     return
         job = self._table.jobs.get(job.job_id, job)
@@ -175,7 +253,7 @@
             call.kind.value,
             200,
             request,
-            job.job_id,
+            job,
             began_at_s,
             len(job.results) - call.after,
         )
@@ -192,15 +270,13 @@
         item = job.open_items.get(call.item_id)
         if item is None or job.is_ended:
             await self._send_failure(
-                exchange, request, call.kind.value, _NO_SUCH_ITEM
+                exchange, request, call.kind.value, _NO_SUCH_ITEM, job.customer
             )
             return
         await exchange.send_whole(
             200, [(b'content-type', b'application/octet-stream')], item.body
         )
-        self._record_response(
-            call.kind.value, 200, request, job.job_id, began_at_s, 1
-        )
+        self._record_response(call.kind.value, 200, request, job, began_at_s, 1)
 
     async def _end_job(
         self,
@@ -216,13 +292,33 @@
                 jobs.EndJob(job.job_id, began_at_s + END_TIMEOUT_MS / 1000)
             )
         if isinstance(outcome, results.Failure):
-            await self._send_failure(exchange, request, 'end', outcome)
+            await self._send_failure(
+                exchange, request, 'end', outcome, job.customer
+            )
             return
         if outcome is jobs.WriteOutcome.NO_SUCH_JOB:
-            await self._send_failure(exchange, request, 'end', _NO_SUCH_JOB)
+            await self._send_failure(
+                exchange, request, 'end', _NO_SUCH_JOB, job.customer
+            )
             return
         await exchange.send_json(200, {'job_id': job.job_id})
-        self._record_response('end', 200, request, job.job_id, began_at_s, 0)
+        self._record_response('end', 200, request, job, began_at_s, 0)
+
+    async def _refuse(
+        self,
+        exchange: transport.ServerExchange,
+        request: _wire.CallerRequest,
+        call: str,
+        refusal: _customer_check.CustomerRefusal,
+    ) -> None:
+        """Refuses a call because of its key."""
+        self._customer_check.record_refusal(
+            refusal, request.request_id, exchange.head.target
+        )
+        status = await _failure_responses.send_failure(
+            exchange, self._wire, refusal.failure, request.request_id
+        )
+        self._metrics.responses.increment(f'job_{call}', str(status))
 
     async def _send_failure(
         self,
@@ -230,6 +326,7 @@
         request: _wire.CallerRequest,
         call: str,
         failure: results.Failure,
+        customer: str,
     ) -> None:
         status = await _failure_responses.send_failure(
             exchange, self._wire, failure, request.request_id
@@ -239,6 +336,7 @@
             'job_call_failed',
             extra={
                 'request_id': request.request_id,
+                'customer': customer,
                 'call': call,
                 'target': exchange.head.target,
                 'status': status,
@@ -255,7 +353,7 @@
         call: str,
         status: int,
         request: _wire.CallerRequest,
-        job_id: str,
+        job: jobs.Job,
         began_at_s: float,
         count: int,
     ) -> None:
@@ -267,7 +365,8 @@
             extra={
                 'request_id': request.request_id,
                 'call': call,
-                'job': job_id,
+                'job': job.job_id,
+                'customer': job.customer,
                 'status': status,
                 'count': count,
                 'took_ms': int(took_ms),
@@ -298,6 +397,8 @@
     follower: keyed_log.LogFollower,
     metrics: _gateway_metrics.GatewayMetrics,
     max_record_bytes: int,
+    view: fleet.FleetView,
+    customer_check: _customer_check.CustomerCheck,
 ) -> JobsApi:
     """Creates the handler of submissions and calls on jobs."""
     return JobsApi(
@@ -307,4 +408,6 @@
         follower=follower,
         metrics=metrics,
         max_record_bytes=max_record_bytes,
+        view=view,
+        customer_check=customer_check,
     )
--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -216,6 +216,9 @@
                 self._upstream.upstream_id,
                 remaining_ms,
                 request.last_event_id,
+                self._context.customer_check.get_upstream_customer(
+                    request.caller
+                ),
             ),
             request.body,
             (head.find_header(b'host') or '').encode('latin-1'),
--- a/siskinmount/gateway/_online_context.py
+++ b/siskinmount/gateway/_online_context.py
@@ -2,6 +2,7 @@
 
 from siskinmount import keyed_log
 from siskinmount import placement
+from siskinmount.gateway import _customer_check
 from siskinmount.gateway import _departure_reader
 from siskinmount.gateway import _gateway_metrics
 from siskinmount.gateway import _listed_processes
@@ -34,6 +35,7 @@
         buffers: Bounds the memory of responses that are read whole.
         wire: Reads and writes headers.
         metrics: Counters and histograms of the gateway.
+        customer_check: Checks keys of callers.
     """
 
     __slots__ = (
@@ -53,6 +55,7 @@
         'buffers',
         'wire',
         'metrics',
+        'customer_check',
     )
 
     def __init__(
@@ -74,6 +77,7 @@
         buffers: _response_buffers.ResponseBuffers,
         wire: _wire.Wire,
         metrics: _gateway_metrics.GatewayMetrics,
+        customer_check: _customer_check.CustomerCheck,
     ) -> None:
         self.placer = placer
         self.load = load
@@ -91,3 +95,4 @@
         self.buffers = buffers
         self.wire = wire
         self.metrics = metrics
+        self.customer_check = customer_check
--- a/siskinmount/gateway/_online_handler.py
+++ b/siskinmount/gateway/_online_handler.py
@@ -7,6 +7,7 @@
 from siskinmount import fleet
 from siskinmount import placement
 from siskinmount import results
+from siskinmount.gateway import _customer_check
 from siskinmount.gateway import _online_attempt
 from siskinmount.gateway import _online_context
 from siskinmount.gateway import _online_request
@@ -104,7 +105,12 @@
             if request.software is not None:
                 # An upstream may have started again in another version.
                 await self._context.upstreams_sync.read(VIEW_READ_TIMEOUT_S)
-            chosen = self._place(service)
+            refusal = self._context.customer_check.recheck(request.caller)
+            chosen: placement.Placement | results.Failure
+            if refusal is not None:
+                chosen = self._refuse_send(refusal)
+            else:
+                chosen = self._place(service)
             if isinstance(chosen, results.Failure):
                 if self._may_wait_for_limits(chosen):
                     await trio.sleep(LIMIT_POLL_S)
@@ -160,6 +166,23 @@
                 request.get_run_state(),
             )
 
+    def _refuse_send(
+        self, refusal: _customer_check.CustomerRefusal
+    ) -> results.Failure:
+        """Records that the request must not be sent now; returns why."""
+        request = self._request
+        self._context.customer_check.record_refusal(
+            refusal, request.request_id, request.exchange.head.target
+        )
+        if request.get_run_state() is results.RunState.NOT_RUN:
+            return refusal.failure
+        # The status of the refusal would say that the request has not run.
+        return results.Failure(
+            results.ResultCode.UPSTREAM_LOST,
+            f'no further attempt: {refusal.failure.reason}',
+            request.get_run_state(),
+        )
+
     def _draw_service(self) -> str | None:
         """Returns the service of the next attempt.
 
@@ -247,7 +270,7 @@
         request = self._request
         max_wait_ms = request.route.target_ms * MAX_WAIT_TARGETS
         urgency = placement.Urgency.HIGHEST
-        if request.route.priority > 0:
+        if request.priority > 0:
             urgency = placement.Urgency.ONLINE
         if request.software is not None:
             # The caller has the start of the response: a late end is better
--- a/siskinmount/gateway/_online_request.py
+++ b/siskinmount/gateway/_online_request.py
@@ -7,6 +7,7 @@
 from siskinmount import results
 from siskinmount import stream_origins
 from siskinmount import transport
+from siskinmount.gateway import _customer_check
 from siskinmount.gateway import _wire
 
 
@@ -37,6 +38,7 @@
         record_count: Runs that were recorded as the start of the stream.
         must_start_unrecorded: Whether a run could not be recorded in time, so
             that the next one is to need no record.
+        caller: Whose request it is, and under which key it was admitted.
     """
 
     __slots__ = (
@@ -59,6 +61,7 @@
         'software',
         'record_count',
         'must_start_unrecorded',
+        'caller',
     )
 
     def __init__(
@@ -69,6 +72,7 @@
         body: bytes,
         document_version: int,
         began_at_s: float,
+        caller: _customer_check.AdmittedCaller | None = None,
     ) -> None:
         self.exchange = exchange
         self.route = route
@@ -96,12 +100,26 @@
         self.software: fleet.Software | None = None
         self.record_count = 0
         self.must_start_unrecorded = False
+        self.caller = caller or _customer_check.AdmittedCaller()
 
     @property
     def request_id(self) -> str:
         """Id that the caller gave this request; empty if none."""
         return self.caller_request.request_id
 
+    @property
+    def customer(self) -> str:
+        """Name of the customer; empty if the request has none."""
+        return self.caller.name
+
+    @property
+    def priority(self) -> int:
+        """Priority of the customer if it has one, else that of the route."""
+        customer = self.caller.customer
+        if customer is None or customer.priority is None:
+            return self.route.priority
+        return customer.priority
+
     @property
     def response_started(self) -> bool:
         """Whether a part of the response has been sent to the caller."""
--- a/siskinmount/gateway/_online_response.py
+++ b/siskinmount/gateway/_online_response.py
@@ -147,6 +147,7 @@
             extra={
                 'request_id': request.request_id,
                 'route': request.route.name,
+                'customer': request.customer,
                 'status': status,
                 'reason': reason,
                 'code': int(failure.code) if failure else 0,
--- a/siskinmount/gateway/_result_writer.py
+++ b/siskinmount/gateway/_result_writer.py
@@ -70,6 +70,7 @@
             'item_given_up',
             extra={
                 'job': next_item.job.job_id,
+                'customer': next_item.job.customer,
                 'item': next_item.item.item_id,
                 'reason': reason,
                 'failed_attempts': (
@@ -151,6 +152,7 @@
             'item_listed' if operation.outcome else 'item_not_listed',
             extra={
                 'job': next_item.job.job_id,
+                'customer': next_item.job.customer,
                 'item': item_id,
                 'state': state.value,
                 'output_bytes': len(output),
--- a/siskinmount/gateway/_wire.py
+++ b/siskinmount/gateway/_wire.py
@@ -3,6 +3,7 @@
 import enum
 from typing import Protocol
 
+from siskinmount import customers
 from siskinmount import fleet
 from siskinmount import jobs
 from siskinmount import results
@@ -111,6 +112,10 @@
         """Returns the values in the headers of a request."""
         ...
 
+    def read_key(self, head: transport.RequestHead) -> str | customers.KeyFault:
+        """Returns the key of the caller's customer, or why there is none."""
+        ...
+
     def find_job_call(
         self, head: transport.RequestHead
     ) -> JobCall | results.Failure | None:
@@ -123,6 +128,7 @@
         route: fleet.FleetRoute,
         body: bytes,
         accepted_at_ms: int,
+        customer: str | None,
     ) -> jobs.Job | results.Failure:
         """Decodes a submitted job.
 
@@ -131,6 +137,8 @@
             route: Batch route that the job was submitted to.
             body: Body of the submission.
             accepted_at_ms: Time of acceptance, in Unix milliseconds.
+            customer: As in `build_upstream_headers`; the job's items keep no
+                headers that it replaces.
         """
         ...
 
@@ -144,8 +152,19 @@
         upstream_id: str,
         remaining_ms: int,
         last_event_id: int | None,
+        customer: str | None,
     ) -> transport.Headers:
-        """Returns the headers of a caller's request to an upstream."""
+        """Returns the headers of a caller's request to an upstream.
+
+        Args:
+            caller_headers: Headers that the caller sent.
+            upstream_id: Id of the upstream.
+            remaining_ms: Time until the deadline.
+            last_event_id: Id of the last event that the caller has, or None.
+            customer: Customer that the upstream is told, empty for none; a key
+                or customer in the caller's headers is dropped. None if the
+                document defines no customers, so that all are passed on.
+        """
         ...
 
     def build_item_headers(
@@ -153,8 +172,12 @@
         item: jobs.JobItem,
         upstream_id: str,
         last_event_id: int | None,
+        customer: str | None,
     ) -> transport.Headers:
-        """Returns the headers of a batch item's request to an upstream."""
+        """Returns the headers of a batch item's request to an upstream.
+
+        `customer` is that of `build_upstream_headers`.
+        """
         ...
 
     def classify_answer(
--- a/siskinmount/gateway/tests/gateway_harness.py
+++ b/siskinmount/gateway/tests/gateway_harness.py
@@ -84,10 +84,19 @@
 ROUTES = [STREAM_ROUTE, ONCE_ROUTE, PLAIN_ROUTE, BOOKING_ROUTE, BATCH_ROUTE]
 
 
-def make_document(version, routes=ROUTES, **limits):
-    """Returns a document in the platform's format."""
+def make_document(version, routes=ROUTES, tenants=None, **limits):
+    """Returns a document in the platform's format.
+
+    Args:
+        version: Version of the document.
+        routes: Its routes.
+        tenants: Its customers; None for a document without the field.
+        limits: Limits that differ from the usual ones.
+    """
+    fields = {} if tenants is None else {'tenants': tenants}
     return orjson.dumps(
         {
+            **fields,
             'version': version,
             'routes': routes,
             'services': [
@@ -130,6 +139,7 @@
         self.address = transport.Address(host, port)
         self.ready_address = transport.Address(host, port + 1)
         self.signals = EventSignals()
+        self.daemon = None
         self.settings = None
         self.next_settings = None
         self.scope = trio.CancelScope()
@@ -177,6 +187,8 @@
         self.addresses = {}
         self.gateways = []
         self.results_kept_s = 120
+        self.strict_revocation = False
+        self.key_max_age_ms = 5000
 
     async def start(self, gateway_count, engine_ids, plain_ids=()):
         """Starts all parts and waits until the gateways are ready."""
@@ -315,6 +327,8 @@
             stop_grace_s=6,
             results_kept_s=self.results_kept_s,
             seeds=[],
+            strict_revocation=self.strict_revocation,
+            key_max_age_ms=self.key_max_age_ms,
         )
         running.settings = settings
         daemon = gateway.create_gateway(
@@ -336,6 +350,7 @@
             None,
             running.signals,
         )
+        running.daemon = daemon
         with running.scope:
             await daemon.run(task_status)
         running.ended.set()
--- a/siskinmount/gateway/tests/online_context.py
+++ b/siskinmount/gateway/tests/online_context.py
@@ -1,10 +1,13 @@
 """Creates the context of online requests with fake clients."""
 
+from siskinmount import admission
+from siskinmount import customers
 from siskinmount import fleet
 from siskinmount import placement
 from siskinmount import platform
 from siskinmount import stream_origins
 from siskinmount import telemetry
+from siskinmount.gateway import _customer_check
 from siskinmount.gateway import _departure_reader
 from siskinmount.gateway import _gateway_metrics
 from siskinmount.gateway import _listed_processes
@@ -82,4 +85,10 @@
         buffers=_response_buffers.create_response_buffers(),
         wire=wire,
         metrics=metrics,
+        customer_check=_customer_check.create_customer_check(
+            view,
+            customers.create_key_age(None),
+            admission.create_customer_quotas(),
+            metrics,
+        ),
     )
--- a/siskinmount/gateway/tests/test_item_client.py
+++ b/siskinmount/gateway/tests/test_item_client.py
@@ -80,6 +80,7 @@
                 _unframed_end.create_unframed_end_check(
                     None, None, metrics, 1200
                 ),
+                None,
             )
             progress = jobs.ItemProgress()
             began_at_s = trio.current_time()
--- a/siskinmount/jobs/__init__.py
+++ b/siskinmount/jobs/__init__.py
@@ -6,6 +6,7 @@
     JobLedger, create_job_ledger(...): Appends operations to the log.
     AcceptJob, AppendResult, EndJob, DropJob: Operations on jobs.
     WriteOutcome: The outcome of an operation.
+    find_id_conflict(job, customer): Whether the id belongs to another customer.
     ItemScheduler, create_item_scheduler(...): Selects the items to run next.
     choose_member(tag, members): The member responsible for an item.
     encode_operations, decode_operations, encode_outcomes, decode_outcomes:
@@ -37,5 +38,6 @@
 from siskinmount.jobs._operations import AppendResult
 from siskinmount.jobs._operations import DropJob
 from siskinmount.jobs._operations import EndJob
+from siskinmount.jobs._operations import find_id_conflict
 from siskinmount.jobs._operations import Operation
 from siskinmount.jobs._operations import WriteOutcome
--- a/siskinmount/jobs/_job.py
+++ b/siskinmount/jobs/_job.py
@@ -77,6 +77,7 @@
         open_items: Items that are not listed, by id, in submission order.
         is_ended: Whether the caller has ended the job.
         offset: Log offset of the acceptance; -1 while it is unknown.
+        customer: Name of the customer that submitted the job; empty for none.
     """
 
     __slots__ = (
@@ -90,6 +91,7 @@
         'open_items',
         'is_ended',
         'offset',
+        'customer',
     )
 
     def __init__(
@@ -102,6 +104,7 @@
         items: list[JobItem],
         known_since_s: float = 0,
         offset: int = -1,
+        customer: str = '',
     ) -> None:
         self.job_id = job_id
         self.route_name = route_name
@@ -115,6 +118,7 @@
             self.open_items[item.item_id] = item
         self.is_ended = False
         self.offset = offset
+        self.customer = customer
 
     def count_waiting_tokens(self) -> int:
         """Returns the tokens of open items; 0 once the job is ended."""
--- a/siskinmount/jobs/_job_records.py
+++ b/siskinmount/jobs/_job_records.py
@@ -101,23 +101,24 @@
 
 def encode_job(job: _job.Job) -> bytes:
     """Encodes a job with its items as they were submitted."""
-    return orjson.dumps(
-        {
-            'route': job.route_name,
-            'host': job.host,
-            'accepted_at_ms': job.accepted_at_ms,
-            'items': [
-                {
-                    'id': item.item_id,
-                    'path': item.path,
-                    'headers': item.headers,
-                    'body': base64.b64encode(item.body).decode('ascii'),
-                    'tokens': item.token_count,
-                }
-                for item in job.items
-            ],
-        }
-    )
+    fields: dict[str, object] = {
+        'route': job.route_name,
+        'host': job.host,
+        'accepted_at_ms': job.accepted_at_ms,
+        'items': [
+            {
+                'id': item.item_id,
+                'path': item.path,
+                'headers': item.headers,
+                'body': base64.b64encode(item.body).decode('ascii'),
+                'tokens': item.token_count,
+            }
+            for item in job.items
+        ],
+    }
+    if job.customer:
+        fields['customer'] = job.customer
+    return orjson.dumps(fields)
 
 
 def decode_job(job_id: str, value: bytes) -> _job.Job | results.Failure:
@@ -139,6 +140,8 @@
                 )
                 for row in fields['items']
             ],
+            # Records of earlier releases have none.
+            customer=str(fields.get('customer', '')),
         )
     except results.DECODING_ERRORS as error:
         return _invalid(f'job: {error!r}')
--- a/siskinmount/jobs/_job_table.py
+++ b/siskinmount/jobs/_job_table.py
@@ -104,12 +104,20 @@
         keys.pop(acceptance, None)
         return first + list(keys)
 
-    def count_waiting_tokens(self, route_name: str) -> int:
-        """Returns the tokens of all open items of a route."""
+    def count_waiting_tokens(self, route_name: str, customer: str = '') -> int:
+        """Returns the tokens of the open items of a route.
+
+        Args:
+            route_name: Name of the route.
+            customer: Customer whose items are counted; empty for all items.
+        """
         total = 0
         for job in self.list_open():
-            if job.route_name == route_name:
-                total += job.count_waiting_tokens()
+            if job.route_name != route_name:
+                continue
+            if customer and job.customer != customer:
+                continue
+            total += job.count_waiting_tokens()
         return total
 
     async def wait_changed(self) -> None:
--- a/siskinmount/jobs/_operations.py
+++ b/siskinmount/jobs/_operations.py
@@ -66,17 +66,26 @@
     """Changes planned by earlier operations of the same append.
 
     Attributes:
-        jobs: Ids of jobs to be accepted.
+        jobs: Jobs to be accepted, by id.
         results_by_job: Ids of items to be listed, by job.
-        tokens_by_route: Tokens of the jobs to be accepted, by route.
     """
 
-    __slots__ = ('jobs', 'results_by_job', 'tokens_by_route')
+    __slots__ = ('jobs', 'results_by_job')
 
     def __init__(self) -> None:
-        self.jobs: set[str] = set()
+        self.jobs: dict[str, _job.Job] = {}
         self.results_by_job: dict[str, list[str]] = {}
-        self.tokens_by_route: dict[str, int] = {}
+
+    def count_tokens(self, route_name: str, customer: str) -> int:
+        """Returns the tokens of jobs to be accepted, as the table does."""
+        total = 0
+        for job in self.jobs.values():
+            if job.route_name != route_name:
+                continue
+            if customer and job.customer != customer:
+                continue
+            total += job.count_waiting_tokens()
+        return total
 
 
 class _OperationState:
@@ -104,8 +113,9 @@
 
     Attributes:
         job: The job to accept.
-        max_waiting_tokens: Bound on the tokens of the open items of the route;
-            0 for none.
+        max_waiting_tokens: Bound on the tokens of the open items that the
+            job's customer has on the route, or all callers together if the job
+            has no customer; 0 for none.
         max_record_bytes: Maximum size of one record.
         deadline_s: Monotonic time after which the caller has stopped waiting.
     """
@@ -130,15 +140,17 @@
     ) -> list[keyed_log.KeyedRecord] | WriteOutcome | results.Failure:
         """Returns the records of the job if it stays within the bound."""
         job = self.job
-        if job.job_id in table.jobs:
-            return WriteOutcome.DONE
-        if job.job_id in planned.jobs:
-            return []
-        tokens = job.count_waiting_tokens()
-        earlier = planned.tokens_by_route.get(job.route_name, 0)
+        known = table.jobs.get(job.job_id)
+        if known is not None:
+            return find_id_conflict(known, job.customer) or WriteOutcome.DONE
+        earlier = planned.jobs.get(job.job_id)
+        if earlier is not None:
+            return find_id_conflict(earlier, job.customer) or []
         if self.max_waiting_tokens:
-            waiting = table.count_waiting_tokens(job.route_name) + earlier
-            if waiting + tokens > self.max_waiting_tokens:
+            waiting = table.count_waiting_tokens(job.route_name, job.customer)
+            waiting += planned.count_tokens(job.route_name, job.customer)
+            waiting += job.count_waiting_tokens()
+            if waiting > self.max_waiting_tokens:
                 if not self.may_have_been_written:
                     return WriteOutcome.OVER_QUOTA
                 return results.Failure(
@@ -147,8 +159,7 @@
                     ' but an earlier append may have accepted it',
                     results.RunState.UNKNOWN,
                 )
-        planned.jobs.add(job.job_id)
-        planned.tokens_by_route[job.route_name] = earlier + tokens
+        planned.jobs[job.job_id] = job
         key = _job_records.RecordKey(_job_records.RecordKind.JOB, job.job_id)
         return _job_records.encode_value(
             key, _job_records.encode_job(job), self.max_record_bytes
@@ -166,6 +177,19 @@
         return total
 
 
+def find_id_conflict(known: _job.Job, customer: str) -> results.Failure | None:
+    """Returns why a customer cannot submit a job with the id of a known one.
+
+    The id is that of a job of another customer. A job without a customer may
+    have been accepted by a member that knew none yet.
+    """
+    if not customer or known.customer in ('', customer):
+        return None
+    return results.Failure(
+        results.ResultCode.INVALID_FIELD, 'the id of the job is in use'
+    )
+
+
 class AppendResult(_OperationState):
     """Lists a result at the next position of its job.
 
--- a/siskinmount/platform/_fleet_codec.py
+++ b/siskinmount/platform/_fleet_codec.py
@@ -10,6 +10,7 @@
 from siskinmount import fleet
 from siskinmount import results
 from siskinmount import transport
+from siskinmount.platform import _customer_codec
 from siskinmount.platform import _field_reader
 
 _LOGGER = logging.getLogger(__name__)
@@ -31,6 +32,7 @@
 _MAX_KNOWN_TEXTS = 4096
 #: Largest whole number that all readers of JSON represent exactly.
 _MAX_COUNT = 2**53 - 1
+_TENANTS = f'"{_customer_codec.FIELD}"'.encode()
 _DEFAULT_TIMEOUT_MS = 15_000
 _DEFAULT_HEADER_BYTES = 16 * 1024
 _DEFAULT_BODY_BYTES = 4 * 1024 * 1024
@@ -41,10 +43,11 @@
 def decode_document(source: bytes) -> fleet.FleetDocument | results.Failure:
     """Decodes a document, or fails with `DOCUMENT_INVALID`.
 
-    Routes of unknown kinds are logged and left out.
+    Routes of unknown kinds are logged and left out. Invalid fields of customers
+    are findings in the table of customers.
     """
     try:
-        fields = orjson.loads(source)
+        fields = _load(source)
         if not isinstance(fields, dict):
             raise _field_reader.FieldError('the document is not an object')
         routes: list[fleet.FleetRoute] = []
@@ -64,6 +67,7 @@
             services,
             _decode_limits(fields.get('limits')),
             source,
+            _customer_codec.decode_customers(fields.get(_customer_codec.FIELD)),
         )
     except (_field_reader.FieldError, ValueError) as error:
         return results.Failure(
@@ -71,6 +75,16 @@
         )
 
 
+def _load(source: bytes) -> object:
+    """Loads a document; raises `ValueError` if it is invalid."""
+    try:
+        return orjson.loads(source)
+    except orjson.JSONDecodeError:
+        if _TENANTS not in source:
+            raise
+        return _customer_codec.load_tolerantly(source)
+
+
 def _log_unknown_kind(fields: dict[str, Any]) -> None:
     """Logs that a route of an unknown kind is left out."""
     _LOGGER.error(
@@ -103,8 +117,8 @@
         max_gap_ms=_field_reader.read_integer(fields, 'gap_goal_ms', 0),
         run_target_ms=_field_reader.read_integer(fields, 'run_goal_ms', 0),
         retention_s=_field_reader.read_number(fields, 'retention_s', 0),
-        # `cap` bounds the waiting tokens of all callers together.
         max_waiting_tokens=_field_reader.read_integer(fields, 'cap', 0),
+        public=fields.get('public') is True,
     )
 
 
--- a/siskinmount/platform/_wire.py
+++ b/siskinmount/platform/_wire.py
@@ -7,6 +7,7 @@
 
 import orjson
 
+from siskinmount import customers
 from siskinmount import fleet
 from siskinmount import gateway
 from siskinmount import jobs
@@ -29,6 +30,10 @@
 #: Model that the parts are tokens of.
 _MODEL = b'x-model'
 _WAIT = b'x-wait-ms'
+#: Key of a customer. It is never passed on.
+_KEY = b'x-key'
+#: Name of the customer, for the engine.
+_CUSTOMER = b'x-tenant'
 #: Present if the engine guarantees that it did not run the request.
 _NOT_RUN = b'x-not-run'
 #: `1` in all answers of an engine that leaves.
@@ -37,6 +42,8 @@
 _SEAL = b'x-server-seal'
 #: Requests a second that an engine in need takes from all VMs together.
 _LIMIT = b'server-limit'
+#: Names of the headers that say whose a request is.
+_CUSTOMER_NAMES = frozenset({_KEY.decode(), _CUSTOMER.decode()})
 _STATUS_MISDIRECTED = 421
 
 #: Path prefix of calls on jobs. The platform calls a job a lot.
@@ -97,6 +104,12 @@
             prompt_parts,
         )
 
+    def read_key(self, head: transport.RequestHead) -> str | customers.KeyFault:
+        """Returns the key in the only `X-Key` header, or why there is none."""
+        return customers.read_key(
+            [value for name, value in head.headers if name == _KEY]
+        )
+
     def find_job_call(
         self, head: transport.RequestHead
     ) -> gateway.JobCall | results.Failure | None:
@@ -134,6 +147,7 @@
         route: fleet.FleetRoute,
         body: bytes,
         accepted_at_ms: int,
+        customer: str | None,
     ) -> jobs.Job | results.Failure:
         """Decodes a submitted job, or fails with `ITEM_INVALID`."""
         try:
@@ -149,7 +163,7 @@
                 raise _field_reader.FieldError(
                     'the job has no items or too many'
                 )
-            items = [_decode_item(row) for row in rows]
+            items = [_decode_item(row, customer is not None) for row in rows]
             if len({item.item_id for item in items}) != len(items):
                 raise _field_reader.FieldError('item ids are not unique')
             for item in items:
@@ -164,6 +178,7 @@
             host=route.host,
             accepted_at_ms=accepted_at_ms,
             items=items,
+            customer=customer or '',
         )
 
     def _check_request(
@@ -174,7 +189,7 @@
             transport.ClientRequest(
                 'POST',
                 item.path,
-                self.build_item_headers(item, '', None),
+                self.build_item_headers(item, '', None, None),
                 b'',
                 route.host.encode('latin-1'),
             )
@@ -215,13 +230,17 @@
         upstream_id: str,
         remaining_ms: int,
         last_event_id: int | None,
+        customer: str | None,
     ) -> transport.Headers:
         """Returns the caller's headers for a request to an upstream.
 
-        Hop-by-hop headers are dropped; deadline, expected upstream and last
-        event id are replaced.
+        Hop-by-hop headers are dropped; deadline, expected upstream, last event
+        id and, if the document defines customers, key and customer are
+        replaced.
         """
         replaced = {_DEADLINE, _EXPECTED_UPSTREAM, _LAST_EVENT_ID}
+        if customer is not None:
+            replaced |= {_KEY, _CUSTOMER}
         headers: transport.Headers = []
         for name, value in _drop_hop_by_hop_headers(caller_headers):
             if name not in replaced:
@@ -230,6 +249,8 @@
         headers.append((_EXPECTED_UPSTREAM, upstream_id.encode('latin-1')))
         if last_event_id is not None:
             headers.append((_LAST_EVENT_ID, b'%d' % last_event_id))
+        if customer:
+            headers.append((_CUSTOMER, customer.encode('utf-8')))
         return headers
 
     def build_item_headers(
@@ -237,13 +258,16 @@
         item: jobs.JobItem,
         upstream_id: str,
         last_event_id: int | None,
+        customer: str | None,
     ) -> transport.Headers:
         """Returns the headers for a run of an item at an upstream.
 
-        Hop-by-hop headers are dropped; request id, expected upstream and last
-        event id are replaced.
+        Hop-by-hop headers are dropped; request id, expected upstream, last
+        event id and, unless `customer` is None, key and customer are replaced.
         """
         own = {_REQUEST_ID, _EXPECTED_UPSTREAM, _LAST_EVENT_ID}
+        if customer is not None:
+            own |= {_KEY, _CUSTOMER}
         given: transport.Headers = []
         for name, value in item.headers:
             given.append(
@@ -257,6 +281,8 @@
         headers.append((_EXPECTED_UPSTREAM, upstream_id.encode('latin-1')))
         if last_event_id is not None:
             headers.append((_LAST_EVENT_ID, b'%d' % last_event_id))
+        if customer:
+            headers.append((_CUSTOMER, customer.encode('utf-8')))
         return headers
 
     def classify_answer(
@@ -311,8 +337,14 @@
         return [(b'retry-after', b'%.3f' % (failure.retry_after_ms / 1000))]
 
 
-def _decode_item(row: dict[str, Any]) -> jobs.JobItem:
-    """Decodes an item of a job."""
+def _decode_item(row: dict[str, Any], must_drop_customer: bool) -> jobs.JobItem:
+    """Decodes an item of a job.
+
+    Args:
+        row: The encoded item.
+        must_drop_customer: Whether the item's own key and customer are dropped,
+            so that the record of the job holds no key.
+    """
     headers = row.get('headers') or {}
     if not isinstance(headers, dict):
         raise _field_reader.FieldError('headers is not an object')
@@ -322,6 +354,8 @@
             raise _field_reader.FieldError(
                 'the value of a header is not a string'
             )
+        if must_drop_customer and name.lower() in _CUSTOMER_NAMES:
+            continue
         pairs.append((name, value))
     body = row.get('body') or ''
     try:
--- a/siskinmount/platform/tests/test_wire.py
+++ b/siskinmount/platform/tests/test_wire.py
@@ -102,6 +102,7 @@
             'i-1',
             250,
             4,
+            None,
         )
         self.assertEqual(
             [
@@ -226,7 +227,7 @@
         ]
         for job_id, document in cases:
             decoded = self.wire.decode_job(
-                job_id, _ROUTE, orjson.dumps(document), 0
+                job_id, _ROUTE, orjson.dumps(document), 0, None
             )
             self.assertIsInstance(decoded, results.Failure, document)
 
@@ -236,6 +237,7 @@
             _ROUTE,
             orjson.dumps({'items': [_make_item(str(n)) for n in range(3)]}),
             0,
+            None,
         )
         for n in range(3):
             job.results.append(
@@ -249,5 +251,5 @@
     @hypothesis.settings(derandomize=True, deadline=None, database=None)
     @hypothesis.given(strategies.binary(max_size=60))
     def test_invalid_bodies_never_raise(self, body):
-        decoded = self.wire.decode_job('j', _ROUTE, body, 0)
+        decoded = self.wire.decode_job('j', _ROUTE, body, 0, None)
         self.assertIsInstance(decoded, results.Failure)
