--- a/siskinmount/fleet/_fleet_view.py
+++ b/siskinmount/fleet/_fleet_view.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from siskinmount import customers
 from siskinmount import keyed_log
 from siskinmount import results
 from siskinmount.fleet import _announced_departures
@@ -156,6 +157,10 @@
             The version of the document if the one in force is the same or
             newer; None if it was refused.
         """
+        current = self.document
+        if current is not None and source == current.source:
+            # Peers send their whole document each time that they are asked.
+            return current.version
         decoded = self._decode_document(source)
         if isinstance(decoded, results.Failure):
             _LOGGER.error(
@@ -167,7 +172,6 @@
                 },
             )
             return None
-        current = self.document
         if current is not None and decoded.version <= current.version:
             is_same = decoded.version == current.version
             if not is_same or decoded.source == current.source:
@@ -184,6 +188,10 @@
                 },
             )
             return None
+        table = decoded.customers
+        if table is not None:
+            table.keep_limits(current.customers if current else None)
+            _log_findings(table, decoded.version)
         self.document = decoded
         _LOGGER.info(
             'document_in_force',
@@ -192,6 +200,8 @@
                 'earlier_version': current.version if current else None,
                 'origin': origin,
                 'routes': len(decoded.routes),
+                'customers': len(table.customers) if table else None,
+                'keys': table.count_keys() if table else None,
             },
         )
         self._notify()
@@ -410,6 +420,23 @@
             listener()
 
 
+def _log_findings(table: customers.CustomerTable, version: int) -> None:
+    """Logs invalid fields of customers, a bounded number for a document."""
+    for finding in table.findings:
+        _LOGGER.error(
+            'customer_invalid',
+            extra={
+                'code': int(results.ResultCode.DOCUMENT_INVALID),
+                'version': version,
+                'position': finding.position,
+                'customer': finding.customer,
+                'field': finding.field,
+                'reason': finding.reason,
+                'findings': table.finding_count,
+            },
+        )
+
+
 def _return_infinity() -> float:
     return float('inf')
 
--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from siskinmount import admission
 from siskinmount import configuration
 from siskinmount import customers
 from siskinmount import fleet
@@ -20,6 +21,7 @@
 from siskinmount.gateway import _batch_membership
 from siskinmount.gateway import _callers_api
 from siskinmount.gateway import _crash_verifier
+from siskinmount.gateway import _customer_check
 from siskinmount.gateway import _departure_reader
 from siskinmount.gateway import _eligible_members_watch
 from siskinmount.gateway import _gateway_metrics
@@ -88,8 +90,9 @@
         '_announcer',
         '_housekeeping',
         '_metrics',
-        '_document_follower',
         '_key_age',
+        '_customer_check',
+        '_document_follower',
         '_key_proofs',
         '_upstreams_follower',
         '_members_follower',
@@ -153,6 +156,18 @@
             outside.origins_log, settings.vm
         )
         self._metrics = _gateway_metrics.create_gateway_metrics(metrics)
+        key_max_age_s: float | None = None
+        if settings.strict_revocation:
+            key_max_age_s = settings.key_max_age_ms / 1000
+        self._key_age = customers.create_key_age(
+            key_max_age_s, get_version=self._get_document_version
+        )
+        self._customer_check = _customer_check.create_customer_check(
+            self._view,
+            self._key_age,
+            admission.create_customer_quotas(),
+            self._metrics,
+        )
         origin_table = stream_origins.create_origin_table()
         origins = _origin_finder.create_origin_finder(
             table=origin_table,
@@ -172,12 +187,6 @@
         )
         clients = _upstream_clients.create_upstream_clients(self._view)
         table = jobs.create_job_table()
-        key_max_age_s = None
-        if settings.strict_revocation:
-            key_max_age_s = settings.key_max_age_ms / 1000
-        self._key_age = customers.create_key_age(
-            key_max_age_s, get_version=self._get_document_version
-        )
         self._document_follower = keyed_log.create_log_follower(
             'document',
             outside.document_log,
@@ -330,6 +339,7 @@
                 outside.wire,
                 self._metrics,
                 end_check,
+                self._view,
             ),
             result_writer=result_writer,
             metrics=self._metrics,
@@ -370,6 +380,7 @@
             buffers=_response_buffers.create_response_buffers(),
             wire=outside.wire,
             metrics=self._metrics,
+            customer_check=self._customer_check,
         )
         callers_api = _callers_api.create_callers_api(
             self._view,
@@ -381,6 +392,8 @@
                 follower=self._jobs_follower,
                 metrics=self._metrics,
                 max_record_bytes=settings.max_record_bytes,
+                view=self._view,
+                customer_check=self._customer_check,
             ),
         )
         self._limits = transport.ServerLimits(
--- a/siskinmount/gateway/_gateway_metrics.py
+++ b/siskinmount/gateway/_gateway_metrics.py
@@ -45,6 +45,8 @@
         keys_outdated: Times at which the keys became too old for requests.
         key_proof_age: Age in s of the newest proof; -1 without one. Only where
             strict revocation is on.
+        customer_refusals: Requests refused because of their key or customer, by
+            reason.
     """
 
     __slots__ = (
@@ -76,6 +78,7 @@
         'key_reads',
         'keys_outdated',
         'key_proof_age',
+        'customer_refusals',
     )
 
     def __init__(self, metrics: telemetry.Metrics) -> None:
@@ -182,6 +185,11 @@
             'key_proof_age_s',
             'Age of the newest proof that the keys are current.',
         )
+        self.customer_refusals = metrics.create_counter(
+            'customer_refusals_total',
+            'Requests refused because of their key or customer.',
+            'reason',
+        )
 
 
 def create_gateway_metrics(metrics: telemetry.Metrics) -> GatewayMetrics:
--- a/siskinmount/gateway/_key_proofs.py
+++ b/siskinmount/gateway/_key_proofs.py
@@ -130,7 +130,7 @@
     def may_serve(self) -> bool:
         """Returns whether requests under a key may run, if there are any."""
         document = self._view.document
-        if document is None or not _has_customers(document):
+        if document is None or document.customers is None:
             return True
         return self._key_age.is_current()
 
@@ -252,11 +252,6 @@
 )
 
 
-def _has_customers(document: fleet.FleetDocument) -> bool:
-    # A document of a decoder that does not read customers has no such field.
-    return getattr(document, 'customers', None) is not None
-
-
 def compute_read_wait_ms(max_age_s: float | None) -> int:
     """Returns the wait of the follower's reads that suffices in calm.
 
--- a/siskinmount/gateway/tests/gateway_harness.py
+++ b/siskinmount/gateway/tests/gateway_harness.py
@@ -84,10 +84,19 @@
 ROUTES = [STREAM_ROUTE, ONCE_ROUTE, PLAIN_ROUTE, BOOKING_ROUTE, BATCH_ROUTE]
 
 
-def make_document(version, routes=ROUTES, **limits):
-    """Returns a document in the platform's format."""
+def make_document(version, routes=ROUTES, tenants=None, **limits):
+    """Returns a document in the platform's format.
+
+    Args:
+        version: Version of the document.
+        routes: Its routes.
+        tenants: Its customers; None for a document without the field.
+        limits: Limits that differ from the usual ones.
+    """
+    fields = {} if tenants is None else {'tenants': tenants}
     return orjson.dumps(
         {
+            **fields,
             'version': version,
             'routes': routes,
             'services': [
@@ -130,6 +139,7 @@
         self.address = transport.Address(host, port)
         self.ready_address = transport.Address(host, port + 1)
         self.signals = EventSignals()
+        self.daemon = None
         self.settings = None
         self.next_settings = None
         self.scope = trio.CancelScope()
@@ -179,6 +189,8 @@
         self.results_kept_s = 120
         # Further settings of the gateways, by name.
         self.settings = {}
+        self.strict_revocation = False
+        self.key_max_age_ms = 5000
 
     async def start(self, gateway_count, engine_ids, plain_ids=()):
         """Starts all parts and waits until the gateways are ready."""
@@ -317,7 +329,11 @@
             stop_grace_s=6,
             results_kept_s=self.results_kept_s,
             seeds=[],
-            **self.settings,
+            **{
+                'strict_revocation': self.strict_revocation,
+                'key_max_age_ms': self.key_max_age_ms,
+                **self.settings,
+            },
         )
         running.settings = settings
         daemon = gateway.create_gateway(
@@ -339,6 +355,7 @@
             None,
             running.signals,
         )
+        running.daemon = daemon
         with running.scope:
             await daemon.run(task_status)
         running.ended.set()
