Bound the bytes held for clients by one budget per process

Cause: each body was within its limit, or refused beyond it, but nothing bounded their sum, that of chunk objects, or connections by descriptors.

Change: transport._byte_budget counts connections, heads, bodies until the request ends, pipelined and unsent bytes, and responses held whole. Its size is half of memory_mb less the process itself, 256 MiB if unknown. A budget that is used up gives up the most idle and largest clients (503, not run), then large ones that began later, else refuses the one that asks. Single bytes are no progress. Bodies are collected in one bytearray; framing is bounded (64 KiB and half of the body); parsing gives way every 256 events, one task at a time. A body announced over the limit is refused unread. After a refusal by the head, up to 64 KiB of the body are read within a second and the connection stays usable. Gateways derive their connection limits from max_descriptors; at the limit, the connection that has waited longest for a head is closed for the new one. Above four fifths of the budget a gateway accepts no jobs. Gauges client_bytes and client_bytes_limit, counter client_refusals_total, line byte_budget_used_up, docs.

--- a/siskinmount/configuration/_settings_parser.py
+++ b/siskinmount/configuration/_settings_parser.py
@@ -284,6 +284,12 @@
         max_body_bytes=reader.read_int(
             'max_body_bytes', 1024, _MAX_BYTES, defaults.max_body_bytes
         ),
+        max_framing_bytes=reader.read_int(
+            'max_framing_bytes', 1024, _MAX_BYTES, defaults.max_framing_bytes
+        ),
+        max_discarded_bytes=reader.read_int(
+            'max_discarded_bytes', 0, _MAX_BYTES, defaults.max_discarded_bytes
+        ),
         header_timeout_ms=_read_timeout(
             reader, 'header_timeout_ms', defaults.header_timeout_ms
         ),
--- a/siskinmount/entry/_entry.py
+++ b/siskinmount/entry/_entry.py
@@ -178,8 +178,11 @@
             admission_control=self._admission,
             histograms=self._histograms,
         )
+        budget = transport.create_byte_budget(
+            max_body_bytes=self.settings.limits.max_body_bytes
+        )
         self._callers_server = transport.create_http_server(
-            callers_api.handle, self.settings.limits
+            callers_api.handle, self.settings.limits, budget
         )
         peers_api = _peers_api.PeersApi(
             is_ready=self.is_ready,
@@ -194,7 +197,9 @@
             histograms=self._histograms,
             describe_details=self.describe_details,
         )
-        self._peers_server = transport.create_http_server(peers_api.handle)
+        self._peers_server = transport.create_http_server(
+            peers_api.handle, budget=budget
+        )
         self._control_server = rpc.create_control_server(
             _control_service.ControlService(
                 self.self_description,
--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -18,6 +18,7 @@
 from siskinmount import transport
 from siskinmount.gateway import _batch_membership
 from siskinmount.gateway import _callers_api
+from siskinmount.gateway import _connection_limits
 from siskinmount.gateway import _crash_verifier
 from siskinmount.gateway import _departure_reader
 from siskinmount.gateway import _eligible_members_watch
@@ -51,7 +52,6 @@
 #: which callers reuse them, so that no request arrives while the gateway closes
 #: its connection.
 IDLE_TIMEOUT_FACTOR = 1.25
-MAX_CONNECTIONS = 6000
 #: Intervals of reads of a log that brings a record each time. Upstreams renew
 #: their entries about once a second each, and changes of them must be in force
 #: within two seconds. Members are needed when they send messages, which make
@@ -95,6 +95,7 @@
         '_item_watch',
         '_peers_api',
         '_limits',
+        '_budget',
         '_callers_server',
         '_servers',
     )
@@ -114,6 +115,7 @@
         self._signals = signals
         self._started_at_s = trio.current_time()
         self._incarnation = time.time_ns() // 1_000_000
+        self._budget = transport.create_byte_budget(settings.memory_bytes)
         self._view = fleet.create_fleet_view(
             outside.decode_document, outside.decode_upstream
         )
@@ -239,6 +241,7 @@
             results_kept_s=settings.results_kept_s,
             log_handler=log_handler,
             metrics=self._metrics,
+            budget=self._budget,
         )
         placer = placement.create_placer(
             self._view,
@@ -335,7 +338,7 @@
                 self._view,
                 self._metrics,
             ),
-            buffers=_response_buffers.create_response_buffers(),
+            buffers=_response_buffers.create_response_buffers(self._budget),
             wire=outside.wire,
             metrics=self._metrics,
         )
@@ -349,27 +352,34 @@
                 follower=self._jobs_follower,
                 metrics=self._metrics,
                 max_record_bytes=settings.max_record_bytes,
+                budget=self._budget,
             ),
         )
-        self._limits = transport.ServerLimits(
-            max_connections=MAX_CONNECTIONS,
-            max_connections_per_host=MAX_CONNECTIONS,
+        limits = _connection_limits.choose_connection_limits(
+            settings.max_descriptors
         )
+        self._limits = limits.callers
         self._callers_server = transport.create_http_server(
-            callers_api.handle, self._limits
+            callers_api.handle, self._limits, self._budget
         )
         self._servers = [
             (self._callers_server, settings.callers_address),
             (
-                transport.create_http_server(self._handle_ready),
+                transport.create_http_server(
+                    self._handle_ready, limits.checks, self._budget
+                ),
                 settings.ready_address,
             ),
             (
-                transport.create_http_server(self._peers_api.handle),
+                transport.create_http_server(
+                    self._peers_api.handle, limits.peers, self._budget
+                ),
                 settings.control_address,
             ),
             (
-                transport.create_http_server(self._handle_metrics),
+                transport.create_http_server(
+                    self._handle_metrics, limits.checks, self._budget
+                ),
                 settings.metrics_address,
             ),
         ]
--- a/siskinmount/gateway/_gateway_metrics.py
+++ b/siskinmount/gateway/_gateway_metrics.py
@@ -38,6 +38,9 @@
             what began them.
         streams_started: Streams that began, by what became of their record.
         disconnects: Callers that disconnected before their response ended.
+        client_bytes: Bytes held for clients, of the process's budget.
+        client_bytes_limit: Size of that budget in bytes.
+        client_refusals: Clients refused by the server, by reason.
     """
 
     __slots__ = (
@@ -64,6 +67,9 @@
         'stream_origins',
         'streams_started',
         'disconnects',
+        'client_bytes',
+        'client_bytes_limit',
+        'client_refusals',
     )
 
     def __init__(self, metrics: telemetry.Metrics) -> None:
@@ -149,6 +155,17 @@
         self.disconnects = metrics.create_counter(
             'callers_gone_total', 'Callers that left early.'
         )
+        self.client_bytes = metrics.create_gauge(
+            'client_bytes', 'Bytes held for clients.'
+        )
+        self.client_bytes_limit = metrics.create_gauge(
+            'client_bytes_limit', 'Bytes that may be held for clients.'
+        )
+        self.client_refusals = metrics.create_counter(
+            'client_refusals_total',
+            'Clients refused for their bytes or connections.',
+            'reason',
+        )
 
 
 def create_gateway_metrics(metrics: telemetry.Metrics) -> GatewayMetrics:
--- a/siskinmount/gateway/_housekeeping.py
+++ b/siskinmount/gateway/_housekeeping.py
@@ -9,6 +9,7 @@
 from siskinmount import peering
 from siskinmount import placement
 from siskinmount import telemetry
+from siskinmount import transport
 from siskinmount.gateway import _batch_membership
 from siskinmount.gateway import _eligible_members_watch
 from siskinmount.gateway import _gateway_metrics
@@ -18,6 +19,9 @@
 _LOGGER = logging.getLogger(__name__)
 
 HOUSEKEEPING_INTERVAL_S = 0.25
+#: Interval at which the memory for clients follows what the process itself needs,
+#: which grows with the document and the jobs.
+BUDGET_UPDATE_INTERVAL_S = 5.0
 #: Factor by which results of a closed job are kept longer than promised, as
 #: clocks, and the times at which members learned of the job, differ.
 RETENTION_FACTOR = 1.5
@@ -45,6 +49,9 @@
         '_log_handler',
         '_known_upstreams',
         '_metrics',
+        '_budget',
+        '_counted_refusals',
+        '_next_budget_update_s',
     )
 
     def __init__(
@@ -65,6 +72,7 @@
         results_kept_s: float,
         log_handler: telemetry.BoundedHandler | None,
         metrics: _gateway_metrics.GatewayMetrics,
+        budget: transport.ByteBudget,
     ) -> None:
         self._membership = membership
         self._view = view
@@ -81,6 +89,9 @@
         self._results_kept_s = results_kept_s
         self._log_handler = log_handler
         self._metrics = metrics
+        self._budget = budget
+        self._counted_refusals = dict.fromkeys(transport.ClientRefusal, 0)
+        self._next_budget_update_s = 0.0
         self._known_upstreams: dict[str, fleet.Upstream] = {}
         view.add_listener(self._detect_restarts)
 
@@ -103,6 +114,7 @@
             self._drop_expired_jobs()
             self._directory.list_live()
             self._members_watch.check()
+            self._report_budget()
             self._report_dropped_lines()
 
     def _detect_restarts(self) -> None:
@@ -149,6 +161,22 @@
                 extra={'job': job.job_id, 'results': len(job.results)},
             )
 
+    def _report_budget(self) -> None:
+        """Brings the limit of clients' bytes and its metrics up to date."""
+        now_s = trio.current_time()
+        if now_s >= self._next_budget_update_s:
+            self._next_budget_update_s = now_s + BUDGET_UPDATE_INTERVAL_S
+            self._budget.update_limit()
+        self._metrics.client_bytes.set(self._budget.held_bytes)
+        self._metrics.client_bytes_limit.set(self._budget.limit_bytes)
+        for reason, count in self._budget.refusals.items():
+            added = count - self._counted_refusals[reason]
+            if added:
+                self._counted_refusals[reason] = count
+                self._metrics.client_refusals.increment(
+                    reason.value, amount=added
+                )
+
     def _report_dropped_lines(self) -> None:
         """Flushes buffered log lines and logs how many were dropped."""
         if self._log_handler is None:
@@ -176,6 +204,7 @@
     results_kept_s: float,
     log_handler: telemetry.BoundedHandler | None,
     metrics: _gateway_metrics.GatewayMetrics,
+    budget: transport.ByteBudget,
 ) -> Housekeeping:
     """Creates the periodic tasks of one process.
 
@@ -195,6 +224,7 @@
         results_kept_s: Promised retention of results, from the settings.
         log_handler: Writes the log; its dropped lines are reported.
         metrics: Its gauge of parts in quarantine is kept up to date.
+        budget: Bounds the bytes held for clients.
     """
     return Housekeeping(
         membership=membership,
@@ -212,4 +242,5 @@
         results_kept_s=results_kept_s,
         log_handler=log_handler,
         metrics=metrics,
+        budget=budget,
     )
--- a/siskinmount/gateway/_jobs_api.py
+++ b/siskinmount/gateway/_jobs_api.py
@@ -29,6 +29,10 @@
 #: Oldest view of the log by which a read may be told that there are no new
 #: results: a quarter of the time in which other daemons must know of them.
 MAX_STALENESS_S = 0.25
+#: Share of the memory for clients above which no jobs are accepted: they can be
+#: submitted elsewhere or later, and requests of callers who wait go first.
+MAX_SUBMIT_PRESSURE = 0.8
+PRESSURE_RETRY_MS = 1000
 
 
 class JobsApi:
@@ -41,6 +45,7 @@
         '_follower',
         '_metrics',
         '_max_record_bytes',
+        '_budget',
     )
 
     def __init__(
@@ -52,6 +57,7 @@
         follower: keyed_log.LogFollower,
         metrics: _gateway_metrics.GatewayMetrics,
         max_record_bytes: int,
+        budget: transport.ByteBudget,
     ) -> None:
         self._wire = wire
         self._table = table
@@ -59,6 +65,7 @@
         self._follower = follower
         self._metrics = metrics
         self._max_record_bytes = max_record_bytes
+        self._budget = budget
 
     async def submit(
         self,
@@ -69,6 +76,9 @@
     ) -> None:
         """Accepts a job, or sends the reason why not."""
         began_at_s = trio.current_time()
+        if self._budget.pressure > MAX_SUBMIT_PRESSURE:
+            await self._send_failure(exchange, request, 'submit', _NO_MEMORY)
+            return
         job = self._wire.decode_job(
             request.request_id, route, body, int(time.time() * 1000)
         )
@@ -284,6 +294,11 @@
         return int((trio.current_time() - confirmed_at_s) * 1000)
 
 
+_NO_MEMORY = results.Failure(
+    results.ResultCode.OVERLOADED,
+    'the memory for clients is nearly used up',
+    retry_after_ms=PRESSURE_RETRY_MS,
+)
 _NO_SUCH_JOB = results.Failure(results.ResultCode.NO_SUCH_JOB, 'no such job')
 _NO_SUCH_ITEM = results.Failure(
     results.ResultCode.NO_SUCH_JOB, 'the job has no such open item'
@@ -298,6 +313,7 @@
     follower: keyed_log.LogFollower,
     metrics: _gateway_metrics.GatewayMetrics,
     max_record_bytes: int,
+    budget: transport.ByteBudget,
 ) -> JobsApi:
     """Creates the handler of submissions and calls on jobs."""
     return JobsApi(
@@ -307,4 +323,5 @@
         follower=follower,
         metrics=metrics,
         max_record_bytes=max_record_bytes,
+        budget=budget,
     )
--- a/siskinmount/gateway/_online_attempt.py
+++ b/siskinmount/gateway/_online_attempt.py
@@ -342,8 +342,8 @@
                 response.received_body_bytes
                 <= _response_buffers.UNCOUNTED_BYTES
             ):
-                continue
-            if not self._context.buffers.reserve(len(chunk)):
+                self._context.buffers.charge(len(chunk))
+            elif not self._context.buffers.reserve(len(chunk)):
                 return _too_large('too many bytes of responses are held')
             self._request.buffered_bytes += len(chunk)
 
--- a/siskinmount/gateway/tests/test_housekeeping.py
+++ b/siskinmount/gateway/tests/test_housekeeping.py
@@ -56,6 +56,7 @@
                 results_kept_s=1,
                 log_handler=None,
                 metrics=None,
+                budget=transport.create_byte_budget(),
             )
             for upstream_id in ('a', 'b', 'c'):
                 for source in before:
--- a/siskinmount/gateway/tests/test_jobs.py
+++ b/siskinmount/gateway/tests/test_jobs.py
@@ -3,6 +3,7 @@
 import testtools
 import trio
 
+from siskinmount import transport
 from siskinmount.gateway.tests import gateway_harness
 from standins import event_engine
 from standins import faults as faults_module
@@ -46,6 +47,22 @@
         self.assertEqual(seen[1], seen[2])
         self.assertEqual(202, seen[3])
 
+    def test_jobs_are_refused_first_when_the_memory_for_clients_is_short(self):
+        statuses = []
+
+        async def check(fleet):
+            for pressure in (0.81, 0.79):
+                self.patch(transport.ByteBudget, 'pressure', pressure)
+                answer = await fleet.submit(0, 'j1', _make_items(1))
+                statuses.append(answer.status)
+                call = await fleet.call(
+                    0, 'POST', '/stream/x', x_request_id=f'q{pressure}'
+                )
+                statuses.append(call.status)
+
+        self._run(check)
+        self.assertEqual([503, 200, 202, 200], statuses)
+
     def test_item_whose_unframed_stream_is_broken_off_is_not_listed_as_done(
         self,
     ):
--- a/siskinmount/transport/_http_server.py
+++ b/siskinmount/transport/_http_server.py
@@ -13,6 +13,7 @@
 
 from siskinmount import results
 from siskinmount.transport import _address
+from siskinmount.transport import _byte_budget
 from siskinmount.transport import _headers
 from siskinmount.transport import _keep_alive
 from siskinmount.transport import _limits
@@ -32,6 +33,17 @@
 #: How long a connection that was accepted at the end of a planned stop may take
 #: to send its request.
 LATE_REQUEST_WAIT_S = 0.25
+#: Memory of an open connection: its task, parser, buffers and socket object.
+CONNECTION_BYTES = 16 * 1024
+#: Memory of a header beyond its bytes: a pair, two objects and their list entry.
+HEADER_BYTES = 160
+#: Connections over the limit that are told so, as a share of it; the others are
+#: closed at once, as each takes a descriptor until it is.
+REFUSED_SHARE = 1 / 8
+#: Time without a complete head after which a connection may be closed for a new
+#: one. Heads arrive in a round trip.
+MIN_IDLE_S = 0.25
+MIN_REFUSED = 8
 _RESOURCE_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -50,9 +62,18 @@
         '_accept_scope',
         '_idle_scopes',
         '_draining',
+        '_budget',
+        '_holdings',
+        '_turns',
+        '_next_search_s',
     )
 
-    def __init__(self, handler: Handler, limits: _limits.ServerLimits) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: _limits.ServerLimits,
+        budget: _byte_budget.ByteBudget,
+    ) -> None:
         self.connection_count = 0
         self._handler = handler
         self._limits = limits
@@ -60,6 +81,12 @@
         self._accept_scope = trio.CancelScope()
         self._idle_scopes: set[trio.CancelScope] = set()
         self._draining = False
+        self._budget = budget
+        # Holdings of connections that wait for a request, its head, or the
+        # client's end after the last response.
+        self._holdings: set[_byte_budget.Holding] = set()
+        self._turns = trio.Lock()
+        self._next_search_s = float('-inf')
 
     async def run(
         self,
@@ -136,10 +163,17 @@
         except OSError:
             await trio.aclose_forcefully(stream)
             return
+        is_full = self.connection_count >= self._get_hard_limit()
+        if is_full and not self._evict_idle():
+            self._budget.count_refusal(_byte_budget.ClientRefusal.CONNECTIONS)
+            await trio.aclose_forcefully(stream)
+            return
         self.connection_count += 1
         self._count_by_host[host] += 1
+        holding = self._budget.open_holding()
+        holding.begin_request()
         try:
-            await self._serve_requests(stream, host)
+            await self._serve_requests(stream, host, holding)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         except h11.LocalProtocolError:
@@ -154,6 +188,9 @@
                 },
             )
         finally:
+            holding.end_wait()
+            holding.release_all()
+            self._holdings.discard(holding)
             self.connection_count -= 1
             self._count_by_host[host] -= 1
             if not self._count_by_host[host]:
@@ -161,7 +198,10 @@
             await trio.aclose_forcefully(stream)
 
     async def _serve_requests(
-        self, stream: trio.SocketStream, host: str
+        self,
+        stream: trio.SocketStream,
+        host: str,
+        holding: _byte_budget.Holding,
     ) -> None:
         """Serves requests until the connection ends or must be closed."""
         connection = h11.Connection(
@@ -169,30 +209,47 @@
             max_incomplete_event_size=self._limits.max_header_bytes,
         )
         refusal = self._check_connection_limits(host)
+        if refusal is None and not holding.reserve(CONNECTION_BYTES):
+            refusal = _server_exchange.BUDGET_USED_UP
         while True:
             with trio.CancelScope() as refusal_scope:
                 if refusal is not None:
                     refusal_scope.deadline = (
                         trio.current_time() + REFUSED_HEADER_TIMEOUT_S
                     )
-                head = await self._receive_head(connection, stream, host)
+                head = await self._receive_head(
+                    connection, stream, host, holding
+                )
             if refusal_scope.cancelled_caught:
                 return
             if head is None:
                 return
             if isinstance(head, results.Failure):
-                await self._refuse(connection, stream, head)
+                await self._refuse(connection, stream, holding, head)
                 return
             if refusal is not None:
-                await self._refuse(connection, stream, refusal, head.method)
+                await self._refuse(
+                    connection, stream, holding, refusal, head.method
+                )
                 return
             if head.method == 'CONNECT':
                 await self._refuse(
-                    connection, stream, _CONNECT_NOT_ALLOWED, head.method
+                    connection,
+                    stream,
+                    holding,
+                    _CONNECT_NOT_ALLOWED,
+                    head.method,
                 )
                 return
             exchange = _server_exchange.ServerExchange(
-                head, connection, stream, self._limits, self._is_draining
+                head,
+                connection,
+                stream,
+                self._limits,
+                self._is_draining,
+                self._budget,
+                holding,
+                self._turns,
             )
             # Small responses are sent without giving other tasks their turn.
             await trio.lowlevel.checkpoint()
@@ -201,9 +258,10 @@
             finally:
                 if exchange.is_unframed_body_open():
                     _reset_on_close(stream)
-            exchange.discard_received_body()
+            if connection.our_state is not h11.ERROR:
+                await exchange.discard_rest()
             if connection.their_state in (h11.SEND_BODY, h11.ERROR):
-                await _linger(stream)
+                await self._linger(stream, holding)
                 return
             if connection.our_state is not h11.DONE:
                 # The response has said that the connection is closed.
@@ -211,6 +269,9 @@
             if connection.their_state is not h11.DONE:
                 return
             connection.start_next_cycle()
+            # What is left is a pipelined request that has begun to arrive.
+            holding.release_all()
+            holding.charge(CONNECTION_BYTES + len(connection.trailing_data[0]))
 
     def _is_draining(self) -> bool:
         return self._draining
@@ -245,33 +306,93 @@
                 ),
             )
 
+    def _get_hard_limit(self) -> int:
+        """Returns the number of connections beyond which none is answered."""
+        limit = self._limits.max_connections
+        return limit + max(MIN_REFUSED, int(limit * REFUSED_SHARE))
+
     def _check_connection_limits(self, host: str) -> results.Failure | None:
-        """Returns why a new connection is refused, or None."""
+        """Returns why a new connection is refused, or None.
+
+        At the limit, the connection that has waited longest for a request is
+        closed in favour of the new one.
+        """
         too_many = self.connection_count > self._limits.max_connections
         too_many_for_host = (
             self._count_by_host[host] > self._limits.max_connections_per_host
         )
         if not too_many and not too_many_for_host:
             return None
+        # A limit per host that is as large as the total is none of its own.
+        is_host_limited = too_many_for_host and (
+            self._limits.max_connections_per_host < self._limits.max_connections
+        )
+        if not is_host_limited and self._evict_idle():
+            return None
+        self._budget.count_refusal(_byte_budget.ClientRefusal.CONNECTIONS)
         return results.Failure(
             results.ResultCode.TOO_MANY_CONNECTIONS,
             'too many connections',
             retry_after_ms=1000,
         )
 
+    def _evict_idle(self) -> bool:
+        """Closes the connection that has waited longest; returns if there is one."""
+        now_s = trio.current_time()
+        if now_s < self._next_search_s:
+            return False
+        longest: _byte_budget.Holding | None = None
+        longest_s = MIN_IDLE_S
+        for holding in self._holdings:
+            if holding.is_evicted:
+                continue
+            idle_s = holding.get_idle_s(now_s)
+            if idle_s >= longest_s:
+                longest = holding
+                longest_s = idle_s
+        if longest is None:
+            self._next_search_s = now_s + _byte_budget.SEARCH_INTERVAL_S
+            return False
+        longest.evict()
+        self._holdings.discard(longest)
+        return True
+
     async def _receive_head(
         self,
         connection: h11.Connection,
         stream: trio.SocketStream,
         host: str,
+        holding: _byte_budget.Holding,
     ) -> _server_exchange.RequestHead | results.Failure | None:
         """Returns the next request's head, or None if the connection ended."""
+        holding.begin_request()
+        self._holdings.add(holding)
+        try:
+            return await self._read_head(connection, stream, host, holding)
+        finally:
+            self._holdings.discard(holding)
+            holding.end_wait()
+
+    async def _read_head(
+        self,
+        connection: h11.Connection,
+        stream: trio.SocketStream,
+        host: str,
+        holding: _byte_budget.Holding,
+    ) -> _server_exchange.RequestHead | results.Failure | None:
+        """Implements `_receive_head`."""
         if not connection.trailing_data[0]:
-            data = await self._receive_first(stream)
+            data = await self._receive_first(stream, holding)
             if not data:
                 return None
+            if not holding.reserve(len(data)):
+                self._budget.count_refusal(_byte_budget.ClientRefusal.BUDGET)
+                return _server_exchange.BUDGET_USED_UP
             connection.receive_data(data)
-        with trio.move_on_after(self._limits.header_timeout_ms / 1000):
+        # Waiting for a first byte is no lack of progress of a request.
+        holding.begin_request()
+        with trio.move_on_after(self._limits.header_timeout_ms / 1000) as scope:
+            holding.begin_wait(scope.cancel)
             while True:
                 try:
                     event = connection.next_event()
@@ -281,6 +402,9 @@
                     # The parser limits only heads that are incomplete.
                     if _get_head_bytes(event) > self._limits.max_header_bytes:
                         return _HEADERS_TOO_LARGE
+                    holding.end_wait()
+                    holding.begin_request()
+                    holding.charge(HEADER_BYTES * len(event.headers))
                     return _server_exchange.RequestHead(
                         event.method.decode('ascii'),
                         event.target.decode('ascii'),
@@ -289,15 +413,24 @@
                     )
                 if event is not h11.NEED_DATA:
                     return None
-                connection.receive_data(
-                    await stream.receive_some(_server_exchange.READ_BYTES)
-                )
+                data = await stream.receive_some(_server_exchange.READ_BYTES)
+                if not holding.reserve(len(data)):
+                    self._budget.count_refusal(
+                        _byte_budget.ClientRefusal.BUDGET
+                    )
+                    return _server_exchange.BUDGET_USED_UP
+                connection.receive_data(data)
+        if holding.is_evicted:
+            return _server_exchange.BUDGET_USED_UP
+        self._budget.count_refusal(_byte_budget.ClientRefusal.STALLED)
         return results.Failure(
             results.ResultCode.REQUEST_TIMEOUT,
             'timed out waiting for the request headers',
         )
 
-    async def _receive_first(self, stream: trio.SocketStream) -> bytes:
+    async def _receive_first(
+        self, stream: trio.SocketStream, holding: _byte_budget.Holding
+    ) -> bytes:
         """Waits for a request; returns its first bytes, or none if none comes.
 
         A request that has arrived when the wait ends is served: the caller
@@ -308,9 +441,11 @@
             wait_s = LATE_REQUEST_WAIT_S
         with trio.move_on_after(wait_s) as scope:
             self._idle_scopes.add(scope)
+            holding.begin_wait(scope.cancel)
             try:
                 return await stream.receive_some(_server_exchange.READ_BYTES)
             finally:
+                holding.end_wait()
                 self._idle_scopes.discard(scope)
         return _socket_io.receive_arrived(stream, _server_exchange.READ_BYTES)
 
@@ -318,6 +453,7 @@
         self,
         connection: h11.Connection,
         stream: trio.SocketStream,
+        holding: _byte_budget.Holding,
         failure: results.Failure,
         method: str = 'GET',
     ) -> None:
@@ -326,16 +462,44 @@
             return
         head = _server_exchange.RequestHead(method, '/', [], '')
         exchange = _server_exchange.ServerExchange(
-            head, connection, stream, self._limits, _return_true
+            head,
+            connection,
+            stream,
+            self._limits,
+            _return_true,
+            self._budget,
+            holding,
+            self._turns,
         )
         status = {
             results.ResultCode.HEADERS_TOO_LARGE: 431,
             results.ResultCode.REQUEST_TIMEOUT: 408,
             results.ResultCode.TOO_MANY_CONNECTIONS: 503,
+            results.ResultCode.OVERLOADED: 503,
             results.ResultCode.METHOD_NOT_ALLOWED: 405,
         }.get(failure.code, 400)
         await _send_failure(exchange, status, failure)
-        await _linger(stream)
+        if not holding.is_evicted:
+            await self._linger(stream, holding)
+
+    async def _linger(
+        self, stream: trio.SocketStream, holding: _byte_budget.Holding
+    ) -> None:
+        """Discards input for up to `LINGER_S`, so that the response arrives.
+
+        At the limit on connections, this gives way to new ones.
+        """
+        holding.release_all()
+        holding.begin_request()
+        with trio.move_on_after(LINGER_S) as scope:
+            holding.begin_wait(scope.cancel)
+            self._holdings.add(holding)
+            try:
+                await stream.send_eof()
+                while await stream.receive_some(_server_exchange.READ_BYTES):
+                    pass
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return
 
 
 def _return_true() -> bool:
@@ -391,17 +555,6 @@
         _LOGGER.info('reset_failed', extra={'reason': str(error)})
 
 
-async def _linger(stream: trio.SocketStream) -> None:
-    """Discards input for up to `LINGER_S`, so that the response arrives."""
-    with trio.move_on_after(LINGER_S):
-        try:
-            await stream.send_eof()
-            while await stream.receive_some(_server_exchange.READ_BYTES):
-                pass
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return
-
-
 def _is_connection_loss(error: Exception) -> bool:
     """Returns whether a group contains only lost-connection errors."""
     if not isinstance(error, ExceptionGroup):
@@ -420,7 +573,20 @@
 
 
 def create_http_server(
-    handler: Handler, limits: _limits.ServerLimits | None = None
+    handler: Handler,
+    limits: _limits.ServerLimits | None = None,
+    budget: _byte_budget.ByteBudget | None = None,
 ) -> HttpServer:
-    """Creates a server that passes each request to the handler."""
-    return HttpServer(handler, limits or _limits.ServerLimits())
+    """Creates a server that passes each request to the handler.
+
+    Args:
+        handler: Handles each request.
+        limits: Limits of the server, if not the default ones.
+        budget: Bounds the bytes held for clients, if not a budget of its own of
+            the default size; servers of one process share it.
+    """
+    return HttpServer(
+        handler,
+        limits or _limits.ServerLimits(),
+        budget or _byte_budget.create_byte_budget(),
+    )
--- a/siskinmount/transport/_limits.py
+++ b/siskinmount/transport/_limits.py
@@ -9,7 +9,13 @@
         max_body_bytes: Default limit of `ServerExchange.read_body`.
         header_timeout_ms: Maximum time from the first byte of a request to its
             last header.
-        body_timeout_ms: Maximum time between two reads of a request's body.
+        max_framing_bytes: Maximum size of what frames a chunked body, beyond
+            half of the body.
+        max_discarded_bytes: Maximum size of the rest of a body that is read
+            after a response to a request whose body was not needed, so that the
+            connection stays usable.
+        body_timeout_ms: Maximum time in which a request's body makes no
+            progress; single bytes are none.
         send_timeout_ms: Maximum time for one write to the client.
         idle_timeout_ms: Maximum idle time of a keep-alive connection.
         max_connections: Maximum number of connections of all clients.
@@ -19,6 +25,8 @@
     __slots__ = (
         'max_header_bytes',
         'max_body_bytes',
+        'max_framing_bytes',
+        'max_discarded_bytes',
         'header_timeout_ms',
         'body_timeout_ms',
         'send_timeout_ms',
@@ -32,6 +40,8 @@
         *,
         max_header_bytes: int = 32 * 1024,
         max_body_bytes: int = 4 * 1024 * 1024,
+        max_framing_bytes: int = 64 * 1024,
+        max_discarded_bytes: int = 64 * 1024,
         header_timeout_ms: int = 10_000,
         body_timeout_ms: int = 15_000,
         send_timeout_ms: int = 15_000,
@@ -41,6 +51,8 @@
     ) -> None:
         self.max_header_bytes = max_header_bytes
         self.max_body_bytes = max_body_bytes
+        self.max_framing_bytes = max_framing_bytes
+        self.max_discarded_bytes = max_discarded_bytes
         self.header_timeout_ms = header_timeout_ms
         self.body_timeout_ms = body_timeout_ms
         self.send_timeout_ms = send_timeout_ms
