--- a/siskinmount/gateway/_gateway_metrics.py
+++ b/siskinmount/gateway/_gateway_metrics.py
@@ -47,6 +47,9 @@
             strict revocation is on.
         customer_refusals: Requests refused because of their key or customer, by
             reason.
+        client_bytes: Bytes held for clients, of the process's budget.
+        client_bytes_limit: Size of that budget in bytes.
+        client_refusals: Clients refused by the server, by reason.
     """
 
     __slots__ = (
@@ -79,6 +82,9 @@
         'keys_outdated',
         'key_proof_age',
         'customer_refusals',
+        'client_bytes',
+        'client_bytes_limit',
+        'client_refusals',
     )
 
     def __init__(self, metrics: telemetry.Metrics) -> None:
@@ -190,6 +196,17 @@
             'Requests refused because of their key or customer.',
             'reason',
         )
+        self.client_bytes = metrics.create_gauge(
+            'client_bytes', 'Bytes held for clients.'
+        )
+        self.client_bytes_limit = metrics.create_gauge(
+            'client_bytes_limit', 'Bytes that may be held for clients.'
+        )
+        self.client_refusals = metrics.create_counter(
+            'client_refusals_total',
+            'Clients refused for their bytes or connections.',
+            'reason',
+        )
 
 
 def create_gateway_metrics(metrics: telemetry.Metrics) -> GatewayMetrics:
--- a/siskinmount/gateway/_jobs_api.py
+++ b/siskinmount/gateway/_jobs_api.py
@@ -30,6 +30,10 @@
 #: Oldest view of the log by which a read may be told that there are no new
 #: results: a quarter of the time in which other daemons must know of them.
 MAX_STALENESS_S = 0.25
+#: Share of the memory for clients above which no jobs are accepted: they can be
+#: submitted elsewhere or later, and requests of callers who wait go first.
+MAX_SUBMIT_PRESSURE = 0.8
+PRESSURE_RETRY_MS = 1000
 
 
 class JobsApi:
@@ -44,6 +48,7 @@
         '_max_record_bytes',
         '_view',
         '_customer_check',
+        '_budget',
     )
 
     def __init__(
@@ -57,6 +62,7 @@
         max_record_bytes: int,
         view: fleet.FleetView,
         customer_check: _customer_check.CustomerCheck,
+        budget: transport.ByteBudget,
     ) -> None:
         self._wire = wire
         self._table = table
@@ -66,6 +72,7 @@
         self._max_record_bytes = max_record_bytes
         self._view = view
         self._customer_check = customer_check
+        self._budget = budget
 
     async def submit(
         self,
@@ -84,6 +91,9 @@
         if refusal is not None:
             await self._refuse(exchange, request, 'submit', refusal)
             return
+        if self._budget.pressure > MAX_SUBMIT_PRESSURE:
+            await self._send_failure(exchange, request, 'submit', _NO_MEMORY)
+            return
         job = self._wire.decode_job(
             request.request_id,
             route,
@@ -383,6 +393,11 @@
         return int((trio.current_time() - confirmed_at_s) * 1000)
 
 
+_NO_MEMORY = results.Failure(
+    results.ResultCode.OVERLOADED,
+    'the memory for clients is nearly used up',
+    retry_after_ms=PRESSURE_RETRY_MS,
+)
 _NO_SUCH_JOB = results.Failure(results.ResultCode.NO_SUCH_JOB, 'no such job')
 _NO_SUCH_ITEM = results.Failure(
     results.ResultCode.NO_SUCH_JOB, 'the job has no such open item'
@@ -399,6 +414,7 @@
     max_record_bytes: int,
     view: fleet.FleetView,
     customer_check: _customer_check.CustomerCheck,
+    budget: transport.ByteBudget,
 ) -> JobsApi:
     """Creates the handler of submissions and calls on jobs."""
     return JobsApi(
@@ -410,4 +426,5 @@
         max_record_bytes=max_record_bytes,
         view=view,
         customer_check=customer_check,
+        budget=budget,
     )
