Keep customers' quotas by all members together

Cause: the quota of a customer held for nobody; `CustomerQuotas.admit` was a stub.

Change: one bucket per customer at each member, debited for own requests at once and for those that peers report (`quota_use`). Buckets fill for each member only up to the time at which it was heard (`QuotaMembers`), so that the shares of a divided fleet add up to one from the moment of the cut; a silent member counts until the members' log shows no renewal for 15 s. When capacity is short, `CustomerShares` shortens the acceptable wait of a customer above its ordinary use.

Ruled out: thinning by own demand times members, which refuses bursts at a single member; forgiving debts by a count of the last window, which forgives debts that are due.

--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from siskinmount import admission
 from siskinmount import configuration
 from siskinmount import fleet
 from siskinmount import jobs
@@ -78,6 +79,8 @@
         '_load',
         '_overdue',
         '_directory',
+        '_quotas',
+        '_quota_members',
         '_crash_verifier',
         '_quarantine_log',
         '_version_keeper',
@@ -133,6 +136,16 @@
         self._directory = peering.create_peer_directory(
             settings.vm, self._load, crash_tracker, health, rate_limits
         )
+        self._quotas = admission.create_customer_quotas(
+            settings.quota_window_s,
+            settings.quota_excess_share,
+            settings.quota_slack_requests,
+        )
+        self._quota_members = peering.create_quota_members(
+            self._directory, self._quotas, self._is_leaving
+        )
+        self._directory.watch_heard(self._quota_members)
+        self._quotas.watch_members(self._quota_members, self._load.announce)
         rate_limits.watch_members(
             self._directory.get_reachable_share, self._get_message_delay_s
         )
@@ -182,6 +195,7 @@
             self._directory.apply_record,
             read_interval_s=MEMBERS_READ_INTERVAL_S,
         )
+        self._quota_members.watch_log(self._members_follower)
         self._jobs_follower = keyed_log.create_log_follower(
             'jobs',
             outside.jobs_log,
@@ -218,6 +232,8 @@
             scheduler=scheduler,
             directory=self._directory,
             stream_versions=stream_versions,
+            quotas=self._quotas,
+            quota_members=self._quota_members,
         )
         self._housekeeping = _housekeeping.create_housekeeping(
             membership=self._membership,
@@ -239,6 +255,7 @@
             results_kept_s=settings.results_kept_s,
             log_handler=log_handler,
             metrics=self._metrics,
+            quotas=self._quotas,
         )
         placer = placement.create_placer(
             self._view,
@@ -338,6 +355,7 @@
             buffers=_response_buffers.create_response_buffers(),
             wire=outside.wire,
             metrics=self._metrics,
+            shares=admission.create_customer_shares(self._quotas),
         )
         callers_api = _callers_api.create_callers_api(
             self._view,
@@ -407,7 +425,7 @@
             supervision.Child('origin_recorder', self._origin_recorder.run),
             supervision.Child('peers_api', self._peers_api.run),
             supervision.Child('peer_exchange', self._create_exchange().run),
-            supervision.Child('member_record', self._announcer.write_record),
+            supervision.Child('member_record', self._announcer.keep_record),
             supervision.Child('housekeeping', self._housekeeping.run),
             supervision.Child('reload', self._watch_reload),
         ]
@@ -465,6 +483,9 @@
             return 0.0
         return trio.current_time() - self._upstreams_follower.lost_at_s
 
+    def _is_leaving(self) -> bool:
+        return self._membership.is_leaving
+
     def _get_message_delay_s(self) -> float:
         """Returns the mean age of the counts of peers."""
         return self._directory.message_delay_s
--- a/siskinmount/gateway/_gateway_metrics.py
+++ b/siskinmount/gateway/_gateway_metrics.py
@@ -1,7 +1,11 @@
 """Counters and latency histograms of the gateway."""
 
+from siskinmount import admission
 from siskinmount import telemetry
 
+#: Customers with the highest recent use, each of which has a label.
+TOP_CUSTOMERS = 8
+
 
 class GatewayMetrics:
     """Counters and latency histograms of one process.
@@ -28,6 +32,10 @@
         limit_notices: Changes of the request rates that upstreams accept, by
             what was read in a response: named, ended or invalid.
         limited_upstreams: Upstreams that accept a bounded request rate.
+        quota_requests: Customers' requests by what their quotas said.
+        customers_over: Customers that are over their quota here.
+        customer_use: Requests per second at all members of the customers with
+            the most.
         placements: Placement decisions by outcome.
         item_runs: Runs of batch items by outcome.
         preemptions: Runs of batch items preempted by callers' requests.
@@ -55,6 +63,9 @@
         'departures',
         'limit_notices',
         'limited_upstreams',
+        'quota_requests',
+        'customers_over',
+        'customer_use',
         'placements',
         'item_runs',
         'preemptions',
@@ -118,6 +129,17 @@
         self.limited_upstreams = metrics.create_gauge(
             'limited_upstreams', 'Upstreams that accept a bounded request rate.'
         )
+        self.quota_requests = metrics.create_gauge(
+            'customer_requests', 'Decisions on quotas since the start.', 'what'
+        )
+        self.customers_over = metrics.create_gauge(
+            'customers_over_quota', 'Customers refused in the last seconds.'
+        )
+        self.customer_use = metrics.create_gauge(
+            'customer_use_per_s',
+            'Requests a second at all members, of the customers with the most.',
+            'customer',
+        )
         self.placements = metrics.create_counter(
             'placements_total', 'Decisions on placement.', 'outcome'
         )
@@ -150,6 +172,18 @@
             'callers_gone_total', 'Callers that left early.'
         )
 
+    def set_customers(self, quotas: admission.CustomerQuotas) -> None:
+        """Sets what is shown of customers; few have a label at a time."""
+        self.quota_requests.set(quotas.admitted_count, 'admitted')
+        self.quota_requests.set(quotas.refused_count, 'refused')
+        self.customers_over.set(quotas.count_over())
+        top = dict(quotas.list_top(TOP_CUSTOMERS))
+        for labels, _ in self.customer_use.list_values():
+            if labels[0] not in top:
+                self.customer_use.remove(*labels)
+        for name, per_s in top.items():
+            self.customer_use.set(round(per_s, 2), name)
+
 
 def create_gateway_metrics(metrics: telemetry.Metrics) -> GatewayMetrics:
     """Creates metrics whose counters are zero."""
--- a/siskinmount/gateway/_housekeeping.py
+++ b/siskinmount/gateway/_housekeeping.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from siskinmount import admission
 from siskinmount import fleet
 from siskinmount import jobs
 from siskinmount import peering
@@ -18,6 +19,8 @@
 _LOGGER = logging.getLogger(__name__)
 
 HOUSEKEEPING_INTERVAL_S = 0.25
+#: Interval at which the customers with the highest use are found.
+TOP_CUSTOMERS_INTERVAL_S = 5.0
 #: Factor by which results of a closed job are kept longer than promised, as
 #: clocks, and the times at which members learned of the job, differ.
 RETENTION_FACTOR = 1.5
@@ -45,6 +48,8 @@
         '_log_handler',
         '_known_upstreams',
         '_metrics',
+        '_quotas',
+        '_customers_set_at_s',
     )
 
     def __init__(
@@ -65,6 +70,7 @@
         results_kept_s: float,
         log_handler: telemetry.BoundedHandler | None,
         metrics: _gateway_metrics.GatewayMetrics,
+        quotas: admission.CustomerQuotas | None = None,
     ) -> None:
         self._membership = membership
         self._view = view
@@ -81,6 +87,8 @@
         self._results_kept_s = results_kept_s
         self._log_handler = log_handler
         self._metrics = metrics
+        self._quotas = quotas
+        self._customers_set_at_s = float('-inf')
         self._known_upstreams: dict[str, fleet.Upstream] = {}
         view.add_listener(self._detect_restarts)
 
@@ -100,11 +108,21 @@
             self._metrics.limited_upstreams.set(
                 self._rate_limits.count_limited()
             )
+            self._expire_quotas()
             self._drop_expired_jobs()
             self._directory.list_live()
             self._members_watch.check()
             self._report_dropped_lines()
 
+    def _expire_quotas(self) -> None:
+        if self._quotas is None:
+            return
+        self._quotas.expire()
+        now_s = trio.current_time()
+        if now_s - self._customers_set_at_s >= TOP_CUSTOMERS_INTERVAL_S:
+            self._customers_set_at_s = now_s
+            self._metrics.set_customers(self._quotas)
+
     def _detect_restarts(self) -> None:
         """Treats a removed or restarted upstream as one that was down.
 
@@ -176,6 +194,7 @@
     results_kept_s: float,
     log_handler: telemetry.BoundedHandler | None,
     metrics: _gateway_metrics.GatewayMetrics,
+    quotas: admission.CustomerQuotas | None = None,
 ) -> Housekeeping:
     """Creates the periodic tasks of one process.
 
@@ -195,6 +214,7 @@
         results_kept_s: Promised retention of results, from the settings.
         log_handler: Writes the log; its dropped lines are reported.
         metrics: Its gauge of parts in quarantine is kept up to date.
+        quotas: Customers without requests are forgotten.
     """
     return Housekeeping(
         membership=membership,
@@ -212,4 +232,5 @@
         results_kept_s=results_kept_s,
         log_handler=log_handler,
         metrics=metrics,
+        quotas=quotas,
     )
--- a/siskinmount/gateway/_member_announcer.py
+++ b/siskinmount/gateway/_member_announcer.py
@@ -1,8 +1,11 @@
 """Announces this member's state to the other members."""
 
+import random
+
 import orjson
 import trio
 
+from siskinmount import admission
 from siskinmount import fleet
 from siskinmount import jobs
 from siskinmount import keyed_log
@@ -14,6 +17,10 @@
 
 #: Delay before a failed write of the member record is retried.
 MEMBER_RETRY_S = 0.5
+#: Interval at which a member that misses others writes its record again. They
+#: count it as gone after 15 s without a record.
+RENEWAL_MIN_S = 4.0
+RENEWAL_MAX_S = 5.0
 
 
 class MemberAnnouncer:
@@ -33,6 +40,8 @@
         '_scheduler',
         '_directory',
         '_stream_versions',
+        '_quotas',
+        '_quota_members',
     )
 
     def __init__(
@@ -51,6 +60,8 @@
         scheduler: jobs.ItemScheduler,
         directory: peering.PeerDirectory,
         stream_versions: stream_origins.VersionTable,
+        quotas: admission.CustomerQuotas | None = None,
+        quota_members: peering.QuotaMembers | None = None,
     ) -> None:
         self._membership = membership
         self._address = address
@@ -65,6 +76,8 @@
         self._scheduler = scheduler
         self._directory = directory
         self._stream_versions = stream_versions
+        self._quotas = quotas
+        self._quota_members = quota_members
 
     def create_message(self, sequence: int) -> peering.PeerMessage:
         """Creates the message that all peers get.
@@ -94,8 +107,20 @@
             stream_versions=dict(self._stream_versions.rows),
             failure_tallies=self._health.list_failure_tallies(),
             departures=self._view.departures.list_first_hand(),
+            quota_use=self._quotas.list_use() if self._quotas else None,
         )
 
+    async def keep_record(self) -> None:
+        """Writes this member's record, and again while it misses others.
+
+        Members that do not hear this one know by that that it is there.
+        """
+        await self.write_record()
+        while self._quota_members is not None:
+            await trio.sleep(random.uniform(RENEWAL_MIN_S, RENEWAL_MAX_S))
+            if self._quota_members.misses_peers():
+                await self.write_record()
+
     async def write_record(self) -> None:
         """Writes this member's record, for members that start later."""
         record = keyed_log.KeyedRecord(
@@ -130,6 +155,8 @@
     scheduler: jobs.ItemScheduler,
     directory: peering.PeerDirectory,
     stream_versions: stream_origins.VersionTable,
+    quotas: admission.CustomerQuotas | None = None,
+    quota_members: peering.QuotaMembers | None = None,
 ) -> MemberAnnouncer:
     """Creates the announcer of this member.
 
@@ -147,6 +174,8 @@
         scheduler: Items that this member runs or keeps output of.
         directory: Live members, which share repeated reports among them.
         stream_versions: At what streams without a record began.
+        quotas: Requests of customers that peers must be told of.
+        quota_members: Says whether this member misses others.
     """
     return MemberAnnouncer(
         membership=membership,
@@ -162,4 +191,6 @@
         scheduler=scheduler,
         directory=directory,
         stream_versions=stream_versions,
+        quotas=quotas,
+        quota_members=quota_members,
     )
--- a/siskinmount/gateway/_online_context.py
+++ b/siskinmount/gateway/_online_context.py
@@ -1,5 +1,6 @@
 """State and services that all online requests share."""
 
+from siskinmount import admission
 from siskinmount import keyed_log
 from siskinmount import placement
 from siskinmount.gateway import _departure_reader
@@ -34,6 +35,8 @@
         buffers: Bounds the memory of responses that are read whole.
         wire: Reads and writes headers.
         metrics: Counters and histograms of the gateway.
+        shares: Decides whose requests may wait how long for an upstream; None
+            if all may wait as long.
     """
 
     __slots__ = (
@@ -53,6 +56,7 @@
         'buffers',
         'wire',
         'metrics',
+        'shares',
     )
 
     def __init__(
@@ -74,6 +78,7 @@
         buffers: _response_buffers.ResponseBuffers,
         wire: _wire.Wire,
         metrics: _gateway_metrics.GatewayMetrics,
+        shares: admission.CustomerShares | None = None,
     ) -> None:
         self.placer = placer
         self.load = load
@@ -91,3 +96,4 @@
         self.buffers = buffers
         self.wire = wire
         self.metrics = metrics
+        self.shares = shares
--- a/siskinmount/gateway/_online_handler.py
+++ b/siskinmount/gateway/_online_handler.py
@@ -246,6 +246,10 @@
         """Chooses the next upstream, or returns why there is none."""
         request = self._request
         max_wait_ms = request.route.target_ms * MAX_WAIT_TARGETS
+        if self._context.shares is not None:
+            max_wait_ms *= self._context.shares.get_wait_factor(
+                request.customer
+            )
         urgency = placement.Urgency.HIGHEST
         if request.route.priority > 0:
             urgency = placement.Urgency.ONLINE
--- a/siskinmount/gateway/_online_request.py
+++ b/siskinmount/gateway/_online_request.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from siskinmount import customers
 from siskinmount import fleet
 from siskinmount import placement
 from siskinmount import results
@@ -35,6 +36,7 @@
         software: What began the stream of which the caller has events; nothing
             else may go on with it. None before the first event.
         record_count: Runs that were recorded as the start of the stream.
+        customer: The customer; None on routes that need none.
         must_start_unrecorded: Whether a run could not be recorded in time, so
             that the next one is to need no record.
     """
@@ -59,6 +61,7 @@
         'software',
         'record_count',
         'must_start_unrecorded',
+        'customer',
     )
 
     def __init__(
@@ -69,6 +72,7 @@
         body: bytes,
         document_version: int,
         began_at_s: float,
+        customer: customers.Customer | None = None,
     ) -> None:
         self.exchange = exchange
         self.route = route
@@ -96,6 +100,7 @@
         self.software: fleet.Software | None = None
         self.record_count = 0
         self.must_start_unrecorded = False
+        self.customer = customer
 
     @property
     def request_id(self) -> str:
--- a/siskinmount/peering/__init__.py
+++ b/siskinmount/peering/__init__.py
@@ -10,6 +10,8 @@
 from siskinmount.peering._peer_message import encode_message
 from siskinmount.peering._peer_message import PeerMessage
 from siskinmount.peering._peer_message import split_row
+from siskinmount.peering._quota_members import create_quota_members
+from siskinmount.peering._quota_members import QuotaMembers
 from siskinmount.peering._relay_plan import MAX_DIRECT_MEMBERS
 from siskinmount.peering._relay_plan import plan_relays
 from siskinmount.peering._relay_plan import RelayPlan
--- a/siskinmount/peering/_peer_directory.py
+++ b/siskinmount/peering/_peer_directory.py
@@ -4,10 +4,12 @@
 from collections.abc import Collection
 import enum
 import logging
+from typing import Protocol
 
 import orjson
 import trio
 
+from siskinmount import admission
 from siskinmount import fleet
 from siskinmount import keyed_log
 from siskinmount import placement
@@ -156,6 +158,20 @@
     """Ignores what a peer says."""
 
 
+class HeardListener(Protocol):
+    """Told of what members are heard to say; see `QuotaMembers`."""
+
+    def record_renewal(self, member: str) -> None:
+        """Records that a member has written its record."""
+        ...
+
+    def record_heard(
+        self, peer: Peer, rows: dict[str, admission.QuotaUse]
+    ) -> None:
+        """Applies the rows of a message before its time is recorded."""
+        ...
+
+
 class PeerDirectory:
     """Members of the fleet other than this process.
 
@@ -187,6 +203,7 @@
         '_responsible',
         '_record_departures',
         '_record_versions',
+        '_heard_listener',
     )
 
     def __init__(
@@ -215,6 +232,11 @@
         self._responsible: list[str] = []
         self._record_departures: RecordDepartures = _ignore_departures
         self._record_versions: RecordVersions = _ignore_versions
+        self._heard_listener: HeardListener | None = None
+
+    def watch_heard(self, listener: HeardListener) -> None:
+        """Sets who counts the members that share quotas."""
+        self._heard_listener = listener
 
     def watch_versions(self, record_versions: RecordVersions) -> None:
         """Sets the function that gets the rows of versions of peers."""
@@ -246,6 +268,8 @@
         peer = self._get_or_create_peer(record.key, address, incarnation)
         if peer.message is None:
             peer.failure_domain = failure_domain
+        if self._heard_listener is not None:
+            self._heard_listener.record_renewal(record.key)
 
     def apply_row(
         self, row: _peer_message.PeerRow
@@ -489,6 +513,8 @@
                     ),
                 },
             )
+        if self._heard_listener is not None and peer.message is not None:
+            self._heard_listener.record_heard(peer, peer.message.quota_use)
         peer.sequence = sequence
         peer.heard_at_s = trio.current_time()
         if peer.member not in self._live:
--- a/siskinmount/peering/_peer_message.py
+++ b/siskinmount/peering/_peer_message.py
@@ -12,6 +12,7 @@
 
 import orjson
 
+from siskinmount import admission
 from siskinmount import fleet
 from siskinmount import placement
 from siskinmount import results
@@ -24,6 +25,9 @@
 _MAX_CRASHES = 1000
 #: Above any number of requests in the life of a process.
 _MAX_REQUESTS = 1_000_000_000_000
+#: Rows on customers that are read of one message, and longest name of one.
+_MAX_QUOTA_ROWS = 64
+_MAX_CUSTOMER_NAME = 256
 
 
 class PeerMessage:
@@ -54,6 +58,7 @@
             by service.
         stream_versions: At what the sender takes streams without a record to
             have begun, by service; None from a release that records none.
+        quota_use: Requests of customers that the sender had a moment ago.
     """
 
     __slots__ = (
@@ -75,6 +80,7 @@
         'rate_limits',
         'demand',
         'stream_versions',
+        'quota_use',
     )
 
     def __init__(
@@ -98,6 +104,7 @@
         demand: dict[str, int] | None = None,
         stream_versions: dict[str, stream_origins.VersionRow] | None = None,
         failure_domain: str = '',
+        quota_use: dict[str, admission.QuotaUse] | None = None,
     ) -> None:
         self.member = member
         self.incarnation = incarnation
@@ -117,6 +124,7 @@
         self.demand = demand or {}
         self.stream_versions = stream_versions
         self.failure_domain = failure_domain
+        self.quota_use = quota_use or {}
 
 
 class PeerRow:
@@ -202,6 +210,11 @@
             service: (row.generation, row.assumed_version, row.is_settled)
             for service, row in message.stream_versions.items()
         }
+    if message.quota_use:
+        fields['quota_use'] = {
+            customer: (use.count, use.recent_count, use.asked_count)
+            for customer, use in message.quota_use.items()
+        }
     return b'%b %d %d %b' % (
         urllib.parse.quote(message.member, safe='').encode('ascii'),
         message.incarnation,
@@ -280,6 +293,30 @@
     )
 
 
+def _decode_quota_use(rows: object) -> dict[str, admission.QuotaUse]:
+    """Returns the valid rows on customers; others are ignored.
+
+    A third number, of all requests, is optional.
+    """
+    uses: dict[str, admission.QuotaUse] = {}
+    if not isinstance(rows, dict):
+        return uses
+    for customer, row in list(rows.items())[:_MAX_QUOTA_ROWS]:
+        if not customer or len(customer) > _MAX_CUSTOMER_NAME:
+            continue
+        try:
+            count = _read_count(row[0], _MAX_REQUESTS)
+            asked_count = count
+            if len(row) > 2:
+                asked_count = _read_count(row[2], _MAX_REQUESTS)
+            uses[customer] = admission.QuotaUse(
+                count, _read_count(row[1], count), asked_count
+            )
+        except results.DECODING_ERRORS:
+            continue
+    return uses
+
+
 def split_row(data: bytes) -> PeerRow | results.Failure:
     """Reads the head of a row, or fails with `MALFORMED_REQUEST`."""
     parts = data.split(b' ', 3)
@@ -424,6 +461,7 @@
         rate_limits=rate_limits,
         demand=demand,
         stream_versions=stream_versions,
+        quota_use=_decode_quota_use(fields.get('quota_use')),
     )
 
 
