Merge the quotas of customers

The check of customers takes its tokens from the quotas of the gateway, which learn of the customers with each document. Before, a customer whose first request came to a gateway late had an empty bucket there.

--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -82,6 +82,8 @@
         '_load',
         '_overdue',
         '_directory',
+        '_quotas',
+        '_quota_members',
         '_crash_verifier',
         '_quarantine_log',
         '_version_keeper',
@@ -103,6 +105,7 @@
         '_peers_api',
         '_limits',
         '_budget',
+        '_applied_document',
         '_callers_server',
         '_servers',
     )
@@ -144,6 +147,16 @@
         self._directory = peering.create_peer_directory(
             settings.vm, self._load, crash_tracker, health, rate_limits, paces
         )
+        self._quotas = admission.create_customer_quotas(
+            settings.quota_window_s,
+            settings.quota_excess_share,
+            settings.quota_slack_requests,
+        )
+        self._quota_members = peering.create_quota_members(
+            self._directory, self._quotas, self._is_leaving
+        )
+        self._directory.watch_heard(self._quota_members)
+        self._quotas.watch_members(self._quota_members, self._load.announce)
         rate_limits.watch_members(
             self._directory.get_reachable_share, self._get_message_delay_s
         )
@@ -167,7 +180,7 @@
         self._customer_check = _customer_check.create_customer_check(
             self._view,
             self._key_age,
-            admission.create_customer_quotas(),
+            self._quotas,
             self._metrics,
         )
         origin_table = stream_origins.create_origin_table()
@@ -216,6 +229,7 @@
             self._directory.apply_record,
             read_interval_s=MEMBERS_READ_INTERVAL_S,
         )
+        self._quota_members.watch_log(self._members_follower)
         self._jobs_follower = keyed_log.create_log_follower(
             'jobs',
             outside.jobs_log,
@@ -253,6 +267,8 @@
             scheduler=scheduler,
             directory=self._directory,
             stream_versions=stream_versions,
+            quotas=self._quotas,
+            quota_members=self._quota_members,
         )
         self._housekeeping = _housekeeping.create_housekeeping(
             membership=self._membership,
@@ -277,6 +293,7 @@
             log_handler=log_handler,
             metrics=self._metrics,
             budget=self._budget,
+            quotas=self._quotas,
         )
         placer = placement.create_placer(
             self._view,
@@ -384,6 +401,7 @@
             wire=outside.wire,
             metrics=self._metrics,
             customer_check=self._customer_check,
+            shares=admission.create_customer_shares(self._quotas),
         )
         callers_api = _callers_api.create_callers_api(
             self._view,
@@ -428,6 +446,7 @@
                 settings.metrics_address,
             ),
         ]
+        self._applied_document: fleet.FleetDocument | None = None
         self._view.add_listener(self._apply_limits)
         self._view.watch_store(self._get_time_since_outage_s)
         self._view.watch_log_end(self._upstreams_follower.get_end)
@@ -463,7 +482,7 @@
             supervision.Child('origin_recorder', self._origin_recorder.run),
             supervision.Child('peers_api', self._peers_api.run),
             supervision.Child('peer_exchange', self._create_exchange().run),
-            supervision.Child('member_record', self._announcer.write_record),
+            supervision.Child('member_record', self._announcer.keep_record),
             supervision.Child('housekeeping', self._housekeeping.run),
             supervision.Child('reload', self._watch_reload),
         ]
@@ -521,6 +540,9 @@
             return 0.0
         return trio.current_time() - self._upstreams_follower.lost_at_s
 
+    def _is_leaving(self) -> bool:
+        return self._membership.is_leaving
+
     def _get_message_delay_s(self) -> float:
         """Returns the mean age of the counts of peers."""
         return self._directory.message_delay_s
@@ -531,10 +553,16 @@
         return document.version if document else None
 
     def _apply_limits(self) -> None:
-        """Applies the document's limits on callers' requests."""
+        """Applies the document's limits on callers and quotas of customers."""
         document = self._view.document
         if document is None:
             return
+        if document is not self._applied_document:
+            self._applied_document = document
+            table = document.customers
+            self._quotas.apply_customers(
+                table.customers.values() if table is not None else ()
+            )
         limits = document.limits
         self._limits.max_header_bytes = limits.max_header_bytes
         self._limits.max_body_bytes = limits.max_body_bytes
--- a/siskinmount/gateway/_housekeeping.py
+++ b/siskinmount/gateway/_housekeeping.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from siskinmount import admission
 from siskinmount import fleet
 from siskinmount import jobs
 from siskinmount import peering
@@ -22,6 +23,8 @@
 #: Interval at which the memory for clients follows what the process itself needs,
 #: which grows with the document and the jobs.
 BUDGET_UPDATE_INTERVAL_S = 5.0
+#: Interval at which the customers with the highest use are found.
+TOP_CUSTOMERS_INTERVAL_S = 5.0
 #: Factor by which results of a closed job are kept longer than promised, as
 #: clocks, and the times at which members learned of the job, differ.
 RETENTION_FACTOR = 1.5
@@ -54,6 +57,8 @@
         '_budget',
         '_counted_refusals',
         '_next_budget_update_s',
+        '_quotas',
+        '_customers_set_at_s',
     )
 
     def __init__(
@@ -77,6 +82,7 @@
         log_handler: telemetry.BoundedHandler | None,
         metrics: _gateway_metrics.GatewayMetrics,
         budget: transport.ByteBudget,
+        quotas: admission.CustomerQuotas | None = None,
     ) -> None:
         self._membership = membership
         self._view = view
@@ -98,6 +104,8 @@
         self._budget = budget
         self._counted_refusals = dict.fromkeys(transport.ClientRefusal, 0)
         self._next_budget_update_s = 0.0
+        self._quotas = quotas
+        self._customers_set_at_s = float('-inf')
         self._known_upstreams: dict[str, fleet.Upstream] = {}
         view.add_listener(self._detect_restarts)
 
@@ -120,12 +128,22 @@
             self._paces.expire()
             self._metrics.paced_upstreams.set(self._paces.count_windows())
             self._run_times.expire()
+            self._expire_quotas()
             self._drop_expired_jobs()
             self._directory.list_live()
             self._members_watch.check()
             self._report_budget()
             self._report_dropped_lines()
 
+    def _expire_quotas(self) -> None:
+        if self._quotas is None:
+            return
+        self._quotas.expire()
+        now_s = trio.current_time()
+        if now_s - self._customers_set_at_s >= TOP_CUSTOMERS_INTERVAL_S:
+            self._customers_set_at_s = now_s
+            self._metrics.set_customers(self._quotas)
+
     def _detect_restarts(self) -> None:
         """Treats a removed or restarted upstream as one that was down.
 
@@ -218,6 +236,7 @@
     log_handler: telemetry.BoundedHandler | None,
     metrics: _gateway_metrics.GatewayMetrics,
     budget: transport.ByteBudget,
+    quotas: admission.CustomerQuotas | None = None,
 ) -> Housekeeping:
     """Creates the periodic tasks of one process.
 
@@ -240,6 +259,7 @@
         log_handler: Writes the log; its dropped lines are reported.
         metrics: Its gauge of parts in quarantine is kept up to date.
         budget: Bounds the bytes held for clients.
+        quotas: Customers without requests are forgotten.
     """
     return Housekeeping(
         membership=membership,
@@ -260,4 +280,5 @@
         log_handler=log_handler,
         metrics=metrics,
         budget=budget,
+        quotas=quotas,
     )
--- a/siskinmount/gateway/_online_context.py
+++ b/siskinmount/gateway/_online_context.py
@@ -1,5 +1,6 @@
 """State and services that all online requests share."""
 
+from siskinmount import admission
 from siskinmount import keyed_log
 from siskinmount import placement
 from siskinmount.gateway import _customer_check
@@ -38,6 +39,8 @@
         wire: Reads and writes headers.
         metrics: Counters and histograms of the gateway.
         customer_check: Checks keys of callers.
+        shares: Decides whose requests may wait how long for an upstream; None
+            if all may wait as long.
     """
 
     __slots__ = (
@@ -60,6 +63,7 @@
         'wire',
         'metrics',
         'customer_check',
+        'shares',
     )
 
     def __init__(
@@ -84,6 +88,7 @@
         wire: _wire.Wire,
         metrics: _gateway_metrics.GatewayMetrics,
         customer_check: _customer_check.CustomerCheck,
+        shares: admission.CustomerShares | None = None,
     ) -> None:
         self.placer = placer
         self.load = load
@@ -104,3 +109,4 @@
         self.wire = wire
         self.metrics = metrics
         self.customer_check = customer_check
+        self.shares = shares
