Watch the members for quotas once the membership exists

Cause: the gateway asked whether it leaves before it had its membership; tests that start a gateway failed (AttributeError).

Change: quotas watch the members after the membership is created.

--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -145,7 +145,6 @@
             self._directory, self._quotas, self._is_leaving
         )
         self._directory.watch_heard(self._quota_members)
-        self._quotas.watch_members(self._quota_members, self._load.announce)
         rate_limits.watch_members(
             self._directory.get_reachable_share, self._get_message_delay_s
         )
@@ -206,6 +205,7 @@
         self._membership = _batch_membership.create_batch_membership(
             settings.vm, self._directory, self._jobs_follower
         )
+        self._quotas.watch_members(self._quota_members, self._load.announce)
         self._ledger = jobs.create_job_ledger(
             outside.jobs_log,
             self._jobs_follower,
