Test that peers are asked before the store counts as lost

Cause: taking that call out of a scratch copy failed no test. The fake store of test_store_congestion gets the further argument of Store.call; its checks are unchanged.

--- a/siskinmount/gateway/tests/test_key_proofs.py
+++ b/siskinmount/gateway/tests/test_key_proofs.py
@@ -298,6 +298,17 @@
 
         self.assertEqual([], _run(check, 3).violations)
 
+    def test_peer_is_asked_before_the_store_counts_as_lost(self):
+        # Guards against waiting for the time-out of a read while the proof
+        # expires.
+        async def check(world, members, nursery):
+            members[0].link.fault = 'silent'
+            await trio.sleep(2.2)
+            self.assertTrue(members[0].follower.is_reachable)
+            self.assertLess(0, members[0].peer_calls)
+
+        _run(check, 2)
+
     def test_peers_do_not_send_a_document_that_is_held(self):
         # Guards against a large document with each poll for its age.
         async def check(world, members, nursery):
--- a/siskinmount/platform/tests/test_store_congestion.py
+++ b/siskinmount/platform/tests/test_store_congestion.py
@@ -27,7 +27,7 @@
         self.page_count = 0
         self._free_at_s = 0.0
 
-    async def call(self, name, request, may_wait):
+    async def call(self, name, request, may_wait, receivers=None):
         if name == 'read':
             await trio.sleep(1.5)
             return 200, (_PAGES).to_bytes(8, 'big') + bytes(8)
