Evict stalled bodies before idle connections; let the budget follow

Cause: connections between requests are idle for up to a minute, so by idle time and size they went before bodies that had just stalled, and a caller could lose one that it was about to use. And 130 open connections kept the limit from following the growth of the process (document, jobs).

Change: size counts twice in the order; the limit is renewed while clients hold under a quarter of it, less what they hold.

--- a/siskinmount/transport/_byte_budget.py
+++ b/siskinmount/transport/_byte_budget.py
@@ -38,6 +38,9 @@
 #: An eviction frees this share of the budget at least, so that a flood does not
 #: lead to a search for each read of a socket.
 EVICTION_SHARE = 1 / 32
+#: Share of the budget up to which the bytes held for clients are so few that the
+#: rest of the resident memory is what the process itself needs.
+CALM_SHARE = 1 / 4
 #: Time after a search that found nothing to evict in which none is made.
 SEARCH_INTERVAL_S = 0.05
 #: Shortest time between two log lines on a budget that is used up.
@@ -233,9 +236,9 @@
         """
         if not self._memory_bytes:
             return
-        if self.held_bytes > self.limit_bytes * EVICTION_SHARE:
+        if self.held_bytes > self.limit_bytes * CALM_SHARE:
             return
-        self.limit_bytes = _choose_limit(self._memory_bytes)
+        self.limit_bytes = _choose_limit(self._memory_bytes, self.held_bytes)
 
     def _make_room(self, asking: Holding, needed_bytes: int) -> bool:
         """Evicts holdings for one that asks; returns whether that is enough.
@@ -280,8 +283,10 @@
                 and holding.began_at_s > asking.began_at_s
             ):
                 later.append(holding)
+        # Size counts twice: connections between requests have been idle longest,
+        # but give little, and their clients may be about to use them.
         stalled.sort(
-            key=lambda held: held.get_idle_s(now_s) * held.size_bytes,
+            key=lambda held: held.get_idle_s(now_s) * held.size_bytes**2,
             reverse=True,
         )
         later.sort(key=lambda held: held.began_at_s, reverse=True)
@@ -316,9 +321,10 @@
         return 0
 
 
-def _choose_limit(memory_bytes: int) -> int:
+def _choose_limit(memory_bytes: int, held_bytes: int = 0) -> int:
     """Returns the budget of a process on a machine of a size."""
-    left_bytes = memory_bytes - read_resident_bytes()
+    own_bytes = max(0, read_resident_bytes() - held_bytes)
+    left_bytes = memory_bytes - own_bytes
     return max(MIN_BUDGET_BYTES, int(left_bytes * MEMORY_SHARE))
 
 
--- a/siskinmount/transport/tests/test_byte_budget.py
+++ b/siskinmount/transport/tests/test_byte_budget.py
@@ -71,6 +71,34 @@
 
         _run(check)
 
+    def test_stalled_body_is_evicted_before_connections_between_requests(self):
+        """Guards against closing callers' connections that give little."""
+        evicted = []
+
+        async def check(budget):
+            for _ in range(10):
+                self.hold(budget, 16 * 1024, evicted, 'connection')
+            await trio.sleep(70)
+            self.hold(budget, 4 * _MIB, evicted, 'body')
+            await trio.sleep(1)
+            self.assertTrue(self.reserve_anew(budget, 3 * _MIB))
+            self.assertEqual(['body'], evicted)
+
+        _run(check)
+
+    def test_open_connections_do_not_keep_the_limit_as_it_was(self):
+        """Guards against a limit that no longer follows the process."""
+        self.patch(_byte_budget, 'read_resident_bytes', lambda: 30 * _MIB)
+
+        async def check(unused):
+            budget = _byte_budget.create_byte_budget(130 * _MIB)
+            budget.open_holding().charge(10 * _MIB)
+            self.patch(_byte_budget, 'read_resident_bytes', lambda: 80 * _MIB)
+            budget.update_limit()
+            self.assertEqual(30 * _MIB, budget.limit_bytes)
+
+        _run(check)
+
     def test_single_bytes_are_no_progress(self):
         """Guards against clients that look busy by a byte now and then."""
         evicted = []
