Let a job of a customer be read under its keys alone

A job that a customer had submitted became readable without a key when its route was made public. Jobs that were submitted without a key stay open to all.

--- a/siskinmount/gateway/_jobs_api.py
+++ b/siskinmount/gateway/_jobs_api.py
@@ -177,7 +177,7 @@
                 )
                 return
             job = self._table.jobs.get(call.job_id)
-        if refusal is not None and (job is None or not self._needs_no_key(job)):
+        if refusal is not None and (job is None or job.customer):
             await self._refuse(exchange, request, call.kind.value, refusal)
             return
         if job is None or not self._may_use(job, caller.name):
@@ -205,25 +205,15 @@
         """
         job = self._table.jobs.get(call.job_id)
         if job is not None:
-            return self._needs_no_key(job)
+            return not job.customer
         document = self._view.document
         return document is not None and document.has_public_batch_route()
 
-    def _needs_no_key(self, job: jobs.Job) -> bool:
-        """Returns whether a job has no customer or is on a public route."""
-        if not job.customer:
-            return True
-        document = self._view.document
-        if document is None:
-            return False
-        route = document.find_route_by_name(job.route_name)
-        return route is not None and route.public
-
     def _may_use(self, job: jobs.Job, customer: str) -> bool:
         """Returns whether a job exists for a customer."""
         if not self._customer_check.has_customers():
             return True
-        return job.customer == customer or self._needs_no_key(job)
+        return job.customer in ('', customer)
 
     async def _read_results(
         self,
