--- a/siskinmount/placement/_placer.py
+++ b/siskinmount/placement/_placer.py
@@ -155,15 +155,10 @@
         for upstream in ready:
             if not self._health.is_avoided(upstream.upstream_id):
                 healthy.append(upstream)
-        candidates = healthy or ready
         placed = self._place_paced(
-            candidates, service, affinity_key, max_wait_ms, urgency
+            healthy or ready, service, affinity_key, max_wait_ms, urgency
         )
-        if (
-            isinstance(placed, Placement)
-            or not may_use_avoided
-            or len(candidates) == len(ready)
-        ):
+        if isinstance(placed, Placement) or not may_use_avoided:
             return placed
         return self._place_paced(
             ready, service, affinity_key, max_wait_ms, urgency
--- a/siskinmount/placement/tests/pace_simulation.py
+++ b/siskinmount/placement/tests/pace_simulation.py
@@ -38,7 +38,8 @@
         in_flight: Requests sent and not ended.
         is_up: Whether it takes connections.
         started_at_ms: Start of its process.
-        sends: Times of requests, whether in time, in the order of their ends.
+        crashed: Set when it crashes.
+        slots: Requests that it runs at once; the others wait.
         sent_at_s: Times of requests sent to it lately.
     """
 
@@ -50,7 +51,6 @@
         self.in_flight = 0
         self.is_up = True
         self.started_at_ms = 1
-        self.answered = 0
         self.sent_at_s = collections.deque(maxlen=2000)
         self.crashed = trio.Event()
         self.slots = trio.CapacityLimiter(_SLOTS)
@@ -60,7 +60,12 @@
         self.crashed.set()
 
     def restart(self, cold_s=0.0):
+        """Starts a new process."""
         self.started_at_ms += 1
+        self.recover(cold_s)
+
+    def recover(self, cold_s=0.0):
+        """Takes connections again, as the same process."""
         self.is_up = True
         self.crashed = trio.Event()
         self.slots = trio.CapacityLimiter(_SLOTS)
@@ -134,7 +139,6 @@
         requests: Time, upstream and whether answered in time, of each request
             that has ended.
         floods: Requests beyond the window that no message in flight explains.
-        windows: Windows of an upstream over time, for the test.
     """
 
     def __init__(
@@ -284,7 +288,6 @@
             simulated.in_flight -= 1
             member.load.add_online(upstream_id, -1)
         if answered:
-            simulated.answered += 1
             member.health.record_success(upstream_id, sent_at_s)
             if member.run_times is not None:
                 member.run_times.record(
