--- a/siskinmount/gateway/tests/test_customers.py
+++ b/siskinmount/gateway/tests/test_customers.py
@@ -51,16 +51,6 @@
         return [row for row in self.records if row.getMessage() == event]
 
 
-class _OldKeys:
-    """Fake of `customers.KeyAge` without a proof."""
-
-    def is_current(self):
-        return False
-
-    def get_age_s(self):
-        return float('inf')
-
-
 class _Quotas:
     """Fake of `admission.CustomerQuotas` that counts tokens.
 
@@ -334,15 +324,15 @@
 
         async def check(fleet):
             checker = get_check(fleet)
-            age = checker._key_age
-            checker._key_age = _OldKeys()
+            # No proof is young enough, neither for requests nor for readiness.
+            checker._key_age.max_age_s = 0.0
             for key in (_KEY, 'unknown'):
                 seen.append(await call(fleet, x_key=key))
             seen.append(await call(fleet))
             ready = fleet.gateways[0].ready_address
             answer = await gateway_harness.call(ready, 'GET', '/ready')
             self.assertEqual(503, answer.status)
-            checker._key_age = age
+            checker._key_age.max_age_s = None
             seen.append(await call(fleet, x_key=_KEY))
             await fleet.wait_ready(fleet.gateways[0])
             self.runs = list_runs(fleet)
@@ -450,10 +440,10 @@
             await call(fleet, x_key='unknown')
             await call(fleet, x_key=_KEY)
             checker = get_check(fleet)
-            age = checker._key_age
-            checker._key_age = _OldKeys()
+            # No proof is young enough, neither for requests nor for readiness.
+            checker._key_age.max_age_s = 0.0
             await call(fleet, x_key=_KEY)
-            checker._key_age = age
+            checker._key_age.max_age_s = None
             await publish(fleet, 3, [])
             await call(fleet, x_key=_KEY)
             self.runs = list_runs(fleet)
--- a/siskinmount/placement/_placer.py
+++ b/siskinmount/placement/_placer.py
@@ -155,15 +155,10 @@
         for upstream in ready:
             if not self._health.is_avoided(upstream.upstream_id):
                 healthy.append(upstream)
-        candidates = healthy or ready
         placed = self._place_paced(
-            candidates, service, affinity_key, max_wait_ms, urgency
+            healthy or ready, service, affinity_key, max_wait_ms, urgency
         )
-        if (
-            isinstance(placed, Placement)
-            or not may_use_avoided
-            or len(candidates) == len(ready)
-        ):
+        if isinstance(placed, Placement) or not may_use_avoided:
             return placed
         return self._place_paced(
             ready, service, affinity_key, max_wait_ms, urgency
@@ -351,7 +346,10 @@
             counts = totals.get(upstream.upstream_id, _NO_COUNTS)
             slots: float = upstream.slot_count or DEFAULT_SLOTS
             if has_paces:
-                slots = self._paces.limit_slots(upstream, slots)
+                window = self._paces.limit_slots(upstream, slots)
+                # Full windows are passed over, or all are to be used.
+                if counts.online + counts.batch < window:
+                    slots = window
             online_above_slots.append(counts.online - slots)
             if is_uneven:
                 ratio = self._run_times.get_ratio(upstream.upstream_id)
