--- a/siskinmount/gateway/tests/test_customers.py
+++ b/siskinmount/gateway/tests/test_customers.py
@@ -246,7 +246,7 @@
         given = [{}, {'x_key': _KEY}, {'x_key': 'unknown', 'x_tenant': 'alpha'}]
 
         async def check(fleet):
-            get_check(fleet)._key_age = _OldKeys()
+            get_check(fleet)._key_age.max_age_s = 0.0
             for headers in given:
                 answer = await fleet.call(
                     0, 'POST', '/public/x', b'', x_request_id='q', **headers
@@ -266,7 +266,7 @@
         seen = []
 
         async def check(fleet):
-            get_check(fleet)._key_age = _OldKeys()
+            get_check(fleet)._key_age.max_age_s = 0.0
             for headers in ({}, {'x_key': 'k', 'x_tenant': 't'}):
                 for path in (_PLAIN, '/public/x'):
                     answer = await fleet.call(
@@ -674,7 +674,7 @@
             await fleet.wait_results(1, 'j1', 1)
             for headers in ({}, {'x_key': 'unknown'}, {'x_key': _OTHER_KEY}):
                 seen.append((await self._read(fleet, 'j1', **headers)).status)
-            get_check(fleet)._key_age = _OldKeys()
+            get_check(fleet)._key_age.max_age_s = 0.0
             for headers in ({}, {'x_key': _KEY}):
                 seen.append((await self._read(fleet, 'j1', **headers)).status)
             seen.append((await self._read(fleet, 'none')).status)
