Read the boot clock of quotas once in 20 ms, and let batch items open a window

Batch items got no slot of a window of 1, so an engine that had failed stayed unused while no caller's request went there (test_item_does_not_go_on_at_an_engine_whose_restart_is_not_listed). The refusal of jobs for lack of memory lacked the customer's name.

--- a/siskinmount/admission/_customer_quotas.py
+++ b/siskinmount/admission/_customer_quotas.py
@@ -35,6 +35,8 @@
 EXPIRE_STEP = 500
 #: A pause of this process beyond this time has missed requests of peers.
 PAUSE_S = 1.0
+#: Longest time for which a pause of the machine is not noticed after it.
+BOOT_READ_INTERVAL_S = 0.02
 #: Time in which members that see the same tokens take them, in delays of
 #: messages, and its minimum: datagrams between regions take up to 0.3 s.
 SPEND_DELAYS = 2.0
@@ -185,6 +187,10 @@
             _customer_use.USUAL_TIME_CONSTANT_S, clock()
         )
 
+    def get_time_s(self) -> float:
+        """Returns the time of the clock of this object."""
+        return self._clock()
+
     def watch_members(
         self, fill_clock: FillClock, announce: Callable[[], None]
     ) -> None:
@@ -584,16 +590,33 @@
     return row[1]
 
 
-def read_boot_clock() -> float:
-    """Returns seconds since the start of the machine, its suspension included."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+class CoarseBootClock:
+    """Returns seconds, those of a suspension of the machine included.
+
+    Each message of a peer asks for the time several times. The boot clock is a
+    system call on some machines, so it is read once in `BOOT_READ_INTERVAL_S`
+    of the monotonic clock, which stands still in a suspension.
+    """
+
+    __slots__ = ('_read_at_s', '_boot_s')
+
+    def __init__(self) -> None:
+        self._read_at_s = float('-inf')
+        self._boot_s = 0.0
+
+    def __call__(self) -> float:
+        now_s = time.monotonic()
+        if now_s - self._read_at_s >= BOOT_READ_INTERVAL_S:
+            self._read_at_s = now_s
+            self._boot_s = customers.read_boot_clock()
+        return self._boot_s + now_s - self._read_at_s
 
 
 def create_customer_quotas(
     window_s: float = 5.0,
     excess_share: float = 0.1,
     slack_requests: float = 20,
-    clock: Callable[[], float] = read_boot_clock,
+    clock: Callable[[], float] | None = None,
     rng: random.Random | None = None,
 ) -> CustomerQuotas:
     """Creates quotas of which nothing has been used.
@@ -606,5 +629,9 @@
         rng: Draws among requests that see the same tokens.
     """
     return CustomerQuotas(
-        window_s, excess_share, slack_requests, clock, rng or random.Random()
+        window_s,
+        excess_share,
+        slack_requests,
+        clock or CoarseBootClock(),
+        rng or random.Random(),
     )
--- a/siskinmount/admission/_customer_shares.py
+++ b/siskinmount/admission/_customer_shares.py
@@ -89,12 +89,12 @@
 
 def create_customer_shares(
     quotas: _customer_quotas.CustomerQuotas,
-    clock: Callable[[], float] = _customer_quotas.read_boot_clock,
+    clock: Callable[[], float] | None = None,
 ) -> CustomerShares:
     """Creates the decision.
 
     Args:
         quotas: Knows what each customer has used lately.
-        clock: The clock of `quotas`.
+        clock: By default the clock of `quotas`.
     """
-    return CustomerShares(quotas, clock)
+    return CustomerShares(quotas, clock or quotas.get_time_s)
--- a/siskinmount/gateway/_jobs_api.py
+++ b/siskinmount/gateway/_jobs_api.py
@@ -92,7 +92,9 @@
             await self._refuse(exchange, request, 'submit', refusal)
             return
         if self._budget.pressure > MAX_SUBMIT_PRESSURE:
-            await self._send_failure(exchange, request, 'submit', _NO_MEMORY)
+            await self._send_failure(
+                exchange, request, 'submit', _NO_MEMORY, caller.name
+            )
             return
         job = self._wire.decode_job(
             request.request_id,
--- a/siskinmount/gateway/tests/key_proof_simulation.py
+++ b/siskinmount/gateway/tests/key_proof_simulation.py
@@ -40,7 +40,7 @@
     return types.SimpleNamespace(
         version=fields['version'],
         keys=fields['keys'],
-        customers=fields['keys'],
+        customers=customers.create_customer_table(),
         routes=[],
         source=source,
     )
--- a/siskinmount/placement/_upstream_paces.py
+++ b/siskinmount/placement/_upstream_paces.py
@@ -133,14 +133,16 @@
     ) -> int:
         """Returns how many of some free slots batch items may take.
 
-        Callers' requests keep half of the window.
+        Callers' requests keep half of the window, but batch items alone must be
+        able to open it again: they get at least one slot.
         """
         pace = self._find(upstream)
         if pace is None:
             return free
         if not pace.is_shared:
             counts = self._load.own.get(upstream.upstream_id, _NO_COUNTS)
-        return min(free, pace.window // 2 - counts.online - counts.batch)
+        allowed = max(1, pace.window // 2)
+        return min(free, allowed - counts.online - counts.batch)
 
     def apply_listing(self) -> None:
         """Begins windows of upstreams that have just started."""
