--- a/siskinmount/admission/_customer_shares.py
+++ b/siskinmount/admission/_customer_shares.py
@@ -23,10 +23,11 @@
 class CustomerShares:
     """Compares the recent use of each customer with what is ordinary for it.
 
-    Ordinary is what a customer uses usually, grown as the use of the others
-    has grown, and at least an equal share of what all use at present. Until the usual use
-    is known, its rate is ordinary. A customer that exceeds it gets only upstreams
-    with shorter waits, so that the others find room in the queues.
+    Ordinary is what a customer uses usually, grown as the use of the others has
+    grown, and at least an equal share of what all use at present. Until the
+    usual use is known, its rate is ordinary. A customer that exceeds it gets
+    only upstreams with shorter waits, so that the others find room in the
+    queues.
     """
 
     __slots__ = ('_quotas', '_clock', '_active_count', '_counted_at_s')
--- a/siskinmount/gateway/_customer_check.py
+++ b/siskinmount/gateway/_customer_check.py
@@ -267,7 +267,7 @@
 
 _NO_VALID_KEY = results.Failure(
     results.ResultCode.UNAUTHENTICATED,
-    'the request needs one X-Key header with a valid key',
+    'the request needs exactly one valid key',
 )
 _REVOKED = results.Failure(
     results.ResultCode.UNAUTHENTICATED,
