Name calls of the store by who bounds their time

Cause: call_patiently and its constant were named by a figure of speech. Change: call_until_cancelled, and a client and a constant named after it; no behaviour changes.

--- a/siskinmount/platform/_store.py
+++ b/siskinmount/platform/_store.py
@@ -33,7 +33,7 @@
 CONNECT_TIMEOUT_MS = 700
 #: Longest silence in calls whose callers bound the time: longer than any bound
 #: on the age of keys within which an answer is of use.
-PATIENT_TIMEOUT_MS = 20_000
+UNBOUNDED_SILENCE_TIMEOUT_MS = 20_000
 #: Time after its last page within which a read of the newest records continues.
 #: Much shorter than the history that the store keeps, from which the changes
 #: since its first page are read.
@@ -65,7 +65,12 @@
 class Store:
     """HTTP client of the platform's store."""
 
-    __slots__ = ('_client', '_long_poll_client', '_patient_client', '_metrics')
+    __slots__ = (
+        '_client',
+        '_long_poll_client',
+        '_unbounded_client',
+        '_metrics',
+    )
 
     def __init__(
         self, address: transport.Address, metrics: telemetry.Metrics
@@ -91,12 +96,12 @@
                 idle_timeout_ms=20_000,
             ),
         )
-        self._patient_client = transport.create_http_client(
+        self._unbounded_client = transport.create_http_client(
             address,
             transport.ClientLimits(
                 max_connections=_MAX_CONNECTIONS,
                 connect_timeout_ms=CONNECT_TIMEOUT_MS,
-                silence_timeout_ms=PATIENT_TIMEOUT_MS,
+                silence_timeout_ms=UNBOUNDED_SILENCE_TIMEOUT_MS,
                 send_timeout_ms=CALL_TIMEOUT_MS,
                 idle_timeout_ms=20_000,
             ),
@@ -150,7 +155,7 @@
                 )
             return exchange.status, body
 
-    async def call_patiently(
+    async def call_until_cancelled(
         self,
         name: str,
         request: transport.ClientRequest,
@@ -166,7 +171,7 @@
             request: The request to send.
             receivers: Counts the calls whose answers are being received.
         """
-        exchange = await self._patient_client.send(request)
+        exchange = await self._unbounded_client.send(request)
         if isinstance(exchange, results.Failure):
             self._metrics.calls.increment(name, exchange.code.name.lower())
             return _create_failure(name, exchange.reason, exchange.run_state)
@@ -307,7 +312,7 @@
             'GET',
             f'/siskinmount/log-read?{self._query}&from={from_offset}&wait_ms=0',
         )
-        answer = await self._store.call_patiently(
+        answer = await self._store.call_until_cancelled(
             'read_end', request, self._receivers
         )
         if isinstance(answer, results.Failure):
