Use reachable and started for members and windows

Cause: new names and comments spoke of members that are heard and of windows that are begun, where the field says reachable, message and started.

--- a/siskinmount/admission/_customer_quotas.py
+++ b/siskinmount/admission/_customer_quotas.py
@@ -60,18 +60,18 @@
 
 
 class FillClock(Protocol):
-    """Tells how much of the quotas the members that are heard may use."""
+    """Tells how much of the quotas the reachable members may use."""
 
     def get_filled_s(self) -> float:
         """Returns the time for which buckets have filled at the whole rate.
 
         It stands still before the members are known, and advances at the share
-        of the members that are heard.
+        of the reachable members.
         """
         ...
 
     def get_share(self) -> float:
-        """Returns the share of the members that are heard, with this one."""
+        """Returns the share of reachable members, with this one."""
         ...
 
     def get_message_delay_s(self) -> float:
@@ -110,7 +110,7 @@
         self._customer = customer
 
     def give_back(self) -> None:
-        """Gives back the token of a request that no upstream has begun.
+        """Gives back the token of a request that no upstream has started.
 
         Further calls have no effect.
         """
@@ -270,14 +270,14 @@
     ) -> None:
         """Applies the counts of a peer.
 
-        What a peer used while it was not heard is no debt of this member, whose
+        What a peer used while it was unreachable is no debt of this member, whose
         buckets have not filled for that peer's share either.
 
         Args:
             peer: Name of the peer.
             rows: Its counts, by customer.
-            silent_s: Time since it was heard; infinite for a process that has
-                not been heard before.
+            silent_s: Time since its last message; infinite for a process that has
+                not sent one before.
             max_silent_s: Time after which buckets do not fill for it.
         """
         self.check_pause()
@@ -519,7 +519,7 @@
         return -1 - use.bucket.rate_per_s * self._window_s
 
     def _update_share(self) -> float:
-        """Returns the share of the members that are heard; logs changes."""
+        """Returns the share of reachable members; logs changes."""
         share = self._fill_clock.get_share()
         if abs(share - self._logged_share) > _LOGGED_SHARE_CHANGE:
             _LOGGER.info(
--- a/siskinmount/admission/_customer_use.py
+++ b/siskinmount/admission/_customer_use.py
@@ -131,8 +131,8 @@
         Args:
             peer: Name of the peer.
             row: Its counts since its start.
-            owes_unknown: Whether its recent requests are its use since it was
-                last heard, if nothing is known of earlier ones.
+            owes_unknown: Whether its recent requests are its use since its
+                last message, if nothing is known of earlier ones.
             now_s: The time.
         """
         known = self._peers.get(peer)
--- a/siskinmount/gateway/_customer_check.py
+++ b/siskinmount/gateway/_customer_check.py
@@ -106,7 +106,7 @@
         return self.customer.name if self.customer is not None else ''
 
     def give_back(self) -> None:
-        """Gives back the token of a request that no upstream has begun."""
+        """Gives back the token of a request that no upstream has started."""
         if self.ticket is not None:
             self.ticket.give_back()
 
--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -155,7 +155,7 @@
         self._quota_members = peering.create_quota_members(
             self._directory, self._quotas, self._is_leaving
         )
-        self._directory.watch_heard(self._quota_members)
+        self._directory.watch_messages(self._quota_members)
         rate_limits.watch_members(
             self._directory.get_reachable_share, self._get_message_delay_s
         )
--- a/siskinmount/peering/_peer_directory.py
+++ b/siskinmount/peering/_peer_directory.py
@@ -158,14 +158,14 @@
     """Ignores what a peer says."""
 
 
-class HeardListener(Protocol):
-    """Told of what members are heard to say; see `QuotaMembers`."""
+class MessageListener(Protocol):
+    """Receives the messages of members; see `QuotaMembers`."""
 
     def record_renewal(self, member: str) -> None:
         """Records that a member has written its record."""
         ...
 
-    def record_heard(
+    def record_message(
         self, peer: Peer, rows: dict[str, admission.QuotaUse]
     ) -> None:
         """Applies the rows of a message before its time is recorded."""
@@ -204,7 +204,7 @@
         '_responsible',
         '_record_departures',
         '_record_versions',
-        '_heard_listener',
+        '_message_listener',
     )
 
     def __init__(
@@ -235,11 +235,11 @@
         self._responsible: list[str] = []
         self._record_departures: RecordDepartures = _ignore_departures
         self._record_versions: RecordVersions = _ignore_versions
-        self._heard_listener: HeardListener | None = None
+        self._message_listener: MessageListener | None = None
 
-    def watch_heard(self, listener: HeardListener) -> None:
+    def watch_messages(self, listener: MessageListener) -> None:
         """Sets who counts the members that share quotas."""
-        self._heard_listener = listener
+        self._message_listener = listener
 
     def watch_versions(self, record_versions: RecordVersions) -> None:
         """Sets the function that gets the rows of versions of peers."""
@@ -271,8 +271,8 @@
         peer = self._get_or_create_peer(record.key, address, incarnation)
         if peer.message is None:
             peer.failure_domain = failure_domain
-        if self._heard_listener is not None:
-            self._heard_listener.record_renewal(record.key)
+        if self._message_listener is not None:
+            self._message_listener.record_renewal(record.key)
 
     def apply_row(
         self, row: _peer_message.PeerRow
@@ -518,8 +518,8 @@
                     ),
                 },
             )
-        if self._heard_listener is not None and peer.message is not None:
-            self._heard_listener.record_heard(peer, peer.message.quota_use)
+        if self._message_listener is not None and peer.message is not None:
+            self._message_listener.record_message(peer, peer.message.quota_use)
         peer.sequence = sequence
         peer.heard_at_s = trio.current_time()
         if peer.member not in self._live:
--- a/siskinmount/peering/_quota_members.py
+++ b/siskinmount/peering/_quota_members.py
@@ -1,9 +1,9 @@
 """Decides which members count for the quotas that all share.
 
 A bucket of a quota fills for each member at its part of the rate, and only up to
-the time at which that member was heard. Members that are cut off from each other
-so fill theirs at shares that add up to one, from the moment of the cut and before
-anybody is known to be silent.
+the time of its last message. Members that are cut off from each other so fill
+theirs at shares that add up to one, from the moment of the cut and before anybody
+is known to be silent.
 """
 
 from collections.abc import Callable
@@ -18,10 +18,10 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Longest silence of a member that buckets fill for when it is heard again.
+#: Longest silence that buckets fill for when messages of a member arrive again.
 MAX_GAP_S = _peer_directory.SILENT_S
-#: How long a member counts as heard for what buckets may hold: three intervals
-#: of its messages, so that one or two may be lost.
+#: How long a member counts as reachable for what buckets may hold: three
+#: intervals of its messages, so that one or two may be lost.
 FRESH_S = 0.75
 #: A member that has not renewed its record for this long, in a log that could be
 #: read all the time, is gone. One that misses peers renews its record each 5 s,
@@ -47,16 +47,16 @@
 
 
 class QuotaMembers:
-    """Implements `admission.FillClock` from what is heard of the members.
+    """Implements `admission.FillClock` from the messages of the members.
 
     Attributes:
         member_count: Members that count, with this one.
-        heard_count: How many of them are heard, with this one.
+        reachable_count: How many of them are reachable, with this one.
     """
 
     __slots__ = (
         'member_count',
-        'heard_count',
+        'reachable_count',
         '_directory',
         '_quotas',
         '_log',
@@ -79,7 +79,7 @@
         clock: Callable[[], float],
     ) -> None:
         self.member_count = 1
-        self.heard_count = 1
+        self.reachable_count = 1
         self._directory = directory
         self._quotas = quotas
         self._log: MembersLog | None = None
@@ -108,16 +108,16 @@
         return self._filled_s
 
     def get_share(self) -> float:
-        """Returns the share of the members that are heard, with this one."""
+        """Returns the share of reachable members, with this one."""
         self._count(self._clock())
-        return self.heard_count / self.member_count
+        return self.reachable_count / self.member_count
 
     def get_message_delay_s(self) -> float:
         """Returns the mean age of what peers tell."""
         return self._directory.message_delay_s
 
     def misses_peers(self) -> bool:
-        """Returns whether a member that counts has not been heard for long."""
+        """Returns whether a member that counts has sent no message for long."""
         now_s = self._clock()
         self._count(now_s)
         for member in self._counting:
@@ -130,7 +130,7 @@
         """Records that a member has written its record."""
         self._renewed_at_s[member] = self._clock()
 
-    def record_heard(
+    def record_message(
         self,
         peer: '_peer_directory.Peer',
         rows: dict[str, admission.QuotaUse],
@@ -165,7 +165,7 @@
             self._loaded_at_s = now_s
             self._own_at_s = now_s
         counting: set[str] = set()
-        heard_count = 0
+        reachable_count = 0
         for peer in self._directory.peers.values():
             if peer.message is not None and peer.message.is_leaving:
                 continue
@@ -173,7 +173,7 @@
             if silent_s < _peer_directory.SILENT_S:
                 self._gone.pop(peer.member, None)
                 counting.add(peer.member)
-                heard_count += silent_s < FRESH_S
+                reachable_count += silent_s < FRESH_S
                 continue
             if self._is_gone(peer, end):
                 continue
@@ -183,7 +183,7 @@
         # others do not count it.
         own = 0 if self._is_leaving() and counting else 1
         self.member_count = len(counting) + own
-        self.heard_count = heard_count + own
+        self.reachable_count = reachable_count + own
 
     def _is_gone(
         self, peer: '_peer_directory.Peer', end: keyed_log.LogEnd | None
--- a/siskinmount/peering/tests/quota_simulation.py
+++ b/siskinmount/peering/tests/quota_simulation.py
@@ -126,7 +126,7 @@
         if message.sequence <= peer.sequence:
             return
         peer.message = message
-        self.members.record_heard(peer, message.rows)
+        self.members.record_message(peer, message.rows)
         peer.sequence = message.sequence
         peer.heard_at_s = now_s
 
--- a/siskinmount/peering/tests/test_quota_members.py
+++ b/siskinmount/peering/tests/test_quota_members.py
@@ -104,7 +104,7 @@
         self.members = peering.create_quota_members(self.directory, self.quotas)
         self.log = _Log()
         self.members.watch_log(self.log)
-        self.directory.watch_heard(self.members)
+        self.directory.watch_messages(self.members)
 
     def _run(self, play):
         async def main():
--- a/siskinmount/placement/_upstream_pace.py
+++ b/siskinmount/placement/_upstream_pace.py
@@ -64,7 +64,7 @@
         bad: Late or failed answers, of all members.
         own_good: Answers in time to this member.
         own_bad: Late or failed answers to this member.
-        begun_at_s: Monotonic time at which this member began the window.
+        began_at_s: Monotonic time at which this member began the window.
         changed_at_s: Monotonic time of the last own answer.
         ended_at_s: Monotonic time of the end; infinite before.
         holders: Peers that have a window for this upstream.
@@ -81,7 +81,7 @@
         'bad',
         'own_good',
         'own_bad',
-        'begun_at_s',
+        'began_at_s',
         'changed_at_s',
         'ended_at_s',
         'holders',
@@ -100,7 +100,7 @@
     ) -> None:
         self.upstream_id = upstream_id
         self.started_at_ms = started_at_ms
-        self.begun_at_s = trio.current_time()
+        self.began_at_s = trio.current_time()
         self.ended_at_s = float('inf')
         self.holders: set[str] = set()
         self.is_shared = True
--- a/siskinmount/placement/_upstream_paces.py
+++ b/siskinmount/placement/_upstream_paces.py
@@ -298,12 +298,12 @@
             elif pace.is_ended:
                 if now_s - pace.ended_at_s > ENDED_KEPT_S:
                     self._end_episode(pace)
-            elif now_s - pace.begun_at_s > MAX_HELD_S:
+            elif now_s - pace.began_at_s > MAX_HELD_S:
                 self._end(pace, 'time')
             elif len(self._paces) > MAX_REPORTS:
                 # Peers do not tell of all their windows then.
                 pace.is_shared = True
-            elif now_s - pace.begun_at_s > SHARED_GRACE_S:
+            elif now_s - pace.began_at_s > SHARED_GRACE_S:
                 pace.is_shared = 2 * (len(pace.holders) + 1) >= member_count
         if len(self._starts) > MAX_PACES + len(self._view.upstreams):
             self._starts = {
@@ -395,7 +395,8 @@
         )
         self._paces[upstream_id] = pace
         _LOGGER.info(
-            'upstream_window_begun', extra=_describe(pace) | {'reason': reason}
+            'upstream_window_started',
+            extra=_describe(pace) | {'reason': reason},
         )
         self._join_peers(upstream)
         # Peers must learn of an episode that they have not begun.
@@ -431,7 +432,7 @@
             extra=_describe(pace)
             | {
                 'reason': reason,
-                'held_ms': int((pace.ended_at_s - pace.begun_at_s) * 1000),
+                'held_ms': int((pace.ended_at_s - pace.began_at_s) * 1000),
             },
         )
 
