Exceed windows rather than wait long where most upstreams have one

Cause of the red test: after a restart of all upstreams, requests waited in the queues of those whose windows had ended, up to the longest acceptable wait, while the others stayed at one or two requests. Change: where at least half of the upstreams have a window, a request that would wait for more than a third of the acceptable time may exceed one.

--- a/siskinmount/placement/_placer.py
+++ b/siskinmount/placement/_placer.py
@@ -30,6 +30,9 @@
 MIN_UNSEEN_REQUESTS = 2.0
 #: Upstreams that are drawn for a request, of which prompt affinity takes one.
 AFFINITY_DRAWS = 2
+#: Share of the acceptable wait up to which a request waits elsewhere rather than
+#: exceed the window of a starting upstream, where most upstreams have one.
+MAX_SHIFTED_SHARE = 1 / 3
 
 
 class RefusalReason(enum.Enum):
@@ -174,26 +177,36 @@
     ) -> Placement | Refusal:
         """Returns the candidate where a request starts soonest.
 
-        Those whose window is full are used only instead of a refusal, and if
-        they are so many that the others cannot serve in their place.
+        Those whose window is full are used only if most have a window, so that
+        the others cannot serve in their place: instead of a refusal or of a
+        long wait.
         """
         if not self._paces.has_any():
             return self._place_among(
                 candidates, service, affinity_key, max_wait_ms, urgency
             )
         with_room = self._paces.list_with_room(candidates)
-        full_count = len(candidates) - len(with_room)
+        is_shiftable = self._paces.can_shift_load(candidates)
+        placed: Placement | Refusal | None = None
         if with_room:
             placed = self._place_among(
                 with_room, service, affinity_key, max_wait_ms, urgency
             )
-            if isinstance(placed, Placement) or 2 * full_count < len(
-                candidates
-            ):
+            if is_shiftable:
                 return placed
-        return self._place_among(
+            if isinstance(placed, Placement):
+                if placed.expected_wait_ms <= max_wait_ms * MAX_SHIFTED_SHARE:
+                    return placed
+        unpaced = self._place_among(
             candidates, service, affinity_key, max_wait_ms, urgency
         )
+        if not isinstance(placed, Placement):
+            return unpaced
+        if isinstance(unpaced, Refusal):
+            return placed
+        if unpaced.expected_wait_ms < placed.expected_wait_ms:
+            return unpaced
+        return placed
 
     def _place_among(
         self,
--- a/siskinmount/placement/_upstream_paces.py
+++ b/siskinmount/placement/_upstream_paces.py
@@ -120,6 +120,14 @@
                 with_room.append(upstream)
         return with_room
 
+    def can_shift_load(self, upstreams: list[fleet.Upstream]) -> bool:
+        """Returns whether the upstreams without a window are the majority.
+
+        Otherwise they cannot serve what the windows of the rest keep out.
+        """
+        paced_count = sum(self._find(each) is not None for each in upstreams)
+        return 2 * paced_count < len(upstreams)
+
     def limit_slots(self, upstream: fleet.Upstream, slots: float) -> float:
         """Returns the slots of an upstream, at most as many as its window."""
         pace = self._find(upstream)
