Count what the event loop is busy with, and rows of members

Cause: nothing told the hypotheses on the processor time of a large deployment apart: peer messages, records of logs and runs of items were counted, but neither their time nor what became of the messages. Change, without a change of logic: busy_seconds_total by kind of work (messages received and created, records of each log, starts of items), process_cpu_seconds, peer_rows_total and peer_row_bytes_total by outcome, and the line work_times each 5 s. Result: tests of peering, telemetry and the gateway parts pass.

--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -201,10 +201,11 @@
         )
         clients = _upstream_clients.create_upstream_clients(self._view)
         table = jobs.create_job_table()
+        time_calls = self._metrics.work_times.wrap
         self._document_follower = keyed_log.create_log_follower(
             'document',
             outside.document_log,
-            self._view.apply_document_record,
+            time_calls('document_records', self._view.apply_document_record),
             read_wait_ms=_key_proofs.compute_read_wait_ms(key_max_age_s),
             boot_clock=self._key_age.get_time_s,
         )
@@ -218,21 +219,21 @@
         self._upstreams_follower = keyed_log.create_log_follower(
             'upstreams',
             outside.upstreams_log,
-            self._view.apply_upstream_record,
+            time_calls('upstream_records', self._view.apply_upstream_record),
             self._view.retain_upstreams,
             read_interval_s=UPSTREAMS_READ_INTERVAL_S,
         )
         self._members_follower = keyed_log.create_log_follower(
             'members',
             outside.members_log,
-            self._directory.apply_record,
+            time_calls('member_records', self._directory.apply_record),
             read_interval_s=MEMBERS_READ_INTERVAL_S,
         )
         self._quota_members.watch_log(self._members_follower)
         self._jobs_follower = keyed_log.create_log_follower(
             'jobs',
             outside.jobs_log,
-            table.apply_record,
+            time_calls('job_records', table.apply_record),
             read_interval_s=JOBS_READ_INTERVAL_S,
             may_load=self._may_load_jobs,
         )
@@ -605,6 +606,8 @@
             load=self._load,
             create_message=self._announcer.create_message,
             count_datagram=self._metrics.peer_datagrams.increment,
+            count_row=self._metrics.count_peer_row,
+            work_times=self._metrics.work_times,
         )
 
     async def _watch_reload(self) -> None:
--- a/siskinmount/gateway/_gateway_metrics.py
+++ b/siskinmount/gateway/_gateway_metrics.py
@@ -25,7 +25,10 @@
         quarantined_requests: Requests that were refused as they may crash
             upstreams, by what is in quarantine.
         quarantined_parts: Parts of prompts in quarantine.
+        work_times: Time of the event loop by kind of work.
         peer_datagrams: Datagrams of members by what was done with them.
+        peer_rows: Messages of members that were read, by what became of them.
+        peer_row_bytes: Bytes of those.
         part_failures: Failures of parts of the process, which were restarted,
             by part.
         departures: Upstreams that announced in a response that they leave.
@@ -70,7 +73,10 @@
         'interrupted_runs',
         'quarantined_requests',
         'quarantined_parts',
+        'work_times',
         'peer_datagrams',
+        'peer_rows',
+        'peer_row_bytes',
         'part_failures',
         'departures',
         'limit_notices',
@@ -132,9 +138,16 @@
         self.quarantined_parts = metrics.create_gauge(
             'quarantined_prompt_parts', 'Parts of prompts in quarantine.'
         )
+        self.work_times = telemetry.create_work_times(metrics)
         self.peer_datagrams = metrics.create_counter(
             'peer_datagrams_total', 'Datagrams between members.', 'what'
         )
+        self.peer_rows = metrics.create_counter(
+            'peer_rows_total', 'Messages of members.', 'outcome'
+        )
+        self.peer_row_bytes = metrics.create_counter(
+            'peer_row_bytes_total', 'Bytes of messages of members.', 'outcome'
+        )
         self.part_failures = metrics.create_counter(
             'part_failures_total', 'Restarts of parts of the process.', 'part'
         )
@@ -242,6 +255,11 @@
         for name, per_s in top.items():
             self.customer_use.set(round(per_s, 2), name)
 
+    def count_peer_row(self, outcome: str, size_bytes: int) -> None:
+        """Counts a message of a member that was read."""
+        self.peer_rows.increment(outcome)
+        self.peer_row_bytes.increment(outcome, amount=size_bytes)
+
 
 def create_gateway_metrics(metrics: telemetry.Metrics) -> GatewayMetrics:
     """Creates metrics whose counters are zero."""
--- a/siskinmount/gateway/_housekeeping.py
+++ b/siskinmount/gateway/_housekeeping.py
@@ -196,6 +196,10 @@
         if now_s >= self._next_budget_update_s:
             self._next_budget_update_s = now_s + BUDGET_UPDATE_INTERVAL_S
             self._budget.update_limit()
+            self._metrics.work_times.update()
+            _LOGGER.info(
+                'work_times', extra=self._metrics.work_times.describe()
+            )
         self._metrics.client_bytes.set(self._budget.held_bytes)
         self._metrics.client_bytes_limit.set(self._budget.limit_bytes)
         for reason, count in self._budget.refusals.items():
--- a/siskinmount/gateway/_item_runner.py
+++ b/siskinmount/gateway/_item_runner.py
@@ -119,6 +119,9 @@
     async def run(self) -> None:
         """Runs items forever."""
         cleaned_up_at_s = trio.current_time()
+        start_items = self._metrics.work_times.wrap(
+            'items_started', self._start_items
+        )
         async with trio.open_nursery() as nursery:
             while True:
                 self.stepped_at_s = trio.current_time()
@@ -131,7 +134,7 @@
                 started = 0
                 await self._result_writer.hand_over_pending()
                 if self._membership.may_start_items():
-                    started = self._start_items(nursery)
+                    started = start_items(nursery)
                 if trio.current_time() - cleaned_up_at_s > CLEANUP_INTERVAL_S:
                     cleaned_up_at_s = trio.current_time()
                     self._scheduler.forget_closed()
--- a/siskinmount/peering/_peer_exchange.py
+++ b/siskinmount/peering/_peer_exchange.py
@@ -16,6 +16,7 @@
 
 from siskinmount import placement
 from siskinmount import results
+from siskinmount import telemetry
 from siskinmount.peering import _peer_datagram
 from siskinmount.peering import _peer_directory
 from siskinmount.peering import _peer_message
@@ -61,6 +62,8 @@
 CreateMessage = Callable[[int], _peer_message.PeerMessage]
 #: Takes what was done with a datagram, such as `sent_report`.
 CountDatagram = Callable[[str], None]
+#: Takes what became of a row, such as `stale`, and its size in bytes.
+CountRow = Callable[[str, int], None]
 
 
 class _Reporter:
@@ -95,6 +98,7 @@
         '_load',
         '_create_message',
         '_count_datagram',
+        '_count_row',
         '_choice',
         '_reporters',
         '_exchanged_at_s',
@@ -109,6 +113,8 @@
         '_planned_at_s',
         '_invalid_count',
         '_wake',
+        '_read_datagram',
+        '_list_datagrams',
     )
 
     def __init__(
@@ -120,6 +126,7 @@
         load: placement.LoadTable,
         create_message: CreateMessage,
         count_datagram: CountDatagram,
+        count_row: CountRow,
     ) -> None:
         self.plan = _relay_plan.plan_relays(
             directory.member, {directory.member: failure_domain}
@@ -131,6 +138,7 @@
         self._load = load
         self._create_message = create_message
         self._count_datagram = count_datagram
+        self._count_row = count_row
         self._choice = _relay_choice.create_relay_choice()
         self._reporters: dict[str, _Reporter] = {}
         self._exchanged_at_s: dict[str, float] = {}
@@ -146,8 +154,19 @@
         self._planned_at_s = float('-inf')
         self._invalid_count = 0
         self._wake = trio.Event()
+        self._read_datagram = self.handle_datagram
+        self._list_datagrams = self._create_list
         load.add_own_listener(self._wake_sender)
 
+    def measure(self, work_times: telemetry.WorkTimes) -> None:
+        """Counts the time of reading and creating datagrams from now on."""
+        self._read_datagram = work_times.wrap(
+            'peer_messages_received', self.handle_datagram
+        )
+        self._list_datagrams = work_times.wrap(
+            'peer_messages_sent', self._list_datagrams
+        )
+
     async def run(self) -> None:
         """Exchanges messages until cancelled."""
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
@@ -161,7 +180,7 @@
         while True:
             await trio.lowlevel.wait_readable(datagrams)
             for data in self._read_turn(datagrams):
-                failure = self.handle_datagram(data)
+                failure = self._read_datagram(data)
                 if failure is not None:
                     self._record_invalid(failure)
 
@@ -194,6 +213,7 @@
             if isinstance(outcome, results.Failure):
                 failure = outcome
                 continue
+            self._count_row(outcome.value, len(data_row))
             if outcome is not _peer_directory.RowOutcome.STALE:
                 self._keep_row(datagram.kind, row, outcome)
         self._record_partner(datagram)
@@ -264,7 +284,7 @@
     async def _send(self, datagrams: socket.socket) -> None:
         while True:
             self._wake = trio.Event()
-            for data, address in self.create_datagrams():
+            for data, address in self._list_datagrams():
                 try:
                     datagrams.sendto(data, (address, self._port))
                 except OSError as error:
@@ -279,6 +299,10 @@
             with trio.move_on_after(max_s - min_s):
                 await self._wake.wait()
 
+    def _create_list(self) -> list[tuple[bytes, str]]:
+        """Returns what is to be sent now."""
+        return list(self.create_datagrams())
+
     def create_datagrams(self) -> Iterator[tuple[bytes, str]]:
         """Yields what is to be sent now, with the addresses of the members."""
         now_s = trio.current_time()
@@ -480,6 +504,10 @@
     """Counts nothing."""
 
 
+def _ignore_row(outcome: str, size_bytes: int) -> None:
+    """Counts nothing."""
+
+
 def create_peer_exchange(
     *,
     host: str,
@@ -489,6 +517,8 @@
     load: placement.LoadTable,
     create_message: CreateMessage,
     count_datagram: CountDatagram = _ignore_datagram,
+    count_row: CountRow = _ignore_row,
+    work_times: telemetry.WorkTimes | None = None,
 ) -> PeerExchange:
     """Creates an exchange.
 
@@ -500,8 +530,10 @@
         load: Its changes are told at once.
         create_message: Creates this member's message with a sequence number.
         count_datagram: Told of each datagram that is sent or received.
+        count_row: Told of each row that is received.
+        work_times: Counts the time of reading and creating datagrams.
     """
-    return PeerExchange(
+    exchange = PeerExchange(
         host,
         port,
         failure_domain,
@@ -509,4 +541,8 @@
         load,
         create_message,
         count_datagram,
+        count_row,
     )
+    if work_times is not None:
+        exchange.measure(work_times)
+    return exchange
--- a/siskinmount/telemetry/__init__.py
+++ b/siskinmount/telemetry/__init__.py
@@ -30,3 +30,5 @@
 from siskinmount.telemetry._metrics import Gauge
 from siskinmount.telemetry._metrics import Metrics
 from siskinmount.telemetry._metrics import render_metrics
+from siskinmount.telemetry._work_times import create_work_times
+from siskinmount.telemetry._work_times import WorkTimes
