Show that messages of members grow with the upstreams

Of all that the event loop did, 72 and 65 in 100 was the exchange of messages among members; half of that was windows of upstreams: 204,165 rows applied of 8,643 messages in 30 s, at each of 89 members. The test counts rows in messages that tell nothing new, with 8 and 64 upstreams.

--- a/siskinmount/placement/tests/test_upstream_paces.py
+++ b/siskinmount/placement/tests/test_upstream_paces.py
@@ -425,6 +425,27 @@
 
         _run(check)
 
+    def test_messages_without_news_do_not_grow_with_the_upstreams(self):
+        async def check():
+            counts = []
+            for upstream_count in (8, 64):
+                member = _Member()
+                await _start(member, *[f'n{n}' for n in range(upstream_count)])
+                await trio.sleep(2)
+                told = set()
+                row_count = 0
+                for _ in range(64):
+                    await trio.sleep(0.25)
+                    reports = member.paces.list_reports()
+                    row_count += len(reports)
+                    told.update(reports)
+                counts.append(row_count)
+                # Members that join learn of all windows in that time.
+                self.assertEqual(upstream_count, len(told))
+            self.assertEqual(counts[0], counts[1])
+
+        _run(check)
+
     def test_messages_have_a_bounded_number_of_rows(self):
         async def check():
             member = _Member()
