Tell peers of windows when there is news, and by and by

Cause: each message of a member held the windows of all starting or recovered upstreams, whether or not anything was new. Each member reads the messages of all others, so that the work grew with members x members x upstreams. Change: a message holds the windows with an own answer, a begin or an end in the last second, and four others in turn, the same ones for a second, so that messages in between are still repetitions. A window that ends says so. What a peer told before holds until it says otherwise, is silent, or has not said so for 20 s. A report that tells the same again costs one comparison.

--- a/siskinmount/peering/_peer_message.py
+++ b/siskinmount/peering/_peer_message.py
@@ -6,6 +6,7 @@
 as a repetition without decoding it.
 """
 
+import itertools
 import math
 from typing import Any
 import urllib.parse
@@ -218,12 +219,7 @@
         }
     if message.paces:
         fields['paces'] = {
-            upstream_id: (
-                report.started_at_ms,
-                report.good,
-                report.bad,
-                report.episode,
-            )
+            upstream_id: _encode_pace(report)
             for upstream_id, report in message.paces.items()
         }
     if message.quota_use:
@@ -309,6 +305,11 @@
     )
 
 
+def _encode_pace(report: placement.PaceReport) -> tuple[int, ...]:
+    row = (report.started_at_ms, report.good, report.bad, report.episode)
+    return (*row, 1) if report.is_ended else row
+
+
 def _decode_paces(rows: object) -> dict[str, placement.PaceReport]:
     """Returns reports of windows; invalid ones are left out.
 
@@ -318,19 +319,17 @@
     paces: dict[str, placement.PaceReport] = {}
     if not isinstance(rows, dict):
         return paces
-    for upstream_id, row in list(rows.items())[:_MAX_PACES]:
+    for upstream_id, row in itertools.islice(rows.items(), _MAX_PACES):
         try:
-            started_at_ms, good, bad = (int(value) for value in row[:3])
-            episode = int(row[3]) if len(row) > 3 else 0
-        except results.DECODING_ERRORS:
-            continue
-        if (
-            0 <= min(good, bad, episode)
-            and max(good, bad, episode) < _MAX_COUNT
-        ):
             paces[upstream_id] = placement.PaceReport(
-                started_at_ms, good, bad, episode
+                int(row[0]),
+                _read_count(row[1]),
+                _read_count(row[2]),
+                _read_count(row[3]) if len(row) > 3 else 0,
+                len(row) > 4 and row[4] == 1,
             )
+        except results.DECODING_ERRORS:
+            continue
     return paces
 
 
--- a/siskinmount/placement/_upstream_pace.py
+++ b/siskinmount/placement/_upstream_pace.py
@@ -38,17 +38,34 @@
         good: Answers in time that the member has had in this episode.
         bad: Late or failed ones.
         episode: 0 for the start; greater after failures.
+        is_ended: Whether the window of the member is over.
     """
 
-    __slots__ = ('started_at_ms', 'good', 'bad', 'episode')
+    __slots__ = ('started_at_ms', 'good', 'bad', 'episode', 'is_ended')
 
     def __init__(
-        self, started_at_ms: int, good: int, bad: int, episode: int = 0
+        self,
+        started_at_ms: int,
+        good: int,
+        bad: int,
+        episode: int = 0,
+        is_ended: bool = False,
     ) -> None:
         self.started_at_ms = started_at_ms
         self.good = good
         self.bad = bad
         self.episode = episode
+        self.is_ended = is_ended
+
+    def equals(self, other: 'PaceReport') -> bool:
+        """Returns whether another report tells the same."""
+        return (
+            self.good == other.good
+            and self.bad == other.bad
+            and self.episode == other.episode
+            and self.started_at_ms == other.started_at_ms
+            and self.is_ended == other.is_ended
+        )
 
 
 class UpstreamPace:
@@ -65,9 +82,10 @@
         own_good: Answers in time to this member.
         own_bad: Late or failed answers to this member.
         began_at_s: Monotonic time at which this member began the window.
-        changed_at_s: Monotonic time of the last own answer.
+        changed_at_s: Monotonic time of the last own answer, or of the begin.
         ended_at_s: Monotonic time of the end; infinite before.
-        holders: Peers that have a window for this upstream.
+        holders: Peers that have a window for this upstream, with the monotonic
+            time at which each last told so.
         is_shared: Whether most members have it.
     """
 
@@ -101,8 +119,9 @@
         self.upstream_id = upstream_id
         self.started_at_ms = started_at_ms
         self.began_at_s = trio.current_time()
+        self.changed_at_s = self.began_at_s
         self.ended_at_s = float('inf')
-        self.holders: set[str] = set()
+        self.holders: dict[str, float] = {}
         self.is_shared = True
         self.first_episode = episode
         self.begin_episode(episode, first_window)
@@ -114,7 +133,6 @@
         self.bad = 0
         self.own_good = 0
         self.own_bad = 0
-        self.changed_at_s = trio.current_time()
         self._first_window = first_window
         self._slow = 0
         self._by_peer: dict[str, tuple[int, int]] = {}
@@ -170,9 +188,19 @@
     def create_report(self) -> PaceReport:
         """Returns what peers are told."""
         return PaceReport(
-            self.started_at_ms, self.own_good, self.own_bad, self.episode
+            self.started_at_ms,
+            self.own_good,
+            self.own_bad,
+            self.episode,
+            self.is_ended,
         )
 
+    def forget_old_holders(self, limit_s: float) -> None:
+        """Drops the holders that have not told so since a monotonic time."""
+        for peer, told_at_s in list(self.holders.items()):
+            if told_at_s < limit_s:
+                del self.holders[peer]
+
     def _add(self, good: int, bad: int) -> None:
         self.good += good
         self.bad += bad
--- a/siskinmount/placement/_upstream_paces.py
+++ b/siskinmount/placement/_upstream_paces.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import random
 
 import trio
 
@@ -41,10 +42,41 @@
 MAX_PACES = 5000
 #: Bound on the windows in one message to peers.
 MAX_REPORTS = 64
+#: How long an own answer, or the begin of a window, is told in each message, so
+#: that messages may be lost.
+NEWS_KEPT_S = 1.0
+#: Windows without news that a message tells as well. Members that have started or
+#: that were cut off learn of them by and by.
+REFRESHED_REPORTS = 4
+#: Interval at which these are others. Messages in between are repetitions, unless
+#: there is news.
+REFRESH_INTERVAL_S = 1.0
+#: How long a peer holds a window after it has told so: above the time in which it
+#: tells of `MAX_REPORTS` windows.
+HOLDER_KEPT_S = 20.0
+#: Interval at which old holders are dropped.
+PRUNE_INTERVAL_S = 1.0
+#: Upstreams of which the last report of one peer is kept.
+MAX_KEPT_REPORTS = 4 * MAX_REPORTS
 #: Resets of one window that are logged; a cold upstream has several a second.
 MAX_LOGGED_RESETS = 5
 
 
+class _KeptReport:
+    """The last report of a peer on one upstream.
+
+    Attributes:
+        report: The report.
+        told_at_s: Monotonic time at which it came, or came again.
+    """
+
+    __slots__ = ('report', 'told_at_s')
+
+    def __init__(self, report: _upstream_pace.PaceReport) -> None:
+        self.report = report
+        self.told_at_s = trio.current_time()
+
+
 class UpstreamPaces:
     """The windows of the upstreams that have one."""
 
@@ -57,6 +89,8 @@
         '_ended',
         '_reports_by_peer',
         '_first_byte_means',
+        '_refresh_offset',
+        '_pruned_at_s',
     )
 
     def __init__(
@@ -72,9 +106,10 @@
         self._listed: set[str] = set()
         #: Last episode that is over here, of the start in `_starts`.
         self._ended: dict[str, int] = {}
-        self._reports_by_peer: dict[
-            str, dict[str, _upstream_pace.PaceReport]
-        ] = {}
+        self._reports_by_peer: dict[str, dict[str, _KeptReport]] = {}
+        # Members refresh different windows at a time.
+        self._refresh_offset = random.randrange(MAX_REPORTS)
+        self._pruned_at_s = float('-inf')
         self._first_byte_means: dict[str, dict[str, _run_mean.RunMean]] = {}
 
     def has_any(self) -> bool:
@@ -261,45 +296,79 @@
         )
 
     def list_reports(self) -> dict[str, _upstream_pace.PaceReport]:
-        """Returns what peers must be told, by upstream; recent answers first."""
+        """Returns what the next message tells peers, by upstream.
+
+        That is news, the latest first, and some of the other windows in turn: a
+        message with all of them would grow with the number of upstreams, at
+        each member and for each of its peers.
+        """
         if not self._paces:
             return {}
+        news_since_s = trio.current_time() - NEWS_KEPT_S
+        news: list[_upstream_pace.UpstreamPace] = []
+        for pace in self._paces.values():
+            if pace.is_ended or pace.changed_at_s > news_since_s:
+                news.append(pace)
+        news.sort(key=_get_changed_at_s, reverse=True)
+        reports: dict[str, _upstream_pace.PaceReport] = {}
+        for pace in news + self._list_refreshed():
+            if len(reports) == MAX_REPORTS:
+                break
+            reports[pace.upstream_id] = pace.create_report()
+        return reports
+
+    def _list_refreshed(self) -> list[_upstream_pace.UpstreamPace]:
+        """Returns the windows whose turn it is to be told again."""
         paces = list(self._paces.values())
-        if len(paces) > MAX_REPORTS:
-            paces.sort(key=_get_changed_at_s, reverse=True)
-        return {
-            pace.upstream_id: pace.create_report()
-            for pace in paces[:MAX_REPORTS]
-        }
+        if len(paces) <= REFRESHED_REPORTS:
+            return paces
+        turn = int(trio.current_time() / REFRESH_INTERVAL_S)
+        first = self._refresh_offset + turn * REFRESHED_REPORTS
+        return [
+            paces[(first + number) % len(paces)]
+            for number in range(REFRESHED_REPORTS)
+        ]
 
     def apply_reports(
         self, peer: str, reports: dict[str, _upstream_pace.PaceReport]
     ) -> None:
-        """Applies what a peer tells of answers."""
-        earlier = self._reports_by_peer.get(peer)
-        if not reports and not earlier:
+        """Applies what a message of a peer tells of answers."""
+        if not reports:
             return
-        for upstream_id in earlier or ():
-            pace = self._paces.get(upstream_id)
-            if upstream_id not in reports and pace is not None:
-                pace.holders.discard(peer)
-        if reports:
-            self._reports_by_peer[peer] = reports
-        else:
-            self._reports_by_peer.pop(peer, None)
+        kept_reports = self._reports_by_peer.setdefault(peer, {})
+        now_s = trio.current_time()
         for upstream_id, report in reports.items():
+            kept = kept_reports.get(upstream_id)
+            pace = self._paces.get(upstream_id)
+            if kept is None:
+                if len(kept_reports) >= MAX_KEPT_REPORTS:
+                    del kept_reports[next(iter(kept_reports))]
+                kept_reports[upstream_id] = _KeptReport(report)
+            else:
+                is_repeated = kept.report.equals(report)
+                kept.report = report
+                kept.told_at_s = now_s
+                if is_repeated and pace is not None and peer in pace.holders:
+                    pace.holders[peer] = now_s
+                    continue
             upstream = self._view.upstreams.get(upstream_id)
             if upstream is not None:
                 self._apply_report(peer, upstream, report)
 
     def forget_peer(self, peer: str) -> None:
         """Forgets which windows a silent peer has; its counts still hold."""
-        self.apply_reports(peer, {})
+        self._reports_by_peer.pop(peer, None)
+        for pace in self._paces.values():
+            pace.holders.pop(peer, None)
 
     def expire(self) -> None:
         """Ends windows that are over, and forgets upstreams that are gone."""
         now_s = trio.current_time()
         member_count = self._load.count_peers() + 1
+        if now_s - self._pruned_at_s >= PRUNE_INTERVAL_S:
+            self._pruned_at_s = now_s
+            for pace in self._paces.values():
+                pace.forget_old_holders(now_s - HOLDER_KEPT_S)
         for upstream_id, pace in list(self._paces.items()):
             if upstream_id not in self._view.upstreams:
                 del self._paces[upstream_id]
@@ -375,9 +444,14 @@
             # Failures that only a peer sees may be of its path alone.
             if report.episode or upstream_id in self._ended:
                 return
+            if report.is_ended:
+                return
             self._begin(upstream, 0, _upstream_pace.START_WINDOW, peer)
             return
-        pace.holders.add(peer)
+        if report.is_ended:
+            pace.holders.pop(peer, None)
+        else:
+            pace.holders[peer] = trio.current_time()
         if report.episode > pace.episode and not pace.is_ended:
             pace.begin_episode(report.episode, _upstream_pace.RECOVERY_WINDOW)
             self._join_peers(upstream)
@@ -412,10 +486,11 @@
 
     def _join_peers(self, upstream: fleet.Upstream) -> None:
         """Applies what peers have told of this start of an upstream before."""
+        limit_s = trio.current_time() - HOLDER_KEPT_S
         for peer, reports in self._reports_by_peer.items():
-            report = reports.get(upstream.upstream_id)
-            if report is not None:
-                self._apply_report(peer, upstream, report)
+            kept = reports.get(upstream.upstream_id)
+            if kept is not None and kept.told_at_s >= limit_s:
+                self._apply_report(peer, upstream, kept.report)
 
     def _update(self, pace: _upstream_pace.UpstreamPace) -> None:
         """Ends a window that has grown enough, or begins the count anew."""
--- a/siskinmount/placement/tests/test_upstream_paces.py
+++ b/siskinmount/placement/tests/test_upstream_paces.py
@@ -446,6 +446,48 @@
 
         _run(check)
 
+    def test_news_is_told_again_so_that_messages_may_be_lost(self):
+        async def check():
+            sender, receiver = _Member(), _Member()
+            ids = [f'n{n}' for n in range(40)]
+            for member in (sender, receiver):
+                await _start(member, *ids)
+            await trio.sleep(2)
+            sender.answer('n7', count=3)
+            for is_lost in (True, True, False):
+                await trio.sleep(0.25)
+                reports = sender.paces.list_reports()
+                self.assertIn('n7', reports)
+                if not is_lost:
+                    receiver.paces.apply_reports('p', reports)
+            self.assertEqual(7, receiver.get_window('n7'))
+
+        _run(check)
+
+    def test_peer_holds_a_window_until_it_tells_of_its_end(self):
+        async def check():
+            member = _Member()
+            member.load.set_peer_counts('p', {})
+            member.load.set_peer_counts('q', {})
+            await _start(member, 'u9')
+            pace = member.paces._paces['u9']
+            told = placement.PaceReport(2, 0, 0)
+            for peer in ('p', 'q'):
+                member.paces.apply_reports(peer, {'u9': told})
+            member.paces.apply_reports(
+                'p', {'u0': placement.PaceReport(1, 0, 0)}
+            )
+            self.assertEqual({'p', 'q'}, set(pace.holders))
+            member.paces.apply_reports(
+                'p', {'u9': placement.PaceReport(2, 0, 0, is_ended=True)}
+            )
+            self.assertEqual({'q'}, set(pace.holders))
+            await trio.sleep(_upstream_paces.HOLDER_KEPT_S + 1)
+            member.paces.expire()
+            self.assertEqual({}, pace.holders)
+
+        _run(check)
+
     def test_messages_have_a_bounded_number_of_rows(self):
         async def check():
             member = _Member()
