Have members with wide links pass messages on

A request to front-seq-c-13 was refused with 404 by a document 4.7 s older than the one in force: that gateway had no answer from the store for 2.5 s on all of its reads at once, again and again, from 10 s before the first request. Cause: a relay sends what it hears to each member that reports to it, and relays were chosen by hash alone. Half of the members of that deployment have links of 15 Mbit/s. A relay with one fills it; its datagrams are lost, its reads of the store time out, and those that report to it ask one relay after the other, each of which begins to send to them as well. Change: members tell the speed of their link, a new key of the settings, and those with the widest are relays; 100 Mbit/s are as good as more. Where all links are narrow or unknown, the choice is as before. Members of the release before choose by hash; a member that is sent a report serves as a relay whatever the plan.

--- a/review/harness/rig.py
+++ b/review/harness/rig.py
@@ -179,6 +179,7 @@
             'bounds.quota_slack': '',
             'limits.memory_mb': '',
             'limits.max_fds': '',
+            'limits.link_mbps': '',
         }
         return re.sub(
             r'\{\{([a-z_.0-9]+)\}\}', lambda m: values[m.group(1)], template
--- a/siskinmount/configuration/_gateway_settings.py
+++ b/siskinmount/configuration/_gateway_settings.py
@@ -40,6 +40,7 @@
         memory_bytes: Memory that the process may use; 0 if it is not known.
         max_descriptors: File descriptors that the process may have open; 0 if
             their number is not known.
+        link_mbps: Speed of the VM's link; 0 if it is not known.
     """
 
     __slots__ = (
@@ -66,6 +67,7 @@
         'quota_slack_requests',
         'memory_bytes',
         'max_descriptors',
+        'link_mbps',
     )
 
     def __init__(
@@ -94,6 +96,7 @@
         quota_slack_requests: int = DEFAULT_QUOTA_SLACK_REQUESTS,
         memory_bytes: int = 0,
         max_descriptors: int = 0,
+        link_mbps: int = 0,
     ) -> None:
         self.vm = vm
         self.region = region
@@ -118,3 +121,4 @@
         self.quota_slack_requests = quota_slack_requests
         self.memory_bytes = memory_bytes
         self.max_descriptors = max_descriptors
+        self.link_mbps = link_mbps
--- a/siskinmount/configuration/_settings_parser.py
+++ b/siskinmount/configuration/_settings_parser.py
@@ -24,6 +24,7 @@
 _MAX_SLACK_REQUESTS = 1_000_000
 _MAX_MEMORY_MB = 1 << 20
 _MIB = 1 << 20
+_MAX_LINK_MBPS = 1_000_000
 _MAX_DESCRIPTORS = 1 << 24
 
 _ENTRY_SECTIONS = ('daemon', 'platform', 'state', 'seeds', 'limits')
@@ -125,6 +126,7 @@
         max_descriptors=limits.read_int(
             'max_descriptors', 0, _MAX_DESCRIPTORS, 0
         ),
+        link_mbps=int(limits.read_float('link_mbps', 0, _MAX_LINK_MBPS, 0)),
     )
     faults = source.collect_faults()
     return faults or settings
--- a/siskinmount/configuration/tests/test_gateway_settings.py
+++ b/siskinmount/configuration/tests/test_gateway_settings.py
@@ -31,6 +31,7 @@
     'bounds.quota_slack': '30',
     'limits.memory_mb': '160',
     'limits.max_fds': '1675',
+    'limits.link_mbps': '15.0',
 }
 
 
@@ -52,6 +53,7 @@
         self.assertEqual(4000, settings.key_max_age_ms)
         self.assertEqual(160 * 1024 * 1024, settings.memory_bytes)
         self.assertEqual(1675, settings.max_descriptors)
+        self.assertEqual(15, settings.link_mbps)
 
     def test_values_that_the_platform_lacks_get_defaults(self):
         lacking = {}
@@ -74,6 +76,7 @@
         self.assertEqual(20, settings.quota_slack_requests)
         self.assertEqual(0, settings.memory_bytes)
         self.assertEqual(0, settings.max_descriptors)
+        self.assertEqual(0, settings.link_mbps)
 
     def test_template_without_seeds_is_valid(self):
         settings = configuration.parse_gateway_settings(
@@ -92,6 +95,7 @@
             ('bounds.strict_revoke', 'yes', 'strict_revocation'),
             ('bounds.quota_window_s', '-1', 'window_s'),
             ('limits.memory_mb', 'all', 'memory_mb'),
+            ('limits.link_mbps', 'fast', 'link_mbps'),
         ]
         for name, value, key in cases:
             faults = configuration.parse_gateway_settings(
--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -270,6 +270,7 @@
             stream_versions=stream_versions,
             quotas=self._quotas,
             quota_members=self._quota_members,
+            link_mbps=settings.link_mbps,
         )
         self._housekeeping = _housekeeping.create_housekeeping(
             membership=self._membership,
@@ -605,6 +606,7 @@
             directory=self._directory,
             load=self._load,
             create_message=self._announcer.create_message,
+            link_mbps=self._settings.link_mbps,
             count_datagram=self._metrics.peer_datagrams.increment,
             count_row=self._metrics.count_peer_row,
             work_times=self._metrics.work_times,
--- a/siskinmount/gateway/_member_announcer.py
+++ b/siskinmount/gateway/_member_announcer.py
@@ -30,6 +30,7 @@
         '_membership',
         '_address',
         '_failure_domain',
+        '_link_mbps',
         '_incarnation',
         '_members_log',
         '_view',
@@ -64,10 +65,12 @@
         stream_versions: stream_origins.VersionTable,
         quotas: admission.CustomerQuotas | None = None,
         quota_members: peering.QuotaMembers | None = None,
+        link_mbps: int = 0,
     ) -> None:
         self._membership = membership
         self._address = address
         self._failure_domain = failure_domain
+        self._link_mbps = link_mbps
         self._incarnation = incarnation
         self._members_log = members_log
         self._view = view
@@ -95,6 +98,7 @@
             sequence=sequence,
             address=self._address,
             failure_domain=self._failure_domain,
+            link_mbps=self._link_mbps,
             is_leaving=self._membership.is_leaving,
             knows_jobs=self._membership.has_current_jobs(),
             document_version=document.version if document else 0,
@@ -133,6 +137,7 @@
                 {
                     'address': self._address,
                     'failure_domain': self._failure_domain,
+                    'link_mbps': self._link_mbps,
                     'incarnation': self._incarnation,
                 }
             ),
@@ -162,6 +167,7 @@
     stream_versions: stream_origins.VersionTable,
     quotas: admission.CustomerQuotas | None = None,
     quota_members: peering.QuotaMembers | None = None,
+    link_mbps: int = 0,
 ) -> MemberAnnouncer:
     """Creates the announcer of this member.
 
@@ -182,6 +188,7 @@
         stream_versions: At what streams without a record began.
         quotas: Requests of customers that peers must be told of.
         quota_members: Says whether this member misses others.
+        link_mbps: Speed of this member's link; 0 if it is not known.
     """
     return MemberAnnouncer(
         membership=membership,
@@ -200,4 +207,5 @@
         stream_versions=stream_versions,
         quotas=quotas,
         quota_members=quota_members,
+        link_mbps=link_mbps,
     )
--- a/siskinmount/peering/_peer_directory.py
+++ b/siskinmount/peering/_peer_directory.py
@@ -80,6 +80,7 @@
         member: Name of the VM.
         address: IP address of the VM.
         failure_domain: Failure domain of the VM; empty if it is not known.
+        link_mbps: Speed of its link; 0 if it is not known.
         incarnation: Start of the process as Unix time in ms.
         sequence: Sequence number of the last message; -1 before the first.
         heard_at_s: Monotonic time of the last message from the peer.
@@ -95,6 +96,7 @@
         'member',
         'address',
         'failure_domain',
+        'link_mbps',
         'incarnation',
         'sequence',
         'heard_at_s',
@@ -117,6 +119,7 @@
         self.queried_at_s = float('-inf')
         self.message: _peer_message.PeerMessage | None = None
         self.failure_domain = ''
+        self.link_mbps = 0
         self.row = b''
         self.body = b''
 
@@ -258,6 +261,7 @@
             address = str(fields['address'])
             incarnation = int(fields['incarnation'])
             failure_domain = str(fields.get('failure_domain', ''))
+            link_mbps = int(fields.get('link_mbps', 0))
         except results.DECODING_ERRORS as error:
             _LOGGER.warning(
                 'member_record_invalid',
@@ -271,6 +275,7 @@
         peer = self._get_or_create_peer(record.key, address, incarnation)
         if peer.message is None:
             peer.failure_domain = failure_domain
+            peer.link_mbps = link_mbps
         if self._message_listener is not None:
             self._message_listener.record_renewal(record.key)
 
@@ -315,6 +320,7 @@
         earlier = peer.message
         peer.address = message.address
         peer.failure_domain = message.failure_domain
+        peer.link_mbps = message.link_mbps
         peer.message = message
         peer.body = b''
         self._mark_heard(peer, message.sequence)
--- a/siskinmount/peering/_peer_exchange.py
+++ b/siskinmount/peering/_peer_exchange.py
@@ -94,6 +94,7 @@
         '_host',
         '_port',
         '_failure_domain',
+        '_link_mbps',
         '_directory',
         '_load',
         '_create_message',
@@ -122,6 +123,7 @@
         host: str,
         port: int,
         failure_domain: str,
+        link_mbps: int,
         directory: _peer_directory.PeerDirectory,
         load: placement.LoadTable,
         create_message: CreateMessage,
@@ -134,6 +136,7 @@
         self._host = host
         self._port = port
         self._failure_domain = failure_domain
+        self._link_mbps = link_mbps
         self._directory = directory
         self._load = load
         self._create_message = create_message
@@ -470,11 +473,15 @@
         self._planned_version = version
         self._planned_at_s = now_s
         domains = {self._directory.member: self._failure_domain}
+        links = {self._directory.member: self._link_mbps}
         for peer in self._directory.peers.values():
             if peer.is_expected():
                 domains[peer.member] = peer.failure_domain
+                links[peer.member] = peer.link_mbps
         earlier = self.plan
-        self.plan = _relay_plan.plan_relays(self._directory.member, domains)
+        self.plan = _relay_plan.plan_relays(
+            self._directory.member, domains, links
+        )
         self._directory.message_delay_s = (
             _peer_directory.DIRECT_DELAY_S
             if self.plan.is_direct
@@ -516,6 +523,7 @@
     directory: _peer_directory.PeerDirectory,
     load: placement.LoadTable,
     create_message: CreateMessage,
+    link_mbps: int = 0,
     count_datagram: CountDatagram = _ignore_datagram,
     count_row: CountRow = _ignore_row,
     work_times: telemetry.WorkTimes | None = None,
@@ -529,6 +537,7 @@
         directory: Receives what members tell.
         load: Its changes are told at once.
         create_message: Creates this member's message with a sequence number.
+        link_mbps: Speed of this member's link; 0 if it is not known.
         count_datagram: Told of each datagram that is sent or received.
         count_row: Told of each row that is received.
         work_times: Counts the time of reading and creating datagrams.
@@ -537,6 +546,7 @@
         host,
         port,
         failure_domain,
+        link_mbps,
         directory,
         load,
         create_message,
--- a/siskinmount/peering/_peer_message.py
+++ b/siskinmount/peering/_peer_message.py
@@ -43,6 +43,7 @@
         sequence: Sequence number of the message within the incarnation.
         address: IP address of the sender.
         failure_domain: Failure domain of the sender.
+        link_mbps: Speed of the sender's link; 0 if it is not known.
         is_leaving: Whether the sender is in a planned stop.
         knows_jobs: Whether the sender can read the log of jobs.
         document_version: Version of the document in force; 0 for none.
@@ -71,6 +72,7 @@
         'sequence',
         'address',
         'failure_domain',
+        'link_mbps',
         'is_leaving',
         'knows_jobs',
         'document_version',
@@ -110,6 +112,7 @@
         stream_versions: dict[str, stream_origins.VersionRow] | None = None,
         paces: dict[str, placement.PaceReport] | None = None,
         failure_domain: str = '',
+        link_mbps: int = 0,
         quota_use: dict[str, admission.QuotaUse] | None = None,
     ) -> None:
         self.member = member
@@ -131,6 +134,7 @@
         self.stream_versions = stream_versions
         self.paces = paces or {}
         self.failure_domain = failure_domain
+        self.link_mbps = link_mbps
         self.quota_use = quota_use or {}
 
 
@@ -169,6 +173,8 @@
         'domain': message.failure_domain,
         'version': message.document_version,
     }
+    if message.link_mbps:
+        fields['link_mbps'] = message.link_mbps
     if message.is_leaving:
         fields['leaving'] = True
     if message.knows_jobs:
@@ -488,6 +494,7 @@
         sequence=sequence,
         address=str(fields['address']),
         failure_domain=str(fields.get('domain', '')),
+        link_mbps=_read_count(fields.get('link_mbps', 0)),
         is_leaving=fields.get('leaving') is True,
         knows_jobs=fields.get('knows_jobs') is True,
         document_version=int(fields['version']),
--- a/siskinmount/peering/_relay_plan.py
+++ b/siskinmount/peering/_relay_plan.py
@@ -4,7 +4,8 @@
 each member more with every other, so a few members of each failure domain are
 relays: a member sends to two of them and hears from one, and relays exchange
 what they hear. With N members there are about the square root of N relays, so
-that a relay serves as many members as there are other relays.
+that a relay serves as many members as there are other relays. A relay sends many
+times what another member does, so members with narrow links are none.
 
 All members compute the same plan from the members that they hear of. They need
 not agree: a member that is sent a report serves as a relay, whatever the plan.
@@ -17,6 +18,9 @@
 
 #: Up to this many members, each is a relay and sends to all others.
 MAX_DIRECT_MEMBERS = 12
+#: Links from this speed on are wide enough for any relay. One of 94 members
+#: passes on some 10 Mbit/s, and several times that if messages are long.
+WIDE_LINK_MBPS = 100
 #: Relays of a failure domain, if it has as many members: a second one passes
 #: reports on while the first is lost.
 MIN_RELAYS_PER_DOMAIN = 2
@@ -48,13 +52,24 @@
         self.preferred = preferred
 
 
-def plan_relays(member: str, domain_by_member: Mapping[str, str]) -> RelayPlan:
+def plan_relays(
+    member: str,
+    domain_by_member: Mapping[str, str],
+    link_mbps_by_member: Mapping[str, int] | None = None,
+) -> RelayPlan:
     """Returns the plan for a member.
 
     Args:
         member: Name of the member, which is in `domain_by_member`.
         domain_by_member: Failure domain of each member that is taken for live.
+        link_mbps_by_member: Speed of the members' links, as far as it is known.
+            Those with the widest become relays.
     """
+    links = link_mbps_by_member or {}
+
+    def rank_relay(name: str) -> tuple[int, int]:
+        return -min(links.get(name, 0), WIDE_LINK_MBPS), _rank(name)
+
     if len(domain_by_member) <= MAX_DIRECT_MEMBERS:
         return RelayPlan(frozenset(domain_by_member), True, True, [])
     members_by_domain: dict[str, list[str]] = {}
@@ -64,7 +79,7 @@
     relays_by_domain: dict[str, list[str]] = {}
     for domain, names in members_by_domain.items():
         count = max(MIN_RELAYS_PER_DOMAIN, math.ceil(len(names) / group_size))
-        relays_by_domain[domain] = sorted(names, key=_rank)[:count]
+        relays_by_domain[domain] = sorted(names, key=rank_relay)[:count]
     preferred: list[str] = []
     own_domain = domain_by_member[member]
     others: list[str] = []
--- a/siskinmount/peering/tests/exchange_network.py
+++ b/siskinmount/peering/tests/exchange_network.py
@@ -12,6 +12,8 @@
 
 _PORT = 1
 _DELAYS_S = (0.001, 0.005)
+#: Datagrams that would wait longer for a link are dropped.
+_MAX_QUEUE_S = 0.5
 
 
 class _Datagrams:
@@ -31,14 +33,18 @@
     Attributes:
         name: Its name and its address.
         sent_count: Datagrams sent so far.
+        link_mbps: Speed of its link; 0 for one that is never full.
         held_tags: Items that it claims.
     """
 
-    def __init__(self, network, name, domain, incarnation):
+    def __init__(self, network, name, domain, incarnation, link_mbps=0):
         self.name = name
         self.domain = domain
         self.incarnation = incarnation
         self.sent_count = 0
+        self.link_mbps = link_mbps
+        # Until when the link is taken by what is sent, and by what arrives.
+        self.busy_until_s = [0.0, 0.0]
         self.held_tags = set()
         self.is_leaving = False
         self.scope = trio.CancelScope()
@@ -59,6 +65,7 @@
             directory=self.directory,
             load=self.load,
             create_message=self._create_message,
+            link_mbps=link_mbps,
         )
         self._network = network
 
@@ -66,6 +73,19 @@
         with self.scope:
             await self.exchange._send(_Datagrams(self._network, self))
 
+    def pass_link(self, direction, size_bytes):
+        """Returns when a datagram has passed the link; None if it is full."""
+        now_s = trio.current_time()
+        if not self.link_mbps:
+            return now_s
+        begin_s = max(now_s, self.busy_until_s[direction])
+        if begin_s - now_s > _MAX_QUEUE_S:
+            return None
+        self.busy_until_s[direction] = begin_s + size_bytes * 8 / (
+            self.link_mbps * 1_000_000
+        )
+        return self.busy_until_s[direction]
+
     def list_live(self):
         return {peer.member for peer in self.directory.list_live()}
 
@@ -76,6 +96,7 @@
             sequence=sequence,
             address=self.name,
             failure_domain=self.domain,
+            link_mbps=self.link_mbps,
             is_leaving=self.is_leaving,
             knows_jobs=True,
             document_version=1,
@@ -114,9 +135,9 @@
             self.start_member(f'm{number}', f'd{number % domain_count}')
         self.tell_all()
 
-    def start_member(self, name, domain):
+    def start_member(self, name, domain, link_mbps=0):
         self._started += 1
-        member = Member(self, name, domain, self._started)
+        member = Member(self, name, domain, self._started, link_mbps)
         self.members[name] = member
         self._nursery.start_soon(member.run)
         return member
@@ -139,6 +160,7 @@
                             'address': other.name,
                             'failure_domain': other.domain,
                             'incarnation': other.incarnation,
+                            'link_mbps': other.link_mbps,
                         }
                     ),
                 )
@@ -150,13 +172,18 @@
             return
         if self.is_lost(name, data):
             return
-        if not self.is_cut(sender.name, name):
-            self._nursery.start_soon(self._deliver, name, data)
+        left_at_s = sender.pass_link(0, len(data))
+        if left_at_s is not None and not self.is_cut(sender.name, name):
+            self._nursery.start_soon(self._deliver, name, data, left_at_s)
 
-    async def _deliver(self, name, data):
-        await trio.sleep(self._rng.uniform(*_DELAYS_S))
+    async def _deliver(self, name, data, left_at_s):
+        await trio.sleep_until(left_at_s + self._rng.uniform(*_DELAYS_S))
         member = self.members.get(name)
-        if member is not None:
+        if member is None:
+            return
+        arrived_at_s = member.pass_link(1, len(data))
+        if arrived_at_s is not None:
+            await trio.sleep_until(arrived_at_s)
             self.received[name] += 1
             failure = member.exchange.handle_datagram(data)
             assert failure is None, failure.reason
--- a/siskinmount/peering/tests/test_relays.py
+++ b/siskinmount/peering/tests/test_relays.py
@@ -70,6 +70,25 @@
             self.assertEqual(set(own), set(plan.preferred[: len(own)]))
             self.assertNotIn(name, plan.preferred)
 
+    def test_members_with_wide_links_are_relays(self):
+        domains = _make_domains(90, 5)
+        links = {name: 1000 if int(name[1:]) % 4 else 15 for name in domains}
+        plan = _relay_plan.plan_relays('m0', domains, links)
+        self.assertEqual({1000}, {links[relay] for relay in plan.relays})
+        # Of links that are wide enough none is preferred.
+        links['m1'] = 10_000
+        self.assertEqual(
+            plan.relays, _relay_plan.plan_relays('m0', domains, links).relays
+        )
+
+    def test_relays_where_all_links_are_narrow(self):
+        domains = _make_domains(90, 5)
+        links = dict.fromkeys(domains, 15)
+        plan = _relay_plan.plan_relays('m0', domains, links)
+        self.assertEqual(
+            _relay_plan.plan_relays('m0', domains).relays, plan.relays
+        )
+
     def test_loss_of_a_member_changes_few_relays(self):
         domains = _make_domains(60, 3)
         before = _relay_plan.plan_relays('m0', domains).relays
@@ -172,8 +191,8 @@
             lambda inner: strategies.lists(inner, max_size=3)
             | strategies.dictionaries(
                 strategies.sampled_from(
-                    ['address', 'version', 'counts', 'held', 'troubled']
-                    + ['crash_reports', 'departures', 'kept', 'u']
+                    ['address', 'version', 'counts', 'held', 'link_mbps']
+                    + ['crash_reports', 'departures', 'kept', 'troubled', 'u']
                 ),
                 inner,
                 max_size=4,
@@ -269,6 +288,27 @@
             self.assertLess(rates[(count, False)], 20)
         self.assertLess(rates[(90, True)], 250)
 
+    def test_narrow_links_do_not_make_members_seem_lost(self):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                network = exchange_network.Network(nursery)
+                for number in range(88):
+                    member = network.start_member(
+                        f'm{number}',
+                        f'd{number % 5}',
+                        link_mbps=15 if number % 2 else 300,
+                    )
+                    member.held_tags = {f'{number:016x}{n}' for n in range(50)}
+                network.tell_all()
+                for _ in range(10):
+                    await trio.sleep(1)
+                    for member in network.members.values():
+                        member.held_tags.add(f'{trio.current_time():.6f}')
+                self.assertEqual([], network.list_unheard())
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
     def test_no_member_seems_lost_when_relays_die(self):
         async def check(network):
             relays = network.members['m0'].exchange.plan.relays
