Send no kept error of an upstream within a stream that has begun

What callers saw: in the report of other operators, the text or the whole head of an error in the middle of a stream. Here the handler did send it: after an error that was kept for the case that no retry succeeds, a second upstream began the stream and broke it off, and no third could be chosen. Only the parser of the caller's connection refused the second head, as a fault of the program (handler_failed, and no line request_ended). Cause: one of the two places that send the kept error did not look whether the response had begun. Change: both go through one method, which does. Result: the new test got (500, b'body') after the first event before, and passes now, with the 7 others of its file.

--- a/siskinmount/gateway/_online_handler.py
+++ b/siskinmount/gateway/_online_handler.py
@@ -115,10 +115,7 @@
                 if self._may_wait_for_limits(chosen):
                     await trio.sleep(LIMIT_POLL_S)
                     continue
-                if self._failed_response is not None:
-                    await self._response.send_buffered(self._failed_response)
-                    return None
-                return chosen
+                return await self._end_without_upstream(chosen)
             attempt = _online_attempt.OnlineAttempt(
                 self._context, request, self._response, chosen.upstream
             )
@@ -154,18 +151,30 @@
                     'what began the stream could not be recorded',
                     request.get_run_state(),
                 )
-            if (
-                self._failed_response is not None
-                and not request.response_started
-            ):
-                await self._response.send_buffered(self._failed_response)
-                return None
-            return results.Failure(
-                results.ResultCode.UPSTREAM_LOST,
-                'the upstream failed before its response was complete',
-                request.get_run_state(),
+            return await self._end_without_upstream(
+                results.Failure(
+                    results.ResultCode.UPSTREAM_LOST,
+                    'the upstream failed before its response was complete',
+                    request.get_run_state(),
+                )
             )
 
+    async def _end_without_upstream(
+        self, failure: results.Failure
+    ) -> results.Failure | None:
+        """Sends the error of an upstream that was kept, if the caller may get it.
+
+        Args:
+            failure: What else the caller is told.
+
+        Returns:
+            The failure to send; None if the error has been sent.
+        """
+        if self._failed_response is None or self._request.response_started:
+            return failure
+        await self._response.send_buffered(self._failed_response)
+        return None
+
     def _refuse_send(
         self, refusal: _customer_check.CustomerRefusal
     ) -> results.Failure:
--- a/siskinmount/gateway/tests/test_online_handler.py
+++ b/siskinmount/gateway/tests/test_online_handler.py
@@ -6,6 +6,7 @@
 
 from siskinmount import fleet
 from siskinmount import placement
+from siskinmount import results
 from siskinmount import transport
 from siskinmount.gateway import _online_handler
 from siskinmount.gateway import _online_request
@@ -107,6 +108,27 @@
         return await super().send(request)
 
 
+class _LostUpstream(_LimitedUpstream):
+    """Answers with an error, then breaks a stream off, and is gone."""
+
+    def __init__(self):
+        super().__init__({}, statuses=[500, 200])
+
+    def place_online(self, *args, **options):
+        if self.sent_count == 2:
+            return placement.Refusal(placement.RefusalReason.NO_UPSTREAM, 100)
+        return super().place_online(*args, **options)
+
+    async def send(self, request, *unused):
+        await super().send(request)
+        if self.status == 200:
+            self._parts = [
+                b'id: 1\ndata: a\n\n',
+                results.Failure(results.ResultCode.UPSTREAM_LOST, 'cut'),
+            ]
+        return self
+
+
 class _Exchange:
     """Fake of a caller's exchange that takes 50 ms to send a response."""
 
@@ -123,6 +145,12 @@
     async def send_json(self, status, document, headers=()):
         await self.send_whole(status, headers, b'own')
 
+    async def start_stream(self, status, headers):
+        self.response_started = True
+
+    async def send_chunk(self, chunk):
+        self.answers.append(chunk)
+
 
 class OnlineHandlerTest(testtools.TestCase):
 
@@ -133,8 +161,11 @@
         status=200,
         upstream=None,
         max_attempts=1,
+        answers=None,
     ):
         exchange = _Exchange()
+        if answers is not None:
+            exchange.answers = answers
         upstream = upstream or _Upstream(answer_after_s, status)
 
         async def main():
@@ -150,6 +181,7 @@
                 timeout_ms=5000,
                 target_ms=100,
                 max_attempts=max_attempts,
+                resumable=max_attempts > 1,
             )
             request = _online_request.OnlineRequest(
                 exchange,
@@ -190,6 +222,20 @@
         self.assertEqual([(200, b'body')], answers)
         self.assertEqual([1, 2, 2, 2, 2], upstream.calls)
 
+    def test_kept_error_is_not_sent_within_a_stream(self):
+        answers = []
+        error = self.assertRaises(
+            ExceptionGroup,
+            self._run,
+            0,
+            kind=fleet.RouteKind.STREAMING,
+            upstream=_LostUpstream(),
+            max_attempts=3,
+            answers=answers,
+        )
+        self.assertIsInstance(error.exceptions[0], trio.BrokenResourceError)
+        self.assertEqual([b'id: 1\ndata: a\n\n'], answers)
+
     def test_received_response_is_delivered_after_the_deadline(self):
         self.assertEqual([(200, b'body')], self._run(0.38))
 
