Take errors within streams for no part of them

What callers saw: where a stream had begun and broke off, and the next upstream answered with an error, its text stood in their stream, and the stream ended as if it were complete. Two forms of that were passed on here: an event without an id (event: error) after events with ids, and the head of an error that follows the beginning of an event, up to its blank line. Cause: an event without an id was accepted anywhere, and a block counted as an event if one of its lines was a field. Change: after an event with an id, one that has data and no id ends the attempt as lost. So does a block with a line that begins an HTTP response. The same reader serves items of batch jobs. Entry and sidecar exchange typed frames, in which an error cannot be taken for tokens.

--- a/siskinmount/gateway/_event_stream.py
+++ b/siskinmount/gateway/_event_stream.py
@@ -120,6 +120,10 @@
                 self._failure = _lost('bytes that are no event')
                 break
             last = self.last_event_id
+            if last is not None and _is_unnumbered(event):
+                # It cannot be resumed after, and may tell of an error.
+                self._failure = _lost(f'an event without an id after {last}')
+                break
             if event.event_id is not None:
                 if last is not None and event.event_id != last + 1:
                     self._failure = _lost(
@@ -177,6 +181,11 @@
         return False
 
 
+def _is_unnumbered(event: transport.StreamEvent) -> bool:
+    """Returns whether an event has data, but no id that is a number."""
+    return event.event_id is None and bool(event.read_data())
+
+
 def create_timeout_failure() -> results.Failure:
     """Returns the failure of a stream whose next event did not come in time."""
     return _lost('timeout while waiting for the next event')
--- a/siskinmount/transport/_event_splitter.py
+++ b/siskinmount/transport/_event_splitter.py
@@ -9,6 +9,8 @@
 _DATA_FIELD = b'data:'
 _FIELD_NAMES = (b'id', b'data', b'event', b'retry')
 _USUAL_BEGINNINGS = (_ID_FIELD, _DATA_FIELD)
+#: Beginning of a line that is the head of a response and no field of an event.
+_STATUS_LINE = b'\nHTTP/1.'
 #: Longest event, with the blank lines and comments before it.
 MAX_EVENT_BYTES = 256 * 1024
 #: Longest id of an event that counts as a number.
@@ -170,7 +172,12 @@
 
 
 def _is_foreign(raw: bytes) -> bool:
-    """Returns whether a block has lines, but no field of an event."""
+    """Returns whether a block has lines, but no field of an event.
+
+    An upstream that fails within an event may send the head of an error there.
+    """
+    if _STATUS_LINE in raw:
+        return True
     if raw.startswith(_USUAL_BEGINNINGS):
         return False
     is_empty = True
--- a/siskinmount/transport/tests/endless_server.py
+++ b/siskinmount/transport/tests/endless_server.py
@@ -31,6 +31,7 @@
         self.sent_bytes = 0
         self.open_count = 0
         self.request_count = 0
+        self._closed = trio.Event()
         self._beginning = beginning
         self._piece = piece * (16_384 // len(piece) + 1)
 
@@ -46,18 +47,21 @@
             self.address = transport.Address('127.0.0.1', port)
             task_status.started()
 
+    async def wait_closed(self):
+        """Returns once no client reads any more."""
+        while self.open_count:
+            self._closed = trio.Event()
+            await self._closed.wait()
+
     async def _serve(self, stream):
-        request = b''
-        while b'\r\n\r\n' not in request:
-            data = await stream.receive_some(65_536)
-            if not data:
-                return
-            request += data
+        request = await receive_head(stream)
+        if not request:
+            return
         self.request_count += 1
         self.open_count += 1
         try:
             await stream.send_all(
-                self._beginning.replace(b'{id}', _read_request_id(request))
+                self._beginning.replace(b'{id}', read_request_id(request))
             )
             while True:
                 await stream.send_all(self._piece)
@@ -66,9 +70,22 @@
             pass
         finally:
             self.open_count -= 1
+            self._closed.set()
+
+
+async def receive_head(stream):
+    """Returns the bytes up to the end of a request's head; none at the end."""
+    request = b''
+    while b'\r\n\r\n' not in request:
+        data = await stream.receive_some(65_536)
+        if not data:
+            return b''
+        request += data
+    return request
 
 
-def _read_request_id(request):
+def read_request_id(request):
+    """Returns the id in the head of a request; empty without one."""
     for line in request.split(b'\r\n'):
         if line.lower().startswith(_REQUEST_ID):
             return line[len(_REQUEST_ID) :].strip()
