Bound answers of the store and of peers by what they may be

What callers may see: the requests of all on a VM whose process exceeds its memory. Those of the store were read up to 64 MiB each, and those of peers up to 16 MiB, also where eight peers are asked at once: 134 MB of a machine of 200. Cause: one bound for all calls, far above what any of them returns. Change: 8 MiB for the store, whose pages hold 1 MiB of records, and 64 KiB for peers but for the call that returns the document and the upstreams. Further cases of upstreams: trailers without end, refusals in chunks, and eight ordinary requests that are answered meanwhile.

--- a/siskinmount/gateway/_peers_api.py
+++ b/siskinmount/gateway/_peers_api.py
@@ -42,7 +42,10 @@
 #: Longest wait for the outcomes of operations that a peer writes: longer than
 #: the peer waits for them itself.
 OPERATIONS_TIMEOUT_MS = 1000
-MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+#: Largest answer with the document and the entries of all upstreams.
+MAX_FLEET_BYTES = 16 * 1024 * 1024
+#: Largest answer to other calls, several of which are made at a time.
+MAX_ANSWER_BYTES = 64 * 1024
 #: Digits of the largest number that is read from a query of a peer.
 MAX_NUMBER_DIGITS = 18
 
@@ -374,6 +377,7 @@
             transport.ClientRequest(
                 'GET', f'{FLEET_PATH}?{urllib.parse.urlencode(held)}'
             ),
+            max_answer_bytes=MAX_FLEET_BYTES,
         )
         if isinstance(body, results.Failure):
             _LOGGER.info(
@@ -388,6 +392,7 @@
         address: transport.Address,
         request: transport.ClientRequest,
         silence_timeout_ms: int = PEER_TIMEOUT_MS,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
     ) -> bytes | results.Failure:
         """Calls a peer; returns the body of a response with status 200."""
         client = transport.create_http_client(
@@ -404,7 +409,7 @@
         with exchange:
             body = exchange.find_framing_fault()
             if body is None:
-                body = await exchange.read_body(MAX_RESPONSE_BYTES)
+                body = await exchange.read_body(max_answer_bytes)
         client.close()
         if exchange.status != 200:
             return results.Failure(
--- a/siskinmount/gateway/tests/test_endless_answers.py
+++ b/siskinmount/gateway/tests/test_endless_answers.py
@@ -37,15 +37,25 @@
     (_HEAD + b'content-length: 1000000000000\r\n\r\n', b'garbage'),
     (_CHUNKED, b'7\r\ngarbage\r\n'),
     (_CHUNKED, b'1;' + b'extension' * 100 + b'\r\na\r\n'),
+    (_CHUNKED + b'1\r\na\r\n0\r\n', b'x-trailer: value\r\n'),
+    (_CHUNKED + b'1\r\na\r\n0\r\nx-trailer: ', b'value'),
 ]
 _EVENTS = [
     (_CHUNKED, b'9\r\ngarbage\n\n\r\n'),
     (_CHUNKED, b'3\r\n:\n\n\r\n'),
     (_CHUNKED, b'1\r\n\n\r\n'),
     (_HEAD + b'\r\nid: 1\ndata: {id}-1\n\n', b'data: a'),
+    (_CHUNKED + b'6\r\nid: 1\n\r\n0\r\n', b'x-trailer: value\r\n'),
 ]
 _FAILED = b'HTTP/1.1 500 Error\r\nx-request-id: {id}\r\n\r\n'
 _REFUSED = b'HTTP/1.1 503 Full\r\nx-request-id: {id}\r\nx-not-run: 1\r\n\r\n'
+_REFUSED_CHUNKED = _REFUSED[:-2] + b'transfer-encoding: chunked\r\n\r\n'
+#: Further bytes of a refusal, after which the request has not run.
+_REFUSALS = [
+    (_REFUSED, b'a'),
+    (_REFUSED_CHUNKED, b'7\r\ngarbage\r\n'),
+    (_REFUSED_CHUNKED + b'0\r\n', b'x-trailer: value\r\n'),
+]
 
 
 class EndlessAnswersTest(testtools.TestCase):
@@ -119,8 +129,30 @@
                 self.assertNotIn(b'garbage', answer.body)
 
     def test_refusal_without_end_is_still_a_refusal(self):
-        answer = self._call(_REFUSED, b'a', '/booking/x', 'plain')
-        self.assertEqual(503, answer.status)
+        for beginning, piece in _REFUSALS:
+            answer = self._call(beginning, piece, '/booking/x', 'plain')
+            self.assertEqual(503, answer.status, (beginning, piece))
+
+    def test_other_requests_are_answered_meanwhile(self):
+        answers = []
+
+        async def check(fleet, server):
+            async with trio.open_nursery() as nursery:
+
+                async def call(path, request_id):
+                    answer = await fleet.call(
+                        0, 'POST', path, b'p', x_request_id=request_id
+                    )
+                    if path == '/once/x':
+                        answers.append((answer.status, answer.is_whole))
+
+                for number in range(8):
+                    nursery.start_soon(call, '/booking/x', f'endless-{number}')
+                    nursery.start_soon(call, '/once/x', f'other-{number}')
+
+        beginning, piece = _BODIES[0]
+        self._run(check, beginning, piece, 'plain', engines=('e1',))
+        self.assertEqual([(200, True)] * 8, answers)
 
     def test_item_goes_on_at_another_upstream(self):
         for beginning, piece in (*_HEADS, *_BODIES, *_EVENTS, (_FAILED, b'a')):
--- a/siskinmount/gateway/tests/test_peers_api.py
+++ b/siskinmount/gateway/tests/test_peers_api.py
@@ -8,9 +8,11 @@
 import trio.testing
 
 from siskinmount import jobs
+from siskinmount import stream_origins
 from siskinmount import transport
 from siskinmount.gateway import _peers_api
 from siskinmount.jobs.tests import fake_table
+from siskinmount.transport.tests import endless_server
 
 _LOGGER_NAME = 'siskinmount.gateway._peers_api'
 
@@ -37,6 +39,66 @@
         self.status = status
 
 
+class _EndlessPeer:
+    """A fake of `peering.Peer` and of the directory that knows it alone."""
+
+    def __init__(self, server):
+        self.member = 'p'
+        self.address = server.address.host
+        self.peers = {'p': self}
+
+    def list_live(self):
+        return [self] * 8
+
+    def is_older_release(self):
+        return False
+
+
+class EndlessPeerTest(testtools.TestCase):
+
+    def test_call_ends_after_a_bounded_number_of_bytes(self):
+        calls = [
+            lambda api: api.ask_origin(stream_origins.StreamKey('a', 'f')),
+            lambda api: api.send_operations('p', b'[]'),
+            lambda api: api.hand_over('t', jobs.ItemProgress(), 'p'),
+        ]
+        for call in calls:
+            trio.run(self._check, call)
+
+    async def _check(self, call):
+        with trio.fail_after(30):
+            async with trio.open_nursery() as nursery:
+                server = endless_server.EndlessServer(
+                    b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n',
+                    b'4000\r\n' + b'g' * 0x4000 + b'\r\n',
+                )
+                await nursery.start(server.run)
+                api = _create_api(_EndlessPeer(server), server.address)
+                await call(api)
+                await server.wait_closed()
+                # What the sockets hold comes on top of what is read.
+                self.assertLess(
+                    server.sent_bytes, server.request_count * 8 * 1024 * 1024
+                )
+                self.assertGreater(server.request_count, 0)
+                nursery.cancel_scope.cancel()
+
+
+def _create_api(directory, own_address, scheduler=None):
+    return _peers_api.create_peers_api(
+        view=None,
+        document_follower=None,
+        upstreams_follower=None,
+        directory=directory,
+        scheduler=scheduler,
+        ledger=None,
+        origins=None,
+        key_proofs=None,
+        own_address=own_address,
+        seeds=[],
+    )
+
+
 class PeersApiTest(testtools.TestCase):
 
     def _run(self, check):
@@ -47,17 +109,8 @@
                 list,
                 lambda: jobs.PeerItems(set(), {}),
             )
-            api = _peers_api.create_peers_api(
-                view=None,
-                document_follower=None,
-                upstreams_follower=None,
-                directory=None,
-                scheduler=scheduler,
-                ledger=None,
-                origins=None,
-                key_proofs=None,
-                own_address=transport.Address('127.0.0.1', 1),
-                seeds=[],
+            api = _create_api(
+                None, transport.Address('127.0.0.1', 1), scheduler
             )
             await check(api, scheduler)
 
--- a/siskinmount/platform/_store.py
+++ b/siskinmount/platform/_store.py
@@ -38,7 +38,8 @@
 #: Much shorter than the history that the store keeps, from which the changes
 #: since its first page are read.
 CONTINUED_READ_S = 5.0
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
+#: Well above a page of 1 MiB of records in base64, with their keys.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
 _MAX_CONNECTIONS = 64
 _RANGE = struct.Struct('>QQ')
 _LENGTH = struct.Struct('>I')
