Refuse requests that may outlive a stopping process

What callers saw: in a planned stop, in calm, requests that came late in the grace were taken and passed on, and cut with no answer at its end, among them some that may not be repeated. That could happen here: a stream that began before the stop leaves its connection open, and the next request on it was started however little time was left. Calls on jobs were cut in the same way. Cause: draining closed connections, but nothing compared what a request may take with what was left. Change: gateway._shutdown_admission. A request that may run until after the end of the grace is refused with 503, truthfully not run, and Retry-After 0; one that may be repeated is still started for the first 3 s, in which its caller cannot know of the stop. What is open at the end is answered, 503 or 502 by whether it may have run, before its connection is closed.

--- a/siskinmount/gateway/_callers_api.py
+++ b/siskinmount/gateway/_callers_api.py
@@ -78,7 +78,7 @@
                 await self._refuse(exchange, request, body, caller.name)
                 return
             if route.kind is fleet.RouteKind.BATCH:
-                await self._run_until_disconnect(
+                await self._run_job_call(
                     exchange,
                     request,
                     self._jobs_api.submit(
@@ -126,13 +126,36 @@
         if isinstance(body, results.Failure):
             await self._refuse(exchange, request, body)
             return
-        await self._run_until_disconnect(
+        await self._run_job_call(
             exchange,
             request,
             self._jobs_api.handle_call(exchange, request, call, caller),
             caller.name,
         )
 
+    async def _run_job_call(
+        self,
+        exchange: transport.ServerExchange,
+        request: _wire.CallerRequest,
+        work: Awaitable[None],
+        customer: str,
+    ) -> None:
+        """Runs a call on jobs; answers it also if the process stops first."""
+        shutdown = self._context.shutdown
+        with trio.CancelScope() as scope:
+            shutdown.open(scope)
+            try:
+                await self._run_until_disconnect(
+                    exchange, request, work, customer
+                )
+            finally:
+                shutdown.close(scope)
+        if not scope.cancelled_caught:
+            return
+        if exchange.response_started:
+            raise trio.BrokenResourceError('the response cannot be completed')
+        await self._refuse(exchange, request, _STOPPING, customer)
+
     async def _run_until_disconnect(
         self,
         exchange: transport.ServerExchange,
@@ -225,6 +248,13 @@
     retry_after_ms=NO_DOCUMENT_RETRY_MS,
 )
 
+_STOPPING = results.Failure(
+    results.ResultCode.LEAVING,
+    'the process stops before the call has ended',
+    results.RunState.UNKNOWN,
+    retry_after_ms=0,
+)
+
 _JOBS_NOT_LOADED = results.Failure(
     results.ResultCode.LOG_UNAVAILABLE,
     'the jobs have not been loaded yet',
--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -46,6 +46,7 @@
 from siskinmount.gateway import _rate_limit_reader
 from siskinmount.gateway import _response_buffers
 from siskinmount.gateway import _result_writer
+from siskinmount.gateway import _shutdown_admission
 from siskinmount.gateway import _unframed_end
 from siskinmount.gateway import _upstream_clients
 from siskinmount.gateway import _version_keeper
@@ -107,6 +108,7 @@
         '_budget',
         '_applied_document',
         '_callers_server',
+        '_shutdown',
         '_servers',
     )
 
@@ -377,6 +379,7 @@
             health=health,
             metrics=self._metrics,
         )
+        self._shutdown = _shutdown_admission.create_shutdown_admission()
         context = _online_context.OnlineContext(
             placer=placer,
             load=self._load,
@@ -404,6 +407,7 @@
             metrics=self._metrics,
             customer_check=self._customer_check,
             shares=admission.create_customer_shares(self._quotas),
+            shutdown=self._shutdown,
         )
         callers_api = _callers_api.create_callers_api(
             self._view,
@@ -500,6 +504,7 @@
                 self._callers_server,
                 self._runner,
                 self._ledger,
+                self._shutdown,
                 self._settings.stop_grace_s,
             )
             nursery.cancel_scope.cancel()
--- a/siskinmount/gateway/_graceful_shutdown.py
+++ b/siskinmount/gateway/_graceful_shutdown.py
@@ -7,6 +7,7 @@
 from siskinmount import jobs
 from siskinmount import transport
 from siskinmount.gateway import _item_runner
+from siskinmount.gateway import _shutdown_admission
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -25,6 +26,7 @@
     callers_server: transport.HttpServer,
     runner: _item_runner.ItemRunner,
     ledger: jobs.JobLedger,
+    admission: _shutdown_admission.ShutdownAdmission,
     grace_s: float,
 ) -> None:
     """Returns when all work has ended, or when the grace period is nearly over.
@@ -33,11 +35,13 @@
         callers_server: Its connections are closed after their next response.
         runner: Its items finish, or are cancelled and handed over.
         ledger: Its pending operations finish.
+        admission: Refuses requests that may not end in time.
         grace_s: Time from the stop signal until the process is killed.
     """
     began_at_s = trio.current_time()
     callers_server.begin_draining()
     end_at_s = began_at_s + max(0.0, grace_s - FORCED_STOP_MARGIN_S)
+    admission.begin(end_at_s)
     while trio.current_time() < end_at_s:
         await trio.sleep(POLL_INTERVAL_S)
         if trio.current_time() - began_at_s < BALANCER_REMOVAL_S:
@@ -53,10 +57,12 @@
     if runner.held_count:
         runner.cancel_all()
         await trio.sleep(HAND_OVER_WAIT_S)
+    ended_count = await admission.end()
     _LOGGER.info(
         'stop_done',
         extra={
             'took_ms': int((trio.current_time() - began_at_s) * 1000),
+            'requests_ended': ended_count,
             'connections_open': callers_server.connection_count,
             'items_held': runner.held_count,
             'operations_open': ledger.open_count,
--- a/siskinmount/gateway/_online_context.py
+++ b/siskinmount/gateway/_online_context.py
@@ -11,6 +11,7 @@
 from siskinmount.gateway import _origin_registrar
 from siskinmount.gateway import _rate_limit_reader
 from siskinmount.gateway import _response_buffers
+from siskinmount.gateway import _shutdown_admission
 from siskinmount.gateway import _unframed_end
 from siskinmount.gateway import _upstream_clients
 from siskinmount.gateway import _wire
@@ -41,6 +42,7 @@
         customer_check: Checks keys of callers.
         shares: Decides whose requests may wait how long for an upstream; None
             if all may wait as long.
+        shutdown: Decides which requests start while the process shuts down.
     """
 
     __slots__ = (
@@ -64,6 +66,7 @@
         'metrics',
         'customer_check',
         'shares',
+        'shutdown',
     )
 
     def __init__(
@@ -88,6 +91,7 @@
         wire: _wire.Wire,
         metrics: _gateway_metrics.GatewayMetrics,
         customer_check: _customer_check.CustomerCheck,
+        shutdown: _shutdown_admission.ShutdownAdmission,
         shares: admission.CustomerShares | None = None,
     ) -> None:
         self.placer = placer
@@ -110,3 +114,4 @@
         self.metrics = metrics
         self.customer_check = customer_check
         self.shares = shares
+        self.shutdown = shutdown
--- a/siskinmount/gateway/_online_handler.py
+++ b/siskinmount/gateway/_online_handler.py
@@ -70,19 +70,41 @@
 
     async def _answer(self) -> None:
         """Answers the caller; raises as `run` does."""
-        with trio.CancelScope(deadline=self._request.deadline_s) as scope:
-            failure = await self._try_upstreams()
-        if scope.cancelled_caught:
-            failure = results.Failure(
-                results.ResultCode.DEADLINE_EXCEEDED,
-                'the deadline passed before the response was complete',
-                self._request.get_run_state(),
-                retry_after_ms=None,
-            )
+        request = self._request
+        shutdown = self._context.shutdown
+        failure = shutdown.check(
+            request.request_id, request.deadline_s, request.route.may_repeat()
+        )
+        if failure is None:
+            with trio.CancelScope(deadline=request.deadline_s) as scope:
+                shutdown.open(scope)
+                try:
+                    failure = await self._try_upstreams()
+                finally:
+                    shutdown.close(scope)
+            if scope.cancelled_caught:
+                failure = self._create_cut_failure()
         if failure is None:
             return
         await self._response.fail(failure)
 
+    def _create_cut_failure(self) -> results.Failure:
+        """Returns the failure of a request that was not completed in time."""
+        request = self._request
+        if self._context.shutdown.has_ended and request.get_remaining_ms() > 0:
+            return results.Failure(
+                results.ResultCode.LEAVING,
+                'the process stops',
+                request.get_run_state(),
+                retry_after_ms=0,
+            )
+        return results.Failure(
+            results.ResultCode.DEADLINE_EXCEEDED,
+            'the deadline passed before the response was complete',
+            request.get_run_state(),
+            retry_after_ms=None,
+        )
+
     async def _try_upstreams(self) -> results.Failure | None:
         """Sends the request to upstreams until the caller has its response.
 
--- a/siskinmount/gateway/tests/online_context.py
+++ b/siskinmount/gateway/tests/online_context.py
@@ -16,6 +16,7 @@
 from siskinmount.gateway import _origin_registrar
 from siskinmount.gateway import _rate_limit_reader
 from siskinmount.gateway import _response_buffers
+from siskinmount.gateway import _shutdown_admission
 from siskinmount.gateway import _unframed_end
 
 
@@ -102,4 +103,5 @@
             admission.create_customer_quotas(),
             metrics,
         ),
+        shutdown=_shutdown_admission.create_shutdown_admission(),
     )
