--- a/siskinmount/gateway/_shutdown_admission.py
+++ b/siskinmount/gateway/_shutdown_admission.py
@@ -8,8 +8,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Time after the stop signal in which callers that cannot know of it may still
-#: send requests; see `_graceful_shutdown.BALANCER_REMOVAL_S`.
+#: Time after the stop signal in which the load balancer may still send callers
+#: that cannot know of it.
 UNAWARE_CALLERS_S = 3.0
 #: Time for the last answers to be sent before connections are closed.
 ANSWERS_SENT_S = 0.2
--- a/siskinmount/peering/_peer_exchange.py
+++ b/siskinmount/peering/_peer_exchange.py
@@ -115,7 +115,7 @@
         '_invalid_count',
         '_wake',
         '_read_datagram',
-        '_list_datagrams',
+        '_collect_datagrams',
     )
 
     def __init__(
@@ -158,7 +158,7 @@
         self._invalid_count = 0
         self._wake = trio.Event()
         self._read_datagram = self.handle_datagram
-        self._list_datagrams = self._create_list
+        self._collect_datagrams = self._create_all_datagrams
         load.add_own_listener(self._wake_sender)
 
     def measure(self, work_times: telemetry.WorkTimes) -> None:
@@ -166,8 +166,8 @@
         self._read_datagram = work_times.wrap(
             'peer_messages_received', self.handle_datagram
         )
-        self._list_datagrams = work_times.wrap(
-            'peer_messages_sent', self._list_datagrams
+        self._collect_datagrams = work_times.wrap(
+            'peer_messages_sent', self._collect_datagrams
         )
 
     async def run(self) -> None:
@@ -287,7 +287,7 @@
     async def _send(self, datagrams: socket.socket) -> None:
         while True:
             self._wake = trio.Event()
-            for data, address in self._list_datagrams():
+            for data, address in self._collect_datagrams():
                 try:
                     datagrams.sendto(data, (address, self._port))
                 except OSError as error:
@@ -302,7 +302,7 @@
             with trio.move_on_after(max_s - min_s):
                 await self._wake.wait()
 
-    def _create_list(self) -> list[tuple[bytes, str]]:
+    def _create_all_datagrams(self) -> list[tuple[bytes, str]]:
         """Returns what is to be sent now."""
         return list(self.create_datagrams())
 
