Apply only those windows that the message before did not tell

Cause: news is told for a second, and so in several messages; each receiver decoded and applied it each time. Change: rows of windows that equal those of the message before, from the same start of the member, are passed over before they are decoded.

--- a/siskinmount/gateway/_gateway.py
+++ b/siskinmount/gateway/_gateway.py
@@ -613,7 +613,7 @@
             create_message=self._announcer.create_message,
             link_mbps=self._settings.link_mbps,
             count_datagram=self._metrics.peer_datagrams.increment,
-            count_row=self._metrics.count_peer_row,
+            count_rows=self._metrics.count_peer_rows,
             work_times=self._metrics.work_times,
         )
 
--- a/siskinmount/gateway/_gateway_metrics.py
+++ b/siskinmount/gateway/_gateway_metrics.py
@@ -255,9 +255,11 @@
         for name, per_s in top.items():
             self.customer_use.set(round(per_s, 2), name)
 
-    def count_peer_row(self, outcome: str, size_bytes: int) -> None:
-        """Counts a message of a member that was read."""
-        self.peer_rows.increment(outcome)
+    def count_peer_rows(
+        self, outcome: str, count: int, size_bytes: int
+    ) -> None:
+        """Counts messages of members that were read."""
+        self.peer_rows.increment(outcome, amount=count)
         self.peer_row_bytes.increment(outcome, amount=size_bytes)
 
 
--- a/siskinmount/peering/_peer_directory.py
+++ b/siskinmount/peering/_peer_directory.py
@@ -284,7 +284,9 @@
     ) -> RowOutcome | results.Failure:
         """Applies an encoded message of a member."""
         peer = self.peers.get(row.member)
+        earlier: _peer_message.PeerMessage | None = None
         if peer is not None and row.incarnation == peer.incarnation:
+            earlier = peer.message
             if row.sequence <= peer.sequence:
                 return RowOutcome.STALE
             if row.body == peer.body and _may_be_repeated(peer.message):
@@ -292,7 +294,7 @@
                 self._mark_heard(peer, row.sequence)
                 self._load.refresh_peer(peer.member, peer.message.counts)
                 return RowOutcome.REPEATED
-        message = _peer_message.decode_row(row)
+        message = _peer_message.decode_row(row, earlier)
         if isinstance(message, results.Failure):
             return message
         if not self.apply_message(message):
@@ -535,7 +537,7 @@
     def _sweep(self, now_s: float) -> None:
         """Drops what was told by peers that have become silent."""
         for peer in list(self._live.values()):
-            if peer.is_live():
+            if now_s - peer.heard_at_s < SILENT_S:
                 continue
             del self._live[peer.member]
             self._mark_changed()
--- a/siskinmount/peering/_peer_exchange.py
+++ b/siskinmount/peering/_peer_exchange.py
@@ -62,8 +62,8 @@
 CreateMessage = Callable[[int], _peer_message.PeerMessage]
 #: Takes what was done with a datagram, such as `sent_report`.
 CountDatagram = Callable[[str], None]
-#: Takes what became of a row, such as `stale`, and its size in bytes.
-CountRow = Callable[[str, int], None]
+#: Takes what became of rows, such as `stale`, their number and size in bytes.
+CountRows = Callable[[str, int, int], None]
 
 
 class _Reporter:
@@ -99,7 +99,7 @@
         '_load',
         '_create_message',
         '_count_datagram',
-        '_count_row',
+        '_count_rows',
         '_choice',
         '_reporters',
         '_exchanged_at_s',
@@ -128,7 +128,7 @@
         load: placement.LoadTable,
         create_message: CreateMessage,
         count_datagram: CountDatagram,
-        count_row: CountRow,
+        count_rows: CountRows,
     ) -> None:
         self.plan = _relay_plan.plan_relays(
             directory.member, {directory.member: failure_domain}
@@ -141,7 +141,7 @@
         self._load = load
         self._create_message = create_message
         self._count_datagram = count_datagram
-        self._count_row = count_row
+        self._count_rows = count_rows
         self._choice = _relay_choice.create_relay_choice()
         self._reporters: dict[str, _Reporter] = {}
         self._exchanged_at_s: dict[str, float] = {}
@@ -207,6 +207,7 @@
             return datagram
         self._count_datagram(f'received_{datagram.kind.name.lower()}')
         failure: results.Failure | None = None
+        sizes_bytes: dict[_peer_directory.RowOutcome, list[int]] = {}
         for data_row in datagram.rows:
             row = _peer_message.split_row(data_row)
             if isinstance(row, results.Failure):
@@ -216,9 +217,11 @@
             if isinstance(outcome, results.Failure):
                 failure = outcome
                 continue
-            self._count_row(outcome.value, len(data_row))
+            sizes_bytes.setdefault(outcome, []).append(len(data_row))
             if outcome is not _peer_directory.RowOutcome.STALE:
                 self._keep_row(datagram.kind, row, outcome)
+        for outcome, sizes in sizes_bytes.items():
+            self._count_rows(outcome.value, len(sizes), sum(sizes))
         self._record_partner(datagram)
         return failure
 
@@ -511,7 +514,7 @@
     """Counts nothing."""
 
 
-def _ignore_row(outcome: str, size_bytes: int) -> None:
+def _ignore_rows(outcome: str, count: int, size_bytes: int) -> None:
     """Counts nothing."""
 
 
@@ -525,7 +528,7 @@
     create_message: CreateMessage,
     link_mbps: int = 0,
     count_datagram: CountDatagram = _ignore_datagram,
-    count_row: CountRow = _ignore_row,
+    count_rows: CountRows = _ignore_rows,
     work_times: telemetry.WorkTimes | None = None,
 ) -> PeerExchange:
     """Creates an exchange.
@@ -539,7 +542,7 @@
         create_message: Creates this member's message with a sequence number.
         link_mbps: Speed of this member's link; 0 if it is not known.
         count_datagram: Told of each datagram that is sent or received.
-        count_row: Told of each row that is received.
+        count_rows: Told of the rows that are received.
         work_times: Counts the time of reading and creating datagrams.
     """
     exchange = PeerExchange(
@@ -551,7 +554,7 @@
         load,
         create_message,
         count_datagram,
-        count_row,
+        count_rows,
     )
     if work_times is not None:
         exchange.measure(work_times)
--- a/siskinmount/peering/_peer_message.py
+++ b/siskinmount/peering/_peer_message.py
@@ -62,7 +62,9 @@
             by service.
         stream_versions: At what the sender takes streams without a record to
             have begun, by service; None from a release that records none.
-        paces: Answers of starting and recovered upstreams to the sender.
+        paces: Answers of starting and recovered upstreams to the sender; of a
+            decoded message only those that the one before did not tell.
+        pace_rows: All of them, as they were decoded.
         quota_use: Requests of customers that the sender had a moment ago.
     """
 
@@ -87,6 +89,7 @@
         'demand',
         'stream_versions',
         'paces',
+        'pace_rows',
         'quota_use',
     )
 
@@ -133,6 +136,7 @@
         self.demand = demand or {}
         self.stream_versions = stream_versions
         self.paces = paces or {}
+        self.pace_rows: dict[str, Any] = {}
         self.failure_domain = failure_domain
         self.link_mbps = link_mbps
         self.quota_use = quota_use or {}
@@ -316,16 +320,22 @@
     return (*row, 1) if report.is_ended else row
 
 
-def _decode_paces(rows: object) -> dict[str, placement.PaceReport]:
+def _decode_paces(
+    rows: dict[str, Any], earlier_rows: dict[str, Any]
+) -> dict[str, placement.PaceReport]:
     """Returns reports of windows; invalid ones are left out.
 
     They must not cost the rest of the message, without which its sender counts
     as silent.
+
+    Args:
+        rows: Encoded reports.
+        earlier_rows: Those of the message before, which are left out.
     """
     paces: dict[str, placement.PaceReport] = {}
-    if not isinstance(rows, dict):
-        return paces
     for upstream_id, row in itertools.islice(rows.items(), _MAX_PACES):
+        if earlier_rows.get(upstream_id) == row:
+            continue
         try:
             paces[upstream_id] = placement.PaceReport(
                 int(row[0]),
@@ -425,12 +435,19 @@
     return decode_row(row)
 
 
-def decode_row(row: PeerRow) -> PeerMessage | results.Failure:
-    """Decodes the body of a row, or fails with `MALFORMED_REQUEST`."""
+def decode_row(
+    row: PeerRow, earlier: PeerMessage | None = None
+) -> PeerMessage | results.Failure:
+    """Decodes the body of a row, or fails with `MALFORMED_REQUEST`.
+
+    Args:
+        row: The row.
+        earlier: Message before it of the same start of the member, if known.
+    """
     try:
         fields = orjson.loads(row.body)
         return _create_message(
-            row.member, row.incarnation, row.sequence, fields
+            row.member, row.incarnation, row.sequence, fields, earlier
         )
     except results.DECODING_ERRORS as error:
         return _malformed(repr(error))
@@ -450,7 +467,11 @@
 
 
 def _create_message(
-    member: str, incarnation: int, sequence: int, fields: dict[str, Any]
+    member: str,
+    incarnation: int,
+    sequence: int,
+    fields: dict[str, Any],
+    earlier: PeerMessage | None = None,
 ) -> PeerMessage:
     """Creates a message from decoded fields.
 
@@ -488,7 +509,10 @@
             stream_versions[service] = stream_origins.VersionRow(
                 _read_count(row[0]), str(row[1]), row[2] is True
             )
-    return PeerMessage(
+    pace_rows = fields.get('paces')
+    if not isinstance(pace_rows, dict):
+        pace_rows = {}
+    message = PeerMessage(
         member=member,
         incarnation=incarnation,
         sequence=sequence,
@@ -508,9 +532,11 @@
         rate_limits=rate_limits,
         demand=demand,
         stream_versions=stream_versions,
-        paces=_decode_paces(fields.get('paces')),
+        paces=_decode_paces(pace_rows, earlier.pace_rows if earlier else {}),
         quota_use=_decode_quota_use(fields.get('quota_use')),
     )
+    message.pace_rows = pace_rows
+    return message
 
 
 def _read_amount(value: object) -> float:
--- a/siskinmount/peering/tests/test_peer_directory.py
+++ b/siskinmount/peering/tests/test_peer_directory.py
@@ -134,6 +134,46 @@
 
         self._run(check)
 
+    def test_windows_that_a_message_tells_again_are_not_applied_again(self):
+        applied = []
+
+        class Paces:
+
+            def apply_reports(self, peer, reports):
+                applied.append(
+                    {name: each.good for name, each in reports.items()}
+                )
+
+        async def check(directory, load):
+            del directory
+            crash_tracker = placement.create_crash_tracker()
+            directory = peering.create_peer_directory(
+                'm', load, crash_tracker, self.health, paces=Paces()
+            )
+            messages = [{'a': 1, 'b': 1}, {'a': 1, 'b': 2, 'c': 0}, {'c': 0}]
+            for sequence, good_by_upstream in enumerate(messages):
+                message = _make_message(
+                    sequence=sequence,
+                    paces={
+                        name: placement.PaceReport(9, good, 0)
+                        for name, good in good_by_upstream.items()
+                    },
+                )
+                row = peering.split_row(peering.encode_message(message))
+                directory.apply_row(row)
+            # A start of the member tells all anew.
+            message = _make_message(
+                incarnation=2, paces={'c': placement.PaceReport(9, 0, 0)}
+            )
+            directory.apply_row(
+                peering.split_row(peering.encode_message(message))
+            )
+
+        self._run(check)
+        self.assertEqual(
+            [{'a': 1, 'b': 1}, {'b': 2, 'c': 0}, {}, {'c': 0}], applied
+        )
+
     def test_reports_of_windows_pass_between_members(self):
         # Guards against members that hold an upstream back by unlike windows.
         async def check(directory, load):
