--- a/siskinmount/gateway/tests/key_proof_simulation.py
+++ b/siskinmount/gateway/tests/key_proof_simulation.py
@@ -193,7 +193,7 @@
 
     call_peer = None
 
-    async def _call(self, address, request):
+    async def _call(self, address, request, max_answer_bytes=0):
         if self.call_peer is not None:
             return await self.call_peer(address, request)
         asker = self.seeds[0]
--- a/siskinmount/gateway/tests/test_upstream_views.py
+++ b/siskinmount/gateway/tests/test_upstream_views.py
@@ -81,7 +81,7 @@
 class _PeersApi(_peers_api.PeersApi):
     """Calls peers within the process."""
 
-    async def _call(self, address, request):
+    async def _call(self, address, request, max_answer_bytes=0):
         exchange = _Exchange(request.target)
         await self.seeds[0].peers[address.host].api.handle(exchange)
         await trio.sleep(_LATENCY_S)
