--- a/siskinmount/peering/_relay_plan.py
+++ b/siskinmount/peering/_relay_plan.py
@@ -18,8 +18,7 @@
 
 #: Up to this many members, each is a relay and sends to all others.
 MAX_DIRECT_MEMBERS = 12
-#: Links from this speed on are wide enough for any relay. One of 94 members
-#: passes on some 10 Mbit/s, and several times that if messages are long.
+#: Links from this speed on count as equally wide.
 WIDE_LINK_MBPS = 100
 #: Relays of a failure domain, if it has as many members: a second one passes
 #: reports on while the first is lost.
