--- a/review/harness3/fleet.py
+++ b/review/harness3/fleet.py
@@ -355,7 +355,7 @@
             'X-Deadline-Ms': str(int(timeout_s * 1000)),
             'Content-Type': 'application/json',
         },
-        json.dumps({'items': items}).encode(),
+        json.dumps({'items': items}, separators=(',', ':')).encode(),
         timeout_s + 1.5,
     )
 
--- a/review/harness3/store.py
+++ b/review/harness3/store.py
@@ -11,7 +11,7 @@
 MAX_PAGE_BYTES = 1_000_000
 DEFAULT_READ_KB = 1024
 MAX_WAIT_S = 30.0
-#: Sum of all records that are kept, beyond which appends get 507.
+#: Sum of all records that are kept, from which on appends get 507.
 MAX_STORED_BYTES = 400_000_000
 _RANGE = struct.Struct('>QQ')
 _LENGTH = struct.Struct('>I')
@@ -97,7 +97,7 @@
         end = len(partition.records)
         if at is not None and int(at) != end:
             return _json(412, {'end_offset': end})
-        if self.stored_bytes + len(request.body) > MAX_STORED_BYTES:
+        if self.stored_bytes >= MAX_STORED_BYTES:
             self.refused_count += 1
             return _json(507, {})
         records: list[bytes] = []
